Start: internal protocol, kernel, settings, membership, bundle and platform ports

Cause: an empty repository. Change: framed protobuf links, module kernel, strict settings, SWIM membership as pure decision logic with simulated-fleet properties, rendezvous ownership, bundle schema with sign-off and head, and the platform's two adapters. Before: nothing. After: membership properties (convergence, leaving never revived, partition heals, paused node condemns nobody) pass; nothing serves yet.

--- /dev/null
+++ b/internal/bundle/document.go
@@ -0,0 +1,165 @@
+package bundle
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Document is one named part of a bundle in canonical form: JSON with fields
+// in schema order and defaults filled in.
+type Document struct {
+	Kind    Kind            `json:"kind"`
+	Name    string          `json:"name"`
+	Content json.RawMessage `json:"content"`
+}
+
+// Key identifies a document within a bundle.
+type Key struct {
+	Kind Kind
+	Name string
+}
+
+// Key returns the document's key.
+func (d Document) Key() Key { return Key{d.Kind, d.Name} }
+
+// String writes the key as kind/name.
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Hash is a document's SHA-256.
+type Hash [sha256.Size]byte
+
+// Hash returns the SHA-256 of kind, name and content.
+func (d Document) Hash() Hash {
+	digest := sha256.New()
+	_, _ = fmt.Fprintf(digest, "%s\n%s\n", d.Kind, d.Name)
+	_, _ = digest.Write(d.Content)
+	return Hash(digest.Sum(nil))
+}
+
+// Parse reads YAML documents separated by "---". Each has kind, name and the
+// fields of its kind. Unknown fields, bad values and names used twice are
+// errors that say where.
+func Parse(text []byte) ([]Document, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
+	var documents []Document
+	seen := map[Key]bool{}
+	for position := 1; ; position++ {
+		var fields map[string]any
+		err := decoder.Decode(&fields)
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return nil, fmt.Errorf("document %d: %s", position, yaml.FormatError(err, false, true))
+		}
+		if fields == nil {
+			continue
+		}
+		document, err := fromFields(fields)
+		if err != nil {
+			return nil, fmt.Errorf("document %d: %w", position, err)
+		}
+		if seen[document.Key()] {
+			return nil, fmt.Errorf("document %d: %s is named twice", position, document.Key())
+		}
+		seen[document.Key()] = true
+		documents = append(documents, document)
+	}
+	Sort(documents)
+	return documents, nil
+}
+
+// Sort orders documents by kind and name.
+func Sort(documents []Document) {
+	sort.Slice(documents, func(i, j int) bool {
+		if documents[i].Kind != documents[j].Kind {
+			return documents[i].Kind < documents[j].Kind
+		}
+		return documents[i].Name < documents[j].Name
+	})
+}
+
+func fromFields(fields map[string]any) (Document, error) {
+	kind, _ := fields["kind"].(string)
+	name, _ := fields["name"].(string)
+	if !namePattern.MatchString(name) {
+		return Document{}, &FieldError{Kind(kind), name, "name", fmt.Sprintf("%q", name), nameAllowed}
+	}
+	delete(fields, "kind")
+	delete(fields, "name")
+	raw, err := json.Marshal(fields)
+	if err != nil {
+		return Document{}, fmt.Errorf("%s %q: %w", kind, name, err)
+	}
+	return Canonical(Kind(kind), name, raw)
+}
+
+// Canonical decodes content strictly, fills in defaults, checks it and encodes
+// it again, so equal policy has equal bytes.
+func Canonical(kind Kind, name string, content []byte) (Document, error) {
+	value, err := decodeSpec(kind, name, content)
+	if err != nil {
+		return Document{}, err
+	}
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return Document{}, fmt.Errorf("%s %q: %w", kind, name, err)
+	}
+	return Document{Kind: kind, Name: name, Content: encoded}, nil
+}
+
+func decodeSpec(kind Kind, name string, content []byte) (any, error) {
+	switch kind {
+	case KindPolicy:
+		spec := newPolicy()
+		return &spec, decodeStrict(kind, name, content, &spec, spec.check)
+	case KindModel:
+		spec := newModel()
+		return &spec, decodeStrict(kind, name, content, &spec, spec.check)
+	case KindTenant:
+		spec := newTenant()
+		return &spec, decodeStrict(kind, name, content, &spec, spec.check)
+	case KindOperator:
+		spec := Operator{}
+		return &spec, decodeStrict(kind, name, content, &spec, spec.check)
+	default:
+		return nil, &FieldError{kind, name, "kind", fmt.Sprintf("%q", kind), "Policy, Model, Tenant or Operator"}
+	}
+}
+
+func decodeStrict(kind Kind, name string, content []byte, spec any, check func(string) error) error {
+	decoder := json.NewDecoder(bytes.NewReader(content))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(spec); err != nil {
+		return fmt.Errorf("%s %q: %w", kind, name, err)
+	}
+	return check(name)
+}
+
+// Digest is the identity of a bundle's content: the SHA-256 over the sorted
+// hashes of its documents, in hex.
+func Digest(documents []Document) string {
+	hashes := make([]Hash, len(documents))
+	for i, document := range documents {
+		hashes[i] = document.Hash()
+	}
+	return digestOf(hashes)
+}
+
+func digestOf(hashes []Hash) string {
+	sorted := append([]Hash(nil), hashes...)
+	sort.Slice(sorted, func(i, j int) bool { return bytes.Compare(sorted[i][:], sorted[j][:]) < 0 })
+	digest := sha256.New()
+	for _, hash := range sorted {
+		_, _ = digest.Write(hash[:])
+	}
+	return hex.EncodeToString(digest.Sum(nil))
+}
--- /dev/null
+++ b/internal/kernel/context.go
@@ -0,0 +1,44 @@
+package kernel
+
+import (
+	"reflect"
+
+	"github.com/gravitational/trace"
+)
+
+// Context holds the services modules provide to each other, found by type.
+type Context struct {
+	services []any
+}
+
+func newContext(services []any) *Context {
+	return &Context{services: append([]any(nil), services...)}
+}
+
+// Provide offers a service to the modules provisioned later.
+func (c *Context) Provide(service any) {
+	c.services = append(c.services, service)
+}
+
+// Find returns the first service that is a T. T is usually an interface that
+// the asking package declares.
+func Find[T any](c *Context) (T, error) {
+	for _, service := range c.services {
+		if found, ok := service.(T); ok {
+			return found, nil
+		}
+	}
+	var none T
+	return none, trace.NotFound("no module provides %v", reflect.TypeFor[T]())
+}
+
+// FindAll returns every service that is a T, in order of provision.
+func FindAll[T any](c *Context) []T {
+	var found []T
+	for _, service := range c.services {
+		if match, ok := service.(T); ok {
+			found = append(found, match)
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,276 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+)
+
+// fleet simulates nodes over a network that drops, delays and cuts.
+type fleet struct {
+	t       *rapid.T
+	now     time.Time
+	random  *rand.Rand
+	nodes   map[string]*State
+	paused  map[string]bool
+	gone    map[string]bool
+	cut     map[[2]string]bool // one direction: from, to
+	loss    float64
+	pending []delivery
+}
+
+type delivery struct {
+	at      time.Time
+	from    string
+	to      string
+	message *wirev1.MembershipMessage
+}
+
+const step = 50 * time.Millisecond
+
+func newFleet(t *rapid.T, size int, seed uint64) *fleet {
+	f := &fleet{
+		t: t, now: time.Unix(0, 0), random: rand.New(rand.NewPCG(seed, 1)),
+		nodes: map[string]*State{}, paused: map[string]bool{}, gone: map[string]bool{}, cut: map[[2]string]bool{},
+	}
+	for i := range size {
+		f.start(fmt.Sprintf("n%02d", i), 1)
+	}
+	return f
+}
+
+func (f *fleet) start(id string, incarnation uint64) {
+	record := &wirev1.MemberRecord{Id: id, Address: id, Incarnation: incarnation}
+	f.nodes[id] = New(record, DefaultConfig(), rand.New(rand.NewPCG(f.random.Uint64(), 2)))
+	delete(f.gone, id)
+	f.reseed()
+}
+
+func (f *fleet) reseed() {
+	var seeds []Seed
+	for _, id := range f.ids() {
+		seeds = append(seeds, Seed{Address: id})
+	}
+	for _, node := range f.nodes {
+		node.SetSeeds(seeds)
+	}
+}
+
+func (f *fleet) ids() []string {
+	ids := make([]string, 0, len(f.nodes))
+	for id := range f.nodes {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (f *fleet) running(id string) bool { return !f.gone[id] && !f.paused[id] }
+
+func (f *fleet) send(from string, out Output) {
+	for _, envelope := range out.Send {
+		if f.cut[[2]string{from, envelope.Address}] || f.random.Float64() < f.loss {
+			continue
+		}
+		delay := time.Duration(f.random.Int64N(int64(60 * time.Millisecond)))
+		message := proto.Clone(envelope.Message).(*wirev1.MembershipMessage)
+		f.pending = append(f.pending, delivery{f.now.Add(delay), from, envelope.Address, message})
+	}
+}
+
+func (f *fleet) advance(duration time.Duration) {
+	for end := f.now.Add(duration); f.now.Before(end); f.now = f.now.Add(step) {
+		f.deliver()
+		for _, id := range f.ids() {
+			if f.running(id) {
+				f.send(id, f.nodes[id].Tick(f.now))
+			}
+		}
+	}
+}
+
+func (f *fleet) deliver() {
+	due := f.pending
+	f.pending = nil
+	for _, d := range due {
+		if d.at.After(f.now) {
+			f.pending = append(f.pending, d)
+			continue
+		}
+		if f.running(d.to) {
+			f.send(d.to, f.nodes[d.to].Handle(f.now, d.message))
+		}
+	}
+}
+
+func (f *fleet) stateOf(observer, subject string) wirev1.MemberState {
+	for _, record := range f.nodes[observer].Records() {
+		if record.Id == subject {
+			return record.State
+		}
+	}
+	return wirev1.MemberState_MEMBER_STATE_UNSPECIFIED
+}
+
+// disagreements lists running observers whose view of subject is not wanted.
+func (f *fleet) disagreements(subject string, wanted ...wirev1.MemberState) []string {
+	var wrong []string
+	for _, observer := range f.ids() {
+		if !f.running(observer) {
+			continue
+		}
+		seen := f.stateOf(observer, subject)
+		fine := false
+		for _, state := range wanted {
+			fine = fine || seen == state
+		}
+		if !fine {
+			wrong = append(wrong, fmt.Sprintf("%s sees %s as %v", observer, subject, seen))
+		}
+	}
+	return wrong
+}
+
+const settleTime = 60 * time.Second
+
+// Views converge after any mix of kills, pauses, cuts and loss has ended: the
+// dead are dead everywhere and no reachable live node stays condemned.
+func TestViewsConvergeAfterFaultsEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(3, 9).Draw(t, "size")
+		f := newFleet(t, size, rapid.Uint64().Draw(t, "seed"))
+		f.advance(10 * time.Second)
+		for range rapid.IntRange(1, 5).Draw(t, "faults") {
+			f.drawFault()
+			f.advance(time.Duration(rapid.IntRange(0, 8000).Draw(t, "ms")) * time.Millisecond)
+		}
+		f.loss = 0
+		clear(f.cut)
+		clear(f.paused)
+		f.advance(settleTime)
+		for _, id := range f.ids() {
+			wanted := []wirev1.MemberState{Alive}
+			if f.gone[id] {
+				wanted = []wirev1.MemberState{Dead}
+			}
+			if wrong := f.disagreements(id, wanted...); len(wrong) > 0 {
+				t.Fatalf("want %v: %v", wanted, wrong)
+			}
+		}
+	})
+}
+
+func (f *fleet) drawFault() {
+	id := rapid.SampledFrom(f.ids()).Draw(f.t, "victim")
+	switch rapid.IntRange(0, 5).Draw(f.t, "fault") {
+	case 0:
+		f.gone[id] = true
+	case 1:
+		f.paused[id] = true
+	case 2: // one-way loss of a link
+		other := rapid.SampledFrom(f.ids()).Draw(f.t, "other")
+		f.cut[[2]string{id, other}] = true
+	case 3: // cut off entirely
+		for _, other := range f.ids() {
+			f.cut[[2]string{id, other}] = true
+			f.cut[[2]string{other, id}] = true
+		}
+	case 4:
+		f.loss = 0.3
+	case 5: // restart with a clock that went back
+		f.start(id, 1)
+		delete(f.paused, id)
+	}
+}
+
+// A member that leaves is never seen alive again, whatever is suspected,
+// delayed or lost meanwhile.
+func TestLeavingMemberIsNeverRevived(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, rapid.IntRange(3, 7).Draw(t, "size"), rapid.Uint64().Draw(t, "seed"))
+		f.advance(10 * time.Second)
+		const leaver = "n00"
+		f.loss = 0.2
+		f.send(leaver, f.nodes[leaver].Leave(f.now))
+		left := map[string]bool{}
+		for i := range 200 {
+			if i == 100 {
+				f.gone[leaver] = true
+			}
+			f.advance(200 * time.Millisecond)
+			for _, observer := range f.ids() {
+				state := f.stateOf(observer, leaver)
+				if left[observer] && (state == Alive || state == Suspect) {
+					t.Fatalf("%s revived the leaving member", observer)
+				}
+				left[observer] = left[observer] || state == Leaving || state == Dead
+			}
+		}
+	})
+}
+
+// A partition that lasted long enough for both sides to condemn each other
+// heals through the machine list.
+func TestPartitionHeals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, 6, rapid.Uint64().Draw(t, "seed"))
+		f.advance(10 * time.Second)
+		for _, left := range []string{"n00", "n01", "n02"} {
+			for _, right := range []string{"n03", "n04", "n05"} {
+				f.cut[[2]string{left, right}] = true
+				f.cut[[2]string{right, left}] = true
+			}
+		}
+		f.advance(20 * time.Second)
+		if f.stateOf("n00", "n05") != Dead {
+			t.Fatal("the cut was not noticed")
+		}
+		clear(f.cut)
+		f.advance(settleTime)
+		for _, id := range f.ids() {
+			if wrong := f.disagreements(id, Alive); len(wrong) > 0 {
+				t.Fatalf("%v", wrong)
+			}
+		}
+	})
+}
+
+// A process that stood still does not condemn the others when it wakes.
+func TestPausedNodeCondemnsNobody(t *testing.T) {
+	is := is.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(t, 5, rapid.Uint64().Draw(t, "seed"))
+		f.advance(10 * time.Second)
+		f.paused["n00"] = true
+		f.advance(30 * time.Second)
+		f.paused["n00"] = false
+		for range 40 {
+			f.advance(100 * time.Millisecond)
+			for _, other := range []string{"n01", "n02", "n03", "n04"} {
+				is.True(f.stateOf("n00", other) != Dead) // woken node condemned a live one
+			}
+		}
+	})
+}
+
+func BenchmarkHandlePing(b *testing.B) {
+	node := New(&wirev1.MemberRecord{Id: "self", Address: "self"}, DefaultConfig(), rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(0, 0)
+	for i := range 330 {
+		record := &wirev1.MemberRecord{Id: fmt.Sprint("node-", i), Address: "a", State: Alive, Incarnation: 1}
+		node.Handle(now, &wirev1.MembershipMessage{Updates: []*wirev1.MemberRecord{record}})
+	}
+	message := &wirev1.MembershipMessage{Kind: wirev1.MembershipKind_MEMBERSHIP_KIND_PING, From: "node-1", FromAddress: "a"}
+	b.ReportAllocs()
+	for b.Loop() {
+		node.Handle(now, message)
+	}
+}
--- /dev/null
+++ b/internal/ownership/ownership.go
@@ -0,0 +1,88 @@
+// Package ownership says which node owns each runner: the highest random
+// weight (rendezvous hashing, Thaler and Ravishankar 1998) among the live
+// nodes of the runner's zone, or of the nearest zone that has any.
+//
+// Ownership is soft. Two nodes may believe for a moment that they own the same
+// runner; that costs efficiency and never a promise, because promises rest on
+// engine stream ids, log epochs and claims.
+package ownership
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Node is a candidate owner: a member that is alive and not leaving.
+type Node struct {
+	ID     string
+	Zone   string
+	Region string
+}
+
+// Runner is a model back end.
+type Runner struct {
+	ID     string
+	Zone   string
+	Region string
+}
+
+// Place finds owners among a fixed set of nodes.
+type Place struct {
+	nodes    []Node
+	byZone   map[string][]Node
+	byRegion map[string][]Node
+}
+
+// NewPlace indexes the candidates.
+func NewPlace(nodes []Node) *Place {
+	p := &Place{nodes: nodes, byZone: map[string][]Node{}, byRegion: map[string][]Node{}}
+	for _, node := range nodes {
+		p.byZone[node.Zone] = append(p.byZone[node.Zone], node)
+		p.byRegion[node.Region] = append(p.byRegion[node.Region], node)
+	}
+	return p
+}
+
+// Owner returns the id of the runner's owner, or "" if there is no node.
+func (p *Place) Owner(runner Runner) string {
+	candidates := p.byZone[runner.Zone]
+	if len(candidates) == 0 {
+		candidates = p.byRegion[runner.Region]
+	}
+	if len(candidates) == 0 {
+		candidates = p.nodes
+	}
+	return highest(runner.ID, candidates)
+}
+
+// Ranked returns the nodes of the zone in the order they would own the key.
+func (p *Place) Ranked(key, zone string) []Node {
+	ranked := append([]Node(nil), p.byZone[zone]...)
+	sort.Slice(ranked, func(i, j int) bool {
+		return weight(key, ranked[i].ID) > weight(key, ranked[j].ID)
+	})
+	return ranked
+}
+
+func highest(key string, candidates []Node) string {
+	var owner string
+	var best uint64
+	for _, node := range candidates {
+		w := weight(key, node.ID)
+		if owner == "" || w > best || (w == best && node.ID < owner) {
+			owner = node.ID
+			best = w
+		}
+	}
+	return owner
+}
+
+func weight(key, node string) uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(key)
+	_, _ = digest.Write([]byte{0})
+	_, _ = digest.WriteString(node)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,86 @@
+// Package platform declares what the product needs of the platform's services.
+// Adapters are modules under modules/platform; replacing one changes nothing
+// else.
+//
+// Nothing here is called per request or per job: only bundles, the storage
+// layout and shard member sets live in the key-value service.
+package platform
+
+import (
+	"context"
+	"errors"
+)
+
+// ErrUnavailable: the service did not take the request. A change asked for was
+// not made.
+var ErrUnavailable = errors.New("platform service unavailable")
+
+// ErrUnknown: the request was sent and its answer was lost. A change asked for
+// may have been made; the caller resolves it by reading.
+var ErrUnknown = errors.New("platform answer lost")
+
+// Value is a stored value with the revision that wrote it.
+type Value struct {
+	Key      string
+	Value    []byte
+	Revision int64
+}
+
+// Condition requires a key to be at a revision; revision 0 means absent.
+type Condition struct {
+	Key      string
+	Revision int64
+}
+
+// Put is one write.
+type Put struct {
+	Key   string
+	Value []byte
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Value   Value
+	Deleted bool
+}
+
+// KeyValue is the small, rate-limited key-value service.
+type KeyValue interface {
+	// Get returns the value of a key; found is false if it is absent.
+	Get(ctx context.Context, key string) (value Value, found bool, err error)
+	// List returns the values below a prefix and the revision read at.
+	List(ctx context.Context, prefix string) ([]Value, int64, error)
+	// Commit makes all writes if every condition holds, else none. It returns
+	// whether they were made. On ErrUnknown they may have been.
+	Commit(ctx context.Context, conditions []Condition, puts []Put) (bool, error)
+	// Watch calls handle for each change below prefix after the revision until
+	// the context ends or the watch breaks; the caller then lists and compares.
+	Watch(ctx context.Context, prefix string, after int64, handle func(Event)) error
+}
+
+// Machine is an entry of the machine list.
+type Machine struct {
+	Address string
+	Zone    string
+	Region  string
+	Leaving bool
+}
+
+// Runner is an entry of the runner list: a model engine.
+type Runner struct {
+	// ID is unique and survives a restart of the engine on the same machine.
+	ID string
+	// Address is the engine's IP:port.
+	Address string
+	Zone    string
+	Region  string
+	// Service is the pool the runner belongs to, for example "asistente".
+	Service string
+	Leaving bool
+}
+
+// Lists are the platform's lists of machines and runners; they lag.
+type Lists interface {
+	Machines(ctx context.Context) ([]Machine, error)
+	Runners(ctx context.Context) ([]Runner, error)
+}
--- /dev/null
+++ b/modules/platform/httpsd/httpsd.go
@@ -0,0 +1,130 @@
+// Package httpsd is the adapter for machine and runner lists in the published
+// JSON of Prometheus HTTP service discovery: groups of targets with labels.
+// Labels used: zone, region, state ("live" or "leaving"), and for runners id
+// and service.
+package httpsd
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cobaltramp.example/cobaltramp/internal/httpcall"
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/settings"
+)
+
+// ModuleName registers the adapter.
+const ModuleName = "platform.httpsd"
+
+func init() {
+	kernel.Register(kernel.Info{Name: ModuleName, New: func() kernel.Module { return &Module{} }})
+}
+
+// Module provides platform.Lists.
+type Module struct {
+	machines string
+	runners  string
+	http     *httpcall.Client
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Cleaner = (*Module)(nil)
+	_ platform.Lists = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	loaded, err := kernel.Find[*settings.Settings](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	m.machines = loaded.Platform.Machines
+	m.runners = loaded.Platform.Runners
+	m.http = httpcall.NewClient(nil)
+	ctx.Provide(m)
+	return nil
+}
+
+// Cleanup implements kernel.Cleaner.
+func (m *Module) Cleanup() { m.http.CloseIdle() }
+
+type targetGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+const (
+	callTimeout    = 3 * time.Second
+	maxAnswerBytes = 16 << 20
+	stateLeaving   = "leaving"
+)
+
+// Machines implements platform.Lists.
+func (m *Module) Machines(ctx context.Context) ([]platform.Machine, error) {
+	groups, err := m.fetch(ctx, m.machines)
+	if err != nil {
+		return nil, trace.Wrap(err, "reading the machine list")
+	}
+	var machines []platform.Machine
+	for _, group := range groups {
+		for _, target := range group.Targets {
+			machines = append(machines, platform.Machine{
+				Address: target, Zone: group.Labels["zone"], Region: group.Labels["region"],
+				Leaving: group.Labels["state"] == stateLeaving,
+			})
+		}
+	}
+	return machines, nil
+}
+
+// Runners implements platform.Lists.
+func (m *Module) Runners(ctx context.Context) ([]platform.Runner, error) {
+	groups, err := m.fetch(ctx, m.runners)
+	if err != nil {
+		return nil, trace.Wrap(err, "reading the runner list")
+	}
+	var runners []platform.Runner
+	for _, group := range groups {
+		for _, target := range group.Targets {
+			runners = append(runners, toRunner(target, group.Labels))
+		}
+	}
+	return runners, nil
+}
+
+func toRunner(target string, labels map[string]string) platform.Runner {
+	id := labels["id"]
+	if id == "" {
+		id = target
+	}
+	return platform.Runner{
+		ID: id, Address: target, Zone: labels["zone"], Region: labels["region"],
+		Service: labels["service"], Leaving: labels["state"] == stateLeaving,
+	}
+}
+
+func (m *Module) fetch(ctx context.Context, url string) ([]targetGroup, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	response, err := m.http.Do(ctx, &httpcall.Request{Method: "GET", URL: url})
+	if err != nil {
+		return nil, trace.Wrap(platform.ErrUnavailable, "%v", err)
+	}
+	body, err := response.ReadAll(maxAnswerBytes)
+	if err != nil {
+		return nil, trace.Wrap(platform.ErrUnavailable, "%v", err)
+	}
+	if response.Status != 200 {
+		return nil, trace.Wrap(platform.ErrUnavailable, "status %d", response.Status)
+	}
+	var groups []targetGroup
+	if err := json.Unmarshal(body, &groups); err != nil {
+		return nil, trace.Wrap(platform.ErrUnavailable, "decoding: %v", err)
+	}
+	return groups, nil
+}
