--- a/internal/bundle/snapshot.go
+++ b/internal/bundle/snapshot.go
@@ -47,8 +47,6 @@
 	document Document
 	hash     Hash
 	value    any
-	// changedIn is the generation that last changed the document.
-	changedIn uint64
 }
 
 // Compile checks documents and builds a snapshot.
@@ -67,7 +65,7 @@
 		delete(entries, key)
 	}
 	for _, document := range changed {
-		compiled, err := compileEntry(document, generation)
+		compiled, err := compileEntry(document)
 		if err != nil {
 			return nil, err
 		}
@@ -76,7 +74,7 @@
 	return build(generation, entries)
 }
 
-func compileEntry(document Document, generation uint64) (entry, error) {
+func compileEntry(document Document) (entry, error) {
 	if !namePattern.MatchString(document.Name) {
 		return entry{}, &FieldError{document.Kind, document.Name, "name", fmt.Sprintf("%q", document.Name), nameAllowed}
 	}
@@ -84,7 +82,7 @@
 	if err != nil {
 		return entry{}, err
 	}
-	return entry{document: document, hash: document.Hash(), value: compileValue(document.Name, value), changedIn: generation}, nil
+	return entry{document: document, hash: document.Hash(), value: compileValue(document.Name, value)}, nil
 }
 
 func compileValue(name string, value any) any {
@@ -204,18 +202,6 @@
 	return documents
 }
 
-// ChangedAfter returns the documents last changed after the generation.
-func (s *Snapshot) ChangedAfter(generation uint64) []Document {
-	var changed []Document
-	for _, known := range s.documents {
-		if known.changedIn > generation {
-			changed = append(changed, known.document)
-		}
-	}
-	Sort(changed)
-	return changed
-}
-
 // Delta is the stored difference between two generations.
 type Delta struct {
 	Generation uint64     `json:"generation"`
--- /dev/null
+++ b/internal/limits/limits.go
@@ -0,0 +1,146 @@
+// Package limits holds tenants to their rates, concurrency and tokens.
+//
+// Limits hold across nodes without a message per request: each node enforces
+// its share of a limit, the limit divided by the number of live nodes that take
+// the tenant's traffic, times a slack. The error bound is stated in
+// docs/design/limits.md: with traffic spread evenly the fleet admits at most
+// the limit times slack; with all of a tenant's traffic on one node, that node
+// learns the tenant's use elsewhere from digests and takes the unused share.
+package limits
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+// Limit is a tenant's limits as the bundle states them; zero fields are
+// unlimited.
+type Limit struct {
+	RequestsPerSecond float64
+	Burst             int
+	Concurrent        int
+	TokensPerMinute   int
+}
+
+const secondsPerMinute = 60
+
+// Tenant is one tenant's state on this node.
+type Tenant struct {
+	mutex    sync.Mutex
+	limit    Limit
+	share    float64
+	requests *rate.Limiter
+	tokens   *rate.Limiter
+	running  int
+}
+
+// NewTenant returns the state of a tenant held to share (0 to 1] of its limit.
+func NewTenant(limit Limit, share float64) *Tenant {
+	t := &Tenant{
+		requests: rate.NewLimiter(rate.Inf, 0),
+		tokens:   rate.NewLimiter(rate.Inf, 0),
+	}
+	t.apply(limit, share)
+	return t
+}
+
+// Update replaces limit and share if they changed; what is running stays.
+func (t *Tenant) Update(limit Limit, share float64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.limit != limit || t.share != share {
+		t.apply(limit, share)
+	}
+}
+
+func (t *Tenant) apply(limit Limit, share float64) {
+	t.limit, t.share = limit, share
+	setRate(t.requests, limit.RequestsPerSecond*share, burstOf(limit, share))
+	setRate(t.tokens, float64(limit.TokensPerMinute)*share/secondsPerMinute, float64(limit.TokensPerMinute)*share)
+}
+
+func burstOf(limit Limit, share float64) float64 {
+	if limit.Burst > 0 {
+		return float64(limit.Burst) * share
+	}
+	return limit.RequestsPerSecond * share
+}
+
+func setRate(limiter *rate.Limiter, perSecond, burst float64) {
+	if perSecond <= 0 {
+		limiter.SetLimit(rate.Inf)
+		return
+	}
+	limiter.SetBurst(max(1, int(burst+0.5)))
+	limiter.SetLimit(rate.Limit(perSecond))
+}
+
+// Admit takes one request, or returns the error that refuses it with the time
+// to come back. An admitted request must be released.
+func (t *Tenant) Admit(now time.Time) error {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if allowed := concurrentShare(t.limit.Concurrent, t.share); allowed > 0 && t.running >= allowed {
+		return result.New(result.TenantConcurrency, "%d requests are in flight here, allowed: %d", t.running, allowed).After(time.Second)
+	}
+	if !t.tokens.AllowN(now, 0) || (t.tokens.Limit() != rate.Inf && t.tokens.TokensAt(now) <= 0) {
+		wait := waitFor(t.tokens, now)
+		return result.New(result.TenantTokens, "the tenant's tokens per minute are spent").After(wait)
+	}
+	if !t.requests.AllowN(now, 1) {
+		return result.New(result.TenantRate, "more than %g requests per second", t.limit.RequestsPerSecond).After(waitFor(t.requests, now))
+	}
+	t.running++
+	return nil
+}
+
+func waitFor(limiter *rate.Limiter, now time.Time) time.Duration {
+	missing := 1 - limiter.TokensAt(now)
+	if missing <= 0 || limiter.Limit() <= 0 {
+		return time.Millisecond
+	}
+	return time.Duration(missing / float64(limiter.Limit()) * float64(time.Second))
+}
+
+func concurrentShare(concurrent int, share float64) int {
+	if concurrent <= 0 {
+		return 0
+	}
+	return max(1, int(float64(concurrent)*share+0.5))
+}
+
+// Release ends an admitted request and charges the tokens it generated. Tokens
+// are charged afterwards, so a tenant may overshoot by what is in flight.
+func (t *Tenant) Release(now time.Time, tokens int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.running--
+	if t.tokens.Limit() == rate.Inf {
+		return
+	}
+	for tokens > 0 {
+		chunk := min(tokens, t.tokens.Burst())
+		t.tokens.ReserveN(now, chunk)
+		tokens -= chunk
+	}
+}
+
+// Table holds all tenants' states, made when first asked for.
+type Table struct {
+	tenants sync.Map // name → *Tenant
+}
+
+// Tenant returns the tenant's state with the given limit and share in force.
+func (t *Table) Tenant(name string, limit Limit, share float64) *Tenant {
+	if known, found := t.tenants.Load(name); found {
+		tenant := known.(*Tenant)
+		tenant.Update(limit, share)
+		return tenant
+	}
+	made, _ := t.tenants.LoadOrStore(name, NewTenant(limit, share))
+	return made.(*Tenant)
+}
--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,73 @@
+package limits
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+func TestRefusalsNameTheLimitAndSayWhenToComeBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cases := []struct {
+		name  string
+		limit Limit
+		spend func(*Tenant)
+		code  result.Code
+	}{
+		{"rate", Limit{RequestsPerSecond: 1, Burst: 1}, func(t *Tenant) { _ = t.Admit(now); t.Release(now, 0) }, result.TenantRate},
+		{"concurrency", Limit{Concurrent: 1}, func(t *Tenant) { _ = t.Admit(now) }, result.TenantConcurrency},
+		{"tokens", Limit{TokensPerMinute: 60}, func(t *Tenant) { _ = t.Admit(now); t.Release(now, 90) }, result.TenantTokens},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			tenant := NewTenant(c.limit, 1)
+			c.spend(tenant)
+			refused := result.From(tenant.Admit(now))
+			is.Equal(refused.Code, c.code)
+			is.True(refused.RetryAfter > 0)
+		})
+	}
+}
+
+// Nodes that each hold their share admit at most the whole limit together, up
+// to the rounding of one request per node.
+func TestSharesAddUpToTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 20).Draw(t, "nodes")
+		limit := Limit{RequestsPerSecond: float64(rapid.IntRange(1, 500).Draw(t, "rate"))}
+		admitted := 0
+		for range nodes {
+			tenant := NewTenant(limit, 1/float64(nodes))
+			for ms := range 1000 {
+				now := time.Unix(0, int64(ms)*int64(time.Millisecond))
+				if tenant.Admit(now) == nil {
+					admitted++
+					tenant.Release(now, 0)
+				}
+			}
+		}
+		most := 2*limit.RequestsPerSecond + 2*float64(nodes) // burst of a second, plus a second
+		if float64(admitted) > most {
+			t.Fatalf("%d admitted in a second by %d nodes, limit %g", admitted, nodes, limit.RequestsPerSecond)
+		}
+	})
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	var table Table
+	limit := Limit{RequestsPerSecond: 1e9, Concurrent: 1000, TokensPerMinute: 1 << 30}
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		tenant := table.Tenant("tenant", limit, 0.5)
+		if tenant.Admit(now) == nil {
+			tenant.Release(now, 10)
+		}
+	}
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -86,3 +86,12 @@
 	_, _ = digest.WriteString(node)
 	return digest.Sum64()
 }
+
+// Weight returns the weight of a candidate for a prefix hash; the highest is
+// the prefix's favourite.
+func Weight(prefix uint64, candidate string) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(prefix)
+	_, _ = digest.WriteString(candidate)
+	return digest.Sum64()
+}
--- /dev/null
+++ b/internal/scheduling/plugins/pickers.go
@@ -0,0 +1,62 @@
+package plugins
+
+import (
+	"math/rand/v2"
+
+	"cobaltramp.example/cobaltramp/internal/scheduling/framework"
+)
+
+// Best picks the highest score, at random among equals.
+type Best struct{}
+
+var _ framework.Picker = Best{}
+
+// Name implements framework.Picker.
+func (Best) Name() string { return "best" }
+
+// Pick implements framework.Picker.
+func (Best) Pick(_ *framework.Request, _ []framework.Candidate, scores []float64, random *rand.Rand) int {
+	best, ties := 0, 1
+	for i := 1; i < len(scores); i++ {
+		switch {
+		case scores[i] > scores[best]:
+			best, ties = i, 1
+		case scores[i] == scores[best]:
+			ties++
+			if random.IntN(ties) == 0 {
+				best = i
+			}
+		}
+	}
+	return best
+}
+
+// SampledBest picks the best of a few random candidates and the one with the
+// highest affinity. Sampling keeps many nodes with the same lagging view from
+// all choosing the same owner (Mitzenmacher 2001).
+type SampledBest struct {
+	// Samples is the number of random candidates looked at.
+	Samples int
+}
+
+var _ framework.Picker = SampledBest{}
+
+// Name implements framework.Picker.
+func (SampledBest) Name() string { return "sampled-best" }
+
+// Pick implements framework.Picker.
+func (s SampledBest) Pick(_ *framework.Request, candidates []framework.Candidate, scores []float64, random *rand.Rand) int {
+	best := 0
+	for i := range candidates {
+		if candidates[i].Affinity > candidates[best].Affinity {
+			best = i
+		}
+	}
+	for range s.Samples {
+		sampled := random.IntN(len(candidates))
+		if scores[sampled] > scores[best] {
+			best = sampled
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/scheduling/plugins/scorers.go
@@ -0,0 +1,65 @@
+package plugins
+
+import "cobaltramp.example/cobaltramp/internal/scheduling/framework"
+
+// LeastLoad prefers candidates with a small share of their capacity in use.
+type LeastLoad struct{}
+
+var _ framework.Scorer = LeastLoad{}
+
+// Name implements framework.Scorer.
+func (LeastLoad) Name() string { return "least-load" }
+
+// Score implements framework.Scorer.
+func (LeastLoad) Score(_ *framework.Request, candidates []framework.Candidate, scores []float64) {
+	for i := range candidates {
+		scores[i] = 1 - min(1, candidates[i].Use())
+	}
+}
+
+// LeastPreemption prefers candidates with slots that batch does not hold, so
+// that fewer batch streams lose their work.
+type LeastPreemption struct{}
+
+var _ framework.Scorer = LeastPreemption{}
+
+// Name implements framework.Scorer.
+func (LeastPreemption) Name() string { return "least-preemption" }
+
+// Score implements framework.Scorer.
+func (LeastPreemption) Score(_ *framework.Request, candidates []framework.Candidate, scores []float64) {
+	for i := range candidates {
+		capacity := max(1, candidates[i].Capacity)
+		taken := float64(candidates[i].Load+candidates[i].Batch) / float64(capacity)
+		scores[i] = 1 - min(1, taken)
+	}
+}
+
+// PrefixAffinity sends requests with one prefix to one candidate, whose cache
+// then holds it, unless that candidate carries more than its share: its use may
+// exceed the average by affinitySlack (bounded-load consistent hashing,
+// Mirrokni, Thorup, Zadimoghaddam 2016).
+type PrefixAffinity struct{}
+
+var _ framework.Scorer = PrefixAffinity{}
+
+const affinitySlack = 0.25
+
+// Name implements framework.Scorer.
+func (PrefixAffinity) Name() string { return "prefix-affinity" }
+
+// Score implements framework.Scorer.
+func (PrefixAffinity) Score(request *framework.Request, candidates []framework.Candidate, scores []float64) {
+	favourite := -1
+	average := 0.0
+	for i := range candidates {
+		scores[i] = 0
+		average += candidates[i].Use() / float64(len(candidates))
+		if favourite < 0 || candidates[i].Affinity > candidates[favourite].Affinity {
+			favourite = i
+		}
+	}
+	if request.PrefixHash != 0 && candidates[favourite].Use() <= average+affinitySlack {
+		scores[favourite] = 1
+	}
+}
--- /dev/null
+++ b/lab/engine/ledger.go
@@ -0,0 +1,79 @@
+package engine
+
+import "sync"
+
+// Ledger counts runs from the engines' side, across a lab's engines. The
+// product never sees it.
+type Ledger struct {
+	mutex     sync.Mutex
+	starts    map[uint64]int // by prompt, only runs from the first token
+	continued int
+	finishes  map[uint64]int
+	cancels   int
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{starts: map[uint64]int{}, finishes: map[uint64]int{}}
+}
+
+func (l *Ledger) started(promptHash uint64, _ string, first int) {
+	if l == nil {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if first > 0 {
+		l.continued++
+		return
+	}
+	l.starts[promptHash]++
+}
+
+func (l *Ledger) finished(promptHash uint64, _ string) {
+	if l == nil {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.finishes[promptHash]++
+}
+
+func (l *Ledger) cancelled(string) {
+	if l == nil {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.cancels++
+}
+
+// Starts returns how often engines began the body's prompt from its start.
+func (l *Ledger) Starts(body []byte) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.starts[ParsePrompt(body).Hash]
+}
+
+// Totals are sums over all prompts.
+type Totals struct {
+	Prompts   int `json:"prompts"`
+	Starts    int `json:"starts"`
+	Finishes  int `json:"finishes"`
+	Continued int `json:"continued"`
+	Cancels   int `json:"cancels"`
+}
+
+// Totals returns sums over all prompts.
+func (l *Ledger) Totals() Totals {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	totals := Totals{Prompts: len(l.starts), Continued: l.continued, Cancels: l.cancels}
+	for _, count := range l.starts {
+		totals.Starts += count
+	}
+	for _, count := range l.finishes {
+		totals.Finishes += count
+	}
+	return totals
+}
--- /dev/null
+++ b/lab/engine/parameters.go
@@ -0,0 +1,71 @@
+// Package engine emulates a model engine: the back end cobaltramp serves. It
+// batches continuously, prefills in chunks, honours priorities, keeps a limited
+// prefix cache, resumes and cancels streams, exports and imports KV cache,
+// obeys fenced orders, and fails on request. docs/LAB.md documents the model.
+//
+// The text an engine generates is a pure function of the prompt, so a client
+// can check every answer without asking anyone.
+package engine
+
+import "time"
+
+// Parameters shape an emulated engine. Zero fields take the defaults.
+type Parameters struct {
+	// Slots is the number of sequences decoded in one step (default 16).
+	Slots int `yaml:"slots"`
+	// StepBase is the time of a step with no work in it (default 8ms).
+	StepBase time.Duration `yaml:"step_base"`
+	// StepPerSequence is added for each decoding sequence (default 0.4ms).
+	StepPerSequence time.Duration `yaml:"step_per_sequence"`
+	// StepPerPrefillToken is added for each prompt token prefilled (default 30µs).
+	StepPerPrefillToken time.Duration `yaml:"step_per_prefill_token"`
+	// ChunkTokens bounds the prompt tokens prefilled in one step (default 256).
+	ChunkTokens int `yaml:"chunk_tokens"`
+	// QueueLimit: requests beyond this many waiting are refused (default 256).
+	QueueLimit int `yaml:"queue_limit"`
+	// CacheBlocks is the capacity of the prefix cache in blocks of 16 tokens
+	// (default 512).
+	CacheBlocks int `yaml:"cache_blocks"`
+	// LoadLag is how old the load in /metrics is (default 500ms).
+	LoadLag time.Duration `yaml:"load_lag"`
+	// EventLag and EventLoss make cache events late and with gaps (defaults
+	// 300ms and 0.05).
+	EventLag  time.Duration `yaml:"event_lag"`
+	EventLoss float64       `yaml:"event_loss"`
+	// OrphanGrace is how long a stream without a reader goes on (default 2s).
+	OrphanGrace time.Duration `yaml:"orphan_grace"`
+	// KeepFinished is how long a finished stream can be resumed (default 30s).
+	KeepFinished time.Duration `yaml:"keep_finished"`
+	// MaxAnswer bounds the natural length of an answer in tokens (default 512).
+	MaxAnswer int `yaml:"max_answer"`
+	// WeightBytes is the size of a model's weights (default 64 MiB).
+	WeightBytes int64 `yaml:"weight_bytes"`
+	// WeightStore is the base URL weights are read from; empty loads at once.
+	WeightStore string `yaml:"weight_store"`
+	// Seed of the engine's randomness.
+	Seed uint64 `yaml:"seed"`
+}
+
+func (p *Parameters) complete() {
+	setDefault(&p.Slots, 16)
+	setDefault(&p.StepBase, 8*time.Millisecond)
+	setDefault(&p.StepPerSequence, 400*time.Microsecond)
+	setDefault(&p.StepPerPrefillToken, 30*time.Microsecond)
+	setDefault(&p.ChunkTokens, 256)
+	setDefault(&p.QueueLimit, 256)
+	setDefault(&p.CacheBlocks, 512)
+	setDefault(&p.LoadLag, 500*time.Millisecond)
+	setDefault(&p.EventLag, 300*time.Millisecond)
+	setDefault(&p.EventLoss, 0.05)
+	setDefault(&p.OrphanGrace, 2*time.Second)
+	setDefault(&p.KeepFinished, 30*time.Second)
+	setDefault(&p.MaxAnswer, 512)
+	setDefault(&p.WeightBytes, 64<<20)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/lab/engine/server.go
@@ -0,0 +1,371 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+	"github.com/tidwall/gjson"
+	"github.com/valyala/fasthttp"
+
+	"cobaltramp.example/cobaltramp/internal/httpserve"
+)
+
+// Engine is one emulated engine on a loopback address.
+type Engine struct {
+	// ID is the runner's id in the platform's list.
+	ID string
+
+	parameters Parameters
+	ledger     *Ledger
+	address    string
+
+	mutex     sync.Mutex
+	server    *httpserve.Server
+	scheduler *scheduler
+	stop      chan struct{}
+	state     engineState
+	faults    faults
+	random    *rand.Rand
+	imported  map[string]int
+	events    []cacheEvent
+	eventNext uint64
+}
+
+type engineState struct {
+	Fence    uint64   `json:"fence"`
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+	Loading  bool     `json:"loading"`
+	Role     string   `json:"role,omitempty"`
+	Boot     string   `json:"boot"`
+}
+
+// Start starts an engine that has no model loaded yet unless preloaded names
+// one. Address may end in ":0".
+func Start(id, address string, parameters Parameters, preloaded string, ledger *Ledger) (*Engine, error) {
+	parameters.complete()
+	e := &Engine{
+		ID: id, parameters: parameters, ledger: ledger, address: address,
+		random: rand.New(rand.NewPCG(parameters.Seed, 17)),
+	}
+	return e, e.boot(preloaded)
+}
+
+func (e *Engine) boot(preloaded string) error {
+	app := fiber.New(fiber.Config{BodyLimit: 64 << 20})
+	e.routes(app)
+	server, err := httpserve.Listen(e.address, app, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.server = server
+	e.address = server.Address()
+	e.scheduler = newScheduler(e.parameters)
+	e.stop = make(chan struct{})
+	e.state = engineState{Model: preloaded, Boot: uuid.NewString()}
+	e.imported = map[string]int{}
+	go e.scheduler.run(e.stop)
+	server.Serve()
+	return nil
+}
+
+// Address returns the engine's IP:port.
+func (e *Engine) Address() string { return e.address }
+
+// Crash ends the engine at once; all its state is lost.
+func (e *Engine) Crash() {
+	e.mutex.Lock()
+	server, stop := e.server, e.stop
+	e.server, e.stop = nil, nil
+	e.mutex.Unlock()
+	if server == nil {
+		return
+	}
+	close(stop)
+	server.Kill()
+}
+
+// Restart boots a crashed engine on its old address with nothing cached.
+func (e *Engine) Restart() error {
+	e.mutex.Lock()
+	model := e.state.Model
+	e.mutex.Unlock()
+	return e.boot(model)
+}
+
+// Close ends the engine.
+func (e *Engine) Close() { e.Crash() }
+
+func (e *Engine) routes(app *fiber.App) {
+	app.Post("/v1/chat/completions", func(c fiber.Ctx) error { return e.generate(c, true) })
+	app.Post("/v1/completions", func(c fiber.Ctx) error { return e.generate(c, false) })
+	app.Get("/v1/streams/:id", e.resume)
+	app.Post("/v1/streams/:id/cancel", e.cancel)
+	app.Post("/v1/orders", e.order)
+	app.Get("/v1/state", e.describe)
+	app.Get("/v1/models", e.models)
+	app.Get("/v1/kv/:id", e.exportKV)
+	app.Put("/v1/kv/:id", e.importKV)
+	app.Get("/v1/cache_events", e.cacheEvents)
+	app.Get("/metrics", e.metrics)
+}
+
+func (e *Engine) current() (*scheduler, engineState) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.scheduler, e.state
+}
+
+func refuse(c fiber.Ctx, status int, message string) error {
+	return c.Status(status).JSON(fiber.Map{"error": fiber.Map{"message": message, "type": "engine_error", "code": status}})
+}
+
+func (e *Engine) generate(c fiber.Ctx, chat bool) error {
+	body := append([]byte(nil), c.Body()...)
+	if !json.Valid(body) {
+		return refuse(c, fiber.StatusBadRequest, "body is not JSON")
+	}
+	if e.takeRefusal() {
+		return refuse(c, fiber.StatusServiceUnavailable, "refused by fault injection")
+	}
+	steps, state := e.current()
+	model := gjson.GetBytes(body, "model").String()
+	if state.Loading || !state.serves(model) {
+		return refuse(c, fiber.StatusServiceUnavailable, "model "+model+" is not loaded")
+	}
+	id := c.Get("X-Request-Id")
+	if id == "" {
+		id = "engine-" + uuid.NewString()
+	}
+	added := e.newSequence(id, model, body, chat)
+	if skip := e.takeImported(c.Get("X-KV-Import")); skip > 0 {
+		added.prefilled = min(skip, added.prompt.Tokens-1)
+	}
+	if steps.find(id) != nil {
+		return refuse(c, fiber.StatusConflict, "stream id "+id+" is taken")
+	}
+	if !steps.submit(added) {
+		return refuse(c, fiber.StatusTooManyRequests, "queue is full")
+	}
+	e.ledger.started(added.prompt.Hash, id, added.first)
+	e.applyLateHeader()
+	if !gjson.GetBytes(body, "stream").Bool() {
+		return e.whole(c, steps, added)
+	}
+	return e.stream(c, steps, added, -1)
+}
+
+func (s engineState) serves(model string) bool {
+	if s.Model == model {
+		return true
+	}
+	for _, adapter := range s.Adapters {
+		if adapter == model {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Engine) newSequence(id, model string, body []byte, chat bool) *sequence {
+	prompt := ParsePrompt(body)
+	length, cut := AnswerLength(body, prompt, e.parameters.MaxAnswer)
+	return &sequence{
+		id: id, model: model, prompt: prompt, chat: chat, length: length, cut: cut,
+		first: prompt.Generated, produced: prompt.Generated,
+		priority: int(gjson.GetBytes(body, "priority").Int()),
+		changed:  make(chan struct{}),
+	}
+}
+
+// whole answers without streaming.
+func (e *Engine) whole(c fiber.Ctx, steps *scheduler, source *sequence) error {
+	source.attach()
+	defer source.detach(time.Now())
+	for {
+		state, produced, changed := source.view()
+		if state == phaseCancelled {
+			return refuse(c, fiber.StatusInternalServerError, "cancelled")
+		}
+		if state == phaseFinished {
+			e.ledger.finished(source.prompt.Hash, source.id)
+			return c.JSON(wholeAnswer(source, produced))
+		}
+		<-changed
+	}
+}
+
+func wholeAnswer(source *sequence, produced int) fiber.Map {
+	text := ""
+	for index := source.first; index < produced; index++ {
+		text += Token(source.prompt.Hash, index)
+	}
+	choice := fiber.Map{"index": 0, "finish_reason": source.finishReason(), "text": text}
+	if source.chat {
+		choice = fiber.Map{"index": 0, "finish_reason": source.finishReason(), "message": fiber.Map{"role": "assistant", "content": text}}
+	}
+	return fiber.Map{"id": source.id, "model": source.model, "choices": []fiber.Map{choice}, "usage": usageOf(source, produced)}
+}
+
+func usageOf(source *sequence, produced int) fiber.Map {
+	generated := produced - source.first
+	return fiber.Map{"prompt_tokens": source.prompt.Tokens, "completion_tokens": generated, "total_tokens": source.prompt.Tokens + generated}
+}
+
+// stream sends server-sent events after the event index given.
+func (e *Engine) stream(c fiber.Ctx, steps *scheduler, source *sequence, after int) error {
+	c.Set(fiber.HeaderContentType, "text/event-stream")
+	c.Set("X-Request-Id", source.id)
+	source.attach()
+	c.RequestCtx().SetBodyStreamWriter(fasthttp.StreamWriter(func(writer *bufio.Writer) {
+		defer func() { source.detach(time.Now()) }()
+		emitter := &emitter{engine: e, source: source, writer: writer, next: after + 1}
+		emitter.run()
+	}))
+	_ = steps
+	return nil
+}
+
+func (e *Engine) resume(c fiber.Ctx) error {
+	steps, _ := e.current()
+	source := steps.find(c.Params("id"))
+	if source == nil {
+		return refuse(c, fiber.StatusNotFound, "no such stream")
+	}
+	if state, _, _ := source.view(); state == phaseCancelled {
+		return refuse(c, fiber.StatusNotFound, "stream was cancelled")
+	}
+	after := -1
+	if last := c.Get("Last-Event-ID"); last != "" {
+		parsed, err := strconv.Atoi(last)
+		if err != nil {
+			return refuse(c, fiber.StatusBadRequest, "Last-Event-ID is not a number")
+		}
+		after = parsed
+	}
+	return e.stream(c, steps, source, after)
+}
+
+func (e *Engine) cancel(c fiber.Ctx) error {
+	steps, _ := e.current()
+	id := c.Params("id")
+	if steps.cancel(id) {
+		e.ledger.cancelled(id)
+	}
+	return c.JSON(fiber.Map{"id": id, "cancelled": true})
+}
+
+// order obeys a fenced order: one whose fence is below the highest seen is
+// refused, so a late owner cannot undo a newer one.
+func (e *Engine) order(c fiber.Ctx) error {
+	var order struct {
+		Fence   uint64 `json:"fence"`
+		Kind    string `json:"kind"`
+		Model   string `json:"model"`
+		Version string `json:"version"`
+		Adapter string `json:"adapter"`
+		Role    string `json:"role"`
+	}
+	if err := json.Unmarshal(c.Body(), &order); err != nil {
+		return refuse(c, fiber.StatusBadRequest, "body is not an order")
+	}
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if order.Fence < e.state.Fence {
+		return refuse(c, fiber.StatusConflict, fmt.Sprintf("fence %d is below %d", order.Fence, e.state.Fence))
+	}
+	e.state.Fence = order.Fence
+	switch order.Kind {
+	case "load":
+		if e.state.Model != order.Model || e.state.Version != order.Version {
+			e.beginLoad(order.Model, order.Version)
+		}
+	case "adapter":
+		if !e.state.serves(order.Adapter) {
+			e.state.Adapters = append(e.state.Adapters, order.Adapter)
+		}
+	case "role":
+		e.state.Role = order.Role
+	default:
+		return refuse(c, fiber.StatusBadRequest, "unknown order kind "+order.Kind)
+	}
+	return c.JSON(e.state)
+}
+
+// beginLoad reads the weights from the weight store at its rate. The caller
+// holds the mutex.
+func (e *Engine) beginLoad(model, version string) {
+	if e.parameters.WeightStore == "" {
+		e.state.Model, e.state.Version = model, version
+		return
+	}
+	e.state.Loading = true
+	stop := e.stop
+	go func() {
+		loaded := e.fetchWeights(model, version, stop)
+		e.mutex.Lock()
+		defer e.mutex.Unlock()
+		e.state.Loading = false
+		if loaded {
+			e.state.Model, e.state.Version = model, version
+		}
+	}()
+}
+
+func (e *Engine) fetchWeights(model, version string, stop <-chan struct{}) bool {
+	client := &fasthttp.Client{StreamResponseBody: true}
+	request := fasthttp.AcquireRequest()
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(fmt.Sprintf("%s/weights/%s/%s?bytes=%d", e.parameters.WeightStore, model, version, e.parameters.WeightBytes))
+	if err := client.Do(request, response); err != nil {
+		return false
+	}
+	defer func() { _ = response.CloseBodyStream() }()
+	select {
+	case <-stop:
+		return false
+	default:
+	}
+	read, err := io.Copy(io.Discard, response.BodyStream())
+	return err == nil && read >= e.parameters.WeightBytes
+}
+
+func (e *Engine) describe(c fiber.Ctx) error {
+	_, state := e.current()
+	return c.JSON(state)
+}
+
+func (e *Engine) models(c fiber.Ctx) error {
+	_, state := e.current()
+	data := []fiber.Map{{"id": state.Model, "object": "model"}}
+	for _, adapter := range state.Adapters {
+		data = append(data, fiber.Map{"id": adapter, "object": "model", "parent": state.Model})
+	}
+	return c.JSON(fiber.Map{"object": "list", "data": data})
+}
+
+// metrics answers in the Prometheus text format, lagged by LoadLag.
+func (e *Engine) metrics(c fiber.Ctx) error {
+	steps, _ := e.current()
+	load := steps.laggedLoad()
+	c.Set(fiber.HeaderContentType, "text/plain; version=0.0.4")
+	return c.SendString(fmt.Sprintf(
+		"# TYPE engine_requests_running gauge\nengine_requests_running %d\n"+
+			"# TYPE engine_requests_waiting gauge\nengine_requests_waiting %d\n"+
+			"# TYPE engine_cache_usage_ratio gauge\nengine_cache_usage_ratio %g\n",
+		load.running, load.waiting, load.cache))
+}
--- /dev/null
+++ b/modules/callers/openai/auth.go
@@ -0,0 +1,58 @@
+package openai
+
+import (
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"cobaltramp.example/cobaltramp/internal/bundle"
+	"cobaltramp.example/cobaltramp/internal/limits"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+// caller is an authenticated caller with the bundle its request is served by:
+// one request never sees two generations.
+type caller struct {
+	snapshot *bundle.Snapshot
+	tenant   *bundle.CompiledTenant
+}
+
+type handler func(fiber.Ctx, *caller) error
+
+const bearer = "Bearer "
+
+// authenticated finds the tenant of the API key in the bundle in force.
+func (m *Module) authenticated(next handler) fiber.Handler {
+	return func(c fiber.Ctx) error {
+		if m.draining.Load() {
+			return result.New(result.Draining, "this node is stopping; use another").After(time.Second)
+		}
+		snapshot := m.snapshots.Snapshot()
+		if snapshot == nil {
+			return result.New(result.NotReady, "no bundle is in force on this node yet").After(time.Second)
+		}
+		header := c.Get(fiber.HeaderAuthorization)
+		key, found := strings.CutPrefix(header, bearer)
+		if !found || key == "" {
+			return result.New(result.Unauthenticated, "send the header Authorization: Bearer <API key>")
+		}
+		tenant, known := snapshot.TenantByKey(key)
+		if !known {
+			return result.New(result.Unauthenticated, "the API key is not of a tenant in the bundle in force")
+		}
+		return next(c, &caller{snapshot: snapshot, tenant: tenant})
+	}
+}
+
+// admit holds the tenant to its limits; the request must be released.
+func (m *Module) admit(who *caller) (*limits.Tenant, error) {
+	tenant := m.limits.Tenant(who.tenant.Name, limits.Limit{
+		RequestsPerSecond: who.tenant.RequestsPerSecond, Burst: who.tenant.Burst,
+		Concurrent: who.tenant.Concurrent, TokensPerMinute: who.tenant.TokensPerMinute,
+	}, 1)
+	if err := tenant.Admit(time.Now()); err != nil {
+		return nil, err
+	}
+	return tenant, nil
+}
--- /dev/null
+++ b/modules/callers/openai/body.go
@@ -0,0 +1,26 @@
+package openai
+
+import (
+	"io"
+
+	"github.com/gofiber/fiber/v3"
+
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+// readLimited reads a request's body, which the server hands over as a stream
+// when it is large, into memory of its own.
+func readLimited(c fiber.Ctx, limit int) ([]byte, error) {
+	stream := c.RequestCtx().RequestBodyStream()
+	if stream == nil {
+		return append([]byte(nil), c.Request().Body()...), nil
+	}
+	body, err := io.ReadAll(io.LimitReader(stream, int64(limit)+1))
+	if err != nil {
+		return nil, result.New(result.InvalidRequest, "the body broke off: %v", err)
+	}
+	if len(body) > limit {
+		return nil, result.New(result.BodyTooLarge, "the body has more than %d bytes", limit)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/modules/callers/openai/errors.go
@@ -0,0 +1,66 @@
+package openai
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+
+	"github.com/gofiber/fiber/v3"
+
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+// errorBody is the shape of every error, OpenAI's with the run field added.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	// Code is the number of the result code, as a string, which is the type
+	// the OpenAI API gives the field.
+	Code  string  `json:"code"`
+	Param *string `json:"param"`
+	// Run is "no", "yes" or "unknown": whether the work was run.
+	Run        string `json:"run"`
+	ResendSafe bool   `json:"resend_safe"`
+}
+
+func newErrorBody(failure *result.Error) errorBody {
+	entry := failure.Code.Entry()
+	return errorBody{Error: errorDetail{
+		Message: failure.Message, Type: entry.Name, Code: strconv.Itoa(int(failure.Code)),
+		Run: entry.Ran.String(), ResendSafe: entry.ResendSafe,
+	}}
+}
+
+// Headers that repeat the outcome for callers that do not read bodies.
+const (
+	headerResultCode = "X-Result-Code"
+	headerRun        = "X-Run"
+	// headerShouldRetry tells OpenAI's clients whether to retry by themselves.
+	headerShouldRetry = "X-Should-Retry"
+	headerRetryAfter  = "Retry-After"
+)
+
+func writeError(c fiber.Ctx, failure *result.Error) error {
+	entry := failure.Code.Entry()
+	c.Set(headerResultCode, strconv.Itoa(int(failure.Code)))
+	c.Set(headerRun, entry.Ran.String())
+	if !entry.ResendSafe {
+		c.Set(headerShouldRetry, "false")
+	}
+	if failure.RetryAfter > 0 {
+		c.Set(headerRetryAfter, strconv.Itoa(int(math.Ceil(failure.RetryAfter.Seconds()))))
+	}
+	return c.Status(entry.HTTPStatus).JSON(newErrorBody(failure))
+}
+
+func encodeError(failure *result.Error) []byte {
+	encoded, err := json.Marshal(newErrorBody(failure))
+	if err != nil {
+		return []byte(`{"error":{"message":"error cannot be encoded"}}`)
+	}
+	return encoded
+}
--- /dev/null
+++ b/modules/config/bundles/bundles.go
@@ -0,0 +1,381 @@
+// Package bundles keeps the bundle in force on this node.
+//
+// A few watchers per region watch the head in the platform's key-value
+// service. A node that learns of a new head tells a few others at once, who
+// fetch the head and the changed documents from it; gossip carries the head's
+// revision as repair. While the platform is down all that is in force stays,
+// and a starting node learns from its peers.
+package bundles
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/bundle"
+	"cobaltramp.example/cobaltramp/internal/fleet"
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/modules/fleet/membership"
+	"cobaltramp.example/cobaltramp/modules/platform/etcdgateway"
+)
+
+// ModuleName registers the module.
+const ModuleName = "config.bundles"
+
+func init() {
+	kernel.Register(kernel.Info{
+		Name: ModuleName, Needs: []string{membership.ModuleName, etcdgateway.ModuleName},
+		New: func() kernel.Module { return &Module{} },
+	})
+}
+
+// Membership is the part of the membership module used here.
+type Membership interface {
+	View() *fleet.View
+	SetBundleRevision(uint64)
+	AheadPeer() (uint64, string)
+}
+
+// Module provides the snapshot in force.
+type Module struct {
+	settings *settings.Settings
+	store    platform.KeyValue
+	members  Membership
+	pool     *rpc.Pool
+	metrics  *metrics
+
+	inForce  atomic.Pointer[bundle.Snapshot]
+	accepted atomic.Pointer[bundle.Snapshot]
+	head     atomic.Pointer[bundle.Head]
+
+	// applying serialises changes of the three pointers above.
+	applying sync.Mutex
+	// previous is what was in force before; peers may still ask for it.
+	previous  atomic.Pointer[bundle.Snapshot]
+	listeners []func(*bundle.Snapshot)
+	reachable atomic.Bool
+	notices   chan string
+}
+
+type metrics struct {
+	generation prometheus.Gauge
+	revision   prometheus.Gauge
+	applied    prometheus.Counter
+	fetches    *prometheus.CounterVec
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Starter = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.store, err = kernel.Find[platform.KeyValue](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.members, err = kernel.Find[Membership](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.pool, err = kernel.Find[*rpc.Pool](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	server, err := kernel.Find[*rpc.Server](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	registry, err := kernel.Find[prometheus.Registerer](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	m.metrics = newMetrics(registry)
+	m.notices = make(chan string, noticeQueue)
+	server.Handle(wirev1.Method_METHOD_BUNDLE_FETCH, m.serveFetch)
+	server.HandleNotice(wirev1.Method_METHOD_BUNDLE_NOTICE, m.receiveNotice)
+	ctx.Provide(m)
+	return nil
+}
+
+const noticeQueue = 16
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		generation: prometheus.NewGauge(prometheus.GaugeOpts{Name: "cobaltramp_bundle_generation", Help: "Bundle generation in force on this node."}),
+		revision:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "cobaltramp_bundle_head_revision", Help: "Revision of the newest bundle head known here."}),
+		applied:    prometheus.NewCounter(prometheus.CounterOpts{Name: "cobaltramp_bundle_applied_total", Help: "Generations put in force."}),
+		fetches:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_bundle_fetches_total", Help: "Fetches of bundle content by source."}, []string{"source"}),
+	}
+	registry.MustRegister(m.generation, m.revision, m.applied, m.fetches)
+	return m
+}
+
+// Snapshot returns the bundle in force, nil before the first.
+func (m *Module) Snapshot() *bundle.Snapshot { return m.inForce.Load() }
+
+// Accepted returns the newest accepted bundle, which may not be rolled here.
+func (m *Module) Accepted() *bundle.Snapshot { return m.accepted.Load() }
+
+// Head returns the newest head known here, nil before the first.
+func (m *Module) Head() *bundle.Head { return m.head.Load() }
+
+// PlatformReachable reports whether the last call to the key-value service
+// was answered.
+func (m *Module) PlatformReachable() bool { return m.reachable.Load() }
+
+// OnSnapshot calls listener whenever a generation is put in force. It is
+// called while modules are provisioned.
+func (m *Module) OnSnapshot(listener func(*bundle.Snapshot)) {
+	m.listeners = append(m.listeners, listener)
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(ctx context.Context) error {
+	go m.watchLoop(ctx)
+	go m.repairLoop(ctx)
+	go m.noticeLoop(ctx)
+	return nil
+}
+
+const (
+	repairInterval = 500 * time.Millisecond
+	watchBackoff   = time.Second
+	watchersPer    = 3
+	noticeFanout   = 4
+	fetchTimeout   = 5 * time.Second
+)
+
+// isWatcher reports whether this node is one of the few of its region that
+// watch the platform's service.
+func (m *Module) isWatcher() bool {
+	view := m.members.View()
+	better := 0
+	own := watchWeight(view.Self.Id)
+	for _, candidate := range view.Candidates {
+		if candidate.Region == view.Self.Region && candidate.ID != view.Self.Id && watchWeight(candidate.ID) > own {
+			better++
+		}
+	}
+	return better < watchersPer
+}
+
+// watchLoop follows the head in the platform's service while this node is a
+// watcher, and reads it once in a while when it knows none.
+func (m *Module) watchLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if m.isWatcher() || m.head.Load() == nil {
+			m.watchOnce(ctx)
+		}
+		pause := watchBackoff + time.Duration(rand.Int64N(int64(watchBackoff)))
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+	}
+}
+
+// watchOnce reads the head, then watches from the revision read until the
+// watch breaks.
+func (m *Module) watchOnce(ctx context.Context) {
+	values, revision, err := m.store.List(ctx, m.headKey())
+	m.reachable.Store(err == nil)
+	if err != nil {
+		return
+	}
+	for _, value := range values {
+		m.learnStored(ctx, value.Value)
+	}
+	if !m.isWatcher() {
+		return
+	}
+	_ = m.store.Watch(ctx, m.headKey(), revision, func(event platform.Event) {
+		if !event.Deleted {
+			m.learnStored(ctx, event.Value.Value)
+		}
+	})
+}
+
+func (m *Module) learnStored(ctx context.Context, text []byte) {
+	head, err := bundle.DecodeHead(text)
+	if err != nil {
+		klog.ErrorS(err, "stored bundle head is unreadable", "node", m.settings.Node.ID)
+		return
+	}
+	if err := m.Learn(ctx, head, ""); err != nil {
+		klog.ErrorS(err, "bundle cannot be applied", "node", m.settings.Node.ID, "generation", head.Generation)
+	}
+}
+
+// repairLoop fetches from a peer that gossip says is ahead.
+func (m *Module) repairLoop(ctx context.Context) {
+	ticker := time.NewTicker(repairInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		revision, peer := m.members.AheadPeer()
+		if peer != "" && revision > m.revision() {
+			m.fetchFrom(ctx, peer)
+		}
+	}
+}
+
+func (m *Module) noticeLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case peer := <-m.notices:
+			m.fetchFrom(ctx, peer)
+		}
+	}
+}
+
+func (m *Module) revision() uint64 {
+	if head := m.head.Load(); head != nil {
+		return head.Revision
+	}
+	return 0
+}
+
+func (m *Module) receiveNotice(from string, payload []byte) {
+	var notice wirev1.BundleNotice
+	if proto.Unmarshal(payload, &notice) != nil || notice.Revision <= m.revision() {
+		return
+	}
+	address, known := m.members.View().Address(from)
+	if !known {
+		return
+	}
+	select {
+	case m.notices <- address:
+	default: // the repair loop catches up
+	}
+}
+
+// fetchFrom gets the newest head and what changed from a peer.
+func (m *Module) fetchFrom(ctx context.Context, peer string) {
+	reply, err := m.callFetch(ctx, peer, 0)
+	if err != nil || len(reply.Head) == 0 {
+		return
+	}
+	head, err := bundle.DecodeHead(reply.Head)
+	if err != nil || head.Revision <= m.revision() {
+		return
+	}
+	if err := m.Learn(ctx, head, peer); err != nil {
+		klog.V(1).InfoS("bundle fetched from peer cannot be applied", "node", m.settings.Node.ID, "peer", peer, "err", err)
+	}
+}
+
+func (m *Module) callFetch(ctx context.Context, peer string, want uint64) (*wirev1.BundleFetchReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	request := &wirev1.BundleFetchRequest{WantGeneration: want}
+	if accepted := m.accepted.Load(); accepted != nil {
+		request.HaveGeneration = accepted.Generation
+	}
+	reply := &wirev1.BundleFetchReply{}
+	err := m.pool.Call(ctx, peer, rpc.ClassControl, wirev1.Method_METHOD_BUNDLE_FETCH, request, reply)
+	return reply, err
+}
+
+// Learn takes a head: it fetches the content, puts in force what the head
+// rolls in this zone, and tells a few other nodes. Older heads are ignored, so
+// a generation in force never falls.
+func (m *Module) Learn(ctx context.Context, head *bundle.Head, peer string) error {
+	m.applying.Lock()
+	defer m.applying.Unlock()
+	if head.Revision <= m.revision() {
+		return nil
+	}
+	accepted, err := m.content(ctx, head.Generation, head.Digest, peer)
+	if err != nil {
+		return trace.Wrap(err, "content of generation %d", head.Generation)
+	}
+	if err := m.checkSignOffs(head, accepted); err != nil {
+		return trace.Wrap(err)
+	}
+	m.accepted.Store(accepted)
+	if err := m.force(ctx, head, peer); err != nil {
+		return trace.Wrap(err)
+	}
+	m.head.Store(head)
+	m.metrics.revision.Set(float64(head.Revision))
+	m.members.SetBundleRevision(head.Revision)
+	m.tellOthers(head.Revision)
+	return nil
+}
+
+// checkSignOffs verifies the successor of the generation known here; a node
+// that skipped generations relies on the chain of those that did not.
+func (m *Module) checkSignOffs(head *bundle.Head, accepted *bundle.Snapshot) error {
+	judge := m.accepted.Load()
+	if judge == nil && head.Generation == 1 {
+		judge = accepted
+	}
+	if judge == nil || (judge != accepted && judge.Generation+1 != head.Generation) {
+		return nil
+	}
+	if judge.Generation == head.Generation && head.Generation != 1 {
+		return nil
+	}
+	return bundle.VerifySignOffs(judge, m.settings.Cluster, head.Generation, head.Digest, head.SignOffs)
+}
+
+// force puts in force the generation the head rolls in this zone.
+func (m *Module) force(ctx context.Context, head *bundle.Head, peer string) error {
+	generation, digest := head.GenerationFor(m.settings.Node.Zone)
+	current := m.inForce.Load()
+	if generation == 0 || (current != nil && current.Generation >= generation) {
+		return nil
+	}
+	snapshot, err := m.content(ctx, generation, digest, peer)
+	if err != nil {
+		return trace.Wrap(err, "content of generation %d", generation)
+	}
+	m.previous.Store(current)
+	m.inForce.Store(snapshot)
+	m.metrics.generation.Set(float64(generation))
+	m.metrics.applied.Inc()
+	klog.InfoS("bundle in force", "node", m.settings.Node.ID, "generation", generation)
+	for _, listener := range m.listeners {
+		listener(snapshot)
+	}
+	return nil
+}
+
+// tellOthers sends the revision to a few random members; each that did not
+// know it fetches and tells as many again.
+func (m *Module) tellOthers(revision uint64) {
+	view := m.members.View()
+	var others []string
+	for _, candidate := range view.Candidates {
+		if candidate.ID != view.Self.Id {
+			others = append(others, candidate.ID)
+		}
+	}
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, id := range others[:min(len(others), noticeFanout)] {
+		if address, known := view.Address(id); known {
+			m.pool.Notify(address, rpc.ClassControl, wirev1.Method_METHOD_BUNDLE_NOTICE, &wirev1.BundleNotice{Revision: revision})
+		}
+	}
+}
--- /dev/null
+++ b/modules/config/bundles/content.go
@@ -0,0 +1,152 @@
+package bundles
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/bundle"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+)
+
+// Keys in the platform's service, below the cluster's name.
+
+func (m *Module) headKey() string { return HeadKey(m.settings.Cluster) }
+
+// HeadKey is where the head is stored.
+func HeadKey(cluster string) string { return cluster + "/bundle/head" }
+
+// GenerationKey is where a generation's delta is stored.
+func GenerationKey(cluster string, generation uint64) string {
+	return fmt.Sprintf("%s/bundle/generations/%020d", cluster, generation)
+}
+
+// OperationKey records that an operation took effect.
+func OperationKey(cluster, operation string) string {
+	return cluster + "/bundle/operations/" + operation
+}
+
+// fullEvery: each such generation is stored whole, which bounds how many
+// deltas a node reads when it has none.
+const fullEvery = 16
+
+func watchWeight(id string) uint64 { return xxhash.Sum64String("bundle-watch\x00" + id) }
+
+// content returns the snapshot of a generation: from memory, a peer, or the
+// platform's service. The caller holds the applying mutex.
+func (m *Module) content(ctx context.Context, generation uint64, digest, peer string) (*bundle.Snapshot, error) {
+	if known := m.known(generation); known != nil && known.Digest == digest {
+		return known, nil
+	}
+	if peer != "" {
+		if snapshot, err := m.contentFromPeer(ctx, generation, digest, peer); err == nil {
+			m.metrics.fetches.WithLabelValues("peer").Inc()
+			return snapshot, nil
+		}
+	}
+	snapshot, err := m.contentFromPlatform(ctx, generation)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if snapshot.Digest != digest {
+		return nil, trace.BadParameter("stored generation %d has digest %s, head says %s", generation, snapshot.Digest, digest)
+	}
+	m.metrics.fetches.WithLabelValues("platform").Inc()
+	return snapshot, nil
+}
+
+func (m *Module) contentFromPeer(ctx context.Context, generation uint64, digest, peer string) (*bundle.Snapshot, error) {
+	reply, err := m.callFetch(ctx, peer, generation)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	delta, err := bundle.DecodeDelta(reply.Delta)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if delta.Generation != generation || delta.Digest != digest {
+		return nil, trace.NotFound("peer has generation %d", delta.Generation)
+	}
+	return m.accepted.Load().Apply(delta)
+}
+
+// contentFromPlatform applies stored deltas from the newest base it has.
+func (m *Module) contentFromPlatform(ctx context.Context, generation uint64) (*bundle.Snapshot, error) {
+	base := m.accepted.Load()
+	var chain []*bundle.Delta
+	for wanted := generation; ; wanted-- {
+		if base != nil && base.Generation == wanted {
+			break
+		}
+		delta, err := m.storedDelta(ctx, wanted)
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		chain = append(chain, delta)
+		if delta.Full {
+			base = nil
+			break
+		}
+	}
+	snapshot := base
+	for i := len(chain) - 1; i >= 0; i-- {
+		next, err := snapshot.Apply(chain[i])
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		snapshot = next
+	}
+	return snapshot, nil
+}
+
+func (m *Module) storedDelta(ctx context.Context, generation uint64) (*bundle.Delta, error) {
+	value, found, err := m.store.Get(ctx, GenerationKey(m.settings.Cluster, generation))
+	m.reachable.Store(err == nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if !found {
+		return nil, trace.NotFound("generation %d is not stored", generation)
+	}
+	return bundle.DecodeDelta(value.Value)
+}
+
+// serveFetch answers a peer with the head and the difference from what it has.
+func (m *Module) serveFetch(_ context.Context, stream *rpc.ServerStream) error {
+	var request wirev1.BundleFetchRequest
+	if err := stream.Request(&request); err != nil {
+		return err
+	}
+	head := m.head.Load()
+	if head == nil {
+		return stream.Send(&wirev1.BundleFetchReply{})
+	}
+	reply := &wirev1.BundleFetchReply{Head: head.Encode()}
+	wanted := request.WantGeneration
+	if wanted == 0 {
+		return stream.Send(reply)
+	}
+	snapshot := m.known(wanted)
+	if snapshot == nil {
+		return result.New(result.NotFound, "generation %d is not held here", wanted)
+	}
+	encoded, err := snapshot.DeltaFrom(m.known(request.HaveGeneration)).Encode()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	reply.Delta = encoded
+	return stream.Send(reply)
+}
+
+func (m *Module) known(generation uint64) *bundle.Snapshot {
+	for _, snapshot := range []*bundle.Snapshot{m.accepted.Load(), m.inForce.Load(), m.previous.Load()} {
+		if snapshot != nil && snapshot.Generation == generation {
+			return snapshot
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/modules/fleet/links/links.go
@@ -0,0 +1,117 @@
+// Package links opens the node's internal address and keeps the connections to
+// other nodes, by mutual TLS when keys are set.
+package links
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/internal/tlskeys"
+)
+
+// ModuleName registers the module.
+const ModuleName = "fleet.links"
+
+func init() {
+	kernel.Register(kernel.Info{Name: ModuleName, New: func() kernel.Module { return &Module{} }})
+}
+
+// Module provides *rpc.Server and *rpc.Pool. Modules register their handlers
+// on the server while they are provisioned.
+type Module struct {
+	settings *settings.Settings
+	listener net.Listener
+	keys     *tlskeys.Mutual
+	counters *rpc.Counters
+	server   *rpc.Server
+	pool     *rpc.Pool
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Starter = (*Module)(nil)
+	_ kernel.Cleaner = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	loaded, err := kernel.Find[*settings.Settings](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	m.settings = loaded
+	if loaded.TLS.Nodes.Set() {
+		m.keys, err = tlskeys.LoadMutual(loaded.TLS.Nodes.Certificate, loaded.TLS.Nodes.Key, loaded.TLS.NodesAuthority)
+		if err != nil {
+			return trace.Wrap(err, "tls.nodes")
+		}
+	}
+	m.counters = &rpc.Counters{}
+	m.server = rpc.NewServer(loaded.Node.ID, loaded.Cluster, m.counters)
+	m.pool = rpc.NewPool(loaded.Node.ID, loaded.Cluster, m.clientTLS(), m.counters)
+	ctx.Provide(m.server)
+	ctx.Provide(m.pool)
+	ctx.Provide(m.counters)
+	registry, err := kernel.Find[prometheus.Registerer](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	m.register(registry)
+	return nil
+}
+
+func (m *Module) clientTLS() func() *tls.Config {
+	if m.keys == nil {
+		return nil
+	}
+	return m.keys.Client
+}
+
+func (m *Module) register(registry prometheus.Registerer) {
+	counter := func(name, help string, read func() uint64) {
+		registry.MustRegister(prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Name: "cobaltramp_link_" + name, Help: help},
+			func() float64 { return float64(read()) }))
+	}
+	counter("bytes_sent_total", "Bytes sent to other nodes.", m.counters.BytesSent.Load)
+	counter("bytes_received_total", "Bytes received from other nodes.", m.counters.BytesReceived.Load)
+	counter("frames_sent_total", "Frames sent to other nodes.", m.counters.FramesSent.Load)
+	counter("frames_received_total", "Frames received from other nodes.", m.counters.FramesReceived.Load)
+	counter("dials_total", "Connections dialled to other nodes.", m.counters.Dials.Load)
+	counter("dial_failures_total", "Dials to other nodes that failed.", m.counters.DialFailures.Load)
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error {
+	listener, err := net.Listen("tcp", m.settings.Node.InternalAddress)
+	if err != nil {
+		return trace.Wrap(err, "listening on node.internal_address %s", m.settings.Node.InternalAddress)
+	}
+	m.listener = listener
+	var serverTLS *tls.Config
+	if m.keys != nil {
+		serverTLS = m.keys.Server()
+	}
+	go func() { _ = m.server.Serve(listener, serverTLS) }()
+	return nil
+}
+
+// Cleanup implements kernel.Cleaner.
+func (m *Module) Cleanup() {
+	if m.listener != nil {
+		_ = m.listener.Close()
+	}
+	if m.pool != nil {
+		m.pool.Close()
+	}
+	if m.server != nil {
+		m.server.Close()
+	}
+}
--- /dev/null
+++ b/modules/fleet/membership/membership.go
@@ -0,0 +1,280 @@
+// Package membership runs the failure detector over the node's links and
+// publishes the view of the fleet.
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/fleet"
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/membership"
+	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/modules/fleet/links"
+	"cobaltramp.example/cobaltramp/modules/platform/httpsd"
+)
+
+// ModuleName registers the module.
+const ModuleName = "fleet.membership"
+
+func init() {
+	kernel.Register(kernel.Info{
+		Name: ModuleName, Needs: []string{links.ModuleName, httpsd.ModuleName},
+		New: func() kernel.Module { return &Module{} },
+	})
+}
+
+// DiskIdentity is provided by the module that owns the data folder; nodes
+// without one have none.
+type DiskIdentity interface{ DiskID() string }
+
+// Module provides fleet views.
+type Module struct {
+	settings *settings.Settings
+	pool     *rpc.Pool
+	lists    platform.Lists
+	metrics  *metrics
+
+	mutex sync.Mutex
+	state *membership.State
+
+	view      atomic.Pointer[fleet.View]
+	listeners []func(*fleet.View)
+}
+
+type metrics struct {
+	members *prometheus.GaugeVec
+	changes *prometheus.CounterVec
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Starter = (*Module)(nil)
+	_ kernel.Drainer = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.pool, err = kernel.Find[*rpc.Pool](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.lists, err = kernel.Find[platform.Lists](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	server, err := kernel.Find[*rpc.Server](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	registry, err := kernel.Find[prometheus.Registerer](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	m.metrics = newMetrics(registry)
+	m.begin(diskIdentity(ctx))
+	server.HandleNotice(wirev1.Method_METHOD_MEMBERSHIP, m.receive)
+	ctx.Provide(m)
+	return nil
+}
+
+func diskIdentity(ctx *kernel.Context) string {
+	disk, err := kernel.Find[DiskIdentity](ctx)
+	if err != nil {
+		return ""
+	}
+	return disk.DiskID()
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		members: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "cobaltramp_members", Help: "Members by state as this node sees them."}, []string{"state"}),
+		changes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_member_changes_total", Help: "Member state changes by new state."}, []string{"state"}),
+	}
+	registry.MustRegister(m.members, m.changes)
+	return m
+}
+
+func (m *Module) begin(diskID string) {
+	self := &wirev1.MemberRecord{
+		Id: m.settings.Node.ID, Address: m.settings.Node.InternalAddress,
+		Zone: m.settings.Node.Zone, Region: m.settings.Node.Region, DiskId: diskID,
+		// A restart should outrank the life before it. If the clock went back,
+		// the first gossip about this node raises the incarnation.
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	m.state = membership.New(self, membership.DefaultConfig(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	m.publish()
+}
+
+// View returns the present view.
+func (m *Module) View() *fleet.View { return m.view.Load() }
+
+// OnView calls listener with every new view, from one goroutine at a time. It
+// is called while modules are provisioned.
+func (m *Module) OnView(listener func(*fleet.View)) { m.listeners = append(m.listeners, listener) }
+
+// SetBundleRevision sets the revision advertised to other members.
+func (m *Module) SetBundleRevision(revision uint64) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.state.SetBundleGeneration(revision)
+}
+
+// AheadPeer returns the highest bundle revision heard of and who had it.
+func (m *Module) AheadPeer() (uint64, string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.state.AheadPeer()
+}
+
+const tickInterval = 100 * time.Millisecond
+
+// Start implements kernel.Starter.
+func (m *Module) Start(ctx context.Context) error {
+	m.notify(m.view.Load())
+	go m.tickLoop(ctx)
+	go m.seedLoop(ctx)
+	return nil
+}
+
+func (m *Module) tickLoop(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			m.step(func(state *membership.State) membership.Output { return state.Tick(time.Now()) })
+		}
+	}
+}
+
+// seedLoop reads the machine list, which seeds the detector.
+func (m *Module) seedLoop(ctx context.Context) {
+	for {
+		if machines, err := m.lists.Machines(ctx); err == nil {
+			m.seed(machines)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(m.settings.Platform.ListInterval.Duration):
+		}
+	}
+}
+
+func (m *Module) seed(machines []platform.Machine) {
+	var seeds []membership.Seed
+	for _, machine := range machines {
+		if !machine.Leaving && machine.Address != m.settings.Node.InternalAddress {
+			seeds = append(seeds, membership.Seed{Address: machine.Address})
+		}
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.state.SetSeeds(seeds)
+}
+
+func (m *Module) receive(_ string, payload []byte) {
+	var message wirev1.MembershipMessage
+	if proto.Unmarshal(payload, &message) != nil {
+		return
+	}
+	m.step(func(state *membership.State) membership.Output { return state.Handle(time.Now(), &message) })
+}
+
+// step runs one transition, sends its messages and publishes a changed view.
+func (m *Module) step(transition func(*membership.State) membership.Output) {
+	m.mutex.Lock()
+	out := transition(m.state)
+	var view *fleet.View
+	if len(out.Changes) > 0 {
+		view = m.publish()
+	}
+	m.mutex.Unlock()
+	for _, envelope := range out.Send {
+		m.pool.Notify(envelope.Address, rpc.ClassControl, wirev1.Method_METHOD_MEMBERSHIP, envelope.Message)
+	}
+	if view != nil {
+		m.report(out.Changes)
+		m.notify(view)
+	}
+}
+
+// publish swaps in a new view; the caller holds the mutex.
+func (m *Module) publish() *fleet.View {
+	records := m.state.Records()
+	view := fleet.NewView(m.state.Self(), records)
+	m.view.Store(view)
+	m.metrics.members.Reset()
+	for _, record := range records {
+		m.metrics.members.WithLabelValues(stateName(record.State)).Inc()
+	}
+	return view
+}
+
+func (m *Module) notify(view *fleet.View) {
+	for _, listener := range m.listeners {
+		listener(view)
+	}
+}
+
+func (m *Module) report(changes []membership.Change) {
+	for _, change := range changes {
+		m.metrics.changes.WithLabelValues(stateName(change.After.State)).Inc()
+		if change.Before != nil && change.Before.State == change.After.State {
+			continue
+		}
+		klog.InfoS("member changed", "node", m.settings.Node.ID, "member", change.After.Id, "state", stateName(change.After.State))
+		if change.After.State == membership.Dead {
+			m.pool.Forget(change.After.Address)
+		}
+	}
+}
+
+func stateName(state wirev1.MemberState) string {
+	switch state {
+	case membership.Alive:
+		return "alive"
+	case membership.Suspect:
+		return "suspect"
+	case membership.Leaving:
+		return "leaving"
+	case membership.Dead:
+		return "dead"
+	default:
+		return "unknown"
+	}
+}
+
+// Leave tells the fleet that this node takes nothing new.
+func (m *Module) Leave() {
+	m.step(func(state *membership.State) membership.Output { return state.Leave(time.Now()) })
+}
+
+// leaveSpread is how long a leaving node stays to serve requests sent by
+// members that had not yet heard of it.
+const leaveSpread = 2 * time.Second
+
+// Drain implements kernel.Drainer. The modules above have drained by now.
+func (m *Module) Drain(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(leaveSpread):
+	}
+}
--- /dev/null
+++ b/modules/fleet/runners/runners.go
@@ -0,0 +1,125 @@
+// Package runners keeps the table of runners and their owners: the platform's
+// runner list joined with the view of the fleet.
+package runners
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cobaltramp.example/cobaltramp/internal/fleet"
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/modules/fleet/membership"
+)
+
+// ModuleName registers the module.
+const ModuleName = "fleet.runners"
+
+func init() {
+	kernel.Register(kernel.Info{
+		Name: ModuleName, Needs: []string{membership.ModuleName},
+		New: func() kernel.Module { return &Module{} },
+	})
+}
+
+// Views is the part of membership this module uses.
+type Views interface {
+	View() *fleet.View
+	OnView(func(*fleet.View))
+}
+
+// Module provides the runner table.
+type Module struct {
+	settings *settings.Settings
+	lists    platform.Lists
+	views    Views
+
+	mutex     sync.Mutex
+	listed    []platform.Runner
+	table     atomic.Pointer[fleet.Runners]
+	listeners []func(*fleet.Runners)
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Starter = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.lists, err = kernel.Find[platform.Lists](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.views, err = kernel.Find[Views](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	m.table.Store(fleet.NewRunners(m.views.View(), nil))
+	m.views.OnView(func(*fleet.View) { m.rebuild(nil) })
+	ctx.Provide(m)
+	return nil
+}
+
+// Table returns the present table.
+func (m *Module) Table() *fleet.Runners { return m.table.Load() }
+
+// OnTable calls listener with every new table. It is called while modules are
+// provisioned.
+func (m *Module) OnTable(listener func(*fleet.Runners)) { m.listeners = append(m.listeners, listener) }
+
+// Start implements kernel.Starter.
+func (m *Module) Start(ctx context.Context) error {
+	go m.listLoop(ctx)
+	return nil
+}
+
+func (m *Module) listLoop(ctx context.Context) {
+	for {
+		if listed, err := m.lists.Runners(ctx); err == nil {
+			m.rebuild(listed)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(m.settings.Platform.ListInterval.Duration):
+		}
+	}
+}
+
+// rebuild swaps in a new table; a nil list keeps the last one read, which is
+// what serves while the platform is down.
+func (m *Module) rebuild(listed []platform.Runner) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if listed != nil {
+		if equalLists(listed, m.listed) {
+			return
+		}
+		m.listed = listed
+	}
+	table := fleet.NewRunners(m.views.View(), m.listed)
+	m.table.Store(table)
+	for _, listener := range m.listeners {
+		listener(table)
+	}
+}
+
+func equalLists(a, b []platform.Runner) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
--- a/modules/platform/etcdgateway/etcdgateway.go
+++ b/modules/platform/etcdgateway/etcdgateway.go
@@ -209,4 +209,3 @@
 	}
 	return []byte{0}
 }
-
--- /dev/null
+++ b/modules/serving/owner/orders.go
@@ -0,0 +1,175 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cobaltramp.example/cobaltramp/internal/bundle"
+	"cobaltramp.example/cobaltramp/internal/engine"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+// orderState is what an owned runner should have loaded, and whether it has.
+type orderState struct {
+	model      string
+	version    string
+	adapters   []string
+	generation uint64
+	loaded     bool
+	checked    time.Time
+	boot       string
+}
+
+// want sets what should be loaded; a change has to be confirmed by the engine.
+func (o *orderState) want(model *bundle.CompiledModel, generation uint64) {
+	same := o.model == model.Name && o.version == model.Version && sameStrings(o.adapters, model.Adapters)
+	if !same {
+		o.loaded = false
+		o.checked = time.Time{}
+	}
+	o.model, o.version, o.adapters, o.generation = model.Name, model.Version, model.Adapters, generation
+}
+
+func sameStrings(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+const (
+	orderInterval = 200 * time.Millisecond
+	// recheckLoaded is how often a loaded runner is asked whether it still is:
+	// an engine that restarted has lost its model.
+	recheckLoaded = 2 * time.Second
+	orderTimeout  = 2 * time.Second
+	maxChecks     = 16
+)
+
+// orderLoop sees that owned runners have loaded what the bundle says.
+func (m *Module) orderLoop(ctx context.Context) {
+	ticker := time.NewTicker(orderInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, due := range m.dueChecks(time.Now()) {
+			go m.check(ctx, due)
+		}
+	}
+}
+
+type dueCheck struct {
+	id      string
+	address string
+	wanted  orderState
+}
+
+// dueChecks picks runners to look at, a bounded number at a time, which also
+// stages loads: the weight store's rate is shared by those that load.
+func (m *Module) dueChecks(now time.Time) []dueCheck {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	var due []dueCheck
+	for _, r := range m.runners {
+		interval := orderInterval
+		if r.orders.loaded {
+			interval = recheckLoaded
+		}
+		if !r.owned || now.Sub(r.orders.checked) < interval {
+			continue
+		}
+		r.orders.checked = now
+		due = append(due, dueCheck{r.id, r.address, r.orders})
+		if len(due) == maxChecks {
+			break
+		}
+	}
+	return due
+}
+
+// check compares an engine's state with what is wanted and orders what lacks.
+func (m *Module) check(ctx context.Context, due dueCheck) {
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	state, err := m.engines.State(ctx, due.address)
+	if err != nil {
+		m.noteUnloaded(due.id, err)
+		return
+	}
+	missing := missingOrders(&due.wanted, state)
+	if len(missing) == 0 {
+		m.noteLoaded(due.id, due.wanted, state.Boot)
+		return
+	}
+	m.noteUnloaded(due.id, nil)
+	if state.Loading {
+		return
+	}
+	for _, order := range missing {
+		if err := m.engines.Send(ctx, due.address, order); err != nil {
+			m.metrics.ordersGiven.WithLabelValues(result.CodeOf(err).String()).Inc()
+			return
+		}
+		m.metrics.ordersGiven.WithLabelValues("ok").Inc()
+	}
+}
+
+func missingOrders(wanted *orderState, state *engine.State) []engine.Order {
+	if state.Model != wanted.model || state.Version != wanted.version {
+		return []engine.Order{{Fence: wanted.generation, Kind: "load", Model: wanted.model, Version: wanted.version}}
+	}
+	have := map[string]bool{}
+	for _, adapter := range state.Adapters {
+		have[adapter] = true
+	}
+	var orders []engine.Order
+	for _, adapter := range wanted.adapters {
+		if !have[adapter] {
+			orders = append(orders, engine.Order{Fence: wanted.generation, Kind: "adapter", Model: wanted.model, Adapter: adapter})
+		}
+	}
+	return orders
+}
+
+func (m *Module) noteLoaded(id string, wanted orderState, boot string) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	r := m.runners[id]
+	if r == nil || r.orders.model != wanted.model || r.orders.version != wanted.version {
+		return
+	}
+	if !r.orders.loaded {
+		klog.V(1).InfoS("runner ready", "node", m.settings.Node.ID, "runner", id, "model", wanted.model)
+	}
+	if r.orders.boot != boot {
+		r.orders.boot = boot
+		r.health.Succeeded()
+	}
+	r.orders.loaded = true
+	m.signalFreed()
+}
+
+func (m *Module) noteUnloaded(id string, err error) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	r := m.runners[id]
+	if r == nil {
+		return
+	}
+	if err != nil {
+		r.health.Failed(time.Now())
+		return
+	}
+	r.orders.loaded = false
+}
--- /dev/null
+++ b/modules/serving/router/router.go
@@ -0,0 +1,303 @@
+// Package router carries an online request from the accepting node to a runner's
+// owner and its answer back, across lost owners and runners, without a gap, a
+// repeat or a silent cut.
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/bundle"
+	"cobaltramp.example/cobaltramp/internal/fleet"
+	"cobaltramp.example/cobaltramp/internal/health"
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/ownership"
+	"cobaltramp.example/cobaltramp/internal/retry"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+	"cobaltramp.example/cobaltramp/internal/scheduling/framework"
+	"cobaltramp.example/cobaltramp/internal/scheduling/plugins"
+	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/modules/serving/owner"
+)
+
+// ModuleName registers the module.
+const ModuleName = "serving.router"
+
+func init() {
+	kernel.Register(kernel.Info{
+		Name: ModuleName, Needs: []string{owner.ModuleName},
+		New: func() kernel.Module { return &Module{} },
+	})
+}
+
+// Views gives the view of the fleet.
+type Views interface{ View() *fleet.View }
+
+// Tables gives the runner table.
+type Tables interface{ Table() *fleet.Runners }
+
+// Snapshots gives the bundle in force.
+type Snapshots interface{ Snapshot() *bundle.Snapshot }
+
+// LocalOwner is this node's own runners, reached without a link.
+type LocalOwner interface {
+	Dispatch(context.Context, *wirev1.DispatchRequest, owner.Emit) error
+	Reattach(context.Context, *wirev1.ReattachRequest, owner.Emit) error
+	Load() *wirev1.LoadDigest
+}
+
+// Module routes online requests.
+type Module struct {
+	settings  *settings.Settings
+	views     Views
+	tables    Tables
+	snapshots Snapshots
+	local     LocalOwner
+	pool      *rpc.Pool
+	scheduler *framework.Scheduler
+	budget    *retry.Budget
+	metrics   *metrics
+
+	owners sync.Map // node id → *ownerState
+}
+
+// ownerState is what this node knows of one owner.
+type ownerState struct {
+	inFlight atomic.Int64
+	load     atomic.Pointer[wirev1.LoadDigest]
+
+	mutex  sync.Mutex
+	health health.Runner
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Starter = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.views, err = kernel.Find[Views](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.tables, err = kernel.Find[Tables](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.snapshots, err = kernel.Find[Snapshots](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.local, err = kernel.Find[LocalOwner](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.pool, err = kernel.Find[*rpc.Pool](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	server, err := kernel.Find[*rpc.Server](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	registry, err := kernel.Find[prometheus.Registerer](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	m.metrics = newMetrics(registry)
+	m.budget = retry.NewBudget()
+	m.scheduler = newScheduler()
+	server.HandleNotice(wirev1.Method_METHOD_LOAD_DIGEST, m.receiveDigest)
+	ctx.Provide(m)
+	return nil
+}
+
+const ownerSamples = 2
+
+func newScheduler() *framework.Scheduler {
+	return &framework.Scheduler{
+		Filters: []framework.Filter{plugins.Available{}, plugins.WithRoom{}},
+		Scorers: []framework.WeightedScorer{
+			{Scorer: plugins.LeastLoad{}, Weight: 1},
+			{Scorer: plugins.PrefixAffinity{}, Weight: 0.4},
+		},
+		Picker: plugins.SampledBest{Samples: ownerSamples},
+	}
+}
+
+type metrics struct {
+	attempts *prometheus.CounterVec
+	resumed  *prometheus.CounterVec
+	spills   prometheus.Counter
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_router_attempts_total", Help: "Dispatches to owners by outcome code name."}, []string{"code"}),
+		resumed:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_router_resumed_total", Help: "Answers carried on after a lost owner or runner, by how."}, []string{"how"}),
+		spills:   prometheus.NewCounter(prometheus.CounterOpts{Name: "cobaltramp_router_spills_total", Help: "Requests sent to another zone."}),
+	}
+	registry.MustRegister(m.attempts, m.resumed, m.spills)
+	return m
+}
+
+const digestInterval = time.Second
+
+// Start implements kernel.Starter.
+func (m *Module) Start(ctx context.Context) error {
+	go m.digestLoop(ctx)
+	return nil
+}
+
+// digestLoop advertises this node's load to the nodes of its zone.
+func (m *Module) digestLoop(ctx context.Context) {
+	ticker := time.NewTicker(digestInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		digest := m.local.Load()
+		if len(digest.Models) == 0 {
+			continue
+		}
+		view := m.views.View()
+		for _, candidate := range view.Candidates {
+			if candidate.Zone != view.Self.Zone || candidate.ID == view.Self.Id {
+				continue
+			}
+			if address, known := view.Address(candidate.ID); known {
+				m.pool.Notify(address, rpc.ClassControl, wirev1.Method_METHOD_LOAD_DIGEST, digest)
+			}
+		}
+	}
+}
+
+func (m *Module) receiveDigest(_ string, payload []byte) {
+	digest := &wirev1.LoadDigest{}
+	if proto.Unmarshal(payload, digest) == nil {
+		m.noteLoad(digest)
+	}
+}
+
+// noteLoad keeps the newest digest; one that was overtaken is dropped.
+func (m *Module) noteLoad(digest *wirev1.LoadDigest) {
+	if digest == nil {
+		return
+	}
+	state := m.owner(digest.NodeId)
+	for {
+		known := state.load.Load()
+		// A restarted owner counts from one again.
+		overtaken := known != nil && digest.Sequence <= known.Sequence && known.Sequence-digest.Sequence < restartGap
+		if overtaken {
+			return
+		}
+		if state.load.CompareAndSwap(known, digest) {
+			return
+		}
+	}
+}
+
+const restartGap = 1000
+
+func (m *Module) owner(id string) *ownerState {
+	if known, found := m.owners.Load(id); found {
+		return known.(*ownerState)
+	}
+	made, _ := m.owners.LoadOrStore(id, &ownerState{})
+	return made.(*ownerState)
+}
+
+func (s *ownerState) failed() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.health.Failed(time.Now())
+}
+
+func (s *ownerState) succeeded() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.health.Succeeded()
+}
+
+func (s *ownerState) asideUntil() time.Time {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.health.AsideUntil()
+}
+
+// distance orders pools by how far they are from this node.
+type distance int
+
+const (
+	sameZone distance = iota
+	sameRegion
+	otherRegion
+	distances
+)
+
+func (m *Module) distanceOf(pool *fleet.Pool) distance {
+	switch {
+	case pool.Zone == m.settings.Node.Zone:
+		return sameZone
+	case pool.Region == m.settings.Node.Region:
+		return sameRegion
+	default:
+		return otherRegion
+	}
+}
+
+// choose picks an owner: in the home zone if one has room, else further away.
+func (m *Module) choose(model *bundle.CompiledModel, prefix uint64, excluded []string) (string, bool) {
+	pools := m.tables.Table().Pools[model.Service]
+	var rings [distances][]framework.Candidate
+	for i := range pools {
+		at := m.distanceOf(&pools[i])
+		rings[at] = append(rings[at], m.candidate(&pools[i], model, prefix))
+	}
+	request := &framework.Request{Model: model.Name, PrefixHash: prefix, Excluded: excluded, Now: time.Now()}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	for at, ring := range rings {
+		if chosen, found := m.scheduler.Choose(request, ring, random); found {
+			if distance(at) != sameZone {
+				m.metrics.spills.Inc()
+			}
+			return chosen.ID, true
+		}
+	}
+	return "", false
+}
+
+// candidate joins what an owner advertised with what this node has in flight
+// there, which is newer.
+func (m *Module) candidate(pool *fleet.Pool, model *bundle.CompiledModel, prefix uint64) framework.Candidate {
+	state := m.owner(pool.Owner)
+	candidate := framework.Candidate{
+		ID: pool.Owner, Zone: pool.Zone, Affinity: ownership.Weight(prefix, pool.Owner),
+		Capacity: pool.Runners * model.Slots, Load: int(state.inFlight.Load()), AsideUntil: state.asideUntil(),
+	}
+	digest := state.load.Load()
+	if digest == nil {
+		return candidate
+	}
+	for _, load := range digest.Models {
+		if load.Model == model.Name {
+			candidate.Capacity = int(load.OnlineRunning + load.FreeOnline)
+			candidate.Load = max(candidate.Load, int(load.OnlineRunning))
+			candidate.Batch = int(load.BatchRunning)
+			return candidate
+		}
+	}
+	return candidate
+}
