--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,502 @@
+package replica
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+)
+
+// disk is what survives a crash.
+type disk struct {
+	hard    HardState
+	entries []*wirev1.LogEntry
+	lost    bool
+}
+
+func (d *disk) Entries(lo, hi uint64, _ int) ([]*wirev1.LogEntry, error) {
+	if hi > uint64(len(d.entries)) {
+		return nil, fmt.Errorf("entries %d to %d of %d", lo, hi, len(d.entries))
+	}
+	return d.entries[lo-1 : hi], nil
+}
+
+func (d *disk) persist(ready Ready) {
+	if ready.HardState != nil {
+		d.hard = *ready.HardState
+	}
+	if ready.TruncateFrom > 0 {
+		d.entries = d.entries[:ready.TruncateFrom-1]
+	}
+	d.entries = append(d.entries, ready.Entries...)
+}
+
+func (d *disk) epochs() []uint64 {
+	epochs := make([]uint64, len(d.entries))
+	for i, entry := range d.entries {
+		epochs[i] = entry.Epoch
+	}
+	return epochs
+}
+
+// cluster simulates replicas, their disks and a bad network.
+type cluster struct {
+	t        *rapid.T
+	now      time.Time
+	random   *rand.Rand
+	config   Config
+	stored   Config // what the platform's service holds
+	disks    map[string]*disk
+	replicas map[string]*Replica // nil: down
+	paused   map[string]bool
+	cut      map[string]bool
+	loss     float64
+	network  []*wirev1.ReplicaMessage
+	// committed is what any replica ever saw committed, by index.
+	committed map[uint64][]byte
+	acked     map[uint64][]byte
+	proposals int
+}
+
+func newCluster(t *rapid.T, members int) *cluster {
+	c := &cluster{
+		t: t, now: time.Unix(0, 0), random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 5)),
+		disks: map[string]*disk{}, replicas: map[string]*Replica{}, paused: map[string]bool{}, cut: map[string]bool{},
+		committed: map[uint64][]byte{}, acked: map[uint64][]byte{},
+	}
+	c.config.Generation = 1
+	for i := range members {
+		c.config.Members = append(c.config.Members, fmt.Sprint("d", i))
+	}
+	c.stored = c.config
+	for _, id := range c.config.Members {
+		c.disks[id] = &disk{}
+		c.restart(id)
+	}
+	return c
+}
+
+func (c *cluster) ids() []string {
+	ids := make([]string, 0, len(c.disks))
+	for id := range c.disks {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (c *cluster) restart(id string) {
+	d := c.disks[id]
+	if d.lost {
+		return
+	}
+	config := c.config
+	if c.stored.Generation >= d.hard.Generation && d.hard.Generation > 0 {
+		config = c.stored
+	}
+	c.replicas[id] = Restore(0, id, config, DefaultTiming(), rand.New(rand.NewPCG(c.random.Uint64(), 1)), d, d.hard, 0, 0, d.epochs(), c.now)
+}
+
+// work runs one Ready of a replica; a crash may come between disk and network.
+func (c *cluster) work(id string, crash bool) {
+	r := c.replicas[id]
+	ready := r.Ready()
+	c.network = append(c.network, ready.Early...)
+	c.disks[id].persist(ready)
+	if crash {
+		c.replicas[id] = nil
+		return
+	}
+	r.Persisted(uint64(len(c.disks[id].entries)))
+	c.network = append(c.network, ready.Messages...)
+	c.observe(id, r.Commit())
+}
+
+// observe checks that what is committed never differs and counts as
+// acknowledged only what enough disks hold.
+func (c *cluster) observe(id string, commit uint64) {
+	d := c.disks[id]
+	for index := uint64(1); index <= min(commit, uint64(len(d.entries))); index++ {
+		command := d.entries[index-1].Command
+		known, seen := c.committed[index]
+		if seen && !bytes.Equal(known, command) {
+			c.t.Fatalf("entry %d was committed as %q and is %q at %s", index, known, command, id)
+		}
+		if !seen {
+			c.committed[index] = command
+			c.checkCopies(index, command)
+		}
+	}
+}
+
+func (c *cluster) checkCopies(index uint64, command []byte) {
+	copies, lost := 0, 0
+	for _, d := range c.disks {
+		if d.lost {
+			lost++
+		}
+		if uint64(len(d.entries)) >= index && bytes.Equal(d.entries[index-1].Command, command) && !d.lost {
+			copies++
+		}
+	}
+	if copies+lost < c.config.WriteQuorum() {
+		c.t.Fatalf("entry %d is committed on %d disks, want %d", index, copies, c.config.WriteQuorum())
+	}
+	if lost == 0 {
+		c.acked[index] = command
+	}
+}
+
+// describe lists the replicas for a failure's message.
+func (c *cluster) describe() string {
+	text := ""
+	for _, id := range c.ids() {
+		if r := c.replicas[id]; r != nil {
+			text += fmt.Sprintf("[%s %v epoch %d last %d commit %d disk %d frozen %v] ", id, r.Role(), r.Epoch(), r.lastIndex(), r.Commit(), len(c.disks[id].entries), r.Frozen())
+		}
+	}
+	return text
+}
+
+func (c *cluster) step() {
+	c.now = c.now.Add(20 * time.Millisecond)
+	due := c.network
+	c.network = nil
+	c.random.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, message := range due {
+		if c.random.Float64() < 0.05 {
+			c.network = append(c.network, message) // late
+			continue
+		}
+		c.deliver(message)
+		if c.random.Float64() < 0.03 {
+			c.deliver(message) // twice
+		}
+	}
+	for _, id := range c.ids() {
+		r := c.replicas[id]
+		if r == nil || c.paused[id] {
+			continue
+		}
+		r.Tick(c.now)
+		c.work(id, false)
+	}
+}
+
+func (c *cluster) deliver(message *wirev1.ReplicaMessage) {
+	r := c.replicas[message.To]
+	if r == nil || c.paused[message.To] || c.cut[message.From] || c.cut[message.To] || c.random.Float64() < c.loss {
+		return
+	}
+	r.Step(c.now, proto.Clone(message).(*wirev1.ReplicaMessage))
+	c.work(message.To, false)
+}
+
+func (c *cluster) run(steps int) {
+	for range steps {
+		c.step()
+	}
+}
+
+func (c *cluster) leader() *Replica {
+	var best *Replica
+	for _, id := range c.ids() {
+		r := c.replicas[id]
+		if r != nil && !c.paused[id] && !c.cut[id] && r.Serving() && (best == nil || r.Epoch() > best.Epoch()) {
+			best = r
+		}
+	}
+	return best
+}
+
+func (c *cluster) propose(crashes bool) {
+	for _, id := range c.ids() {
+		r := c.replicas[id]
+		if r == nil || c.paused[id] || r.Role() != Leader {
+			continue
+		}
+		c.proposals++
+		r.Propose(c.now, [][]byte{fmt.Appendf(nil, "%s/%d", id, c.proposals)})
+		c.work(id, crashes && c.random.Float64() < 0.02)
+	}
+}
+
+func (c *cluster) drawFault() {
+	id := rapid.SampledFrom(c.ids()).Draw(c.t, "victim")
+	switch rapid.IntRange(0, 6).Draw(c.t, "fault") {
+	case 0:
+		c.replicas[id] = nil // killed
+	case 1:
+		c.paused[id] = !c.paused[id]
+	case 2:
+		c.cut[id] = !c.cut[id]
+	case 3:
+		c.loss = 0.2
+	case 4:
+		c.loss = 0
+	case 5, 6:
+		if c.replicas[id] == nil {
+			c.restart(id)
+		}
+	}
+}
+
+func (c *cluster) heal() {
+	c.loss = 0
+	clear(c.cut)
+	clear(c.paused)
+	for _, id := range c.ids() {
+		if c.replicas[id] == nil {
+			c.restart(id)
+		}
+	}
+}
+
+func (c *cluster) requireAcked(when string) {
+	leader := c.leader()
+	if leader == nil {
+		c.t.Fatalf("%s: no leader", when)
+	}
+	entries := c.disks[leader.self].entries
+	for index, command := range c.acked {
+		if uint64(len(entries)) < index || !bytes.Equal(entries[index-1].Command, command) {
+			c.t.Fatalf("%s: acknowledged entry %d is gone at leader %s", when, index, leader.self)
+		}
+	}
+}
+
+// Nothing that was committed changes or is lost, through kills, pauses, cuts,
+// loss, delay, duplication and reordering; and the shard works again after.
+func TestCommittedEntriesSurviveAnyFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, rapid.IntRange(3, 5).Draw(t, "members"))
+		c.run(150)
+		for range rapid.IntRange(1, 12).Draw(t, "rounds") {
+			c.drawFault()
+			for range rapid.IntRange(1, 10).Draw(t, "proposals") {
+				c.propose(true)
+				c.run(rapid.IntRange(1, 30).Draw(t, "steps"))
+			}
+		}
+		c.heal()
+		c.run(600)
+		c.requireAcked("after healing")
+		before := len(c.acked)
+		c.propose(false)
+		c.run(100)
+		if len(c.acked) <= before {
+			t.Fatalf("the healed shard commits nothing: %s", c.describe())
+		}
+	})
+}
+
+// Two disks lost together after the acknowledgement lose nothing.
+func TestTwoDisksLostAfterAcknowledgement(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.IntRange(3, 5).Draw(t, "members")
+		c := newCluster(t, members)
+		c.run(150)
+		for range rapid.IntRange(1, 20).Draw(t, "proposals") {
+			c.propose(false)
+			c.run(rapid.IntRange(1, 8).Draw(t, "steps"))
+		}
+		lost := rapid.Permutation(c.ids()).Draw(t, "lost")[:2]
+		for _, id := range lost {
+			c.disks[id].lost = true
+			c.disks[id].entries = nil
+			c.replicas[id] = nil
+		}
+		c.run(800)
+		leader := c.survivorWithAll()
+		if leader == "" {
+			t.Fatalf("no survivor leads with all of %d acknowledged entries: %s", len(c.acked), c.describe())
+		}
+		if members == 5 {
+			c.requireAcked("after two of five disks are lost")
+		}
+	})
+}
+
+// survivorWithAll returns a replica that was elected among the survivors and
+// holds all that was acknowledged.
+func (c *cluster) survivorWithAll() string {
+	for id, r := range c.replicas {
+		if r == nil || r.Role() != Leader {
+			continue
+		}
+		entries := c.disks[id].entries
+		whole := true
+		for index, command := range c.acked {
+			whole = whole && uint64(len(entries)) >= index && bytes.Equal(entries[index-1].Command, command)
+		}
+		if whole {
+			return id
+		}
+	}
+	return ""
+}
+
+// A leader that was paused and woken writes nothing in its old epoch.
+func TestWokenLeaderCommitsNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, 5)
+		c.run(150)
+		old := c.leader()
+		if old == nil {
+			t.Fatal("no leader")
+		}
+		c.paused[old.self] = true
+		c.run(400)
+		oldEpoch, oldCommit := old.Epoch(), old.Commit()
+		if next := c.leader(); next == nil || next.self == old.self {
+			t.Fatal("no new leader")
+		}
+		c.paused[old.self] = false
+		old.Propose(c.now, [][]byte{[]byte("written while deposed")})
+		c.work(old.self, false)
+		c.run(rapid.IntRange(1, 200).Draw(t, "steps"))
+		if old.Epoch() == oldEpoch && old.Commit() > oldCommit {
+			t.Fatal("a deposed leader committed")
+		}
+		for _, command := range c.committed {
+			if string(command) == "written while deposed" {
+				t.Fatal("a deposed leader's entry was committed")
+			}
+		}
+	})
+}
+
+// A sealed hand-over to a set with new disks loses nothing, whoever is killed
+// or paused in the middle, and a sealer that wakes late cannot finish it.
+func TestHandOverLosesNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := rapid.IntRange(3, 5).Draw(t, "members")
+		c := newCluster(t, members)
+		c.run(150)
+		for range 5 {
+			c.propose(false)
+			c.run(5)
+		}
+		victim := rapid.SampledFrom(c.ids()).Draw(t, "dead")
+		c.disks[victim].lost = true
+		c.replicas[victim] = nil
+		c.run(400)
+		next := c.nextConfig(victim)
+		c.handOver(next)
+		c.heal()
+		c.finishOrThaw(next)
+		c.run(800)
+		c.requireAcked("after the hand-over")
+	})
+}
+
+func (c *cluster) nextConfig(victim string) Config {
+	next := Config{Generation: 2}
+	for _, id := range c.config.Members {
+		if id != victim {
+			next.Members = append(next.Members, id)
+		}
+	}
+	next.Members = append(next.Members, "new")
+	c.disks["new"] = &disk{}
+	c.replicas["new"] = Restore(0, "new", Config{Generation: 1}, DefaultTiming(), rand.New(rand.NewPCG(1, 1)), c.disks["new"], HardState{}, 0, 0, nil, c.now)
+	return next
+}
+
+// handOver drives a leader through catching up, freezing and the
+// compare-and-swap, with faults drawn between.
+func (c *cluster) handOver(next Config) {
+	var sealer *Replica
+	for range 400 {
+		c.step()
+		for _, id := range c.ids() {
+			if r := c.replicas[id]; r != nil && r.Role() == Leader {
+				sealer = r
+			}
+		}
+		if sealer == nil {
+			continue
+		}
+		sealer.SetLearners(c.now, []string{"new"})
+		if sealer.CaughtUp("new") && !sealer.Frozen() && sealer.Role() == Leader {
+			sealer.Freeze()
+		}
+		if rapid.IntRange(0, 60).Draw(c.t, "fault now") == 0 {
+			c.drawFault()
+		}
+		if sealer.Sealed(next) && c.replicas[sealer.self] == sealer && !c.paused[sealer.self] {
+			if rapid.Bool().Draw(c.t, "sealer dies before the swap") {
+				c.paused[sealer.self] = true
+				return
+			}
+			c.swap(next, sealer.config.Attempt)
+			return
+		}
+	}
+}
+
+// swap is the platform's compare-and-swap.
+func (c *cluster) swap(next Config, attempt uint64) bool {
+	if c.stored.Generation+1 != next.Generation || c.stored.Attempt != attempt {
+		return false
+	}
+	c.stored = next
+	return true
+}
+
+// finishOrThaw is what members do when a hand-over does not end: they raise
+// the attempt, which fences the sealer, and go on.
+func (c *cluster) finishOrThaw(next Config) {
+	if c.stored.Generation == 1 {
+		c.stored.Attempt++
+	}
+	if c.swap(next, c.stored.Attempt-1) && c.stored.Attempt > 0 {
+		c.t.Fatal("a fenced sealer replaced the member set")
+	}
+	for _, r := range c.replicas {
+		if r != nil {
+			r.Observe(c.now, c.stored)
+		}
+	}
+	if c.stored.Generation == 1 && len(c.config.Members) == 3 {
+		// Three members with a lost disk cannot go on without a hand-over.
+		c.run(600)
+		c.handOverAgain(next)
+	}
+	if c.stored.Generation > 1 {
+		c.config = c.stored
+	}
+}
+
+func (c *cluster) handOverAgain(next Config) {
+	for range 1000 {
+		c.step()
+		for _, id := range c.ids() {
+			r := c.replicas[id]
+			if r == nil || r.Role() != Leader || !c.stored.Has(id) {
+				continue
+			}
+			r.SetLearners(c.now, []string{"new"})
+			if r.CaughtUp("new") && !r.Frozen() {
+				r.Freeze()
+			}
+			if r.Sealed(next) && c.swap(next, r.config.Attempt) {
+				for _, other := range c.replicas {
+					if other != nil {
+						other.Observe(c.now, c.stored)
+					}
+				}
+				return
+			}
+		}
+	}
+	c.t.Fatal("the hand-over never ends")
+}
--- /dev/null
+++ b/internal/replica/step.go
@@ -0,0 +1,217 @@
+package replica
+
+import (
+	"hash/crc32"
+	"time"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Checksum is stored with each entry and checked whenever one is read.
+func Checksum(command []byte) uint32 { return crc32.Checksum(command, castagnoli) }
+
+// Step takes one message. Messages of other generations are dropped: member
+// sets change only by a sealed hand-over.
+func (r *Replica) Step(now time.Time, message *wirev1.ReplicaMessage) {
+	if message.Generation != r.config.Generation || message.To != r.self {
+		return
+	}
+	switch message.Kind {
+	case wirev1.ReplicaKind_REPLICA_KIND_PRE_PREPARE:
+		r.handlePrePrepare(now, message)
+	case wirev1.ReplicaKind_REPLICA_KIND_PRE_PROMISE:
+		r.handlePrePromise(now, message)
+	case wirev1.ReplicaKind_REPLICA_KIND_PREPARE:
+		r.handlePrepare(now, message)
+	case wirev1.ReplicaKind_REPLICA_KIND_PROMISE:
+		r.handlePromise(now, message)
+	case wirev1.ReplicaKind_REPLICA_KIND_APPEND:
+		r.handleAppend(now, message)
+	case wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED:
+		r.handleAccepted(now, message)
+	case wirev1.ReplicaKind_REPLICA_KIND_TRANSFER:
+		r.handleTransfer(now, message)
+	case wirev1.ReplicaKind_REPLICA_KIND_FREEZE:
+		r.handleFreeze(now, message)
+	case wirev1.ReplicaKind_REPLICA_KIND_FROZEN:
+		r.handleFrozen(now, message)
+	}
+}
+
+// upToDate reports whether a candidate's log holds all this one may have
+// acknowledged.
+func (r *Replica) upToDate(message *wirev1.ReplicaMessage) bool {
+	if message.LastEpoch != r.lastEpoch() {
+		return message.LastEpoch > r.lastEpoch()
+	}
+	return message.LastIndex >= r.lastIndex()
+}
+
+func (r *Replica) handlePrePrepare(now time.Time, message *wirev1.ReplicaMessage) {
+	leaderLives := r.role == Leader || now.Sub(r.leaderSeen) < r.timing.Election
+	granted := !leaderLives && !r.hard.Frozen && r.upToDate(message)
+	r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_PRE_PROMISE, To: message.From, Epoch: r.hard.Promised, Granted: granted})
+}
+
+func (r *Replica) handlePrePromise(now time.Time, message *wirev1.ReplicaMessage) {
+	if r.role != PreCandidate || !message.Granted {
+		return
+	}
+	// Campaign above what others have promised.
+	r.promise(message.Epoch)
+	r.votes[message.From] = true
+	if r.preVotesSuffice() {
+		r.prepare(now)
+	}
+}
+
+func (r *Replica) handlePrepare(now time.Time, message *wirev1.ReplicaMessage) {
+	if r.hard.Frozen {
+		return
+	}
+	granted := message.Epoch > r.hard.Promised && r.upToDate(message)
+	if message.Epoch > r.hard.Promised {
+		r.follow(now, message.Epoch, "")
+	}
+	r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_PROMISE, To: message.From, Epoch: r.hard.Promised, Granted: granted})
+}
+
+func (r *Replica) handlePromise(now time.Time, message *wirev1.ReplicaMessage) {
+	if message.Epoch > r.hard.Promised {
+		r.follow(now, message.Epoch, "")
+		return
+	}
+	if r.role == Candidate && message.Granted && message.Epoch == r.hard.Promised {
+		r.votes[message.From] = true
+		r.countVotes(now)
+	}
+}
+
+// follow steps down to an epoch at or above the promised one.
+func (r *Replica) follow(now time.Time, epoch uint64, leader string) {
+	r.promise(epoch)
+	r.role = Follower
+	r.leader = leader
+	r.progress = nil
+	r.resetDeadline(now)
+}
+
+func (r *Replica) handleAppend(now time.Time, message *wirev1.ReplicaMessage) {
+	if message.Epoch < r.hard.Promised {
+		r.reject(message, 0)
+		return
+	}
+	if r.hard.Frozen && message.Epoch != r.hard.Promised {
+		return
+	}
+	r.follow(now, message.Epoch, message.From)
+	r.leaderSeen = now
+	r.lonely = 0
+	previousEpoch, known := r.epochAt(message.LastIndex)
+	if message.LastIndex < r.baseIndex {
+		known, previousEpoch = true, message.LastEpoch // below the base all is committed and alike
+	}
+	if !known || previousEpoch != message.LastEpoch {
+		r.reject(message, r.hint(message.LastIndex))
+		return
+	}
+	if !r.take(message.Entries) {
+		return
+	}
+	matched := message.LastIndex + uint64(len(message.Entries))
+	r.hard.Commit = max(r.hard.Commit, min(message.Commit, matched))
+	r.send(&wirev1.ReplicaMessage{
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, Granted: true, MatchIndex: matched,
+	})
+}
+
+// hint is where the leader should try next: the last entry before the mismatch
+// that can match.
+func (r *Replica) hint(mismatch uint64) uint64 {
+	candidate := min(r.lastIndex(), mismatch-min(mismatch, 1))
+	epoch, known := r.epochAt(candidate)
+	for known && candidate > r.hard.Commit && candidate > r.baseIndex {
+		previous, ok := r.epochAt(candidate - 1)
+		if !ok || previous != epoch {
+			break
+		}
+		candidate--
+	}
+	return max(candidate, r.hard.Commit)
+}
+
+func (r *Replica) reject(message *wirev1.ReplicaMessage, hint uint64) {
+	r.send(&wirev1.ReplicaMessage{
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, MatchIndex: hint,
+	})
+}
+
+// take appends the entries this log lacks and drops its own that differ. It
+// refuses damaged entries.
+func (r *Replica) take(entries []*wirev1.LogEntry) bool {
+	for _, entry := range entries {
+		if entry.Checksum != Checksum(entry.Command) {
+			return false
+		}
+	}
+	for _, entry := range entries {
+		if entry.Index <= r.baseIndex {
+			continue
+		}
+		epoch, known := r.epochAt(entry.Index)
+		if known && epoch == entry.Epoch {
+			continue
+		}
+		if known {
+			r.dropFrom(entry.Index)
+		}
+		r.epochs = append(r.epochs, entry.Epoch)
+		r.pending = append(r.pending, entry)
+	}
+	return true
+}
+
+// dropFrom removes entries that a newer leader does not have. They were never
+// committed.
+func (r *Replica) dropFrom(index uint64) {
+	r.epochs = r.epochs[:index-r.baseIndex-1]
+	for len(r.pending) > 0 && r.pending[len(r.pending)-1].Index >= index {
+		r.pending = r.pending[:len(r.pending)-1]
+	}
+	if r.truncate == 0 || index < r.truncate {
+		r.truncate = index
+	}
+	r.persisted = min(r.persisted, index-1)
+}
+
+func (r *Replica) handleAccepted(now time.Time, message *wirev1.ReplicaMessage) {
+	if message.Epoch > r.hard.Promised {
+		r.follow(now, message.Epoch, "")
+		return
+	}
+	p := r.progress[message.From]
+	if r.role != Leader || p == nil || message.Epoch != r.hard.Promised {
+		return
+	}
+	p.heardAt = now
+	if !message.Granted {
+		p.next = max(p.match, min(message.MatchIndex, r.lastIndex())) + 1
+		p.confirmed = false
+		r.sendAppend(message.From, p, now, true)
+		return
+	}
+	p.confirmed = true
+	p.match = max(p.match, message.MatchIndex)
+	p.next = max(p.next, p.match+1)
+	r.advanceCommit()
+	r.sendAppend(message.From, p, now, false)
+}
+
+// handleTransfer campaigns at once: the leader itself asks for it.
+func (r *Replica) handleTransfer(now time.Time, message *wirev1.ReplicaMessage) {
+	if message.Epoch == r.hard.Promised && r.config.Has(r.self) && !r.hard.Frozen {
+		r.prepare(now)
+	}
+}
