--- a/internal/bundle/head.go
+++ b/internal/bundle/head.go
@@ -199,3 +199,35 @@
 	}
 	return &next, nil
 }
+
+// RollRequest asks for a roll action, signed by one operator of the newest
+// accepted bundle.
+type RollRequest struct {
+	Action      RollAction `json:"action"`
+	Generation  uint64     `json:"generation"`
+	OperationID string     `json:"operation_id"`
+	SignOff     SignOff    `json:"sign_off"`
+}
+
+func (r *RollRequest) message(cluster string) []byte {
+	return fmt.Appendf(nil, "cobaltramp roll v1\n%s\n%d\n%s\n%s\n", cluster, r.Generation, r.Action, r.OperationID)
+}
+
+// SignRoll signs a roll request as the operator.
+func (r *RollRequest) SignRoll(operator string, key ed25519.PrivateKey, cluster string) {
+	signature := ed25519.Sign(key, r.message(cluster))
+	r.SignOff = SignOff{Operator: operator, Signature: base64.StdEncoding.EncodeToString(signature)}
+}
+
+// VerifyRoll checks the signature against the operators of a snapshot.
+func VerifyRoll(judge *Snapshot, cluster string, request *RollRequest) error {
+	operator, known := judge.Operators[request.SignOff.Operator]
+	if !known {
+		return result.New(result.SignatureInvalid, "operator %q is not named in the newest bundle", request.SignOff.Operator)
+	}
+	signature, err := base64.StdEncoding.DecodeString(request.SignOff.Signature)
+	if err != nil || !ed25519.Verify(operator.Key(), request.message(cluster), signature) {
+		return result.New(result.SignatureInvalid, "signature of operator %q does not fit this roll request", request.SignOff.Operator)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/logstore/shard.go
@@ -0,0 +1,246 @@
+package logstore
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/replica"
+)
+
+// CorruptError is an entry or record whose checksum does not fit.
+type CorruptError struct {
+	Shard uint32
+	Index uint64
+}
+
+// Error implements error.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("shard %d: log entry %d is damaged", e.Shard, e.Index)
+}
+
+// Shard is one shard's part of the database. Its log and its state are used by
+// one goroutine; snapshots may be read by others.
+type Shard struct {
+	db   *pebble.DB
+	id   uint32
+	slot byte
+}
+
+// meta is what a shard's replica must never forget, one record written whole.
+type meta struct {
+	Hard      replica.HardState `json:"hard"`
+	Config    replica.Config    `json:"config"`
+	BaseIndex uint64            `json:"base_index"`
+	BaseEpoch uint64            `json:"base_epoch"`
+}
+
+// Loaded is what a shard's disk holds at start.
+type Loaded struct {
+	Hard      replica.HardState
+	Config    replica.Config
+	BaseIndex uint64
+	BaseEpoch uint64
+	// Epochs of the entries after the base.
+	Epochs []uint64
+	// Applied is the index of the last entry the state contains.
+	Applied uint64
+	// Known: the shard was here before.
+	Known bool
+}
+
+var (
+	metaRecord    = []byte("meta")
+	appliedRecord = []byte("applied") // applied index, slot
+)
+
+// Shard returns a shard of the database.
+func (d *DB) Shard(id uint32) *Shard { return &Shard{db: d.pebble, id: id} }
+
+// Shards lists the shards the database holds.
+func (d *DB) Shards() ([]uint32, error) {
+	iterator, err := d.pebble.NewIter(nil)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer func() { _ = iterator.Close() }()
+	var ids []uint32
+	for valid := iterator.First(); valid; {
+		id := binary.BigEndian.Uint32(iterator.Key())
+		ids = append(ids, id)
+		valid = iterator.SeekGE(binary.BigEndian.AppendUint32(nil, id+1))
+	}
+	return ids, trace.Wrap(iterator.Error())
+}
+
+func (s *Shard) metaKey(record []byte) []byte { return append(shardPrefix(s.id, spaceMeta), record...) }
+
+func (s *Shard) logKey(index uint64) []byte {
+	return binary.BigEndian.AppendUint64(shardPrefix(s.id, spaceLog), index)
+}
+
+func (s *Shard) statePrefix(slot byte) []byte { return append(shardPrefix(s.id, spaceState), slot) }
+
+// Load reads the shard and checks every entry's checksum. The log has to be
+// without gaps; entries behind a gap would be a defect and count as damage.
+func (s *Shard) Load() (*Loaded, error) {
+	loaded := &Loaded{}
+	var stored meta
+	text, err := s.get(s.metaKey(metaRecord))
+	if err != nil {
+		return nil, err
+	}
+	if text != nil {
+		if err := json.Unmarshal(text, &stored); err != nil {
+			return nil, trace.Wrap(err, "decoding shard %d", s.id)
+		}
+		loaded.Known = true
+	}
+	loaded.Hard, loaded.Config = stored.Hard, stored.Config
+	loaded.BaseIndex, loaded.BaseEpoch = stored.BaseIndex, stored.BaseEpoch
+	if loaded.Applied, s.slot, err = s.loadApplied(); err != nil {
+		return nil, err
+	}
+	loaded.Applied = max(loaded.Applied, loaded.BaseIndex)
+	err = s.scanLog(loaded.BaseIndex+1, func(entry *wirev1.LogEntry) error {
+		if entry.Index != loaded.BaseIndex+uint64(len(loaded.Epochs))+1 {
+			return &CorruptError{s.id, entry.Index}
+		}
+		loaded.Epochs = append(loaded.Epochs, entry.Epoch)
+		return nil
+	})
+	return loaded, err
+}
+
+func (s *Shard) loadApplied() (uint64, byte, error) {
+	text, err := s.get(s.metaKey(appliedRecord))
+	if err != nil || len(text) != 9 {
+		return 0, 0, err
+	}
+	return binary.BigEndian.Uint64(text), text[8], nil
+}
+
+func (s *Shard) get(key []byte) ([]byte, error) {
+	value, closer, err := s.db.Get(key)
+	if err == pebble.ErrNotFound {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, trace.Wrap(err, "reading shard %d", s.id)
+	}
+	defer func() { _ = closer.Close() }()
+	return append([]byte{}, value...), nil
+}
+
+func (s *Shard) scanLog(from uint64, visit func(*wirev1.LogEntry) error) error {
+	iterator, err := s.db.NewIter(&pebble.IterOptions{LowerBound: s.logKey(from), UpperBound: shardPrefix(s.id, spaceLog+1)})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = iterator.Close() }()
+	for valid := iterator.First(); valid; valid = iterator.Next() {
+		entry, err := s.decodeEntry(iterator.Key(), iterator.Value())
+		if err != nil {
+			return err
+		}
+		if err := visit(entry); err != nil {
+			return err
+		}
+	}
+	return trace.Wrap(iterator.Error())
+}
+
+func (s *Shard) decodeEntry(key, value []byte) (*wirev1.LogEntry, error) {
+	index := binary.BigEndian.Uint64(key[len(key)-8:])
+	entry := &wirev1.LogEntry{}
+	if err := proto.Unmarshal(value, entry); err != nil {
+		return nil, &CorruptError{s.id, index}
+	}
+	if entry.Index != index || entry.Checksum != replica.Checksum(entry.Command) {
+		return nil, &CorruptError{s.id, index}
+	}
+	return entry, nil
+}
+
+// Entries implements replica.EntryReader.
+func (s *Shard) Entries(lo, hi uint64, maxBytes int) ([]*wirev1.LogEntry, error) {
+	var entries []*wirev1.LogEntry
+	size := 0
+	errEnough := trace.LimitExceeded("enough")
+	err := s.scanLog(lo, func(entry *wirev1.LogEntry) error {
+		size += len(entry.Command)
+		if entry.Index > hi || (len(entries) > 0 && size > maxBytes) {
+			return errEnough
+		}
+		if entry.Index != lo+uint64(len(entries)) {
+			return &CorruptError{s.id, lo}
+		}
+		entries = append(entries, entry)
+		return nil
+	})
+	if err != nil && err != errEnough {
+		return nil, err
+	}
+	return entries, nil
+}
+
+// Persist makes a replica's step durable: it returns after the fsync.
+func (s *Shard) Persist(ready *replica.Ready, config replica.Config, baseIndex, baseEpoch uint64, last uint64) error {
+	batch := s.db.NewBatch()
+	defer func() { _ = batch.Close() }()
+	if ready.HardState != nil {
+		if err := s.setMeta(batch, meta{*ready.HardState, config, baseIndex, baseEpoch}); err != nil {
+			return err
+		}
+	}
+	if ready.TruncateFrom > 0 {
+		if err := batch.DeleteRange(s.logKey(ready.TruncateFrom), s.logKey(max(last, ready.TruncateFrom)+1), nil); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	for _, entry := range ready.Entries {
+		value, err := proto.Marshal(entry)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if err := batch.Set(s.logKey(entry.Index), value, nil); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	if batch.Empty() {
+		return nil
+	}
+	return trace.Wrap(batch.Commit(pebble.Sync), "writing shard %d", s.id)
+}
+
+func (s *Shard) setMeta(batch *pebble.Batch, record meta) error {
+	text, err := json.Marshal(record)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(batch.Set(s.metaKey(metaRecord), text, nil))
+}
+
+// TruncatePrefix drops entries up to an index, which the state contains. It is
+// durable before it returns, and with it the state, which was written before.
+func (s *Shard) TruncatePrefix(hard replica.HardState, config replica.Config, index, epoch uint64) error {
+	batch := s.db.NewBatch()
+	defer func() { _ = batch.Close() }()
+	if err := s.setMeta(batch, meta{hard, config, index, epoch}); err != nil {
+		return err
+	}
+	if err := batch.DeleteRange(s.logKey(0), s.logKey(index+1), nil); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(batch.Commit(pebble.Sync), "truncating shard %d", s.id)
+}
+
+// Drop removes the shard from the database.
+func (s *Shard) Drop() error {
+	return trace.Wrap(s.db.DeleteRange(shardPrefix(s.id, 0), shardPrefix(s.id+1, 0), pebble.Sync))
+}
--- /dev/null
+++ b/internal/logstore/state.go
@@ -0,0 +1,234 @@
+package logstore
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/cockroachdb/pebble/v2"
+	"github.com/gravitational/trace"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/replica"
+)
+
+// State is a shard's applied state within one batch of applied entries. It
+// implements shard.Store. It is written without an fsync of its own: after a
+// crash the log is applied again from the applied index.
+type State struct {
+	shard  *Shard
+	batch  *pebble.Batch
+	prefix []byte
+}
+
+// Begin starts a batch of applied entries.
+func (s *Shard) Begin() *State {
+	return &State{shard: s, batch: s.db.NewIndexedBatch(), prefix: s.statePrefix(s.slot)}
+}
+
+// Commit writes the batch with the index it applied up to.
+func (s *State) Commit(applied uint64) error {
+	defer func() { _ = s.batch.Close() }()
+	record := append(binary.BigEndian.AppendUint64(nil, applied), s.shard.slot)
+	if err := s.batch.Set(s.shard.metaKey(appliedRecord), record, nil); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(s.batch.Commit(pebble.NoSync), "applying to shard %d", s.shard.id)
+}
+
+// Discard drops the batch.
+func (s *State) Discard() { _ = s.batch.Close() }
+
+func (s *State) key(key []byte) []byte {
+	return append(append(make([]byte, 0, len(s.prefix)+len(key)), s.prefix...), key...)
+}
+
+// Get implements shard.Reader.
+func (s *State) Get(key []byte) ([]byte, error) { return getCopy(s.batch, s.key(key)) }
+
+// Scan implements shard.Reader.
+func (s *State) Scan(from, to []byte, visit func(key, value []byte) bool) error {
+	return scan(s.batch, s.prefix, from, to, visit)
+}
+
+// Set implements shard.Store.
+func (s *State) Set(key, value []byte) error {
+	return trace.Wrap(s.batch.Set(s.key(key), value, nil))
+}
+
+// Delete implements shard.Store.
+func (s *State) Delete(key []byte) error { return trace.Wrap(s.batch.Delete(s.key(key), nil)) }
+
+// DeleteRange implements shard.Store.
+func (s *State) DeleteRange(from, to []byte) error {
+	return trace.Wrap(s.batch.DeleteRange(s.key(from), s.key(to), nil))
+}
+
+// View reads a shard's committed state. It implements shard.Reader.
+type View struct {
+	reader pebble.Reader
+	prefix []byte
+	close  func()
+}
+
+// View returns a reader of the present state, for the shard's own goroutine.
+func (s *Shard) View() *View {
+	return &View{reader: s.db, prefix: s.statePrefix(s.slot), close: func() {}}
+}
+
+// Snapshot returns a reader of the state as it is now, for any goroutine.
+// Close must be called.
+func (s *Shard) Snapshot() *View {
+	snapshot := s.db.NewSnapshot()
+	return &View{reader: snapshot, prefix: s.statePrefix(s.slot), close: func() { _ = snapshot.Close() }}
+}
+
+// Close releases the view.
+func (v *View) Close() { v.close() }
+
+// Get implements shard.Reader.
+func (v *View) Get(key []byte) ([]byte, error) {
+	return getCopy(v.reader, append(append([]byte{}, v.prefix...), key...))
+}
+
+// Scan implements shard.Reader.
+func (v *View) Scan(from, to []byte, visit func(key, value []byte) bool) error {
+	return scan(v.reader, v.prefix, from, to, visit)
+}
+
+func getCopy(reader pebble.Reader, key []byte) ([]byte, error) {
+	value, closer, err := reader.Get(key)
+	if err == pebble.ErrNotFound {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer func() { _ = closer.Close() }()
+	return append([]byte{}, value...), nil
+}
+
+func scan(reader pebble.Reader, prefix, from, to []byte, visit func(key, value []byte) bool) error {
+	lower := append(append([]byte{}, prefix...), from...)
+	upper := append(append([]byte{}, prefix...), to...)
+	if to == nil {
+		upper = nextPrefix(prefix)
+	}
+	iterator, err := reader.NewIter(&pebble.IterOptions{LowerBound: lower, UpperBound: upper})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer func() { _ = iterator.Close() }()
+	for valid := iterator.First(); valid; valid = iterator.Next() {
+		if !visit(iterator.Key()[len(prefix):], iterator.Value()) {
+			return nil
+		}
+	}
+	return trace.Wrap(iterator.Error())
+}
+
+func nextPrefix(prefix []byte) []byte {
+	next := append([]byte{}, prefix...)
+	next[len(next)-1]++
+	return next
+}
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// chunkBytes is the size of a snapshot chunk.
+const chunkBytes = 512 << 10
+
+// Chunks sends the view as snapshot chunks; the last one is marked.
+func (v *View) Chunks(index, epoch uint64, send func(*wirev1.SnapshotChunk) error) error {
+	chunk := &wirev1.SnapshotChunk{LastIndex: index, LastEpoch: epoch}
+	size := 0
+	var sendErr error
+	flush := func(last bool) bool {
+		chunk.Last = last
+		chunk.Checksum = chunkChecksum(chunk)
+		sendErr = send(chunk)
+		chunk = &wirev1.SnapshotChunk{LastIndex: index, LastEpoch: epoch}
+		size = 0
+		return sendErr == nil
+	}
+	err := v.Scan(nil, nil, func(key, value []byte) bool {
+		chunk.Pairs = append(chunk.Pairs, &wirev1.KeyValue{Key: append([]byte{}, key...), Value: append([]byte{}, value...)})
+		size += len(key) + len(value)
+		return size < chunkBytes || flush(false)
+	})
+	if err != nil {
+		return err
+	}
+	if sendErr != nil {
+		return trace.Wrap(sendErr, "sending snapshot")
+	}
+	flush(true)
+	return trace.Wrap(sendErr, "sending snapshot")
+}
+
+func chunkChecksum(chunk *wirev1.SnapshotChunk) uint32 {
+	sum := uint32(0)
+	for _, pair := range chunk.Pairs {
+		sum = crc32.Update(sum, castagnoli, pair.Key)
+		sum = crc32.Update(sum, castagnoli, pair.Value)
+	}
+	return sum
+}
+
+// Installer writes a received snapshot beside the present state and swaps it
+// in at the end, so that a copy is never given up before the new one is whole.
+type Installer struct {
+	shard  *Shard
+	slot   byte
+	prefix []byte
+}
+
+// Install starts to receive a snapshot.
+func (s *Shard) Install() (*Installer, error) {
+	slot := s.slot ^ 1
+	prefix := s.statePrefix(slot)
+	if err := s.db.DeleteRange(prefix, nextPrefix(prefix), pebble.NoSync); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Installer{shard: s, slot: slot, prefix: prefix}, nil
+}
+
+// Add writes one chunk.
+func (i *Installer) Add(chunk *wirev1.SnapshotChunk) error {
+	if chunk.Checksum != chunkChecksum(chunk) {
+		return &CorruptError{Shard: i.shard.id, Index: chunk.LastIndex}
+	}
+	batch := i.shard.db.NewBatch()
+	defer func() { _ = batch.Close() }()
+	for _, pair := range chunk.Pairs {
+		if err := batch.Set(append(append([]byte{}, i.prefix...), pair.Key...), pair.Value, nil); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return trace.Wrap(batch.Commit(pebble.NoSync))
+}
+
+// Finish swaps the new state in, durably, and drops the log before it.
+func (i *Installer) Finish(hard replica.HardState, config replica.Config, index, epoch uint64) error {
+	s := i.shard
+	batch := s.db.NewBatch()
+	defer func() { _ = batch.Close() }()
+	if err := s.setMeta(batch, meta{hard, config, index, epoch}); err != nil {
+		return err
+	}
+	record := append(binary.BigEndian.AppendUint64(nil, index), i.slot)
+	if err := batch.Set(s.metaKey(appliedRecord), record, nil); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := batch.DeleteRange(s.logKey(0), shardPrefix(s.id, spaceLog+1), nil); err != nil {
+		return trace.Wrap(err)
+	}
+	old := s.statePrefix(s.slot)
+	if err := batch.DeleteRange(old, nextPrefix(old), nil); err != nil {
+		return trace.Wrap(err)
+	}
+	if err := batch.Commit(pebble.Sync); err != nil {
+		return trace.Wrap(err, "installing snapshot of shard %d", s.id)
+	}
+	s.slot = i.slot
+	return nil
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -136,6 +136,7 @@
 	match     uint64 // known to be on the member's disk
 	next      uint64 // next entry to send
 	heardAt   time.Time
+	seenAt    time.Time
 	sentAt    time.Time
 	snapshot  bool // needs a snapshot; offered
 	confirmed bool // answered in this epoch
@@ -588,3 +589,34 @@
 	r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_TRANSFER, To: best, Epoch: r.hard.Promised})
 	return true
 }
+
+// HardState returns what must never be forgotten, as it is now.
+func (r *Replica) HardState() HardState { return r.hard }
+
+// EpochAt returns the epoch of an entry of the log, 0 if it is not in it.
+func (r *Replica) EpochAt(index uint64) uint64 {
+	epoch, _ := r.epochAt(index)
+	return epoch
+}
+
+// NoteSeen records that a member's disk is in the fleet, whether or not it
+// answers as a replica.
+func (r *Replica) NoteSeen(member string, now time.Time) {
+	if p := r.progress[member]; p != nil {
+		p.seenAt = now
+	}
+}
+
+// UnseenFor returns how long a leader has neither heard of a member nor seen
+// its disk in the fleet.
+func (r *Replica) UnseenFor(member string, now time.Time) time.Duration {
+	p := r.progress[member]
+	if p == nil {
+		return 0
+	}
+	latest := p.heardAt
+	if p.seenAt.After(latest) {
+		latest = p.seenAt
+	}
+	return now.Sub(latest)
+}
--- /dev/null
+++ b/internal/shard/read.go
@@ -0,0 +1,109 @@
+package shard
+
+import (
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+func decode(value []byte, into proto.Message) error {
+	return trace.Wrap(proto.Unmarshal(value, into), "decoding a stored record")
+}
+
+// Jobs calls visit for every job in order of id until it returns false.
+func Jobs(reader Reader, visit func(*wirev1.JobRecord) bool) error {
+	prefix := []byte{spaceJob}
+	var decodeErr error
+	err := reader.Scan(prefix, after(prefix), func(_, value []byte) bool {
+		job := &wirev1.JobRecord{}
+		if decodeErr = decode(value, job); decodeErr != nil {
+			return false
+		}
+		return visit(job)
+	})
+	return trace.NewAggregate(err, decodeErr)
+}
+
+// TenantJobs lists a tenant's jobs after an id, up to limit.
+func TenantJobs(reader Reader, tenant, afterID string, limit int) ([]*wirev1.JobRecord, error) {
+	prefix := join(spaceTenantJob, tenant)
+	from := prefix
+	if afterID != "" {
+		from = after(join(spaceTenantJob, tenant, afterID))
+	}
+	var ids []string
+	err := reader.Scan(from, after(prefix), func(key, _ []byte) bool {
+		ids = append(ids, string(key[len(prefix):len(key)-1]))
+		return len(ids) < limit
+	})
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	jobs := make([]*wirev1.JobRecord, 0, len(ids))
+	for _, id := range ids {
+		job, err := Job(reader, id)
+		if err != nil {
+			return nil, err
+		}
+		if job != nil {
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs, nil
+}
+
+// Outcomes returns the ended items of one segment: those with a result, or
+// those with an error. Items that a cancelled or expired job never completed
+// have a numbered error too, so that each accepted item has one outcome.
+func Outcomes(reader Reader, job *wirev1.JobRecord, segment uint32, errors bool) ([]*wirev1.ItemOutcome, error) {
+	items, err := Segment(reader, job.Spec.InputFileId, segment)
+	if err != nil {
+		return nil, err
+	}
+	results, err := segmentResults(reader, job.Spec.JobId, segment)
+	if err != nil {
+		return nil, err
+	}
+	var outcomes []*wirev1.ItemOutcome
+	for offset, item := range items {
+		ended := results[uint32(offset)]
+		if ended == nil {
+			ended = unfinished(job, segment, uint32(offset))
+		}
+		if ended == nil || (ended.Code != 0) != errors {
+			continue
+		}
+		outcomes = append(outcomes, &wirev1.ItemOutcome{CustomId: item.CustomId, Result: ended})
+	}
+	return outcomes, nil
+}
+
+func segmentResults(reader Reader, job string, segment uint32) (map[uint32]*wirev1.ItemResult, error) {
+	results := map[uint32]*wirev1.ItemResult{}
+	from := resultKey(job, segment, 0)
+	prefix := from[:len(from)-4]
+	var decodeErr error
+	err := reader.Scan(prefix, after(prefix), func(_, value []byte) bool {
+		ended := &wirev1.ItemResult{}
+		if decodeErr = decode(value, ended); decodeErr != nil {
+			return false
+		}
+		results[ended.Item.Offset] = ended
+		return true
+	})
+	return results, trace.NewAggregate(err, decodeErr)
+}
+
+func unfinished(job *wirev1.JobRecord, segment, offset uint32) *wirev1.ItemResult {
+	key := &wirev1.ItemKey{JobId: job.Spec.JobId, Segment: segment, Offset: offset}
+	switch job.Status {
+	case wirev1.JobStatus_JOB_STATUS_CANCELLED:
+		return &wirev1.ItemResult{Item: key, Code: uint32(result.ItemCancelled), Message: "the job was cancelled before the item completed"}
+	case wirev1.JobStatus_JOB_STATUS_EXPIRED:
+		return &wirev1.ItemResult{Item: key, Code: uint32(result.ItemExpired), Message: "the job's window ended before the item completed"}
+	default:
+		return nil
+	}
+}
--- /dev/null
+++ b/lab/cli/cli.go
@@ -0,0 +1,127 @@
+// Package cli is the command line of cobaltramp-lab.
+package cli
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
+
+	"cobaltramp.example/cobaltramp/lab/demo"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitBroken = 1
+	exitUsage  = 2
+)
+
+type commands struct {
+	Verbose int `short:"v" long:"verbosity" description:"log level of the nodes: 0 errors and changes of state only, 2 more" default:"-1"`
+
+	Demo demoCommand `command:"demo" description:"run the whole path with a node killed in the middle, and count what came of it"`
+	Up   upCommand   `command:"up" description:"start the demonstration's deployment and keep it running"`
+}
+
+// Main runs the command line and returns the process's exit code.
+func Main(arguments []string) int {
+	var root commands
+	parser := flags.NewNamedParser("cobaltramp-lab", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &root); err != nil {
+		return fail(err)
+	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		quietLogs(root.Verbose)
+		return command.Execute(rest)
+	}
+	_, err := parser.ParseArgs(arguments)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	if usage, ok := err.(*flags.Error); ok {
+		if usage.Type == flags.ErrHelp {
+			fmt.Println(usage.Message)
+			return exitOK
+		}
+		fmt.Fprintln(os.Stderr, usage.Message)
+		return exitUsage
+	}
+	return fail(err)
+}
+
+func fail(err error) int {
+	fmt.Fprintln(os.Stderr, "cobaltramp-lab:", trace.UserMessage(err))
+	return exitBroken
+}
+
+// quietLogs sends the nodes' logs to standard error, or nowhere.
+func quietLogs(verbosity int) {
+	options := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(options)
+	settings := map[string]string{"logtostderr": "true"}
+	if verbosity < 0 {
+		settings = map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "log_file": os.DevNull}
+	} else {
+		settings["v"] = fmt.Sprint(verbosity)
+	}
+	for name, value := range settings {
+		_ = options.Set(name, value)
+	}
+}
+
+type demoCommand struct {
+	Items   int     `long:"items" description:"items of the batch job" default:"3000"`
+	Rate    float64 `long:"rate" description:"online requests a second" default:"30"`
+	Seconds int     `long:"seconds" description:"seconds of online load" default:"15"`
+	NoKill  bool    `long:"no-kill" description:"kill no node"`
+	JSON    bool    `long:"json" description:"print one JSON object as the last line"`
+}
+
+// Execute implements flags.Commander.
+func (d *demoCommand) Execute([]string) error {
+	report, err := demo.Run(demo.Options{Items: d.Items, Rate: d.Rate, Seconds: d.Seconds, JSON: d.JSON, KillNode: !d.NoKill}, os.Stdout)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if !report.Whole() {
+		return trace.BadParameter("a promise was broken")
+	}
+	return nil
+}
+
+type upCommand struct {
+	Folder string `long:"folder" description:"where the nodes' data folders lie (default: a temporary folder)"`
+}
+
+// Execute implements flags.Commander.
+func (u *upCommand) Execute([]string) error {
+	folder := u.Folder
+	if folder == "" {
+		temporary, err := os.MkdirTemp("", "cobaltramp-up-")
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		defer func() { _ = os.RemoveAll(temporary) }()
+		folder = temporary
+	}
+	running, err := demo.Up(folder)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	defer running.Close()
+	demo.Describe(running, os.Stdout)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	return nil
+}
--- /dev/null
+++ b/lab/demo/demo.go
@@ -0,0 +1,228 @@
+// Package demo shows the whole path in one process: platform, engines and
+// nodes over loopback TCP, a bundle rolled, online streams and a batch job, and
+// a node killed in the middle. Everything it reports is counted by the clients
+// and the engines.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cobaltramp.example/cobaltramp/lab/engine"
+	"cobaltramp.example/cobaltramp/lab/fleet"
+	"cobaltramp.example/cobaltramp/lab/load"
+)
+
+// Options of a demonstration.
+type Options struct {
+	Items    int
+	Rate     float64
+	Seconds  int
+	JSON     bool
+	KillNode bool
+}
+
+// Report is what was counted from outside.
+type Report struct {
+	OnlineRequests   int64   `json:"online_requests"`
+	OnlineFailed     int64   `json:"online_failed"`
+	OnlineCut        int64   `json:"online_cut"`
+	OnlineWrong      int64   `json:"online_wrong"`
+	OnlineResent     int64   `json:"online_resent"`
+	TTFTP50Ms        float64 `json:"ttft_p50_ms"`
+	TTFTP95Ms        float64 `json:"ttft_p95_ms"`
+	TTFTP99Ms        float64 `json:"ttft_p99_ms"`
+	GapP95Ms         float64 `json:"token_gap_p95_ms"`
+	BatchItems       int     `json:"batch_items"`
+	BatchCompleted   int     `json:"batch_completed"`
+	BatchFailed      int     `json:"batch_failed"`
+	BatchDuplicates  int     `json:"batch_duplicates"`
+	BatchLost        int     `json:"batch_lost"`
+	BatchWrong       int     `json:"batch_wrong"`
+	BatchSeconds     float64 `json:"batch_seconds"`
+	EngineRuns       int     `json:"engine_runs"`
+	EngineContinued  int     `json:"engine_continued"`
+	EngineCancels    int     `json:"engine_cancels"`
+	KilledNode       string  `json:"killed_node"`
+	PlatformRequests int64   `json:"platform_requests"`
+	Seconds          float64 `json:"seconds"`
+
+	errors map[string]int
+}
+
+// Whole reports whether nothing was lost, doubled or cut.
+func (r *Report) Whole() bool {
+	online := r.OnlineRequests > 0 && r.OnlineFailed == 0 && r.OnlineCut == 0 && r.OnlineWrong == 0
+	batch := r.BatchCompleted == r.BatchItems && r.BatchDuplicates == 0 && r.BatchLost == 0 && r.BatchWrong == 0
+	return online && batch
+}
+
+const (
+	model        = "asistente"
+	cluster      = "demo"
+	readyTimeout = 20 * time.Second
+	batchTimeout = 60 * time.Second
+	killedIndex  = 4
+)
+
+// Topology is three zones with 12 runners and five nodes.
+func Topology() fleet.Topology {
+	return fleet.Topology{
+		Cluster: cluster, Service: model, DiskNodes: 5, ListLag: 300 * time.Millisecond,
+		Zones: []fleet.Zone{
+			{Name: "gdl-aeropuerto", Region: "occidente", Nodes: 2, Runners: 4},
+			{Name: "gdl-centro", Region: "occidente", Nodes: 2, Runners: 4},
+			{Name: "zapopan", Region: "occidente", Nodes: 1, Runners: 4},
+		},
+		Engine: engine.Parameters{Slots: 16, MaxAnswer: maxAnswer},
+	}
+}
+
+const (
+	maxAnswer = 128
+	slots     = 16
+)
+
+// tenantKey is the demonstration's API key.
+var tenantKey = fleet.TenantKey{Tenant: "counter", Key: "demo-key"}
+
+// Up starts the deployment and waits until it is ready.
+func Up(folder string) (*fleet.Fleet, error) {
+	started, err := fleet.Start(Topology(), folder)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	text := fleet.BasicBundle(started.Operator, model, model, slots, []fleet.TenantKey{tenantKey})
+	if err := started.Operator.Roll(ctx, started.AdminAddress(), cluster, 1, text); err != nil {
+		started.Close()
+		return nil, trace.Wrap(err)
+	}
+	if err := started.AwaitReady(ctx, 1); err != nil {
+		started.Close()
+		return nil, trace.Wrap(err)
+	}
+	return started, nil
+}
+
+// Run runs the demonstration and writes its summary.
+func Run(options Options, out io.Writer) (*Report, error) {
+	began := time.Now()
+	folder, err := os.MkdirTemp("", "cobaltramp-demo-")
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	_, _ = fmt.Fprintln(out, "starting platform stand-in, 12 engines in 3 zones, 5 nodes …")
+	running, err := Up(folder)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer running.Close()
+	_, _ = fmt.Fprintf(out, "ready after %.1fs: bundle generation 1 in force everywhere\n", time.Since(began).Seconds())
+	report, err := drive(options, running, out)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	report.Seconds = time.Since(began).Seconds()
+	return report, writeReport(options, report, out)
+}
+
+func drive(options Options, running *fleet.Fleet, out io.Writer) (*Report, error) {
+	report := &Report{}
+	target := load.Target{Addresses: running.APIAddresses(), Key: tenantKey.Key, Model: model, MaxAnswer: maxAnswer}
+	recorder := load.NewRecorder()
+	onlineCtx, stopOnline := context.WithTimeout(context.Background(), time.Duration(options.Seconds)*time.Second)
+	defer stopOnline()
+	var online sync.WaitGroup
+	online.Add(1)
+	go func() {
+		defer online.Done()
+		load.Online(onlineCtx, target, load.Shape{Rate: options.Rate, PromptWords: 80, AnswerTokens: 60, Prefixes: 8, Seed: 1}, recorder)
+	}()
+	kill := time.AfterFunc(time.Duration(options.Seconds)*time.Second/3, func() {
+		if !options.KillNode {
+			return
+		}
+		report.KilledNode = running.Nodes()[killedIndex].Settings.Node.ID
+		_, _ = fmt.Fprintf(out, "killing %s in the middle of it …\n", report.KilledNode)
+		running.KillNode(killedIndex)
+	})
+	defer kill.Stop()
+	err := driveBatch(options, target, report, out)
+	online.Wait()
+	recordOnline(report, recorder)
+	totals := running.Ledger.Totals()
+	report.EngineRuns, report.EngineContinued, report.EngineCancels = totals.Starts, totals.Continued, totals.Cancels
+	report.PlatformRequests = running.Platform.Requests.Load()
+	return report, err
+}
+
+func driveBatch(options Options, target load.Target, report *Report, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
+	defer cancel()
+	client := load.NewBatchClient(target)
+	began := time.Now()
+	job, err := client.Submit(ctx, load.BatchShape{Items: options.Items, PromptWords: 60, AnswerTokens: 40, Seed: 2})
+	if err != nil {
+		return trace.Wrap(err, "submitting the job")
+	}
+	_, _ = fmt.Fprintf(out, "job %s accepted with %d items\n", job.ID, options.Items)
+	status, err := client.Await(ctx, job.ID)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	report.BatchSeconds = time.Since(began).Seconds()
+	audit, err := client.Check(ctx, job, status)
+	if err != nil {
+		return trace.Wrap(err, "reading results")
+	}
+	report.BatchItems, report.BatchCompleted, report.BatchFailed = audit.Items, audit.Completed, audit.Failed
+	report.BatchDuplicates, report.BatchLost, report.BatchWrong = audit.Duplicates, audit.Lost, audit.Wrong
+	return nil
+}
+
+func recordOnline(report *Report, recorder *load.Recorder) {
+	report.OnlineRequests, report.OnlineFailed = recorder.Requests.Load(), recorder.Failed.Load()
+	report.OnlineCut, report.OnlineWrong, report.OnlineResent = recorder.Cut.Load(), recorder.Wrong.Load(), recorder.Resent.Load()
+	report.TTFTP50Ms, report.TTFTP95Ms, report.TTFTP99Ms = ms(recorder.FirstToken(50)), ms(recorder.FirstToken(95)), ms(recorder.FirstToken(99))
+	report.GapP95Ms = ms(recorder.TokenGap(95))
+	report.errors = recorder.Errors()
+}
+
+func ms(duration time.Duration) float64 { return float64(duration.Microseconds()) / 1000 }
+
+func writeReport(options Options, r *Report, out io.Writer) error {
+	_, _ = fmt.Fprintf(out, "\nonline   %d requests, %d failed, %d cut, %d with wrong text, %d resent because their node died\n",
+		r.OnlineRequests, r.OnlineFailed, r.OnlineCut, r.OnlineWrong, r.OnlineResent)
+	_, _ = fmt.Fprintf(out, "         first token p50 %.0f ms, p95 %.0f ms, p99 %.0f ms; between tokens p95 %.1f ms\n", r.TTFTP50Ms, r.TTFTP95Ms, r.TTFTP99Ms, r.GapP95Ms)
+	_, _ = fmt.Fprintf(out, "batch    %d items: %d completed, %d failed, %d doubled, %d lost, %d wrong, in %.1f s\n",
+		r.BatchItems, r.BatchCompleted, r.BatchFailed, r.BatchDuplicates, r.BatchLost, r.BatchWrong, r.BatchSeconds)
+	_, _ = fmt.Fprintf(out, "engines  %d runs begun, %d continued elsewhere, %d cancelled (batch giving way)\n", r.EngineRuns, r.EngineContinued, r.EngineCancels)
+	_, _ = fmt.Fprintf(out, "platform %d requests in all\n", r.PlatformRequests)
+	for text, count := range r.errors {
+		_, _ = fmt.Fprintf(out, "error    %d × %s\n", count, text)
+	}
+	verdict := "nothing lost, doubled or cut"
+	if !r.Whole() {
+		verdict = "A PROMISE WAS BROKEN"
+	}
+	_, _ = fmt.Fprintf(out, "verdict  %s (%.1f s)\n", verdict, r.Seconds)
+	if !options.JSON {
+		return nil
+	}
+	encoded, err := json.Marshal(r)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	_, err = fmt.Fprintln(out, string(encoded))
+	return trace.Wrap(err)
+}
--- /dev/null
+++ b/lab/demo/describe.go
@@ -0,0 +1,26 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+
+	"cobaltramp.example/cobaltramp/lab/fleet"
+)
+
+// Describe writes the addresses of a running deployment and lines to try.
+func Describe(running *fleet.Fleet, out io.Writer) {
+	line := func(format string, args ...any) { _, _ = fmt.Fprintf(out, format+"\n", args...) }
+	for _, member := range running.Nodes() {
+		node := member.Settings.Node
+		line("%s  zone %-14s  callers http://%s  operators http://%s", node.ID, node.Zone, node.APIAddress, node.AdminAddress)
+	}
+	line("platform http://%s", running.Platform.URL()[len("http://"):])
+	line("model    %s", model)
+	line("key      %s (tenant %s)", tenantKey.Key, tenantKey.Tenant)
+	first := running.Nodes()[0].Settings.Node
+	line("\ntry:")
+	line(`  curl -s http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{"model":"%s","messages":[{"role":"user","content":"is my booking confirmed?"}],"max_tokens":16}'`, first.APIAddress, tenantKey.Key, model)
+	line(`  curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"what does the waiver cover?"}]}'`, first.APIAddress, tenantKey.Key, model)
+	line(`  curl -s http://%s/v1/fleet`, first.AdminAddress)
+	line("\nstop with Ctrl-C")
+}
--- /dev/null
+++ b/lab/fleet/operator.go
@@ -0,0 +1,176 @@
+package fleet
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"cobaltramp.example/cobaltramp/internal/bundle"
+	"cobaltramp.example/cobaltramp/internal/httpcall"
+)
+
+// Operator signs bundles and drives them through a node's admin address.
+type Operator struct {
+	Name string
+	key  ed25519.PrivateKey
+	http *httpcall.Client
+}
+
+// NewOperator makes an operator with a fresh key.
+func NewOperator(name string) (*Operator, error) {
+	_, key, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Operator{Name: name, key: key, http: httpcall.NewClient(nil)}, nil
+}
+
+// PublicKey returns the operator's public key in base64.
+func (o *Operator) PublicKey() string {
+	return base64.StdEncoding.EncodeToString(o.key.Public().(ed25519.PublicKey))
+}
+
+// TenantKey is an API key with its tenant.
+type TenantKey struct {
+	Tenant string
+	Key    string
+}
+
+// Hash returns the key's hash as a bundle states it.
+func (k TenantKey) Hash() string {
+	hash := bundle.HashKey(k.Key)
+	return hex.EncodeToString(hash[:])
+}
+
+// BasicBundle is a bundle with one model and the tenants' keys.
+func BasicBundle(operator *Operator, model, service string, slots int, tenants []TenantKey) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "kind: Policy\nname: fleet\nbatch: {tail_weight: 0.6, reserve_slots: 1}\n---\n")
+	fmt.Fprintf(&text, "kind: Operator\nname: %s\npublic_key: %s\n---\n", operator.Name, operator.PublicKey())
+	fmt.Fprintf(&text, "kind: Model\nname: %s\nversion: \"1\"\nservice: %s\nslots: %d\n", model, service, slots)
+	for _, tenant := range tenants {
+		fmt.Fprintf(&text, "---\nkind: Tenant\nname: %s\nkey_hashes: [%s]\n", tenant.Tenant, tenant.Hash())
+	}
+	return text.String()
+}
+
+// Roll signs, submits and rolls a bundle as the given generation.
+func (o *Operator) Roll(ctx context.Context, adminAddress, cluster string, generation uint64, text string) error {
+	documents, err := bundle.Parse([]byte(text))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	signOff := bundle.Sign(o.Name, o.key, cluster, generation, bundle.Digest(documents))
+	submission := bundle.Submission{Generation: generation, Documents: documents, SignOffs: []bundle.SignOff{signOff}, OperationID: uuid.NewString()}
+	if err := o.post(ctx, adminAddress, "/v1/bundle/submit", submission); err != nil {
+		return trace.Wrap(err, "submitting")
+	}
+	roll := bundle.RollRequest{Action: bundle.RollAll, Generation: generation, OperationID: uuid.NewString()}
+	roll.SignRoll(o.Name, o.key, cluster)
+	return trace.Wrap(o.post(ctx, adminAddress, "/v1/bundle/roll", roll), "rolling")
+}
+
+const maxAnswer = 1 << 20
+
+func (o *Operator) post(ctx context.Context, address, path string, body any) error {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	response, err := o.http.Do(ctx, &httpcall.Request{Method: "POST", URL: "http://" + address + path, Body: encoded})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	answer, err := response.ReadAll(maxAnswer)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if response.Status != 200 {
+		return trace.BadParameter("status %d: %s", response.Status, answer)
+	}
+	return nil
+}
+
+// get reads a JSON answer from a node's admin address.
+func (o *Operator) get(ctx context.Context, address, path string, into any) error {
+	response, err := o.http.Do(ctx, &httpcall.Request{Method: "GET", URL: "http://" + address + path})
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	answer, err := response.ReadAll(maxAnswer)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(json.Unmarshal(answer, into))
+}
+
+type readyNode struct {
+	State            string `json:"state"`
+	BundleGeneration uint64 `json:"bundle_generation"`
+	Runners          []struct {
+		State string `json:"state"`
+	} `json:"runners"`
+	Shards []struct {
+		Leader string `json:"leader"`
+	} `json:"shards"`
+}
+
+const readyPoll = 100 * time.Millisecond
+
+// AwaitReady waits until every running node has a generation in force, all
+// runners are ready and every shard has a leader.
+func (f *Fleet) AwaitReady(ctx context.Context, generation uint64) error {
+	for {
+		missing := f.missing(ctx, generation)
+		if missing == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return trace.LimitExceeded("the fleet is not ready: %s", missing)
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func (f *Fleet) missing(ctx context.Context, generation uint64) string {
+	runners, shards := 0, 0
+	for _, member := range f.nodes {
+		if !member.Running() {
+			continue
+		}
+		var status readyNode
+		if err := f.Operator.get(ctx, member.Settings.Node.AdminAddress, "/v1/status", &status); err != nil {
+			return err.Error()
+		}
+		if status.BundleGeneration < generation {
+			return fmt.Sprintf("%s has generation %d", member.Settings.Node.ID, status.BundleGeneration)
+		}
+		for _, runner := range status.Runners {
+			if runner.State == "ready" {
+				runners++
+			}
+		}
+		for _, shard := range status.Shards {
+			if shard.Leader != "" {
+				shards++
+			}
+		}
+	}
+	if runners < len(f.Engines) {
+		return fmt.Sprintf("%d of %d runners ready", runners, len(f.Engines))
+	}
+	if f.Topology.DiskNodes >= 3 && shards == 0 {
+		return "no shard has a leader"
+	}
+	return ""
+}
--- /dev/null
+++ b/lab/load/batch.go
@@ -0,0 +1,293 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"mime/multipart"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/tidwall/gjson"
+
+	"cobaltramp.example/cobaltramp/internal/httpcall"
+	"cobaltramp.example/cobaltramp/lab/engine"
+)
+
+// BatchShape is the form of a batch job's items.
+type BatchShape struct {
+	Items        int    `yaml:"items"`
+	PromptWords  int    `yaml:"prompt_words"`
+	AnswerTokens int    `yaml:"answer_tokens"`
+	Seed         uint64 `yaml:"seed"`
+	// Once makes the items' class once.
+	Once bool `yaml:"once"`
+}
+
+// Job is a batch job as its client knows it.
+type Job struct {
+	ID     string
+	FileID string
+	// Bodies of the items by custom id.
+	Bodies map[string][]byte
+}
+
+// BatchClient submits jobs and reads their results, through any node.
+type BatchClient struct {
+	target Target
+	http   *httpcall.Client
+	next   int
+}
+
+// NewBatchClient returns a client.
+func NewBatchClient(target Target) *BatchClient {
+	return &BatchClient{target: target, http: httpcall.NewClient(nil)}
+}
+
+// call makes one call, through another node while none answers.
+func (b *BatchClient) call(ctx context.Context, method, path, contentType string, body []byte) (*httpcall.Response, error) {
+	var last error
+	for ctx.Err() == nil {
+		address := b.target.Addresses[b.next%len(b.target.Addresses)]
+		headers := [][2]string{{"Authorization", "Bearer " + b.target.Key}}
+		if contentType != "" {
+			headers = append(headers, [2]string{"Content-Type", contentType})
+		}
+		response, err := b.http.Do(ctx, &httpcall.Request{Method: method, URL: "http://" + address + path, Headers: headers, Body: body})
+		if err == nil && response.Status < 500 && response.Status != 429 {
+			return response, nil
+		}
+		if err == nil {
+			text, _ := response.ReadAll(1 << 16)
+			err = trace.BadParameter("status %d: %s", response.Status, text)
+		}
+		last = err
+		b.next++
+		time.Sleep(resendPause)
+	}
+	return nil, trace.Wrap(last, "%s %s", method, path)
+}
+
+func (b *BatchClient) json(ctx context.Context, method, path string, body any) (gjson.Result, error) {
+	var encoded []byte
+	contentType := ""
+	if body != nil {
+		var err error
+		if encoded, err = json.Marshal(body); err != nil {
+			return gjson.Result{}, trace.Wrap(err)
+		}
+		contentType = "application/json"
+	}
+	response, err := b.call(ctx, method, path, contentType, encoded)
+	if err != nil {
+		return gjson.Result{}, err
+	}
+	text, err := response.ReadAll(1 << 20)
+	if err != nil {
+		return gjson.Result{}, trace.Wrap(err)
+	}
+	if response.Status != 200 {
+		return gjson.Result{}, trace.BadParameter("%s %s: status %d: %s", method, path, response.Status, text)
+	}
+	return gjson.ParseBytes(text), nil
+}
+
+type itemLine struct {
+	CustomID  string      `json:"custom_id"`
+	Method    string      `json:"method"`
+	URL       string      `json:"url"`
+	WorkClass string      `json:"work_class,omitempty"`
+	Body      chatRequest `json:"body"`
+}
+
+// Items writes a job's input file.
+func Items(model string, shape BatchShape) ([]byte, map[string][]byte) {
+	random := rand.New(rand.NewPCG(shape.Seed, 9))
+	var file bytes.Buffer
+	bodies := make(map[string][]byte, shape.Items)
+	for i := range shape.Items {
+		line := itemLine{CustomID: fmt.Sprintf("item-%d-%06d", shape.Seed, i), Method: "POST", URL: "/v1/chat/completions"}
+		if shape.Once {
+			line.WorkClass = "once"
+		}
+		question := fmt.Sprintf("item %d of seed %d: %s", i, shape.Seed, words(random, around(random, shape.PromptWords)))
+		line.Body = chatRequest{Model: model, Messages: []chatMessage{{"user", question}}, MaxTokens: around(random, shape.AnswerTokens)}
+		body, _ := json.Marshal(line.Body)
+		encoded, _ := json.Marshal(line)
+		bodies[line.CustomID] = body
+		file.Write(encoded)
+		file.WriteByte('\n')
+	}
+	return file.Bytes(), bodies
+}
+
+// Submit uploads a file and makes a job of it.
+func (b *BatchClient) Submit(ctx context.Context, shape BatchShape) (*Job, error) {
+	file, bodies := Items(b.target.Model, shape)
+	fileID, err := b.Upload(ctx, file)
+	if err != nil {
+		return nil, err
+	}
+	id, err := b.Create(ctx, fileID)
+	if err != nil {
+		return nil, err
+	}
+	return &Job{ID: id, FileID: fileID, Bodies: bodies}, nil
+}
+
+// Upload uploads an input file.
+func (b *BatchClient) Upload(ctx context.Context, file []byte) (string, error) {
+	var form bytes.Buffer
+	writer := multipart.NewWriter(&form)
+	if err := writer.WriteField("purpose", "batch"); err != nil {
+		return "", trace.Wrap(err)
+	}
+	part, err := writer.CreateFormFile("file", "items.jsonl")
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	if _, err := part.Write(file); err != nil {
+		return "", trace.Wrap(err)
+	}
+	if err := writer.Close(); err != nil {
+		return "", trace.Wrap(err)
+	}
+	response, err := b.call(ctx, "POST", "/v1/files", writer.FormDataContentType(), form.Bytes())
+	if err != nil {
+		return "", err
+	}
+	text, err := response.ReadAll(1 << 20)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	if response.Status != 200 {
+		return "", trace.BadParameter("upload: status %d: %s", response.Status, text)
+	}
+	return gjson.GetBytes(text, "id").String(), nil
+}
+
+type createBatch struct {
+	InputFileID      string `json:"input_file_id"`
+	Endpoint         string `json:"endpoint"`
+	CompletionWindow string `json:"completion_window"`
+}
+
+// Create makes a job of an uploaded file.
+func (b *BatchClient) Create(ctx context.Context, fileID string) (string, error) {
+	created, err := b.json(ctx, "POST", "/v1/batches", createBatch{fileID, "/v1/chat/completions", "24h"})
+	return created.Get("id").String(), err
+}
+
+// Cancel cancels a job.
+func (b *BatchClient) Cancel(ctx context.Context, id string) error {
+	_, err := b.json(ctx, "POST", "/v1/batches/"+id+"/cancel", nil)
+	return err
+}
+
+// Status is a job's state as the client reads it.
+type Status struct {
+	State                    string
+	Total, Completed, Failed int64
+	OutputFile, ErrorFile    string
+}
+
+// Status reads a job's state.
+func (b *BatchClient) Status(ctx context.Context, id string) (Status, error) {
+	read, err := b.json(ctx, "GET", "/v1/batches/"+id, nil)
+	return Status{
+		State: read.Get("status").String(), Total: read.Get("request_counts.total").Int(),
+		Completed: read.Get("request_counts.completed").Int(), Failed: read.Get("request_counts.failed").Int(),
+		OutputFile: read.Get("output_file_id").String(), ErrorFile: read.Get("error_file_id").String(),
+	}, err
+}
+
+// Await polls a job until it has ended.
+func (b *BatchClient) Await(ctx context.Context, id string) (Status, error) {
+	for {
+		status, err := b.Status(ctx, id)
+		if err != nil {
+			return status, err
+		}
+		switch status.State {
+		case "completed", "cancelled", "expired":
+			return status, nil
+		}
+		select {
+		case <-ctx.Done():
+			return status, trace.LimitExceeded("job %s is still %s: %d of %d done", id, status.State, status.Completed+status.Failed, status.Total)
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+}
+
+// Audit is what the client found when it checked a job's results.
+type Audit struct {
+	Items, Completed, Failed, Lost, Duplicates, Wrong int
+	ErrorCodes                                        map[string]int
+}
+
+// Check downloads a job's results and counts each item.
+func (b *BatchClient) Check(ctx context.Context, job *Job, status Status) (*Audit, error) {
+	audit := &Audit{Items: len(job.Bodies), ErrorCodes: map[string]int{}}
+	seen := map[string]int{}
+	for _, file := range []string{status.OutputFile, status.ErrorFile} {
+		if file == "" {
+			continue
+		}
+		if err := b.readResults(ctx, job, file, audit, seen); err != nil {
+			return nil, err
+		}
+	}
+	for id := range job.Bodies {
+		switch seen[id] {
+		case 0:
+			audit.Lost++
+		case 1:
+		default:
+			audit.Duplicates += seen[id] - 1
+		}
+	}
+	return audit, nil
+}
+
+func (b *BatchClient) readResults(ctx context.Context, job *Job, file string, audit *Audit, seen map[string]int) error {
+	response, err := b.call(ctx, "GET", "/v1/files/"+file+"/content", "", nil)
+	if err != nil {
+		return err
+	}
+	defer response.Close()
+	if response.Status != 200 {
+		return trace.BadParameter("results %s: status %d", file, response.Status)
+	}
+	reader := bufio.NewReaderSize(response, 1<<20)
+	for {
+		line, err := reader.ReadBytes('\n')
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return trace.Wrap(err, "results %s broke off", file)
+		}
+		b.auditLine(job, gjson.ParseBytes(line), audit, seen)
+	}
+}
+
+func (b *BatchClient) auditLine(job *Job, line gjson.Result, audit *Audit, seen map[string]int) {
+	id := line.Get("custom_id").String()
+	seen[id]++
+	if failure := line.Get("error.type"); failure.Exists() {
+		audit.Failed++
+		audit.ErrorCodes[failure.String()]++
+		return
+	}
+	audit.Completed++
+	text := line.Get("response.body.choices.0.message.content").String()
+	if text != engine.ExpectedAnswer(job.Bodies[id], b.target.MaxAnswer) {
+		audit.Wrong++
+	}
+}
--- /dev/null
+++ b/lab/load/online.go
@@ -0,0 +1,312 @@
+// Package load is the lab's callers: open-loop online load, whose latencies
+// count from the intended arrival so that waiting is not hidden (coordinated
+// omission), and a batch client. Both check every answer against what a
+// correct system must answer.
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/tidwall/gjson"
+
+	"cobaltramp.example/cobaltramp/internal/httpcall"
+	"cobaltramp.example/cobaltramp/lab/engine"
+)
+
+// Target is where and as whom load is sent.
+type Target struct {
+	// Addresses are callers' addresses of nodes, used in turn.
+	Addresses []string
+	Key       string
+	Model     string
+	// MaxAnswer is the engines' natural answer bound, to know what is right.
+	MaxAnswer int
+}
+
+// Shape is the form of online requests.
+type Shape struct {
+	// Rate is the mean number of requests per second (Poisson arrivals).
+	Rate float64 `yaml:"rate"`
+	// PromptWords and AnswerTokens are means; each request draws around them.
+	PromptWords  int `yaml:"prompt_words"`
+	AnswerTokens int `yaml:"answer_tokens"`
+	// Prefixes is the number of shared prompt prefixes; 0 shares none.
+	Prefixes int `yaml:"prefixes"`
+	// Seed of arrivals and prompts.
+	Seed uint64 `yaml:"seed"`
+}
+
+// Recorder counts what callers saw.
+type Recorder struct {
+	mutex sync.Mutex
+	first *hdrhistogram.Histogram // microseconds
+	gap   *hdrhistogram.Histogram
+	// Requests that were made; Failed of them got no whole right answer; Cut
+	// ended without an error or an end; Wrong had other text; Resent lost
+	// their accepting node and were sent again; Refused were told "not run".
+	Requests, Failed, Cut, Wrong, Resent, Refused atomic.Int64
+	errors                                        map[string]int
+	series                                        []Sample
+}
+
+// Sample is one request's time to first token, for plots.
+type Sample struct {
+	At    time.Time
+	First time.Duration
+}
+
+const (
+	maxMicros   = 120_000_000
+	significant = 3
+)
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{
+		first: hdrhistogram.New(1, maxMicros, significant), gap: hdrhistogram.New(1, maxMicros, significant),
+		errors: map[string]int{},
+	}
+}
+
+func (r *Recorder) recordFirst(at time.Time, waited time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_ = r.first.RecordValue(min(maxMicros, max(1, waited.Microseconds())))
+	r.series = append(r.series, Sample{at, waited})
+}
+
+func (r *Recorder) recordGap(waited time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_ = r.gap.RecordValue(min(maxMicros, max(1, waited.Microseconds())))
+}
+
+func (r *Recorder) recordError(text string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.errors[text]++
+}
+
+// Errors returns how often each error was seen.
+func (r *Recorder) Errors() map[string]int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	copied := make(map[string]int, len(r.errors))
+	for text, count := range r.errors {
+		copied[text] = count
+	}
+	return copied
+}
+
+// FirstToken returns a quantile (0 to 100) of the time to first token.
+func (r *Recorder) FirstToken(quantile float64) time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return time.Duration(r.first.ValueAtQuantile(quantile)) * time.Microsecond
+}
+
+// TokenGap returns a quantile (0 to 100) of the time between tokens.
+func (r *Recorder) TokenGap(quantile float64) time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return time.Duration(r.gap.ValueAtQuantile(quantile)) * time.Microsecond
+}
+
+// Series returns the samples so far.
+func (r *Recorder) Series() []Sample {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return append([]Sample(nil), r.series...)
+}
+
+// Online sends requests until the context ends, then waits for the answers of
+// those under way.
+func Online(ctx context.Context, target Target, shape Shape, recorder *Recorder) {
+	random := rand.New(rand.NewPCG(shape.Seed, 3))
+	client := httpcall.NewClient(nil)
+	defer client.CloseIdle()
+	var running sync.WaitGroup
+	defer running.Wait()
+	next := time.Now()
+	for number := 0; ; number++ {
+		next = next.Add(time.Duration(random.ExpFloat64() / shape.Rate * float64(time.Second)))
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(next)):
+		}
+		body := chatBody(random, target.Model, shape, number)
+		intended := next
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			one := &onlineRequest{client: client, target: target, body: body, intended: intended, recorder: recorder, start: number}
+			one.run()
+		}()
+	}
+}
+
+var vocabulary = []string{"rental", "deposit", "mileage", "vehicle", "airport", "insurance", "waiver", "return", "filing", "annual", "founder", "reserve", "name", "statute", "clause", "branch"}
+
+func words(random *rand.Rand, count int) string {
+	var text bytes.Buffer
+	for i := range count {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		text.WriteString(vocabulary[random.IntN(len(vocabulary))])
+	}
+	return text.String()
+}
+
+// around draws a length between half and one and a half of a mean.
+func around(random *rand.Rand, mean int) int {
+	return max(1, mean/2+random.IntN(mean+1))
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chatRequest struct {
+	Model     string        `json:"model"`
+	Messages  []chatMessage `json:"messages"`
+	MaxTokens int           `json:"max_tokens"`
+	Stream    bool          `json:"stream,omitempty"`
+}
+
+func chatBody(random *rand.Rand, model string, shape Shape, number int) []byte {
+	var messages []chatMessage
+	if shape.Prefixes > 0 {
+		prefix := rand.New(rand.NewPCG(uint64(random.IntN(shape.Prefixes)), shape.Seed))
+		messages = append(messages, chatMessage{"system", words(prefix, shape.PromptWords)})
+	}
+	question := fmt.Sprintf("request %d of seed %d: %s", number, shape.Seed, words(random, around(random, shape.PromptWords)))
+	messages = append(messages, chatMessage{"user", question})
+	encoded, err := json.Marshal(chatRequest{Model: model, Messages: messages, MaxTokens: around(random, shape.AnswerTokens), Stream: true})
+	if err != nil {
+		panic("load: request cannot be encoded: " + err.Error()) // plain fields only
+	}
+	return encoded
+}
+
+type onlineRequest struct {
+	client   *httpcall.Client
+	target   Target
+	body     []byte
+	intended time.Time
+	recorder *Recorder
+	start    int
+}
+
+const (
+	maxResends     = 3
+	requestTimeout = 60 * time.Second
+	resendPause    = 100 * time.Millisecond
+)
+
+// errNodeLost means that the accepting node itself died; its caller resends.
+var errNodeLost = errors.New("accepting node lost")
+
+// run sends the request, through another node if the accepting one dies.
+func (o *onlineRequest) run() {
+	o.recorder.Requests.Add(1)
+	for try := range maxResends {
+		address := o.target.Addresses[(o.start+try)%len(o.target.Addresses)]
+		err := o.send(address)
+		if err == nil {
+			return
+		}
+		if !errors.Is(err, errNodeLost) {
+			o.recorder.Failed.Add(1)
+			o.recorder.recordError(err.Error())
+			return
+		}
+		o.recorder.Resent.Add(1)
+		time.Sleep(resendPause)
+	}
+	o.recorder.Failed.Add(1)
+	o.recorder.recordError("no node reachable")
+}
+
+func (o *onlineRequest) send(address string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	response, err := o.client.Do(ctx, &httpcall.Request{
+		Method: "POST", URL: "http://" + address + "/v1/chat/completions", Body: o.body,
+		Headers: [][2]string{{"Authorization", "Bearer " + o.target.Key}, {"Content-Type", "application/json"}},
+	})
+	if err != nil {
+		return errNodeLost
+	}
+	defer response.Close()
+	if response.Status != 200 {
+		body, _ := response.ReadAll(1 << 16)
+		if gjson.GetBytes(body, "error.run").String() == "no" {
+			o.recorder.Refused.Add(1)
+		}
+		return fmt.Errorf("status %d: %s", response.Status, gjson.GetBytes(body, "error.type"))
+	}
+	return o.read(response)
+}
+
+// read takes the stream to its end and checks the whole text.
+func (o *onlineRequest) read(response *httpcall.Response) error {
+	reader := bufio.NewReader(response)
+	var text bytes.Buffer
+	last := o.intended
+	first := true
+	for {
+		line, err := reader.ReadBytes('\n')
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				o.recorder.Cut.Add(1)
+				return errors.New("stream ended without an end")
+			}
+			return errNodeLost
+		}
+		data, isData := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
+		if !isData {
+			continue
+		}
+		if bytes.Equal(data, []byte("[DONE]")) {
+			return o.check(text.String())
+		}
+		if kind := gjson.GetBytes(data, "error.type"); kind.Exists() {
+			return fmt.Errorf("error event: %s: %s", kind, gjson.GetBytes(data, "error.message"))
+		}
+		piece := gjson.GetBytes(data, "choices.0.delta.content").String()
+		if piece == "" {
+			continue
+		}
+		text.WriteString(piece)
+		now := time.Now()
+		if first {
+			o.recorder.recordFirst(o.intended, now.Sub(o.intended))
+			first = false
+		} else {
+			o.recorder.recordGap(now.Sub(last))
+		}
+		last = now
+	}
+}
+
+func (o *onlineRequest) check(text string) error {
+	if text != engine.ExpectedAnswer(o.body, o.target.MaxAnswer) {
+		o.recorder.Wrong.Add(1)
+		return errors.New("wrong text")
+	}
+	return nil
+}
--- /dev/null
+++ b/modules/batch/directory/directory.go
@@ -0,0 +1,238 @@
+// Package directory reaches batch shards from any node: it knows which node
+// leads which shard, and carries commands and reads there, again if leadership
+// moved. Every command is idempotent by the ids in it, so sending one again
+// after a lost answer changes nothing.
+package directory
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/fleet"
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+	"cobaltramp.example/cobaltramp/modules/fleet/membership"
+)
+
+// ModuleName registers the module.
+const ModuleName = "batch.directory"
+
+func init() {
+	kernel.Register(kernel.Info{
+		Name: ModuleName, Needs: []string{membership.ModuleName},
+		New: func() kernel.Module { return &Module{} },
+	})
+}
+
+// Views gives the view of the fleet.
+type Views interface{ View() *fleet.View }
+
+// Map is a snapshot of who leads what.
+type Map struct {
+	Shards  uint32
+	Leaders map[uint32]string // shard → internal address
+	Pending []uint32
+}
+
+// Module provides access to shards.
+type Module struct {
+	views Views
+	pool  *rpc.Pool
+
+	current    atomic.Pointer[Map]
+	refreshing sync.Mutex
+	refreshed  time.Time
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Starter = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.views, err = kernel.Find[Views](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.pool, err = kernel.Find[*rpc.Pool](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	m.current.Store(&Map{Leaders: map[uint32]string{}})
+	ctx.Provide(m)
+	return nil
+}
+
+const (
+	refreshInterval = 500 * time.Millisecond
+	refreshTimeout  = time.Second
+	retryPause      = 50 * time.Millisecond
+	// attemptTimeout bounds one try, so that a leader that was paused does not
+	// hold a caller until its deadline.
+	attemptTimeout = 3 * time.Second
+)
+
+// Start implements kernel.Starter.
+func (m *Module) Start(ctx context.Context) error {
+	go func() {
+		ticker := time.NewTicker(refreshInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				m.refresh(ctx)
+			}
+		}
+	}()
+	return nil
+}
+
+// Map returns the present map.
+func (m *Module) Map() *Map { return m.current.Load() }
+
+// refresh asks every disk node what it leads. Disk nodes are few.
+func (m *Module) refresh(ctx context.Context) {
+	m.refreshing.Lock()
+	defer m.refreshing.Unlock()
+	if time.Since(m.refreshed) < refreshInterval/5 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	disks := m.views.View().DiskMembers()
+	replies := make([]*wirev1.ShardMapReply, len(disks))
+	var group sync.WaitGroup
+	for i, disk := range disks {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			reply := &wirev1.ShardMapReply{}
+			if m.pool.Call(ctx, disk.Address, rpc.ClassControl, wirev1.Method_METHOD_SHARD_MAP, &wirev1.ShardMapRequest{}, reply) == nil {
+				replies[i] = reply
+			}
+		}()
+	}
+	group.Wait()
+	m.current.Store(merge(m.current.Load(), disks, replies))
+	m.refreshed = time.Now()
+}
+
+func merge(before *Map, disks []*wirev1.MemberRecord, replies []*wirev1.ShardMapReply) *Map {
+	next := &Map{Shards: before.Shards, Leaders: map[uint32]string{}}
+	for i, reply := range replies {
+		if reply == nil {
+			continue
+		}
+		next.Shards = max(next.Shards, reply.Shards)
+		for _, shard := range reply.Leading {
+			next.Leaders[shard] = disks[i].Address
+		}
+		next.Pending = append(next.Pending, reply.Pending...)
+	}
+	return next
+}
+
+// Shards returns the number of shards, 0 while none are known.
+func (m *Module) Shards() uint32 { return m.Map().Shards }
+
+// call carries a request to a shard's leader until it is answered or the
+// context ends. delivered tells whether any try may have arrived.
+func (m *Module) call(ctx context.Context, shard uint32, class rpc.Class, method wirev1.Method, request, reply proto.Message) error {
+	delivered := false
+	var last error
+	for {
+		err := m.callOnce(ctx, shard, class, method, request, reply)
+		if err == nil {
+			return nil
+		}
+		last = err
+		switch {
+		case errors.Is(err, rpc.ErrLinkLost), errors.Is(err, context.DeadlineExceeded), result.Is(err, result.CommitUnknown):
+			delivered = true
+		case result.Is(err, result.NotLeader), result.Is(err, result.PeerUnreachable):
+		case result.Is(err, result.Internal) && ctx.Err() != nil:
+			delivered = true
+		default:
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return m.giveUp(shard, delivered, last)
+		case <-time.After(retryPause + time.Duration(rand.Int64N(int64(retryPause)))):
+			m.refresh(ctx)
+		}
+	}
+}
+
+func (m *Module) callOnce(ctx context.Context, shard uint32, class rpc.Class, method wirev1.Method, request, reply proto.Message) error {
+	leader, known := m.Map().Leaders[shard]
+	if !known {
+		return result.New(result.NotLeader, "no leader of shard %d is known", shard)
+	}
+	attempt, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return m.pool.Call(attempt, leader, class, method, request, reply)
+}
+
+func (m *Module) giveUp(shard uint32, delivered bool, last error) error {
+	if delivered {
+		return result.New(result.CommitUnknown, "shard %d did not confirm in time", shard).After(time.Second)
+	}
+	return result.New(result.StoreUnavailable, "no leader of shard %d could be reached: %s", shard, result.From(last).Message).After(time.Second)
+}
+
+// Propose carries a command to its shard.
+func (m *Module) Propose(ctx context.Context, shard uint32, command *wirev1.Command) (*wirev1.CommandResult, error) {
+	answer := &wirev1.CommandResult{}
+	err := m.call(ctx, shard, rpc.ClassBulk, wirev1.Method_METHOD_SHARD_PROPOSE, &wirev1.ProposeRequest{Shard: shard, Command: command}, answer)
+	if err != nil {
+		return nil, err
+	}
+	if answer.Code != 0 {
+		return nil, result.New(result.Code(answer.Code), "%s", answer.Message)
+	}
+	return answer, nil
+}
+
+// Claim carries a claim of an idempotency key, which an online caller waits
+// for, by the online links.
+func (m *Module) Claim(ctx context.Context, shard uint32, command *wirev1.Command) (*wirev1.CommandResult, error) {
+	answer := &wirev1.CommandResult{}
+	err := m.call(ctx, shard, rpc.ClassOnline, wirev1.Method_METHOD_SHARD_PROPOSE, &wirev1.ProposeRequest{Shard: shard, Command: command}, answer)
+	if err != nil {
+		return nil, err
+	}
+	if answer.Code != 0 {
+		return nil, result.New(result.Code(answer.Code), "%s", answer.Message)
+	}
+	return answer, nil
+}
+
+// Read asks a shard's leader.
+func (m *Module) Read(ctx context.Context, request *wirev1.ReadRequest) (*wirev1.ReadReply, error) {
+	reply := &wirev1.ReadReply{}
+	return reply, m.call(ctx, request.Shard, rpc.ClassBulk, wirev1.Method_METHOD_SHARD_READ, request, reply)
+}
+
+// Pull asks a shard's leader for items, once. It returns the leader asked.
+func (m *Module) Pull(ctx context.Context, request *wirev1.PullRequest) (*wirev1.PullReply, error) {
+	reply := &wirev1.PullReply{}
+	return reply, m.callOnce(ctx, request.Shard, rpc.ClassBulk, wirev1.Method_METHOD_PULL, request, reply)
+}
+
+// Complete brings results to a shard's leader.
+func (m *Module) Complete(ctx context.Context, request *wirev1.CompleteRequest) (*wirev1.CompleteReply, error) {
+	reply := &wirev1.CompleteReply{}
+	return reply, m.call(ctx, request.Shard, rpc.ClassBulk, wirev1.Method_METHOD_COMPLETE, request, reply)
+}
--- /dev/null
+++ b/modules/batch/disk/disk.go
@@ -0,0 +1,49 @@
+// Package disk opens the data folder of the few nodes that have one.
+package disk
+
+import (
+	"github.com/gravitational/trace"
+
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/logstore"
+	"cobaltramp.example/cobaltramp/internal/settings"
+)
+
+// ModuleName registers the module.
+const ModuleName = "batch.disk"
+
+func init() {
+	kernel.Register(kernel.Info{Name: ModuleName, New: func() kernel.Module { return &Module{} }})
+}
+
+// Module provides *logstore.DB when the settings name a data folder, and
+// nothing otherwise.
+type Module struct{ db *logstore.DB }
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Cleaner = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	loaded, err := kernel.Find[*settings.Settings](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if loaded.Data.Folder == "" {
+		return nil
+	}
+	if m.db, err = logstore.Open(loaded.Data.Folder, loaded.Data.ReserveBytes); err != nil {
+		return trace.Wrap(err, "data.folder")
+	}
+	ctx.Provide(m.db)
+	return nil
+}
+
+// Cleanup implements kernel.Cleaner.
+func (m *Module) Cleanup() {
+	if m.db != nil {
+		_ = m.db.Close()
+	}
+}
--- /dev/null
+++ b/modules/batch/store/handlers.go
@@ -0,0 +1,237 @@
+package store
+
+import (
+	"context"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/grants"
+	"cobaltramp.example/cobaltramp/internal/replica"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+	"cobaltramp.example/cobaltramp/internal/shard"
+	"time"
+)
+
+func (m *Module) serveShardMap(ctx context.Context, stream *rpc.ServerStream) error {
+	reply := &wirev1.ShardMapReply{}
+	layout := m.layout.Load()
+	if layout != nil {
+		reply.Shards = uint32(len(layout.Shards))
+	}
+	for _, runner := range m.allRunners() {
+		_ = runner.ask(ctx, func() {
+			if runner.table == nil {
+				return
+			}
+			reply.Leading = append(reply.Leading, runner.id)
+			if runner.table.Pending() {
+				reply.Pending = append(reply.Pending, runner.id)
+			}
+		})
+	}
+	if reply.Shards == 0 {
+		reply.Shards = m.knownShards()
+	}
+	return stream.Send(reply)
+}
+
+// knownShards is the number of shards as far as this disk tells, for a start
+// while the platform's service is down.
+func (m *Module) knownShards() uint32 {
+	highest := uint32(0)
+	for _, runner := range m.allRunners() {
+		highest = max(highest, runner.id+1)
+	}
+	return highest
+}
+
+func (m *Module) leaderRunner(id uint32) (*shardRunner, error) {
+	runner := m.runner(id)
+	if runner == nil {
+		return nil, result.New(result.NotLeader, "shard %d is not here", id)
+	}
+	return runner, nil
+}
+
+func (m *Module) servePropose(ctx context.Context, stream *rpc.ServerStream) error {
+	var request wirev1.ProposeRequest
+	if err := stream.Request(&request); err != nil {
+		return err
+	}
+	answer, err := m.Propose(ctx, request.Shard, request.Command)
+	if err != nil {
+		return err
+	}
+	return stream.Send(answer)
+}
+
+// Propose proposes a command to a shard led here. New work is taken only while
+// three disks answer and this one has room.
+func (m *Module) Propose(ctx context.Context, id uint32, command *wirev1.Command) (*wirev1.CommandResult, error) {
+	runner, err := m.leaderRunner(id)
+	if err != nil {
+		return nil, err
+	}
+	if bringsNewWork(command) {
+		if err := runner.admitNewWork(ctx); err != nil {
+			return nil, err
+		}
+	}
+	answer, err := runner.submit(ctx, command)
+	m.metrics.proposals.WithLabelValues(result.CodeOf(err).String()).Inc()
+	return answer, err
+}
+
+func bringsNewWork(command *wirev1.Command) bool {
+	switch command.Kind.(type) {
+	case *wirev1.Command_CreateFile, *wirev1.Command_AppendSegment, *wirev1.Command_CreateJob, *wirev1.Command_Claim:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *shardRunner) admitNewWork(ctx context.Context) error {
+	if !r.module.db.HasRoom() {
+		return result.New(result.StoreFull, "the disk of node %s is nearly full", r.module.settings.Node.ID)
+	}
+	live := 0
+	err := r.askTable(ctx, func(*grants.Table, time.Time) error {
+		live = r.replica.LiveMembers(time.Now())
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if live < replica.CopiesWanted {
+		return result.New(result.StoreUnavailable, "%d disks of shard %d answer, needed: %d", live, r.id, replica.CopiesWanted).After(storeRetryAfter)
+	}
+	return nil
+}
+
+const storeRetryAfter = 2 * time.Second
+
+func (m *Module) servePull(ctx context.Context, stream *rpc.ServerStream) error {
+	var request wirev1.PullRequest
+	if err := stream.Request(&request); err != nil {
+		return err
+	}
+	runner, err := m.leaderRunner(request.Shard)
+	if err != nil {
+		return err
+	}
+	reply, err := runner.pull(ctx, &request)
+	if err != nil {
+		return err
+	}
+	return stream.Send(reply)
+}
+
+func (m *Module) serveComplete(ctx context.Context, stream *rpc.ServerStream) error {
+	var request wirev1.CompleteRequest
+	if err := stream.Request(&request); err != nil {
+		return err
+	}
+	runner, err := m.leaderRunner(request.Shard)
+	if err != nil {
+		return err
+	}
+	reply, err := runner.complete(ctx, &request)
+	if err != nil {
+		return err
+	}
+	return stream.Send(reply)
+}
+
+func (m *Module) serveRead(ctx context.Context, stream *rpc.ServerStream) error {
+	var request wirev1.ReadRequest
+	if err := stream.Request(&request); err != nil {
+		return err
+	}
+	reply, err := m.read(ctx, &request)
+	if err != nil {
+		return err
+	}
+	return stream.Send(reply)
+}
+
+// read answers from the applied state of a serving leader.
+func (m *Module) read(ctx context.Context, request *wirev1.ReadRequest) (*wirev1.ReadReply, error) {
+	runner, err := m.leaderRunner(request.Shard)
+	if err != nil {
+		return nil, err
+	}
+	var reply *wirev1.ReadReply
+	err = runner.askTable(ctx, func(*grants.Table, time.Time) error {
+		view := runner.store.View()
+		var readErr error
+		reply, readErr = readState(view, request)
+		return readErr
+	})
+	return reply, err
+}
+
+func readState(view shard.Reader, request *wirev1.ReadRequest) (*wirev1.ReadReply, error) {
+	switch request.Kind {
+	case wirev1.ReadKind_READ_KIND_FILE:
+		file, err := shard.File(view, request.Id)
+		if err == nil && (file == nil || file.Tenant != request.Tenant || !file.Sealed) {
+			return nil, notFound("file", request.Id)
+		}
+		return &wirev1.ReadReply{File: file}, err
+	case wirev1.ReadKind_READ_KIND_JOB:
+		job, err := tenantJob(view, request)
+		return &wirev1.ReadReply{Job: job}, err
+	case wirev1.ReadKind_READ_KIND_JOBS:
+		jobs, err := shard.TenantJobs(view, request.Tenant, request.After, int(request.Limit))
+		return &wirev1.ReadReply{Jobs: jobs}, err
+	case wirev1.ReadKind_READ_KIND_RESULTS:
+		return readResults(view, request)
+	case wirev1.ReadKind_READ_KIND_CONTENT:
+		return readContent(view, request)
+	default:
+		return nil, result.New(result.InvalidRequest, "unknown read %v", request.Kind)
+	}
+}
+
+func notFound(kind, id string) error {
+	return result.New(result.NotFound, "%s %s does not exist", kind, id)
+}
+
+func tenantJob(view shard.Reader, request *wirev1.ReadRequest) (*wirev1.JobRecord, error) {
+	job, err := shard.Job(view, request.Id)
+	if err != nil {
+		return nil, err
+	}
+	if job == nil || job.Spec.Tenant != request.Tenant {
+		return nil, notFound("batch", request.Id)
+	}
+	return job, nil
+}
+
+func readResults(view shard.Reader, request *wirev1.ReadRequest) (*wirev1.ReadReply, error) {
+	job, err := tenantJob(view, request)
+	if err != nil {
+		return nil, err
+	}
+	outcomes, err := shard.Outcomes(view, job, request.Segment, request.Errors)
+	if err != nil {
+		return nil, err
+	}
+	return &wirev1.ReadReply{Job: job, Outcomes: outcomes, NextSegment: request.Segment + 1, More: request.Segment+1 < job.Segments}, nil
+}
+
+func readContent(view shard.Reader, request *wirev1.ReadRequest) (*wirev1.ReadReply, error) {
+	file, err := shard.File(view, request.Id)
+	if err != nil {
+		return nil, err
+	}
+	if file == nil || file.Tenant != request.Tenant || !file.Sealed {
+		return nil, notFound("file", request.Id)
+	}
+	items, err := shard.Segment(view, request.Id, request.Segment)
+	if err != nil {
+		return nil, err
+	}
+	return &wirev1.ReadReply{File: file, Items: items, NextSegment: request.Segment + 1, More: request.Segment+1 < file.Segments}, nil
+}
--- /dev/null
+++ b/modules/batch/store/layout.go
@@ -0,0 +1,224 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/fleet"
+	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/replica"
+)
+
+// Layout is the member set of every shard. It is one value in the platform's
+// service, changed by compare-and-swap: on founding and when a disk joins or
+// is lost, never per job or request.
+type Layout struct {
+	Shards []replica.Config `json:"shards"`
+	// revision of the stored value, for the compare-and-swap.
+	revision int64
+}
+
+func (m *Module) layoutKey() string { return m.settings.Cluster + "/storage/layout" }
+
+const (
+	layoutInterval = 2 * time.Second
+	// foundingCalm is how long enough disks must be seen before the cluster is
+	// founded.
+	foundingCalm = 2 * time.Second
+	// MaxReplicas per shard.
+	maxReplicas = 5
+)
+
+// layoutLoop follows the layout by a watch; without one it founds the cluster.
+func (m *Module) layoutLoop(ctx context.Context) {
+	var calmSince time.Time
+	for ctx.Err() == nil {
+		values, revision, err := m.platform.List(ctx, m.layoutKey())
+		if err == nil {
+			for _, value := range values {
+				m.takeLayout(value)
+			}
+			if m.layout.Load() == nil {
+				calmSince = m.found(ctx, calmSince)
+			} else {
+				m.watchLayout(ctx, revision)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(layoutInterval):
+		}
+	}
+}
+
+func (m *Module) watchLayout(ctx context.Context, revision int64) {
+	_ = m.platform.Watch(ctx, m.layoutKey(), revision, func(event platform.Event) {
+		if !event.Deleted {
+			m.takeLayout(event.Value)
+		}
+	})
+}
+
+func (m *Module) takeLayout(value platform.Value) {
+	var layout Layout
+	if err := json.Unmarshal(value.Value, &layout); err != nil {
+		klog.ErrorS(err, "stored layout is unreadable", "node", m.settings.Node.ID)
+		return
+	}
+	layout.revision = value.Revision
+	if known := m.layout.Load(); known != nil && known.revision >= layout.revision {
+		return
+	}
+	m.layout.Store(&layout)
+	for id, config := range layout.Shards {
+		m.applyConfig(uint32(id), config)
+	}
+}
+
+// applyConfig tells a running replica its member set, or starts one.
+func (m *Module) applyConfig(id uint32, config replica.Config) {
+	if runner := m.runner(id); runner != nil {
+		runner.observe(config)
+		return
+	}
+	if !config.Has(m.db.DiskID()) {
+		return
+	}
+	if err := m.startShard(id, &config); err != nil {
+		klog.ErrorS(err, "shard cannot be started", "node", m.settings.Node.ID, "shard", id)
+	}
+}
+
+// found writes the first layout once enough disks have been there for a while.
+// Every disk node may try; the compare-and-swap lets one win.
+func (m *Module) found(ctx context.Context, calmSince time.Time) time.Time {
+	disks := m.views.View().DiskMembers()
+	if len(disks) < replica.CopiesWanted {
+		return time.Time{}
+	}
+	now := time.Now()
+	if calmSince.IsZero() {
+		return now
+	}
+	if now.Sub(calmSince) < foundingCalm {
+		return calmSince
+	}
+	layout := Layout{}
+	for shard := range m.settings.Data.Shards {
+		layout.Shards = append(layout.Shards, replica.Config{Generation: 1, Members: place(uint32(shard), disks, nil)})
+	}
+	text, err := json.Marshal(layout)
+	if err != nil {
+		return calmSince
+	}
+	committed, err := m.platform.Commit(ctx, []platform.Condition{{Key: m.layoutKey()}}, []platform.Put{{Key: m.layoutKey(), Value: text}})
+	if err == nil && committed {
+		klog.InfoS("cluster founded", "node", m.settings.Node.ID, "shards", len(layout.Shards), "disks", len(disks))
+	}
+	return calmSince
+}
+
+// place picks a shard's disks: those kept, then by rendezvous weight, each
+// time from a zone that has the fewest of them.
+func place(shard uint32, disks []*wirev1.MemberRecord, keep []string) []string {
+	chosen := append([]string(nil), keep...)
+	used := map[string]bool{}
+	perZone := map[string]int{}
+	for _, disk := range disks {
+		if contains(keep, disk.DiskId) {
+			used[disk.DiskId] = true
+			perZone[disk.Zone]++
+		}
+	}
+	ranked := append([]*wirev1.MemberRecord(nil), disks...)
+	sort.Slice(ranked, func(i, j int) bool { return diskWeight(shard, ranked[i].DiskId) > diskWeight(shard, ranked[j].DiskId) })
+	for len(chosen) < maxReplicas {
+		best := fewestInZone(ranked, used, perZone)
+		if best == nil {
+			break
+		}
+		used[best.DiskId] = true
+		perZone[best.Zone]++
+		chosen = append(chosen, best.DiskId)
+	}
+	return chosen
+}
+
+func fewestInZone(ranked []*wirev1.MemberRecord, used map[string]bool, perZone map[string]int) *wirev1.MemberRecord {
+	var best *wirev1.MemberRecord
+	for _, disk := range ranked {
+		if used[disk.DiskId] || disk.State == wirev1.MemberState_MEMBER_STATE_LEAVING {
+			continue
+		}
+		if best == nil || perZone[disk.Zone] < perZone[best.Zone] {
+			best = disk
+		}
+	}
+	return best
+}
+
+func diskWeight(shard uint32, disk string) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(uint64(shard))
+	_, _ = digest.WriteString(disk)
+	return digest.Sum64()
+}
+
+func contains(list []string, wanted string) bool {
+	for _, item := range list {
+		if item == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+// swapConfig replaces one shard's member set if nothing changed it since the
+// layout was read. It reports whether the change is known to be stored.
+func (m *Module) swapConfig(ctx context.Context, id uint32, before, after replica.Config) (bool, error) {
+	layout := m.layout.Load()
+	if layout == nil || int(id) >= len(layout.Shards) {
+		return false, trace.NotFound("no layout")
+	}
+	held := layout.Shards[id]
+	if held.Generation != before.Generation || held.Attempt != before.Attempt {
+		return false, nil
+	}
+	next := Layout{Shards: append([]replica.Config(nil), layout.Shards...)}
+	next.Shards[id] = after
+	text, err := json.Marshal(next)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	committed, err := m.platform.Commit(ctx, []platform.Condition{{Key: m.layoutKey(), Revision: layout.revision}}, []platform.Put{{Key: m.layoutKey(), Value: text}})
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	if !committed {
+		m.rereadLayout(ctx)
+	}
+	return committed, nil
+}
+
+func (m *Module) rereadLayout(ctx context.Context) {
+	if value, found, err := m.platform.Get(ctx, m.layoutKey()); err == nil && found {
+		m.takeLayout(value)
+	}
+}
+
+// diskAddress finds the node that has a disk.
+func diskAddress(view *fleet.View, disk string) (*wirev1.MemberRecord, bool) {
+	for _, record := range view.Members {
+		if record.DiskId == disk && record.State != wirev1.MemberState_MEMBER_STATE_DEAD {
+			return record, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/modules/batch/store/leader.go
@@ -0,0 +1,325 @@
+package store
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/grants"
+	"cobaltramp.example/cobaltramp/internal/logstore"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/shard"
+)
+
+// The part of a runner that only a serving leader uses: the table of grants.
+
+// followLeadership makes the table when this replica comes to serve and drops
+// it when it no longer does.
+func (r *shardRunner) followLeadership() {
+	serving := r.replica.Serving() && r.applied >= r.replica.Commit()
+	if !serving {
+		if r.table != nil && r.replica.Role().String() != "leader" {
+			r.table = nil
+			r.module.metrics.leading.Dec()
+		}
+		return
+	}
+	if r.table != nil && r.tableEpoch == r.replica.Epoch() {
+		return
+	}
+	if r.table == nil {
+		r.module.metrics.leading.Inc()
+	}
+	r.module.metrics.elections.Inc()
+	r.tableEpoch = r.replica.Epoch()
+	r.table = grants.New(grants.DefaultTiming(), time.Now())
+	klog.V(1).InfoS("shard led", "node", r.module.settings.Node.ID, "shard", r.id, "epoch", r.tableEpoch)
+	err := shard.Jobs(r.store.View(), func(job *wirev1.JobRecord) bool {
+		if unfinished(job.Status) {
+			r.table.AddJob(job)
+		}
+		return true
+	})
+	if err != nil {
+		r.fail(err)
+	}
+}
+
+func unfinished(status wirev1.JobStatus) bool {
+	return status == wirev1.JobStatus_JOB_STATUS_IN_PROGRESS || status == wirev1.JobStatus_JOB_STATUS_CANCELLING
+}
+
+// noteApplied keeps the table in line with what was applied.
+func (r *shardRunner) noteApplied(command *wirev1.Command, answer *wirev1.CommandResult) {
+	if r.table == nil || answer == nil {
+		return
+	}
+	switch kind := command.Kind.(type) {
+	case *wirev1.Command_CreateJob:
+		if answer.Job != nil && answer.Duplicates == 0 && unfinished(answer.Job.Status) {
+			r.table.AddJob(answer.Job)
+		}
+	case *wirev1.Command_CancelJob:
+		if answer.Job != nil {
+			r.table.Stop(kind.CancelJob.JobId, true)
+		}
+	case *wirev1.Command_ExpireJob:
+		r.table.Stop(kind.ExpireJob.JobId, false)
+	case *wirev1.Command_FinishCancel:
+		r.table.RemoveJob(kind.FinishCancel.JobId)
+	case *wirev1.Command_CompleteItems:
+		r.noteCompleted(kind.CompleteItems, answer)
+	}
+}
+
+func (r *shardRunner) noteCompleted(command *wirev1.CompleteItems, answer *wirev1.CommandResult) {
+	keys := make([]grants.Key, len(command.Results))
+	jobs := map[string]bool{}
+	for i, item := range command.Results {
+		keys[i] = grants.KeyOf(item.Item)
+		jobs[item.Item.JobId] = true
+	}
+	r.table.Completed(keys)
+	r.module.metrics.completed.WithLabelValues("accepted").Add(float64(answer.Accepted))
+	r.module.metrics.completed.WithLabelValues("duplicate").Add(float64(answer.Duplicates))
+	for id := range jobs {
+		if job, err := shard.Job(r.store.View(), id); err == nil && job != nil && !unfinished(job.Status) {
+			r.table.RemoveJob(id)
+		}
+	}
+}
+
+// tickGrants proposes what time has decided.
+func (r *shardRunner) tickGrants(now time.Time) {
+	if r.table == nil {
+		return
+	}
+	due := r.table.Tick(now)
+	at := now.UnixMilli()
+	if len(due.Unknown) > 0 {
+		r.propose(silent(&wirev1.Command{Kind: &wirev1.Command_CompleteItems{CompleteItems: unknownItems(due.Unknown, at)}}))
+	}
+	for _, id := range due.Expired {
+		r.propose(silent(&wirev1.Command{Kind: &wirev1.Command_ExpireJob{ExpireJob: &wirev1.ExpireJob{JobId: id, AtUnixMs: at}}}))
+	}
+	for _, id := range due.Cancelled {
+		r.propose(silent(&wirev1.Command{Kind: &wirev1.Command_FinishCancel{FinishCancel: &wirev1.FinishCancel{JobId: id, AtUnixMs: at}}}))
+	}
+}
+
+// silent wraps a command whose result nobody waits for.
+func silent(command *wirev1.Command) *proposal {
+	return &proposal{command: command, result: make(chan proposalResult, 1)}
+}
+
+// unknownItems ends items of class once whose holder was lost.
+func unknownItems(keys []grants.Key, at int64) *wirev1.CompleteItems {
+	command := &wirev1.CompleteItems{AtUnixMs: at}
+	for _, key := range keys {
+		command.Results = append(command.Results, &wirev1.ItemResult{
+			Item: key.Wire(), Code: uint32(result.OutcomeUnknown), Message: "the node that ran the item was lost; it may or may not have run",
+		})
+	}
+	return command
+}
+
+// loader reads the shard's state for the table.
+type loader struct{ view *logstore.View }
+
+// Segment implements grants.Loader.
+func (l loader) Segment(file string, segment uint32) ([]*wirev1.Item, error) {
+	return shard.Segment(l.view, file, segment)
+}
+
+// Progress implements grants.Loader.
+func (l loader) Progress(job string, segment uint32) (*wirev1.SegmentProgress, error) {
+	return shard.Progress(l.view, job, segment)
+}
+
+func (r *shardRunner) notServing() error {
+	return result.New(result.NotLeader, "shard %d is not led here", r.id)
+}
+
+// pull hands items to a node. Items of class once go out only after their
+// start is in the log.
+func (r *shardRunner) pull(ctx context.Context, request *wirev1.PullRequest) (*wirev1.PullReply, error) {
+	session := grants.Session{Node: request.NodeId, ID: request.Session}
+	var offers []grants.Offer
+	var stopped []string
+	var pending bool
+	err := r.askTable(ctx, func(table *grants.Table, now time.Time) error {
+		r.holdAll(table, now, session, request.Held)
+		if len(request.Returned) > 0 {
+			table.Return(now, session, keysOf(request.Returned))
+			r.module.metrics.requeued.WithLabelValues("returned").Add(float64(len(request.Returned)))
+		}
+		var err error
+		offers, err = table.Pull(now, session, roomOf(request.Room), loader{r.store.View()})
+		stopped = table.StoppedJobs(session)
+		pending = table.Pending()
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if offers, err = r.startOnce(ctx, session, offers); err != nil {
+		return nil, err
+	}
+	r.module.metrics.grants.Add(float64(len(offers)))
+	reply := &wirev1.PullReply{CancelledJobs: stopped, LeaseMs: uint32(grants.DefaultTiming().Lease.Milliseconds())}
+	for _, offer := range offers {
+		reply.Grants = append(reply.Grants, grantOf(offer))
+	}
+	if pending {
+		reply.Pending = request.Room
+	}
+	return reply, nil
+}
+
+func (r *shardRunner) holdAll(table *grants.Table, now time.Time, session grants.Session, held []*wirev1.ItemKey) {
+	view := r.store.View()
+	for _, key := range held {
+		job, err := shard.Job(view, key.JobId)
+		if err != nil || job == nil {
+			continue
+		}
+		items, err := shard.Segment(view, job.Spec.InputFileId, key.Segment)
+		if err != nil || int(key.Offset) >= len(items) {
+			continue
+		}
+		table.Hold(now, session, grants.KeyOf(key), items[key.Offset])
+	}
+}
+
+// askTable runs a function on the table if this replica serves.
+func (r *shardRunner) askTable(ctx context.Context, use func(*grants.Table, time.Time) error) error {
+	var useErr error
+	err := r.ask(ctx, func() {
+		if r.table == nil {
+			useErr = r.notServing()
+			return
+		}
+		useErr = use(r.table, time.Now())
+	})
+	if err != nil {
+		return err
+	}
+	return useErr
+}
+
+// startOnce records the start of items that must not run twice.
+func (r *shardRunner) startOnce(ctx context.Context, session grants.Session, offers []grants.Offer) ([]grants.Offer, error) {
+	var starting []*wirev1.ItemKey
+	for _, offer := range offers {
+		if offer.Item.WorkClass == wirev1.WorkClass_WORK_CLASS_ONCE && !offer.Restarted {
+			starting = append(starting, offer.Key.Wire())
+		}
+	}
+	if len(starting) == 0 {
+		return offers, nil
+	}
+	answer, err := r.submit(ctx, &wirev1.Command{Kind: &wirev1.Command_StartItems{StartItems: &wirev1.StartItems{Items: starting, Holder: session.Node}}})
+	if err != nil {
+		// Their start may be recorded: they are not handed out, and end as
+		// unknown unless a later leader finds them unstarted.
+		answer = &wirev1.CommandResult{}
+	}
+	askErr := r.askTable(ctx, func(table *grants.Table, _ time.Time) error {
+		offers = table.Confirm(offers, answer.Started)
+		return nil
+	})
+	return offers, askErr
+}
+
+func keysOf(wire []*wirev1.ItemKey) []grants.Key {
+	keys := make([]grants.Key, len(wire))
+	for i, key := range wire {
+		keys[i] = grants.KeyOf(key)
+	}
+	return keys
+}
+
+func roomOf(wire []*wirev1.ModelRoom) []grants.Room {
+	room := make([]grants.Room, len(wire))
+	for i, item := range wire {
+		room[i] = grants.Room{Model: item.Model, Items: int(item.Items)}
+	}
+	return room
+}
+
+func grantOf(offer grants.Offer) *wirev1.Grant {
+	return &wirev1.Grant{
+		Key: offer.Key.Wire(), Item: offer.Item, Attempt: offer.Attempt, Tenant: offer.Tenant,
+		CustomId: offer.Item.CustomId, DeadlineUnixMs: offer.Deadline.UnixMilli(),
+	}
+}
+
+// complete commits results. Failed attempts of repeatable items are tried
+// again while the bundle allows.
+func (r *shardRunner) complete(ctx context.Context, request *wirev1.CompleteRequest) (*wirev1.CompleteReply, error) {
+	session := grants.Session{Node: request.NodeId, ID: request.Session}
+	final := make([]*wirev1.ItemResult, 0, len(request.Results))
+	err := r.askTable(ctx, func(table *grants.Table, _ time.Time) error {
+		for _, item := range request.Results {
+			if r.retried(table, session, item) {
+				r.module.metrics.requeued.WithLabelValues("failed").Inc()
+				continue
+			}
+			final = append(final, item)
+		}
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(final) == 0 {
+		return &wirev1.CompleteReply{}, nil
+	}
+	answer, err := r.submit(ctx, &wirev1.Command{Kind: &wirev1.Command_CompleteItems{CompleteItems: &wirev1.CompleteItems{Results: final, AtUnixMs: time.Now().UnixMilli()}}})
+	if err != nil {
+		return nil, err
+	}
+	return &wirev1.CompleteReply{Accepted: answer.Accepted, Duplicates: answer.Duplicates}, nil
+}
+
+// retried puts a failed attempt back in line if another is allowed. Results
+// that are final are left to be committed.
+func (r *shardRunner) retried(table *grants.Table, session grants.Session, item *wirev1.ItemResult) bool {
+	if !retryable(result.Code(item.Code)) {
+		return false
+	}
+	key := grants.KeyOf(item.Item)
+	attempt := table.Attempt(session, key)
+	if attempt == 0 {
+		return true // not this session's any more: whoever holds it decides
+	}
+	if int(attempt) < r.maxAttempts() {
+		table.Retry(session, key)
+		return true
+	}
+	item.Message = "failed on every attempt, the last time: " + item.Message
+	item.Code = uint32(result.AttemptsSpent)
+	return false
+}
+
+// retryable lists failures of repeatable items another attempt may mend. The
+// worker reports failures of once items under other codes.
+func retryable(code result.Code) bool {
+	switch code {
+	case result.EngineFailed, result.RunnerLost:
+		return true
+	default:
+		return false
+	}
+}
+
+const defaultAttempts = 5
+
+func (r *shardRunner) maxAttempts() int {
+	if snapshot := r.module.snapshots.Snapshot(); snapshot != nil {
+		return snapshot.Policy.Batch.MaxAttempts
+	}
+	return defaultAttempts
+}
--- /dev/null
+++ b/modules/batch/store/store.go
@@ -0,0 +1,229 @@
+// Package store runs the replicas of batch shards on nodes with a data folder:
+// their logs, elections, applied state, and, on leaders, the handing out of
+// items. Other nodes reach shards through package directory.
+package store
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/bundle"
+	"cobaltramp.example/cobaltramp/internal/fleet"
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/logstore"
+	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/modules/batch/disk"
+	"cobaltramp.example/cobaltramp/modules/config/bundles"
+	"cobaltramp.example/cobaltramp/modules/fleet/membership"
+	"cobaltramp.example/cobaltramp/modules/platform/etcdgateway"
+)
+
+// ModuleName registers the module.
+const ModuleName = "batch.store"
+
+func init() {
+	kernel.Register(kernel.Info{
+		Name:  ModuleName,
+		Needs: []string{disk.ModuleName, membership.ModuleName, bundles.ModuleName, etcdgateway.ModuleName},
+		New:   func() kernel.Module { return &Module{} },
+	})
+}
+
+// Views gives the view of the fleet.
+type Views interface{ View() *fleet.View }
+
+// Snapshots gives the bundle in force.
+type Snapshots interface{ Snapshot() *bundle.Snapshot }
+
+// Module runs this node's replicas.
+type Module struct {
+	settings  *settings.Settings
+	db        *logstore.DB
+	views     Views
+	snapshots Snapshots
+	platform  platform.KeyValue
+	pool      *rpc.Pool
+	metrics   *metrics
+
+	layout   atomic.Pointer[Layout]
+	mutex    sync.Mutex
+	runners  map[uint32]*shardRunner
+	context  context.Context
+	draining atomic.Bool
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Starter = (*Module)(nil)
+	_ kernel.Drainer = (*Module)(nil)
+	_ kernel.Cleaner = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	m.db, _ = kernel.Find[*logstore.DB](ctx)
+	if m.db == nil {
+		return nil
+	}
+	if m.views, err = kernel.Find[Views](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.snapshots, err = kernel.Find[Snapshots](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.platform, err = kernel.Find[platform.KeyValue](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.pool, err = kernel.Find[*rpc.Pool](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	server, err := kernel.Find[*rpc.Server](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	registry, err := kernel.Find[prometheus.Registerer](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	m.metrics = newMetrics(registry, m.db)
+	m.runners = map[uint32]*shardRunner{}
+	m.handle(server)
+	ctx.Provide(m)
+	return nil
+}
+
+func (m *Module) handle(server *rpc.Server) {
+	server.HandleNotice(wirev1.Method_METHOD_REPLICA, m.receiveReplica)
+	server.Handle(wirev1.Method_METHOD_SNAPSHOT, m.serveSnapshot)
+	server.Handle(wirev1.Method_METHOD_SHARD_MAP, m.serveShardMap)
+	server.Handle(wirev1.Method_METHOD_SHARD_PROPOSE, m.servePropose)
+	server.Handle(wirev1.Method_METHOD_SHARD_READ, m.serveRead)
+	server.Handle(wirev1.Method_METHOD_PULL, m.servePull)
+	server.Handle(wirev1.Method_METHOD_COMPLETE, m.serveComplete)
+}
+
+type metrics struct {
+	leading    prometheus.Gauge
+	proposals  *prometheus.CounterVec
+	applied    prometheus.Counter
+	logBytes   prometheus.Counter
+	persists   prometheus.Histogram
+	grants     prometheus.Counter
+	completed  *prometheus.CounterVec
+	requeued   *prometheus.CounterVec
+	handOvers  *prometheus.CounterVec
+	snapshots  *prometheus.CounterVec
+	elections  prometheus.Counter
+	outstanded prometheus.GaugeFunc
+}
+
+func newMetrics(registry prometheus.Registerer, db *logstore.DB) *metrics {
+	m := &metrics{
+		leading:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "cobaltramp_shards_leading", Help: "Shards this node leads."}),
+		proposals: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_shard_proposals_total", Help: "Commands proposed here by outcome."}, []string{"outcome"}),
+		applied:   prometheus.NewCounter(prometheus.CounterOpts{Name: "cobaltramp_shard_applied_total", Help: "Log entries applied."}),
+		logBytes:  prometheus.NewCounter(prometheus.CounterOpts{Name: "cobaltramp_shard_log_bytes_total", Help: "Bytes of commands written to logs."}),
+		persists:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cobaltramp_shard_persist_seconds", Help: "Time of one durable write.", Buckets: prometheus.ExponentialBuckets(0.0001, 2, 14)}),
+		grants:    prometheus.NewCounter(prometheus.CounterOpts{Name: "cobaltramp_items_granted_total", Help: "Items handed to nodes."}),
+		completed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_items_completed_total", Help: "Item completions by fate (accepted, duplicate)."}, []string{"fate"}),
+		requeued:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_items_requeued_total", Help: "Items handed out again by reason."}, []string{"reason"}),
+		handOvers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_shard_handovers_total", Help: "Member set changes driven here by outcome."}, []string{"outcome"}),
+		snapshots: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_shard_snapshots_total", Help: "Snapshots by direction."}, []string{"direction"}),
+		elections: prometheus.NewCounter(prometheus.CounterOpts{Name: "cobaltramp_shard_elections_won_total", Help: "Elections won by replicas here."}),
+	}
+	registry.MustRegister(m.leading, m.proposals, m.applied, m.logBytes, m.persists, m.grants, m.completed, m.requeued, m.handOvers, m.snapshots, m.elections)
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cobaltramp_disk_has_room", Help: "1 while new jobs may be kept on this disk."}, func() float64 {
+		if db.HasRoom() {
+			return 1
+		}
+		return 0
+	}))
+	return m
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(ctx context.Context) error {
+	if m.db == nil {
+		return nil
+	}
+	m.context = ctx
+	go m.layoutLoop(ctx)
+	return m.restoreKnown()
+}
+
+// restoreKnown starts the shards the disk holds, before the platform's service
+// is asked: elections need only the shards' own replicas.
+func (m *Module) restoreKnown() error {
+	ids, err := m.db.Shards()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, id := range ids {
+		if err := m.startShard(id, nil); err != nil {
+			return trace.Wrap(err, "shard %d", id)
+		}
+	}
+	return nil
+}
+
+func (m *Module) runner(id uint32) *shardRunner {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.runners[id]
+}
+
+func (m *Module) allRunners() []*shardRunner {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	list := make([]*shardRunner, 0, len(m.runners))
+	for _, runner := range m.runners {
+		list = append(list, runner)
+	}
+	return list
+}
+
+// Drain implements kernel.Drainer: leadership is handed on.
+func (m *Module) Drain(ctx context.Context) {
+	if m.db == nil {
+		return
+	}
+	m.draining.Store(true)
+	for _, runner := range m.allRunners() {
+		runner.handOnLeadership(ctx)
+	}
+}
+
+// Cleanup implements kernel.Cleaner.
+func (m *Module) Cleanup() {
+	if m.db == nil {
+		return
+	}
+	for _, runner := range m.allRunners() {
+		runner.stop()
+	}
+}
+
+// Status lists this node's replicas for operators.
+func (m *Module) Status() []*wirev1.ShardStatus {
+	if m.db == nil {
+		return nil
+	}
+	var list []*wirev1.ShardStatus
+	for _, runner := range m.allRunners() {
+		if status := runner.status(); status != nil {
+			list = append(list, status)
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/modules/batch/worker/worker.go
@@ -0,0 +1,295 @@
+// Package worker runs batch items in the idle capacity of this node's runners:
+// it pulls items from shard leaders, runs them under the arbiters' limits,
+// gives back what was preempted, and brings results home.
+package worker
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sourcegraph/conc"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/grants"
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/modules/batch/directory"
+	"cobaltramp.example/cobaltramp/modules/serving/owner"
+)
+
+// ModuleName registers the module.
+const ModuleName = "batch.worker"
+
+func init() {
+	kernel.Register(kernel.Info{
+		Name: ModuleName, Needs: []string{owner.ModuleName, directory.ModuleName},
+		New: func() kernel.Module { return &Module{} },
+	})
+}
+
+// Owner is the part of the owner module used here.
+type Owner interface {
+	Room() map[string]int
+	RunBatch(context.Context, *owner.BatchRequest) (*owner.BatchAnswer, error)
+	StopBatch()
+	Freed() <-chan struct{}
+}
+
+// Shards is the part of the directory used here.
+type Shards interface {
+	Map() *directory.Map
+	Pull(context.Context, *wirev1.PullRequest) (*wirev1.PullReply, error)
+	Complete(context.Context, *wirev1.CompleteRequest) (*wirev1.CompleteReply, error)
+}
+
+// Module runs items.
+type Module struct {
+	settings *settings.Settings
+	owner    Owner
+	shards   Shards
+	metrics  *metrics
+	session  uint64
+
+	context context.Context
+	cancel  context.CancelFunc
+	tasks   conc.WaitGroup
+
+	mutex    sync.Mutex
+	held     map[grants.Key]*heldItem
+	returned map[uint32][]*wirev1.ItemKey
+	starting map[string]int // granted, not yet counted by an arbiter
+	leaders  map[uint32]string
+	beats    map[uint32]time.Time
+	outboxes map[uint32]chan *wirev1.ItemResult
+	stopping bool
+}
+
+// heldItem is an item this node was granted and has not brought home.
+type heldItem struct {
+	shard  uint32
+	grant  *wirev1.Grant
+	cancel context.CancelFunc
+}
+
+type metrics struct {
+	running  prometheus.Gauge
+	ended    *prometheus.CounterVec
+	unproven prometheus.Counter
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Starter = (*Module)(nil)
+	_ kernel.Drainer = (*Module)(nil)
+	_ kernel.Cleaner = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var err error
+	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.owner, err = kernel.Find[Owner](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	if m.shards, err = kernel.Find[Shards](ctx); err != nil {
+		return trace.Wrap(err)
+	}
+	registry, err := kernel.Find[prometheus.Registerer](ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	m.metrics = &metrics{
+		running: prometheus.NewGauge(prometheus.GaugeOpts{Name: "cobaltramp_worker_items", Help: "Items held by this node."}),
+		ended:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_worker_runs_total", Help: "Runs of items by outcome code name."}, []string{"code"}),
+	}
+	registry.MustRegister(m.metrics.running, m.metrics.ended)
+	m.session = rand.Uint64()
+	m.held = map[grants.Key]*heldItem{}
+	m.returned = map[uint32][]*wirev1.ItemKey{}
+	m.starting = map[string]int{}
+	m.leaders = map[uint32]string{}
+	m.beats = map[uint32]time.Time{}
+	m.outboxes = map[uint32]chan *wirev1.ItemResult{}
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(ctx context.Context) error {
+	m.context, m.cancel = context.WithCancel(ctx)
+	m.tasks.Go(m.pullLoop)
+	return nil
+}
+
+const (
+	pullInterval = 100 * time.Millisecond
+	beatInterval = time.Second
+	pullTimeout  = 2 * time.Second
+	// maxPull bounds the items of one pull.
+	maxPull = 256
+)
+
+// pullLoop asks for items when there is room and renews what is held.
+func (m *Module) pullLoop() {
+	ticker := time.NewTicker(pullInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.context.Done():
+			return
+		case <-ticker.C:
+		case <-m.owner.Freed():
+		}
+		m.pullRound()
+	}
+}
+
+// pullRound asks pending shards, in random order so that nodes do not crowd,
+// until the room is filled; then renews the others.
+func (m *Module) pullRound() {
+	leaders := m.shards.Map()
+	pending := append([]uint32(nil), leaders.Pending...)
+	rand.Shuffle(len(pending), func(i, j int) { pending[i], pending[j] = pending[j], pending[i] })
+	for _, shard := range pending {
+		room := m.room()
+		if len(room) == 0 {
+			break
+		}
+		m.pull(shard, room, leaders)
+	}
+	for _, shard := range m.dueBeats(time.Now()) {
+		m.pull(shard, nil, leaders)
+	}
+}
+
+// room is what the arbiters allow, less what was granted and not yet started.
+func (m *Module) room() []*wirev1.ModelRoom {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.stopping {
+		return nil
+	}
+	var room []*wirev1.ModelRoom
+	for model, items := range m.owner.Room() {
+		if free := min(maxPull, items-m.starting[model]); free > 0 {
+			room = append(room, &wirev1.ModelRoom{Model: model, Items: uint32(free)})
+		}
+	}
+	return room
+}
+
+// dueBeats lists shards whose leader has not heard of this node for a while
+// though it holds items of theirs, or has items to give back.
+func (m *Module) dueBeats(now time.Time) []uint32 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	due := map[uint32]bool{}
+	for _, item := range m.held {
+		if now.Sub(m.beats[item.shard]) >= beatInterval {
+			due[item.shard] = true
+		}
+	}
+	for shard := range m.returned {
+		due[shard] = true
+	}
+	list := make([]uint32, 0, len(due))
+	for shard := range due {
+		list = append(list, shard)
+	}
+	return list
+}
+
+func (m *Module) pull(shard uint32, room []*wirev1.ModelRoom, leaders *directory.Map) {
+	request := m.pullRequest(shard, room, leaders.Leaders[shard])
+	ctx, cancel := context.WithTimeout(m.context, pullTimeout)
+	defer cancel()
+	reply, err := m.shards.Pull(ctx, request)
+	if err != nil {
+		m.undoReturn(shard, request.Returned)
+		return
+	}
+	m.mutex.Lock()
+	m.beats[shard] = time.Now()
+	m.leaders[shard] = leaders.Leaders[shard]
+	m.mutex.Unlock()
+	m.cancelJobs(reply.CancelledJobs)
+	for _, granted := range reply.Grants {
+		m.begin(shard, granted)
+	}
+}
+
+// pullRequest takes along what goes back; a leader not spoken to before is
+// told what this node holds.
+func (m *Module) pullRequest(shard uint32, room []*wirev1.ModelRoom, leader string) *wirev1.PullRequest {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	request := &wirev1.PullRequest{
+		Shard: shard, NodeId: m.settings.Node.ID, Session: m.session, Room: room, Returned: m.returned[shard],
+	}
+	delete(m.returned, shard)
+	if m.leaders[shard] == leader {
+		return request
+	}
+	for key, item := range m.held {
+		if item.shard == shard {
+			request.Held = append(request.Held, key.Wire())
+		}
+	}
+	return request
+}
+
+func (m *Module) undoReturn(shard uint32, keys []*wirev1.ItemKey) {
+	if len(keys) == 0 {
+		return
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.returned[shard] = append(m.returned[shard], keys...)
+}
+
+func (m *Module) cancelJobs(jobs []string) {
+	if len(jobs) == 0 {
+		return
+	}
+	cancelled := map[string]bool{}
+	for _, id := range jobs {
+		cancelled[id] = true
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for key, item := range m.held {
+		if cancelled[key.Job] {
+			item.cancel()
+		}
+	}
+}
+
+// Drain implements kernel.Drainer: running items are given back.
+func (m *Module) Drain(ctx context.Context) {
+	m.mutex.Lock()
+	m.stopping = true
+	m.mutex.Unlock()
+	m.owner.StopBatch()
+	for ctx.Err() == nil {
+		m.mutex.Lock()
+		idle := len(m.held) == 0 && len(m.returned) == 0
+		m.mutex.Unlock()
+		if idle {
+			return
+		}
+		time.Sleep(pullInterval)
+	}
+}
+
+// Cleanup implements kernel.Cleaner.
+func (m *Module) Cleanup() {
+	if m.cancel != nil {
+		m.cancel()
+	}
+	m.tasks.Wait()
+}
--- a/modules/callers/openai/api.go
+++ b/modules/callers/openai/api.go
@@ -20,6 +20,7 @@
 	"cobaltramp.example/cobaltramp/internal/result"
 	"cobaltramp.example/cobaltramp/internal/settings"
 	"cobaltramp.example/cobaltramp/internal/tlskeys"
+	"cobaltramp.example/cobaltramp/modules/batch/directory"
 	"cobaltramp.example/cobaltramp/modules/serving/router"
 )
 
@@ -28,7 +29,7 @@
 
 func init() {
 	kernel.Register(kernel.Info{
-		Name: ModuleName, Needs: []string{router.ModuleName},
+		Name: ModuleName, Needs: []string{router.ModuleName, directory.ModuleName},
 		New: func() kernel.Module { return &Module{} },
 	})
 }
--- /dev/null
+++ b/modules/callers/openai/batches.go
@@ -0,0 +1,266 @@
+package openai
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+func (m *Module) batchRoutes(app *fiber.App) {
+	app.Post("/v1/batches", m.authenticated(m.createBatch))
+	app.Get("/v1/batches", m.authenticated(m.listBatches))
+	app.Get("/v1/batches/:id", m.authenticated(m.getBatch))
+	app.Post("/v1/batches/:id/cancel", m.authenticated(m.cancelBatch))
+}
+
+type createBatchBody struct {
+	InputFileID      string            `json:"input_file_id"`
+	Endpoint         string            `json:"endpoint"`
+	CompletionWindow string            `json:"completion_window"`
+	Metadata         map[string]string `json:"metadata"`
+}
+
+type requestCounts struct {
+	Total     uint64 `json:"total"`
+	Completed uint64 `json:"completed"`
+	Failed    uint64 `json:"failed"`
+}
+
+type batchBody struct {
+	ID               string            `json:"id"`
+	Object           string            `json:"object"`
+	Endpoint         string            `json:"endpoint"`
+	InputFileID      string            `json:"input_file_id"`
+	CompletionWindow string            `json:"completion_window"`
+	Status           string            `json:"status"`
+	OutputFileID     *string           `json:"output_file_id"`
+	ErrorFileID      *string           `json:"error_file_id"`
+	CreatedAt        int64             `json:"created_at"`
+	InProgressAt     int64             `json:"in_progress_at"`
+	ExpiresAt        int64             `json:"expires_at"`
+	CompletedAt      *int64            `json:"completed_at"`
+	ExpiredAt        *int64            `json:"expired_at"`
+	CancellingAt     *int64            `json:"cancelling_at"`
+	CancelledAt      *int64            `json:"cancelled_at"`
+	RequestCounts    requestCounts     `json:"request_counts"`
+	Metadata         map[string]string `json:"metadata"`
+}
+
+const millisecondsPerSecond = 1000
+
+func newBatchBody(job *wirev1.JobRecord) batchBody {
+	spec := job.Spec
+	body := batchBody{
+		ID: spec.JobId, Object: "batch", Endpoint: spec.Endpoint, InputFileID: spec.InputFileId,
+		CompletionWindow: spec.CompletionWindow, Status: statusName(job.Status),
+		CreatedAt: spec.CreatedUnixMs / millisecondsPerSecond, InProgressAt: spec.CreatedUnixMs / millisecondsPerSecond,
+		ExpiresAt:     spec.DeadlineUnixMs / millisecondsPerSecond,
+		RequestCounts: requestCounts{job.Total, job.Completed, job.Failed},
+	}
+	_ = json.Unmarshal([]byte(spec.MetadataJson), &body.Metadata)
+	finished := seconds(job.FinishedUnixMs)
+	body.CancellingAt = seconds(job.CancellingUnixMs)
+	switch job.Status {
+	case wirev1.JobStatus_JOB_STATUS_COMPLETED:
+		body.CompletedAt = finished
+	case wirev1.JobStatus_JOB_STATUS_CANCELLED:
+		body.CancelledAt = finished
+	case wirev1.JobStatus_JOB_STATUS_EXPIRED:
+		body.ExpiredAt = finished
+	default:
+		return body
+	}
+	body.nameFiles(job)
+	return body
+}
+
+// nameFiles names the result files of an ended job.
+func (b *batchBody) nameFiles(job *wirev1.JobRecord) {
+	if job.Completed > 0 {
+		id := outputPrefix + job.Spec.JobId
+		b.OutputFileID = &id
+	}
+	if job.Completed < job.Total {
+		id := errorsPrefix + job.Spec.JobId
+		b.ErrorFileID = &id
+	}
+}
+
+func seconds(milliseconds int64) *int64 {
+	if milliseconds == 0 {
+		return nil
+	}
+	value := milliseconds / millisecondsPerSecond
+	return &value
+}
+
+func statusName(status wirev1.JobStatus) string {
+	switch status {
+	case wirev1.JobStatus_JOB_STATUS_IN_PROGRESS:
+		return "in_progress"
+	case wirev1.JobStatus_JOB_STATUS_CANCELLING:
+		return "cancelling"
+	case wirev1.JobStatus_JOB_STATUS_CANCELLED:
+		return "cancelled"
+	case wirev1.JobStatus_JOB_STATUS_COMPLETED:
+		return "completed"
+	case wirev1.JobStatus_JOB_STATUS_EXPIRED:
+		return "expired"
+	default:
+		return "validating"
+	}
+}
+
+// createBatch makes a job of an uploaded file. A resend, known by its
+// Idempotency-Key or, without one, by the file's content, gets the first job.
+func (m *Module) createBatch(c fiber.Ctx, who *caller) error {
+	raw, err := readBody(c, m.settings.Limits.BodyBytes)
+	if err != nil {
+		return err
+	}
+	var body createBatchBody
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return result.New(result.InvalidRequest, "the body is not a batch request: %v", err)
+	}
+	if body.Endpoint != "/v1/chat/completions" && body.Endpoint != "/v1/completions" {
+		return result.New(result.InvalidRequest, "endpoint is %q, allowed: /v1/chat/completions or /v1/completions", body.Endpoint)
+	}
+	shard, err := m.shardOf(body.InputFileID, filePrefix, "file")
+	if err != nil {
+		return err
+	}
+	window, err := completionWindow(body.CompletionWindow, who)
+	if err != nil {
+		return err
+	}
+	command, err := m.createJobCommand(c, who, shard, &body, window)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := storeContext()
+	defer cancel()
+	answer, err := m.batch.Propose(ctx, shard, &wirev1.Command{Kind: &wirev1.Command_CreateJob{CreateJob: command}})
+	if err != nil {
+		return err
+	}
+	return c.JSON(newBatchBody(answer.Job))
+}
+
+func (m *Module) createJobCommand(c fiber.Ctx, who *caller, shard uint32, body *createBatchBody, window time.Duration) (*wirev1.CreateJob, error) {
+	metadata, err := json.Marshal(body.Metadata)
+	if err != nil {
+		return nil, result.New(result.InvalidRequest, "metadata: %v", err)
+	}
+	now := time.Now()
+	return &wirev1.CreateJob{
+		JobId: newBatchID(shard), Tenant: who.tenant.Name, InputFileId: body.InputFileID, Endpoint: body.Endpoint,
+		IdempotencyKey: c.Get(headerIdempotencyKey), CreatedUnixMs: now.UnixMilli(), DeadlineUnixMs: now.Add(window).UnixMilli(),
+		Priority: int32(who.tenant.BatchPriority), MetadataJson: string(metadata), CompletionWindow: body.CompletionWindow,
+	}, nil
+}
+
+// completionWindow reads the window a job asks for, at most the bundle's.
+func completionWindow(written string, who *caller) (time.Duration, error) {
+	limit := who.snapshot.Policy.Batch.CompletionWindow.Std()
+	if written == "" {
+		return limit, nil
+	}
+	asked, err := time.ParseDuration(written)
+	if err != nil || asked <= 0 {
+		return 0, result.New(result.InvalidRequest, "completion_window is %q, allowed: a duration such as 24h", written)
+	}
+	return min(asked, limit), nil
+}
+
+func (m *Module) readJob(id string, who *caller) (*wirev1.JobRecord, error) {
+	shard, err := m.shardOf(id, batchPrefix, "batch")
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := storeContext()
+	defer cancel()
+	reply, err := m.batch.Read(ctx, &wirev1.ReadRequest{Shard: shard, Kind: wirev1.ReadKind_READ_KIND_JOB, Tenant: who.tenant.Name, Id: id})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Job, nil
+}
+
+func (m *Module) getBatch(c fiber.Ctx, who *caller) error {
+	job, err := m.readJob(c.Params("id"), who)
+	if err != nil {
+		return err
+	}
+	return c.JSON(newBatchBody(job))
+}
+
+func (m *Module) cancelBatch(c fiber.Ctx, who *caller) error {
+	id := c.Params("id")
+	shard, err := m.shardOf(id, batchPrefix, "batch")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := storeContext()
+	defer cancel()
+	answer, err := m.batch.Propose(ctx, shard, &wirev1.Command{Kind: &wirev1.Command_CancelJob{CancelJob: &wirev1.CancelJob{
+		JobId: id, Tenant: who.tenant.Name, AtUnixMs: time.Now().UnixMilli(),
+	}}})
+	if err != nil {
+		return err
+	}
+	return c.JSON(newBatchBody(answer.Job))
+}
+
+const (
+	defaultListLimit = 20
+	maxListLimit     = 100
+)
+
+// listBatches pages through a tenant's jobs, shard by shard.
+func (m *Module) listBatches(c fiber.Ctx, who *caller) error {
+	limit, err := strconv.Atoi(c.Query("limit", strconv.Itoa(defaultListLimit)))
+	if err != nil || limit < 1 || limit > maxListLimit {
+		return result.New(result.InvalidRequest, "limit is %q, allowed: 1 to %d", c.Query("limit"), maxListLimit)
+	}
+	cursor := c.Query("after")
+	shard := uint32(0)
+	if cursor != "" {
+		if shard, err = m.shardOf(cursor, batchPrefix, "batch"); err != nil {
+			return err
+		}
+	}
+	list := listBody[batchBody]{Object: "list", Data: []batchBody{}}
+	for ; shard < m.batch.Shards() && len(list.Data) <= limit; shard++ {
+		jobs, err := m.shardJobs(who, shard, cursor, limit+1-len(list.Data))
+		if err != nil {
+			return err
+		}
+		for _, job := range jobs {
+			list.Data = append(list.Data, newBatchBody(job))
+		}
+		cursor = ""
+	}
+	list.HasMore = len(list.Data) > limit
+	list.Data = list.Data[:min(limit, len(list.Data))]
+	if len(list.Data) > 0 {
+		list.FirstID, list.LastID = list.Data[0].ID, list.Data[len(list.Data)-1].ID
+	}
+	return c.JSON(list)
+}
+
+func (m *Module) shardJobs(who *caller, shard uint32, after string, limit int) ([]*wirev1.JobRecord, error) {
+	ctx, cancel := storeContext()
+	defer cancel()
+	reply, err := m.batch.Read(ctx, &wirev1.ReadRequest{
+		Shard: shard, Kind: wirev1.ReadKind_READ_KIND_JOBS, Tenant: who.tenant.Name, After: after, Limit: uint32(limit),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return reply.Jobs, nil
+}
--- a/modules/config/bundles/change.go
+++ b/modules/config/bundles/change.go
@@ -51,15 +51,28 @@
 }
 
 // Roll advances or halts the newest generation.
-func (m *Module) Roll(ctx context.Context, action bundle.RollAction, operationID string) (*bundle.Head, error) {
+func (m *Module) Roll(ctx context.Context, request *bundle.RollRequest) (*bundle.Head, error) {
 	current, revision, err := m.readHead(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if done, err := m.operationDone(ctx, operationID); err != nil || done != nil {
+	if done, err := m.operationDone(ctx, request.OperationID); err != nil || done != nil {
 		return done, err
 	}
-	next, err := bundle.Roll(current, action, operationID, time.Now())
+	if current == nil {
+		return nil, result.New(result.NotFound, "no bundle was submitted yet")
+	}
+	if request.Generation != current.Generation {
+		return nil, result.New(result.GenerationConflict, "the request is for generation %d, the newest is %d", request.Generation, current.Generation)
+	}
+	judge, err := m.contentFor(ctx, current)
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	if err := bundle.VerifyRoll(judge, m.settings.Cluster, request); err != nil {
+		return nil, err
+	}
+	next, err := bundle.Roll(current, request.Action, request.OperationID, time.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -113,6 +126,11 @@
 	return result.New(result.PlatformUnavailable, "the platform's key-value service does not answer: %v", trace.UserMessage(err)).After(time.Second)
 }
 
+// Operation returns the head an operation wrote, nil if it took no effect.
+func (m *Module) Operation(ctx context.Context, operation string) (*bundle.Head, error) {
+	return m.operationDone(ctx, operation)
+}
+
 // operationDone returns the head an operation wrote, if it took effect before.
 func (m *Module) operationDone(ctx context.Context, operation string) (*bundle.Head, error) {
 	value, found, err := m.store.Get(ctx, OperationKey(m.settings.Cluster, operation))
--- a/modules/fleet/membership/membership.go
+++ b/modules/fleet/membership/membership.go
@@ -21,6 +21,7 @@
 	"cobaltramp.example/cobaltramp/internal/platform"
 	"cobaltramp.example/cobaltramp/internal/rpc"
 	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/modules/batch/disk"
 	"cobaltramp.example/cobaltramp/modules/fleet/links"
 	"cobaltramp.example/cobaltramp/modules/platform/httpsd"
 )
@@ -30,7 +31,7 @@
 
 func init() {
 	kernel.Register(kernel.Info{
-		Name: ModuleName, Needs: []string{links.ModuleName, httpsd.ModuleName},
+		Name: ModuleName, Needs: []string{links.ModuleName, httpsd.ModuleName, disk.ModuleName},
 		New: func() kernel.Module { return &Module{} },
 	})
 }
@@ -61,7 +62,6 @@
 var (
 	_ kernel.Module  = (*Module)(nil)
 	_ kernel.Starter = (*Module)(nil)
-	_ kernel.Drainer = (*Module)(nil)
 )
 
 // Provision implements kernel.Module.
@@ -266,15 +266,3 @@
 func (m *Module) Leave() {
 	m.step(func(state *membership.State) membership.Output { return state.Leave(time.Now()) })
 }
-
-// leaveSpread is how long a leaving node stays to serve requests sent by
-// members that had not yet heard of it.
-const leaveSpread = 2 * time.Second
-
-// Drain implements kernel.Drainer. The modules above have drained by now.
-func (m *Module) Drain(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(leaveSpread):
-	}
-}
--- /dev/null
+++ b/modules/operators/admin/body.go
@@ -0,0 +1,91 @@
+package admin
+
+import (
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+)
+
+// NodeBody is a node's status as operators read it.
+type NodeBody struct {
+	ID                string       `json:"id"`
+	Region            string       `json:"region"`
+	Zone              string       `json:"zone"`
+	State             string       `json:"state"`
+	Version           string       `json:"version"`
+	APIAddress        string       `json:"api_address"`
+	BundleGeneration  uint64       `json:"bundle_generation"`
+	PlatformReachable bool         `json:"platform_reachable"`
+	Members           []MemberBody `json:"members"`
+	Runners           []RunnerBody `json:"runners"`
+	Shards            []ShardBody  `json:"shards"`
+}
+
+// MemberBody is a member as the node sees it.
+type MemberBody struct {
+	ID          string `json:"id"`
+	Address     string `json:"address"`
+	Zone        string `json:"zone"`
+	State       string `json:"state"`
+	Incarnation uint64 `json:"incarnation"`
+	Disk        string `json:"disk,omitempty"`
+}
+
+// RunnerBody is an owned runner.
+type RunnerBody struct {
+	ID         string `json:"id"`
+	Address    string `json:"address"`
+	Zone       string `json:"zone"`
+	State      string `json:"state"`
+	Online     uint32 `json:"online"`
+	Batch      uint32 `json:"batch"`
+	BatchLimit uint32 `json:"batch_limit"`
+}
+
+// ShardBody is a replica of a batch shard.
+type ShardBody struct {
+	Shard      uint32   `json:"shard"`
+	Leader     string   `json:"leader"`
+	Epoch      uint64   `json:"epoch"`
+	Commit     uint64   `json:"commit"`
+	Applied    uint64   `json:"applied"`
+	Generation uint64   `json:"generation"`
+	Members    []string `json:"members"`
+}
+
+func newNodeBody(reply *wirev1.NodeStatusReply) NodeBody {
+	body := NodeBody{
+		ID: reply.NodeId, Region: reply.Region, Zone: reply.Zone, State: reply.State, Version: reply.Version,
+		APIAddress: reply.ApiAddress, BundleGeneration: reply.BundleGeneration, PlatformReachable: reply.PlatformReachable,
+		Members: []MemberBody{}, Runners: []RunnerBody{}, Shards: []ShardBody{},
+	}
+	for _, member := range reply.Members {
+		body.Members = append(body.Members, MemberBody{
+			ID: member.Id, Address: member.Address, Zone: member.Zone, State: memberState(member.State), Incarnation: member.Incarnation, Disk: member.DiskId,
+		})
+	}
+	for _, runner := range reply.Runners {
+		body.Runners = append(body.Runners, RunnerBody{
+			ID: runner.Id, Address: runner.Address, Zone: runner.Zone, State: runner.State,
+			Online: runner.OnlineRunning, Batch: runner.BatchRunning, BatchLimit: runner.BatchLimit,
+		})
+	}
+	for _, shard := range reply.Shards {
+		body.Shards = append(body.Shards, ShardBody{
+			Shard: shard.Shard, Leader: shard.Leader, Epoch: shard.Epoch, Commit: shard.Commit,
+			Applied: shard.Applied, Generation: shard.Generation, Members: shard.Members,
+		})
+	}
+	return body
+}
+
+func memberState(state wirev1.MemberState) string {
+	switch state {
+	case wirev1.MemberState_MEMBER_STATE_ALIVE:
+		return "alive"
+	case wirev1.MemberState_MEMBER_STATE_SUSPECT:
+		return "suspect"
+	case wirev1.MemberState_MEMBER_STATE_LEAVING:
+		return "leaving"
+	default:
+		return "dead"
+	}
+}
--- a/modules/serving/owner/batch.go
+++ b/modules/serving/owner/batch.go
@@ -36,6 +36,9 @@
 	m.draining = true
 	for _, r := range m.runners {
 		for stream, cancel := range r.cancels {
+			if cancel == nil {
+				continue
+			}
 			cancel(errPreempted)
 			delete(r.cancels, stream)
 			r.arbiter.BatchDone(stream)
@@ -49,7 +52,11 @@
 	Model   string
 	Surface wirev1.Surface
 	Body    []byte
-	Once    bool
+	// Once items are not preempted: a run that was cut short could not be
+	// tried again.
+	Once bool
+	// Started is called once the item counts against its runner, or cannot.
+	Started func()
 }
 
 // BatchAnswer is a whole answer.
@@ -66,7 +73,12 @@
 func (m *Module) RunBatch(ctx context.Context, request *BatchRequest) (*BatchAnswer, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	place, stream, err := m.startBatch(request.Model, cancel)
+	preempt := cancel
+	if request.Once {
+		preempt = nil
+	}
+	place, stream, err := m.startBatch(request.Model, preempt)
+	request.Started()
 	if err != nil {
 		return nil, err
 	}
--- a/modules/serving/owner/owner.go
+++ b/modules/serving/owner/owner.go
@@ -11,7 +11,6 @@
 
 	"github.com/gravitational/trace"
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/sourcegraph/conc"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/arbiter"
@@ -66,8 +65,6 @@
 	draining bool
 	sequence uint64
 	freed    chan struct{}
-
-	streams conc.WaitGroup
 }
 
 // runner is one owned runner.
@@ -89,6 +86,7 @@
 var (
 	_ kernel.Module  = (*Module)(nil)
 	_ kernel.Starter = (*Module)(nil)
+	_ kernel.Drainer = (*Module)(nil)
 	_ kernel.Cleaner = (*Module)(nil)
 )
 
@@ -178,6 +176,22 @@
 	return nil
 }
 
+// staleViews is how long other members may still send requests to a leaving
+// node, because they have not heard of it yet.
+const staleViews = 2 * time.Second
+
+// Drain implements kernel.Drainer: it waits until the other members have
+// chosen other owners and the last stream here has ended.
+func (m *Module) Drain(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(staleViews):
+	}
+	for !m.Idle() && ctx.Err() == nil {
+		time.Sleep(tickInterval)
+	}
+}
+
 // Cleanup implements kernel.Cleaner.
 func (m *Module) Cleanup() {
 	if m.engines != nil {
--- a/modules/serving/router/generate.go
+++ b/modules/serving/router/generate.go
@@ -95,8 +95,8 @@
 		switch {
 		case refusedNotRun(err):
 			refusals++
-			if refusals >= maxRefusals {
-				return err
+			if refusals >= maxRefusals || g.ownerID == "" {
+				return g.refusal(err, continuations)
 			}
 			g.excludeOwners = append(g.excludeOwners, g.ownerID)
 		case lost(err):
@@ -114,6 +114,15 @@
 	}
 }
 
+// refusal is the error of a request no owner takes. "Not run" is said only if
+// no earlier attempt ran.
+func (g *generation) refusal(err error, continuations int) error {
+	if continuations > 0 {
+		return g.broken(err)
+	}
+	return err
+}
+
 // refusedNotRun lists the errors that prove the work was not run.
 func refusedNotRun(err error) bool {
 	switch result.CodeOf(err) {
@@ -196,6 +205,7 @@
 func (g *generation) dispatch(ctx context.Context) error {
 	chosen, found := g.module.choose(g.request.Model, g.request.PrefixHash, g.excludeOwners)
 	if !found {
+		g.ownerID = ""
 		return g.nowhere()
 	}
 	g.attempt++
@@ -209,18 +219,11 @@
 	return err
 }
 
-// nowhere is the refusal when no owner has room. What has begun is broken, not
-// refused.
+// nowhere is the refusal when no owner has room.
 func (g *generation) nowhere() error {
-	if g.tokens > 0 {
-		return result.New(result.StreamBroken, "no owner left to continue the answer after %d tokens", g.tokens)
-	}
 	if len(g.module.tables.Table().Pools[g.request.Model.Service]) == 0 {
 		return result.New(result.NoRunner, "no runner serves model %s", g.request.Model.Name).After(time.Second)
 	}
-	if g.attempt > 0 && len(g.excludeRunner) > 0 {
-		return result.New(result.OutcomeUnknown, "no owner left to try again")
-	}
 	return result.New(result.Saturated, "every runner of model %s is full", g.request.Model.Name).After(time.Second)
 }
 
--- /dev/null
+++ b/modules/standard/standard.go
@@ -0,0 +1,21 @@
+// Package standard imports the modules of an ordinary node for their
+// registration.
+package standard
+
+import (
+	// Each import registers one module.
+	_ "cobaltramp.example/cobaltramp/modules/batch/directory"
+	_ "cobaltramp.example/cobaltramp/modules/batch/disk"
+	_ "cobaltramp.example/cobaltramp/modules/batch/store"
+	_ "cobaltramp.example/cobaltramp/modules/batch/worker"
+	_ "cobaltramp.example/cobaltramp/modules/callers/openai"
+	_ "cobaltramp.example/cobaltramp/modules/config/bundles"
+	_ "cobaltramp.example/cobaltramp/modules/fleet/links"
+	_ "cobaltramp.example/cobaltramp/modules/fleet/membership"
+	_ "cobaltramp.example/cobaltramp/modules/fleet/runners"
+	_ "cobaltramp.example/cobaltramp/modules/operators/admin"
+	_ "cobaltramp.example/cobaltramp/modules/platform/etcdgateway"
+	_ "cobaltramp.example/cobaltramp/modules/platform/httpsd"
+	_ "cobaltramp.example/cobaltramp/modules/serving/owner"
+	_ "cobaltramp.example/cobaltramp/modules/serving/router"
+)
