--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,122 @@
+// Package cli is the command line of cobaltramp: the node, and operators' verbs
+// as clients of a node.
+package cli
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/gravitational/trace"
+	"github.com/jessevdk/go-flags"
+	"k8s.io/klog/v2"
+
+	"cobaltramp.example/cobaltramp/internal/version"
+)
+
+// Exit codes, as the help text states them.
+const (
+	exitOK      = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitUnknown = 3
+)
+
+const outputJSON = "json"
+
+type commands struct {
+	Output string `short:"o" long:"output" choice:"text" choice:"json" default:"text" description:"how results are printed"`
+
+	Node     nodeCommand     `command:"node" description:"run a node"`
+	Settings settingsCommand `command:"settings" description:"check a settings file without starting a node"`
+	Bundle   bundleCommands  `command:"bundle" description:"make, sign, submit, roll and watch bundles"`
+	Job      jobCommands     `command:"job" description:"submit, follow, cancel and read batch jobs"`
+	Status   statusCommand   `command:"status" description:"show the nodes of the fleet, or one node in detail"`
+	Version  versionCommand  `command:"version" description:"print the version"`
+}
+
+// printer prints results as text or JSON.
+type printer struct{ json bool }
+
+var output printer
+
+// print writes value as JSON, or calls text.
+func (p printer) print(value any, text func()) error {
+	if !p.json {
+		text()
+		return nil
+	}
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return trace.Wrap(encoder.Encode(value))
+}
+
+const longDescription = `cobaltramp serves online and batch inference on one fleet.
+
+Exit codes: 0 done, 1 failed (the message says what, where and what is allowed),
+2 wrong usage, 3 the outcome is not known (the message names the operation to ask for).`
+
+// Main runs the command line and returns the process's exit code.
+func Main(arguments []string) int {
+	var root commands
+	parser := flags.NewNamedParser("cobaltramp", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = longDescription
+	if _, err := parser.AddGroup("Options", "", &root); err != nil {
+		return report(err)
+	}
+	parser.CommandHandler = func(command flags.Commander, rest []string) error {
+		output = printer{json: root.Output == outputJSON}
+		if command == nil {
+			return &flags.Error{Type: flags.ErrCommandRequired, Message: "name a command; see --help"}
+		}
+		return command.Execute(rest)
+	}
+	_, err := parser.ParseArgs(arguments)
+	return report(err)
+}
+
+// unknownError is a failure after which the outcome is not known.
+type unknownError struct{ error }
+
+func report(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	if usage, ok := err.(*flags.Error); ok {
+		if usage.Type == flags.ErrHelp {
+			fmt.Println(usage.Message)
+			return exitOK
+		}
+		fmt.Fprintln(os.Stderr, "cobaltramp:", usage.Message)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "cobaltramp:", oneLine(err))
+	if _, unknown := err.(unknownError); unknown {
+		return exitUnknown
+	}
+	return exitFailed
+}
+
+// oneLine joins what was tried with what went wrong.
+func oneLine(err error) string { return strings.ReplaceAll(trace.UserMessage(err), "\n\t", ": ") }
+
+type versionCommand struct{}
+
+type versionBody struct {
+	Version string `json:"version"`
+}
+
+// Execute implements flags.Commander.
+func (versionCommand) Execute([]string) error {
+	return output.print(versionBody{version.Version}, func() { fmt.Println("cobaltramp", version.Version) })
+}
+
+// setLogs points klog at standard error with a verbosity.
+func setLogs(verbosity int) {
+	options := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(options)
+	_ = options.Set("logtostderr", "true")
+	_ = options.Set("v", fmt.Sprint(verbosity))
+}
--- /dev/null
+++ b/internal/grants/grants_test.go
@@ -0,0 +1,303 @@
+package grants
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+)
+
+// applied stands for the shard's applied state.
+type applied struct {
+	items    map[string][][]*wirev1.Item // file → segments
+	done     map[Key]bool
+	started  map[Key]bool
+	attempts map[Key]int
+}
+
+func newApplied() *applied {
+	return &applied{items: map[string][][]*wirev1.Item{}, done: map[Key]bool{}, started: map[Key]bool{}, attempts: map[Key]int{}}
+}
+
+func (a *applied) Segment(file string, segment uint32) ([]*wirev1.Item, error) {
+	return a.items[file][segment], nil
+}
+
+func (a *applied) Progress(job string, segment uint32) (*wirev1.SegmentProgress, error) {
+	progress := &wirev1.SegmentProgress{Done: make([]byte, 16), Started: make([]byte, 16)}
+	for key := range a.done {
+		if key.Job == job && key.Segment == segment {
+			progress.Done[key.Offset/8] |= 1 << (key.Offset % 8)
+		}
+	}
+	for key := range a.started {
+		if key.Job == job && key.Segment == segment {
+			progress.Started[key.Offset/8] |= 1 << (key.Offset % 8)
+		}
+	}
+	return progress, nil
+}
+
+func (a *applied) addJob(table *Table, id, tenant string, segments, items int, class wirev1.WorkClass, priority int32) *wirev1.JobRecord {
+	for segment := range segments {
+		a.items[id] = append(a.items[id], nil)
+		for range items {
+			a.items[id][segment] = append(a.items[id][segment], &wirev1.Item{Model: "m", WorkClass: class})
+		}
+	}
+	record := &wirev1.JobRecord{
+		Segments: uint32(segments), Total: uint64(segments * items), Status: wirev1.JobStatus_JOB_STATUS_IN_PROGRESS,
+		Spec: &wirev1.CreateJob{JobId: id, InputFileId: id, Tenant: tenant, Priority: priority, DeadlineUnixMs: 1 << 50},
+	}
+	table.AddJob(record)
+	return record
+}
+
+// world drives a table with sessions that run, fall silent, give back, and a
+// leader that changes.
+type world struct {
+	table    *Table
+	state    *applied
+	now      time.Time
+	jobs     []*wirev1.JobRecord
+	sessions int
+	// holding is what each session believes it holds.
+	holding map[Session]map[Key]bool
+	onceRan map[Key]int
+	class   wirev1.WorkClass
+}
+
+func (w *world) advance(d time.Duration) { w.now = w.now.Add(d) }
+
+func (w *world) session(t *rapid.T) Session {
+	return Session{Node: fmt.Sprint("n", rapid.IntRange(0, 3).Draw(t, "node")), ID: 1}
+}
+
+func (w *world) pull(t *rapid.T) {
+	session := w.session(t)
+	offers, err := w.table.Pull(w.now, session, []Room{{Model: "m", Items: rapid.IntRange(0, 5).Draw(t, "room")}}, w.state)
+	if err != nil {
+		t.Fatalf("pull: %v", err)
+	}
+	var started []*wirev1.ItemKey
+	for _, offer := range offers {
+		if offer.Item.WorkClass == wirev1.WorkClass_WORK_CLASS_ONCE && !offer.Restarted && !w.state.started[offer.Key] {
+			w.state.started[offer.Key] = true
+			started = append(started, offer.Key.Wire())
+		}
+	}
+	if w.holding[session] == nil {
+		w.holding[session] = map[Key]bool{}
+	}
+	for _, offer := range w.table.Confirm(offers, started) {
+		if w.state.done[offer.Key] {
+			t.Fatalf("a completed item was handed out: %v", offer.Key)
+		}
+		w.holding[session][offer.Key] = true
+		if offer.Item.WorkClass == wirev1.WorkClass_WORK_CLASS_ONCE {
+			w.onceRan[offer.Key]++
+			if w.onceRan[offer.Key] > 1 {
+				t.Fatalf("once item %v was handed out again after it may have run", offer.Key)
+			}
+		}
+	}
+}
+
+func (w *world) pick(t *rapid.T) (Session, Key, bool) {
+	session := w.session(t)
+	for segment := range 3 {
+		for offset := range 5 {
+			for _, job := range w.jobs {
+				key := Key{job.Spec.JobId, uint32(segment), uint32(offset)}
+				if w.holding[session][key] && rapid.Bool().Draw(t, "this one") {
+					return session, key, true
+				}
+			}
+		}
+	}
+	return session, Key{}, false
+}
+
+func (w *world) complete(t *rapid.T) {
+	session, key, found := w.pick(t)
+	if !found {
+		return
+	}
+	delete(w.holding[session], key)
+	w.state.done[key] = true
+	w.table.Completed([]Key{key})
+}
+
+func (w *world) giveBack(t *rapid.T) {
+	session, key, found := w.pick(t)
+	if !found {
+		return
+	}
+	delete(w.holding[session], key)
+	if held := w.table.grants[key]; held != nil && held.session == session && w.class == wirev1.WorkClass_WORK_CLASS_ONCE {
+		w.onceRan[key]-- // given back as provably not run
+	}
+	w.table.Return(w.now, session, []Key{key})
+}
+
+func (w *world) wait(t *rapid.T) {
+	w.advance(time.Duration(rapid.IntRange(100, 7000).Draw(t, "ms")) * time.Millisecond)
+	due := w.table.Tick(w.now)
+	for _, key := range due.Unknown {
+		w.state.done[key] = true
+	}
+	w.table.Completed(due.Unknown)
+}
+
+func (w *world) newLeader(*rapid.T) {
+	w.table = New(DefaultTiming(), w.now)
+	for _, job := range w.jobs {
+		w.table.AddJob(job)
+	}
+}
+
+func (w *world) check(t *rapid.T) {
+	owners := map[Key]Session{}
+	for key, held := range w.table.grants {
+		owners[key] = held.session
+		if held.job.outstanding <= 0 || w.table.tenants[held.job.tenant] <= 0 {
+			t.Fatalf("counts are off for %v", key)
+		}
+	}
+	for _, j := range w.table.jobs {
+		for _, list := range j.ready {
+			for _, pending := range list {
+				if _, granted := owners[pending.key]; granted {
+					t.Fatalf("%v is both granted and ready", pending.key)
+				}
+			}
+		}
+	}
+}
+
+// finish lets one healthy session run everything.
+func (w *world) finish(t *rapid.T) {
+	session := Session{Node: "last", ID: 9}
+	for range 400 {
+		w.advance(600 * time.Millisecond)
+		due := w.table.Tick(w.now)
+		for _, key := range due.Unknown {
+			w.state.done[key] = true
+		}
+		w.table.Completed(due.Unknown)
+		offers, err := w.table.Pull(w.now, session, []Room{{Model: "m", Items: 50}}, w.state)
+		if err != nil {
+			t.Fatalf("pull: %v", err)
+		}
+		var started []*wirev1.ItemKey
+		for _, offer := range offers {
+			if !w.state.started[offer.Key] {
+				w.state.started[offer.Key] = true
+				started = append(started, offer.Key.Wire())
+			}
+		}
+		for _, offer := range w.table.Confirm(offers, started) {
+			w.state.done[offer.Key] = true
+			w.table.Completed([]Key{offer.Key})
+		}
+	}
+}
+
+// Every item is brought to an end, whatever sessions and leaders are lost on
+// the way; no completed item goes out again; once items go out once.
+func TestEveryItemEndsAndOnceItemsGoOutOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{state: newApplied(), now: time.Unix(0, 0), holding: map[Session]map[Key]bool{}, onceRan: map[Key]int{}}
+		w.table = New(DefaultTiming(), w.now)
+		w.advance(5 * time.Second)
+		w.class = rapid.SampledFrom([]wirev1.WorkClass{wirev1.WorkClass_WORK_CLASS_REPEATABLE, wirev1.WorkClass_WORK_CLASS_ONCE}).Draw(t, "class")
+		for i := range rapid.IntRange(1, 3).Draw(t, "jobs") {
+			w.jobs = append(w.jobs, w.state.addJob(w.table, fmt.Sprint("j", i), fmt.Sprint("t", i%2), rapid.IntRange(1, 3).Draw(t, "segments"), 5, w.class, 5))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"pull": w.pull, "complete": w.complete, "give back": w.giveBack, "wait": w.wait, "new leader": w.newLeader, "": w.check,
+		})
+		w.finish(t)
+		for _, job := range w.jobs {
+			for segment, items := range w.state.items[job.Spec.InputFileId] {
+				for offset := range items {
+					if key := (Key{job.Spec.JobId, uint32(segment), uint32(offset)}); !w.state.done[key] {
+						t.Fatalf("item %v never ended", key)
+					}
+				}
+			}
+		}
+	})
+}
+
+// A cancelled job hands out nothing more, and is due to end exactly when its
+// last item is back.
+func TestCancelStops(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	table, state := New(DefaultTiming(), now), newApplied()
+	state.addJob(table, "j", "t", 1, 5, wirev1.WorkClass_WORK_CLASS_REPEATABLE, 5)
+	now = now.Add(10 * time.Second)
+	session := Session{Node: "n", ID: 1}
+	offers, err := table.Pull(now, session, []Room{{"m", 2}}, state)
+	is.NoErr(err)
+	is.Equal(len(offers), 2)
+
+	table.Stop("j", true)
+	more, err := table.Pull(now, session, []Room{{"m", 5}}, state)
+	is.NoErr(err)
+	is.Equal(len(more), 0)                              // nothing more goes out
+	is.Equal(table.StoppedJobs(session), []string{"j"}) // the holder is told
+	is.Equal(len(table.Tick(now).Cancelled), 0)         // two items are still out
+	table.Return(now, session, []Key{offers[0].Key})
+	is.Equal(len(table.Tick(now).Cancelled), 0)
+	now = now.Add(time.Minute) // the holder of the other is gone
+	table.Tick(now)
+	is.Equal(table.Tick(now).Cancelled, []string{"j"})
+}
+
+func TestOrderIsPriorityThenFairThenDeadline(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	table, state := New(DefaultTiming(), now), newApplied()
+	now = now.Add(10 * time.Second)
+	state.addJob(table, "low", "a", 1, 5, wirev1.WorkClass_WORK_CLASS_REPEATABLE, 1)
+	state.addJob(table, "first", "a", 1, 5, wirev1.WorkClass_WORK_CLASS_REPEATABLE, 5)
+	state.addJob(table, "second", "b", 1, 5, wirev1.WorkClass_WORK_CLASS_REPEATABLE, 5)
+	offers, err := table.Pull(now, Session{"n", 1}, []Room{{"m", 12}}, state)
+	is.NoErr(err)
+	counts := map[string]int{}
+	for i, offer := range offers {
+		counts[offer.Key.Job]++
+		if i == 3 {
+			is.Equal(counts["first"], 2) // tenants take turns
+			is.Equal(counts["second"], 2)
+		}
+	}
+	is.Equal(counts["low"], 2) // only when the higher priority is out
+}
+
+func BenchmarkPull(b *testing.B) {
+	now := time.Unix(0, 0)
+	state := newApplied()
+	table := New(DefaultTiming(), now)
+	now = now.Add(10 * time.Second)
+	for i := range 40 {
+		state.addJob(table, fmt.Sprint("j", i), fmt.Sprint("t", i%7), 200, 100, wirev1.WorkClass_WORK_CLASS_REPEATABLE, 5)
+	}
+	session := Session{"n", 1}
+	b.ReportAllocs()
+	for b.Loop() {
+		offers, _ := table.Pull(now, session, []Room{{"m", 64}}, state)
+		keys := make([]Key, len(offers))
+		for i, offer := range offers {
+			keys[i] = offer.Key
+		}
+		table.Return(now, session, keys)
+	}
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -79,7 +79,6 @@
 type Kernel struct {
 	context *Context
 	modules []instance
-	started int
 	stop    context.CancelFunc
 }
 
--- /dev/null
+++ b/internal/shard/shard_test.go
@@ -0,0 +1,325 @@
+package shard
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+// memory is a Store on a map.
+type memory struct{ values map[string][]byte }
+
+func newMemory() *memory { return &memory{values: map[string][]byte{}} }
+
+func (m *memory) Get(key []byte) ([]byte, error) { return bytes.Clone(m.values[string(key)]), nil }
+func (m *memory) Delete(key []byte) error        { delete(m.values, string(key)); return nil }
+
+func (m *memory) Set(key, value []byte) error {
+	m.values[string(key)] = append([]byte{}, value...)
+	return nil
+}
+
+func (m *memory) keys(from, to []byte) []string {
+	var keys []string
+	for key := range m.values {
+		if key >= string(from) && (to == nil || key < string(to)) {
+			keys = append(keys, key)
+		}
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func (m *memory) Scan(from, to []byte, visit func(key, value []byte) bool) error {
+	for _, key := range m.keys(from, to) {
+		if !visit([]byte(key), m.values[key]) {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (m *memory) DeleteRange(from, to []byte) error {
+	for _, key := range m.keys(from, to) {
+		delete(m.values, key)
+	}
+	return nil
+}
+
+func apply(t fatal, store *memory, command *wirev1.Command) *wirev1.CommandResult {
+	answer, err := Apply(store, command)
+	if err != nil {
+		t.Fatalf("applying: %v", err)
+	}
+	return answer
+}
+
+type fatal interface {
+	Fatalf(string, ...any)
+}
+
+const tenant = "tenant"
+
+// makeJob uploads segments of items and makes a job of them.
+func makeJob(t fatal, store *memory, id string, segments, items int, class wirev1.WorkClass) {
+	file := "file-" + id
+	apply(t, store, &wirev1.Command{Kind: &wirev1.Command_CreateFile{CreateFile: &wirev1.CreateFile{FileId: file, Tenant: tenant}}})
+	for segment := range segments {
+		command := &wirev1.AppendSegment{FileId: file, Segment: uint32(segment)}
+		for item := range items {
+			command.Items = append(command.Items, &wirev1.Item{CustomId: fmt.Sprintf("%d-%d", segment, item), Model: "m", WorkClass: class})
+		}
+		apply(t, store, &wirev1.Command{Kind: &wirev1.Command_AppendSegment{AppendSegment: command}})
+	}
+	apply(t, store, &wirev1.Command{Kind: &wirev1.Command_SealFile{SealFile: &wirev1.SealFile{FileId: file, Segments: uint32(segments), Items: uint64(segments * items), Digest: []byte(id)}}})
+	answer := apply(t, store, createJobCommand(id, "job-"+id, ""))
+	if answer.Code != 0 {
+		t.Fatalf("job refused: %v", answer)
+	}
+}
+
+func createJobCommand(content, job, key string) *wirev1.Command {
+	return &wirev1.Command{Kind: &wirev1.Command_CreateJob{CreateJob: &wirev1.CreateJob{JobId: job, Tenant: tenant, InputFileId: "file-" + content, Endpoint: "/v1/chat/completions", IdempotencyKey: key}}}
+}
+
+func completeCommand(results ...*wirev1.ItemResult) *wirev1.Command {
+	return &wirev1.Command{Kind: &wirev1.Command_CompleteItems{CompleteItems: &wirev1.CompleteItems{Results: results}}}
+}
+
+func itemKey(job string, segment, offset int) *wirev1.ItemKey {
+	return &wirev1.ItemKey{JobId: job, Segment: uint32(segment), Offset: uint32(offset)}
+}
+
+// Whatever is completed, repeated, cancelled or expired in whatever order:
+// each item has at most one outcome, which never changes, and an ended job has
+// exactly one for each item.
+func TestEachItemHasExactlyOneOutcome(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := newMemory()
+		segments, items := rapid.IntRange(1, 3).Draw(t, "segments"), rapid.IntRange(1, 5).Draw(t, "items")
+		makeJob(t, store, "a", segments, items, wirev1.WorkClass_WORK_CLASS_REPEATABLE)
+		first := map[string][]byte{}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			drawJobCommand(t, store, step, segments, items)
+			checkOutcomes(t, store, segments, first)
+		}
+		job, err := Job(store, "job-a")
+		if err != nil || job == nil {
+			t.Fatalf("job is gone: %v", err)
+		}
+		if !open(job.Status) && len(first) != segments*items {
+			t.Fatalf("job is %v with outcomes of %d of %d items", job.Status, len(first), segments*items)
+		}
+	})
+}
+
+func drawJobCommand(t *rapid.T, store *memory, step, segments, items int) {
+	switch rapid.IntRange(0, 20).Draw(t, "command") {
+	case 0:
+		apply(t, store, &wirev1.Command{Kind: &wirev1.Command_CancelJob{CancelJob: &wirev1.CancelJob{JobId: "job-a", Tenant: tenant}}})
+	case 1:
+		apply(t, store, &wirev1.Command{Kind: &wirev1.Command_FinishCancel{FinishCancel: &wirev1.FinishCancel{JobId: "job-a", AtUnixMs: 1}}})
+	case 2:
+		apply(t, store, &wirev1.Command{Kind: &wirev1.Command_ExpireJob{ExpireJob: &wirev1.ExpireJob{JobId: "job-a", AtUnixMs: 1}}})
+	default:
+		var results []*wirev1.ItemResult
+		for range rapid.IntRange(1, 4).Draw(t, "results") {
+			results = append(results, &wirev1.ItemResult{
+				Item: itemKey("job-a", rapid.IntRange(0, segments).Draw(t, "segment"), rapid.IntRange(0, items-1).Draw(t, "offset")),
+				Body: fmt.Appendf(nil, "step %d", step),
+				Code: uint32(rapid.SampledFrom([]result.Code{0, 0, result.EngineRejected}).Draw(t, "code")),
+			})
+		}
+		apply(t, store, completeCommand(results...))
+	}
+}
+
+func checkOutcomes(t *rapid.T, store *memory, segments int, first map[string][]byte) {
+	job, err := Job(store, "job-a")
+	if err != nil {
+		t.Fatalf("reading job: %v", err)
+	}
+	counted := uint64(0)
+	seen := map[string]bool{}
+	for segment := range segments {
+		for _, wantErrors := range []bool{false, true} {
+			outcomes, err := Outcomes(store, job, uint32(segment), wantErrors)
+			if err != nil {
+				t.Fatalf("reading outcomes: %v", err)
+			}
+			for _, outcome := range outcomes {
+				if seen[outcome.CustomId] {
+					t.Fatalf("item %s has two outcomes", outcome.CustomId)
+				}
+				seen[outcome.CustomId] = true
+				encoded, _ := proto.Marshal(outcome.Result)
+				if known, had := first[outcome.CustomId]; had && !bytes.Equal(known, encoded) {
+					t.Fatalf("outcome of %s changed", outcome.CustomId)
+				}
+				first[outcome.CustomId] = encoded
+				counted++
+			}
+		}
+	}
+	if open(job.Status) && counted != job.Completed+job.Failed {
+		t.Fatalf("%d outcomes, counts say %d and %d", counted, job.Completed, job.Failed)
+	}
+}
+
+// A resent job, by key or by content, is the same job; a key with other content
+// is refused.
+func TestResentJobIsTheSameJob(t *testing.T) {
+	is := is.New(t)
+	store := newMemory()
+	makeJob(t, store, "a", 1, 2, wirev1.WorkClass_WORK_CLASS_REPEATABLE)
+	again := apply(t, store, createJobCommand("a", "job-b", ""))
+	is.Equal(again.Job.Spec.JobId, "job-a")
+
+	keyed := apply(t, store, createJobCommand("a", "job-c", "key-1"))
+	is.Equal(keyed.Job.Spec.JobId, "job-c") // an explicit key makes a job of its own
+	is.Equal(apply(t, store, createJobCommand("a", "job-d", "key-1")).Job.Spec.JobId, "job-c")
+
+	makeJob(t, store, "b", 1, 2, wirev1.WorkClass_WORK_CLASS_REPEATABLE)
+	is.Equal(result.Code(apply(t, store, createJobCommand("b", "job-e", "key-1")).Code), result.KeyReused)
+}
+
+// Of all starts of a once item exactly one is granted, and none after its end.
+func TestOnceItemStartsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := newMemory()
+		makeJob(t, store, "a", 1, 3, wirev1.WorkClass_WORK_CLASS_ONCE)
+		starts := map[uint32]int{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			offset := rapid.IntRange(0, 2).Draw(t, "offset")
+			if rapid.Bool().Draw(t, "complete") {
+				apply(t, store, completeCommand(&wirev1.ItemResult{Item: itemKey("job-a", 0, offset)}))
+				continue
+			}
+			answer := apply(t, store, &wirev1.Command{Kind: &wirev1.Command_StartItems{StartItems: &wirev1.StartItems{Items: []*wirev1.ItemKey{itemKey("job-a", 0, offset)}}}})
+			for _, started := range answer.Started {
+				starts[started.Offset]++
+			}
+		}
+		for offset, count := range starts {
+			if count > 1 {
+				t.Fatalf("item %d was started %d times", offset, count)
+			}
+		}
+	})
+}
+
+// claimModel drives one key with drawn requests and checks that work under it
+// runs at most once and that "not run" is never said of work that may have run.
+type claimModel struct {
+	store    *memory
+	now      int64
+	requests int
+	// running holds requests that were granted and have not resolved.
+	running map[string]bool
+	// ran is the request whose work reached an engine, if any.
+	ran     string
+	unknown bool
+}
+
+func (m *claimModel) Init() {
+	m.store = newMemory()
+	m.running = map[string]bool{}
+}
+
+func (m *claimModel) Claim(t *rapid.T) {
+	m.requests++
+	id := fmt.Sprint("request-", m.requests)
+	answer := apply(t, m.store, claimCommand(id, m.now))
+	if answer.Accepted == 0 {
+		if answer.Claim.State == wirev1.ClaimState_CLAIM_STATE_NOT_RUN && m.ran != "" {
+			t.Fatalf("a resend is told not run, but %s ran", m.ran)
+		}
+		m.unknown = m.unknown || answer.Claim.State == wirev1.ClaimState_CLAIM_STATE_UNKNOWN
+		return
+	}
+	if m.ran != "" {
+		t.Fatalf("%s granted though %s ran", id, m.ran)
+	}
+	m.running[id] = true
+}
+
+func claimCommand(id string, now int64) *wirev1.Command {
+	return &wirev1.Command{Kind: &wirev1.Command_Claim{Claim: &wirev1.Claim{Tenant: tenant, Key: "k", Fingerprint: []byte("f"), RequestId: id, AtUnixMs: now, ExpiresUnixMs: now + 10}}}
+}
+
+// Run dispatches a granted request: from here its work may have run.
+func (m *claimModel) Run(t *rapid.T) {
+	for id := range m.running {
+		if m.ran != "" && m.ran != id {
+			t.Fatalf("%s and %s both ran", m.ran, id)
+		}
+		m.ran = id
+		return
+	}
+}
+
+func (m *claimModel) Resolve(t *rapid.T) {
+	for id := range m.running {
+		state := rapid.SampledFrom([]wirev1.ClaimState{wirev1.ClaimState_CLAIM_STATE_ANSWERED, wirev1.ClaimState_CLAIM_STATE_UNKNOWN}).Draw(t, "state")
+		if m.ran != id {
+			state = wirev1.ClaimState_CLAIM_STATE_NOT_RUN
+		}
+		apply(t, m.store, &wirev1.Command{Kind: &wirev1.Command_ResolveClaim{ResolveClaim: &wirev1.ResolveClaim{Tenant: tenant, Key: "k", RequestId: id, State: state}}})
+		delete(m.running, id)
+		return
+	}
+}
+
+func (m *claimModel) Wait(t *rapid.T) { m.now += int64(rapid.IntRange(1, 30).Draw(t, "ms")) }
+
+func (m *claimModel) Check(t *rapid.T) {
+	record, err := ClaimOf(m.store, tenant, "k")
+	if err != nil {
+		t.Fatalf("reading claim: %v", err)
+	}
+	if record != nil && m.unknown && record.State == wirev1.ClaimState_CLAIM_STATE_NOT_RUN {
+		t.Fatalf("a key reported as unknown became not run")
+	}
+}
+
+func TestWorkUnderOneKeyRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &claimModel{}
+		m.Init()
+		t.Repeat(map[string]func(*rapid.T){"claim": m.Claim, "run": m.Run, "resolve": m.Resolve, "wait": m.Wait, "": m.Check})
+	})
+}
+
+func TestRetentionDropsEndedJobsWithAllTheirKeys(t *testing.T) {
+	is := is.New(t)
+	store := newMemory()
+	makeJob(t, store, "a", 1, 1, wirev1.WorkClass_WORK_CLASS_REPEATABLE)
+	apply(t, store, completeCommand(&wirev1.ItemResult{Item: itemKey("job-a", 0, 0)}))
+	apply(t, store, &wirev1.Command{Kind: &wirev1.Command_Retain{Retain: &wirev1.Retain{FinishedBeforeUnixMs: 10, Limit: 10}}})
+	is.Equal(len(store.values), 0) // nothing of the job is left
+}
+
+func BenchmarkCompleteItems(b *testing.B) {
+	store := newMemory()
+	makeJob(b, store, "a", 1000, 1000, wirev1.WorkClass_WORK_CLASS_REPEATABLE)
+	body := bytes.Repeat([]byte("x"), 600)
+	next := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		var results []*wirev1.ItemResult
+		for range 100 {
+			results = append(results, &wirev1.ItemResult{Item: itemKey("job-a", next/1000%1000, next%1000), Body: body})
+			next++
+		}
+		apply(b, store, completeCommand(results...))
+	}
+}
--- /dev/null
+++ b/lab/e2e/client_test.go
@@ -0,0 +1,199 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"cobaltramp.example/cobaltramp/lab/engine"
+)
+
+func question(text string, tokens int64) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model:     model,
+		Messages:  []openai.ChatCompletionMessageParamUnion{openai.UserMessage(text)},
+		MaxTokens: openai.Int(tokens),
+	}
+}
+
+func expected(text string, tokens int64) string {
+	body, _ := json.Marshal(map[string]any{"messages": []map[string]string{{"role": "user", "content": text}}, "max_tokens": tokens})
+	return engine.ExpectedAnswer(body, maxAnswer)
+}
+
+// The published client does everything callers do.
+func TestOpenAIClient(t *testing.T) {
+	running := start(t, topology(3, 2))
+	api := client(running, 0)
+
+	t.Run("chat", func(t *testing.T) {
+		is := is.New(t)
+		answer, err := api.Chat.Completions.New(patient(t), question("is the name free?", 20))
+		is.NoErr(err)
+		is.Equal(answer.Choices[0].Message.Content, expected("is the name free?", 20))
+		is.True(answer.Usage.CompletionTokens > 0)
+	})
+	t.Run("completion", func(t *testing.T) {
+		is := is.New(t)
+		answer, err := api.Completions.New(patient(t), openai.CompletionNewParams{
+			Model: model, Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("summarise the return")}, MaxTokens: openai.Int(12),
+		})
+		is.NoErr(err)
+		body := []byte(`{"prompt":"summarise the return","max_tokens":12}`)
+		is.Equal(answer.Choices[0].Text, engine.ExpectedAnswer(body, maxAnswer))
+	})
+	t.Run("stream", func(t *testing.T) {
+		is := is.New(t)
+		stream := api.Chat.Completions.NewStreaming(patient(t), question("draft the articles", 30))
+		text := ""
+		for stream.Next() {
+			if chunk := stream.Current(); len(chunk.Choices) > 0 {
+				text += chunk.Choices[0].Delta.Content
+			}
+		}
+		is.NoErr(stream.Err())
+		is.Equal(text, expected("draft the articles", 30))
+	})
+	t.Run("stream cancelled by the caller", func(t *testing.T) {
+		is := is.New(t)
+		for _, slowed := range running.Engines {
+			slowed.SetSlow(40)
+			defer slowed.SetSlow(1)
+		}
+		before := running.Ledger.Totals().Cancels
+		ctx, cancel := context.WithCancel(patient(t))
+		stream := api.Chat.Completions.NewStreaming(ctx, question("a question with a long answer one two", 64))
+		is.True(stream.Next())
+		cancel()
+		eventually(t, "the engine sees the cancel", func() bool { return running.Ledger.Totals().Cancels > before })
+	})
+	t.Run("models", func(t *testing.T) {
+		is := is.New(t)
+		models, err := api.Models.List(patient(t))
+		is.NoErr(err)
+		is.Equal(len(models.Data), 1)
+		is.Equal(models.Data[0].ID, model)
+	})
+	t.Run("batch", func(t *testing.T) { batchThroughClient(t, api) })
+	t.Run("batch cancelled", func(t *testing.T) {
+		for _, slowed := range running.Engines {
+			slowed.SetSlow(40)
+			defer slowed.SetSlow(1)
+		}
+		cancelThroughClient(t, api)
+	})
+	t.Run("errors carry a code and say whether the work ran", func(t *testing.T) {
+		is := is.New(t)
+		_, err := api.Chat.Completions.New(patient(t), openai.ChatCompletionNewParams{Model: "nope", Messages: question("x", 1).Messages})
+		var failure *openai.Error
+		is.True(errors.As(err, &failure))
+		is.Equal(failure.Code, "1103")
+		is.Equal(failure.StatusCode, 404)
+		is.Equal(failure.Response.Header.Get("X-Run"), "no")
+	})
+	t.Run("a wrong key is refused", func(t *testing.T) {
+		is := is.New(t)
+		_, err := api.Chat.Completions.New(patient(t), question("x", 1), option.WithAPIKey("wrong"))
+		var failure *openai.Error
+		is.True(errors.As(err, &failure))
+		is.Equal(failure.Code, "1102")
+	})
+}
+
+func inputFile(prefix string, items int) string {
+	var lines strings.Builder
+	for i := range items {
+		fmt.Fprintf(&lines, `{"custom_id":"%s-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"%s","messages":[{"role":"user","content":"%s %d"}],"max_tokens":10}}`+"\n", prefix, i, model, prefix, i)
+	}
+	return lines.String()
+}
+
+func upload(t *testing.T, api openai.Client, text string) (*openai.FileObject, error) {
+	return api.Files.New(patient(t), openai.FileNewParams{
+		File: openai.File(strings.NewReader(text), "items.jsonl", "application/jsonl"), Purpose: openai.FilePurposeBatch,
+	})
+}
+
+func batchThroughClient(t *testing.T, api openai.Client) {
+	is := is.New(t)
+	const items = 25
+	file, err := upload(t, api, inputFile("return", items))
+	is.NoErr(err)
+	job, err := api.Batches.New(patient(t), openai.BatchNewParams{
+		InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1ChatCompletions, CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+	})
+	is.NoErr(err)
+	eventually(t, "the batch completes", func() bool {
+		job, err = api.Batches.Get(patient(t), job.ID)
+		return err == nil && job.Status == openai.BatchStatusCompleted
+	})
+	is.Equal(job.RequestCounts.Completed, int64(items))
+	response, err := api.Files.Content(patient(t), job.OutputFileID)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(bytes.Count(text, []byte("\n")), items)
+	list, err := api.Batches.List(patient(t), openai.BatchListParams{})
+	is.NoErr(err)
+	is.True(len(list.Data) >= 1)
+	again, err := api.Batches.New(patient(t), openai.BatchNewParams{
+		InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1ChatCompletions, CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+	})
+	is.NoErr(err)
+	is.Equal(again.ID, job.ID) // a resent job is the same job
+}
+
+func cancelThroughClient(t *testing.T, api openai.Client) {
+	is := is.New(t)
+	file, err := upload(t, api, inputFile("cancelled", 200))
+	is.NoErr(err)
+	job, err := api.Batches.New(patient(t), openai.BatchNewParams{
+		InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1ChatCompletions, CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
+	})
+	is.NoErr(err)
+	_, err = api.Batches.Cancel(patient(t), job.ID)
+	is.NoErr(err)
+	eventually(t, "the batch is cancelled", func() bool {
+		job, err = api.Batches.Get(patient(t), job.ID)
+		return err == nil && job.Status == openai.BatchStatusCancelled
+	})
+	response, err := api.Files.Content(patient(t), job.ErrorFileID)
+	is.NoErr(err)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.Equal(int64(bytes.Count(text, []byte("\n"))), 200-job.RequestCounts.Completed) // every item has one outcome
+}
+
+func TestBadUploadsNameTheLine(t *testing.T) {
+	running := start(t, topology(3, 1))
+	api := client(running, 0)
+	good := inputFile("good", 1)
+	cases := []struct{ name, text, want string }{
+		{"not JSON", good + "{", "line 2: not JSON"},
+		{"custom_id twice", good + good, `line 2: custom_id "good-0" stands twice`},
+		{"unknown model", strings.ReplaceAll(good, model, "other"), `line 1: body.model is "other", which does not exist`},
+		{"empty", "\n", "the file has no lines"},
+		{"wrong url", strings.ReplaceAll(good, "/v1/chat/completions", "/v1/embeddings"), "line 1: url is"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := upload(t, api, c.text)
+			var failure *openai.Error
+			is.True(errors.As(err, &failure))
+			is.Equal(failure.Code, "1101")
+			is.True(strings.Contains(failure.Message, c.want)) // the message names line and problem
+		})
+	}
+}
--- /dev/null
+++ b/lab/e2e/faults_test.go
@@ -0,0 +1,254 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"cobaltramp.example/cobaltramp/lab/fleet"
+	"cobaltramp.example/cobaltramp/lab/load"
+)
+
+func requireWhole(t *testing.T, recorder *load.Recorder) {
+	t.Helper()
+	is := is.New(t)
+	t.Logf("%d requests, %d resent, errors %v", recorder.Requests.Load(), recorder.Resent.Load(), recorder.Errors())
+	is.True(recorder.Requests.Load() > 0)
+	is.Equal(recorder.Failed.Load(), int64(0)) // failed
+	is.Equal(recorder.Cut.Load(), int64(0))    // cut
+	is.Equal(recorder.Wrong.Load(), int64(0))  // wrong text
+}
+
+// under runs online load while the action runs.
+func under(running *fleet.Fleet, addresses []string, rate float64, action func()) *load.Recorder {
+	recorder := load.NewRecorder()
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Add(1)
+	aim := target(running)
+	aim.Addresses = addresses
+	go func() {
+		defer group.Done()
+		load.Online(ctx, aim, load.Shape{Rate: rate, PromptWords: 20, AnswerTokens: 30, Seed: 4}, recorder)
+	}()
+	action()
+	cancel()
+	group.Wait()
+	return recorder
+}
+
+// Engines that answer late, twice, out of order and with foreign events: each
+// caller still gets exactly its own answer.
+func TestCrossedAndRepeatedAnswers(t *testing.T) {
+	running := start(t, topology(3, 2))
+	for _, disorderly := range running.Engines {
+		disorderly.SetDisorder(true)
+		disorderly.SetLate(20*time.Millisecond, 20*time.Millisecond)
+	}
+	recorder := under(running, running.APIAddresses(), 40, func() { time.Sleep(2 * time.Second) })
+	requireWhole(t, recorder)
+}
+
+// An engine that crashes in the middle of its streams: answers are carried on
+// elsewhere, whole.
+func TestEngineCrashIsCarriedOn(t *testing.T) {
+	running := start(t, topology(3, 4))
+	recorder := under(running, running.APIAddresses(), 40, func() {
+		time.Sleep(time.Second)
+		running.Engines[0].Crash()
+		time.Sleep(2 * time.Second)
+	})
+	requireWhole(t, recorder)
+}
+
+// An engine that falls silent with its streams open.
+func TestSilentEngineIsCarriedOn(t *testing.T) {
+	running := start(t, topology(3, 4))
+	recorder := under(running, running.APIAddresses(), 20, func() {
+		time.Sleep(time.Second)
+		running.Engines[0].Stall(15 * time.Second)
+		time.Sleep(2 * time.Second)
+	})
+	requireWhole(t, recorder)
+}
+
+// An owner that is killed: callers at other nodes notice nothing.
+func TestOwnerKilledCallersNoticeNothing(t *testing.T) {
+	running := start(t, topology(5, 4))
+	addresses := running.APIAddresses()[:4]
+	recorder := under(running, addresses, 40, func() {
+		time.Sleep(time.Second)
+		running.KillNode(4)
+		time.Sleep(2 * time.Second)
+	})
+	requireWhole(t, recorder)
+	is.New(t).Equal(recorder.Resent.Load(), int64(0))
+}
+
+// Every node in turn is stopped as planned and started again, under load: no
+// request is cut and none has to be sent again.
+func TestRollingRestartCutsNothing(t *testing.T) {
+	running := start(t, topology(3, 3))
+	for index := range running.Nodes() {
+		others := append([]string(nil), running.APIAddresses()...)
+		others = append(others[:index], others[index+1:]...)
+		recorder := under(running, others, 30, func() {
+			time.Sleep(300 * time.Millisecond)
+			running.StopNode(index)
+			is.New(t).NoErr(running.StartNode(index))
+			ctx, cancel := context.WithTimeout(context.Background(), readyTime)
+			defer cancel()
+			is.New(t).NoErr(running.AwaitReady(ctx, 1))
+		})
+		requireWhole(t, recorder)
+	}
+}
+
+// A stop with streams open at the stopping node itself: they end whole.
+func TestPlannedStopFinishesItsOwnStreams(t *testing.T) {
+	is := is.New(t)
+	running := start(t, topology(3, 2))
+	for _, slowed := range running.Engines {
+		slowed.SetSlow(12)
+	}
+	api := client(running, 0)
+	stream := api.Chat.Completions.NewStreaming(patient(t), question("a stream that outlives its node's stop order", 40))
+	is.True(stream.Next())
+	stopped := make(chan struct{})
+	go func() {
+		running.StopNode(0)
+		close(stopped)
+	}()
+	text := stream.Current().Choices[0].Delta.Content
+	for stream.Next() {
+		if chunk := stream.Current(); len(chunk.Choices) > 0 {
+			text += chunk.Choices[0].Delta.Content
+		}
+	}
+	is.NoErr(stream.Err())
+	is.Equal(text, expected("a stream that outlives its node's stop order", 40))
+	<-stopped
+}
+
+// The platform's service goes away after the start: all in force stays, jobs
+// are accepted, run and finish.
+func TestPlatformOutage(t *testing.T) {
+	is := is.New(t)
+	running := start(t, topology(3, 2))
+	running.Platform.SetDown(true)
+	recorder := under(running, running.APIAddresses(), 20, func() {
+		batches := load.NewBatchClient(target(running))
+		job, err := batches.Submit(patient(t), load.BatchShape{Items: 200, PromptWords: 10, AnswerTokens: 10, Seed: 5})
+		is.NoErr(err)
+		status, err := batches.Await(patient(t), job.ID)
+		is.NoErr(err)
+		audit, err := batches.Check(patient(t), job, status)
+		is.NoErr(err)
+		is.Equal(audit.Completed, 200)
+		is.Equal(audit.Lost+audit.Duplicates+audit.Wrong, 0)
+	})
+	requireWhole(t, recorder)
+}
+
+// A fee-bearing filing: resent through every node, at once and later, it runs
+// once and every answer is the same.
+func TestOnceRunsOnceThroughAllNodes(t *testing.T) {
+	is := is.New(t)
+	running := start(t, topology(3, 2))
+	params := question("file the annual return of company 7", 12)
+	var group sync.WaitGroup
+	answers := make([]string, 6)
+	for i := range answers {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			answers[i] = sendOnce(t, client(running, i%3), params)
+		}()
+	}
+	group.Wait()
+	for _, answer := range answers {
+		is.Equal(answer, expected("file the annual return of company 7", 12))
+	}
+	is.Equal(running.Ledger.Totals().Starts, 1) // one run at the engines
+}
+
+// sendOnce sends until an answer comes; "in progress" is asked again.
+func sendOnce(t *testing.T, api openai.Client, params openai.ChatCompletionNewParams) string {
+	ctx := patient(t)
+	for {
+		answer, err := api.Chat.Completions.New(ctx, params, option.WithHeader("X-Work-Class", "once"), option.WithHeader("Idempotency-Key", "filing-7"))
+		if err == nil {
+			return answer.Choices[0].Message.Content
+		}
+		var failure *openai.Error
+		if !errors.As(err, &failure) || failure.Code != "1305" {
+			t.Errorf("unexpected: %v", err)
+			return ""
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// The engine dies under a once request after dispatch: the caller is told that
+// the outcome is unknown, and a resend does not run it again.
+func TestOnceIsNotRunAgainAfterALostRunner(t *testing.T) {
+	is := is.New(t)
+	running := start(t, topology(3, 2))
+	for _, slowed := range running.Engines {
+		slowed.SetSlow(50)
+	}
+	params := question("file the reservation of a name", 30)
+	go func() {
+		for running.Ledger.Totals().Starts == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, victim := range running.Engines {
+			victim.Crash()
+		}
+	}()
+	once := []option.RequestOption{option.WithHeader("X-Work-Class", "once"), option.WithHeader("Idempotency-Key", "name-1")}
+	api := client(running, 0)
+	_, err := api.Chat.Completions.New(patient(t), params, once...)
+	var failure *openai.Error
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Response.Header.Get("X-Run"), "unknown")
+	for _, revived := range running.Engines {
+		is.NoErr(revived.Restart())
+	}
+	other := client(running, 1)
+	eventually(t, "a resend says unknown", func() bool {
+		_, err = other.Chat.Completions.New(patient(t), params, once...)
+		return errors.As(err, &failure) && failure.Code == "1301"
+	})
+	is.Equal(running.Ledger.Totals().Starts, 1)
+}
+
+// Two data folders are wiped and nodes killed while a job runs: every item
+// completes once and every result stays readable.
+func TestTwoDisksWipedUnderLoad(t *testing.T) {
+	is := is.New(t)
+	running := start(t, topology(5, 4))
+	batches := load.NewBatchClient(target(running))
+	job, err := batches.Submit(patient(t), load.BatchShape{Items: 1500, PromptWords: 10, AnswerTokens: 40, Seed: 6})
+	is.NoErr(err)
+	for _, index := range []int{0, 1} {
+		running.KillNode(index)
+		is.NoErr(running.WipeNode(index))
+	}
+	time.Sleep(500 * time.Millisecond)
+	for _, index := range []int{0, 1} {
+		is.NoErr(running.StartNode(index))
+	}
+	status, err := batches.Await(patient(t), job.ID)
+	is.NoErr(err)
+	audit, err := batches.Check(patient(t), job, status)
+	is.NoErr(err)
+	is.Equal(audit.Completed, 1500)
+	is.Equal(audit.Lost+audit.Duplicates+audit.Wrong, 0)
+}
--- /dev/null
+++ b/lab/e2e/harness_test.go
@@ -0,0 +1,98 @@
+// Package e2e tests the product from outside, over loopback, with real nodes
+// and emulated engines and platform.
+package e2e
+
+import (
+	"context"
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"k8s.io/klog/v2"
+
+	"cobaltramp.example/cobaltramp/lab/engine"
+	"cobaltramp.example/cobaltramp/lab/fleet"
+	"cobaltramp.example/cobaltramp/lab/load"
+)
+
+const (
+	model      = "filing-assist"
+	maxAnswer  = 64
+	readyTime  = 40 * time.Second
+	patience   = 90 * time.Second
+	slots      = 8
+	cluster    = "e2e"
+	tenantName = "registry"
+)
+
+var key = fleet.TenantKey{Tenant: tenantName, Key: "e2e-key"}
+
+// TestMain silences the nodes' logs; -v 1 of klog shows them again.
+func TestMain(m *testing.M) {
+	options := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(options)
+	_ = options.Set("logtostderr", "false")
+	_ = options.Set("stderrthreshold", "FATAL")
+	_ = options.Set("log_file", os.DevNull)
+	os.Exit(m.Run())
+}
+
+func topology(nodes, runners int) fleet.Topology {
+	return fleet.Topology{
+		Cluster: cluster, Service: model, DiskNodes: 5, Shards: 4,
+		Zones: []fleet.Zone{
+			{Name: "braam-hall", Region: "gauteng", Nodes: (nodes + 1) / 2, Runners: (runners + 1) / 2},
+			{Name: "rosebank-hall", Region: "gauteng", Nodes: nodes / 2, Runners: runners / 2},
+		},
+		Engine: engine.Parameters{Slots: slots, MaxAnswer: maxAnswer, StepBase: 2 * time.Millisecond, WeightBytes: 1 << 20},
+	}
+}
+
+// start brings up a fleet with generation 1 in force.
+func start(t *testing.T, shape fleet.Topology) *fleet.Fleet {
+	t.Helper()
+	is := is.New(t)
+	running, err := fleet.Start(shape, t.TempDir())
+	is.NoErr(err)
+	t.Cleanup(running.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), readyTime)
+	defer cancel()
+	text := fleet.BasicBundle(running.Operator, model, model, slots, []fleet.TenantKey{key})
+	is.NoErr(running.Operator.Roll(ctx, running.AdminAddress(), cluster, 1, text))
+	is.NoErr(running.AwaitReady(ctx, 1))
+	return running
+}
+
+func target(running *fleet.Fleet) load.Target {
+	return load.Target{Addresses: running.APIAddresses(), Key: key.Key, Model: model, MaxAnswer: maxAnswer}
+}
+
+// client is the published OpenAI client pointed at a node.
+func client(running *fleet.Fleet, node int) openai.Client {
+	return openai.NewClient(
+		option.WithBaseURL("http://"+running.APIAddresses()[node]+"/v1"),
+		option.WithAPIKey(key.Key),
+		option.WithMaxRetries(0),
+	)
+}
+
+func patient(t *testing.T) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// eventually waits for a condition that has no deadline of its own.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -268,3 +269,16 @@
 		f.Platform.Close()
 	}
 }
+
+// StopNode stops a node as planned and waits until it has ended.
+func (f *Fleet) StopNode(index int) {
+	f.mutex.Lock()
+	stopping := f.nodes[index].node
+	f.mutex.Unlock()
+	if stopping != nil {
+		stopping.Stop(context.Background())
+	}
+	f.mutex.Lock()
+	f.nodes[index].node = nil
+	f.mutex.Unlock()
+}
--- a/modules/batch/store/store.go
+++ b/modules/batch/store/store.go
@@ -114,18 +114,17 @@
 }
 
 type metrics struct {
-	leading    prometheus.Gauge
-	proposals  *prometheus.CounterVec
-	applied    prometheus.Counter
-	logBytes   prometheus.Counter
-	persists   prometheus.Histogram
-	grants     prometheus.Counter
-	completed  *prometheus.CounterVec
-	requeued   *prometheus.CounterVec
-	handOvers  *prometheus.CounterVec
-	snapshots  *prometheus.CounterVec
-	elections  prometheus.Counter
-	outstanded prometheus.GaugeFunc
+	leading   prometheus.Gauge
+	proposals *prometheus.CounterVec
+	applied   prometheus.Counter
+	logBytes  prometheus.Counter
+	persists  prometheus.Histogram
+	grants    prometheus.Counter
+	completed *prometheus.CounterVec
+	requeued  *prometheus.CounterVec
+	handOvers *prometheus.CounterVec
+	snapshots *prometheus.CounterVec
+	elections prometheus.Counter
 }
 
 func newMetrics(registry prometheus.Registerer, db *logstore.DB) *metrics {
--- a/modules/batch/worker/worker.go
+++ b/modules/batch/worker/worker.go
@@ -76,9 +76,8 @@
 }
 
 type metrics struct {
-	running  prometheus.Gauge
-	ended    *prometheus.CounterVec
-	unproven prometheus.Counter
+	running prometheus.Gauge
+	ended   *prometheus.CounterVec
 }
 
 var (
--- a/modules/callers/openai/api.go
+++ b/modules/callers/openai/api.go
@@ -108,7 +108,6 @@
 	requests *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	first    prometheus.Histogram
-	inFlight prometheus.GaugeFunc
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
