Shards have a home region, retention runs, layout reaches nodes through peers

Cause: e2e showed an upload hanging when the platform went down right after the founding: nodes that had not yet read the layout could learn it nowhere. It also showed answers crossing: the engine emulator kept request ids in memory the server reuses after the handler; the product kept idempotency keys the same way. Change: disk nodes answer with the layout, servers hand out immutable strings, shards are placed and homed per region, leaders propose retention. Before: TestPlatformOutage, TestSilentEngineIsCarriedOn fail. After: both pass.

--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -112,9 +112,8 @@
 	KeyHashes []string `json:"key_hashes"`
 	// Models the tenant may call; empty allows all.
 	Models []string `json:"models,omitempty"`
-	// HomeRegion keeps the tenant's jobs and idempotency keys (default: the
-	// region of the node that first takes them is not used; it must be named
-	// when there are several regions).
+	// HomeRegion keeps the tenant's jobs and idempotency keys. Default: the
+	// first region with disks, in alphabetical order.
 	HomeRegion string `json:"home_region,omitempty"`
 	// RequestsPerSecond bounds online requests; 0 is no limit.
 	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
--- a/internal/shard/claim.go
+++ b/internal/shard/claim.go
@@ -93,9 +93,20 @@
 	return answer, err
 }
 
-func endedJobs(store Store, command *wirev1.Retain) ([]*wirev1.JobRecord, error) {
+// HasEnded reports whether Retain would drop anything.
+func HasEnded(reader Reader, before int64) (bool, error) {
+	probe := &wirev1.Retain{FinishedBeforeUnixMs: before, Limit: 1}
+	jobs, err := endedJobs(reader, probe)
+	if err != nil || len(jobs) > 0 {
+		return len(jobs) > 0, err
+	}
+	claims, err := endedClaims(reader, probe)
+	return len(claims) > 0, err
+}
+
+func endedJobs(reader Reader, command *wirev1.Retain) ([]*wirev1.JobRecord, error) {
 	var ended []*wirev1.JobRecord
-	err := Jobs(store, func(job *wirev1.JobRecord) bool {
+	err := Jobs(reader, func(job *wirev1.JobRecord) bool {
 		if !open(job.Status) && job.FinishedUnixMs < command.FinishedBeforeUnixMs {
 			ended = append(ended, job)
 		}
@@ -140,10 +151,23 @@
 }
 
 func dropClaims(store Store, command *wirev1.Retain) (uint32, error) {
+	keys, err := endedClaims(store, command)
+	if err != nil {
+		return 0, err
+	}
+	for _, key := range keys {
+		if err := store.Delete(key); err != nil {
+			return 0, trace.Wrap(err)
+		}
+	}
+	return uint32(len(keys)), nil
+}
+
+func endedClaims(reader Reader, command *wirev1.Retain) ([][]byte, error) {
 	var keys [][]byte
 	prefix := []byte{spaceClaim}
 	var decodeErr error
-	err := store.Scan(prefix, after(prefix), func(key, value []byte) bool {
+	err := reader.Scan(prefix, after(prefix), func(key, value []byte) bool {
 		record := &wirev1.ClaimRecord{}
 		if decodeErr = decode(value, record); decodeErr != nil {
 			return false
@@ -153,13 +177,5 @@
 		}
 		return len(keys) < int(command.Limit)
 	})
-	if err != nil || decodeErr != nil {
-		return 0, trace.NewAggregate(err, decodeErr)
-	}
-	for _, key := range keys {
-		if err := store.Delete(key); err != nil {
-			return 0, trace.Wrap(err)
-		}
-	}
-	return uint32(len(keys)), nil
+	return keys, trace.NewAggregate(err, decodeErr)
 }
--- a/lab/e2e/client_test.go
+++ b/lab/e2e/client_test.go
@@ -32,6 +32,7 @@
 
 // The published client does everything callers do.
 func TestOpenAIClient(t *testing.T) {
+	t.Parallel()
 	running := start(t, topology(3, 2))
 	api := client(running, 0)
 
@@ -176,6 +177,7 @@
 }
 
 func TestBadUploadsNameTheLine(t *testing.T) {
+	t.Parallel()
 	running := start(t, topology(3, 1))
 	api := client(running, 0)
 	good := inputFile("good", 1)
--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -62,7 +62,7 @@
 }
 
 func (e *Engine) boot(preloaded string) error {
-	app := fiber.New(fiber.Config{BodyLimit: 64 << 20})
+	app := fiber.New(fiber.Config{BodyLimit: 64 << 20, Immutable: true})
 	e.routes(app)
 	server, err := httpserve.Listen(e.address, app, nil)
 	if err != nil {
--- a/lab/platform/platform.go
+++ b/lab/platform/platform.go
@@ -82,7 +82,7 @@
 		listLag:    options.ListLag,
 		outageDone: make(chan struct{}),
 	}
-	app := fiber.New(fiber.Config{BodyLimit: 128 << 20})
+	app := fiber.New(fiber.Config{BodyLimit: 128 << 20, Immutable: true})
 	p.routes(app)
 	server, err := httpserve.Listen(options.Address, app, nil)
 	if err != nil {
--- a/modules/batch/directory/directory.go
+++ b/modules/batch/directory/directory.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,7 +39,8 @@
 
 // Map is a snapshot of who leads what.
 type Map struct {
-	Shards  uint32
+	// Regions holds the home region of each shard, by shard number.
+	Regions []string
 	Leaders map[uint32]string // shard → internal address
 	Pending []uint32
 }
@@ -129,12 +131,14 @@
 }
 
 func merge(before *Map, disks []*wirev1.MemberRecord, replies []*wirev1.ShardMapReply) *Map {
-	next := &Map{Shards: before.Shards, Leaders: map[uint32]string{}}
+	next := &Map{Regions: before.Regions, Leaders: map[uint32]string{}}
 	for i, reply := range replies {
 		if reply == nil {
 			continue
 		}
-		next.Shards = max(next.Shards, reply.Shards)
+		if len(reply.Regions) > len(next.Regions) {
+			next.Regions = reply.Regions
+		}
 		for _, shard := range reply.Leading {
 			next.Leaders[shard] = disks[i].Address
 		}
@@ -144,7 +148,23 @@
 }
 
 // Shards returns the number of shards, 0 while none are known.
-func (m *Module) Shards() uint32 { return m.Map().Shards }
+func (m *Module) Shards() uint32 { return uint32(len(m.Map().Regions)) }
+
+// HomeShards lists the shards of a tenant's home region. Without one, the home
+// is the first region in alphabetical order, the same seen from everywhere.
+func (m *Module) HomeShards(region string) []uint32 {
+	regions := m.Map().Regions
+	if region == "" && len(regions) > 0 {
+		region = slices.Min(regions)
+	}
+	var shards []uint32
+	for shard, home := range regions {
+		if home == region {
+			shards = append(shards, uint32(shard))
+		}
+	}
+	return shards
+}
 
 // call carries a request to a shard's leader until it is answered or the
 // context ends. delivered tells whether any try may have arrived.
@@ -189,7 +209,11 @@
 	if delivered {
 		return result.New(result.CommitUnknown, "shard %d did not confirm in time", shard).After(time.Second)
 	}
-	return result.New(result.StoreUnavailable, "no leader of shard %d could be reached: %s", shard, result.From(last).Message).After(time.Second)
+	code := result.StoreUnavailable
+	if regions := m.Map().Regions; int(shard) < len(regions) && regions[shard] != m.views.View().Self.Region {
+		code = result.HomeUnreachable
+	}
+	return result.New(code, "no leader of shard %d could be reached: %s", shard, result.From(last).Message).After(time.Second)
 }
 
 // Propose carries a command to its shard.
--- a/modules/batch/store/handlers.go
+++ b/modules/batch/store/handlers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/grants"
@@ -9,14 +10,23 @@
 	"cobaltramp.example/cobaltramp/internal/result"
 	"cobaltramp.example/cobaltramp/internal/rpc"
 	"cobaltramp.example/cobaltramp/internal/shard"
-	"time"
 )
 
 func (m *Module) serveShardMap(ctx context.Context, stream *rpc.ServerStream) error {
+	var request wirev1.ShardMapRequest
+	if err := stream.Request(&request); err != nil {
+		return err
+	}
 	reply := &wirev1.ShardMapReply{}
 	layout := m.layout.Load()
 	if layout != nil {
 		reply.Shards = uint32(len(layout.Shards))
+		for _, shard := range layout.Shards {
+			reply.Regions = append(reply.Regions, shard.Region)
+		}
+	}
+	if layout != nil && request.WantLayout {
+		reply.Layout, reply.LayoutRevision = layout.text, layout.revision
 	}
 	for _, runner := range m.allRunners() {
 		_ = runner.ask(ctx, func() {
@@ -29,22 +39,9 @@
 			}
 		})
 	}
-	if reply.Shards == 0 {
-		reply.Shards = m.knownShards()
-	}
 	return stream.Send(reply)
 }
 
-// knownShards is the number of shards as far as this disk tells, for a start
-// while the platform's service is down.
-func (m *Module) knownShards() uint32 {
-	highest := uint32(0)
-	for _, runner := range m.allRunners() {
-		highest = max(highest, runner.id+1)
-	}
-	return highest
-}
-
 func (m *Module) leaderRunner(id uint32) (*shardRunner, error) {
 	runner := m.runner(id)
 	if runner == nil {
--- a/modules/batch/store/handover.go
+++ b/modules/batch/store/handover.go
@@ -60,7 +60,7 @@
 		return
 	}
 	config := r.replica.Config()
-	disks := r.module.views.View().DiskMembers()
+	disks := regionDisks(r.module.views.View(), r.module.settings.Node.Region)
 	var keep []string
 	for _, member := range config.Members {
 		if r.diskPresent(now, disks, member) {
--- a/modules/batch/store/layout.go
+++ b/modules/batch/store/layout.go
@@ -14,21 +14,40 @@
 	"cobaltramp.example/cobaltramp/internal/fleet"
 	"cobaltramp.example/cobaltramp/internal/platform"
 	"cobaltramp.example/cobaltramp/internal/replica"
+	"cobaltramp.example/cobaltramp/internal/rpc"
 )
 
 // Layout is the member set of every shard. It is one value in the platform's
 // service, changed by compare-and-swap: on founding and when a disk joins or
 // is lost, never per job or request.
 type Layout struct {
-	Shards []replica.Config `json:"shards"`
+	Shards []ShardLayout `json:"shards"`
 	// revision of the stored value, for the compare-and-swap.
 	revision int64
+	// text is the stored form, passed on to peers.
+	text []byte
+}
+
+// ShardLayout is one shard's member set. All members stand in the shard's
+// region, so that regions that lose each other go on by themselves.
+type ShardLayout struct {
+	replica.Config
+	Region string `json:"region"`
+}
+
+func (l *Layout) hasRegion(region string) bool {
+	for _, shard := range l.Shards {
+		if shard.Region == region {
+			return true
+		}
+	}
+	return false
 }
 
 func (m *Module) layoutKey() string { return m.settings.Cluster + "/storage/layout" }
 
 const (
-	layoutInterval = 2 * time.Second
+	layoutInterval = time.Second
 	// foundingCalm is how long enough disks must be seen before the cluster is
 	// founded.
 	foundingCalm = 2 * time.Second
@@ -45,11 +64,14 @@
 			for _, value := range values {
 				m.takeLayout(value)
 			}
-			if m.layout.Load() == nil {
-				calmSince = m.found(ctx, calmSince)
+			layout := m.layout.Load()
+			if layout == nil || !layout.hasRegion(m.settings.Node.Region) {
+				calmSince = m.found(ctx, calmSince, layout)
 			} else {
 				m.watchLayout(ctx, revision)
 			}
+		} else {
+			m.askPeers(ctx)
 		}
 		select {
 		case <-ctx.Done():
@@ -58,6 +80,23 @@
 	}
 }
 
+// askPeers gets the layout from other disk nodes, which is how a change or a
+// founding reaches a node while the platform's service does not answer.
+func (m *Module) askPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, layoutInterval)
+	defer cancel()
+	for _, disk := range m.views.View().DiskMembers() {
+		if disk.DiskId == m.db.DiskID() {
+			continue
+		}
+		reply := &wirev1.ShardMapReply{}
+		err := m.pool.Call(ctx, disk.Address, rpc.ClassControl, wirev1.Method_METHOD_SHARD_MAP, &wirev1.ShardMapRequest{WantLayout: true}, reply)
+		if err == nil && len(reply.Layout) > 0 {
+			m.takeLayout(platform.Value{Value: reply.Layout, Revision: reply.LayoutRevision})
+		}
+	}
+}
+
 func (m *Module) watchLayout(ctx context.Context, revision int64) {
 	_ = m.platform.Watch(ctx, m.layoutKey(), revision, func(event platform.Event) {
 		if !event.Deleted {
@@ -72,13 +111,13 @@
 		klog.ErrorS(err, "stored layout is unreadable", "node", m.settings.Node.ID)
 		return
 	}
-	layout.revision = value.Revision
+	layout.revision, layout.text = value.Revision, value.Value
 	if known := m.layout.Load(); known != nil && known.revision >= layout.revision {
 		return
 	}
 	m.layout.Store(&layout)
 	for id, config := range layout.Shards {
-		m.applyConfig(uint32(id), config)
+		m.applyConfig(uint32(id), config.Config)
 	}
 }
 
@@ -96,10 +135,12 @@
 	}
 }
 
-// found writes the first layout once enough disks have been there for a while.
-// Every disk node may try; the compare-and-swap lets one win.
-func (m *Module) found(ctx context.Context, calmSince time.Time) time.Time {
-	disks := m.views.View().DiskMembers()
+// found adds the shards of this node's region once enough of its disks have
+// been there for a while. Every disk node may try; the compare-and-swap lets
+// one win.
+func (m *Module) found(ctx context.Context, calmSince time.Time, layout *Layout) time.Time {
+	region := m.settings.Node.Region
+	disks := regionDisks(m.views.View(), region)
 	if len(disks) < replica.CopiesWanted {
 		return time.Time{}
 	}
@@ -110,21 +151,43 @@
 	if now.Sub(calmSince) < foundingCalm {
 		return calmSince
 	}
-	layout := Layout{}
-	for shard := range m.settings.Data.Shards {
-		layout.Shards = append(layout.Shards, replica.Config{Generation: 1, Members: place(uint32(shard), disks, nil)})
+	next := Layout{}
+	if layout != nil {
+		next.Shards = append(next.Shards, layout.Shards...)
+		next.revision = layout.revision
 	}
-	text, err := json.Marshal(layout)
-	if err != nil {
-		return calmSince
+	for range m.settings.Data.Shards {
+		id := uint32(len(next.Shards))
+		config := replica.Config{Generation: 1, Members: place(id, disks, nil)}
+		next.Shards = append(next.Shards, ShardLayout{Config: config, Region: region})
 	}
-	committed, err := m.platform.Commit(ctx, []platform.Condition{{Key: m.layoutKey()}}, []platform.Put{{Key: m.layoutKey(), Value: text}})
+	committed, err := m.commitLayout(ctx, &next)
 	if err == nil && committed {
-		klog.InfoS("cluster founded", "node", m.settings.Node.ID, "shards", len(layout.Shards), "disks", len(disks))
+		klog.InfoS("region founded", "node", m.settings.Node.ID, "region", region, "shards", m.settings.Data.Shards, "disks", len(disks))
 	}
 	return calmSince
 }
 
+func regionDisks(view *fleet.View, region string) []*wirev1.MemberRecord {
+	var disks []*wirev1.MemberRecord
+	for _, disk := range view.DiskMembers() {
+		if disk.Region == region {
+			disks = append(disks, disk)
+		}
+	}
+	return disks
+}
+
+// commitLayout stores a layout if the stored one is still of its revision.
+func (m *Module) commitLayout(ctx context.Context, next *Layout) (bool, error) {
+	text, err := json.Marshal(next)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	conditions := []platform.Condition{{Key: m.layoutKey(), Revision: next.revision}}
+	return m.platform.Commit(ctx, conditions, []platform.Put{{Key: m.layoutKey(), Value: text}})
+}
+
 // place picks a shard's disks: those kept, then by rendezvous weight, each
 // time from a zone that has the fewest of them.
 func place(shard uint32, disks []*wirev1.MemberRecord, keep []string) []string {
@@ -191,13 +254,9 @@
 	if held.Generation != before.Generation || held.Attempt != before.Attempt {
 		return false, nil
 	}
-	next := Layout{Shards: append([]replica.Config(nil), layout.Shards...)}
-	next.Shards[id] = after
-	text, err := json.Marshal(next)
-	if err != nil {
-		return false, trace.Wrap(err)
-	}
-	committed, err := m.platform.Commit(ctx, []platform.Condition{{Key: m.layoutKey(), Revision: layout.revision}}, []platform.Put{{Key: m.layoutKey(), Value: text}})
+	next := Layout{Shards: append([]ShardLayout(nil), layout.Shards...), revision: layout.revision}
+	next.Shards[id].Config = after
+	committed, err := m.commitLayout(ctx, &next)
 	if err != nil {
 		return false, trace.Wrap(err)
 	}
--- a/modules/batch/store/leader.go
+++ b/modules/batch/store/leader.go
@@ -109,6 +109,31 @@
 	}
 }
 
+const (
+	retainInterval = 10 * time.Second
+	retainLimit    = 64
+)
+
+// tickRetention proposes to drop what is past its retention, a bounded number
+// of records at a time.
+func (r *shardRunner) tickRetention(now time.Time) {
+	snapshot := r.module.snapshots.Snapshot()
+	if r.table == nil || snapshot == nil || now.Sub(r.retained) < retainInterval {
+		return
+	}
+	r.retained = now
+	before := now.Add(-snapshot.Policy.Batch.Retention.Std()).UnixMilli()
+	ended, err := shard.HasEnded(r.store.View(), before)
+	if err != nil {
+		r.fail(err)
+		return
+	}
+	if ended {
+		retain := &wirev1.Retain{FinishedBeforeUnixMs: before, Limit: retainLimit}
+		r.propose(silent(&wirev1.Command{Kind: &wirev1.Command_Retain{Retain: retain}}))
+	}
+}
+
 // silent wraps a command whose result nobody waits for.
 func silent(command *wirev1.Command) *proposal {
 	return &proposal{command: command, result: make(chan proposalResult, 1)}
--- a/modules/batch/store/runner.go
+++ b/modules/batch/store/runner.go
@@ -40,6 +40,7 @@
 	tableEpoch uint64
 	lastTick   time.Time
 	truncated  time.Time
+	retained   time.Time
 	installing bool
 	handOver   *handOver
 	logSize    uint64 // bytes of commands since the log was last truncated
@@ -206,6 +207,7 @@
 		r.replica.Tick(now)
 	}
 	r.tickGrants(now)
+	r.tickRetention(now)
 	r.tickHandOver(now)
 	if now.Sub(r.truncated) > truncateEvery {
 		r.truncated = now
--- a/modules/callers/openai/api.go
+++ b/modules/callers/openai/api.go
@@ -123,8 +123,11 @@
 // Start implements kernel.Starter.
 func (m *Module) Start(context.Context) error {
 	app := fiber.New(fiber.Config{
-		BodyLimit:                    m.settings.Limits.BodyBytes,
-		StreamRequestBody:            true,
+		BodyLimit:         m.settings.Limits.BodyBytes,
+		StreamRequestBody: true,
+		// Headers and parameters outlive their handler, for example the key a
+		// claim is resolved under; the server would reuse their memory.
+		Immutable:                    true,
 		DisablePreParseMultipartForm: true,
 		ErrorHandler:                 m.handleError,
 		ReadTimeout:                  readTimeout,
--- a/modules/callers/openai/batches.go
+++ b/modules/callers/openai/batches.go
@@ -235,8 +235,11 @@
 		}
 	}
 	list := listBody[batchBody]{Object: "list", Data: []batchBody{}}
-	for ; shard < m.batch.Shards() && len(list.Data) <= limit; shard++ {
-		jobs, err := m.shardJobs(who, shard, cursor, limit+1-len(list.Data))
+	for _, home := range m.batch.HomeShards(who.tenant.HomeRegion) {
+		if home < shard || len(list.Data) > limit {
+			continue
+		}
+		jobs, err := m.shardJobs(who, home, cursor, limit+1-len(list.Data))
 		if err != nil {
 			return err
 		}
--- a/modules/callers/openai/files.go
+++ b/modules/callers/openai/files.go
@@ -30,6 +30,7 @@
 // BatchStore reaches the batch shards.
 type BatchStore interface {
 	Shards() uint32
+	HomeShards(region string) []uint32
 	Propose(context.Context, uint32, *wirev1.Command) (*wirev1.CommandResult, error)
 	Read(context.Context, *wirev1.ReadRequest) (*wirev1.ReadReply, error)
 }
@@ -164,9 +165,9 @@
 	if purpose != "" && purpose != purposeBatch {
 		return result.New(result.InvalidRequest, "purpose is %q, allowed: batch", purpose)
 	}
-	shards := m.batch.Shards()
-	if shards == 0 {
-		return result.New(result.StoreUnavailable, "no batch storage is known yet").After(time.Second)
+	shards := m.batch.HomeShards(who.tenant.HomeRegion)
+	if len(shards) == 0 {
+		return result.New(result.StoreUnavailable, "no storage in the tenant's home region is known yet").After(time.Second)
 	}
 	digest := sha256.New()
 	reader := jsonl.NewReader(io.TeeReader(part, digest), jsonl.Rules{Model: modelRule(who), DefaultClass: class})
@@ -206,7 +207,7 @@
 
 // run stores the file. It becomes visible with its last command, the seal; an
 // upload that fails leaves nothing behind that anyone can see.
-func (u *upload) run(shards uint32) (*wirev1.FileRecord, error) {
+func (u *upload) run(shards []uint32) (*wirev1.FileRecord, error) {
 	first, err := u.reader.Next()
 	if errors.Is(err, io.EOF) {
 		return nil, result.New(result.InvalidRequest, "the file has no lines")
@@ -216,7 +217,7 @@
 	}
 	// The same content goes to the same shard, where a resent job meets the
 	// first one.
-	u.shard = uint32(contentHash(u.tenant, first) % uint64(shards))
+	u.shard = shards[contentHash(u.tenant, first)%uint64(len(shards))]
 	u.fileID = newFileID(u.shard)
 	if err := u.propose(&wirev1.Command{Kind: &wirev1.Command_CreateFile{CreateFile: &wirev1.CreateFile{
 		FileId: u.fileID, Tenant: u.tenant, Filename: u.filename, Purpose: purposeBatch, CreatedUnixMs: time.Now().UnixMilli(),
--- a/modules/callers/openai/once.go
+++ b/modules/callers/openai/once.go
@@ -37,9 +37,9 @@
 	if request.stream {
 		return result.New(result.InvalidRequest, "work of class once is answered whole; leave out stream")
 	}
-	shards := m.batch.Shards()
-	if shards == 0 {
-		return result.New(result.StoreUnavailable, "no storage for idempotency keys is known yet").After(time.Second)
+	shards := m.batch.HomeShards(request.who.tenant.HomeRegion)
+	if len(shards) == 0 {
+		return result.New(result.StoreUnavailable, "no storage in the tenant's home region is known yet").After(time.Second)
 	}
 	tenant, err := m.admit(request.who)
 	if err != nil {
@@ -58,8 +58,9 @@
 	return m.runClaimed(c, request, shard, tenant)
 }
 
-func claimShard(request *online, shards uint32) uint32 {
-	return uint32(xxhash.Sum64String(request.who.tenant.Name+"\x00"+request.key) % uint64(shards))
+// claimShard is the same at every node, so that a resend meets the claim.
+func claimShard(request *online, shards []uint32) uint32 {
+	return shards[xxhash.Sum64String(request.who.tenant.Name+"\x00"+request.key)%uint64(len(shards))]
 }
 
 // claim asks for the key. A claim whose fate is unknown counts as not granted:
--- a/modules/operators/admin/admin.go
+++ b/modules/operators/admin/admin.go
@@ -117,7 +117,7 @@
 
 // Start implements kernel.Starter.
 func (m *Module) Start(context.Context) error {
-	app := fiber.New(fiber.Config{BodyLimit: submissionBytes, ErrorHandler: handleError})
+	app := fiber.New(fiber.Config{BodyLimit: submissionBytes, ErrorHandler: handleError, Immutable: true})
 	app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok\n") })
 	app.Get("/readyz", m.readyz)
 	app.Get("/metrics", adaptor.HTTPHandler(promhttp.HandlerFor(m.gatherer, promhttp.HandlerOpts{})))
