Hollow nodes, and control traffic that does not grow with the fleet

Change: anti-entropy by 16 buckets, digests to four random zone peers and with answers, gossip kept in a short list, runner tables take over unchanged zones and are rebuilt at most every 250 ms. The spread decisions move to a package of their own, which nodes and hollow nodes share.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,16 +83,19 @@
 	Owned []*Runner
 	// Pools are, per service, the owners with runners of it, ordered by owner.
 	Pools map[string][]Pool
+
+	place *ownership.Place
 }
 
-// NewRunners assigns owners by the view's place.
-func NewRunners(view *View, listed []platform.Runner) *Runners {
-	r := &Runners{ByID: make(map[string]*Runner, len(listed)), Pools: map[string][]Pool{}}
+// NewRunners assigns owners by the view's place. What the previous table (or
+// nil) says of zones whose candidates have not changed is taken over.
+func NewRunners(view *View, listed []platform.Runner, previous *Runners) *Runners {
+	r := &Runners{ByID: make(map[string]*Runner, len(listed)), Pools: map[string][]Pool{}, place: view.Place}
 	type poolKey struct{ service, owner, zone string }
 	pools := map[poolKey]*Pool{}
 	for _, item := range listed {
-		owner := view.Place.Owner(ownership.Runner{ID: item.ID, Zone: item.Zone, Region: item.Region})
-		runner := &Runner{Runner: item, Owner: owner}
+		runner := r.assign(item, previous)
+		owner := runner.Owner
 		r.ByID[item.ID] = runner
 		if owner == view.Self.Id {
 			r.Owned = append(r.Owned, runner)
@@ -113,6 +116,17 @@
 	return r
 }
 
+func (r *Runners) assign(item platform.Runner, previous *Runners) *Runner {
+	if previous != nil {
+		known := previous.ByID[item.ID]
+		if known != nil && known.Runner == item && r.place.SameZone(previous.place, item.Zone) {
+			return known
+		}
+	}
+	owner := r.place.Owner(ownership.Runner{ID: item.ID, Zone: item.Zone, Region: item.Region})
+	return &Runner{Runner: item, Owner: owner}
+}
+
 func (r *Runners) sort() {
 	sort.Slice(r.Owned, func(i, j int) bool { return r.Owned[i].ID < r.Owned[j].ID })
 	for _, pools := range r.Pools {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -5,12 +5,13 @@
 // The package does no I/O and reads no clock: Tick and Handle take the time and
 // return messages to send. Traffic per node is constant in the fleet's size:
 // one probe per interval, a bounded number of piggybacked records, and an
-// anti-entropy exchange that sends the whole table only when hashes differ.
+// anti-entropy exchange that sends only the parts of the table that differ.
 package membership
 
 import (
 	"math/bits"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -54,7 +55,7 @@
 		SuspicionTimeout: 1500 * time.Millisecond,
 		IndirectProbes:   3,
 		MaxPiggyback:     8,
-		SyncInterval:     5 * time.Second,
+		SyncInterval:     10 * time.Second,
 		TombstoneTime:    10 * time.Minute,
 	}
 }
@@ -87,8 +88,14 @@
 	suspected bool      // a local suspicion is running
 	transmits int       // gossip transmissions of the current record
 	hash      uint64
+	bucket    int
+	listed    int // index in State.list
+	fresh     bool
 }
 
+// buckets split the table for the anti-entropy exchange.
+const buckets = 16
+
 type probe struct {
 	target   string
 	started  time.Time
@@ -111,9 +118,11 @@
 	random  *rand.Rand
 	self    *wirev1.MemberRecord
 	members map[string]*member
+	list    []*member // all members, in no order
+	fresh   []*member // those whose record is still being gossiped
 	seeds   []Seed
 
-	order     []string // shuffled probe order
+	order     []*member // shuffled probe order
 	position  int
 	sequence  uint64
 	probes    map[uint64]probe
@@ -121,7 +130,7 @@
 	nextProbe time.Time
 	nextSync  time.Time
 	lastTick  time.Time
-	tableHash uint64
+	hashes    [buckets]uint64
 
 	bundleGeneration uint64
 	peerGeneration   uint64
@@ -208,7 +217,7 @@
 	}
 	clear(s.probes)
 	clear(s.relays)
-	for _, known := range s.members {
+	for _, known := range s.list {
 		if known.suspected {
 			known.deadline = now.Add(s.config.SuspicionTimeout)
 		}
@@ -216,7 +225,8 @@
 }
 
 func (s *State) expireProbes(now time.Time, out *Output) {
-	for sequence, running := range s.probes {
+	for _, sequence := range sortedKeys(s.probes) {
+		running := s.probes[sequence]
 		waited := now.Sub(running.started)
 		if waited >= s.config.ProbeInterval {
 			delete(s.probes, sequence)
@@ -236,6 +246,17 @@
 	}
 }
 
+// sortedKeys fixes the order in which probes expire, so that a run with one
+// seed is always the same.
+func sortedKeys(probes map[uint64]probe) []uint64 {
+	keys := make([]uint64, 0, len(probes))
+	for sequence := range probes {
+		keys = append(keys, sequence)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
 func (s *State) askOthers(sequence uint64, target string, out *Output) {
 	subject := s.members[target]
 	if subject == nil {
@@ -270,10 +291,11 @@
 }
 
 func (s *State) expireSuspicions(now time.Time, out *Output) {
-	for id, known := range s.members {
+	for i := len(s.list) - 1; i >= 0; i-- {
+		known := s.list[i]
 		if known.record.State == Dead {
 			if now.After(known.deadline) {
-				s.forget(id)
+				s.forget(known)
 			}
 			continue
 		}
@@ -286,9 +308,14 @@
 	}
 }
 
-func (s *State) forget(id string) {
-	s.tableHash ^= s.members[id].hash
-	delete(s.members, id)
+// forget drops a tombstone.
+func (s *State) forget(known *member) {
+	s.hashes[known.bucket] ^= known.hash
+	delete(s.members, known.record.Id)
+	last := s.list[len(s.list)-1]
+	s.list[known.listed] = last
+	last.listed = known.listed
+	s.list = s.list[:len(s.list)-1]
 }
 
 func (s *State) startProbe(now time.Time, out *Output) {
@@ -306,10 +333,10 @@
 func (s *State) nextTarget() *member {
 	for range 2 {
 		for s.position < len(s.order) {
-			id := s.order[s.position]
+			known := s.order[s.position]
 			s.position++
-			known := s.members[id]
-			if known != nil && id != s.self.Id && known.record.State != Dead {
+			current := s.members[known.record.Id] == known
+			if current && known.record.Id != s.self.Id && known.record.State != Dead {
 				return known
 			}
 		}
@@ -319,11 +346,7 @@
 }
 
 func (s *State) reshuffle() {
-	s.order = s.order[:0]
-	for id := range s.members {
-		s.order = append(s.order, id)
-	}
-	sort.Strings(s.order)
+	s.order = append(s.order[:0], s.list...)
 	s.random.Shuffle(len(s.order), func(i, j int) { s.order[i], s.order[j] = s.order[j], s.order[i] })
 	s.position = 0
 }
@@ -343,12 +366,12 @@
 }
 
 func (s *State) syncMessage() *wirev1.MembershipMessage {
-	return &wirev1.MembershipMessage{Kind: wirev1.MembershipKind_MEMBERSHIP_KIND_SYNC, Sequence: s.tableHash}
+	return &wirev1.MembershipMessage{Kind: wirev1.MembershipKind_MEMBERSHIP_KIND_SYNC, BucketHashes: s.hashes[:]}
 }
 
 func (s *State) missingSeed() string {
 	live := make(map[string]bool, len(s.members))
-	for _, known := range s.members {
+	for _, known := range s.list {
 		if known.record.State != Dead {
 			live[known.record.Address] = true
 		}
@@ -381,9 +404,7 @@
 	case wirev1.MembershipKind_MEMBERSHIP_KIND_PING_REQUEST:
 		s.handlePingRequest(now, message, &out)
 	case wirev1.MembershipKind_MEMBERSHIP_KIND_SYNC:
-		if message.Sequence != s.tableHash {
-			s.sendTable(&out, message.FromAddress, wirev1.MembershipKind_MEMBERSHIP_KIND_SYNC_REPLY)
-		}
+		s.sendDifferent(&out, message, "")
 	case wirev1.MembershipKind_MEMBERSHIP_KIND_SYNC_REPLY:
 		s.handleSyncReply(message, &out)
 	}
@@ -425,23 +446,40 @@
 	s.send(out, message.TargetAddress, &wirev1.MembershipMessage{Kind: wirev1.MembershipKind_MEMBERSHIP_KIND_PING, Sequence: sequence})
 }
 
-// handleSyncReply has merged the peer's table already; it sends back its own
-// records if the peer lacks something.
+// handleSyncReply has merged the peer's records already; it answers with its
+// own where the tables still differ. Target marks that answer as the last.
 func (s *State) handleSyncReply(message *wirev1.MembershipMessage, out *Output) {
-	if message.Sequence != s.tableHash && message.Target == "" {
-		s.sendTableMarked(out, message.FromAddress)
+	if message.Target == "" {
+		s.sendDifferent(out, message, "last")
 	}
 }
 
-func (s *State) sendTable(out *Output, address string, kind wirev1.MembershipKind) {
-	s.sendRaw(out, address, &wirev1.MembershipMessage{Kind: kind, Sequence: s.tableHash, Updates: s.Records()})
+// sendDifferent sends the records of the buckets whose hashes differ.
+func (s *State) sendDifferent(out *Output, message *wirev1.MembershipMessage, mark string) {
+	if len(message.BucketHashes) != buckets {
+		return
+	}
+	var records []*wirev1.MemberRecord
+	for _, known := range s.list {
+		if message.BucketHashes[known.bucket] != s.hashes[known.bucket] {
+			records = append(records, known.record)
+		}
+	}
+	if len(records) == 0 && s.sameTable(message.BucketHashes) {
+		return
+	}
+	s.sendRaw(out, message.FromAddress, &wirev1.MembershipMessage{
+		Kind: wirev1.MembershipKind_MEMBERSHIP_KIND_SYNC_REPLY, BucketHashes: s.hashes[:], Updates: records, Target: mark,
+	})
 }
 
-// sendTableMarked answers a table with a table; Target marks it as the last.
-func (s *State) sendTableMarked(out *Output, address string) {
-	s.sendRaw(out, address, &wirev1.MembershipMessage{
-		Kind: wirev1.MembershipKind_MEMBERSHIP_KIND_SYNC_REPLY, Sequence: s.tableHash, Updates: s.Records(), Target: "last",
-	})
+func (s *State) sameTable(hashes []uint64) bool {
+	for bucket, hash := range hashes {
+		if hash != s.hashes[bucket] {
+			return false
+		}
+	}
+	return true
 }
 
 // merge takes a record heard of. Records about this node itself are refuted.
@@ -522,12 +560,21 @@
 }
 
 func (s *State) store(record *wirev1.MemberRecord, known *member) {
-	s.tableHash ^= known.hash
+	if s.members[record.Id] == nil {
+		known.bucket = int(xxhash.Sum64String(record.Id) % buckets)
+		known.listed = len(s.list)
+		s.list = append(s.list, known)
+		s.members[record.Id] = known
+	}
+	s.hashes[known.bucket] ^= known.hash
 	known.record = record
 	known.transmits = 0
 	known.hash = hashRecord(record)
-	s.tableHash ^= known.hash
-	s.members[record.Id] = known
+	s.hashes[known.bucket] ^= known.hash
+	if !known.fresh {
+		known.fresh = true
+		s.fresh = append(s.fresh, known)
+	}
 }
 
 func hashRecord(record *wirev1.MemberRecord) uint64 {
@@ -540,27 +587,31 @@
 // transmitLimit is how often a record is piggybacked: a few times log2(n).
 func (s *State) transmitLimit() int { return 3 * bits.Len(uint(len(s.members))) }
 
-// piggyback picks the records transmitted least often.
+// piggyback picks the records transmitted least often and retires those that
+// have been transmitted enough.
 func (s *State) piggyback() []*wirev1.MemberRecord {
+	if len(s.fresh) == 0 {
+		return nil
+	}
+	sort.SliceStable(s.fresh, func(i, j int) bool { return s.fresh[i].transmits < s.fresh[j].transmits })
 	limit := s.transmitLimit()
-	var fresh []*member
-	for _, known := range s.members {
-		if known.transmits < limit {
-			fresh = append(fresh, known)
+	records := make([]*wirev1.MemberRecord, 0, min(len(s.fresh), s.config.MaxPiggyback))
+	kept := s.fresh[:0]
+	for _, known := range s.fresh {
+		if s.members[known.record.Id] != known {
+			known.fresh = false
+			continue
 		}
-	}
-	sort.Slice(fresh, func(i, j int) bool {
-		if fresh[i].transmits != fresh[j].transmits {
-			return fresh[i].transmits < fresh[j].transmits
+		if len(records) < s.config.MaxPiggyback {
+			known.transmits++
+			records = append(records, known.record)
+		}
+		known.fresh = known.transmits < limit
+		if known.fresh {
+			kept = append(kept, known)
 		}
-		return fresh[i].record.Id < fresh[j].record.Id
-	})
-	fresh = fresh[:min(len(fresh), s.config.MaxPiggyback)]
-	records := make([]*wirev1.MemberRecord, len(fresh))
-	for i, known := range fresh {
-		known.transmits++
-		records[i] = known.record
 	}
+	s.fresh = kept
 	return records
 }
 
@@ -581,26 +632,18 @@
 	return s.sequence
 }
 
-// randomMember returns a random member that is not dead and not excluded.
-func (s *State) randomMember(excluded ...string) *member {
-	var candidates []*member
-	for _, known := range s.members {
-		if known.record.State != Dead && !contains(excluded, known.record.Id) {
-			candidates = append(candidates, known)
-		}
-	}
-	if len(candidates) == 0 {
-		return nil
-	}
-	sort.Slice(candidates, func(i, j int) bool { return candidates[i].record.Id < candidates[j].record.Id })
-	return candidates[s.random.IntN(len(candidates))]
-}
+// randomTries bounds the draws of randomMember; in a fleet that is mostly
+// alive the first few succeed.
+const randomTries = 32
 
-func contains(list []string, wanted string) bool {
-	for _, item := range list {
-		if item == wanted {
-			return true
+// randomMember returns a random member that is not dead and not excluded, nil
+// if none was drawn.
+func (s *State) randomMember(excluded ...string) *member {
+	for range randomTries {
+		known := s.list[s.random.IntN(len(s.list))]
+		if known.record.State != Dead && !slices.Contains(excluded, known.record.Id) {
+			return known
 		}
 	}
-	return false
+	return nil
 }
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -32,18 +32,29 @@
 	nodes    []Node
 	byZone   map[string][]Node
 	byRegion map[string][]Node
+	// zoneHash identifies the candidates of a zone.
+	zoneHash map[string]uint64
 }
 
 // NewPlace indexes the candidates.
 func NewPlace(nodes []Node) *Place {
-	p := &Place{nodes: nodes, byZone: map[string][]Node{}, byRegion: map[string][]Node{}}
+	p := &Place{nodes: nodes, byZone: map[string][]Node{}, byRegion: map[string][]Node{}, zoneHash: map[string]uint64{}}
 	for _, node := range nodes {
 		p.byZone[node.Zone] = append(p.byZone[node.Zone], node)
+		p.zoneHash[node.Zone] ^= xxhash.Sum64String(node.ID)
 		p.byRegion[node.Region] = append(p.byRegion[node.Region], node)
 	}
 	return p
 }
 
+// SameZone reports whether a zone has the same candidates in another place, so
+// that its runners have the same owners. A zone without any is never the same,
+// because its owners stand elsewhere.
+func (p *Place) SameZone(other *Place, zone string) bool {
+	hash, has := p.zoneHash[zone]
+	return has && other != nil && len(p.byZone[zone]) == len(other.byZone[zone]) && hash == other.zoneHash[zone]
+}
+
 // Owner returns the id of the runner's owner, or "" if there is no node.
 func (p *Place) Owner(runner Runner) string {
 	candidates := p.byZone[runner.Zone]
@@ -56,6 +67,9 @@
 	return highest(runner.ID, candidates)
 }
 
+// Zone returns the candidates of a zone.
+func (p *Place) Zone(zone string) []Node { return p.byZone[zone] }
+
 // Ranked returns the nodes of the zone in the order they would own the key.
 func (p *Place) Ranked(key, zone string) []Node {
 	ranked := append([]Node(nil), p.byZone[zone]...)
--- a/lab/cli/cli.go
+++ b/lab/cli/cli.go
@@ -27,6 +27,8 @@
 
 	Demo demoCommand `command:"demo" description:"run the whole path with a node killed in the middle, and count what came of it"`
 	Up   upCommand   `command:"up" description:"start the demonstration's deployment and keep it running"`
+
+	Hollow hollowCommand `command:"hollow" description:"measure what control costs one node at a fleet's size, with hollow nodes on a virtual clock"`
 }
 
 // Main runs the command line and returns the process's exit code.
--- a/modules/config/bundles/bundles.go
+++ b/modules/config/bundles/bundles.go
@@ -23,9 +23,11 @@
 	"cobaltramp.example/cobaltramp/internal/bundle"
 	"cobaltramp.example/cobaltramp/internal/fleet"
 	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/ownership"
 	"cobaltramp.example/cobaltramp/internal/platform"
 	"cobaltramp.example/cobaltramp/internal/rpc"
 	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/internal/spread"
 	"cobaltramp.example/cobaltramp/modules/fleet/membership"
 	"cobaltramp.example/cobaltramp/modules/platform/etcdgateway"
 )
@@ -154,23 +156,13 @@
 const (
 	repairInterval = 500 * time.Millisecond
 	watchBackoff   = time.Second
-	watchersPer    = 3
-	noticeFanout   = 4
 	fetchTimeout   = 5 * time.Second
 )
 
-// isWatcher reports whether this node is one of the few of its region that
-// watch the platform's service.
 func (m *Module) isWatcher() bool {
 	view := m.members.View()
-	better := 0
-	own := watchWeight(view.Self.Id)
-	for _, candidate := range view.Candidates {
-		if candidate.Region == view.Self.Region && candidate.ID != view.Self.Id && watchWeight(candidate.ID) > own {
-			better++
-		}
-	}
-	return better < watchersPer
+	self := ownership.Node{ID: view.Self.Id, Zone: view.Self.Zone, Region: view.Self.Region}
+	return spread.IsWatcher(self, view.Candidates)
 }
 
 // watchLoop follows the head in the platform's service while this node is a
@@ -366,14 +358,8 @@
 // know it fetches and tells as many again.
 func (m *Module) tellOthers(revision uint64) {
 	view := m.members.View()
-	var others []string
-	for _, candidate := range view.Candidates {
-		if candidate.ID != view.Self.Id {
-			others = append(others, candidate.ID)
-		}
-	}
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	for _, id := range others[:min(len(others), noticeFanout)] {
+	random := rand.New(rand.NewPCG(rand.Uint64(), revision))
+	for _, id := range spread.Targets(view.Self.Id, view.Candidates, random) {
 		if address, known := view.Address(id); known {
 			m.pool.Notify(address, rpc.ClassControl, wirev1.Method_METHOD_BUNDLE_NOTICE, &wirev1.BundleNotice{Revision: revision})
 		}
--- a/modules/config/bundles/content.go
+++ b/modules/config/bundles/content.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/gravitational/trace"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
@@ -34,8 +33,6 @@
 // deltas a node reads when it has none.
 const fullEvery = 16
 
-func watchWeight(id string) uint64 { return xxhash.Sum64String("bundle-watch\x00" + id) }
-
 // content returns the snapshot of a generation: from memory, a peer, or the
 // platform's service. The caller holds the applying mutex.
 func (m *Module) content(ctx context.Context, generation uint64, digest, peer string) (*bundle.Snapshot, error) {
--- a/modules/fleet/runners/runners.go
+++ b/modules/fleet/runners/runners.go
@@ -41,6 +41,7 @@
 
 	mutex     sync.Mutex
 	listed    []platform.Runner
+	changed   chan struct{}
 	table     atomic.Pointer[fleet.Runners]
 	listeners []func(*fleet.Runners)
 }
@@ -62,8 +63,9 @@
 	if m.views, err = kernel.Find[Views](ctx); err != nil {
 		return trace.Wrap(err)
 	}
-	m.table.Store(fleet.NewRunners(m.views.View(), nil))
-	m.views.OnView(func(*fleet.View) { m.rebuild(nil) })
+	m.table.Store(fleet.NewRunners(m.views.View(), nil, nil))
+	m.changed = make(chan struct{}, 1)
+	m.views.OnView(func(*fleet.View) { m.noteChange() })
 	ctx.Provide(m)
 	return nil
 }
@@ -78,9 +80,39 @@
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
 	go m.listLoop(ctx)
+	go m.viewLoop(ctx)
 	return nil
 }
 
+// rebuildInterval is the least time between two tables made for changed views:
+// when a zone is lost, many changes share one table.
+const rebuildInterval = 250 * time.Millisecond
+
+func (m *Module) noteChange() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// viewLoop makes a new table at once for a first change, and one later for all
+// that follow it closely.
+func (m *Module) viewLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-m.changed:
+			m.rebuild(nil)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(rebuildInterval):
+		}
+	}
+}
+
 func (m *Module) listLoop(ctx context.Context) {
 	for {
 		if listed, err := m.lists.Runners(ctx); err == nil {
@@ -105,7 +137,7 @@
 		}
 		m.listed = listed
 	}
-	table := fleet.NewRunners(m.views.View(), m.listed)
+	table := fleet.NewRunners(m.views.View(), m.listed, m.table.Load())
 	m.table.Store(table)
 	for _, listener := range m.listeners {
 		listener(table)
--- a/modules/serving/owner/dispatch.go
+++ b/modules/serving/owner/dispatch.go
@@ -148,7 +148,7 @@
 func (m *Module) runOnline(ctx context.Context, place *admission, request *wirev1.DispatchRequest, emit Emit) error {
 	defer m.onlineDone(place.runner)
 	m.metrics.dispatched.WithLabelValues("online").Inc()
-	if err := emit(&wirev1.DispatchEvent{RequestId: request.RequestId, Runner: place.id, Assigned: true, Load: m.Load()}); err != nil {
+	if err := emit(&wirev1.DispatchEvent{RequestId: request.RequestId, Runner: place.id, Assigned: true, Load: m.Load(place.model)}); err != nil {
 		return result.New(result.CallerGone, "accepting node is gone")
 	}
 	started := time.Now()
--- a/modules/serving/owner/owner.go
+++ b/modules/serving/owner/owner.go
@@ -311,15 +311,16 @@
 	}
 }
 
-// Load returns what this node advertises to accepting nodes.
-func (m *Module) Load() *wirev1.LoadDigest {
+// Load returns what this node advertises to accepting nodes, of one model or,
+// with an empty name, of all.
+func (m *Module) Load(only string) *wirev1.LoadDigest {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.sequence++
 	byModel := map[string]*wirev1.ModelLoad{}
 	digest := &wirev1.LoadDigest{NodeId: m.settings.Node.ID, Sequence: m.sequence}
 	for _, r := range m.runners {
-		if !r.ready(time.Now()) {
+		if !r.ready(time.Now()) || (only != "" && r.model != only) {
 			continue
 		}
 		load := byModel[r.model]
--- a/modules/serving/router/router.go
+++ b/modules/serving/router/router.go
@@ -25,6 +25,7 @@
 	"cobaltramp.example/cobaltramp/internal/scheduling/framework"
 	"cobaltramp.example/cobaltramp/internal/scheduling/plugins"
 	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/internal/spread"
 	"cobaltramp.example/cobaltramp/modules/serving/owner"
 )
 
@@ -51,7 +52,7 @@
 type LocalOwner interface {
 	Dispatch(context.Context, *wirev1.DispatchRequest, owner.Emit) error
 	Reattach(context.Context, *wirev1.ReattachRequest, owner.Emit) error
-	Load() *wirev1.LoadDigest
+	Load(model string) *wirev1.LoadDigest
 }
 
 // Module routes online requests.
@@ -157,8 +158,9 @@
 	return nil
 }
 
-// digestLoop advertises this node's load to the nodes of its zone.
+// digestLoop advertises this node's load to a few nodes of its zone at a time.
 func (m *Module) digestLoop(ctx context.Context) {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	ticker := time.NewTicker(digestInterval)
 	defer ticker.Stop()
 	for {
@@ -167,16 +169,13 @@
 			return
 		case <-ticker.C:
 		}
-		digest := m.local.Load()
+		digest := m.local.Load("")
 		if len(digest.Models) == 0 {
 			continue
 		}
 		view := m.views.View()
-		for _, candidate := range view.Candidates {
-			if candidate.Zone != view.Self.Zone || candidate.ID == view.Self.Id {
-				continue
-			}
-			if address, known := view.Address(candidate.ID); known {
+		for _, id := range spread.Sample(view.Self.Id, view.Place.Zone(view.Self.Zone), spread.DigestFanout, random) {
+			if address, known := view.Address(id); known {
 				m.pool.Notify(address, rpc.ClassControl, wirev1.Method_METHOD_LOAD_DIGEST, digest)
 			}
 		}
@@ -203,7 +202,7 @@
 		if overtaken {
 			return
 		}
-		if state.load.CompareAndSwap(known, digest) {
+		if state.load.CompareAndSwap(known, mergeLoads(known, digest)) {
 			return
 		}
 	}
@@ -211,6 +210,21 @@
 
 const restartGap = 1000
 
+// mergeLoads keeps what an earlier digest said of models this one is silent
+// about: an answer carries the load of its own model only.
+func mergeLoads(known, digest *wirev1.LoadDigest) *wirev1.LoadDigest {
+	if known == nil || len(digest.Models) != 1 {
+		return digest
+	}
+	merged := &wirev1.LoadDigest{NodeId: digest.NodeId, Sequence: digest.Sequence, Models: digest.Models[:1:1]}
+	for _, load := range known.Models {
+		if load.Model != digest.Models[0].Model {
+			merged.Models = append(merged.Models, load)
+		}
+	}
+	return merged
+}
+
 func (m *Module) owner(id string) *ownerState {
 	if known, found := m.owners.Load(id); found {
 		return known.(*ownerState)
