--- a/internal/arbiter/arbiter.go
+++ b/internal/arbiter/arbiter.go
@@ -14,8 +14,27 @@
 	"time"
 )
 
+// Mode is how batch and online share a runner.
+type Mode uint8
+
+// Modes. All but Managed are baselines.
+const (
+	// Managed preempts batch for online work and steers the batch limit.
+	Managed Mode = iota
+	// Static gives batch a fixed part of the slots.
+	Static
+	// PriorityOnly lets batch fill all slots and relies on the engine's
+	// priorities.
+	PriorityOnly
+	// Off runs no batch.
+	Off
+)
+
 // Config is one runner's policy, taken from the bundle.
 type Config struct {
+	Mode Mode
+	// StaticSlots is batch's part in mode Static.
+	StaticSlots int
 	// Slots is the number of sequences the runner runs at a time.
 	Slots int
 	// ReserveSlots are kept free of batch for bursts.
@@ -94,6 +113,9 @@
 func (a *Arbiter) OnlineRoom() int { return max(0, a.onlineCapacity()-a.online) }
 
 func (a *Arbiter) onlineCapacity() int {
+	if a.config.Mode == Static {
+		return max(1, a.config.Slots-a.config.StaticSlots)
+	}
 	return a.config.Slots + int(queueShare*float64(a.config.Slots))
 }
 
@@ -105,6 +127,9 @@
 		return false, nil
 	}
 	a.online++
+	if a.config.Mode != Managed {
+		return true, nil
+	}
 	return true, a.shrinkTo(max(0, a.config.Slots-a.online))
 }
 
@@ -123,6 +148,14 @@
 
 // BatchRoom returns how many batch streams may start now.
 func (a *Arbiter) BatchRoom() int {
+	switch a.config.Mode {
+	case Off:
+		return 0
+	case Static:
+		return max(0, a.config.StaticSlots-len(a.batch))
+	case PriorityOnly:
+		return max(0, a.config.Slots-len(a.batch))
+	}
 	allowed := min(int(a.limit), a.config.Slots-a.config.ReserveSlots-a.online)
 	room := max(0, allowed-len(a.batch))
 	if a.online > 0 {
@@ -181,6 +214,9 @@
 	a.windowAt = now
 	a.starts = 0
 	defer func() { a.late, a.samples = 0, 0 }()
+	if a.config.Mode != Managed {
+		return nil
+	}
 	if a.online == 0 {
 		// Nobody to harm: the whole gap is used at once; preemption protects
 		// the next arrival.
--- a/internal/bundle/schema.go
+++ b/internal/bundle/schema.go
@@ -70,6 +70,13 @@
 
 // BatchPolicy steers batch work in idle capacity.
 type BatchPolicy struct {
+	// Mode is "managed" (default: preemption and a steered limit), "static"
+	// (batch has static_slots of each runner for itself), "priority_only" (batch
+	// fills every slot and relies on the engine's priorities) or "off". All but
+	// managed are baselines to compare with.
+	Mode string `json:"mode"`
+	// StaticSlots is batch's share of each runner in mode static.
+	StaticSlots int `json:"static_slots,omitempty"`
 	// TailWeight says how strongly a late online token shrinks batch, 0 to 1:
 	// near 1 guards the tail, near 0 favours batch throughput (default 0.5).
 	TailWeight float64 `json:"tail_weight"`
@@ -167,6 +174,14 @@
 	defaultDrainTimeout     = Duration(30 * time.Second)
 )
 
+// Batch modes as written in the policy.
+const (
+	BatchManaged      = "managed"
+	BatchStatic       = "static"
+	BatchPriorityOnly = "priority_only"
+	BatchOff          = "off"
+)
+
 // Work classes as written in documents and headers.
 const (
 	ClassRepeatable = "repeatable"
@@ -180,7 +195,7 @@
 		RetryBudget:      defaultRetryBudget,
 		DrainTimeout:     defaultDrainTimeout,
 		Batch: BatchPolicy{
-			TailWeight: defaultTailWeight, ReserveSlots: defaultReserveSlots,
+			Mode: BatchManaged, TailWeight: defaultTailWeight, ReserveSlots: defaultReserveSlots,
 			CompletionWindow: defaultWindow, Retention: defaultRetention, MaxAttempts: defaultMaxAttempts,
 		},
 	}
@@ -220,6 +235,9 @@
 	c.require(p.RequestTimeout > 0, "request_timeout", p.RequestTimeout.Std(), "more than 0s")
 	c.require(p.RetryBudget >= 0 && p.RetryBudget <= 1, "retry_budget", p.RetryBudget, "0 to 1")
 	c.require(p.DrainTimeout > 0, "drain_timeout", p.DrainTimeout.Std(), "more than 0s")
+	known := p.Batch.Mode == BatchManaged || p.Batch.Mode == BatchStatic || p.Batch.Mode == BatchPriorityOnly || p.Batch.Mode == BatchOff
+	c.require(known, "batch.mode", p.Batch.Mode, "managed, static, priority_only or off")
+	c.require(p.Batch.StaticSlots >= 0, "batch.static_slots", p.Batch.StaticSlots, "0 or more")
 	c.require(p.Batch.TailWeight >= 0 && p.Batch.TailWeight <= 1, "batch.tail_weight", p.Batch.TailWeight, "0 to 1")
 	c.require(p.Batch.ReserveSlots >= 0, "batch.reserve_slots", p.Batch.ReserveSlots, "0 or more")
 	c.require(p.Batch.CompletionWindow > 0, "batch.completion_window", p.Batch.CompletionWindow.Std(), "more than 0s")
--- a/lab/engine/scheduler.go
+++ b/lab/engine/scheduler.go
@@ -24,6 +24,64 @@
 	cache    *prefixCache
 	loads    []loadSample
 	steps    uint64
+	usage    Usage
+}
+
+// Usage counts what an engine spent, apart for online and batch work (by
+// priority), as an outside observer of the engine would.
+type Usage struct {
+	OnlineSlotSeconds float64
+	BatchSlotSeconds  float64
+	OnlineTokens      int
+	BatchTokens       int
+	BusySeconds       float64
+}
+
+// batchPriority and above is batch work.
+const batchPriority = 10
+
+// spend accounts for a step of a duration.
+func (s *scheduler) spend(duration time.Duration) {
+	seconds := duration.Seconds()
+	s.usage.BusySeconds += seconds
+	for _, item := range s.running {
+		if item.priority >= batchPriority {
+			s.usage.BatchSlotSeconds += seconds
+			continue
+		}
+		s.usage.OnlineSlotSeconds += seconds
+	}
+}
+
+func (s *scheduler) countToken(item *sequence) {
+	if item.priority >= batchPriority {
+		s.usage.BatchTokens++
+		return
+	}
+	s.usage.OnlineTokens++
+}
+
+// Usage returns what the engine has spent since its boot.
+func (e *Engine) Usage() Usage {
+	steps, _ := e.current()
+	steps.mutex.Lock()
+	defer steps.mutex.Unlock()
+	return steps.usage
+}
+
+// Running returns the sequences on the engine now, online and batch.
+func (e *Engine) Running() (online, batch int) {
+	steps, _ := e.current()
+	steps.mutex.Lock()
+	defer steps.mutex.Unlock()
+	for _, item := range steps.running {
+		if item.priority >= batchPriority {
+			batch++
+		} else {
+			online++
+		}
+	}
+	return online, batch
 }
 
 type loadSample struct {
@@ -155,7 +213,9 @@
 	duration := s.parameters.StepBase +
 		time.Duration(decoding)*s.parameters.StepPerSequence +
 		time.Duration(prefilled)*s.parameters.StepPerPrefillToken
-	return time.Duration(float64(duration) * s.slow)
+	duration = time.Duration(float64(duration) * s.slow)
+	s.spend(duration)
+	return duration
 }
 
 func (s *scheduler) admit() {
@@ -206,6 +266,7 @@
 			continue
 		}
 		finished := false
+		s.countToken(item)
 		item.advance(func() {
 			item.produced++
 			if item.produced >= item.length {
--- /dev/null
+++ b/lab/scenario/run.go
@@ -0,0 +1,321 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cobaltramp.example/cobaltramp/lab/engine"
+	"cobaltramp.example/cobaltramp/lab/fleet"
+	"cobaltramp.example/cobaltramp/lab/load"
+)
+
+// Outcome is what one policy and seed gave, counted from outside.
+type Outcome struct {
+	Policy string `json:"policy"`
+	Seed   uint64 `json:"seed"`
+
+	OnlineRequests int64          `json:"online_requests"`
+	OnlineFailed   int64          `json:"online_failed"`
+	OnlineRefused  int64          `json:"online_refused"`
+	OnlineCut      int64          `json:"online_cut"`
+	OnlineWrong    int64          `json:"online_wrong"`
+	OnlineResent   int64          `json:"online_resent"`
+	FirstP50Ms     float64        `json:"first_token_p50_ms"`
+	FirstP95Ms     float64        `json:"first_token_p95_ms"`
+	FirstP99Ms     float64        `json:"first_token_p99_ms"`
+	GapP95Ms       float64        `json:"token_gap_p95_ms"`
+	GapP99Ms       float64        `json:"token_gap_p99_ms"`
+	Errors         map[string]int `json:"errors,omitempty"`
+
+	BatchTokens   int     `json:"batch_tokens"`
+	BatchItems    int     `json:"batch_items_offered"`
+	BatchRuns     int     `json:"batch_runs"`
+	OnlineShare   float64 `json:"online_slot_share"`
+	BatchShare    float64 `json:"batch_slot_share"`
+	Seconds       float64 `json:"seconds"`
+	JobsChecked   int     `json:"jobs_checked"`
+	ItemsDone     int     `json:"items_completed"`
+	ItemsLost     int     `json:"items_lost"`
+	ItemsDoubled  int     `json:"items_doubled"`
+	ItemsWrong    int     `json:"items_wrong"`
+	PlatformCalls int64   `json:"platform_requests"`
+
+	Latency []Point `json:"latency"`
+	Use     []Use   `json:"use"`
+}
+
+// Point is one request's time to first token.
+type Point struct {
+	Seconds float64 `json:"at"`
+	Ms      float64 `json:"ms"`
+}
+
+// Use is the sequences on all engines at a moment.
+type Use struct {
+	Seconds float64 `json:"at"`
+	Online  int     `json:"online"`
+	Batch   int     `json:"batch"`
+}
+
+// Result is a scenario's outcomes.
+type Result struct {
+	Scenario string    `json:"scenario"`
+	Began    time.Time `json:"began"`
+	Faults   []Fault   `json:"faults"`
+	Outcomes []Outcome `json:"outcomes"`
+}
+
+// Run runs every policy with every seed, one after the other.
+func Run(s *Scenario, out io.Writer) (*Result, error) {
+	result := &Result{Scenario: s.Name, Began: time.Now().UTC(), Faults: s.Faults}
+	for _, seed := range s.Seeds {
+		for _, policy := range s.Policies {
+			_, _ = fmt.Fprintf(out, "%s: policy %s, seed %d …\n", s.Name, policy, seed)
+			outcome, err := runOne(s, policy, seed)
+			if err != nil {
+				return nil, trace.Wrap(err, "policy %s, seed %d", policy, seed)
+			}
+			_, _ = fmt.Fprintf(out, "  online %d, failed %d, first token p95 %.0f ms p99 %.0f ms, gap p95 %.1f ms, batch tokens %d in %.0f s\n",
+				outcome.OnlineRequests, outcome.OnlineFailed, outcome.FirstP95Ms, outcome.FirstP99Ms, outcome.GapP95Ms, outcome.BatchTokens, outcome.Seconds)
+			result.Outcomes = append(result.Outcomes, *outcome)
+		}
+	}
+	return result, nil
+}
+
+const (
+	readyTimeout  = 30 * time.Second
+	finishTimeout = 60 * time.Second
+	useInterval   = 100 * time.Millisecond
+)
+
+func runOne(s *Scenario, policy string, seed uint64) (*Outcome, error) {
+	folder, err := os.MkdirTemp("", "cobaltramp-scenario-")
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	running, err := fleet.Start(s.Topology, folder)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer running.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	if err := running.Operator.Roll(ctx, running.AdminAddress(), s.Topology.Cluster, 1, s.bundle(running.Operator, policy)); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if err := running.AwaitReady(ctx, 1); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r := &run{scenario: s, policy: policy, seed: seed, fleet: running, recorder: load.NewRecorder()}
+	return r.drive()
+}
+
+// run is one policy and seed under way.
+type run struct {
+	scenario *Scenario
+	policy   string
+	seed     uint64
+	fleet    *fleet.Fleet
+	recorder *load.Recorder
+	began    time.Time
+
+	mutex sync.Mutex
+	jobs  []*load.Job
+	use   []Use
+}
+
+func (r *run) target() load.Target {
+	return load.Target{
+		Addresses: r.fleet.APIAddresses(), Key: tenant.Key, Model: r.scenario.Topology.Service,
+		MaxAnswer: r.scenario.Topology.Engine.MaxAnswer,
+	}
+}
+
+func (r *run) drive() (*Outcome, error) {
+	duration := r.scenario.duration()
+	ctx, cancel := context.WithTimeout(context.Background(), duration)
+	defer cancel()
+	r.began = time.Now()
+	before := r.totalUsage()
+	schedule(ctx, r.fleet, r.scenario.Faults, r.began)
+	var group sync.WaitGroup
+	for _, work := range []func(context.Context){r.online, r.heaps, r.watchUse} {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			work(ctx)
+		}()
+	}
+	<-ctx.Done()
+	after := r.totalUsage()
+	elapsed := time.Since(r.began)
+	group.Wait()
+	outcome := r.outcome(before, after, elapsed)
+	return outcome, r.check(outcome)
+}
+
+// online runs the phases one after the other.
+func (r *run) online(ctx context.Context) {
+	if r.policy == "batch_only" {
+		return
+	}
+	for number, phase := range r.scenario.Online {
+		phaseCtx, cancel := context.WithTimeout(ctx, time.Duration(phase.Seconds*float64(time.Second)))
+		shape := r.scenario.OnlineShape
+		shape.Rate = phase.Rate
+		shape.Seed = r.seed*1000 + uint64(number)
+		if phase.Rate > 0 {
+			load.Online(phaseCtx, r.target(), shape, r.recorder)
+		} else {
+			<-phaseCtx.Done()
+		}
+		cancel()
+	}
+}
+
+// heaps submits batch jobs in heaps until the context ends.
+func (r *run) heaps(ctx context.Context) {
+	heaps := r.scenario.Heaps
+	if r.policy == "off" || heaps.Jobs == 0 {
+		return
+	}
+	var group sync.WaitGroup
+	defer group.Wait()
+	for number := 0; ctx.Err() == nil; number++ {
+		for job := range heaps.Jobs {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				r.submit(number*heaps.Jobs + job)
+			}()
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(heaps.Every):
+		}
+	}
+}
+
+func (r *run) submit(number int) {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	shape := r.scenario.Heaps.Shape
+	shape.Seed = r.seed*100000 + uint64(number)
+	job, err := load.NewBatchClient(r.target()).Submit(ctx, shape)
+	if err != nil {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.jobs = append(r.jobs, job)
+}
+
+func (r *run) watchUse(ctx context.Context) {
+	ticker := time.NewTicker(useInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		moment := Use{Seconds: time.Since(r.began).Seconds()}
+		for _, watched := range r.fleet.Engines {
+			online, batch := watched.Running()
+			moment.Online += online
+			moment.Batch += batch
+		}
+		r.use = append(r.use, moment)
+	}
+}
+
+func (r *run) totalUsage() engine.Usage {
+	var total engine.Usage
+	for _, used := range r.fleet.Engines {
+		usage := used.Usage()
+		total.OnlineSlotSeconds += usage.OnlineSlotSeconds
+		total.BatchSlotSeconds += usage.BatchSlotSeconds
+		total.BatchTokens += usage.BatchTokens
+		total.OnlineTokens += usage.OnlineTokens
+	}
+	return total
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func (r *run) outcome(before, after engine.Usage, elapsed time.Duration) *Outcome {
+	slotSeconds := float64(len(r.fleet.Engines)*r.scenario.Slots) * elapsed.Seconds()
+	o := &Outcome{
+		Policy: r.policy, Seed: r.seed, Seconds: elapsed.Seconds(),
+		OnlineRequests: r.recorder.Requests.Load(), OnlineFailed: r.recorder.Failed.Load(), OnlineRefused: r.recorder.Refused.Load(),
+		OnlineCut: r.recorder.Cut.Load(), OnlineWrong: r.recorder.Wrong.Load(), OnlineResent: r.recorder.Resent.Load(),
+		FirstP50Ms: ms(r.recorder.FirstToken(50)), FirstP95Ms: ms(r.recorder.FirstToken(95)), FirstP99Ms: ms(r.recorder.FirstToken(99)),
+		GapP95Ms: ms(r.recorder.TokenGap(95)), GapP99Ms: ms(r.recorder.TokenGap(99)), Errors: r.recorder.Errors(),
+		BatchTokens:   after.BatchTokens - before.BatchTokens,
+		OnlineShare:   (after.OnlineSlotSeconds - before.OnlineSlotSeconds) / slotSeconds,
+		BatchShare:    (after.BatchSlotSeconds - before.BatchSlotSeconds) / slotSeconds,
+		PlatformCalls: r.fleet.Platform.Requests.Load(), Use: r.use,
+	}
+	for _, sample := range r.recorder.Series() {
+		o.Latency = append(o.Latency, Point{sample.At.Sub(r.began).Seconds(), ms(sample.First)})
+	}
+	return o
+}
+
+// check waits for the jobs that were accepted to end, and counts every item.
+// Jobs still running when the time is up are cancelled and must end too.
+func (r *run) check(o *Outcome) error {
+	ctx, cancel := context.WithTimeout(context.Background(), finishTimeout)
+	defer cancel()
+	client := load.NewBatchClient(r.target())
+	for _, job := range r.jobs {
+		o.BatchItems += len(job.Bodies)
+		status, err := client.Status(ctx, job.ID)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if status.State == "in_progress" {
+			if err := client.Cancel(ctx, job.ID); err != nil {
+				status, _ = client.Status(ctx, job.ID)
+			}
+		}
+		if status, err = client.Await(ctx, job.ID); err != nil {
+			return trace.Wrap(err)
+		}
+		audit, err := client.Check(ctx, job, status)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		o.JobsChecked++
+		o.ItemsDone += audit.Completed
+		o.ItemsLost += audit.Lost
+		o.ItemsDoubled += audit.Duplicates
+		o.ItemsWrong += audit.Wrong
+	}
+	return nil
+}
+
+// Broken lists the promises an outcome breaks.
+func (o *Outcome) Broken() []string {
+	var broken []string
+	add := func(count int64, what string) {
+		if count > 0 {
+			broken = append(broken, fmt.Sprintf("%d %s", count, what))
+		}
+	}
+	add(o.OnlineCut, "streams cut")
+	add(o.OnlineWrong, "wrong answers")
+	add(o.OnlineFailed-o.OnlineRefused, "online requests failed")
+	add(int64(o.ItemsLost), "items lost")
+	add(int64(o.ItemsDoubled), "items doubled")
+	add(int64(o.ItemsWrong), "items with wrong text")
+	return broken
+}
--- a/modules/serving/owner/owner.go
+++ b/modules/serving/owner/owner.go
@@ -303,8 +303,14 @@
 	r.orders.want(model, snapshot.Generation)
 }
 
+var arbiterModes = map[string]arbiter.Mode{
+	bundle.BatchManaged: arbiter.Managed, bundle.BatchStatic: arbiter.Static,
+	bundle.BatchPriorityOnly: arbiter.PriorityOnly, bundle.BatchOff: arbiter.Off,
+}
+
 func arbiterConfig(model *bundle.CompiledModel, snapshot *bundle.Snapshot) arbiter.Config {
 	return arbiter.Config{
+		Mode: arbiterModes[snapshot.Policy.Batch.Mode], StaticSlots: snapshot.Policy.Batch.StaticSlots,
 		Slots: model.Slots, ReserveSlots: snapshot.Policy.Batch.ReserveSlots,
 		FirstToken: model.FirstTokenTarget.Std(), InterToken: model.InterTokenTarget.Std(),
 		TailWeight: snapshot.Policy.Batch.TailWeight,
