--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -191,7 +191,7 @@
 // Tick advances timers. It is called a few times per ProbeInterval.
 func (s *State) Tick(now time.Time) Output {
 	var out Output
-	s.noticePause(now)
+	s.noticePause(now, &out)
 	s.expireProbes(now, &out)
 	s.expireSuspicions(now, &out)
 	if !now.Before(s.nextProbe) {
@@ -208,7 +208,8 @@
 
 // noticePause drops outstanding probes and restarts suspicions when this
 // process itself stood still: what it missed says nothing about the others.
-func (s *State) noticePause(now time.Time) {
+// Those it suspects are told at once, so that they can refute in time.
+func (s *State) noticePause(now time.Time, out *Output) {
 	stood := now.Sub(s.lastTick)
 	paused := !s.lastTick.IsZero() && stood > 3*s.config.ProbeInterval
 	s.lastTick = now
@@ -220,10 +221,23 @@
 	for _, known := range s.list {
 		if known.suspected {
 			known.deadline = now.Add(s.config.SuspicionTimeout)
+			s.ping(known, out)
 		}
 	}
 }
 
+// ping probes a member; a suspected one is shown its own record, whatever else
+// is piggybacked (the "buddy system" of Lifeguard, Dadgar and others 2017).
+func (s *State) ping(target *member, out *Output) uint64 {
+	sequence := s.nextSequence()
+	message := &wirev1.MembershipMessage{Kind: wirev1.MembershipKind_MEMBERSHIP_KIND_PING, Sequence: sequence}
+	s.send(out, target.record.Address, message)
+	if target.suspected && !slices.Contains(message.Updates, target.record) {
+		message.Updates = append(message.Updates, target.record)
+	}
+	return sequence
+}
+
 func (s *State) expireProbes(now time.Time, out *Output) {
 	for _, sequence := range sortedKeys(s.probes) {
 		running := s.probes[sequence]
@@ -323,9 +337,8 @@
 	if target == nil {
 		return
 	}
-	sequence := s.nextSequence()
+	sequence := s.ping(target, out)
 	s.probes[sequence] = probe{target: target.record.Id, started: now}
-	s.send(out, target.record.Address, &wirev1.MembershipMessage{Kind: wirev1.MembershipKind_MEMBERSHIP_KIND_PING, Sequence: sequence})
 }
 
 // nextTarget walks a shuffled round over all members that are not dead, so
--- a/internal/ownership/ownership_test.go
+++ b/internal/ownership/ownership_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
+
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
 )
 
 func drawNodes(t *rapid.T) []Node {
