--- a/internal/bundle/document.go
+++ b/internal/bundle/document.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -143,23 +142,3 @@
 	}
 	return check(name)
 }
-
-// Digest is the identity of a bundle's content: the SHA-256 over the sorted
-// hashes of its documents, in hex.
-func Digest(documents []Document) string {
-	hashes := make([]Hash, len(documents))
-	for i, document := range documents {
-		hashes[i] = document.Hash()
-	}
-	return digestOf(hashes)
-}
-
-func digestOf(hashes []Hash) string {
-	sorted := append([]Hash(nil), hashes...)
-	sort.Slice(sorted, func(i, j int) bool { return bytes.Compare(sorted[i][:], sorted[j][:]) < 0 })
-	digest := sha256.New()
-	for _, hash := range sorted {
-		_, _ = digest.Write(hash[:])
-	}
-	return hex.EncodeToString(digest.Sum(nil))
-}
--- a/internal/bundle/head.go
+++ b/internal/bundle/head.go
@@ -25,11 +25,14 @@
 	Revision   uint64 `json:"revision"`
 	Generation uint64 `json:"generation"`
 	Digest     string `json:"digest"`
-	// Stages and Stage: zones of stages before Stage have the generation in
-	// force; Stage == len(Stages) means the whole fleet.
+	// Stages are the lists of zones the generation is rolled by; Stage counts
+	// those it has reached.
 	Stages [][]string `json:"stages,omitempty"`
 	Stage  int        `json:"stage"`
 	Halted bool       `json:"halted,omitempty"`
+	// Zones hold what stages have put in force since the last roll to the whole
+	// fleet: a zone keeps it whatever is submitted next.
+	Zones []ZoneRoll `json:"zones,omitempty"`
 	// Rolled is the newest generation that reached the whole fleet.
 	Rolled       uint64    `json:"rolled"`
 	RolledDigest string    `json:"rolled_digest,omitempty"`
@@ -40,6 +43,13 @@
 	ChangedAt   time.Time `json:"changed_at"`
 }
 
+// ZoneRoll is the generation a stage put in force in a zone.
+type ZoneRoll struct {
+	Zone       string `json:"zone"`
+	Generation uint64 `json:"generation"`
+	Digest     string `json:"digest"`
+}
+
 // DecodeHead decodes a stored head.
 func DecodeHead(text []byte) (*Head, error) {
 	var head Head
@@ -58,26 +68,28 @@
 	return text
 }
 
-// GenerationFor returns the generation that should be in force in the zone.
+// GenerationFor returns the generation that should be in force in the zone. It
+// never falls from one head to the next.
 func (h *Head) GenerationFor(zone string) (uint64, string) {
-	if h.covers(zone) {
-		return h.Generation, h.Digest
+	generation, digest := h.Rolled, h.RolledDigest
+	for _, rolled := range h.Zones {
+		if rolled.Zone == zone && rolled.Generation > generation {
+			generation, digest = rolled.Generation, rolled.Digest
+		}
 	}
-	return h.Rolled, h.RolledDigest
+	return generation, digest
 }
 
-func (h *Head) covers(zone string) bool {
-	if h.Stage >= len(h.Stages) {
-		return true
-	}
-	for _, stage := range h.Stages[:h.Stage] {
-		for _, covered := range stage {
-			if covered == zone {
-				return true
-			}
+// rollZone puts the newest generation in force in a zone.
+func (h *Head) rollZone(zone string) {
+	rolled := ZoneRoll{zone, h.Generation, h.Digest}
+	zones := make([]ZoneRoll, 0, len(h.Zones)+1)
+	for _, known := range h.Zones {
+		if known.Zone != zone {
+			zones = append(zones, known)
 		}
 	}
-	return false
+	h.Zones = append(zones, rolled)
 }
 
 // Submission is a signed bundle offered as the next generation.
@@ -145,8 +157,8 @@
 	}
 	if current != nil {
 		next.Revision = current.Revision + 1
-		next.Rolled = current.Rolled
-		next.RolledDigest = current.RolledDigest
+		next.Rolled, next.RolledDigest = current.Rolled, current.RolledDigest
+		next.Zones = current.Zones
 	}
 	return next, proposed, nil
 }
@@ -193,13 +205,25 @@
 		return nil, result.New(result.InvalidRequest, "roll action %q, allowed: next, all or halt", action)
 	}
 	next.Halted = false
-	if next.Stage >= len(next.Stages) {
-		next.Rolled = next.Generation
-		next.RolledDigest = next.Digest
-	}
+	next.putInForce()
 	return &next, nil
 }
 
+// putInForce rolls the zones of the stages reached; after the last stage the
+// whole fleet has the generation, zones no stage names included.
+func (h *Head) putInForce() {
+	if h.Stage >= len(h.Stages) {
+		h.Rolled, h.RolledDigest = h.Generation, h.Digest
+		h.Zones = nil
+		return
+	}
+	for _, stage := range h.Stages[:h.Stage] {
+		for _, zone := range stage {
+			h.rollZone(zone)
+		}
+	}
+}
+
 // RollRequest asks for a roll action, signed by one operator of the newest
 // accepted bundle.
 type RollRequest struct {
--- a/internal/bundle/snapshot.go
+++ b/internal/bundle/snapshot.go
@@ -1,6 +1,7 @@
 package bundle
 
 import (
+	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -27,18 +28,20 @@
 }
 
 // Snapshot is an immutable compiled bundle. Request handlers load it once per
-// request through an atomic pointer and never see two generations.
+// request through an atomic pointer and never see two generations. A following
+// snapshot shares what did not change.
 type Snapshot struct {
 	Generation uint64
 	Digest     string
 	Policy     Policy
 	// Models by name, adapters included under their own names.
 	Models    map[string]*CompiledModel
-	Tenants   map[string]*CompiledTenant
 	Operators map[string]*Operator
 
-	tenantByKey map[Hash]*CompiledTenant
-	documents   map[Key]entry
+	policies    int
+	documents   *bucketMap[Key, entry]
+	tenantByKey *bucketMap[Hash, *CompiledTenant]
+	digests     [bucketCount]Hash
 }
 
 // entry keeps a document with its compiled value, so that a new snapshot
@@ -49,29 +52,51 @@
 	value    any
 }
 
+func bucketOfKey(key Key) uint8 {
+	hash := sha256.Sum256([]byte(key.String()))
+	return hash[0]
+}
+
+func bucketOfHash(hash Hash) uint8 { return hash[0] }
+
+func emptySnapshot() *Snapshot {
+	s := &Snapshot{documents: newBucketMap[Key, entry](bucketOfKey), tenantByKey: newBucketMap[Hash, *CompiledTenant](bucketOfHash)}
+	for bucket := range s.digests {
+		s.digests[bucket] = digestBucket(nil)
+	}
+	return s
+}
+
 // Compile checks documents and builds a snapshot.
 func Compile(generation uint64, documents []Document) (*Snapshot, error) {
-	return (&Snapshot{}).Next(generation, documents, nil)
+	return emptySnapshot().Next(generation, documents, nil)
 }
 
 // Next builds the snapshot that follows this one when the given documents are
 // put and the given keys removed. Documents not named stay.
 func (s *Snapshot) Next(generation uint64, changed []Document, removed []Key) (*Snapshot, error) {
-	entries := make(map[Key]entry, len(s.documents)+len(changed))
-	for key, known := range s.documents {
-		entries[key] = known
+	b := &builder{
+		before: s, documents: s.documents.edit(), keys: s.tenantByKey.edit(), touched: map[uint8]bool{},
+		next: &Snapshot{Generation: generation, Policy: s.Policy, policies: s.policies, digests: s.digests, Models: s.Models, Operators: s.Operators},
 	}
 	for _, key := range removed {
-		delete(entries, key)
+		b.remove(key)
 	}
+	added := make([]entry, 0, len(changed))
 	for _, document := range changed {
 		compiled, err := compileEntry(document)
 		if err != nil {
 			return nil, err
 		}
-		entries[document.Key()] = compiled
+		b.remove(document.Key())
+		added = append(added, compiled)
 	}
-	return build(generation, entries)
+	for _, compiled := range added {
+		if err := b.put(compiled); err != nil {
+			return nil, err
+		}
+	}
+	return b.finish()
 }
 
 func compileEntry(document Document) (entry, error) {
@@ -100,104 +125,207 @@
 	}
 }
 
-func build(generation uint64, entries map[Key]entry) (*Snapshot, error) {
-	s := &Snapshot{
-		Generation: generation, documents: entries,
-		Models: map[string]*CompiledModel{}, Tenants: make(map[string]*CompiledTenant, len(entries)),
-		Operators: map[string]*Operator{}, tenantByKey: make(map[Hash]*CompiledTenant, len(entries)),
+// builder makes one snapshot from the one before.
+type builder struct {
+	before    *Snapshot
+	next      *Snapshot
+	documents *bucketEditor[Key, entry]
+	keys      *bucketEditor[Hash, *CompiledTenant]
+	touched   map[uint8]bool
+	// fresh are tenants whose references must be checked; relink says that
+	// models or operators changed, so that everything must be.
+	fresh  []*CompiledTenant
+	relink bool
+}
+
+func (b *builder) remove(key Key) {
+	known, found := b.documents.result.get(key)
+	if !found {
+		return
 	}
-	hashes := make([]Hash, 0, len(entries))
-	policies := 0
-	for key, known := range entries {
-		hashes = append(hashes, known.hash)
-		switch value := known.value.(type) {
-		case *Policy:
-			s.Policy = *value
-			policies++
-		case *CompiledModel:
-			s.Models[key.Name] = value
-		case *CompiledTenant:
-			s.Tenants[key.Name] = value
-		case *Operator:
-			s.Operators[key.Name] = value
+	b.documents.remove(key)
+	b.touched[bucketOfKey(key)] = true
+	switch value := known.value.(type) {
+	case *CompiledTenant:
+		for _, hash := range keyHashes(value) {
+			b.keys.remove(hash)
 		}
+	case *Policy:
+		b.next.policies--
+	default:
+		b.relink = true
 	}
-	if policies != 1 {
-		return nil, fmt.Errorf("found %d Policy documents, allowed: exactly one", policies)
-	}
-	s.Digest = digestOf(hashes)
-	return s, s.link()
 }
 
-// link checks what spans documents and builds the indexes.
-func (s *Snapshot) link() error {
-	if len(s.Operators) < s.Policy.SignOffThreshold {
-		return fmt.Errorf("Policy sign_off_threshold is %d but %d operators are named", s.Policy.SignOffThreshold, len(s.Operators))
-	}
-	if err := s.linkAdapters(); err != nil {
-		return err
+func (b *builder) put(added entry) error {
+	key := added.document.Key()
+	b.documents.set(key, added)
+	b.touched[bucketOfKey(key)] = true
+	switch value := added.value.(type) {
+	case *CompiledTenant:
+		b.fresh = append(b.fresh, value)
+		return b.putKeys(value)
+	case *Policy:
+		b.next.policies++
+		b.next.Policy = *value
+	default:
+		b.relink = true
 	}
-	for name, tenant := range s.Tenants {
-		if err := s.linkTenant(name, tenant); err != nil {
-			return err
+	return nil
+}
+
+func (b *builder) putKeys(tenant *CompiledTenant) error {
+	for i, hash := range keyHashes(tenant) {
+		if other, taken := b.keys.result.get(hash); taken && other != tenant {
+			return &FieldError{KindTenant, tenant.Name, fmt.Sprintf("key_hashes[%d]", i), "the key of tenant " + other.Name, "a key no other tenant has"}
 		}
+		b.keys.set(hash, tenant)
 	}
 	return nil
 }
 
-func (s *Snapshot) linkAdapters() error {
-	names := make([]string, 0, len(s.Models))
-	for name := range s.Models {
-		names = append(names, name)
+// keyHashes decodes a tenant's key hashes, which its check has accepted.
+func keyHashes(tenant *CompiledTenant) []Hash {
+	hashes := make([]Hash, 0, len(tenant.KeyHashes))
+	for _, text := range tenant.KeyHashes {
+		if decoded, err := hex.DecodeString(text); err == nil && len(decoded) == len(Hash{}) {
+			hashes = append(hashes, Hash(decoded))
+		}
+	}
+	return hashes
+}
+
+func (b *builder) finish() (*Snapshot, error) {
+	s := b.next
+	s.documents, s.tenantByKey = b.documents.result, b.keys.result
+	if s.policies != 1 {
+		return nil, fmt.Errorf("found %d Policy documents, allowed: exactly one", s.policies)
 	}
+	if b.relink || s.Models == nil {
+		if err := s.link(); err != nil {
+			return nil, err
+		}
+		b.fresh = s.allTenants()
+	}
+	if len(s.Operators) < s.Policy.SignOffThreshold {
+		return nil, fmt.Errorf("Policy sign_off_threshold is %d but %d operators are named", s.Policy.SignOffThreshold, len(s.Operators))
+	}
+	for _, tenant := range b.fresh {
+		if err := s.checkTenant(tenant); err != nil {
+			return nil, err
+		}
+	}
+	for bucket := range b.touched {
+		s.digests[bucket] = digestBucket(s.documents.buckets[bucket])
+	}
+	s.Digest = combineDigests(&s.digests)
+	return s, nil
+}
+
+// link indexes models, adapters and operators, which are few.
+func (s *Snapshot) link() error {
+	s.Models = map[string]*CompiledModel{}
+	s.Operators = map[string]*Operator{}
+	var names []string
+	s.documents.each(func(key Key, known entry) {
+		switch value := known.value.(type) {
+		case *CompiledModel:
+			s.Models[key.Name] = value
+			names = append(names, key.Name)
+		case *Operator:
+			s.Operators[key.Name] = value
+		}
+	})
 	sort.Strings(names)
 	for _, name := range names {
-		for _, adapter := range s.Models[name].Adapters {
-			if _, taken := s.Models[adapter]; taken {
-				return &FieldError{KindModel, name, "adapters", fmt.Sprintf("%q", adapter), "a name no other model or adapter has"}
-			}
-			compiled := *s.Models[name]
-			s.Models[adapter] = &compiled
+		if err := s.linkAdapters(s.Models[name]); err != nil {
+			return err
 		}
 	}
 	return nil
 }
 
-func (s *Snapshot) linkTenant(name string, tenant *CompiledTenant) error {
-	for model := range tenant.allowed {
-		if _, known := s.Models[model]; !known {
-			return &FieldError{KindTenant, name, "models", fmt.Sprintf("%q", model), "a model of this bundle"}
+func (s *Snapshot) linkAdapters(model *CompiledModel) error {
+	for _, adapter := range model.Adapters {
+		if _, taken := s.Models[adapter]; taken {
+			return &FieldError{KindModel, model.Name, "adapters", fmt.Sprintf("%q", adapter), "a name no other model or adapter has"}
 		}
+		s.Models[adapter] = model
 	}
-	for i, text := range tenant.KeyHashes {
-		decoded, err := hex.DecodeString(text)
-		if err != nil {
-			return &FieldError{KindTenant, name, "key_hashes", text, "hex"}
+	return nil
+}
+
+func (s *Snapshot) allTenants() []*CompiledTenant {
+	var tenants []*CompiledTenant
+	s.documents.each(func(_ Key, known entry) {
+		if tenant, ok := known.value.(*CompiledTenant); ok {
+			tenants = append(tenants, tenant)
 		}
-		hash := Hash(decoded)
-		if other, taken := s.tenantByKey[hash]; taken && other != tenant {
-			return &FieldError{KindTenant, name, fmt.Sprintf("key_hashes[%d]", i), "the key of tenant " + other.Name, "a key no other tenant has"}
+	})
+	return tenants
+}
+
+func (s *Snapshot) checkTenant(tenant *CompiledTenant) error {
+	for model := range tenant.allowed {
+		if _, known := s.Models[model]; !known {
+			return &FieldError{KindTenant, tenant.Name, "models", fmt.Sprintf("%q", model), "a model of this bundle"}
 		}
-		s.tenantByKey[hash] = tenant
 	}
 	return nil
 }
 
+// digestBucket is the SHA-256 over the sorted hashes of a bucket's documents.
+func digestBucket(bucket map[Key]entry) Hash {
+	hashes := make([]Hash, 0, len(bucket))
+	for _, known := range bucket {
+		hashes = append(hashes, known.hash)
+	}
+	sort.Slice(hashes, func(i, j int) bool { return bytes.Compare(hashes[i][:], hashes[j][:]) < 0 })
+	digest := sha256.New()
+	for _, hash := range hashes {
+		_, _ = digest.Write(hash[:])
+	}
+	return Hash(digest.Sum(nil))
+}
+
+// combineDigests is the identity of a bundle's content: the SHA-256 over the
+// digests of its buckets, in hex. Operators sign it.
+func combineDigests(digests *[bucketCount]Hash) string {
+	digest := sha256.New()
+	for i := range digests {
+		_, _ = digest.Write(digests[i][:])
+	}
+	return hex.EncodeToString(digest.Sum(nil))
+}
+
+// Digest is the identity of a bundle's content before it is compiled.
+func Digest(documents []Document) string {
+	s := emptySnapshot()
+	editor := s.documents.edit()
+	for _, document := range documents {
+		editor.set(document.Key(), entry{hash: document.Hash()})
+	}
+	for bucket, content := range editor.result.buckets {
+		s.digests[bucket] = digestBucket(content)
+	}
+	return combineDigests(&s.digests)
+}
+
 // HashKey returns the hash under which an API key is stored.
 func HashKey(key string) Hash { return sha256.Sum256([]byte(key)) }
 
 // TenantByKey finds the tenant of an API key.
 func (s *Snapshot) TenantByKey(key string) (*CompiledTenant, bool) {
-	tenant, found := s.tenantByKey[HashKey(key)]
-	return tenant, found
+	return s.tenantByKey.get(HashKey(key))
 }
 
+// Tenants returns the number of tenants.
+func (s *Snapshot) Tenants() int { return len(s.allTenants()) }
+
 // Documents returns all documents in order.
 func (s *Snapshot) Documents() []Document {
-	documents := make([]Document, 0, len(s.documents))
-	for _, known := range s.documents {
-		documents = append(documents, known.document)
-	}
+	documents := make([]Document, 0, s.documents.size)
+	s.documents.each(func(_ Key, known entry) { documents = append(documents, known.document) })
 	Sort(documents)
 	return documents
 }
@@ -209,7 +337,6 @@
 	Full       bool       `json:"full,omitempty"`
 	Changed    []Document `json:"changed"`
 	Removed    []Key      `json:"removed,omitempty"`
-	SignOffs   []SignOff  `json:"sign_offs,omitempty"`
 }
 
 // DeltaFrom returns what leads from an older snapshot (nil: nothing) to this.
@@ -219,14 +346,9 @@
 		delta.Changed = s.Documents()
 		return delta
 	}
-	for key, known := range s.documents {
-		if before, had := older.documents[key]; !had || before.hash != known.hash {
-			delta.Changed = append(delta.Changed, known.document)
-		}
-	}
-	for key := range older.documents {
-		if _, still := s.documents[key]; !still {
-			delta.Removed = append(delta.Removed, key)
+	for bucket := range s.digests {
+		if s.digests[bucket] != older.digests[bucket] {
+			delta.addBucket(s.documents.buckets[bucket], older.documents.buckets[bucket])
 		}
 	}
 	Sort(delta.Changed)
@@ -234,11 +356,25 @@
 	return delta
 }
 
-// Apply builds the snapshot a delta leads to and checks its digest.
+func (d *Delta) addBucket(now, before map[Key]entry) {
+	for key, known := range now {
+		if old, had := before[key]; !had || old.hash != known.hash {
+			d.Changed = append(d.Changed, known.document)
+		}
+	}
+	for key := range before {
+		if _, still := now[key]; !still {
+			d.Removed = append(d.Removed, key)
+		}
+	}
+}
+
+// Apply builds the snapshot a delta leads to and checks its digest. It may be
+// called on nil if the delta is full.
 func (s *Snapshot) Apply(delta *Delta) (*Snapshot, error) {
 	base := s
 	if delta.Full || base == nil {
-		base = &Snapshot{}
+		base = emptySnapshot()
 	}
 	next, err := base.Next(delta.Generation, delta.Changed, delta.Removed)
 	if err != nil {
--- a/internal/cli/bundle.go
+++ b/internal/cli/bundle.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		return err
 	}
-	body := validateBody{snapshot.Digest, len(snapshot.Models), len(snapshot.Tenants), len(snapshot.Operators)}
+	body := validateBody{snapshot.Digest, len(snapshot.Models), snapshot.Tenants(), len(snapshot.Operators)}
 	return output.print(body, func() {
 		fmt.Printf("%s is valid: %d models, %d tenants, %d operators, digest %s\n", v.Arguments.File, body.Models, body.Tenants, body.Operators, body.Digest)
 	})
--- a/lab/cli/cli.go
+++ b/lab/cli/cli.go
@@ -123,7 +123,7 @@
 		return trace.Wrap(err)
 	}
 	defer running.Close()
-	demo.Describe(running, os.Stdout)
+	demo.Describe(running, folder, os.Stdout)
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	<-signals
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"os"
+	"path/filepath"
 	"sync"
 	"time"
 
@@ -102,6 +103,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
 	defer cancel()
 	text := fleet.BasicBundle(started.Operator, model, model, slots, []fleet.TenantKey{tenantKey})
+	if err := saveForOperators(started.Operator, folder, text); err != nil {
+		started.Close()
+		return nil, trace.Wrap(err)
+	}
 	if err := started.Operator.Roll(ctx, started.AdminAddress(), cluster, 1, text); err != nil {
 		started.Close()
 		return nil, trace.Wrap(err)
@@ -113,6 +118,20 @@
 	return started, nil
 }
 
+const (
+	keyFile    = "operator-1.pem"
+	bundleFile = "bundle.yaml"
+)
+
+// saveForOperators leaves the operator's key and the bundle in the folder, for
+// trying the bundle verbs.
+func saveForOperators(operator *fleet.Operator, folder, text string) error {
+	if err := operator.SaveKey(filepath.Join(folder, keyFile)); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.ConvertSystemError(os.WriteFile(filepath.Join(folder, bundleFile), []byte(text), 0o644))
+}
+
 // Run runs the demonstration and writes its summary.
 func Run(options Options, out io.Writer) (*Report, error) {
 	began := time.Now()
--- a/lab/demo/describe.go
+++ b/lab/demo/describe.go
@@ -3,12 +3,13 @@
 import (
 	"fmt"
 	"io"
+	"path/filepath"
 
 	"cobaltramp.example/cobaltramp/lab/fleet"
 )
 
 // Describe writes the addresses of a running deployment and lines to try.
-func Describe(running *fleet.Fleet, out io.Writer) {
+func Describe(running *fleet.Fleet, folder string, out io.Writer) {
 	line := func(format string, args ...any) { _, _ = fmt.Fprintf(out, format+"\n", args...) }
 	for _, member := range running.Nodes() {
 		node := member.Settings.Node
@@ -22,5 +23,6 @@
 	line(`  curl -s http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{"model":"%s","messages":[{"role":"user","content":"is my booking confirmed?"}],"max_tokens":16}'`, first.APIAddress, tenantKey.Key, model)
 	line(`  curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -d '{"model":"%s","stream":true,"messages":[{"role":"user","content":"what does the waiver cover?"}]}'`, first.APIAddress, tenantKey.Key, model)
 	line(`  curl -s http://%s/v1/fleet`, first.AdminAddress)
+	line("\noperator operator-1 of cluster %s: key %s, bundle in force %s", cluster, filepath.Join(folder, keyFile), filepath.Join(folder, bundleFile))
 	line("\nstop with Ctrl-C")
 }
--- a/lab/fleet/operator.go
+++ b/lab/fleet/operator.go
@@ -4,10 +4,13 @@
 	"context"
 	"crypto/ed25519"
 	"crypto/rand"
+	"crypto/x509"
 	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
+	"os"
 	"strings"
 	"time"
 
@@ -39,6 +42,16 @@
 	return base64.StdEncoding.EncodeToString(o.key.Public().(ed25519.PublicKey))
 }
 
+// SaveKey writes the private key as 'cobaltramp bundle sign' reads it.
+func (o *Operator) SaveKey(path string) error {
+	encoded, err := x509.MarshalPKCS8PrivateKey(o.key)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	text := pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: encoded})
+	return trace.ConvertSystemError(os.WriteFile(path, text, 0o600))
+}
+
 // TenantKey is an API key with its tenant.
 type TenantKey struct {
 	Tenant string
