--- a/internal/limits/limits.go
+++ b/internal/limits/limits.go
@@ -1,11 +1,7 @@
 // Package limits holds tenants to their rates, concurrency and tokens.
 //
-// Limits hold across nodes without a message per request: each node enforces
-// its share of a limit, the limit divided by the number of live nodes that take
-// the tenant's traffic, times a slack. The error bound is stated in
-// docs/design/limits.md: with traffic spread evenly the fleet admits at most
-// the limit times slack; with all of a tenant's traffic on one node, that node
-// learns the tenant's use elsewhere from digests and takes the unused share.
+// Each node enforces its share of a limit; package quota divides the shares
+// among the nodes by demand, without a message per request.
 package limits
 
 import (
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,50 @@
+package quota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+)
+
+// Once every node has reported, shares add up to the whole limit and no more,
+// whatever the demands; nobody is starved.
+func TestSharesAddUpToOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		keeper := NewKeeper()
+		nodes := rapid.IntRange(1, 30).Draw(t, "nodes")
+		now := time.Unix(0, 0)
+		demands := make([]float64, nodes)
+		for i := range demands {
+			demands[i] = rapid.Float64Range(0, 100).Draw(t, "demand")
+			keeper.Report(now, "t", fmt.Sprint("n", i), demands[i])
+		}
+		sum := 0.0
+		for i, value := range demands {
+			share := keeper.Report(now, "t", fmt.Sprint("n", i), value)
+			if share <= 0 {
+				t.Fatalf("node %d is starved", i)
+			}
+			sum += share
+		}
+		if sum > 1.0001 || sum < 0.9999 {
+			t.Fatalf("shares add up to %g", sum)
+		}
+	})
+}
+
+func TestSilentNodesShareIsGivenAway(t *testing.T) {
+	is := is.New(t)
+	keeper := NewKeeper()
+	now := time.Unix(0, 0)
+	keeper.Report(now, "t", "gone", 50)
+	is.True(keeper.Report(now, "t", "here", 50) < 0.6)
+	now = now.Add(memory + time.Second)
+	is.Equal(keeper.Report(now, "t", "here", 50), 1.0)
+	keeper.Forget(now.Add(time.Minute))
+	is.Equal(keeper.Tenants(), 0)
+}
--- a/lab/e2e/faults_test.go
+++ b/lab/e2e/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -265,3 +266,24 @@
 	is.Equal(audit.Completed, 1500)
 	is.Equal(audit.Lost+audit.Duplicates+audit.Wrong, 0)
 }
+
+// A tenant's rate holds across nodes: callers at all nodes together get about
+// what the bundle allows, and the refused are told "not run" and when to come
+// back.
+func TestTenantRateHoldsAcrossNodes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	running := start(t, topology(3, 2))
+	const rate = 6
+	text := fleet.BasicBundle(running.Operator, model, model, slots, nil)
+	text += fmt.Sprintf("---\nkind: Tenant\nname: %s\nkey_hashes: [%s]\nrequests_per_second: %d\n", key.Tenant, key.Hash(), rate)
+	is.NoErr(running.Operator.Roll(patient(t), running.AdminAddress(), cluster, 2, text))
+	is.NoErr(running.AwaitReady(patient(t), 2))
+	const seconds = 6
+	recorder := under(running, running.APIAddresses(), 60, func() { time.Sleep(seconds * time.Second) })
+	served := recorder.Requests.Load() - recorder.Failed.Load()
+	t.Logf("%d of %d served at a limit of %d a second for %d s", served, recorder.Requests.Load(), rate, seconds)
+	is.Equal(recorder.Failed.Load(), recorder.Refused.Load()) // every refusal says not run
+	is.True(served <= 3*rate*seconds)                         // three nodes without shares would serve as much again and more
+	is.True(served >= rate)
+}
--- a/modules/callers/openai/api.go
+++ b/modules/callers/openai/api.go
@@ -21,6 +21,7 @@
 	"cobaltramp.example/cobaltramp/internal/settings"
 	"cobaltramp.example/cobaltramp/internal/tlskeys"
 	"cobaltramp.example/cobaltramp/modules/batch/directory"
+	"cobaltramp.example/cobaltramp/modules/callers/quota"
 	"cobaltramp.example/cobaltramp/modules/serving/router"
 )
 
@@ -29,7 +30,7 @@
 
 func init() {
 	kernel.Register(kernel.Info{
-		Name: ModuleName, Needs: []string{router.ModuleName, directory.ModuleName},
+		Name: ModuleName, Needs: []string{router.ModuleName, directory.ModuleName, quota.ModuleName},
 		New: func() kernel.Module { return &Module{} },
 	})
 }
@@ -42,6 +43,9 @@
 	Generate(context.Context, *router.Request, func(router.Piece) error) (router.Usage, error)
 }
 
+// Shares gives this node's share of a tenant's limits.
+type Shares interface{ Share(tenant string) float64 }
+
 // Leaver tells the fleet that this node takes nothing new.
 type Leaver interface{ Leave() }
 
@@ -53,6 +57,7 @@
 	leaver    Leaver
 	batch     BatchStore
 	claims    Claims
+	shares    Shares
 	limits    limits.Table
 	metrics   *metrics
 
@@ -90,6 +95,9 @@
 	if m.claims, err = kernel.Find[Claims](ctx); err != nil {
 		return trace.Wrap(err)
 	}
+	if m.shares, err = kernel.Find[Shares](ctx); err != nil {
+		return trace.Wrap(err)
+	}
 	if m.settings.TLS.API.Set() {
 		if m.tls, err = tlskeys.LoadPair(m.settings.TLS.API.Certificate, m.settings.TLS.API.Key); err != nil {
 			return trace.Wrap(err, "tls.api")
--- a/modules/callers/openai/auth.go
+++ b/modules/callers/openai/auth.go
@@ -45,12 +45,18 @@
 	}
 }
 
-// admit holds the tenant to its limits; the request must be released.
+// admit holds the tenant to this node's share of its limits; the request must
+// be released.
 func (m *Module) admit(who *caller) (*limits.Tenant, error) {
-	tenant := m.limits.Tenant(who.tenant.Name, limits.Limit{
+	limit := limits.Limit{
 		RequestsPerSecond: who.tenant.RequestsPerSecond, Burst: who.tenant.Burst,
 		Concurrent: who.tenant.Concurrent, TokensPerMinute: who.tenant.TokensPerMinute,
-	}, 1)
+	}
+	share := 1.0
+	if limit != (limits.Limit{}) {
+		share = m.shares.Share(who.tenant.Name)
+	}
+	tenant := m.limits.Tenant(who.tenant.Name, limit, share)
 	if err := tenant.Admit(time.Now()); err != nil {
 		return nil, err
 	}
--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -9,6 +9,7 @@
 	_ "cobaltramp.example/cobaltramp/modules/batch/store"
 	_ "cobaltramp.example/cobaltramp/modules/batch/worker"
 	_ "cobaltramp.example/cobaltramp/modules/callers/openai"
+	_ "cobaltramp.example/cobaltramp/modules/callers/quota"
 	_ "cobaltramp.example/cobaltramp/modules/config/bundles"
 	_ "cobaltramp.example/cobaltramp/modules/fleet/links"
 	_ "cobaltramp.example/cobaltramp/modules/fleet/membership"
