--- a/lab/e2e/faults_test.go
+++ b/lab/e2e/faults_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -287,3 +288,28 @@
 	is.True(served <= 3*rate*seconds)                         // three nodes without shares would serve as much again and more
 	is.True(served >= rate)
 }
+
+// A runner that is listed as leaving gets no new work once the list has shown
+// it, its streams past the drain timeout are carried on elsewhere, and nothing
+// is cut.
+func TestLeavingRunnerGetsQuiet(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	running := start(t, topology(3, 4))
+	text := strings.Replace(fleet.BasicBundle(running.Operator, model, model, slots, []fleet.TenantKey{key}), "name: fleet\n", "name: fleet\ndrain_timeout: 1s\n", 1)
+	is.NoErr(running.Operator.Roll(patient(t), running.AdminAddress(), cluster, 2, text))
+	is.NoErr(running.AwaitReady(patient(t), 2))
+	for _, slowed := range running.Engines {
+		slowed.SetSlow(25) // streams far longer than the drain timeout
+	}
+	leaver := running.Engines[0]
+	recorder := under(running, running.APIAddresses(), 10, func() {
+		eventually(t, "the runner has work", func() bool { online, _ := leaver.Running(); return online > 0 })
+		running.ListRunner(leaver, running.ZoneOf(0), "leaving")
+		eventually(t, "the runner is quiet", func() bool { online, batch := leaver.Running(); return online+batch == 0 })
+		time.Sleep(time.Second)
+		online, batch := leaver.Running()
+		is.Equal(online+batch, 0) // still quiet under load
+	})
+	requireWhole(t, recorder)
+}
--- a/modules/serving/owner/dispatch.go
+++ b/modules/serving/owner/dispatch.go
@@ -154,6 +154,7 @@
 	started := time.Now()
 	watch := m.watchSilence(ctx, place, request.Once)
 	defer watch.stop()
+	defer m.movable(place.runner, watch, request.Once)()
 	stream, err := m.engines.Start(watch.ctx, place.address, &engine.Request{
 		ID: request.RequestId, Surface: request.Surface, Body: request.Body, Priority: engine.PriorityOnline,
 		Once: request.Once, Received: request.ReceivedText, ReceivedTokens: int(request.ReceivedTokens),
@@ -167,6 +168,22 @@
 	return m.pump(watch, place, stream, request.RequestId, started, emit)
 }
 
+// movable registers a stream that may be taken off a leaving runner and returns
+// what undoes it.
+func (m *Module) movable(r *runner, watch *silenceWatch, once bool) func() {
+	if once {
+		return func() {}
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	r.moves[watch] = struct{}{}
+	return func() {
+		m.mutex.Lock()
+		defer m.mutex.Unlock()
+		delete(r.moves, watch)
+	}
+}
+
 // Reattach continues a stream that this node, or an owner before it, started.
 func (m *Module) Reattach(ctx context.Context, request *wirev1.ReattachRequest, emit Emit) error {
 	listed, known := m.tables.Table().ByID[request.Runner]
@@ -281,7 +298,7 @@
 func (m *Module) abandon(place *admission, id string, err error) {
 	m.noteOutcome(place.runner, err)
 	switch result.CodeOf(err) {
-	case result.CallerGone, result.DeadlineExceeded, result.Preempted:
+	case result.CallerGone, result.DeadlineExceeded, result.Preempted, result.EngineFailed:
 		go func() { _ = m.engines.Cancel(place.address, id) }()
 	}
 }
--- a/modules/serving/owner/owner.go
+++ b/modules/serving/owner/owner.go
@@ -75,12 +75,16 @@
 	service string
 	model   string // model it serves, from the bundle
 	leaving bool
-	owned   bool
-	arbiter *arbiter.Arbiter
-	health  health.Runner
+	// leavingSince is when this node first saw the runner listed as leaving.
+	leavingSince time.Time
+	owned        bool
+	arbiter      *arbiter.Arbiter
+	health       health.Runner
 	// cancels end batch streams that are preempted.
 	cancels map[arbiter.BatchStream]context.CancelCauseFunc
-	orders  orderState
+	// moves end online streams so that they are carried on elsewhere.
+	moves  map[*silenceWatch]struct{}
+	orders orderState
 }
 
 var (
@@ -217,7 +221,11 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	online, batch, limit := 0, 0, 0
+	patience := m.drainTimeout()
 	for _, r := range m.runners {
+		if r.leaving && now.Sub(r.leavingSince) > patience {
+			m.moveAway(r)
+		}
 		m.preempt(r, r.arbiter.Tick(now))
 		online += r.arbiter.Online()
 		batch += r.arbiter.Batch()
@@ -231,6 +239,32 @@
 	}
 }
 
+const defaultDrainTimeout = 30 * time.Second
+
+func (m *Module) drainTimeout() time.Duration {
+	if snapshot := m.snapshots.Snapshot(); snapshot != nil {
+		return snapshot.Policy.DrainTimeout.Std()
+	}
+	return defaultDrainTimeout
+}
+
+// moveAway ends what still runs on a leaving runner past the drain timeout:
+// batch items go back, online streams are carried on by other runners. Work
+// that must not run twice is left to end by itself. The caller holds the mutex.
+func (m *Module) moveAway(r *runner) {
+	for stream, cancel := range r.cancels {
+		if cancel != nil {
+			cancel(errPreempted)
+			delete(r.cancels, stream)
+			r.arbiter.BatchDone(stream)
+		}
+	}
+	for watch := range r.moves {
+		watch.cancel(errMoved)
+		delete(r.moves, watch)
+	}
+}
+
 // preempt cancels batch streams; the caller holds the mutex.
 func (m *Module) preempt(r *runner, streams []arbiter.BatchStream) {
 	for _, stream := range streams {
@@ -291,7 +325,7 @@
 	config := arbiterConfig(model, snapshot)
 	r := m.runners[listed.ID]
 	if r == nil {
-		r = &runner{id: listed.ID, arbiter: arbiter.New(config, time.Now()), cancels: map[arbiter.BatchStream]context.CancelCauseFunc{}}
+		r = &runner{id: listed.ID, arbiter: arbiter.New(config, time.Now()), cancels: map[arbiter.BatchStream]context.CancelCauseFunc{}, moves: map[*silenceWatch]struct{}{}}
 		m.runners[listed.ID] = r
 	}
 	r.arbiter.Configure(config)
@@ -299,6 +333,11 @@
 		r.health = health.Runner{}
 	}
 	r.address, r.zone, r.service, r.leaving, r.owned = listed.Address, listed.Zone, listed.Service, listed.Leaving, true
+	if !r.leaving {
+		r.leavingSince = time.Time{}
+	} else if r.leavingSince.IsZero() {
+		r.leavingSince = time.Now()
+	}
 	r.model = model.Name
 	r.orders.want(model, snapshot.Generation)
 }
--- a/modules/serving/owner/silence.go
+++ b/modules/serving/owner/silence.go
@@ -9,7 +9,11 @@
 	"cobaltramp.example/cobaltramp/internal/result"
 )
 
-var errSilent = errors.New("runner is silent")
+var (
+	errSilent = errors.New("runner is silent")
+	// errMoved is the cause by which streams are taken off a leaving runner.
+	errMoved = errors.New("runner is leaving")
+)
 
 // silenceWatch ends a stream whose runner says nothing for too long. Work that
 // must not run twice is only bounded by its deadline: giving it up early would
@@ -67,6 +71,8 @@
 	switch {
 	case cause == nil || result.CodeOf(err) == result.EngineRejected:
 		return err
+	case errors.Is(cause, errMoved):
+		return result.New(result.EngineFailed, "the runner is leaving; the stream is moved")
 	case errors.Is(cause, errSilent):
 		return result.New(result.RunnerLost, "runner was silent for too long")
 	case errors.As(cause, &known):
