--- /dev/null
+++ b/internal/httpcall/client_test.go
@@ -0,0 +1,157 @@
+package httpcall
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// rawServer answers each connection by a script.
+func rawServer(t *testing.T, serve func(net.Conn)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return "http://" + listener.Addr().String() + "/"
+}
+
+// readRequest reads one request without a body.
+func readRequest(reader *bufio.Reader) bool {
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return false
+		}
+		if line == "\r\n" {
+			return true
+		}
+	}
+}
+
+func get(url string) (*Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	_ = cancel // ends with the test
+	return NewClient(nil).Do(ctx, &Request{Method: "GET", URL: url})
+}
+
+func TestFateOfARequestIsKnown(t *testing.T) {
+	closing := rawServer(t, func(conn net.Conn) {
+		readRequest(bufio.NewReader(conn))
+		_ = conn.Close()
+	})
+	cases := []struct {
+		name string
+		url  string
+		sent bool
+	}{
+		{"nobody listens", "http://127.0.0.1:1/", false},
+		{"bad address", "http://", false},
+		{"closed without an answer", closing, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := get(c.url)
+			var notSent *NotSentError
+			var unanswered *UnansweredError
+			is.Equal(errors.As(err, &notSent), !c.sent)
+			is.Equal(errors.As(err, &unanswered), c.sent)
+		})
+	}
+}
+
+func TestTruncatedBodiesAreErrors(t *testing.T) {
+	answers := map[string]string{
+		"content length": "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345",
+		"chunked":        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n",
+	}
+	for name, answer := range answers {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			url := rawServer(t, func(conn net.Conn) {
+				readRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, answer)
+				_ = conn.Close()
+			})
+			response, err := get(url)
+			is.NoErr(err)
+			_, err = response.ReadAll(100)
+			is.True(err != nil) // a short body is never taken for a whole one
+		})
+	}
+}
+
+// A kept connection that the server has closed meanwhile is noticed before it
+// is used, and fresh requests never use one.
+func TestStaleConnectionsAreNotReused(t *testing.T) {
+	is := is.New(t)
+	var conns atomic.Int32
+	url := rawServer(t, func(conn net.Conn) {
+		conns.Add(1)
+		if readRequest(bufio.NewReader(conn)) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+		_ = conn.Close() // though it looked kept alive
+	})
+	client := NewClient(nil)
+	for range 3 {
+		response, err := client.Do(context.Background(), &Request{Method: "GET", URL: url})
+		is.NoErr(err)
+		body, err := response.ReadAll(10)
+		is.NoErr(err)
+		is.Equal(string(body), "ok")
+		time.Sleep(20 * time.Millisecond) // the close arrives
+	}
+	is.Equal(conns.Load(), int32(3))
+}
+
+func TestKeptConnectionIsReusedUnlessFresh(t *testing.T) {
+	is := is.New(t)
+	var conns atomic.Int32
+	url := rawServer(t, func(conn net.Conn) {
+		conns.Add(1)
+		reader := bufio.NewReader(conn)
+		for readRequest(reader) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+		}
+	})
+	client := NewClient(nil)
+	for _, fresh := range []bool{false, false, true} {
+		response, err := client.Do(context.Background(), &Request{Method: "GET", URL: url, Fresh: fresh})
+		is.NoErr(err)
+		_, err = response.ReadAll(10)
+		is.NoErr(err)
+	}
+	is.Equal(conns.Load(), int32(2))
+}
+
+func TestContextEndsAStreamingRead(t *testing.T) {
+	is := is.New(t)
+	url := rawServer(t, func(conn net.Conn) {
+		readRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n")
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	response, err := NewClient(nil).Do(ctx, &Request{Method: "GET", URL: url})
+	is.NoErr(err)
+	cancel()
+	_, err = response.ReadAll(100)
+	is.True(err != nil && !strings.Contains(err.Error(), "exceeds"))
+}
--- a/internal/logstore/shard.go
+++ b/internal/logstore/shard.go
@@ -190,7 +190,7 @@
 }
 
 // Persist makes a replica's step durable: it returns after the fsync.
-func (s *Shard) Persist(ready *replica.Ready, config replica.Config, baseIndex, baseEpoch uint64, last uint64) error {
+func (s *Shard) Persist(ready *replica.Ready, config replica.Config, baseIndex, baseEpoch uint64) error {
 	batch := s.db.NewBatch()
 	defer func() { _ = batch.Close() }()
 	if ready.HardState != nil {
@@ -199,7 +199,8 @@
 		}
 	}
 	if ready.TruncateFrom > 0 {
-		if err := batch.DeleteRange(s.logKey(ready.TruncateFrom), s.logKey(max(last, ready.TruncateFrom)+1), nil); err != nil {
+		// To the end: a tail left behind would come back with a restart.
+		if err := batch.DeleteRange(s.logKey(ready.TruncateFrom), shardPrefix(s.id, spaceLog+1), nil); err != nil {
 			return trace.Wrap(err)
 		}
 	}
--- /dev/null
+++ b/internal/rpc/rpc_test.go
@@ -0,0 +1,212 @@
+package rpc
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+func TestFramesSurviveTheWire(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var wire []byte
+		var sent []*wirev1.Frame
+		for range rapid.IntRange(1, 8).Draw(t, "frames") {
+			frame := &wirev1.Frame{
+				Stream: rapid.Uint64().Draw(t, "stream"), Kind: wirev1.FrameKind_FRAME_KIND_DATA,
+				Payload: rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(t, "payload"),
+			}
+			var err error
+			if wire, err = AppendFrame(wire, frame); err != nil {
+				t.Fatalf("append: %v", err)
+			}
+			sent = append(sent, frame)
+		}
+		cut := rapid.IntRange(0, len(wire)).Draw(t, "cut")
+		reader := bufio.NewReader(bytes.NewReader(wire[:cut]))
+		for _, frame := range sent {
+			var got wirev1.Frame
+			if err := ReadFrame(reader, &got); err != nil {
+				if cut == len(wire) {
+					t.Fatalf("whole wire, yet %v", err)
+				}
+				return // a cut wire ends in an error, never in a wrong frame
+			}
+			if !proto.Equal(frame, &got) {
+				t.Fatalf("sent %v, got %v", frame, &got)
+			}
+		}
+	})
+}
+
+func FuzzReadFrame(f *testing.F) {
+	good, _ := AppendFrame(nil, &wirev1.Frame{Stream: 1, Payload: []byte("x")})
+	f.Add(good)
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0, 0, 0, 2, 1})
+	f.Fuzz(func(t *testing.T, wire []byte) {
+		reader := bufio.NewReader(bytes.NewReader(wire))
+		var frame wirev1.Frame
+		for ReadFrame(reader, &frame) == nil {
+			if proto.Size(&frame) > MaxFrameBytes {
+				t.Fatal("frame above the bound")
+			}
+		}
+	})
+}
+
+// serve starts a server with handlers and returns its address and a pool.
+func serve(t *testing.T, prepare func(*Server)) (string, *Pool) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	server := NewServer("server", "cluster", &Counters{})
+	prepare(server)
+	go func() { _ = server.Serve(listener, nil) }()
+	pool := NewPool("client", "cluster", nil, &Counters{})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		pool.Close()
+		server.Close()
+	})
+	return listener.Addr().String(), pool
+}
+
+const method = wirev1.Method_METHOD_DISPATCH
+
+func event(index uint32) *wirev1.DispatchEvent { return &wirev1.DispatchEvent{Index: index} }
+
+func TestStreamsKeepTheirOwnOrder(t *testing.T) {
+	is := is.New(t)
+	address, pool := serve(t, func(s *Server) {
+		s.Handle(method, func(_ context.Context, stream *ServerStream) error {
+			var request wirev1.DispatchRequest
+			if err := stream.Request(&request); err != nil {
+				return err
+			}
+			for i := range uint32(50) {
+				if err := stream.Send(&wirev1.DispatchEvent{RequestId: request.RequestId, Index: i}); err != nil {
+					return err
+				}
+			}
+			return result.New(result.Saturated, "full").After(time.Second)
+		})
+	})
+	var streams []*ClientStream
+	ids := []string{"a", "b", "c"}
+	for _, id := range ids {
+		stream, err := pool.Open(context.Background(), address, ClassOnline, method, &wirev1.DispatchRequest{RequestId: id})
+		is.NoErr(err)
+		streams = append(streams, stream)
+	}
+	for i, stream := range streams {
+		for index := range uint32(50) {
+			var got wirev1.DispatchEvent
+			is.NoErr(stream.Receive(context.Background(), &got))
+			is.Equal(got.RequestId, ids[i])
+			is.Equal(got.Index, index)
+		}
+		err := stream.Receive(context.Background(), event(0))
+		is.Equal(result.CodeOf(err), result.Saturated) // the typed error crosses the wire
+		is.Equal(result.From(err).RetryAfter, time.Second)
+	}
+}
+
+func TestCancelAndDeadlineReachTheServer(t *testing.T) {
+	is := is.New(t)
+	ended := make(chan error, 2)
+	address, pool := serve(t, func(s *Server) {
+		s.Handle(method, func(ctx context.Context, stream *ServerStream) error {
+			_ = stream.Send(event(0))
+			<-ctx.Done()
+			ended <- ctx.Err()
+			return ctx.Err()
+		})
+	})
+	stream, err := pool.Open(context.Background(), address, ClassOnline, method, event(0))
+	is.NoErr(err)
+	is.NoErr(stream.Receive(context.Background(), event(0)))
+	stream.Close()
+	is.Equal(<-ended, context.Canceled)
+
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	stream, err = pool.Open(ctx, address, ClassOnline, method, event(0))
+	is.NoErr(err)
+	defer stream.Close()
+	is.Equal(<-ended, context.DeadlineExceeded)
+}
+
+func TestLostLinkEndsStreamsWithAnError(t *testing.T) {
+	is := is.New(t)
+	var server *Server
+	address, pool := serve(t, func(s *Server) {
+		server = s
+		s.Handle(method, func(ctx context.Context, stream *ServerStream) error {
+			_ = stream.Send(event(0))
+			<-ctx.Done()
+			return nil
+		})
+	})
+	stream, err := pool.Open(context.Background(), address, ClassOnline, method, event(0))
+	is.NoErr(err)
+	is.NoErr(stream.Receive(context.Background(), event(0)))
+	go server.Close()
+	err = stream.Receive(context.Background(), event(0))
+	is.True(errors.Is(err, ErrLinkLost)) // never a clean end
+}
+
+func TestUnreachablePeerIsProvablyNotReached(t *testing.T) {
+	is := is.New(t)
+	pool := NewPool("client", "cluster", nil, &Counters{})
+	defer pool.Close()
+	_, err := pool.Open(context.Background(), "127.0.0.1:1", ClassOnline, method, event(0))
+	is.Equal(result.CodeOf(err), result.PeerUnreachable)
+}
+
+func TestOtherClustersAreRefused(t *testing.T) {
+	is := is.New(t)
+	address, _ := serve(t, func(*Server) {})
+	foreign := NewPool("client", "other", nil, &Counters{})
+	defer foreign.Close()
+	_, err := foreign.Open(context.Background(), address, ClassOnline, method, event(0))
+	is.Equal(result.CodeOf(err), result.PeerUnreachable)
+}
+
+func TestHandlerPanicEndsOneStreamOnly(t *testing.T) {
+	is := is.New(t)
+	address, pool := serve(t, func(s *Server) {
+		s.Handle(method, func(context.Context, *ServerStream) error { panic("defect") })
+		s.Handle(wirev1.Method_METHOD_PULL, func(_ context.Context, stream *ServerStream) error { return stream.Send(event(7)) })
+	})
+	err := pool.Call(context.Background(), address, ClassOnline, method, event(0), event(0))
+	is.Equal(result.CodeOf(err), result.Internal)
+	got := event(0)
+	is.NoErr(pool.Call(context.Background(), address, ClassOnline, wirev1.Method_METHOD_PULL, event(0), got))
+	is.Equal(got.Index, uint32(7))
+}
+
+func BenchmarkFrame(b *testing.B) {
+	frame := &wirev1.Frame{Stream: 9, Kind: wirev1.FrameKind_FRAME_KIND_DATA, Payload: bytes.Repeat([]byte("t"), 40)}
+	var buffer []byte
+	b.ReportAllocs()
+	for b.Loop() {
+		buffer, _ = AppendFrame(buffer[:0], frame)
+		var got wirev1.Frame
+		if err := ReadFrame(bufio.NewReader(bytes.NewReader(buffer)), &got); err != nil && !errors.Is(err, io.EOF) {
+			b.Fatal(err)
+		}
+	}
+}
--- a/modules/batch/store/runner.go
+++ b/modules/batch/store/runner.go
@@ -90,7 +90,7 @@
 		config = *created
 		loaded.Hard.Generation = config.Generation
 		first := replica.Ready{HardState: &loaded.Hard}
-		if err := store.Persist(&first, config, 0, 0, 0); err != nil {
+		if err := store.Persist(&first, config, 0, 0); err != nil {
 			return trace.Wrap(err, "creating")
 		}
 	}
@@ -242,7 +242,7 @@
 	}
 	started := time.Now()
 	baseIndex, baseEpoch := r.replica.Base()
-	if err := r.store.Persist(ready, r.replica.Config(), baseIndex, baseEpoch, r.replica.LastIndex()); err != nil {
+	if err := r.store.Persist(ready, r.replica.Config(), baseIndex, baseEpoch); err != nil {
 		return trace.Wrap(err)
 	}
 	r.module.metrics.persists.Observe(time.Since(started).Seconds())
