--- a/internal/bundle/bundle_test.go
+++ b/internal/bundle/bundle_test.go
@@ -4,6 +4,7 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -279,3 +280,20 @@
 		snapshot.TenantByKey("some-key")
 	}
 }
+
+// BenchmarkSnapshotMemory reports the heap of a bundle with 17,000 tenants.
+func BenchmarkSnapshotMemory(b *testing.B) {
+	for b.Loop() {
+		before := heap()
+		snapshot := manyTenants(b, 17000)
+		b.ReportMetric(float64(heap()-before)/(1<<20), "MiB")
+		snapshot.TenantByKey("kept until here")
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/internal/logstore/db.go
+++ b/internal/logstore/db.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -87,13 +88,21 @@
 	if err == nil && len(strings.TrimSpace(string(text))) > 0 {
 		return strings.TrimSpace(string(text)), nil
 	}
-	id := "disk-" + uuid.NewString()
+	id := newDiskID()
 	if err := writeSynced(path, []byte(id+"\n")); err != nil {
 		return "", trace.Wrap(err, "writing disk identity")
 	}
 	return id, nil
 }
 
+// diskIDBytes of randomness name a disk; ids travel on every replica message.
+const diskIDBytes = 8
+
+func newDiskID() string {
+	random := uuid.New()
+	return fmt.Sprintf("disk-%x", random[:diskIDBytes])
+}
+
 func writeSynced(path string, text []byte) error {
 	temporary := path + ".new"
 	file, err := os.Create(temporary)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -100,19 +100,28 @@
 	Election time.Duration
 }
 
-// DefaultTiming elects within about two seconds of a leader's loss.
+// DefaultTiming suits a node that leads and follows many shards: heartbeats are
+// few, and the loss of a leader's node is told by LeaderLost long before the
+// election time ends.
 func DefaultTiming() Timing {
-	return Timing{Heartbeat: 200 * time.Millisecond, Election: 1000 * time.Millisecond}
+	return Timing{Heartbeat: time.Second, Election: 3 * time.Second}
 }
 
+// firstElection bounds the wait for the first leader of a new shard.
+const firstElection = 300 * time.Millisecond
+
 const (
 	// maxAppendBytes bounds the entries of one message.
 	maxAppendBytes = 1 << 20
 	// maxInFlight bounds entries sent and not yet answered by a follower.
 	maxInFlight = 4096
-	// indexBits of an epoch hold the candidate's place in the member set, so
-	// that no two candidates ever share an epoch.
-	indexBits = 8
+	// An epoch is made of the generation, a counter, and the candidate's place
+	// in the member set. The place keeps candidates of one generation apart, the
+	// generation those of different member sets: an entry's index and epoch must
+	// name one command for ever.
+	indexBits      = 8
+	generationBits = 24
+	counterBits    = 64 - indexBits - generationBits
 )
 
 // Ready is what a step asks of the driver, in this order: send Early; persist
@@ -138,7 +147,6 @@
 	heardAt   time.Time
 	seenAt    time.Time
 	sentAt    time.Time
-	snapshot  bool // needs a snapshot; offered
 	confirmed bool // answered in this epoch
 }
 
@@ -194,9 +202,23 @@
 	r.hard.Commit = max(hard.Commit, baseIndex)
 	r.persisted = r.lastIndex()
 	r.resetDeadline(now)
+	if r.hard.Promised == 0 {
+		r.deadline = now.Add(time.Duration(random.Int64N(int64(firstElection))))
+	}
 	return r
 }
 
+// LeaderLost tells a follower that its leader's node is known to be gone or
+// going: it campaigns soon instead of waiting for the election time.
+func (r *Replica) LeaderLost(now time.Time) {
+	if r.role == Leader || r.leader == "" {
+		return
+	}
+	r.leader = ""
+	r.leaderSeen = time.Time{}
+	r.deadline = now.Add(time.Duration(r.random.Int64N(int64(firstElection))))
+}
+
 // Role returns the present role.
 func (r *Replica) Role() Role { return r.role }
 
@@ -289,8 +311,10 @@
 		if p.next > p.match+1 && now.Sub(p.heardAt) > 2*r.timing.Heartbeat {
 			p.next = p.match + 1
 		}
-		p.snapshot = false
-		r.sendAppend(member, p, now, true)
+		busy := p.confirmed && now.Sub(p.sentAt) < r.timing.Heartbeat
+		if !busy || p.next > p.match+1 {
+			r.sendAppend(member, p, now, true)
+		}
 	}
 }
 
@@ -329,8 +353,12 @@
 }
 
 func (r *Replica) nextEpoch() uint64 {
-	counter := r.hard.Promised>>indexBits + 1
-	return counter<<indexBits | uint64(r.config.index(r.self)+1)
+	base := r.config.Generation << (counterBits + indexBits)
+	counter := uint64(0)
+	if r.hard.Promised > base {
+		counter = (r.hard.Promised - base) >> indexBits
+	}
+	return base + (counter+1)<<indexBits + uint64(r.config.index(r.self)+1)
 }
 
 func (r *Replica) promise(epoch uint64) {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -15,6 +15,11 @@
 	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
 )
 
+// testTiming is shorter than the default, for runs of few steps.
+func testTiming() Timing {
+	return Timing{Heartbeat: 200 * time.Millisecond, Election: time.Second}
+}
+
 // disk is what survives a crash.
 type disk struct {
 	hard    HardState
@@ -105,7 +110,7 @@
 	if c.stored.Generation >= d.hard.Generation && d.hard.Generation > 0 {
 		config = c.stored
 	}
-	c.replicas[id] = Restore(0, id, config, DefaultTiming(), rand.New(rand.NewPCG(c.random.Uint64(), 1)), d, d.hard, 0, 0, d.epochs(), c.now)
+	c.replicas[id] = Restore(0, id, config, testTiming(), rand.New(rand.NewPCG(c.random.Uint64(), 1)), d, d.hard, 0, 0, d.epochs(), c.now)
 }
 
 // work runs one Ready of a replica; a crash may come between disk and network.
@@ -427,7 +432,7 @@
 	}
 	next.Members = append(next.Members, "new")
 	c.disks["new"] = &disk{}
-	c.replicas["new"] = Restore(0, "new", Config{Generation: 1}, DefaultTiming(), rand.New(rand.NewPCG(1, 1)), c.disks["new"], HardState{}, 0, 0, nil, c.now)
+	c.replicas["new"] = Restore(0, "new", Config{Generation: 1}, testTiming(), rand.New(rand.NewPCG(1, 1)), c.disks["new"], HardState{}, 0, 0, nil, c.now)
 	return next
 }
 
@@ -594,7 +599,7 @@
 		}
 	}
 	c.disks["new"] = &disk{}
-	c.replicas["new"] = Restore(0, "new", Config{Generation: 1}, DefaultTiming(), rand.New(rand.NewPCG(1, 1)), c.disks["new"], HardState{}, 0, 0, nil, c.now)
+	c.replicas["new"] = Restore(0, "new", Config{Generation: 1}, testTiming(), rand.New(rand.NewPCG(1, 1)), c.disks["new"], HardState{}, 0, 0, nil, c.now)
 	return next
 }
 
--- a/modules/batch/directory/directory.go
+++ b/modules/batch/directory/directory.go
@@ -75,7 +75,10 @@
 }
 
 const (
+	// refreshInterval is the time between two looks at the map; it grows with
+	// the disk nodes to ask, so that the traffic does not.
 	refreshInterval = 500 * time.Millisecond
+	perDiskInterval = 100 * time.Millisecond
 	refreshTimeout  = time.Second
 	retryPause      = 50 * time.Millisecond
 	// attemptTimeout bounds one try, so that a leader that was paused does not
@@ -86,13 +89,12 @@
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
 	go func() {
-		ticker := time.NewTicker(refreshInterval)
-		defer ticker.Stop()
 		for {
+			interval := max(refreshInterval, time.Duration(len(m.views.View().DiskMembers()))*perDiskInterval)
 			select {
 			case <-ctx.Done():
 				return
-			case <-ticker.C:
+			case <-time.After(interval):
 				m.refresh(ctx)
 			}
 		}
@@ -114,13 +116,14 @@
 	defer cancel()
 	disks := m.views.View().DiskMembers()
 	replies := make([]*wirev1.ShardMapReply, len(disks))
+	request := &wirev1.ShardMapRequest{KnownShards: m.Shards()}
 	var group sync.WaitGroup
 	for i, disk := range disks {
 		group.Add(1)
 		go func() {
 			defer group.Done()
 			reply := &wirev1.ShardMapReply{}
-			if m.pool.Call(ctx, disk.Address, rpc.ClassControl, wirev1.Method_METHOD_SHARD_MAP, &wirev1.ShardMapRequest{}, reply) == nil {
+			if m.pool.Call(ctx, disk.Address, rpc.ClassControl, wirev1.Method_METHOD_SHARD_MAP, request, reply) == nil {
 				replies[i] = reply
 			}
 		}()
--- a/modules/batch/store/handlers.go
+++ b/modules/batch/store/handlers.go
@@ -21,6 +21,8 @@
 	layout := m.layout.Load()
 	if layout != nil {
 		reply.Shards = uint32(len(layout.Shards))
+	}
+	if layout != nil && request.KnownShards != reply.Shards {
 		for _, shard := range layout.Shards {
 			reply.Regions = append(reply.Regions, shard.Region)
 		}
--- a/modules/batch/store/runner.go
+++ b/modules/batch/store/runner.go
@@ -204,6 +204,7 @@
 func (r *shardRunner) tick(now time.Time) {
 	r.lastTick = now
 	if !r.installing {
+		r.noticeLostLeader(now)
 		r.replica.Tick(now)
 	}
 	r.tickGrants(now)
@@ -217,6 +218,18 @@
 	}
 }
 
+// noticeLostLeader takes the membership's word that the leader's node is gone.
+func (r *shardRunner) noticeLostLeader(now time.Time) {
+	leader := r.replica.Leader()
+	if leader == "" || leader == r.disk {
+		return
+	}
+	record, known := diskAddress(r.module.views.View(), leader)
+	if !known || record.State == wirev1.MemberState_MEMBER_STATE_LEAVING {
+		r.replica.LeaderLost(now)
+	}
+}
+
 // work does what the replica asks for, in the order its promises need.
 func (r *shardRunner) work() error {
 	for {
