--- /dev/null
+++ b/lab/e2e/tls_test.go
@@ -0,0 +1,56 @@
+package e2e
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net/http"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/lab/fleet"
+	"cobaltramp.example/cobaltramp/lab/keys"
+)
+
+// Callers by TLS, nodes by mutual TLS, with a batch across all of it.
+func TestTLSForCallersAndBetweenNodes(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	authority, err := keys.NewAuthority(t.TempDir())
+	is.NoErr(err)
+	shape := topology(3, 2)
+	shape.Prepare = func(loaded *settings.Settings) error {
+		certificate, key, err := authority.Issue(loaded.Node.ID)
+		loaded.TLS.API = settings.KeyPair{Certificate: certificate, Key: key}
+		loaded.TLS.Nodes, loaded.TLS.NodesAuthority = loaded.TLS.API, authority.File
+		return err
+	}
+	running, err := fleet.Start(shape, t.TempDir())
+	is.NoErr(err)
+	t.Cleanup(running.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), readyTime)
+	defer cancel()
+	text := fleet.BasicBundle(running.Operator, model, model, slots, []fleet.TenantKey{key})
+	is.NoErr(running.Operator.Roll(ctx, running.AdminAddress(), cluster, 1, text))
+	is.NoErr(running.AwaitReady(ctx, 1))
+
+	pool := x509.NewCertPool()
+	pem, err := os.ReadFile(authority.File)
+	is.NoErr(err)
+	is.True(pool.AppendCertsFromPEM(pem))
+	secure := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool}}}
+	api := openai.NewClient(option.WithBaseURL("https://"+running.APIAddresses()[0]+"/v1"), option.WithAPIKey(key.Key), option.WithHTTPClient(secure), option.WithMaxRetries(0))
+	answer, err := api.Chat.Completions.New(patient(t), question("over tls", 10))
+	is.NoErr(err)
+	is.Equal(answer.Choices[0].Message.Content, expected("over tls", 10))
+	batchThroughClient(t, api)
+
+	plain := client(running, 0)
+	_, err = plain.Chat.Completions.New(patient(t), question("in the clear", 10))
+	is.True(err != nil) // plain HTTP is not served
+}
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -45,6 +45,8 @@
 	ListLag time.Duration `yaml:"list_lag"`
 	// PlatformRate is the key-value service's requests per second.
 	PlatformRate float64 `yaml:"platform_rate"`
+	// Prepare may change a node's settings before its first start.
+	Prepare func(*settings.Settings) error `yaml:"-"`
 }
 
 // Fleet is a running deployment.
@@ -207,6 +209,11 @@
 	if number <= f.Topology.DiskNodes {
 		loaded.Data.Folder = filepath.Join(f.folder, loaded.Node.ID)
 	}
+	if f.Topology.Prepare != nil {
+		if err := f.Topology.Prepare(loaded); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
 	loaded.Complete()
 	return loaded, trace.Wrap(loaded.Check())
 }
--- /dev/null
+++ b/lab/imports_test.go
@@ -0,0 +1,19 @@
+package lab
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The product never imports the lab.
+func TestProductDoesNotImportTheLab(t *testing.T) {
+	is := is.New(t)
+	listed, err := exec.Command("go", "list", "-deps", "../cmd/cobaltramp").Output()
+	is.NoErr(err)
+	for _, path := range strings.Fields(string(listed)) {
+		is.True(!strings.HasPrefix(path, "cobaltramp.example/cobaltramp/lab")) // path of the product's dependency
+	}
+}
