Large files split by job, modules say in one call what they need, requests wait out a hand-over of runners

Change: refusals that come from moving ownership are tried again for up to a second, full fleets still refuse at once; a runner taken over is looked at at once; a node without a shard map asks for it.

--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -61,11 +61,10 @@
 // world drives a table with sessions that run, fall silent, give back, and a
 // leader that changes.
 type world struct {
-	table    *Table
-	state    *applied
-	now      time.Time
-	jobs     []*wirev1.JobRecord
-	sessions int
+	table *Table
+	state *applied
+	now   time.Time
+	jobs  []*wirev1.JobRecord
 	// holding is what each session believes it holds.
 	holding map[Session]map[Key]bool
 	onceRan map[Key]int
--- a/internal/kernel/context.go
+++ b/internal/kernel/context.go
@@ -42,3 +42,25 @@
 	}
 	return found
 }
+
+// Need is one service a module cannot do without: a field to fill.
+type Need func(*Context) error
+
+// Into fills a field with the first service of its type.
+func Into[T any](field *T) Need {
+	return func(c *Context) error {
+		found, err := Find[T](c)
+		*field = found
+		return trace.Wrap(err)
+	}
+}
+
+// Fill fills all fields, or says what is missing.
+func (c *Context) Fill(needs ...Need) error {
+	for _, need := range needs {
+		if err := need(c); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/replica/lead.go
@@ -0,0 +1,251 @@
+package replica
+
+import (
+	"sort"
+	"time"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+)
+
+type progress struct {
+	match     uint64 // known to be on the member's disk
+	next      uint64 // next entry to send
+	heardAt   time.Time
+	seenAt    time.Time
+	sentAt    time.Time
+	confirmed bool // answered in this epoch
+}
+
+// LiveMembers counts members heard of within the election time, a leader's
+// view.
+func (r *Replica) LiveMembers(now time.Time) int {
+	if r.role != Leader {
+		return 0
+	}
+	live := 1
+	for member, p := range r.progress {
+		if r.config.Has(member) && now.Sub(p.heardAt) < r.timing.Election {
+			live++
+		}
+	}
+	return live
+}
+
+func (r *Replica) heartbeat(now time.Time) {
+	if now.Before(r.heartbeatAt) {
+		return
+	}
+	r.heartbeatAt = now.Add(r.timing.Heartbeat)
+	for _, member := range r.followers() {
+		p := r.progress[member]
+		// No answer for two heartbeats: what was sent may be lost.
+		if p.next > p.match+1 && now.Sub(p.heardAt) > 2*r.timing.Heartbeat {
+			p.next = p.match + 1
+		}
+		busy := p.confirmed && now.Sub(p.sentAt) < r.timing.Heartbeat
+		if !busy || p.next > p.match+1 {
+			r.sendAppend(member, p, now, true)
+		}
+	}
+}
+
+func (r *Replica) lead(now time.Time) {
+	r.role = Leader
+	r.leader = r.self
+	r.lonely = 0
+	r.progress = map[string]*progress{}
+	for _, member := range r.followers() {
+		r.progress[member] = &progress{next: r.lastIndex() + 1, heardAt: now}
+	}
+	r.frozenBy = nil
+	// An empty entry commits all that earlier epochs left.
+	r.epochStart = r.append(now, [][]byte{nil})
+	r.heartbeatAt = now
+	r.heartbeat(now)
+}
+
+// followers lists the other members, then learners, in a fixed order.
+func (r *Replica) followers() []string {
+	list := make([]string, 0, len(r.config.Members)+len(r.learners))
+	for _, member := range r.config.Members {
+		if member != r.self {
+			list = append(list, member)
+		}
+	}
+	for _, learner := range r.learners {
+		if learner != r.self && !r.config.Has(learner) {
+			list = append(list, learner)
+		}
+	}
+	return list
+}
+
+// Propose appends commands if this replica leads and is not handing over. It
+// returns the index of the first.
+func (r *Replica) Propose(now time.Time, commands [][]byte) (uint64, bool) {
+	if r.role != Leader || r.hard.Frozen || len(commands) == 0 {
+		return 0, false
+	}
+	first := r.append(now, commands)
+	for _, member := range r.followers() {
+		r.sendAppend(member, r.progress[member], now, false)
+	}
+	return first, true
+}
+
+func (r *Replica) append(_ time.Time, commands [][]byte) uint64 {
+	first := r.lastIndex() + 1
+	for _, command := range commands {
+		entry := &wirev1.LogEntry{Index: r.lastIndex() + 1, Epoch: r.hard.Promised, Command: command, Checksum: Checksum(command)}
+		r.pending = append(r.pending, entry)
+		r.epochs = append(r.epochs, entry.Epoch)
+	}
+	return first
+}
+
+// sendAppend sends a member what it lacks, or an empty message as heartbeat.
+func (r *Replica) sendAppend(member string, p *progress, now time.Time, heartbeat bool) {
+	if p.next <= r.baseIndex {
+		if heartbeat {
+			r.offerSnapshot(member)
+		}
+		return
+	}
+	for {
+		// A member that has not answered in this epoch is probed one message
+		// at a time.
+		blocked := !p.confirmed && !heartbeat || p.next-p.match > maxInFlight
+		var entries []*wirev1.LogEntry
+		if !blocked && p.next <= r.lastIndex() {
+			entries = r.read(p.next)
+		}
+		if len(entries) == 0 && !heartbeat {
+			return
+		}
+		previous := p.next - 1
+		previousEpoch, known := r.epochAt(previous)
+		if !known {
+			return
+		}
+		r.sendEarly(&wirev1.ReplicaMessage{
+			Kind: wirev1.ReplicaKind_REPLICA_KIND_APPEND, To: member, Epoch: r.hard.Promised,
+			LastIndex: previous, LastEpoch: previousEpoch, Commit: r.hard.Commit, Entries: entries,
+			Learner: !r.config.Has(member),
+		})
+		p.sentAt = now
+		p.next += uint64(len(entries))
+		heartbeat = false
+		if len(entries) == 0 || !p.confirmed {
+			return
+		}
+	}
+}
+
+func (r *Replica) offerSnapshot(member string) {
+	r.sendEarly(&wirev1.ReplicaMessage{
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_SNAPSHOT_OFFER, To: member, Epoch: r.hard.Promised,
+		LastIndex: r.baseIndex, LastEpoch: r.baseEpoch, Learner: !r.config.Has(member),
+	})
+}
+
+// read returns entries from an index on: those in memory that await the disk,
+// or persisted ones.
+func (r *Replica) read(from uint64) []*wirev1.LogEntry {
+	if len(r.pending) > 0 && from >= r.pending[0].Index {
+		return bounded(r.pending[from-r.pending[0].Index:])
+	}
+	to := r.lastIndex()
+	if len(r.pending) > 0 {
+		to = r.pending[0].Index - 1
+	}
+	entries, err := r.store.Entries(from, to, maxAppendBytes)
+	if err != nil {
+		return nil
+	}
+	return entries
+}
+
+func bounded(entries []*wirev1.LogEntry) []*wirev1.LogEntry {
+	size := 0
+	for i, entry := range entries {
+		size += len(entry.Command)
+		if i > 0 && size > maxAppendBytes {
+			return entries[:i]
+		}
+	}
+	return entries
+}
+
+// Persisted reports that all entries up to an index are on this disk.
+func (r *Replica) Persisted(index uint64) {
+	r.persisted = max(r.persisted, index)
+	r.advanceCommit()
+}
+
+// advanceCommit commits the highest entry of the own epoch that a write quorum
+// has on disk; entries of earlier epochs are committed with it.
+func (r *Replica) advanceCommit() {
+	if r.role != Leader {
+		return
+	}
+	matches := []uint64{min(r.persisted, r.lastIndex())}
+	for member, p := range r.progress {
+		if r.config.Has(member) {
+			matches = append(matches, p.match)
+		}
+	}
+	quorum := r.config.WriteQuorum()
+	if len(matches) < quorum {
+		return
+	}
+	sort.Slice(matches, func(i, j int) bool { return matches[i] > matches[j] })
+	candidate := matches[quorum-1]
+	epoch, known := r.epochAt(candidate)
+	if known && candidate > r.hard.Commit && epoch == r.hard.Promised {
+		r.hard.Commit = candidate
+	}
+}
+
+// TransferLeadership asks the most caught-up member to take over, as before a
+// planned stop. It reports whether there was one.
+func (r *Replica) TransferLeadership(now time.Time, preferred func(string) bool) bool {
+	if r.role != Leader {
+		return false
+	}
+	best := ""
+	for _, member := range r.followers() {
+		p := r.progress[member]
+		fresh := now.Sub(p.heardAt) < r.timing.Election && p.match == r.lastIndex()
+		if r.config.Has(member) && fresh && preferred(member) {
+			best = member
+			break
+		}
+	}
+	if best == "" {
+		return false
+	}
+	r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_TRANSFER, To: best, Epoch: r.hard.Promised})
+	return true
+}
+
+// NoteSeen records that a member's disk is in the fleet, whether or not it
+// answers as a replica.
+func (r *Replica) NoteSeen(member string, now time.Time) {
+	if p := r.progress[member]; p != nil {
+		p.seenAt = now
+	}
+}
+
+// UnseenFor returns how long a leader has neither heard of a member nor seen
+// its disk in the fleet.
+func (r *Replica) UnseenFor(member string, now time.Time) time.Duration {
+	p := r.progress[member]
+	if p == nil {
+		return 0
+	}
+	latest := p.heardAt
+	if p.seenAt.After(latest) {
+		latest = p.seenAt
+	}
+	return now.Sub(latest)
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -15,7 +15,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"sort"
 	"time"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
@@ -141,15 +140,6 @@
 	return r.HardState == nil && r.TruncateFrom == 0 && len(r.Entries) == 0 && len(r.Early) == 0 && len(r.Messages) == 0
 }
 
-type progress struct {
-	match     uint64 // known to be on the member's disk
-	next      uint64 // next entry to send
-	heardAt   time.Time
-	seenAt    time.Time
-	sentAt    time.Time
-	confirmed bool // answered in this epoch
-}
-
 // Replica is one member's state.
 //
 // Invariants: the promised epoch never falls; entries at or below commit never
@@ -208,17 +198,6 @@
 	return r
 }
 
-// LeaderLost tells a follower that its leader's node is known to be gone or
-// going: it campaigns soon instead of waiting for the election time.
-func (r *Replica) LeaderLost(now time.Time) {
-	if r.role == Leader || r.leader == "" {
-		return
-	}
-	r.leader = ""
-	r.leaderSeen = time.Time{}
-	r.deadline = now.Add(time.Duration(r.random.Int64N(int64(firstElection))))
-}
-
 // Role returns the present role.
 func (r *Replica) Role() Role { return r.role }
 
@@ -246,21 +225,6 @@
 	return r.role == Leader && r.hard.Commit >= r.epochStart && !r.hard.Frozen
 }
 
-// LiveMembers counts members heard of within the election time, a leader's
-// view.
-func (r *Replica) LiveMembers(now time.Time) int {
-	if r.role != Leader {
-		return 0
-	}
-	live := 1
-	for member, p := range r.progress {
-		if r.config.Has(member) && now.Sub(p.heardAt) < r.timing.Election {
-			live++
-		}
-	}
-	return live
-}
-
 func (r *Replica) lastIndex() uint64 { return r.baseIndex + uint64(len(r.epochs)) }
 
 // epochAt returns the epoch of an entry, false if it is not in the log.
@@ -279,10 +243,6 @@
 	return epoch
 }
 
-func (r *Replica) resetDeadline(now time.Time) {
-	r.deadline = now.Add(r.timing.Election + time.Duration(r.random.Int64N(int64(r.timing.Election))))
-}
-
 // Tick advances timers.
 func (r *Replica) Tick(now time.Time) {
 	if !r.config.Has(r.self) || r.hard.Frozen {
@@ -300,83 +260,6 @@
 	}
 }
 
-func (r *Replica) heartbeat(now time.Time) {
-	if now.Before(r.heartbeatAt) {
-		return
-	}
-	r.heartbeatAt = now.Add(r.timing.Heartbeat)
-	for _, member := range r.followers() {
-		p := r.progress[member]
-		// No answer for two heartbeats: what was sent may be lost.
-		if p.next > p.match+1 && now.Sub(p.heardAt) > 2*r.timing.Heartbeat {
-			p.next = p.match + 1
-		}
-		busy := p.confirmed && now.Sub(p.sentAt) < r.timing.Heartbeat
-		if !busy || p.next > p.match+1 {
-			r.sendAppend(member, p, now, true)
-		}
-	}
-}
-
-// campaign asks for pre-votes first, which change nothing, so that a replica
-// that was cut off does not disturb a live leader when it returns.
-func (r *Replica) campaign(now time.Time) {
-	r.resetDeadline(now)
-	r.role = PreCandidate
-	r.leader = ""
-	r.votes = map[string]bool{r.self: true}
-	if r.preVotesSuffice() {
-		r.prepare(now)
-		return
-	}
-	r.lonely++
-	r.broadcast(wirev1.ReplicaKind_REPLICA_KIND_PRE_PREPARE, r.hard.Promised)
-}
-
-// preVotesSuffice asks for a majority while one can be had; a replica that has
-// long been without contents itself with the election quorum, which is safe.
-func (r *Replica) preVotesSuffice() bool {
-	needed := len(r.config.Members)/2 + 1
-	if r.lonely >= 3 {
-		needed = r.config.ElectionQuorum()
-	}
-	return len(r.votes) >= max(needed, r.config.ElectionQuorum())
-}
-
-func (r *Replica) prepare(now time.Time) {
-	r.resetDeadline(now)
-	r.role = Candidate
-	r.promise(r.nextEpoch())
-	r.votes = map[string]bool{r.self: true}
-	r.broadcast(wirev1.ReplicaKind_REPLICA_KIND_PREPARE, r.hard.Promised)
-	r.countVotes(now)
-}
-
-func (r *Replica) nextEpoch() uint64 {
-	base := r.config.Generation << (counterBits + indexBits)
-	counter := uint64(0)
-	if r.hard.Promised > base {
-		counter = (r.hard.Promised - base) >> indexBits
-	}
-	return base + (counter+1)<<indexBits + uint64(r.config.index(r.self)+1)
-}
-
-func (r *Replica) promise(epoch uint64) {
-	if epoch > r.hard.Promised {
-		r.hard.Promised = epoch
-		r.dirty = true
-	}
-}
-
-func (r *Replica) broadcast(kind wirev1.ReplicaKind, epoch uint64) {
-	for _, member := range r.config.Members {
-		if member == r.self {
-			continue
-		}
-		r.send(&wirev1.ReplicaMessage{Kind: kind, To: member, Epoch: epoch, LastIndex: r.lastIndex(), LastEpoch: r.lastEpoch()})
-	}
-}
-
 func (r *Replica) address(message *wirev1.ReplicaMessage) *wirev1.ReplicaMessage {
 	message.Shard = r.shard
 	message.From = r.self
@@ -394,169 +277,6 @@
 	r.early = append(r.early, r.address(message))
 }
 
-func (r *Replica) countVotes(now time.Time) {
-	if r.role == Candidate && len(r.votes) >= r.config.ElectionQuorum() {
-		r.lead(now)
-	}
-}
-
-func (r *Replica) lead(now time.Time) {
-	r.role = Leader
-	r.leader = r.self
-	r.lonely = 0
-	r.progress = map[string]*progress{}
-	for _, member := range r.followers() {
-		r.progress[member] = &progress{next: r.lastIndex() + 1, heardAt: now}
-	}
-	r.frozenBy = nil
-	// An empty entry commits all that earlier epochs left.
-	r.epochStart = r.append(now, [][]byte{nil})
-	r.heartbeatAt = now
-	r.heartbeat(now)
-}
-
-// followers lists the other members, then learners, in a fixed order.
-func (r *Replica) followers() []string {
-	list := make([]string, 0, len(r.config.Members)+len(r.learners))
-	for _, member := range r.config.Members {
-		if member != r.self {
-			list = append(list, member)
-		}
-	}
-	for _, learner := range r.learners {
-		if learner != r.self && !r.config.Has(learner) {
-			list = append(list, learner)
-		}
-	}
-	return list
-}
-
-// Propose appends commands if this replica leads and is not handing over. It
-// returns the index of the first.
-func (r *Replica) Propose(now time.Time, commands [][]byte) (uint64, bool) {
-	if r.role != Leader || r.hard.Frozen || len(commands) == 0 {
-		return 0, false
-	}
-	first := r.append(now, commands)
-	for _, member := range r.followers() {
-		r.sendAppend(member, r.progress[member], now, false)
-	}
-	return first, true
-}
-
-func (r *Replica) append(_ time.Time, commands [][]byte) uint64 {
-	first := r.lastIndex() + 1
-	for _, command := range commands {
-		entry := &wirev1.LogEntry{Index: r.lastIndex() + 1, Epoch: r.hard.Promised, Command: command, Checksum: Checksum(command)}
-		r.pending = append(r.pending, entry)
-		r.epochs = append(r.epochs, entry.Epoch)
-	}
-	return first
-}
-
-// sendAppend sends a member what it lacks, or an empty message as heartbeat.
-func (r *Replica) sendAppend(member string, p *progress, now time.Time, heartbeat bool) {
-	if p.next <= r.baseIndex {
-		if heartbeat {
-			r.offerSnapshot(member)
-		}
-		return
-	}
-	for {
-		// A member that has not answered in this epoch is probed one message
-		// at a time.
-		blocked := !p.confirmed && !heartbeat || p.next-p.match > maxInFlight
-		var entries []*wirev1.LogEntry
-		if !blocked && p.next <= r.lastIndex() {
-			entries = r.read(p.next)
-		}
-		if len(entries) == 0 && !heartbeat {
-			return
-		}
-		previous := p.next - 1
-		previousEpoch, known := r.epochAt(previous)
-		if !known {
-			return
-		}
-		r.sendEarly(&wirev1.ReplicaMessage{
-			Kind: wirev1.ReplicaKind_REPLICA_KIND_APPEND, To: member, Epoch: r.hard.Promised,
-			LastIndex: previous, LastEpoch: previousEpoch, Commit: r.hard.Commit, Entries: entries,
-			Learner: !r.config.Has(member),
-		})
-		p.sentAt = now
-		p.next += uint64(len(entries))
-		heartbeat = false
-		if len(entries) == 0 || !p.confirmed {
-			return
-		}
-	}
-}
-
-func (r *Replica) offerSnapshot(member string) {
-	r.sendEarly(&wirev1.ReplicaMessage{
-		Kind: wirev1.ReplicaKind_REPLICA_KIND_SNAPSHOT_OFFER, To: member, Epoch: r.hard.Promised,
-		LastIndex: r.baseIndex, LastEpoch: r.baseEpoch, Learner: !r.config.Has(member),
-	})
-}
-
-// read returns entries from an index on: those in memory that await the disk,
-// or persisted ones.
-func (r *Replica) read(from uint64) []*wirev1.LogEntry {
-	if len(r.pending) > 0 && from >= r.pending[0].Index {
-		return bounded(r.pending[from-r.pending[0].Index:])
-	}
-	to := r.lastIndex()
-	if len(r.pending) > 0 {
-		to = r.pending[0].Index - 1
-	}
-	entries, err := r.store.Entries(from, to, maxAppendBytes)
-	if err != nil {
-		return nil
-	}
-	return entries
-}
-
-func bounded(entries []*wirev1.LogEntry) []*wirev1.LogEntry {
-	size := 0
-	for i, entry := range entries {
-		size += len(entry.Command)
-		if i > 0 && size > maxAppendBytes {
-			return entries[:i]
-		}
-	}
-	return entries
-}
-
-// Persisted reports that all entries up to an index are on this disk.
-func (r *Replica) Persisted(index uint64) {
-	r.persisted = max(r.persisted, index)
-	r.advanceCommit()
-}
-
-// advanceCommit commits the highest entry of the own epoch that a write quorum
-// has on disk; entries of earlier epochs are committed with it.
-func (r *Replica) advanceCommit() {
-	if r.role != Leader {
-		return
-	}
-	matches := []uint64{min(r.persisted, r.lastIndex())}
-	for member, p := range r.progress {
-		if r.config.Has(member) {
-			matches = append(matches, p.match)
-		}
-	}
-	quorum := r.config.WriteQuorum()
-	if len(matches) < quorum {
-		return
-	}
-	sort.Slice(matches, func(i, j int) bool { return matches[i] > matches[j] })
-	candidate := matches[quorum-1]
-	epoch, known := r.epochAt(candidate)
-	if known && candidate > r.hard.Commit && epoch == r.hard.Promised {
-		r.hard.Commit = candidate
-	}
-}
-
 // Ready returns what the driver has to do and forgets it.
 func (r *Replica) Ready() Ready {
 	ready := Ready{
@@ -596,28 +316,6 @@
 	r.dirty = true
 }
 
-// TransferLeadership asks the most caught-up member to take over, as before a
-// planned stop. It reports whether there was one.
-func (r *Replica) TransferLeadership(now time.Time, preferred func(string) bool) bool {
-	if r.role != Leader {
-		return false
-	}
-	best := ""
-	for _, member := range r.followers() {
-		p := r.progress[member]
-		fresh := now.Sub(p.heardAt) < r.timing.Election && p.match == r.lastIndex()
-		if r.config.Has(member) && fresh && preferred(member) {
-			best = member
-			break
-		}
-	}
-	if best == "" {
-		return false
-	}
-	r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_TRANSFER, To: best, Epoch: r.hard.Promised})
-	return true
-}
-
 // HardState returns what must never be forgotten, as it is now.
 func (r *Replica) HardState() HardState { return r.hard }
 
@@ -626,25 +324,3 @@
 	epoch, _ := r.epochAt(index)
 	return epoch
 }
-
-// NoteSeen records that a member's disk is in the fleet, whether or not it
-// answers as a replica.
-func (r *Replica) NoteSeen(member string, now time.Time) {
-	if p := r.progress[member]; p != nil {
-		p.seenAt = now
-	}
-}
-
-// UnseenFor returns how long a leader has neither heard of a member nor seen
-// its disk in the fleet.
-func (r *Replica) UnseenFor(member string, now time.Time) time.Duration {
-	p := r.progress[member]
-	if p == nil {
-		return 0
-	}
-	latest := p.heardAt
-	if p.seenAt.After(latest) {
-		latest = p.seenAt
-	}
-	return now.Sub(latest)
-}
--- a/modules/batch/directory/directory.go
+++ b/modules/batch/directory/directory.go
@@ -62,11 +62,9 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.views, err = kernel.Find[Views](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.pool, err = kernel.Find[*rpc.Pool](ctx); err != nil {
+	if err := ctx.Fill(
+		kernel.Into(&m.views), kernel.Into(&m.pool),
+	); err != nil {
 		return trace.Wrap(err)
 	}
 	m.current.Store(&Map{Leaders: map[uint32]string{}})
@@ -80,6 +78,7 @@
 	refreshInterval = 500 * time.Millisecond
 	perDiskInterval = 100 * time.Millisecond
 	refreshTimeout  = time.Second
+	firstLooks      = 10
 	retryPause      = 50 * time.Millisecond
 	// attemptTimeout bounds one try, so that a leader that was paused does not
 	// hold a caller until its deadline.
@@ -154,8 +153,15 @@
 func (m *Module) Shards() uint32 { return uint32(len(m.Map().Regions)) }
 
 // HomeShards lists the shards of a tenant's home region. Without one, the home
-// is the first region in alphabetical order, the same seen from everywhere.
+// is the first region in alphabetical order, the same seen from everywhere. A
+// node that has just started and knows no shards asks for them first.
 func (m *Module) HomeShards(region string) []uint32 {
+	for try := 0; m.Shards() == 0 && try < firstLooks; try++ {
+		m.refresh(context.Background())
+		if m.Shards() == 0 {
+			time.Sleep(refreshInterval / 5)
+		}
+	}
 	regions := m.Map().Regions
 	if region == "" && len(regions) > 0 {
 		region = slices.Min(regions)
--- a/modules/batch/worker/worker.go
+++ b/modules/batch/worker/worker.go
@@ -89,18 +89,11 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.owner, err = kernel.Find[Owner](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.shards, err = kernel.Find[Shards](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	registry, err := kernel.Find[prometheus.Registerer](ctx)
-	if err != nil {
+	var registry prometheus.Registerer
+	if err := ctx.Fill(
+		kernel.Into(&m.settings), kernel.Into(&m.owner), kernel.Into(&m.shards),
+		kernel.Into(&registry),
+	); err != nil {
 		return trace.Wrap(err)
 	}
 	m.metrics = &metrics{
--- a/modules/callers/openai/api.go
+++ b/modules/callers/openai/api.go
@@ -76,26 +76,13 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.snapshots, err = kernel.Find[Snapshots](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.router, err = kernel.Find[Router](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.leaver, err = kernel.Find[Leaver](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.batch, err = kernel.Find[BatchStore](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.claims, err = kernel.Find[Claims](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.shares, err = kernel.Find[Shares](ctx); err != nil {
+	var registry prometheus.Registerer
+	err := ctx.Fill(
+		kernel.Into(&m.settings), kernel.Into(&m.snapshots), kernel.Into(&m.router),
+		kernel.Into(&m.leaver), kernel.Into(&m.batch), kernel.Into(&m.claims),
+		kernel.Into(&m.shares), kernel.Into(&registry),
+	)
+	if err != nil {
 		return trace.Wrap(err)
 	}
 	if m.settings.TLS.API.Set() {
@@ -103,10 +90,6 @@
 			return trace.Wrap(err, "tls.api")
 		}
 	}
-	registry, err := kernel.Find[prometheus.Registerer](ctx)
-	if err != nil {
-		return trace.Wrap(err)
-	}
 	m.metrics = newMetrics(registry)
 	ctx.Provide(m)
 	return nil
--- /dev/null
+++ b/modules/callers/openai/upload.go
@@ -0,0 +1,224 @@
+package openai
+
+import (
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"hash"
+	"io"
+	"mime"
+	"mime/multipart"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gofiber/fiber/v3"
+	"golang.org/x/sync/errgroup"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/bundle"
+	"cobaltramp.example/cobaltramp/internal/jsonl"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+// uploadFile takes a multipart upload as a stream: segments go to their shard
+// while the rest is still on its way.
+func (m *Module) uploadFile(c fiber.Ctx, who *caller) error {
+	if length := c.Request().Header.ContentLength(); int64(length) > m.settings.Limits.FileBytes {
+		return result.New(result.BodyTooLarge, "the file has %d bytes, allowed: %d", length, m.settings.Limits.FileBytes)
+	}
+	form, err := multipartReader(c, m.settings.Limits.FileBytes)
+	if err != nil {
+		return err
+	}
+	class, err := uploadClass(c, who)
+	if err != nil {
+		return err
+	}
+	purpose := ""
+	for {
+		part, err := form.NextPart()
+		if errors.Is(err, io.EOF) {
+			return result.New(result.InvalidRequest, "the form has no field \"file\"")
+		}
+		if err != nil {
+			return result.New(result.InvalidRequest, "the form broke off: %v", err)
+		}
+		switch part.FormName() {
+		case "purpose":
+			text, _ := io.ReadAll(io.LimitReader(part, 64))
+			purpose = string(text)
+		case "file":
+			return m.takeFile(c, who, part, purpose, class)
+		}
+	}
+}
+
+func multipartReader(c fiber.Ctx, limit int64) (*multipart.Reader, error) {
+	kind, parameters, err := mime.ParseMediaType(c.Get(fiber.HeaderContentType))
+	if err != nil || kind != fiber.MIMEMultipartForm || parameters["boundary"] == "" {
+		return nil, result.New(result.InvalidRequest, "send the file as multipart/form-data with fields purpose and file")
+	}
+	stream := c.RequestCtx().RequestBodyStream()
+	if stream == nil {
+		return nil, result.New(result.InvalidRequest, "the body is empty")
+	}
+	return multipart.NewReader(io.LimitReader(stream, limit), parameters["boundary"]), nil
+}
+
+func uploadClass(c fiber.Ctx, who *caller) (wirev1.WorkClass, error) {
+	class := c.Get(headerWorkClass)
+	if class == "" {
+		class = who.tenant.DefaultClass
+	}
+	switch class {
+	case bundle.ClassOnce:
+		return wirev1.WorkClass_WORK_CLASS_ONCE, nil
+	case bundle.ClassRepeatable:
+		return wirev1.WorkClass_WORK_CLASS_REPEATABLE, nil
+	default:
+		return 0, result.New(result.InvalidRequest, "%s is %q, allowed: repeatable or once", headerWorkClass, class)
+	}
+}
+
+func (m *Module) takeFile(c fiber.Ctx, who *caller, part *multipart.Part, purpose string, class wirev1.WorkClass) error {
+	if purpose != "" && purpose != purposeBatch {
+		return result.New(result.InvalidRequest, "purpose is %q, allowed: batch", purpose)
+	}
+	shards := m.batch.HomeShards(who.tenant.HomeRegion)
+	if len(shards) == 0 {
+		return result.New(result.StoreUnavailable, "no storage in the tenant's home region is known yet").After(time.Second)
+	}
+	digest := sha256.New()
+	reader := jsonl.NewReader(io.TeeReader(part, digest), jsonl.Rules{Model: modelRule(who), DefaultClass: class})
+	upload := &upload{module: m, reader: reader, digest: digest, tenant: who.tenant.Name, filename: part.FileName()}
+	record, err := upload.run(shards)
+	if err != nil {
+		return err
+	}
+	return c.JSON(newFileBody(record))
+}
+
+func modelRule(who *caller) func(string) (string, error) {
+	return func(name string) (string, error) {
+		model, known := who.snapshot.Models[name]
+		if !known {
+			return "", fmt.Errorf("body.model is %q, which does not exist", name)
+		}
+		if !who.tenant.MayCall(name) {
+			return "", fmt.Errorf("body.model is %q, which the tenant may not call", name)
+		}
+		return model.Name, nil
+	}
+}
+
+// upload is one file on its way to its shard.
+type upload struct {
+	module   *Module
+	reader   *jsonl.Reader
+	digest   hash.Hash
+	tenant   string
+	filename string
+
+	shard    uint32
+	fileID   string
+	segments uint32
+}
+
+// run stores the file. It becomes visible with its last command, the seal; an
+// upload that fails leaves nothing behind that anyone can see.
+func (u *upload) run(shards []uint32) (*wirev1.FileRecord, error) {
+	first, err := u.reader.Next()
+	if errors.Is(err, io.EOF) {
+		return nil, result.New(result.InvalidRequest, "the file has no lines")
+	}
+	if err != nil {
+		return nil, lineError(err)
+	}
+	// The same content goes to the same shard, where a resent job meets the
+	// first one.
+	u.shard = shards[contentHash(u.tenant, first)%uint64(len(shards))]
+	u.fileID = newFileID(u.shard)
+	if err := u.propose(&wirev1.Command{Kind: &wirev1.Command_CreateFile{CreateFile: &wirev1.CreateFile{
+		FileId: u.fileID, Tenant: u.tenant, Filename: u.filename, Purpose: purposeBatch, CreatedUnixMs: time.Now().UnixMilli(),
+	}}}); err != nil {
+		return nil, err
+	}
+	if err := u.sendSegments(first); err != nil {
+		u.discard()
+		return nil, lineError(err)
+	}
+	return u.seal()
+}
+
+func contentHash(tenant string, segment *jsonl.Segment) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(tenant)
+	for _, item := range segment.Items {
+		_, _ = digest.WriteString(item.CustomId)
+		_, _ = digest.Write(item.Body)
+	}
+	return digest.Sum64()
+}
+
+func (u *upload) propose(command *wirev1.Command) error {
+	ctx, cancel := storeContext()
+	defer cancel()
+	_, err := u.module.batch.Propose(ctx, u.shard, command)
+	return err
+}
+
+func (u *upload) sendSegments(first *jsonl.Segment) error {
+	group, ctx := errgroup.WithContext(context.Background())
+	group.SetLimit(parallelSegments)
+	next := first
+	for ctx.Err() == nil {
+		number, segment := u.segments, next
+		u.segments++
+		group.Go(func() error {
+			return u.propose(&wirev1.Command{Kind: &wirev1.Command_AppendSegment{AppendSegment: &wirev1.AppendSegment{
+				FileId: u.fileID, Segment: number, Items: segment.Items, Bytes: segment.Bytes,
+			}}})
+		})
+		var err error
+		next, err = u.reader.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			_ = group.Wait()
+			return err
+		}
+	}
+	return group.Wait()
+}
+
+func (u *upload) seal() (*wirev1.FileRecord, error) {
+	ctx, cancel := storeContext()
+	defer cancel()
+	answer, err := u.module.batch.Propose(ctx, u.shard, &wirev1.Command{Kind: &wirev1.Command_SealFile{SealFile: &wirev1.SealFile{
+		FileId: u.fileID, Segments: u.segments, Items: u.reader.Items(), Bytes: u.reader.Bytes(), Digest: u.digest.Sum(nil),
+	}}})
+	if err != nil {
+		return nil, err
+	}
+	return answer.File, nil
+}
+
+func (u *upload) discard() {
+	go func() {
+		_ = u.propose(&wirev1.Command{Kind: &wirev1.Command_DeleteFile{DeleteFile: &wirev1.DeleteFile{FileId: u.fileID, Tenant: u.tenant}}})
+	}()
+}
+
+func lineError(err error) error {
+	var bad *jsonl.LineError
+	if errors.As(err, &bad) {
+		return result.New(result.InvalidRequest, "%v", bad)
+	}
+	var known *result.Error
+	if errors.As(err, &known) {
+		return known
+	}
+	return result.New(result.InvalidRequest, "the file broke off: %v", err)
+}
--- a/modules/callers/quota/quota.go
+++ b/modules/callers/quota/quota.go
@@ -59,15 +59,10 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.views, err = kernel.Find[Views](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.pool, err = kernel.Find[*rpc.Pool](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	server, err := kernel.Find[*rpc.Server](ctx)
-	if err != nil {
+	var server *rpc.Server
+	if err := ctx.Fill(
+		kernel.Into(&m.views), kernel.Into(&m.pool), kernel.Into(&server),
+	); err != nil {
 		return trace.Wrap(err)
 	}
 	m.keeper = quota.NewKeeper()
--- a/modules/config/bundles/bundles.go
+++ b/modules/config/bundles/bundles.go
@@ -84,25 +84,12 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.store, err = kernel.Find[platform.KeyValue](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.members, err = kernel.Find[Membership](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.pool, err = kernel.Find[*rpc.Pool](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	server, err := kernel.Find[*rpc.Server](ctx)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	registry, err := kernel.Find[prometheus.Registerer](ctx)
-	if err != nil {
+	var server *rpc.Server
+	var registry prometheus.Registerer
+	if err := ctx.Fill(
+		kernel.Into(&m.settings), kernel.Into(&m.store), kernel.Into(&m.members),
+		kernel.Into(&m.pool), kernel.Into(&server), kernel.Into(&registry),
+	); err != nil {
 		return trace.Wrap(err)
 	}
 	m.metrics = newMetrics(registry)
--- a/modules/fleet/links/links.go
+++ b/modules/fleet/links/links.go
@@ -42,7 +42,11 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	loaded, err := kernel.Find[*settings.Settings](ctx)
+	var loaded *settings.Settings
+	var registry prometheus.Registerer
+	err := ctx.Fill(
+		kernel.Into(&loaded), kernel.Into(&registry),
+	)
 	if err != nil {
 		return trace.Wrap(err)
 	}
@@ -59,10 +63,6 @@
 	ctx.Provide(m.server)
 	ctx.Provide(m.pool)
 	ctx.Provide(m.counters)
-	registry, err := kernel.Find[prometheus.Registerer](ctx)
-	if err != nil {
-		return trace.Wrap(err)
-	}
 	m.register(registry)
 	return nil
 }
--- a/modules/fleet/runners/runners.go
+++ b/modules/fleet/runners/runners.go
@@ -53,14 +53,9 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.lists, err = kernel.Find[platform.Lists](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.views, err = kernel.Find[Views](ctx); err != nil {
+	if err := ctx.Fill(
+		kernel.Into(&m.settings), kernel.Into(&m.lists), kernel.Into(&m.views),
+	); err != nil {
 		return trace.Wrap(err)
 	}
 	m.table.Store(fleet.NewRunners(m.views.View(), nil, nil))
--- a/modules/operators/admin/admin.go
+++ b/modules/operators/admin/admin.go
@@ -84,33 +84,15 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.views, err = kernel.Find[Views](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.bundles, err = kernel.Find[Bundles](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.runners, err = kernel.Find[Runners](ctx); err != nil {
+	var server *rpc.Server
+	if err := ctx.Fill(
+		kernel.Into(&m.settings), kernel.Into(&m.views), kernel.Into(&m.bundles),
+		kernel.Into(&m.runners), kernel.Into(&m.ready), kernel.Into(&m.pool),
+		kernel.Into(&m.gatherer), kernel.Into(&server),
+	); err != nil {
 		return trace.Wrap(err)
 	}
 	m.shards, _ = kernel.Find[Shards](ctx)
-	if m.ready, err = kernel.Find[Readiness](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.pool, err = kernel.Find[*rpc.Pool](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.gatherer, err = kernel.Find[prometheus.Gatherer](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	server, err := kernel.Find[*rpc.Server](ctx)
-	if err != nil {
-		return trace.Wrap(err)
-	}
 	server.Handle(wirev1.Method_METHOD_NODE_STATUS, m.serveStatus)
 	return nil
 }
--- a/modules/serving/owner/orders.go
+++ b/modules/serving/owner/orders.go
@@ -62,6 +62,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-m.taken:
 		}
 		for _, due := range m.dueChecks(time.Now()) {
 			go m.check(ctx, due)
--- a/modules/serving/owner/owner.go
+++ b/modules/serving/owner/owner.go
@@ -65,6 +65,7 @@
 	draining bool
 	sequence uint64
 	freed    chan struct{}
+	taken    chan struct{} // a runner was taken over: look at it at once
 }
 
 // runner is one owned runner.
@@ -96,22 +97,12 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.tables, err = kernel.Find[Tables](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.snapshots, err = kernel.Find[Snapshots](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	server, err := kernel.Find[*rpc.Server](ctx)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	registry, err := kernel.Find[prometheus.Registerer](ctx)
-	if err != nil {
+	var server *rpc.Server
+	var registry prometheus.Registerer
+	if err := ctx.Fill(
+		kernel.Into(&m.settings), kernel.Into(&m.tables), kernel.Into(&m.snapshots),
+		kernel.Into(&server), kernel.Into(&registry),
+	); err != nil {
 		return trace.Wrap(err)
 	}
 	m.metrics = newMetrics(registry)
@@ -119,6 +110,7 @@
 	m.runners = map[string]*runner{}
 	m.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	m.freed = make(chan struct{}, 1)
+	m.taken = make(chan struct{}, 1)
 	m.scheduler = newScheduler()
 	m.tables.OnTable(func(*fleet.Runners) { m.refresh() })
 	m.snapshots.OnSnapshot(func(*bundle.Snapshot) { m.refresh() })
@@ -327,6 +319,10 @@
 	if r == nil {
 		r = &runner{id: listed.ID, arbiter: arbiter.New(config, time.Now()), cancels: map[arbiter.BatchStream]context.CancelCauseFunc{}, moves: map[*silenceWatch]struct{}{}}
 		m.runners[listed.ID] = r
+		select {
+		case m.taken <- struct{}{}:
+		default:
+		}
 	}
 	r.arbiter.Configure(config)
 	if r.address != listed.Address {
--- a/modules/serving/router/generate.go
+++ b/modules/serving/router/generate.go
@@ -41,6 +41,10 @@
 const (
 	// maxRefusals bounds owners tried for one request.
 	maxRefusals = 6
+	// settleTime bounds how long a request looks for an owner while runners
+	// change hands; a fleet that is merely full refuses at once.
+	settleTime  = time.Second
+	settlePause = 50 * time.Millisecond
 	// maxContinuations bounds how often one answer survives a loss.
 	maxContinuations = 4
 )
@@ -62,6 +66,8 @@
 	attempt       int
 	excludeOwners []string
 	excludeRunner []string
+	// unsettled: an owner refused because ownership is moving.
+	unsettled bool
 
 	// The current stream: its id at the engine, where it runs, and the index
 	// of its next event.
@@ -84,6 +90,7 @@
 
 func (g *generation) run(ctx context.Context) error {
 	refusals, continuations := 0, 0
+	settleBy := time.Now().Add(settleTime)
 	for {
 		err := g.dispatch(ctx)
 		if err == nil {
@@ -96,8 +103,14 @@
 		case refusedNotRun(err):
 			refusals++
 			if refusals >= maxRefusals || g.ownerID == "" {
+				if g.unsettled && time.Now().Before(settleBy) {
+					refusals = 0
+					g.lookAgain(ctx)
+					continue
+				}
 				return g.refusal(err, continuations)
 			}
+			g.unsettled = g.unsettled || ownershipMoves(err)
 			g.excludeOwners = append(g.excludeOwners, g.ownerID)
 		case lost(err):
 			continuations++
@@ -114,6 +127,28 @@
 	}
 }
 
+// ownershipMoves lists refusals that end by themselves within moments: the
+// owner is stopping, has just taken over, or is gone.
+func ownershipMoves(err error) bool {
+	switch result.CodeOf(err) {
+	case result.NotOwner, result.Draining, result.PeerUnreachable, result.NotReady:
+		return true
+	default:
+		return false
+	}
+}
+
+// lookAgain lets a hand-over of runners go on for a moment and forgets which
+// owners were tried.
+func (g *generation) lookAgain(ctx context.Context) {
+	g.unsettled = false
+	g.excludeOwners = nil
+	select {
+	case <-ctx.Done():
+	case <-time.After(settlePause):
+	}
+}
+
 // refusal is the error of a request no owner takes. "Not run" is said only if
 // no earlier attempt ran.
 func (g *generation) refusal(err error, continuations int) error {
--- a/modules/serving/router/router.go
+++ b/modules/serving/router/router.go
@@ -86,31 +86,13 @@
 
 // Provision implements kernel.Module.
 func (m *Module) Provision(ctx *kernel.Context) error {
-	var err error
-	if m.settings, err = kernel.Find[*settings.Settings](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.views, err = kernel.Find[Views](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.tables, err = kernel.Find[Tables](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.snapshots, err = kernel.Find[Snapshots](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.local, err = kernel.Find[LocalOwner](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	if m.pool, err = kernel.Find[*rpc.Pool](ctx); err != nil {
-		return trace.Wrap(err)
-	}
-	server, err := kernel.Find[*rpc.Server](ctx)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	registry, err := kernel.Find[prometheus.Registerer](ctx)
-	if err != nil {
+	var server *rpc.Server
+	var registry prometheus.Registerer
+	if err := ctx.Fill(
+		kernel.Into(&m.settings), kernel.Into(&m.views), kernel.Into(&m.tables),
+		kernel.Into(&m.snapshots), kernel.Into(&m.local), kernel.Into(&m.pool),
+		kernel.Into(&server), kernel.Into(&registry),
+	); err != nil {
 		return trace.Wrap(err)
 	}
 	m.metrics = newMetrics(registry)
