--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -226,6 +226,10 @@
 	portTries = 1000
 )
 
+// handedOut are the ports this process has given away: one whose server is down
+// for a while must not be given to another.
+var handedOut sync.Map
+
 // freeAddresses returns loopback addresses whose ports were free a moment ago.
 func freeAddresses(count int) ([]string, error) {
 	addresses := make([]string, 0, count)
@@ -233,7 +237,11 @@
 		if len(addresses) == count {
 			return addresses, nil
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount))
+		port := firstPort + rand.IntN(portCount)
+		if _, taken := handedOut.LoadOrStore(port, true); taken {
+			continue
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", port)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -24,6 +24,9 @@
 	// TailWeight and ReserveSlots of the managed policy.
 	TailWeight   float64 `yaml:"tail_weight"`
 	ReserveSlots int     `yaml:"reserve_slots"`
+	// FirstToken and InterToken are the model's targets (0: the contract's).
+	FirstToken time.Duration `yaml:"first_token_target"`
+	InterToken time.Duration `yaml:"inter_token_target"`
 	// StaticSlots of the static baseline.
 	StaticSlots int `yaml:"static_slots"`
 	// Online load, phase after phase.
@@ -115,7 +118,14 @@
 	}
 	head := fmt.Sprintf("kind: Policy\nname: fleet\nbatch: {mode: %s, tail_weight: %g, reserve_slots: %d, static_slots: %d}\n---\n", mode, s.TailWeight, s.ReserveSlots, s.StaticSlots)
 	head += fmt.Sprintf("kind: Operator\nname: %s\npublic_key: %s\n---\n", operator.Name, operator.PublicKey())
-	head += fmt.Sprintf("kind: Model\nname: %s\nversion: \"1\"\nservice: %s\nslots: %d\n---\n", s.Topology.Service, s.Topology.Service, s.Slots)
+	head += fmt.Sprintf("kind: Model\nname: %s\nversion: \"1\"\nservice: %s\nslots: %d\n", s.Topology.Service, s.Topology.Service, s.Slots)
+	if s.FirstToken > 0 {
+		head += fmt.Sprintf("first_token_target: %s\n", s.FirstToken)
+	}
+	if s.InterToken > 0 {
+		head += fmt.Sprintf("inter_token_target: %s\n", s.InterToken)
+	}
+	head += "---\n"
 	return head + fmt.Sprintf("kind: Tenant\nname: %s\nkey_hashes: [%s]\n", tenant.Tenant, tenant.Hash())
 }
 
