--- /dev/null
+++ b/lab/bench/intake.go
@@ -0,0 +1,101 @@
+package bench
+
+import (
+	"context"
+	"os"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cobaltramp.example/cobaltramp/lab/load"
+)
+
+// IntakeReport is the upload of one job's input file.
+type IntakeReport struct {
+	Items          int     `json:"items"`
+	FileMB         float64 `json:"file_mb"`
+	UploadSeconds  float64 `json:"upload_seconds"`
+	ItemsPerSecond float64 `json:"items_per_second"`
+	// PeakHeapMB is the highest heap of the whole process (five nodes, with
+	// five copies on their way to disk) above what it was before, with the
+	// client's own copy of the file in it before.
+	PeakHeapMB float64 `json:"peak_heap_mb_above_before"`
+}
+
+const heapInterval = 20 * time.Millisecond
+
+// Intake uploads input files of the given numbers of items to five disk nodes.
+func Intake(counts []int) ([]IntakeReport, error) {
+	folder, err := os.MkdirTemp("", "cobaltramp-bench-")
+	if err != nil {
+		return nil, trace.ConvertSystemError(err)
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	running, err := start(folder, 5, 8)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	defer running.Close()
+	target := load.Target{Addresses: running.APIAddresses()[:1], Key: tenant.Key, Model: model, MaxAnswer: 64}
+	var reports []IntakeReport
+	for number, count := range counts {
+		report, err := intakeAt(load.NewBatchClient(target), count, uint64(number))
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		reports = append(reports, *report)
+	}
+	return reports, nil
+}
+
+func intakeAt(client *load.BatchClient, count int, seed uint64) (*IntakeReport, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute)
+	defer cancel()
+	file, _ := load.Items(model, load.BatchShape{Items: count, PromptWords: 20, AnswerTokens: 20, Seed: seed})
+	form, contentType, err := load.Form(file)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	before := heapNow(true)
+	peak, stop := watchHeap()
+	began := time.Now()
+	if _, err := client.UploadForm(ctx, form, contentType); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	elapsed := time.Since(began).Seconds()
+	stop()
+	return &IntakeReport{
+		Items: count, FileMB: float64(len(file)) / (1 << 20), UploadSeconds: elapsed, ItemsPerSecond: float64(count) / elapsed,
+		PeakHeapMB: float64(int64(peak.Load())-int64(before)) / (1 << 20),
+	}, nil
+}
+
+func heapNow(collect bool) uint64 {
+	if collect {
+		runtime.GC()
+	}
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// watchHeap records the highest heap until it is stopped.
+func watchHeap() (*atomic.Uint64, func()) {
+	peak := &atomic.Uint64{}
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(heapInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ticker.C:
+				peak.Store(max(peak.Load(), heapNow(false)))
+			}
+		}
+	}()
+	return peak, func() { close(done) }
+}
--- a/lab/cli/bench.go
+++ b/lab/cli/bench.go
@@ -11,6 +11,7 @@
 type benchCommands struct {
 	Path     benchPath     `command:"path" description:"the node's path against the engine called directly"`
 	Log      benchLog      `command:"log" description:"acknowledged items a second against concurrency, bytes and CPU per item"`
+	Intake   benchIntake   `command:"intake" description:"upload of input files: rate, and memory against size"`
 	Recovery benchRecovery `command:"recovery" description:"time to come back against the size of the log"`
 }
 
@@ -63,3 +64,21 @@
 	}
 	return nil
 }
+
+type benchIntake struct {
+	Items []int `long:"items" default:"39000" default:"390000" description:"items of the files"`
+}
+
+// Execute implements flags.Commander.
+func (b *benchIntake) Execute([]string) error {
+	reports, err := bench.Intake(b.Items)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, report := range reports {
+		if err := bench.Write(os.Stdout, report); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/lab/load/batch.go
+++ b/lab/load/batch.go
@@ -142,22 +142,36 @@
 
 // Upload uploads an input file.
 func (b *BatchClient) Upload(ctx context.Context, file []byte) (string, error) {
+	form, contentType, err := Form(file)
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	return b.UploadForm(ctx, form, contentType)
+}
+
+// Form is the multipart form of an upload, with its content type.
+func Form(file []byte) ([]byte, string, error) {
 	var form bytes.Buffer
 	writer := multipart.NewWriter(&form)
 	if err := writer.WriteField("purpose", "batch"); err != nil {
-		return "", trace.Wrap(err)
+		return nil, "", trace.Wrap(err)
 	}
 	part, err := writer.CreateFormFile("file", "items.jsonl")
 	if err != nil {
-		return "", trace.Wrap(err)
+		return nil, "", trace.Wrap(err)
 	}
 	if _, err := part.Write(file); err != nil {
-		return "", trace.Wrap(err)
+		return nil, "", trace.Wrap(err)
 	}
 	if err := writer.Close(); err != nil {
-		return "", trace.Wrap(err)
+		return nil, "", trace.Wrap(err)
 	}
-	response, err := b.call(ctx, "POST", "/v1/files", writer.FormDataContentType(), form.Bytes())
+	return form.Bytes(), writer.FormDataContentType(), nil
+}
+
+// UploadForm uploads a prepared form.
+func (b *BatchClient) UploadForm(ctx context.Context, form []byte, contentType string) (string, error) {
+	response, err := b.call(ctx, "POST", "/v1/files", contentType, form)
 	if err != nil {
 		return "", err
 	}
