--- /dev/null
+++ b/internal/engine/stream_test.go
@@ -0,0 +1,137 @@
+package engine
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/tidwall/gjson"
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+const streamID = "req-1"
+
+func sse(index int, id, text string) string {
+	return fmt.Sprintf("id: %d\ndata: {\"id\":%q,\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", index, id, text)
+}
+
+// answer serves one response and returns the stream read from it.
+func answer(t interface{ Fatalf(string, ...any) }, body string) (*Stream, func()) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatalf("listen: %v", err)
+	}
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = io.WriteString(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+		_ = conn.Close()
+	}()
+	client := NewClient()
+	stream, err := client.Start(context.Background(), listener.Addr().String(), &Request{ID: streamID, Surface: wirev1.Surface_SURFACE_CHAT, Body: []byte(`{"model":"m"}`)})
+	if err != nil {
+		t.Fatalf("start: %v", err)
+	}
+	return stream, func() { stream.Close(); client.Close(); _ = listener.Close() }
+}
+
+func collect(stream *Stream) (string, error) {
+	text := ""
+	for {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return text, nil
+		}
+		if err != nil {
+			return text, err
+		}
+		text += event.Text
+	}
+}
+
+// However the engine repeats, reorders and mixes in other streams' events, the
+// caller gets its own answer whole; an answer that is cut is an error.
+func TestAnswerIsWholeOrAnError(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 20).Draw(t, "tokens")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		var events []string
+		want := ""
+		for i := range count {
+			token := fmt.Sprintf(" t%d", i)
+			want += token
+			events = append(events, sse(i, streamID, token))
+			if random.IntN(3) == 0 {
+				events = append(events, sse(i, streamID, token)) // twice
+			}
+			if random.IntN(3) == 0 {
+				events = append(events, sse(i, "someone-else", " wrong"))
+			}
+		}
+		for i := range events {
+			j := i + random.IntN(min(4, len(events)-i)) // out of order
+			events[i], events[j] = events[j], events[i]
+		}
+		cut := rapid.Bool().Draw(t, "cut")
+		if cut {
+			events = events[:random.IntN(len(events))]
+		} else {
+			events = append(events, "data: [DONE]\n\n")
+		}
+		stream, closeAll := answer(t, strings.Join(events, ""))
+		defer closeAll()
+		text, err := collect(stream)
+		if cut && result.CodeOf(err) != result.RunnerLost {
+			t.Fatalf("a cut answer ended with %v", err)
+		}
+		if !cut && (err != nil || text != want) {
+			t.Fatalf("got %q and %v, want %q", text, err, want)
+		}
+		if !strings.HasPrefix(want, text) {
+			t.Fatalf("emitted %q, which does not begin %q", text, want)
+		}
+	})
+}
+
+// A missing event in the middle is never skipped, even if the end came.
+func TestGapIsAnError(t *testing.T) {
+	is := is.New(t)
+	stream, closeAll := answer(t, sse(0, streamID, " a")+sse(2, streamID, " c")+"data: [DONE]\n\n")
+	defer closeAll()
+	text, err := collect(stream)
+	is.Equal(text, " a")
+	is.Equal(result.CodeOf(err), result.RunnerLost)
+}
+
+func TestContinuationAsksForTheRest(t *testing.T) {
+	is := is.New(t)
+	request := &Request{Surface: wirev1.Surface_SURFACE_CHAT, Body: []byte(`{"model":"m","max_tokens":10,"messages":[{"role":"user","content":"q"}]}`), Received: " a b", ReceivedTokens: 2}
+	body, err := streamBody(request)
+	is.NoErr(err)
+	is.Equal(gjson.GetBytes(body, "max_tokens").Int(), int64(8))
+	is.Equal(gjson.GetBytes(body, "messages.1.role").String(), "assistant")
+	is.Equal(gjson.GetBytes(body, "messages.1.content").String(), " a b")
+	is.True(gjson.GetBytes(body, "continue_final_message").Bool())
+	is.True(gjson.GetBytes(body, "stream").Bool())
+}
+
+func BenchmarkDecodeEvent(b *testing.B) {
+	data := []byte(`{"id":"req-1","model":"m","object":"chat.completion.chunk","choices":[{"index":0,"finish_reason":null,"delta":{"content":" q1234"}}]}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		decodeEvent(1, gjson.ParseBytes(data), wirev1.Surface_SURFACE_CHAT)
+	}
+}
--- /dev/null
+++ b/lab/e2e/regions_test.go
@@ -0,0 +1,96 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/lab/fleet"
+)
+
+// Two regions with shards of their own. A tenant's jobs and keys live in its
+// home region and are reached from the other; when the home region is gone they
+// are refused as not run, while plain calls are served.
+func TestHomeRegions(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	shape := topology(0, 0)
+	shape.DiskNodes, shape.Shards = 6, 2
+	shape.Zones = []fleet.Zone{
+		{Name: "home-zone", Region: "a-home", Nodes: 3, Runners: 1},
+		{Name: "far-zone", Region: "b-far", Nodes: 3, Runners: 1},
+	}
+	running, err := fleet.Start(shape, t.TempDir())
+	is.NoErr(err)
+	t.Cleanup(running.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), readyTime)
+	defer cancel()
+	text := fleet.BasicBundle(running.Operator, model, model, slots, []fleet.TenantKey{key})
+	text = strings.Replace(text, "kind: Tenant\n", "kind: Tenant\nhome_region: a-home\n", 1)
+	is.NoErr(running.Operator.Roll(ctx, running.AdminAddress(), cluster, 1, text))
+	is.NoErr(running.AwaitReady(ctx, 1))
+
+	far := client(running, 4)
+	once := func(name string) []option.RequestOption {
+		return []option.RequestOption{option.WithHeader("X-Work-Class", "once"), option.WithHeader("Idempotency-Key", name)}
+	}
+	eventually(t, "a claim in the home region is made from far", func() bool {
+		answer, err := far.Chat.Completions.New(patient(t), question("file from far", 8), once("k1")...)
+		return err == nil && answer.Choices[0].Message.Content == expected("file from far", 8)
+	})
+	for _, index := range []int{0, 1, 2} {
+		running.KillNode(index)
+	}
+	running.Engines[0].Crash()
+	_, err = far.Chat.Completions.New(patient(t), question("file again", 8), once("k2")...)
+	var failure *openai.Error
+	is.True(errors.As(err, &failure))
+	is.Equal(failure.Response.Header.Get("X-Run"), "no") // refused, provably not run
+	eventually(t, "plain calls are served without the home region", func() bool {
+		answer, err := far.Chat.Completions.New(patient(t), question("is it free?", 8))
+		return err == nil && answer.Choices[0].Message.Content == expected("is it free?", 8)
+	})
+}
+
+// Operators race while the platform loses answers: one submission of a
+// generation is accepted, the other is told of the conflict, and a lost answer
+// is resolved to the truth.
+func TestOperatorsRaceWithLostAnswers(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	running := start(t, topology(3, 1))
+	texts := []string{}
+	for _, weight := range []string{"0.7", "0.8"} {
+		basic := fleet.BasicBundle(running.Operator, model, model, slots, []fleet.TenantKey{key})
+		texts = append(texts, strings.Replace(basic, "tail_weight: 0.6", "tail_weight: "+weight, 1))
+	}
+	running.Platform.LoseAnswers(2)
+	outcomes := make(chan error, len(texts))
+	for i, text := range texts {
+		go func() {
+			admin := running.Nodes()[i].Settings.Node.AdminAddress
+			outcomes <- running.Operator.Roll(patient(t), admin, cluster, 2, text)
+		}()
+	}
+	accepted, conflicts := 0, 0
+	for range texts {
+		err := <-outcomes
+		switch {
+		case err == nil:
+			accepted++
+		case strings.Contains(err.Error(), result.GenerationConflict.String()):
+			conflicts++
+		default:
+			t.Fatalf("unexpected: %v", err)
+		}
+	}
+	is.Equal(accepted, 1)
+	is.Equal(conflicts, 1)
+	is.NoErr(running.AwaitReady(patient(t), 2))
+}
