--- a/internal/jsonl/jsonl.go
+++ b/internal/jsonl/jsonl.go
@@ -61,6 +61,8 @@
 	items  uint64
 	bytes  uint64
 	seen   map[uint64]struct{}
+	// endpoint is the url of the items so far, empty once they differ.
+	endpoint string
 }
 
 // NewReader reads from source.
@@ -74,6 +76,9 @@
 // Bytes returns the number of bytes read so far.
 func (r *Reader) Bytes() uint64 { return r.bytes }
 
+// Endpoint returns the one url of all items read so far, empty if they differ.
+func (r *Reader) Endpoint() string { return r.endpoint }
+
 // Next returns the next segment, or io.EOF when the file has ended.
 func (r *Reader) Next() (*Segment, error) {
 	segment := &Segment{}
@@ -186,6 +191,12 @@
 		return r.bad(fmt.Sprintf("custom_id %q stands twice", item.CustomId))
 	}
 	r.seen[hash] = struct{}{}
+	if r.items == 0 {
+		r.endpoint = item.Url
+	}
+	if r.endpoint != item.Url {
+		r.endpoint = ""
+	}
 	r.items++
 	if r.items > MaxItems {
 		return r.bad(fmt.Sprintf("more than %d items", MaxItems))
--- a/internal/shard/apply.go
+++ b/internal/shard/apply.go
@@ -99,7 +99,7 @@
 		}
 	}
 	file.Segments, file.Items, file.Bytes = command.Segments, command.Items, command.Bytes
-	file.Digest, file.Sealed = command.Digest, true
+	file.Digest, file.Endpoint, file.Sealed = command.Digest, command.Endpoint, true
 	return &wirev1.CommandResult{File: file}, save(store, fileKey(file.FileId), file)
 }
 
@@ -136,6 +136,9 @@
 	if file == nil || file.Tenant != command.Tenant || file.Deleted || !file.Sealed {
 		return refused(result.NotFound, "file "+command.InputFileId+" does not exist"), nil
 	}
+	if file.Endpoint != command.Endpoint {
+		return refused(result.InvalidRequest, "the items of file "+command.InputFileId+" are not all for endpoint "+command.Endpoint), nil
+	}
 	identity := jobIdentity(command, file)
 	if known, err := knownJob(store, identity); err != nil || known != nil {
 		return sameJob(known, file, command), err
--- a/internal/shard/read.go
+++ b/internal/shard/read.go
@@ -26,6 +26,28 @@
 	return trace.NewAggregate(err, decodeErr)
 }
 
+// TenantFiles lists a tenant's sealed files after an id, up to limit.
+func TenantFiles(reader Reader, tenant, afterID string, limit int) ([]*wirev1.FileRecord, error) {
+	prefix := []byte{spaceFile}
+	from := prefix
+	if afterID != "" {
+		from = after(fileKey(afterID))
+	}
+	var files []*wirev1.FileRecord
+	var decodeErr error
+	err := reader.Scan(from, after(prefix), func(_, value []byte) bool {
+		record := &wirev1.FileRecord{}
+		if decodeErr = decode(value, record); decodeErr != nil {
+			return false
+		}
+		if record.Tenant == tenant && record.Sealed {
+			files = append(files, record)
+		}
+		return len(files) < limit
+	})
+	return files, trace.NewAggregate(err, decodeErr)
+}
+
 // TenantJobs lists a tenant's jobs after an id, up to limit.
 func TenantJobs(reader Reader, tenant, afterID string, limit int) ([]*wirev1.JobRecord, error) {
 	prefix := join(spaceTenantJob, tenant)
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -67,7 +67,10 @@
 	Fatalf(string, ...any)
 }
 
-const tenant = "tenant"
+const (
+	tenant   = "tenant"
+	endpoint = "/v1/chat/completions"
+)
 
 // makeJob uploads segments of items and makes a job of them.
 func makeJob(t fatal, store *memory, id string, segments, items int, class wirev1.WorkClass) {
@@ -80,7 +83,7 @@
 		}
 		apply(t, store, &wirev1.Command{Kind: &wirev1.Command_AppendSegment{AppendSegment: command}})
 	}
-	apply(t, store, &wirev1.Command{Kind: &wirev1.Command_SealFile{SealFile: &wirev1.SealFile{FileId: file, Segments: uint32(segments), Items: uint64(segments * items), Digest: []byte(id)}}})
+	apply(t, store, &wirev1.Command{Kind: &wirev1.Command_SealFile{SealFile: &wirev1.SealFile{FileId: file, Segments: uint32(segments), Items: uint64(segments * items), Digest: []byte(id), Endpoint: endpoint}}})
 	answer := apply(t, store, createJobCommand(id, "job-"+id, ""))
 	if answer.Code != 0 {
 		t.Fatalf("job refused: %v", answer)
@@ -88,7 +91,7 @@
 }
 
 func createJobCommand(content, job, key string) *wirev1.Command {
-	return &wirev1.Command{Kind: &wirev1.Command_CreateJob{CreateJob: &wirev1.CreateJob{JobId: job, Tenant: tenant, InputFileId: "file-" + content, Endpoint: "/v1/chat/completions", IdempotencyKey: key}}}
+	return &wirev1.Command{Kind: &wirev1.Command_CreateJob{CreateJob: &wirev1.CreateJob{JobId: job, Tenant: tenant, InputFileId: "file-" + content, Endpoint: endpoint, IdempotencyKey: key}}}
 }
 
 func completeCommand(results ...*wirev1.ItemResult) *wirev1.Command {
@@ -192,6 +195,29 @@
 	is.Equal(result.Code(apply(t, store, createJobCommand("b", "job-e", "key-1")).Code), result.KeyReused)
 }
 
+func TestJobOfAnotherEndpointIsRefused(t *testing.T) {
+	is := is.New(t)
+	store := newMemory()
+	makeJob(t, store, "a", 1, 1, wirev1.WorkClass_WORK_CLASS_REPEATABLE)
+	command := createJobCommand("a", "job-x", "key-x")
+	command.GetCreateJob().Endpoint = "/v1/completions"
+	is.Equal(result.Code(apply(t, store, command).Code), result.InvalidRequest)
+}
+
+func TestFilesAreListedByTenant(t *testing.T) {
+	is := is.New(t)
+	store := newMemory()
+	for _, id := range []string{"a", "b", "c"} {
+		makeJob(t, store, id, 1, 1, wirev1.WorkClass_WORK_CLASS_REPEATABLE)
+	}
+	files, err := TenantFiles(store, tenant, "file-a", 10)
+	is.NoErr(err)
+	is.Equal(len(files), 2)
+	none, err := TenantFiles(store, "other", "", 10)
+	is.NoErr(err)
+	is.Equal(len(none), 0)
+}
+
 // Of all starts of a once item exactly one is granted, and none after its end.
 func TestOnceItemStartsOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/lab/e2e/client_test.go
+++ b/lab/e2e/client_test.go
@@ -147,6 +147,9 @@
 	list, err := api.Batches.List(patient(t), openai.BatchListParams{})
 	is.NoErr(err)
 	is.True(len(list.Data) >= 1)
+	files, err := api.Files.List(patient(t), openai.FileListParams{})
+	is.NoErr(err)
+	is.Equal(files.Data[0].ID, file.ID)
 	again, err := api.Batches.New(patient(t), openai.BatchNewParams{
 		InputFileID: file.ID, Endpoint: openai.BatchNewParamsEndpointV1ChatCompletions, CompletionWindow: openai.BatchNewParamsCompletionWindow24h,
 	})
--- a/modules/batch/store/handlers.go
+++ b/modules/batch/store/handlers.go
@@ -184,6 +184,9 @@
 	case wirev1.ReadKind_READ_KIND_JOBS:
 		jobs, err := shard.TenantJobs(view, request.Tenant, request.After, int(request.Limit))
 		return &wirev1.ReadReply{Jobs: jobs}, err
+	case wirev1.ReadKind_READ_KIND_FILES:
+		files, err := shard.TenantFiles(view, request.Tenant, request.After, int(request.Limit))
+		return &wirev1.ReadReply{Files: files}, err
 	case wirev1.ReadKind_READ_KIND_RESULTS:
 		return readResults(view, request)
 	case wirev1.ReadKind_READ_KIND_CONTENT:
--- a/modules/callers/openai/batches.go
+++ b/modules/callers/openai/batches.go
@@ -223,35 +223,52 @@
 
 // listBatches pages through a tenant's jobs, shard by shard.
 func (m *Module) listBatches(c fiber.Ctx, who *caller) error {
+	return listShards(c, m, who, batchPrefix, "batch", func(shard uint32, after string, limit int) ([]batchBody, error) {
+		jobs, err := m.shardJobs(who, shard, after, limit)
+		bodies := make([]batchBody, len(jobs))
+		for i, job := range jobs {
+			bodies[i] = newBatchBody(job)
+		}
+		return bodies, err
+	})
+}
+
+// identified is a listed body.
+type identified interface{ identity() string }
+
+func (b batchBody) identity() string { return b.ID }
+func (b fileBody) identity() string  { return b.ID }
+
+// listShards pages through what a tenant has on the shards of its home region;
+// the cursor is the last id of the page before.
+func listShards[T identified](c fiber.Ctx, m *Module, who *caller, prefix, kind string, read func(shard uint32, after string, limit int) ([]T, error)) error {
 	limit, err := strconv.Atoi(c.Query("limit", strconv.Itoa(defaultListLimit)))
 	if err != nil || limit < 1 || limit > maxListLimit {
 		return result.New(result.InvalidRequest, "limit is %q, allowed: 1 to %d", c.Query("limit"), maxListLimit)
 	}
 	cursor := c.Query("after")
-	shard := uint32(0)
+	first := uint32(0)
 	if cursor != "" {
-		if shard, err = m.shardOf(cursor, batchPrefix, "batch"); err != nil {
+		if first, err = m.shardOf(cursor, prefix, kind); err != nil {
 			return err
 		}
 	}
-	list := listBody[batchBody]{Object: "list", Data: []batchBody{}}
-	for _, home := range m.batch.HomeShards(who.tenant.HomeRegion) {
-		if home < shard || len(list.Data) > limit {
+	list := listBody[T]{Object: "list", Data: []T{}}
+	for _, shard := range m.batch.HomeShards(who.tenant.HomeRegion) {
+		if shard < first || len(list.Data) > limit {
 			continue
 		}
-		jobs, err := m.shardJobs(who, home, cursor, limit+1-len(list.Data))
+		page, err := read(shard, cursor, limit+1-len(list.Data))
 		if err != nil {
 			return err
 		}
-		for _, job := range jobs {
-			list.Data = append(list.Data, newBatchBody(job))
-		}
+		list.Data = append(list.Data, page...)
 		cursor = ""
 	}
 	list.HasMore = len(list.Data) > limit
 	list.Data = list.Data[:min(limit, len(list.Data))]
 	if len(list.Data) > 0 {
-		list.FirstID, list.LastID = list.Data[0].ID, list.Data[len(list.Data)-1].ID
+		list.FirstID, list.LastID = list.Data[0].identity(), list.Data[len(list.Data)-1].identity()
 	}
 	return c.JSON(list)
 }
--- a/modules/callers/openai/files.go
+++ b/modules/callers/openai/files.go
@@ -62,6 +62,7 @@
 
 func (m *Module) fileRoutes(app *fiber.App) {
 	app.Post("/v1/files", m.authenticated(m.uploadFile))
+	app.Get("/v1/files", m.authenticated(m.listFiles))
 	app.Get("/v1/files/:id", m.authenticated(m.getFile))
 	app.Get("/v1/files/:id/content", m.authenticated(m.fileContent))
 	app.Delete("/v1/files/:id", m.authenticated(m.deleteFile))
@@ -88,6 +89,25 @@
 	return context.WithTimeout(context.Background(), storeTimeout)
 }
 
+// listFiles pages through a tenant's uploaded files.
+func (m *Module) listFiles(c fiber.Ctx, who *caller) error {
+	return listShards(c, m, who, filePrefix, "file", func(shard uint32, after string, limit int) ([]fileBody, error) {
+		ctx, cancel := storeContext()
+		defer cancel()
+		reply, err := m.batch.Read(ctx, &wirev1.ReadRequest{
+			Shard: shard, Kind: wirev1.ReadKind_READ_KIND_FILES, Tenant: who.tenant.Name, After: after, Limit: uint32(limit),
+		})
+		if err != nil {
+			return nil, err
+		}
+		bodies := make([]fileBody, len(reply.Files))
+		for i, file := range reply.Files {
+			bodies[i] = newFileBody(file)
+		}
+		return bodies, nil
+	})
+}
+
 func (m *Module) getFile(c fiber.Ctx, who *caller) error {
 	id := c.Params("id")
 	if job, _, err := m.resultFile(id, who); err != nil || job != nil {
--- a/modules/callers/openai/upload.go
+++ b/modules/callers/openai/upload.go
@@ -198,6 +198,7 @@
 	defer cancel()
 	answer, err := u.module.batch.Propose(ctx, u.shard, &wirev1.Command{Kind: &wirev1.Command_SealFile{SealFile: &wirev1.SealFile{
 		FileId: u.fileID, Segments: u.segments, Items: u.reader.Items(), Bytes: u.reader.Bytes(), Digest: u.digest.Sum(nil),
+		Endpoint: u.reader.Endpoint(),
 	}}})
 	if err != nil {
 		return nil, err
