--- a/internal/shard/claim.go
+++ b/internal/shard/claim.go
@@ -88,11 +88,40 @@
 		}
 		answer.Accepted++
 	}
+	files, err := unusedFiles(store, command)
+	if err != nil {
+		return nil, err
+	}
+	for _, id := range files {
+		if err := dropFile(store, id); err != nil {
+			return nil, err
+		}
+		answer.Accepted++
+	}
 	dropped, err := dropClaims(store, command)
 	answer.Accepted += dropped
 	return answer, err
 }
 
+// unusedFiles lists files that no job reads, finished uploads or not, older
+// than the retention.
+func unusedFiles(reader Reader, command *wirev1.Retain) ([]string, error) {
+	var ids []string
+	prefix := []byte{spaceFile}
+	var decodeErr error
+	err := reader.Scan(prefix, after(prefix), func(_, value []byte) bool {
+		record := &wirev1.FileRecord{}
+		if decodeErr = decode(value, record); decodeErr != nil {
+			return false
+		}
+		if record.Jobs == 0 && record.CreatedUnixMs < command.FinishedBeforeUnixMs {
+			ids = append(ids, record.FileId)
+		}
+		return len(ids) < int(command.Limit)
+	})
+	return ids, trace.NewAggregate(err, decodeErr)
+}
+
 // HasEnded reports whether Retain would drop anything.
 func HasEnded(reader Reader, before int64) (bool, error) {
 	probe := &wirev1.Retain{FinishedBeforeUnixMs: before, Limit: 1}
@@ -100,6 +129,10 @@
 	if err != nil || len(jobs) > 0 {
 		return len(jobs) > 0, err
 	}
+	files, err := unusedFiles(reader, probe)
+	if err != nil || len(files) > 0 {
+		return len(files) > 0, err
+	}
 	claims, err := endedClaims(reader, probe)
 	return len(claims) > 0, err
 }
--- a/internal/shard/shard_test.go
+++ b/internal/shard/shard_test.go
@@ -334,6 +334,31 @@
 	is.Equal(len(store.values), 0) // nothing of the job is left
 }
 
+func TestRetentionKeepsWhatIsUsedAndDropsUnusedFiles(t *testing.T) {
+	is := is.New(t)
+	store := newMemory()
+	makeJob(t, store, "used", 1, 1, wirev1.WorkClass_WORK_CLASS_REPEATABLE)
+	for _, id := range []string{"old", "new"} {
+		created := int64(5)
+		if id == "new" {
+			created = 50
+		}
+		apply(t, store, &wirev1.Command{Kind: &wirev1.Command_CreateFile{CreateFile: &wirev1.CreateFile{FileId: id, Tenant: tenant, CreatedUnixMs: created}}})
+	}
+	ended, err := HasEnded(store, 10)
+	is.NoErr(err)
+	is.True(ended)
+	apply(t, store, &wirev1.Command{Kind: &wirev1.Command_Retain{Retain: &wirev1.Retain{FinishedBeforeUnixMs: 10, Limit: 10}}})
+	for id, kept := range map[string]bool{"file-used": true, "old": false, "new": true} {
+		file, err := File(store, id)
+		is.NoErr(err)
+		is.Equal(file != nil, kept)
+	}
+	ended, err = HasEnded(store, 10)
+	is.NoErr(err)
+	is.True(!ended)
+}
+
 func BenchmarkCompleteItems(b *testing.B) {
 	store := newMemory()
 	makeJob(b, store, "a", 1000, 1000, wirev1.WorkClass_WORK_CLASS_REPEATABLE)
--- a/modules/batch/store/runner.go
+++ b/modules/batch/store/runner.go
@@ -41,6 +41,7 @@
 	lastTick   time.Time
 	truncated  time.Time
 	retained   time.Time
+	removed    time.Time // since when the disk is in the member set no more
 	installing bool
 	handOver   *handOver
 	logSize    uint64 // bytes of commands since the log was last truncated
@@ -209,6 +210,7 @@
 	}
 	r.tickGrants(now)
 	r.tickRetention(now)
+	r.tickRemoved(now)
 	r.tickHandOver(now)
 	if now.Sub(r.truncated) > truncateEvery {
 		r.truncated = now
@@ -218,6 +220,42 @@
 	}
 }
 
+// keepRemoved is how long a replica that was replaced keeps its copy.
+const keepRemoved = 60 * time.Second
+
+// tickRemoved drops a replica whose disk a newer member set leaves out. A
+// learner, whose set is not known yet, is not meant.
+func (r *shardRunner) tickRemoved(now time.Time) {
+	config := r.replica.Config()
+	if len(config.Members) == 0 || config.Has(r.disk) {
+		r.removed = time.Time{}
+		return
+	}
+	if r.removed.IsZero() {
+		r.removed = now
+	}
+	if now.Sub(r.removed) > keepRemoved && !r.installing {
+		r.removed = now
+		go r.module.dropShard(r)
+	}
+}
+
+// dropShard ends a replica that is not a member and frees its space.
+func (m *Module) dropShard(r *shardRunner) {
+	r.stop()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.runners[r.id] != r {
+		return
+	}
+	delete(m.runners, r.id)
+	if err := r.store.Drop(); err != nil {
+		klog.ErrorS(err, "replaced replica cannot be dropped", "node", m.settings.Node.ID, "shard", r.id)
+		return
+	}
+	klog.InfoS("replaced replica dropped", "node", m.settings.Node.ID, "shard", r.id)
+}
+
 // noticeLostLeader takes the membership's word that the leader's node is gone.
 func (r *shardRunner) noticeLostLeader(now time.Time) {
 	leader := r.replica.Leader()
