--- a/lab/cli/bench.go
+++ b/lab/cli/bench.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"runtime/pprof"
 
 	"github.com/gravitational/trace"
 
@@ -16,11 +17,23 @@
 }
 
 type benchPath struct {
-	Requests int `long:"requests" default:"2000" description:"streams of 32 tokens for each way"`
+	Requests int    `long:"requests" default:"2000" description:"streams of 32 tokens for each way"`
+	Profile  string `long:"profile" description:"file a CPU profile is written to"`
 }
 
 // Execute implements flags.Commander.
 func (b *benchPath) Execute([]string) error {
+	if b.Profile != "" {
+		file, err := os.Create(b.Profile)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		defer func() { _ = file.Close() }()
+		if err := pprof.StartCPUProfile(file); err != nil {
+			return trace.Wrap(err)
+		}
+		defer pprof.StopCPUProfile()
+	}
 	report, err := bench.Path(b.Requests)
 	if err != nil {
 		return trace.Wrap(err)
--- a/lab/e2e/client_test.go
+++ b/lab/e2e/client_test.go
@@ -15,6 +15,7 @@
 	"github.com/openai/openai-go/v3/option"
 
 	"cobaltramp.example/cobaltramp/lab/engine"
+	"cobaltramp.example/cobaltramp/lab/fleet"
 )
 
 func question(text string, tokens int64) openai.ChatCompletionNewParams {
@@ -202,3 +203,25 @@
 		})
 	}
 }
+
+// A generation that adds an adapter and a version: engines get fenced orders,
+// load through the weight store, and the adapter is served under its name.
+func TestNewVersionAndAdapterAreLoadedAndServed(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	running := start(t, topology(3, 2))
+	text := fleet.BasicBundle(running.Operator, model, model, slots, []fleet.TenantKey{key})
+	text = strings.Replace(text, "version: \"1\"\n", "version: \"2\"\nadapters: [founders]\n", 1)
+	is.NoErr(running.Operator.Roll(patient(t), running.AdminAddress(), cluster, 2, text))
+	is.NoErr(running.AwaitReady(patient(t), 2))
+	api := client(running, 0)
+	eventually(t, "the adapter answers", func() bool {
+		params := question("draft for founders", 10)
+		params.Model = "founders"
+		answer, err := api.Chat.Completions.New(patient(t), params)
+		return err == nil && answer.Choices[0].Message.Content == expected("draft for founders", 10) && answer.Model == "founders"
+	})
+	models, err := api.Models.List(patient(t))
+	is.NoErr(err)
+	is.Equal(len(models.Data), 2)
+}
--- a/lab/e2e/faults_test.go
+++ b/lab/e2e/faults_test.go
@@ -313,3 +313,55 @@
 	})
 	requireWhole(t, recorder)
 }
+
+// Batch items of class once, with an engine crashed and a node killed under
+// them: no item begins twice at the engines, and each has exactly one outcome,
+// a result or "outcome unknown".
+func TestOnceItemsRunAtMostOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	running := start(t, topology(5, 4))
+	batches := load.NewBatchClient(target(running))
+	job, err := batches.Submit(patient(t), load.BatchShape{Items: 600, PromptWords: 10, AnswerTokens: 40, Seed: 8, Once: true})
+	is.NoErr(err)
+	eventually(t, "items run", func() bool { return running.Ledger.Totals().Starts > 100 })
+	running.Engines[0].Crash()
+	running.KillNode(4)
+	status, err := batches.Await(patient(t), job.ID)
+	is.NoErr(err)
+	audit, err := batches.Check(patient(t), job, status)
+	is.NoErr(err)
+	t.Logf("%d completed, %d failed %v, lost %d", audit.Completed, audit.Failed, audit.ErrorCodes, audit.Lost)
+	is.Equal(audit.Completed+audit.Failed, 600)
+	is.Equal(audit.Lost+audit.Duplicates+audit.Wrong, 0)
+	is.Equal(audit.ErrorCodes["outcome_unknown"], audit.Failed)
+	for _, body := range job.Bodies {
+		is.True(running.Ledger.Starts(body) <= 1) // runs of one item at the engines
+	}
+}
+
+// A cancelled job stops: after "cancelled" is reported no item of it begins at
+// any engine.
+func TestCancelledJobStopsAtTheEngines(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	running := start(t, topology(3, 2))
+	for _, slowed := range running.Engines {
+		slowed.SetSlow(10)
+	}
+	batches := load.NewBatchClient(target(running))
+	job, err := batches.Submit(patient(t), load.BatchShape{Items: 2000, PromptWords: 10, AnswerTokens: 40, Seed: 9})
+	is.NoErr(err)
+	eventually(t, "items run", func() bool { return running.Ledger.Totals().Starts > 20 })
+	is.NoErr(batches.Cancel(patient(t), job.ID))
+	status, err := batches.Await(patient(t), job.ID)
+	is.NoErr(err)
+	is.Equal(status.State, "cancelled")
+	before := running.Ledger.Totals().Starts
+	time.Sleep(2 * time.Second)
+	is.Equal(running.Ledger.Totals().Starts, before)
+	audit, err := batches.Check(patient(t), job, status)
+	is.NoErr(err)
+	is.Equal(audit.Completed+audit.Failed, 2000) // every item has one outcome
+	is.Equal(audit.Duplicates+audit.Lost, 0)
+}
