A new version is loaded by a part of the runners at a time

Cause: a bundle with a new version made every owned runner unready at once until its engine had loaded, so the model was gone for the time of a load. Change: runners that serve the earlier version stay ready until their turn; an owner lets a quarter of its runners of a model load at a time.

--- a/lab/e2e/client_test.go
+++ b/lab/e2e/client_test.go
@@ -225,3 +225,27 @@
 	is.NoErr(err)
 	is.Equal(len(models.Data), 2)
 }
+
+// A new version is rolled under load while each engine takes its time to load
+// it: runners load a part at a time, and nothing is refused or cut.
+func TestNewVersionIsRolledUnderLoad(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	shape := topology(3, 12)
+	shape.Engine.WeightBytes = 96 << 20
+	running := start(t, shape)
+	text := fleet.BasicBundle(running.Operator, model, model, slots, []fleet.TenantKey{key})
+	text = strings.Replace(text, "version: \"1\"\n", "version: \"2\"\n", 1)
+	recorder := under(running, running.APIAddresses(), 20, func() {
+		is.NoErr(running.Operator.Roll(patient(t), running.AdminAddress(), cluster, 2, text))
+		eventually(t, "all engines have the new version", func() bool {
+			for _, loaded := range running.Engines {
+				if loaded.Version() != "2" {
+					return false
+				}
+			}
+			return true
+		})
+	})
+	requireWhole(t, recorder)
+}
--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -84,6 +84,12 @@
 // Address returns the engine's IP:port.
 func (e *Engine) Address() string { return e.address }
 
+// Version returns the model version the engine has loaded.
+func (e *Engine) Version() string {
+	_, state := e.current()
+	return state.Version
+}
+
 // Crash ends the engine at once; all its state is lost.
 func (e *Engine) Crash() {
 	e.mutex.Lock()
--- a/modules/serving/owner/orders.go
+++ b/modules/serving/owner/orders.go
@@ -18,15 +18,20 @@
 	adapters   []string
 	generation uint64
 	loaded     bool
-	checked    time.Time
-	boot       string
+	// stale: it serves what an earlier generation wanted and waits for its turn
+	// to load the new.
+	stale   bool
+	checked time.Time
+	boot    string
 }
 
 // want sets what should be loaded; a change has to be confirmed by the engine.
+// A runner that serves another version of the model goes on until its turn.
 func (o *orderState) want(model *bundle.CompiledModel, generation uint64) {
 	same := o.model == model.Name && o.version == model.Version && sameStrings(o.adapters, model.Adapters)
 	if !same {
-		o.loaded = false
+		o.stale = o.loaded && o.model == model.Name
+		o.loaded = o.stale
 		o.checked = time.Time{}
 	}
 	o.model, o.version, o.adapters, o.generation = model.Name, model.Version, model.Adapters, generation
@@ -70,6 +75,30 @@
 	}
 }
 
+// loadingShare bounds the runners of a model that load at a time at one owner,
+// so that a new version does not take the model away: a quarter, at least one.
+const loadingShare = 4
+
+// loadTurns returns how many more runners of each model may begin to load; the
+// caller holds the mutex.
+func (m *Module) loadTurns() map[string]int {
+	owned, loading := map[string]int{}, map[string]int{}
+	for _, r := range m.runners {
+		if !r.owned {
+			continue
+		}
+		owned[r.model]++
+		if !r.orders.loaded {
+			loading[r.model]++
+		}
+	}
+	turns := map[string]int{}
+	for model, count := range owned {
+		turns[model] = max(1, count/loadingShare) - loading[model]
+	}
+	return turns
+}
+
 type dueCheck struct {
 	id      string
 	address string
@@ -82,14 +111,21 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	var due []dueCheck
+	turns := m.loadTurns()
 	for _, r := range m.runners {
 		interval := orderInterval
-		if r.orders.loaded {
+		if r.orders.loaded && !r.orders.stale {
 			interval = recheckLoaded
 		}
 		if !r.owned || now.Sub(r.orders.checked) < interval {
 			continue
 		}
+		if r.orders.stale {
+			if turns[r.model] <= 0 {
+				continue
+			}
+			turns[r.model]--
+		}
 		r.orders.checked = now
 		due = append(due, dueCheck{r.id, r.address, r.orders})
 		if len(due) == maxChecks {
@@ -157,7 +193,7 @@
 		r.orders.boot = boot
 		r.health.Succeeded()
 	}
-	r.orders.loaded = true
+	r.orders.loaded, r.orders.stale = true, false
 	m.signalFreed()
 }
 
@@ -172,5 +208,5 @@
 		r.health.Failed(time.Now())
 		return
 	}
-	r.orders.loaded = false
+	r.orders.loaded, r.orders.stale = false, false
 }
