--- a/internal/grants/grants.go
+++ b/internal/grants/grants.go
@@ -106,13 +106,16 @@
 	tenants map[string]int // outstanding grants
 	// orphans are once items begun under an earlier leader, holder unknown.
 	orphans map[Key]bool
+	// completed are items that were brought home by an earlier holder while
+	// they waited to go out again.
+	completed map[Key]bool
 }
 
 // New returns the table of a leader elected now.
 func New(timing Timing, now time.Time) *Table {
 	return &Table{
 		timing: timing, elected: now, jobs: map[string]*job{}, grants: map[Key]*grant{},
-		holders: map[Session]*holder{}, tenants: map[string]int{}, orphans: map[Key]bool{},
+		holders: map[Session]*holder{}, tenants: map[string]int{}, orphans: map[Key]bool{}, completed: map[Key]bool{},
 	}
 }
 
@@ -146,6 +149,11 @@
 			delete(t.orphans, key)
 		}
 	}
+	for key := range t.completed {
+		if key.Job == id {
+			delete(t.completed, key)
+		}
+	}
 	delete(t.jobs, id)
 }
 
@@ -299,6 +307,8 @@
 	for _, key := range keys {
 		if held := t.grants[key]; held != nil {
 			t.drop(key, held)
+		} else if t.jobs[key.Job] != nil {
+			t.completed[key] = true
 		}
 		delete(t.orphans, key)
 	}
--- a/internal/grants/grants_test.go
+++ b/internal/grants/grants_test.go
@@ -234,6 +234,27 @@
 	})
 }
 
+// An item whose holder was given up, and brought it home all the same, does not
+// go out again.
+func TestLateCompletionTakesTheItemOutOfLine(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	table, state := New(DefaultTiming(), now), newApplied()
+	state.addJob(table, "j", "t", 1, 2, wirev1.WorkClass_WORK_CLASS_REPEATABLE, 5)
+	now = now.Add(10 * time.Second)
+	offers, err := table.Pull(now, Session{"slow", 1}, []Room{{"m", 2}}, state)
+	is.NoErr(err)
+	is.Equal(len(offers), 2)
+	now = now.Add(time.Minute)
+	table.Tick(now)
+	table.Completed([]Key{offers[0].Key})
+	again, err := table.Pull(now, Session{"other", 1}, []Room{{"m", 2}}, state)
+	is.NoErr(err)
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Key, offers[1].Key)
+	is.Equal(len(table.completed), 0)
+}
+
 // A cancelled job hands out nothing more, and is due to end exactly when its
 // last item is back.
 func TestCancelStops(t *testing.T) {
--- a/internal/grants/order.go
+++ b/internal/grants/order.go
@@ -27,6 +27,10 @@
 		if t.grants[taken.key] != nil {
 			continue // held since before this leader
 		}
+		if t.completed[taken.key] {
+			delete(t.completed, taken.key)
+			continue
+		}
 		t.grant(session, h, best, taken, taken.item.WorkClass == wirev1.WorkClass_WORK_CLASS_ONCE)
 		return &Offer{
 			Key: taken.key, Item: taken.item, Attempt: taken.attempt, Tenant: best.tenant, Deadline: best.deadline, Restarted: taken.restarted,
@@ -107,6 +111,7 @@
 	}
 	for offset, item := range items {
 		key := Key{j.id, segment, uint32(offset)}
+		delete(t.completed, key) // the applied state says so too
 		switch {
 		case shard.IsDone(progress, key.Offset) || t.grants[key] != nil:
 		case shard.IsStarted(progress, key.Offset):
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -553,9 +553,10 @@
 		c.run(150)
 		c.propose(false)
 		c.run(20)
+		c.run(300)
 		sealer := c.leader()
 		if sealer == nil {
-			t.Skip("no leader yet")
+			t.Fatalf("no leader in a calm cluster: %s", c.describe())
 		}
 		next := c.partitionedConfig(sealer.self)
 		for range 60 {
