--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"cobaltramp.example/cobaltramp/internal/sockets"
 )
 
 // NotSentError says that no byte of the request left: it was not run.
@@ -284,11 +286,8 @@
 
 // quiet reports whether an idle connection is still open and holds no bytes.
 func (c *conn) quiet() bool {
-	_ = c.SetReadDeadline(time.Now().Add(50 * time.Microsecond))
-	_, err := c.reader.Peek(1)
-	_ = c.SetReadDeadline(time.Time{})
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+	raw := sockets.Raw(c.Conn)
+	return raw != nil && c.reader.Buffered() == 0 && sockets.Look(raw) == sockets.Quiet
 }
 
 func (c *Client) keep(connection *conn) {
--- /dev/null
+++ b/internal/sockets/sockets.go
@@ -0,0 +1,63 @@
+// Package sockets looks at a TCP connection without reading from it.
+package sockets
+
+import (
+	"errors"
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// State is what a look at a socket found.
+type State uint8
+
+// States of a socket.
+const (
+	// Quiet: open, nothing to read.
+	Quiet State = iota
+	// Readable: bytes wait to be read.
+	Readable
+	// Closed: the other side has closed it, or it is broken.
+	Closed
+)
+
+type unwrapper interface{ NetConn() net.Conn }
+
+// Raw finds the socket beneath TLS and tracking layers, nil if there is none.
+func Raw(conn net.Conn) syscall.RawConn {
+	for {
+		if socket, ok := conn.(syscall.Conn); ok {
+			raw, err := socket.SyscallConn()
+			if err != nil {
+				return nil
+			}
+			return raw
+		}
+		wrapped, ok := conn.(unwrapper)
+		if !ok {
+			return nil
+		}
+		conn = wrapped.NetConn()
+	}
+}
+
+// Look peeks at a socket without waiting. It does not use read deadlines: a
+// deadline that has passed hides what the socket holds.
+func Look(raw syscall.RawConn) State {
+	state := Closed
+	err := raw.Control(func(descriptor uintptr) {
+		var buffer [1]byte
+		n, _, err := unix.Recvfrom(int(descriptor), buffer[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
+			state = Quiet
+		case err == nil && n > 0:
+			state = Readable
+		}
+	})
+	if err != nil {
+		return Closed
+	}
+	return state
+}
