A damaged log entry costs a disk its identity at the next start

Cause: a node whose log held a damaged entry did not start at all. Change: the database is checked entry by entry when it is opened; damage moves it aside and gives the disk a new identity, so that the shard's members replace it and bring the new one up to date. A replica that finds damage while running stops at once, from whichever step found it.

--- a/internal/logstore/db.go
+++ b/internal/logstore/db.go
@@ -39,9 +39,9 @@
 		return nil, trace.Wrap(trace.ConvertSystemError(err), "data folder")
 	}
 	d := &DB{folder: folder, reserve: reserve}
-	opened, err := openPebble(filepath.Join(folder, databaseFolder))
+	opened, err := openChecked(filepath.Join(folder, databaseFolder))
 	if err != nil {
-		klog.ErrorS(err, "database does not open, moved aside; the disk gets a new identity", "folder", folder)
+		klog.ErrorS(err, "database is damaged, moved aside; the disk gets a new identity", "folder", folder)
 		if err := d.moveAside(); err != nil {
 			return nil, err
 		}
@@ -57,6 +57,32 @@
 	return d, nil
 }
 
+// openChecked opens a database and checks every entry of every log.
+func openChecked(path string) (*pebble.DB, error) {
+	opened, err := openPebble(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := (&DB{pebble: opened}).check(); err != nil {
+		_ = opened.Close()
+		return nil, err
+	}
+	return opened, nil
+}
+
+func (d *DB) check() error {
+	shards, err := d.Shards()
+	if err != nil {
+		return err
+	}
+	for _, id := range shards {
+		if _, err := d.Shard(id).Load(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func openPebble(path string) (*pebble.DB, error) {
 	options := &pebble.Options{
 		Logger:       quietLogger{},
@@ -136,12 +162,6 @@
 	return nil
 }
 
-// Retire closes a database found damaged while in use and moves it aside.
-func (d *DB) Retire() error {
-	_ = d.pebble.Close()
-	return d.moveAside()
-}
-
 // DiskID returns the disk's identity.
 func (d *DB) DiskID() string { return d.diskID }
 
--- a/internal/logstore/logstore_test.go
+++ b/internal/logstore/logstore_test.go
@@ -115,6 +115,26 @@
 	is.Equal(len(aside), 1) // kept for inspection
 }
 
+// An entry found damaged at a start costs the disk its identity too: the shard's
+// other members replace it and bring the new one up to date.
+func TestDamagedEntryCostsTheDiskItsIdentity(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	db := open(t, folder)
+	id := db.DiskID()
+	shard := db.Shard(2)
+	persist(t, shard, 1, 5)
+	is.NoErr(db.pebble.Set(shard.logKey(4), []byte("\x08\x04\x10\x01\x1a\x05wrong"), pebble.Sync))
+	is.NoErr(db.Close())
+
+	db = open(t, folder)
+	defer func() { is.NoErr(db.Close()) }()
+	is.True(db.DiskID() != id)
+	shards, err := db.Shards()
+	is.NoErr(err)
+	is.Equal(len(shards), 0)
+}
+
 func TestSnapshotReplacesStateWholeOrNotAtAll(t *testing.T) {
 	is := is.New(t)
 	source, target := open(t, t.TempDir()), open(t, t.TempDir())
--- a/modules/batch/store/runner.go
+++ b/modules/batch/store/runner.go
@@ -140,6 +140,8 @@
 		r.drainQueues()
 		if err := r.work(); err != nil {
 			r.fail(err)
+		}
+		if r.damaged {
 			return
 		}
 	}
@@ -349,8 +351,8 @@
 	}
 }
 
-// fail stops a replica whose disk cannot be trusted. The disk stays in the
-// member set until the leader replaces it.
+// fail stops a replica whose disk cannot be trusted. A restart of the node
+// checks the disk, gives it a new identity, and the members replace it.
 func (r *shardRunner) fail(err error) {
 	select {
 	case <-r.quit:
@@ -358,7 +360,7 @@
 	default:
 	}
 	r.damaged = true
-	klog.ErrorS(err, "replica stopped", "node", r.module.settings.Node.ID, "shard", r.id)
+	klog.ErrorS(err, "replica stopped; restart the node to have its disk checked and replaced", "node", r.module.settings.Node.ID, "shard", r.id)
 }
 
 // ask runs a function on the runner's goroutine and waits for it.
