A started replica asks for a leader at once

Cause: with heartbeats a second apart, shards of a fleet that was killed whole had no leader for 5.5, 4.1 and 5.6 s (18, 73, 293 MB of log). Change: a replica that has just started campaigns within 0.6 s; pre-votes keep it from disturbing a live leader.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -106,7 +106,8 @@
 	return Timing{Heartbeat: time.Second, Election: 3 * time.Second}
 }
 
-// firstElection bounds the wait for the first leader of a new shard.
+// firstElection is the scale of the wait before a campaign when no leader is
+// known: after a start, or when the leader's node is known to be gone.
 const firstElection = 300 * time.Millisecond
 
 const (
@@ -191,10 +192,9 @@
 	r.hard.Generation = config.Generation
 	r.hard.Commit = max(hard.Commit, baseIndex)
 	r.persisted = r.lastIndex()
-	r.resetDeadline(now)
-	if r.hard.Promised == 0 {
-		r.deadline = now.Add(time.Duration(random.Int64N(int64(firstElection))))
-	}
+	// A replica that has just started knows no leader and asks soon. If there is
+	// one, the others' pre-votes say no and nothing changes.
+	r.deadline = now.Add(time.Duration(random.Int64N(int64(2 * firstElection))))
 	return r
 }
 
