--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -632,3 +632,25 @@
 		}
 	}
 }
+
+// An older layout that comes late changes nothing: it neither thaws what a
+// newer attempt froze nor takes an attempt back.
+func TestOlderLayoutChangesNothing(t *testing.T) {
+	config := Config{Generation: 2, Members: []string{"a", "b", "c"}, Attempt: 3}
+	hard := HardState{Promised: 1, Frozen: true, FrozenAttempt: 3, Generation: 2}
+	r := Restore(0, "a", config, testTiming(), rand.New(rand.NewPCG(1, 1)), &disk{}, hard, 0, 0, nil, time.Unix(0, 0))
+	for _, late := range []Config{
+		{Generation: 1, Members: []string{"a"}, Attempt: 9},
+		{Generation: 2, Members: config.Members, Attempt: 2},
+		{Generation: 2, Members: config.Members, Attempt: 3},
+	} {
+		r.Observe(time.Unix(1, 0), late)
+		if !r.Frozen() || r.Config().Attempt != 3 || r.Config().Generation != 2 {
+			t.Fatalf("layout %+v changed the replica to %+v, frozen %v", late, r.Config(), r.Frozen())
+		}
+	}
+	r.Observe(time.Unix(2, 0), Config{Generation: 2, Members: config.Members, Attempt: 4})
+	if r.Frozen() {
+		t.Fatal("a raised attempt does not thaw")
+	}
+}
