A refused body is read to its end, so that the caller sees the error

Change: the rest of a refused body is read, up to 64 MiB, before the answer ends. Before: no answer. After: 1104, run: no.

--- a/lab/e2e/client_test.go
+++ b/lab/e2e/client_test.go
@@ -102,6 +102,14 @@
 		is.Equal(failure.StatusCode, 404)
 		is.Equal(failure.Response.Header.Get("X-Run"), "no")
 	})
+	t.Run("a body above the limit is refused", func(t *testing.T) {
+		is := is.New(t)
+		_, err := api.Chat.Completions.New(patient(t), question(strings.Repeat("long ", 1<<20), 1))
+		var failure *openai.Error
+		is.True(errors.As(err, &failure))
+		is.Equal(failure.Code, "1104")
+		is.Equal(failure.Response.Header.Get("X-Run"), "no")
+	})
 	t.Run("a wrong key is refused", func(t *testing.T) {
 		is := is.New(t)
 		_, err := api.Chat.Completions.New(patient(t), question("x", 1), option.WithAPIKey("wrong"))
--- a/modules/callers/openai/api.go
+++ b/modules/callers/openai/api.go
@@ -165,6 +165,9 @@
 	defer m.inFlight.Add(-1)
 	started := time.Now()
 	err := c.Next()
+	if err != nil {
+		drain(c)
+	}
 	route := c.Route().Path
 	code := result.CodeOf(err)
 	m.metrics.requests.WithLabelValues(route, code.String()).Inc()
--- a/modules/callers/openai/body.go
+++ b/modules/callers/openai/body.go
@@ -24,3 +24,15 @@
 	}
 	return body, nil
 }
+
+// maxDrain bounds what is read of a refused body.
+const maxDrain = 64 << 20
+
+// drain reads the rest of a refused request's body. A server that closes a
+// connection with bytes unread resets it, and the caller, still sending, would
+// see a broken connection in place of the error.
+func drain(c fiber.Ctx) {
+	if stream := c.RequestCtx().RequestBodyStream(); stream != nil {
+		_, _ = io.CopyN(io.Discard, stream, maxDrain)
+	}
+}
