--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -30,6 +30,8 @@
 	Output string `short:"o" long:"output" choice:"text" choice:"json" default:"text" description:"how results are printed"`
 
 	Node     nodeCommand     `command:"node" description:"run a node"`
+	Edge     edgeCommand     `command:"edge" description:"run an edge of a platform deployment"`
+	Storage  storageCommand  `command:"storage" description:"run a storage node of a platform deployment"`
 	Settings settingsCommand `command:"settings" description:"check a settings file without starting a node"`
 	Bundle   bundleCommands  `command:"bundle" description:"make, sign, submit, roll and watch bundles"`
 	Job      jobCommands     `command:"job" description:"submit, follow, cancel and read batch jobs"`
@@ -118,5 +120,9 @@
 	options := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(options)
 	_ = options.Set("logtostderr", "true")
+	setVerbosity(options, verbosity)
+}
+
+func setVerbosity(options *flag.FlagSet, verbosity int) {
 	_ = options.Set("v", fmt.Sprint(verbosity))
 }
--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -16,7 +16,10 @@
 	"net"
 	"net/http/httputil"
 	"net/url"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -66,14 +69,16 @@
 	net.Conn
 	reader  *bufio.Reader
 	key     string
-	written int64
+	written atomic.Int64
 	idled   time.Time
+	// life is how long the connection may rest before it is used no more.
+	life time.Duration
 }
 
 // Write counts the bytes that left.
 func (c *conn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
-	c.written += int64(n)
+	c.written.Add(int64(n))
 	return n, err
 }
 
@@ -86,8 +91,22 @@
 	Body    []byte
 	// Fresh forbids a kept connection, so a stale one cannot blur the outcome.
 	Fresh bool
+	// Target is the request target exactly as it is to be written; empty takes
+	// the URL's.
+	Target string
+	// Host replaces the address in the Host header; empty keeps the address.
+	Host string
+	// Mine tells an answer to this request from one that came too late for an
+	// earlier one, which is read and dropped; nil takes any.
+	Mine func(*fasthttp.ResponseHeader) bool
+	// Proceed is asked once a connection is there, right before the first byte
+	// is written; false ends the call as not sent. nil asks nothing.
+	Proceed func() bool
 }
 
+// ErrWithdrawn says that Proceed did not allow the request to be written.
+var ErrWithdrawn = errors.New("withdrawn before it was written")
+
 // Response is an answer whose body is read as it comes. Close must be called.
 type Response struct {
 	Status int
@@ -128,35 +147,101 @@
 	if ctx.Err() != nil {
 		err = ctx.Err()
 	}
-	if connection.written == 0 {
+	if connection.written.Load() == 0 {
 		return &NotSentError{err}
 	}
 	return &UnansweredError{err}
 }
 
 func (c *Client) exchange(connection *conn, target *url.URL, request *Request) (*Response, error) {
-	connection.written = 0
+	connection.written.Store(0)
+	if request.Proceed != nil && !request.Proceed() {
+		return nil, ErrWithdrawn
+	}
 	wire := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(wire)
 	wire.Header.SetMethod(request.Method)
+	wire.Header.SetNoDefaultContentType(true)
 	wire.SetRequestURI(target.RequestURI())
+	if request.Target != "" {
+		wire.SetRequestURI(request.Target)
+	}
 	wire.Header.SetHost(target.Host)
+	if request.Host != "" {
+		wire.Header.SetHost(request.Host)
+		wire.UseHostHeader = true
+	}
 	for _, header := range request.Headers {
 		wire.Header.Set(header[0], header[1])
 	}
 	if request.Body != nil {
 		wire.SetBodyRaw(request.Body)
 	}
+	if len(request.Body) <= bufferBytes {
+		defer fasthttp.ReleaseRequest(wire)
+		if err := writeRequest(connection, wire); err != nil {
+			return nil, err
+		}
+		return c.readAnswer(connection, request)
+	}
+	return c.exchangeLong(connection, wire, request)
+}
+
+func writeRequest(connection *conn, wire *fasthttp.Request) error {
 	writer := bufio.NewWriterSize(connection, bufferBytes)
 	if err := wire.Write(writer); err != nil {
-		return nil, err
+		return err
 	}
-	if err := writer.Flush(); err != nil {
+	return writer.Flush()
+}
+
+// exchangeLong writes a long body while it waits for the answer, which a
+// server may give before it has read the body. Such a connection is not used
+// again: the rest of the body is still due on it.
+func (c *Client) exchangeLong(connection *conn, wire *fasthttp.Request, request *Request) (*Response, error) {
+	written := make(chan error, 1)
+	go func() {
+		defer fasthttp.ReleaseRequest(wire)
+		written <- writeRequest(connection, wire)
+	}()
+	response, err := c.readAnswer(connection, request)
+	if err != nil {
 		return nil, err
 	}
-	return c.readHeader(connection)
+	select {
+	case writeErr := <-written:
+		response.reusable = response.reusable && writeErr == nil
+	default:
+		response.reusable = false
+	}
+	return response, nil
+}
+
+// maxStrays bounds the answers to earlier requests that are dropped.
+const maxStrays = 2
+
+// readAnswer reads the head of the answer to this request.
+func (c *Client) readAnswer(connection *conn, request *Request) (*Response, error) {
+	for range maxStrays + 1 {
+		response, err := c.readHeader(connection)
+		if err != nil {
+			return nil, err
+		}
+		if request.Mine == nil || request.Mine(response.Header) {
+			return response, nil
+		}
+		if response.Header.ContentLength() < 0 {
+			break
+		}
+		if _, err := io.Copy(io.Discard, readerOf(response)); err != nil {
+			return nil, err
+		}
+	}
+	return nil, ErrStray
 }
 
+// ErrStray says that only answers to other requests came.
+var ErrStray = errors.New("answers to other requests came instead")
+
 func (c *Client) readHeader(connection *conn) (*Response, error) {
 	header := &fasthttp.ResponseHeader{}
 	if err := header.Read(connection.reader); err != nil {
@@ -219,6 +304,11 @@
 		_ = connection.Close()
 		return
 	}
+	if connection.reader.Buffered() > 0 {
+		_ = connection.Close() // bytes that nobody asked for
+		return
+	}
+	connection.life = idleLife(r.Header)
 	r.client.keep(connection)
 }
 
@@ -252,20 +342,36 @@
 }
 
 func (c *Client) dial(ctx context.Context, target *url.URL) (net.Conn, error) {
-	dialer := &net.Dialer{}
+	dialer := sockets.Dialer(dialTimeout)
 	if target.Scheme == "https" {
 		return (&tls.Dialer{NetDialer: dialer, Config: c.tls}).DialContext(ctx, "tcp", target.Host)
 	}
 	return dialer.DialContext(ctx, "tcp", target.Host)
 }
 
+// keepAliveShare is the share of a server's stated idle time that is used: a
+// connection taken up at its end may be closed under the request.
+const keepAliveShare = 0.6
+
+// idleLife reads how long the server lets a connection rest.
+func idleLife(header *fasthttp.ResponseHeader) time.Duration {
+	for _, part := range strings.Split(string(header.Peek("Keep-Alive")), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.ParseFloat(value, 64)
+		if strings.EqualFold(name, "timeout") && err == nil {
+			return min(time.Duration(seconds*keepAliveShare*float64(time.Second)), idleTimeout)
+		}
+	}
+	return idleTimeout
+}
+
 func (c *Client) take(key string) *conn {
 	for {
 		kept := c.pop(key)
 		if kept == nil {
 			return nil
 		}
-		if time.Since(kept.idled) < idleTimeout && kept.quiet() {
+		if time.Since(kept.idled) < kept.life && kept.quiet() {
 			return kept
 		}
 		_ = kept.Close()
@@ -312,3 +418,16 @@
 		delete(c.idle, key)
 	}
 }
+
+// discardBytes bounds a body that is read only to keep its connection.
+const discardBytes = 64 << 10
+
+// Discard reads a short body, so that the connection can be kept, and closes
+// the response.
+func (r *Response) Discard() {
+	length := r.Header.ContentLength()
+	if length >= 0 && length <= discardBytes {
+		_, _ = io.Copy(io.Discard, readerOf(r))
+	}
+	r.Close()
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 
@@ -43,6 +44,8 @@
 	Name string
 	// Needs names modules that are provisioned and started before this one.
 	Needs []string
+	// Roles lists the roles the module is part of; empty: of the plain node.
+	Roles []string
 	// New returns a fresh instance; a process may run several nodes.
 	New func() Module
 }
@@ -63,13 +66,24 @@
 	registry[info.Name] = info
 }
 
-// Names lists the registered modules in alphabetical order.
+// Names lists the modules of the plain node in alphabetical order.
 func Names() []string {
+	return namesWhere(func(info Info) bool { return len(info.Roles) == 0 })
+}
+
+// NamesOf lists the modules of a role in alphabetical order.
+func NamesOf(role string) []string {
+	return namesWhere(func(info Info) bool { return slices.Contains(info.Roles, role) })
+}
+
+func namesWhere(wanted func(Info) bool) []string {
 	registryMutex.Lock()
 	defer registryMutex.Unlock()
-	names := make([]string, 0, len(registry))
-	for name := range registry {
-		names = append(names, name)
+	var names []string
+	for name, info := range registry {
+		if wanted(info) {
+			names = append(names, name)
+		}
 	}
 	sort.Strings(names)
 	return names
--- /dev/null
+++ b/internal/online/online.go
@@ -0,0 +1,388 @@
+// Package online serves callers' requests: it chooses a runner, sends the
+// request, and tries again elsewhere where that cannot run work twice that
+// must not. A request is answered at once when it is given up.
+package online
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	"cobaltramp.example/cobaltramp/internal/catalog"
+	"cobaltramp.example/cobaltramp/internal/exchange"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/runnerset"
+)
+
+// Request is a caller's request.
+type Request struct {
+	ID       string
+	Method   string
+	URI      string
+	Host     string
+	Headers  []exchange.Header
+	Body     []byte
+	Route    *catalog.Route
+	Version  uint64
+	Received time.Time
+	// Deadline is when the caller or the route's time-out ends it.
+	Deadline time.Time
+	// ResumeAfter is the last event the caller has; negative to start anew.
+	ResumeAfter int64
+	// Affinity names the part of the prompt worth finding again.
+	Affinity string
+}
+
+// Responder takes the answer. Before Head nothing has been said.
+type Responder interface {
+	// Head passes on the status and headers; length is negative if not known.
+	Head(status int, headers []exchange.Header, length int64)
+	// Write passes on bytes at once.
+	Write(data []byte) error
+}
+
+// ErrCut says that an answer was begun and cannot be finished: the caller must
+// see it as broken.
+var ErrCut = errors.New("the answer was cut")
+
+// Forwarder serves requests.
+type Forwarder struct {
+	Zone     string
+	Runners  *runnerset.Set
+	Client   exchange.Client
+	requests *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	first    prometheus.Histogram
+}
+
+// New returns a forwarder.
+func New(zone string, runners *runnerset.Set, client exchange.Client, registry prometheus.Registerer) *Forwarder {
+	f := &Forwarder{
+		Zone: zone, Runners: runners, Client: client,
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_requests_total", Help: "Online requests by outcome."}, []string{"outcome"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_attempts_total", Help: "Sends to runners by outcome."}, []string{"outcome"}),
+		first:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cobaltramp_first_event_seconds", Help: "Time to the first event or answer.", Buckets: prometheus.ExponentialBuckets(0.01, 1.6, 14)}),
+	}
+	registry.MustRegister(f.requests, f.attempts, f.first)
+	return f
+}
+
+const (
+	// maxNotRun bounds the runners that are asked in vain.
+	maxNotRun = 5
+	// noRunnerWait is how long a request waits for a runner to be listed.
+	noRunnerWait = 400 * time.Millisecond
+	// comeBack is when a refused caller should try again.
+	comeBack = 250 * time.Millisecond
+	// silenceFactor and silenceLeast bound the wait for an event before a stream
+	// that may go on elsewhere is moved.
+	silenceFactor = 5
+	silenceLeast  = 900 * time.Millisecond
+	// wholeBytes is the largest answer that is read whole before it is passed on.
+	wholeBytes = 256 << 10
+)
+
+// serving is one request on its way.
+type serving struct {
+	*Forwarder
+	request   *Request
+	responder Responder
+	tried     map[string]bool
+	runs      int
+	notRun    int
+	sent      bool // a runner may have worked on it
+	headSent  bool
+	last      int64
+	firstSeen time.Duration
+	lastCause string
+}
+
+// Serve answers a request. On a *result.Error nothing has been said to the
+// caller; ErrCut means that an answer was begun.
+func (f *Forwarder) Serve(ctx context.Context, request *Request, responder Responder) error {
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	s := &serving{Forwarder: f, request: request, responder: responder, tried: map[string]bool{}, last: max(0, request.ResumeAfter)}
+	err := s.serve(ctx)
+	s.report(err)
+	return err
+}
+
+func (s *serving) report(err error) {
+	outcome := "served"
+	if err != nil {
+		outcome = "cut"
+		if !errors.Is(err, ErrCut) {
+			outcome = result.CodeOf(err).String()
+		}
+	}
+	s.requests.WithLabelValues(outcome).Inc()
+	klog.InfoS("request ended", "id", s.request.ID, "route", s.request.Route.Name, "catalog", s.request.Version, "outcome", outcome,
+		"runs", s.runs, "notRun", s.notRun, "events", s.last, "firstMs", s.firstSeen.Milliseconds(),
+		"ms", time.Since(s.request.Received).Milliseconds(), "cause", s.lastCause)
+}
+
+func (s *serving) serve(ctx context.Context) error {
+	for {
+		choice, err := s.choose(ctx)
+		if err != nil {
+			return s.givenUp(err)
+		}
+		again, err := s.attempt(ctx, choice)
+		if !again {
+			return s.givenUp(err)
+		}
+		s.tried[choice.Runner.ID] = true
+		if err := ctx.Err(); err != nil {
+			return s.givenUp(s.ended(ctx))
+		}
+	}
+}
+
+// givenUp turns the end of a request whose answer was begun into a cut.
+func (s *serving) givenUp(err error) error {
+	if err != nil && s.headSent {
+		s.lastCause = err.Error()
+		return ErrCut
+	}
+	return err
+}
+
+// ended says why a context ended: the caller left, or time is up.
+func (s *serving) ended(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if s.sent {
+			return result.New(result.DeadlineExceeded, "the deadline passed while running")
+		}
+		return result.New(result.DeadlineTooClose, "the deadline passed before a runner took it")
+	}
+	return result.New(result.CallerGone, "the caller left")
+}
+
+// choose picks a runner, and waits a little if none is listed.
+func (s *serving) choose(ctx context.Context) (runnerset.Choice, error) {
+	service := s.request.Route.ServiceFor(s.request.ID)
+	wish := &runnerset.Wish{Service: service, Zone: s.Zone, Affinity: s.request.Affinity, Excluded: s.tried}
+	until := time.Now().Add(noRunnerWait)
+	for {
+		changed := s.Runners.Changed()
+		choice := s.Runners.Pick(wish, time.Now())
+		if choice.Runner != nil {
+			return choice, nil
+		}
+		wait := time.Until(until)
+		if wait <= 0 || s.notRun > 0 || s.runs > 0 {
+			return choice, s.refuse(result.NoRunner, "no runner of service %s is left to try", service)
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return choice, s.ended(ctx)
+		}
+	}
+}
+
+// refuse says that the request is not run, if that is so.
+func (s *serving) refuse(code result.Code, format string, args ...any) error {
+	if s.sent {
+		return result.New(result.OutcomeUnknown, "it may have run: "+format, args...)
+	}
+	return result.New(code, format, args...).After(comeBack)
+}
+
+// attempt sends the request to a runner. It reports whether to try another.
+func (s *serving) attempt(ctx context.Context, choice runnerset.Choice) (bool, error) {
+	runner := choice.Runner
+	end := runner.BeginOnline()
+	defer end()
+	started := time.Now()
+	attemptContext, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watch := s.watchSilence(cancel)
+	defer watch.Stop()
+	answer, err := s.Client.Do(attemptContext, s.call(runner))
+	if err != nil {
+		again, err := s.notAnswered(ctx, runner, err)
+		s.note(choice, started, err, again)
+		return again, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	s.runs++
+	s.sent = true
+	runner.NoteLoad(answer.Load, time.Now())
+	again, err := s.pass(ctx, runner, answer, started, watch)
+	s.note(choice, started, err, again)
+	return again, err
+}
+
+func (s *serving) note(choice runnerset.Choice, started time.Time, err error, again bool) {
+	outcome := "done"
+	if err != nil {
+		outcome = err.Error()
+	}
+	s.attempts.WithLabelValues(result.CodeOf(err).String()).Inc()
+	revision, since := s.Runners.Revision()
+	klog.InfoS("attempt", "id", s.request.ID, "runner", choice.Runner.ID, "zone", choice.Runner.Zone, "load", int(choice.Load),
+		"candidates", choice.Candidates, "list", revision, "listAgeMs", time.Since(since).Milliseconds(),
+		"ms", time.Since(started).Milliseconds(), "again", again, "outcome", outcome)
+}
+
+// errSilent ends an attempt whose runner said nothing for too long.
+var errSilent = errors.New("the runner was silent for too long")
+
+// mayMove reports whether the request may run on one more runner.
+func (s *serving) mayMove() bool {
+	return s.request.Route.MayRepeat() && s.runs < s.request.Route.Attempts
+}
+
+// silence is how long a runner may say nothing.
+func (s *serving) silence() time.Duration {
+	return max(silenceLeast, silenceFactor*s.request.Route.Target)
+}
+
+// watchSilence ends an attempt that may be moved when its runner is silent.
+func (s *serving) watchSilence(cancel context.CancelCauseFunc) *time.Timer {
+	return time.AfterFunc(s.silence(), func() {
+		if s.request.Route.MayRepeat() {
+			cancel(errSilent)
+		}
+	})
+}
+
+func (s *serving) call(runner *runnerset.Runner) *exchange.Call {
+	call := &exchange.Call{
+		ID: s.request.ID, Method: s.request.Method, URI: s.request.URI, Host: s.request.Host, Headers: s.request.Headers,
+		Body: s.request.Body, RunnerID: runner.ID, Address: runner.Address, Service: runner.Service,
+		Remaining: time.Until(s.request.Deadline), ResumeAfter: s.request.ResumeAfter, Current: runner.Takes,
+	}
+	if s.headSent {
+		call.ResumeAfter = s.last
+	}
+	return call
+}
+
+func (s *serving) notAnswered(ctx context.Context, runner *runnerset.Runner, err error) (bool, error) {
+	s.lastCause = err.Error()
+	var notRun *exchange.NotRunError
+	if errors.As(err, &notRun) {
+		s.notRun++
+		runner.NoteLoad(notRun.Load, time.Now())
+		if !notRun.Reached && notRun.Reason == exchange.ReasonDial {
+			runner.NoteBad(time.Now())
+		}
+		if ctx.Err() != nil {
+			return false, s.ended(ctx)
+		}
+		if s.notRun >= maxNotRun {
+			return false, s.refuse(result.Saturated, "%d runners did not take it, the last: %s", s.notRun, notRun.Reason)
+		}
+		return true, nil
+	}
+	s.runs++
+	s.sent = true
+	if ctx.Err() != nil {
+		return false, s.ended(ctx)
+	}
+	runner.NoteBad(time.Now())
+	if s.mayMove() {
+		return true, nil
+	}
+	return false, result.New(result.OutcomeUnknown, "the runner was lost after the request was sent: %v", err)
+}
+
+// pass passes an answer on.
+func (s *serving) pass(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer, started time.Time, watch *time.Timer) (bool, error) {
+	if answer.Status >= http.StatusInternalServerError && s.mayMove() && answer.Status != http.StatusGatewayTimeout {
+		runner.NoteBad(time.Now())
+		s.lastCause = fmt.Sprintf("runner answered %d", answer.Status)
+		return true, nil
+	}
+	if answer.Status == http.StatusOK && s.request.Route.Kind == catalog.Streaming {
+		return s.stream(ctx, runner, answer, started, watch)
+	}
+	if s.headSent {
+		return false, result.New(result.StreamBroken, "the stream could not go on: status %d", answer.Status)
+	}
+	return s.whole(ctx, runner, answer, started)
+}
+
+// whole passes on an answer that is not a stream.
+func (s *serving) whole(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer, started time.Time) (bool, error) {
+	if !answer.Stamped && answer.Status < http.StatusMultipleChoices {
+		runner.NoteBad(time.Now())
+		return s.broken(ctx, errors.New("a success without the runner's mark"))
+	}
+	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeBytes))
+	if err != nil {
+		runner.NoteBad(time.Now())
+		return s.broken(ctx, err)
+	}
+	s.seen(runner, started, answer.Status < http.StatusMultipleChoices)
+	length := answer.Length
+	if len(body) < wholeBytes {
+		length = int64(len(body))
+	}
+	s.headSent = true
+	s.responder.Head(answer.Status, answer.Headers, length)
+	if err := s.responder.Write(body); err != nil {
+		return false, result.New(result.CallerGone, "the caller left")
+	}
+	if len(body) < wholeBytes {
+		return false, nil
+	}
+	return false, s.copyRest(ctx, answer)
+}
+
+func (s *serving) copyRest(ctx context.Context, answer *exchange.Answer) error {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := answer.Body.Read(buffer)
+		if n > 0 {
+			if writeErr := s.responder.Write(buffer[:n]); writeErr != nil {
+				return result.New(result.CallerGone, "the caller left")
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			_, broken := s.broken(ctx, err)
+			return broken
+		}
+	}
+}
+
+// seen records the time to the first event or answer.
+func (s *serving) seen(runner *runnerset.Runner, started time.Time, good bool) {
+	now := time.Now()
+	if s.firstSeen == 0 {
+		s.firstSeen = now.Sub(s.request.Received)
+		s.first.Observe(s.firstSeen.Seconds())
+	}
+	if good {
+		runner.NoteGood(now.Sub(started))
+	}
+}
+
+// broken decides what becomes of a request whose answer broke.
+func (s *serving) broken(ctx context.Context, err error) (bool, error) {
+	s.lastCause = err.Error()
+	if ctx.Err() != nil {
+		return false, s.ended(ctx)
+	}
+	if s.mayMove() && (!s.headSent || s.request.Route.Resumable) {
+		return true, nil
+	}
+	return false, result.New(result.StreamBroken, "the answer broke off: %v", err)
+}
--- /dev/null
+++ b/internal/online/stream.go
@@ -0,0 +1,72 @@
+package online
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"cobaltramp.example/cobaltramp/internal/eventstream"
+	"cobaltramp.example/cobaltramp/internal/exchange"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/runnerset"
+)
+
+// stream passes on events as they come, only whole ones and only in order. The
+// head goes out with the first event, so that a run that breaks before it can
+// be replaced unseen; the head of the first runner stays.
+func (s *serving) stream(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer, started time.Time, watch *time.Timer) (bool, error) {
+	if !answer.Stamped {
+		runner.NoteBad(time.Now())
+		return s.broken(ctx, errors.New("a success without the runner's mark"))
+	}
+	events := eventstream.NewReader(answer.Body)
+	first := true
+	for {
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return s.finished(answer)
+		}
+		if err == nil && event.HasID && event.ID != s.last+1 {
+			err = &eventstream.BrokenError{Reason: "an event out of order"}
+		}
+		if err != nil {
+			s.noteBroken(ctx, runner, first, started)
+			return s.broken(ctx, err)
+		}
+		watch.Reset(s.silence())
+		if first {
+			first = false
+			s.seen(runner, started, true)
+		}
+		if !s.headSent {
+			s.headSent = true
+			s.responder.Head(answer.Status, answer.Headers, -1)
+		}
+		if err := s.responder.Write(event.Raw); err != nil {
+			return false, result.New(result.CallerGone, "the caller left")
+		}
+		if event.HasID {
+			s.last = event.ID
+		}
+	}
+}
+
+func (s *serving) noteBroken(ctx context.Context, runner *runnerset.Runner, first bool, started time.Time) {
+	if ctx.Err() != nil {
+		if first {
+			runner.NoteSlow(time.Since(started))
+		}
+		return
+	}
+	runner.NoteBad(time.Now())
+}
+
+// finished ends a stream whose body is whole.
+func (s *serving) finished(answer *exchange.Answer) (bool, error) {
+	if !s.headSent {
+		s.headSent = true
+		s.responder.Head(answer.Status, answer.Headers, 0)
+	}
+	return false, nil
+}
--- /dev/null
+++ b/internal/peers/exchange.go
@@ -0,0 +1,122 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+)
+
+// Documents are what nodes pass on: the configuration, the runner list and the
+// layout of the queues, each with its revision.
+type Documents interface {
+	// Asking fills in which versions this node holds.
+	Asking(request *wirev1.PeerStateRequest)
+	// Newer fills in what the asker lacks.
+	Newer(request *wirev1.PeerStateRequest, reply *wirev1.PeerStateReply)
+	// Take takes what a peer sent; older versions change nothing.
+	Take(reply *wirev1.PeerStateReply, from string)
+	// Stale reports whether the store has not answered lately.
+	Stale() bool
+}
+
+// Exchange asks peers.
+type Exchange struct {
+	Directory *Directory
+	Documents Documents
+	Pool      *rpc.Pool
+	Seeds     []string
+}
+
+const (
+	exchangeInterval = 500 * time.Millisecond
+	exchangeTimeout  = 400 * time.Millisecond
+	// calmEvery is how many rounds a node that the store serves skips between
+	// two questions to nodes with disks.
+	calmEvery = 2
+)
+
+// Serve answers a peer's question.
+func (e *Exchange) Serve(_ context.Context, stream *rpc.ServerStream) error {
+	var request wirev1.PeerStateRequest
+	if err := stream.Request(&request); err != nil {
+		return err
+	}
+	if request.Self != nil {
+		e.Directory.Put(request.Self)
+		e.Directory.NoteHeard(request.Self.NodeId, time.Now())
+	}
+	reply := &wirev1.PeerStateReply{Nodes: e.Directory.Records()}
+	e.Documents.Newer(&request, reply)
+	return stream.Send(reply)
+}
+
+// Run asks until the context ends: other disk nodes always, anybody while the
+// store does not answer.
+func (e *Exchange) Run(ctx context.Context) {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		if e.Documents.Stale() {
+			e.ask(ctx, e.anyPeer())
+		}
+		if self := e.Directory.Self(); self.DiskId != "" && round%calmEvery == 0 {
+			for _, disk := range e.Directory.Disks() {
+				if disk.NodeId != self.NodeId {
+					go e.ask(ctx, disk.Address)
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// anyPeer draws a known node, or a seed as long as none is known.
+func (e *Exchange) anyPeer() string {
+	self := e.Directory.Self()
+	var addresses []string
+	for _, record := range e.Directory.Records() {
+		if record.NodeId != self.NodeId {
+			addresses = append(addresses, record.Address)
+		}
+	}
+	if len(addresses) == 0 || rand.IntN(4) == 0 {
+		addresses = append(addresses, e.Seeds...)
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
+
+func (e *Exchange) ask(ctx context.Context, address string) {
+	if address == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	request := &wirev1.PeerStateRequest{Self: e.Directory.Self()}
+	e.Documents.Asking(request)
+	reply := &wirev1.PeerStateReply{}
+	if err := e.Pool.Call(ctx, address, rpc.ClassControl, wirev1.Method_METHOD_PEER_STATE, request, reply); err != nil {
+		return
+	}
+	now := time.Now()
+	for _, record := range reply.Nodes {
+		if record.Address == address {
+			e.Directory.NoteHeard(record.NodeId, now)
+		}
+		if e.Directory.Put(record) {
+			klog.InfoS("node learnt from peer", "node", record.NodeId, "address", record.Address, "disk", record.DiskId, "incarnation", record.Incarnation, "peer", address)
+		}
+	}
+	e.Documents.Take(reply, address)
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,175 @@
+// Package peers knows the nodes of a deployment whose node records lie in the
+// platform's store, and lets a node that the store does not serve ask its
+// peers for what is newer than it holds.
+package peers
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+)
+
+// Directory holds the node records known here.
+//
+// Invariant: a node's record is replaced only by one of a higher incarnation.
+type Directory struct {
+	mutex    sync.Mutex
+	self     *wirev1.NodeRecord
+	records  map[string]*wirev1.NodeRecord
+	retiring map[string]bool
+	lost     map[string]bool // disks whose node has another one now
+	heard    map[string]time.Time
+	onSelf   func(*wirev1.NodeRecord)
+}
+
+// NewDirectory returns a directory of a node that knows only itself. onSelf is
+// called with the node's own record when it has to be told anew; it may be nil.
+func NewDirectory(self *wirev1.NodeRecord, onSelf func(*wirev1.NodeRecord)) *Directory {
+	return &Directory{
+		self: self, records: map[string]*wirev1.NodeRecord{self.NodeId: self},
+		retiring: map[string]bool{}, lost: map[string]bool{}, heard: map[string]time.Time{}, onSelf: onSelf,
+	}
+}
+
+// Self returns the node's own record.
+func (d *Directory) Self() *wirev1.NodeRecord {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.self
+}
+
+// SetDisk names the node's disk.
+func (d *Directory) SetDisk(id string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	next := clone(d.self)
+	next.DiskId = id
+	d.self = next
+	d.records[next.NodeId] = next
+}
+
+func clone(record *wirev1.NodeRecord) *wirev1.NodeRecord {
+	return &wirev1.NodeRecord{
+		NodeId: record.NodeId, Address: record.Address, Zone: record.Zone, Region: record.Region,
+		DiskId: record.DiskId, Incarnation: record.Incarnation, Leaving: record.Leaving,
+	}
+}
+
+// Put takes a record if it is newer. A record of this node from an earlier
+// life makes it raise its incarnation. It reports whether something changed.
+func (d *Directory) Put(record *wirev1.NodeRecord) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if record.NodeId == d.self.NodeId {
+		return d.refute(record)
+	}
+	known := d.records[record.NodeId]
+	if known != nil && known.Incarnation >= record.Incarnation {
+		return false
+	}
+	if known != nil && known.DiskId != "" && known.DiskId != record.DiskId {
+		d.lost[known.DiskId] = true
+	}
+	d.records[record.NodeId] = record
+	return true
+}
+
+// DiskLost reports whether a disk is known to be lost: its node has another.
+func (d *Directory) DiskLost(id string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.lost[id]
+}
+
+func (d *Directory) refute(record *wirev1.NodeRecord) bool {
+	same := record.DiskId == d.self.DiskId && record.Address == d.self.Address && record.Leaving == d.self.Leaving
+	if record.Incarnation < d.self.Incarnation || same && record.Incarnation == d.self.Incarnation {
+		return false
+	}
+	next := clone(d.self)
+	next.Incarnation = record.Incarnation + 1
+	d.self = next
+	d.records[next.NodeId] = next
+	if d.onSelf != nil {
+		go d.onSelf(next)
+	}
+	return true
+}
+
+// SetRetiring names the nodes that are being emptied.
+func (d *Directory) SetRetiring(nodes map[string]bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.retiring = nodes
+}
+
+// Retiring lists the nodes that are being emptied.
+func (d *Directory) Retiring() []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	list := make([]string, 0, len(d.retiring))
+	for node := range d.retiring {
+		list = append(list, node)
+	}
+	sort.Strings(list)
+	return list
+}
+
+// IsRetiring reports whether a node is being emptied.
+func (d *Directory) IsRetiring(node string) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.retiring[node]
+}
+
+// Records returns all records, by node id.
+func (d *Directory) Records() []*wirev1.NodeRecord {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	list := make([]*wirev1.NodeRecord, 0, len(d.records))
+	for _, record := range d.records {
+		list = append(list, record)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].NodeId < list[j].NodeId })
+	return list
+}
+
+// Disks returns the records of nodes with a disk.
+func (d *Directory) Disks() []*wirev1.NodeRecord {
+	var disks []*wirev1.NodeRecord
+	for _, record := range d.Records() {
+		if record.DiskId != "" {
+			disks = append(disks, record)
+		}
+	}
+	return disks
+}
+
+// Disk finds the node that has a disk.
+func (d *Directory) Disk(id string) (*wirev1.NodeRecord, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, record := range d.records {
+		if record.DiskId == id {
+			return record, true
+		}
+	}
+	return nil, false
+}
+
+// NoteHeard records that a node answered.
+func (d *Directory) NoteHeard(node string, now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.heard[node] = now
+}
+
+// HeardWithin reports whether a node answered within a time.
+func (d *Directory) HeardWithin(node string, now time.Time, within time.Duration) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	at, known := d.heard[node]
+	return node == d.self.NodeId || known && now.Sub(at) < within
+}
--- /dev/null
+++ b/internal/queue/table.go
@@ -0,0 +1,181 @@
+package queue
+
+import (
+	"sort"
+	"time"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+)
+
+// Key names an item.
+type Key struct {
+	Job    string
+	Number uint32
+}
+
+// Entry is an unfinished item in the leader's table.
+type Entry struct {
+	Key    Key
+	ID     string
+	Tokens uint64
+	Route  string
+	// Due is when its result should be readable, GiveUp when it may be given up.
+	Due    time.Time
+	GiveUp time.Time
+	// Failures counts runs that ended with the runner's own failure.
+	Failures int
+	// NotBefore delays the next try.
+	NotBefore time.Time
+	// Progress is what earlier runs have produced.
+	Progress Progress
+	running  bool
+	order    uint64
+}
+
+// Progress is the part of an item's output that is known.
+type Progress struct {
+	// Last is the id of the last event; 0 before the first.
+	Last int64
+	// Texts are the data of the events up to Last.
+	Texts [][]byte
+}
+
+// Table is what the leader of a shard knows of unfinished items. It is rebuilt
+// from the state by each new leader and used by one goroutine.
+type Table struct {
+	entries map[Key]*Entry
+	jobs    map[string]map[uint32]*Entry
+	waiting map[string]uint64
+	order   uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{entries: map[Key]*Entry{}, jobs: map[string]map[uint32]*Entry{}, waiting: map[string]uint64{}}
+}
+
+// Add adds the unfinished items of a job that is not ended.
+func (t *Table) Add(record *wirev1.QueueRecord, now time.Time, wall time.Time) {
+	if record.Ended || t.jobs[record.Id] != nil {
+		return
+	}
+	accepted := now.Add(-age(record, wall))
+	items := map[uint32]*Entry{}
+	for number, info := range record.Items {
+		if info.Position > 0 {
+			continue
+		}
+		t.order++
+		entry := &Entry{
+			Key: Key{record.Id, uint32(number)}, ID: info.Id, Tokens: info.Tokens, Route: record.Route,
+			Due:    accepted.Add(time.Duration(record.ResultTargetMs) * time.Millisecond),
+			GiveUp: accepted.Add(time.Duration(record.GiveUpMs) * time.Millisecond),
+			order:  t.order,
+		}
+		items[uint32(number)] = entry
+		t.entries[entry.Key] = entry
+		t.waiting[entry.Route] += entry.Tokens
+	}
+	if len(items) > 0 {
+		t.jobs[record.Id] = items
+	}
+}
+
+// age is how long ago a job was accepted. Clocks of machines differ and jump:
+// it is never negative, and only delays or hastens, it decides no promise.
+func age(record *wirev1.QueueRecord, wall time.Time) time.Duration {
+	return max(0, wall.Sub(time.UnixMilli(record.AcceptedUnixMs)))
+}
+
+// Waiting returns the tokens of a route's unfinished items.
+func (t *Table) Waiting(route string) uint64 { return t.waiting[route] }
+
+// Len returns how many items are unfinished.
+func (t *Table) Len() int { return len(t.entries) }
+
+// Running returns how many items are running.
+func (t *Table) Running() int {
+	count := 0
+	for _, entry := range t.entries {
+		if entry.running {
+			count++
+		}
+	}
+	return count
+}
+
+// Finish removes an item that has a result.
+func (t *Table) Finish(key Key) {
+	entry := t.entries[key]
+	if entry == nil {
+		return
+	}
+	t.waiting[entry.Route] -= entry.Tokens
+	delete(t.entries, key)
+	delete(t.jobs[key.Job], key.Number)
+	if len(t.jobs[key.Job]) == 0 {
+		delete(t.jobs, key.Job)
+	}
+}
+
+// End removes all items of a job.
+func (t *Table) End(job string) {
+	for number := range t.jobs[job] {
+		t.Finish(Key{job, number})
+	}
+}
+
+// Entry returns an unfinished item, nil if it is finished or ended.
+func (t *Table) Entry(key Key) *Entry { return t.entries[key] }
+
+// Ready lists the items that may be started, the earliest due first.
+func (t *Table) Ready(now time.Time) []*Entry {
+	var ready []*Entry
+	for _, entry := range t.entries {
+		if !entry.running && !now.Before(entry.NotBefore) {
+			ready = append(ready, entry)
+		}
+	}
+	sort.Slice(ready, func(i, j int) bool {
+		if !ready[i].Due.Equal(ready[j].Due) {
+			return ready[i].Due.Before(ready[j].Due)
+		}
+		return ready[i].order < ready[j].order
+	})
+	return ready
+}
+
+// Start marks an item as running.
+func (t *Table) Start(key Key) {
+	if entry := t.entries[key]; entry != nil {
+		entry.running = true
+	}
+}
+
+// Return takes back an item whose run ended without a result.
+func (t *Table) Return(key Key, progress Progress, failed bool, notBefore time.Time) {
+	entry := t.entries[key]
+	if entry == nil {
+		return
+	}
+	entry.running = false
+	entry.Progress = progress
+	entry.NotBefore = notBefore
+	if failed {
+		entry.Failures++
+	}
+}
+
+// Expired lists the items that may be given up.
+func (t *Table) Expired(now time.Time) []*Entry {
+	var expired []*Entry
+	for _, entry := range t.entries {
+		if now.After(entry.GiveUp) && entry.GiveUp.After(entry.Due) {
+			expired = append(expired, entry)
+		}
+	}
+	return expired
+}
+
+// Open reports whether a job has unfinished items.
+func (t *Table) Open(job string) bool { return len(t.jobs[job]) > 0 }
--- /dev/null
+++ b/internal/queuerun/queuerun.go
@@ -0,0 +1,201 @@
+// Package queuerun runs batch items at runners, in the room that online work
+// leaves there. Runners know no priority and take requests in the order of
+// arrival, so room for online work is kept by not sending items: a runner gets
+// at most a share of its slots, and none while it is loaded.
+package queuerun
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"cobaltramp.example/cobaltramp/internal/catalog"
+	"cobaltramp.example/cobaltramp/internal/eventstream"
+	"cobaltramp.example/cobaltramp/internal/exchange"
+	"cobaltramp.example/cobaltramp/internal/queue"
+	"cobaltramp.example/cobaltramp/internal/queuestore"
+	"cobaltramp.example/cobaltramp/internal/runnerset"
+)
+
+// Executor runs items. It implements queuestore.Executor.
+type Executor struct {
+	Zone     string
+	Catalogs *catalog.Holder
+	Runners  *runnerset.Set
+	Client   exchange.Client
+}
+
+var _ queuestore.Executor = (*Executor)(nil)
+
+const (
+	// batchShare of a runner's slots may hold this node's items.
+	batchShare = 0.5
+	// loadCeiling is the share of a runner's slots above which it gets no item.
+	loadCeiling = 0.8
+	// headTimeout and eventTimeout bound the waits for a runner's answer and for
+	// its next event.
+	headTimeout  = 6 * time.Second
+	eventTimeout = 4 * time.Second
+	retryWait    = 150 * time.Millisecond
+	refusedWait  = 100 * time.Millisecond
+	// routeGoneTime is how long a configuration without the item's route must
+	// have been in force before the item is given up.
+	routeGoneTime = 4 * time.Second
+)
+
+// TryStart implements queuestore.Executor.
+func (e *Executor) TryStart(ctx context.Context, work *queuestore.Work, done func(queuestore.Outcome)) bool {
+	held := e.Catalogs.Current()
+	if held == nil {
+		return false
+	}
+	now := time.Now()
+	route := held.Match(work.Host, work.Item.Path)
+	if route == nil {
+		if e.Catalogs.Age(now) < routeGoneTime {
+			return false
+		}
+		go done(queuestore.Outcome{Dead: true, Reason: "route gone"})
+		return true
+	}
+	choice := e.pick(route, held, work, now)
+	if choice.Runner == nil {
+		return false
+	}
+	end := choice.Runner.BeginBatch()
+	go func() {
+		defer end()
+		run := &run{executor: e, work: work, route: route, runner: choice.Runner, last: work.Progress.Last, texts: work.Progress.Texts}
+		outcome := run.run(ctx)
+		end()
+		outcome.Attempts = route.Attempts
+		klog.InfoS("item run ended", "job", work.Key.Job, "item", work.Item.Id, "runner", choice.Runner.ID, "load", int(choice.Load),
+			"catalog", held.Version, "from", work.Progress.Last, "to", run.last, "outcome", outcome.Reason, "ms", time.Since(now).Milliseconds())
+		done(outcome)
+	}()
+	return true
+}
+
+func (e *Executor) pick(route *catalog.Route, held *catalog.Catalog, work *queuestore.Work, now time.Time) runnerset.Choice {
+	name := route.ServiceFor(work.Item.Id)
+	slots := 0
+	if service := held.Services[name]; service != nil {
+		slots = service.Slots
+	}
+	wish := &runnerset.Wish{Service: name, Zone: e.Zone, Ceiling: loadCeiling, BatchCeiling: max(1, int64(batchShare*float64(slots)))}
+	return e.Runners.Pick(wish, now)
+}
+
+// run is one run of an item at one runner.
+type run struct {
+	executor *Executor
+	work     *queuestore.Work
+	route    *catalog.Route
+	runner   *runnerset.Runner
+	last     int64
+	texts    [][]byte
+}
+
+func (r *run) run(parent context.Context) queuestore.Outcome {
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
+	silence := time.AfterFunc(headTimeout, func() { cancel(errSilent) })
+	defer silence.Stop()
+	answer, err := r.executor.Client.Do(ctx, r.call())
+	if err != nil {
+		return r.notAnswered(parent, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	r.runner.NoteLoad(answer.Load, time.Now())
+	if answer.Status != http.StatusOK {
+		return r.refused(answer)
+	}
+	return r.follow(parent, answer, silence)
+}
+
+var errSilent = errors.New("the runner was silent for too long")
+
+func (r *run) call() *exchange.Call {
+	call := &exchange.Call{
+		ID: r.work.Item.Id, Method: http.MethodPost, URI: r.work.Item.Path, Host: r.work.Host, Body: r.work.Item.Body,
+		RunnerID: r.runner.ID, Address: r.runner.Address, Service: r.runner.Service, ResumeAfter: -1, Current: r.runner.Takes,
+	}
+	for _, header := range r.work.Item.Headers {
+		call.Headers = append(call.Headers, exchange.Header{Name: header.Name, Value: header.Value})
+	}
+	if r.last > 0 {
+		call.ResumeAfter = r.last
+	}
+	return call
+}
+
+func (r *run) progress() queue.Progress { return queue.Progress{Last: r.last, Texts: r.texts} }
+
+func (r *run) notAnswered(parent context.Context, err error) queuestore.Outcome {
+	outcome := queuestore.Outcome{Progress: r.progress(), Wait: retryWait, Reason: "unanswered"}
+	var notRun *exchange.NotRunError
+	if errors.As(err, &notRun) {
+		outcome.Wait, outcome.Reason = refusedWait, "not run: "+notRun.Reason
+		r.runner.NoteLoad(notRun.Load, time.Now())
+	}
+	if parent.Err() != nil {
+		outcome.Reason = "cancelled"
+		return outcome
+	}
+	if notRun == nil || !notRun.Reached && notRun.Reason == exchange.ReasonDial {
+		r.runner.NoteBad(time.Now())
+	}
+	return outcome
+}
+
+// refused takes an answer other than 200.
+func (r *run) refused(answer *exchange.Answer) queuestore.Outcome {
+	outcome := queuestore.Outcome{Progress: r.progress(), Wait: retryWait}
+	switch {
+	case answer.Status == http.StatusUnprocessableEntity && answer.Stamped:
+		outcome.Dead, outcome.Reason = true, "can never be done"
+	case answer.Status == http.StatusInternalServerError && answer.Stamped:
+		outcome.Failed, outcome.Reason = true, "runner failed"
+	default:
+		outcome.Reason = "status " + http.StatusText(answer.Status)
+		r.runner.NoteBad(time.Now())
+	}
+	return outcome
+}
+
+// follow reads events until the stream ends.
+func (r *run) follow(parent context.Context, answer *exchange.Answer, silence *time.Timer) queuestore.Outcome {
+	events := eventstream.NewReader(answer.Body)
+	for {
+		silence.Reset(eventTimeout)
+		event, err := events.Next()
+		if errors.Is(err, io.EOF) && r.last > 0 {
+			return queuestore.Outcome{Done: true, Text: bytes.Join(r.texts, []byte("\n")), Reason: "completed"}
+		}
+		if err == nil && (!event.HasID || event.ID != r.last+1) {
+			err = &eventstream.BrokenError{Reason: "event out of order"}
+		}
+		if err != nil {
+			return r.broken(parent, err)
+		}
+		r.last = event.ID
+		r.texts = append(r.texts, append([]byte(nil), event.Data...))
+	}
+}
+
+func (r *run) broken(parent context.Context, err error) queuestore.Outcome {
+	outcome := queuestore.Outcome{Progress: r.progress(), Wait: refusedWait, Reason: "stream broken"}
+	if parent.Err() != nil {
+		outcome.Reason = "cancelled"
+		return outcome
+	}
+	r.runner.NoteBad(time.Now())
+	klog.InfoS("item stream broken", "item", r.work.Item.Id, "runner", r.runner.ID, "after", r.last, "err", strings.TrimSpace(err.Error()))
+	return outcome
+}
--- /dev/null
+++ b/internal/queuestore/handover.go
@@ -0,0 +1,377 @@
+package queuestore
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/replica"
+)
+
+// handOver is a member set change this leader drives; see package replica for
+// the steps and why they are safe.
+type handOver struct {
+	next      replica.Config
+	began     time.Time
+	frozenAt  time.Time
+	swapping  bool
+	fencing   bool
+	lastCheck time.Time
+}
+
+const (
+	// lostDiskTime is how long a member's disk must be silent before a spare
+	// disk takes its place; a restart is shorter.
+	lostDiskTime     = 2500 * time.Millisecond
+	handOverInterval = 250 * time.Millisecond
+	handOverTimeout  = 20 * time.Second
+	frozenTimeout    = 1500 * time.Millisecond
+	swapTimeout      = 3 * time.Second
+)
+
+// tickHandOver looks for disks to replace or add and advances a running change.
+func (s *shard) tickHandOver(now time.Time) {
+	h := &s.handOver
+	if s.replica.Frozen() && !h.swapping {
+		s.tickFrozen(now, h)
+	}
+	if s.replica.Role() != replica.Leader {
+		h.next = replica.Config{}
+		return
+	}
+	if h.next.Generation == 0 {
+		if now.Sub(h.lastCheck) >= handOverInterval && s.replica.Serving() {
+			h.lastCheck = now
+			s.planHandOver(now, h)
+		}
+		return
+	}
+	s.advanceHandOver(now, h)
+}
+
+// planHandOver decides on the next member set: members that are being emptied
+// or whose disk is gone are replaced, and spare disks added up to the number
+// wanted. A silent member stays as long as there is no disk to take its place.
+func (s *shard) planHandOver(now time.Time, h *handOver) {
+	if s.node.Layouts.Current() == nil || s.node.draining.Load() {
+		return
+	}
+	config := s.replica.Config()
+	next := s.plan(now, config)
+	if sameSet(next, config.Members) || len(next) < config.Copies {
+		return
+	}
+	h.next = replica.Config{Generation: config.Generation + 1, Members: next, Copies: config.Copies}
+	h.began = now
+	h.frozenAt = time.Time{}
+	s.replica.SetLearners(now, learners(next, config))
+	klog.InfoS("hand-over begun", "shard", s.id, "generation", h.next.Generation, "from", config.Members, "to", next)
+}
+
+func (s *shard) plan(now time.Time, config replica.Config) []string {
+	var keep, silent []string
+	for _, member := range config.Members {
+		switch s.standing(now, member) {
+		case standingGood:
+			keep = append(keep, member)
+		case standingSilent:
+			silent = append(silent, member)
+		}
+	}
+	next := s.node.place(s.id, s.node.liveDisks(now), keep)
+	for _, member := range silent {
+		if len(next) < s.node.membersWanted() && !contains(next, member) {
+			next = append(next, member)
+		}
+	}
+	// A set is made smaller only for a member that is being emptied.
+	if len(next) < len(config.Members) && !s.anyRetiring(config) {
+		return config.Members
+	}
+	return next
+}
+
+func (s *shard) anyRetiring(config replica.Config) bool {
+	for _, member := range config.Members {
+		if record, known := s.node.Directory.Disk(member); known && s.node.Directory.IsRetiring(record.NodeId) {
+			return true
+		}
+	}
+	return false
+}
+
+type standing uint8
+
+const (
+	standingGood standing = iota
+	// standingSilent: not heard of for a while.
+	standingSilent
+	// standingOut: its node is being emptied, or has another disk now.
+	standingOut
+)
+
+func (s *shard) standing(now time.Time, member string) standing {
+	record, known := s.node.Directory.Disk(member)
+	if known && s.node.Directory.IsRetiring(record.NodeId) || s.node.Directory.DiskLost(member) {
+		return standingOut
+	}
+	if member == s.disk || s.replica.UnseenFor(member, now) < lostDiskTime {
+		return standingGood
+	}
+	return standingSilent
+}
+
+// liveDisks are usable disks whose nodes answer.
+func (n *Node) liveDisks(now time.Time) []*wirev1.NodeRecord {
+	var live []*wirev1.NodeRecord
+	for _, disk := range n.usableDisks() {
+		if n.Directory.HeardWithin(disk.NodeId, now, lostDiskTime) {
+			live = append(live, disk)
+		}
+	}
+	return live
+}
+
+// place picks a shard's disks: those kept, then by rendezvous weight, each
+// time from a zone that has the fewest of them.
+func (n *Node) place(shard uint32, disks []*wirev1.NodeRecord, keep []string) []string {
+	chosen := append([]string(nil), keep...)
+	perZone := map[string]int{}
+	for _, member := range keep {
+		if record, known := n.Directory.Disk(member); known {
+			perZone[record.Zone]++
+		}
+	}
+	ranked := append([]*wirev1.NodeRecord(nil), disks...)
+	sort.Slice(ranked, func(i, j int) bool { return weight(shard, ranked[i].DiskId) > weight(shard, ranked[j].DiskId) })
+	for len(chosen) < n.membersWanted() {
+		best := fewestInZone(ranked, chosen, perZone)
+		if best == nil {
+			break
+		}
+		perZone[best.Zone]++
+		chosen = append(chosen, best.DiskId)
+	}
+	return chosen
+}
+
+func fewestInZone(ranked []*wirev1.NodeRecord, chosen []string, perZone map[string]int) *wirev1.NodeRecord {
+	var best *wirev1.NodeRecord
+	for _, disk := range ranked {
+		if contains(chosen, disk.DiskId) {
+			continue
+		}
+		if best == nil || perZone[disk.Zone] < perZone[best.Zone] {
+			best = disk
+		}
+	}
+	return best
+}
+
+func weight(shard uint32, disk string) uint64 {
+	var digest xxhash.Digest
+	digest.ResetWithSeed(uint64(shard))
+	_, _ = digest.WriteString(disk)
+	return digest.Sum64()
+}
+
+func contains(list []string, wanted string) bool {
+	for _, item := range list {
+		if item == wanted {
+			return true
+		}
+	}
+	return false
+}
+
+func learners(next []string, config replica.Config) []string {
+	var list []string
+	for _, member := range next {
+		if !config.Has(member) {
+			list = append(list, member)
+		}
+	}
+	return list
+}
+
+func sameSet(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for _, item := range a {
+		if !contains(b, item) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *shard) advanceHandOver(now time.Time, h *handOver) {
+	switch {
+	case s.replica.Config().Generation >= h.next.Generation:
+		s.endHandOver(h, "done")
+	case !s.replica.Frozen():
+		s.freezeWhenCaughtUp(now, h)
+	case s.replica.Sealed(h.next) && !h.swapping:
+		s.swap(h)
+	}
+}
+
+// freezeWhenCaughtUp begins the sealed part. It waits for the store: a shard
+// that is frozen while the store does not answer takes no jobs.
+func (s *shard) freezeWhenCaughtUp(now time.Time, h *handOver) {
+	if now.Sub(h.began) > handOverTimeout {
+		s.replica.SetLearners(now, nil)
+		s.endHandOver(h, "timed out")
+		return
+	}
+	for _, member := range h.next.Members {
+		if s.standing(now, member) == standingGood && !s.replica.CaughtUp(member) {
+			return
+		}
+	}
+	if s.node.Contact.Lost() || !s.quorumOfNext(now, h.next) {
+		return
+	}
+	if s.replica.Freeze() {
+		h.frozenAt = now
+	}
+}
+
+// quorumOfNext reports whether enough of the next members are there to seal.
+func (s *shard) quorumOfNext(now time.Time, next replica.Config) bool {
+	count := 0
+	for _, member := range next.Members {
+		if s.standing(now, member) == standingGood && s.replica.CaughtUp(member) {
+			count++
+		}
+	}
+	return count >= next.WriteQuorum()
+}
+
+func (s *shard) endHandOver(h *handOver, outcome string) {
+	s.node.metrics.handOvers.WithLabelValues(outcome).Inc()
+	klog.InfoS("hand-over ended", "shard", s.id, "generation", h.next.Generation, "outcome", outcome)
+	h.next = replica.Config{}
+	h.swapping = false
+}
+
+// swap replaces the member set in the platform's store, in the background.
+func (s *shard) swap(h *handOver) {
+	h.swapping = true
+	before, after := s.replica.Config(), h.next
+	go func() {
+		ctx, cancel := context.WithTimeout(s.node.context, swapTimeout)
+		defer cancel()
+		committed, err := s.node.swapConfig(ctx, s.id, before, after)
+		klog.InfoS("member set swap", "shard", s.id, "generation", after.Generation, "committed", committed, "err", err)
+		_ = s.ask(s.node.context, func() {
+			h.swapping = false
+			if committed {
+				s.replica.Observe(time.Now(), after)
+			}
+		})
+	}()
+}
+
+// tickFrozen ends a hand-over that does not finish: the attempt is raised in
+// the platform's store, which fences whoever began it; then all thaw.
+func (s *shard) tickFrozen(now time.Time, h *handOver) {
+	if h.frozenAt.IsZero() {
+		h.frozenAt = now
+	}
+	if h.fencing || now.Sub(h.frozenAt) < frozenTimeout {
+		return
+	}
+	h.fencing = true
+	before := s.replica.Config()
+	go func() {
+		ctx, cancel := context.WithTimeout(s.node.context, swapTimeout)
+		defer cancel()
+		s.node.rereadLayout(ctx)
+		after := before
+		after.Attempt++
+		committed, err := s.node.swapConfig(ctx, s.id, before, after)
+		klog.InfoS("frozen member set fenced", "shard", s.id, "generation", before.Generation, "attempt", after.Attempt, "committed", committed, "err", err)
+		_ = s.ask(s.node.context, func() {
+			h.fencing = false
+			h.frozenAt = time.Time{}
+			if committed {
+				s.replica.Observe(time.Now(), after)
+			}
+		})
+	}()
+}
+
+// keepRemoved is how long a replica that was replaced keeps its copy.
+const keepRemoved = 60 * time.Second
+
+// tickRemoved drops a replica whose disk a newer member set leaves out. A
+// learner, whose set is not known yet, is not meant.
+func (s *shard) tickRemoved(now time.Time) {
+	config := s.replica.Config()
+	if len(config.Members) == 0 || config.Has(s.disk) {
+		s.removed = time.Time{}
+		return
+	}
+	if s.removed.IsZero() {
+		s.removed = now
+	}
+	if now.Sub(s.removed) > keepRemoved && !s.installing {
+		s.removed = now
+		go s.node.dropShard(s)
+	}
+}
+
+// dropShard ends a replica that is not a member and frees its space.
+func (n *Node) dropShard(s *shard) {
+	s.stop()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.shards[s.id] != s {
+		return
+	}
+	delete(n.shards, s.id)
+	err := s.store.Drop()
+	klog.InfoS("replaced queue replica dropped", "shard", s.id, "err", err)
+}
+
+// truncateLog drops applied entries that no follower is likely to need.
+func (s *shard) truncateLog() error {
+	base, _ := s.replica.Base()
+	kept := uint64(keepEntries)
+	if s.logBytes > keepLogBytes {
+		kept = keepEntries / 20
+	}
+	if s.installing || s.applied < base+2*kept {
+		return nil
+	}
+	index := s.applied - kept
+	if err := s.replica.Truncate(index); err != nil {
+		return err
+	}
+	_, epoch := s.replica.Base()
+	s.logBytes = 0
+	return s.store.TruncatePrefix(s.replica.HardState(), s.replica.Config(), index, epoch)
+}
+
+// handOnLeadership asks another member to lead, as before a planned stop.
+func (s *shard) handOnLeadership(ctx context.Context) {
+	for range 20 {
+		leading := false
+		_ = s.ask(ctx, func() {
+			leading = s.replica.Role() == replica.Leader
+			if leading {
+				s.replica.TransferLeadership(time.Now(), func(string) bool { return true })
+			}
+		})
+		if !leading || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/internal/queuestore/layout.go
@@ -0,0 +1,240 @@
+package queuestore
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/replica"
+)
+
+// LayoutKey is where the layout lies, below the product's own keys.
+const LayoutKey = "cobaltramp/queues/layout"
+
+// Layout is the member set of every queue shard. It is one value in the
+// platform's store, changed by compare-and-swap: on founding and when a disk
+// joins, is lost or is emptied; never per job.
+type Layout struct {
+	Shards   []replica.Config `json:"shards"`
+	revision int64
+	text     []byte
+}
+
+// Revision of the stored value.
+func (l *Layout) Revision() int64 { return l.revision }
+
+// Layouts holds the newest layout known.
+//
+// Invariant: its revision never falls.
+type Layouts struct {
+	mutex   sync.Mutex
+	current *Layout
+	changed chan struct{}
+}
+
+// NewLayouts returns a holder without a layout.
+func NewLayouts() *Layouts { return &Layouts{changed: make(chan struct{})} }
+
+// Current returns the layout, nil if none is known.
+func (l *Layouts) Current() *Layout {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.current
+}
+
+// Document returns the stored form and its revision, for peers.
+func (l *Layouts) Document() ([]byte, int64) {
+	if layout := l.Current(); layout != nil {
+		return layout.text, layout.revision
+	}
+	return nil, 0
+}
+
+// Offer takes a layout if it is newer.
+func (l *Layouts) Offer(text []byte, revision int64, source string) {
+	next := &Layout{revision: revision, text: text}
+	if err := json.Unmarshal(text, next); err != nil {
+		klog.ErrorS(err, "stored layout is unreadable", "revision", revision)
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.current != nil && l.current.revision >= revision {
+		return
+	}
+	l.current = next
+	close(l.changed)
+	l.changed = make(chan struct{})
+	klog.InfoS("queue layout taken", "revision", revision, "source", source, "shards", string(text))
+}
+
+// Changed returns a channel that closes with the next layout.
+func (l *Layouts) Changed() <-chan struct{} {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.changed
+}
+
+const (
+	layoutInterval = 500 * time.Millisecond
+	// foundingCalm is how long disks must be known before the first layout is
+	// made of fewer than wanted.
+	foundingCalm = 3 * time.Second
+)
+
+// membersWanted is how many disks a shard has so that it goes on when as many
+// as may be lost are lost.
+func (n *Node) membersWanted() int { return 2*n.DiskLosses + 1 }
+
+// layoutLoop applies layouts as they become known, and makes the first.
+func (n *Node) layoutLoop(ctx context.Context) {
+	var calmSince time.Time
+	for ctx.Err() == nil {
+		changed := n.Layouts.Changed()
+		if layout := n.Layouts.Current(); layout != nil {
+			n.applyLayout(layout)
+			n.reportRetired(ctx, layout)
+		} else {
+			calmSince = n.found(ctx, calmSince)
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(layoutInterval):
+		}
+	}
+}
+
+func (n *Node) applyLayout(layout *Layout) {
+	for id, config := range layout.Shards {
+		if s := n.shard(uint32(id)); s != nil {
+			s.observe(config)
+			continue
+		}
+		if !config.Has(n.DB.DiskID()) {
+			continue
+		}
+		if err := n.startShard(uint32(id), &config); err != nil {
+			klog.ErrorS(err, "queue replica cannot be started", "shard", id)
+		}
+	}
+}
+
+func (s *shard) observe(config replica.Config) {
+	_ = s.ask(s.node.context, func() {
+		before := s.replica.Config().Generation
+		s.replica.Observe(time.Now(), config)
+		if after := s.replica.Config().Generation; after != before {
+			klog.InfoS("queue member set in force", "shard", s.id, "generation", after, "members", config.Members)
+		}
+	})
+}
+
+// found makes the first layout once enough disks are known. Every storage node
+// may try; the compare-and-swap lets one win.
+func (n *Node) found(ctx context.Context, calmSince time.Time) time.Time {
+	disks := n.usableDisks()
+	now := time.Now()
+	if len(disks) == 0 || n.Contact.Lost() {
+		return time.Time{}
+	}
+	if calmSince.IsZero() {
+		calmSince = now
+	}
+	if len(disks) < n.membersWanted() && now.Sub(calmSince) < foundingCalm {
+		return calmSince
+	}
+	members := n.place(0, disks, nil)
+	config := replica.Config{Generation: 1, Members: members, Copies: n.DiskLosses + 1}
+	committed, err := n.commitLayout(ctx, &Layout{Shards: []replica.Config{config}})
+	klog.InfoS("queue layout founded", "committed", committed, "err", err, "members", members, "disks", len(disks))
+	return calmSince
+}
+
+// usableDisks are those of nodes that are not being emptied or leaving.
+func (n *Node) usableDisks() []*wirev1.NodeRecord {
+	var usable []*wirev1.NodeRecord
+	for _, disk := range n.Directory.Disks() {
+		if !n.Directory.IsRetiring(disk.NodeId) && !disk.Leaving && disk.Region == n.Region {
+			usable = append(usable, disk)
+		}
+	}
+	return usable
+}
+
+// commitLayout stores a layout if the stored one is still of its revision. A
+// lost answer is resolved by reading.
+func (n *Node) commitLayout(ctx context.Context, next *Layout) (bool, error) {
+	text, err := json.Marshal(next)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	conditions := []platform.Condition{{Key: LayoutKey, Revision: next.revision}}
+	committed, err := n.Store.Commit(ctx, conditions, []platform.Put{{Key: LayoutKey, Value: text}})
+	n.rereadLayout(ctx)
+	return committed, err
+}
+
+func (n *Node) rereadLayout(ctx context.Context) {
+	if value, found, err := n.Store.Get(ctx, LayoutKey); err == nil && found {
+		n.Layouts.Offer(value.Value, value.Revision, "read")
+	}
+}
+
+// swapConfig replaces one shard's member set if nothing changed it since the
+// layout was read. It reports whether the change is known to be stored.
+func (n *Node) swapConfig(ctx context.Context, id uint32, before, after replica.Config) (bool, error) {
+	layout := n.Layouts.Current()
+	if layout == nil || int(id) >= len(layout.Shards) {
+		return false, trace.NotFound("no layout")
+	}
+	held := layout.Shards[id]
+	if held.Generation != before.Generation || held.Attempt != before.Attempt {
+		return false, nil
+	}
+	next := &Layout{Shards: append([]replica.Config(nil), layout.Shards...), revision: layout.revision}
+	next.Shards[id] = after
+	return n.commitLayout(ctx, next)
+}
+
+// reportRetired says of nodes that are being emptied how far it is, once none
+// of their disks is a member any more.
+func (n *Node) reportRetired(ctx context.Context, layout *Layout) {
+	retiring := n.Directory.Retiring()
+	if len(retiring) == 0 || !n.leadsAny() {
+		return
+	}
+	members := map[string]bool{}
+	for _, config := range layout.Shards {
+		for _, member := range config.Members {
+			members[member] = true
+		}
+	}
+	holds := map[string]bool{}
+	for _, disk := range n.Directory.Disks() {
+		if members[disk.DiskId] {
+			holds[disk.NodeId] = true
+		}
+	}
+	for _, node := range retiring {
+		n.Retirement.Report(ctx, node, !holds[node])
+	}
+}
+
+// leadsAny reports whether this node leads a shard, with a quorum in contact.
+func (n *Node) leadsAny() bool {
+	for _, s := range n.allShards() {
+		leads := false
+		_ = s.ask(n.context, func() { leads = s.leader != nil && s.leader.aloneSince.IsZero() && s.replica.Serving() })
+		if leads {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/queuestore/leader.go
@@ -0,0 +1,293 @@
+package queuestore
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/queue"
+	"cobaltramp.example/cobaltramp/internal/replica"
+)
+
+// leadership is what only a serving leader has: the table of unfinished items,
+// the runs in progress, and those who wait for results.
+type leadership struct {
+	epoch   uint64
+	table   *queue.Table
+	context context.Context
+	cancel  context.CancelFunc
+	runs    map[queue.Key]context.CancelFunc
+	changed map[string]chan struct{}
+	// taken are the acceptance times of all jobs, for retention.
+	taken map[string]int64
+	// accepting are tokens of submissions on their way through the log.
+	accepting map[string]uint64
+	retained  time.Time
+	// aloneSince is when contact to a quorum was lost.
+	aloneSince time.Time
+}
+
+// followLeadership makes the table when this replica comes to serve and drops
+// it when it no longer leads.
+func (s *shard) followLeadership() {
+	if s.replica.Role() != replica.Leader {
+		s.dropLeadership("not leader")
+		return
+	}
+	if s.leader != nil && s.leader.epoch == s.replica.Epoch() {
+		return
+	}
+	if !s.replica.Serving() || s.applied < s.replica.Commit() {
+		return
+	}
+	s.dropLeadership("new epoch")
+	s.takeLeadership()
+}
+
+func (s *shard) takeLeadership() {
+	ctx, cancel := context.WithCancel(s.node.context)
+	l := &leadership{
+		epoch: s.replica.Epoch(), table: queue.NewTable(), context: ctx, cancel: cancel,
+		runs: map[queue.Key]context.CancelFunc{}, changed: map[string]chan struct{}{}, taken: map[string]int64{},
+		accepting: map[string]uint64{},
+	}
+	now := time.Now()
+	err := queue.Records(s.store.View(), func(record *wirev1.QueueRecord) {
+		l.taken[record.Id] = record.AcceptedUnixMs
+		l.table.Add(record, now, now)
+	})
+	if err != nil {
+		cancel()
+		s.fail(err)
+		return
+	}
+	s.leader = l
+	s.node.metrics.leading.Inc()
+	klog.InfoS("queue shard led", "shard", s.id, "epoch", l.epoch, "jobs", len(l.taken), "unfinished", l.table.Len(), "commit", s.replica.Commit())
+}
+
+func (s *shard) dropLeadership(reason string) {
+	if s.leader == nil {
+		return
+	}
+	s.leader.cancel()
+	for _, changed := range s.leader.changed {
+		close(changed)
+	}
+	klog.InfoS("queue shard led no more", "shard", s.id, "epoch", s.leader.epoch, "reason", reason, "runs", len(s.leader.runs))
+	s.leader = nil
+	s.node.metrics.leading.Dec()
+	s.node.metrics.unfinish.Set(0)
+}
+
+// noteApplied keeps the table in line with what was applied.
+func (s *shard) noteApplied(applied *queue.Applied) {
+	l := s.leader
+	if l == nil || applied == nil {
+		return
+	}
+	if applied.Record != nil && !applied.Known && !applied.Ended && !applied.Record.Ended {
+		now := time.Now()
+		l.taken[applied.Record.Id] = applied.Record.AcceptedUnixMs
+		l.table.Add(applied.Record, now, now)
+	}
+	for _, finished := range applied.Finished {
+		key := queue.Key{Job: finished.JobId, Number: finished.Item}
+		l.table.Finish(key)
+		s.cancelRun(key)
+		kind := "completed"
+		if finished.Dead {
+			kind = "dead"
+		}
+		s.node.metrics.results.WithLabelValues(kind).Inc()
+		l.wake(finished.JobId)
+	}
+	if applied.Ended {
+		for key := range l.runs {
+			if key.Job == applied.Record.Id {
+				s.cancelRun(key)
+			}
+		}
+		l.table.End(applied.Record.Id)
+		l.wake(applied.Record.Id)
+	}
+	for _, job := range applied.Dropped {
+		delete(l.taken, job)
+	}
+}
+
+func (s *shard) cancelRun(key queue.Key) {
+	if cancel := s.leader.runs[key]; cancel != nil {
+		cancel()
+		delete(s.leader.runs, key)
+	}
+}
+
+// wake tells readers that a job has changed.
+func (l *leadership) wake(job string) {
+	if changed := l.changed[job]; changed != nil {
+		close(changed)
+		delete(l.changed, job)
+	}
+}
+
+// watch returns a channel that closes with the job's next change.
+func (l *leadership) watch(job string) <-chan struct{} {
+	changed := l.changed[job]
+	if changed == nil {
+		changed = make(chan struct{})
+		l.changed[job] = changed
+	}
+	return changed
+}
+
+const (
+	// aloneTime is how long a leader without contact to a quorum lets its runs
+	// go on: an item of a job that another leader has ended must not be sent.
+	aloneTime = time.Second
+	// giveUpSlack covers clocks that disagree or jump.
+	giveUpSlack    = 6 * time.Second
+	retainInterval = 5 * time.Second
+	retainLimit    = 64
+	startsPerTick  = 32
+	// refusalsPerTick bounds the items tried in vain: those behind may be of a
+	// service that has room.
+	refusalsPerTick = 8
+)
+
+// tickLeader starts items that are ready and proposes what time has decided.
+func (s *shard) tickLeader(now time.Time) {
+	l := s.leader
+	if l == nil {
+		return
+	}
+	if !s.inContact(now) {
+		return
+	}
+	s.startReady(now)
+	s.giveUpExpired(now)
+	s.retain(now)
+	s.node.metrics.unfinish.Set(float64(l.table.Len()))
+}
+
+// inContact reports whether a quorum answered lately; runs of a leader that is
+// alone for long are ended.
+func (s *shard) inContact(now time.Time) bool {
+	l := s.leader
+	if s.replica.LiveMembers(now) >= s.replica.Config().WriteQuorum() {
+		l.aloneSince = time.Time{}
+		return true
+	}
+	if l.aloneSince.IsZero() {
+		l.aloneSince = now
+	}
+	if now.Sub(l.aloneSince) > aloneTime && len(l.runs) > 0 {
+		klog.InfoS("runs ended: no contact to a quorum", "shard", s.id, "epoch", l.epoch, "runs", len(l.runs))
+		for key := range l.runs {
+			s.cancelRun(key)
+		}
+	}
+	return false
+}
+
+func (s *shard) startReady(now time.Time) {
+	l := s.leader
+	started, refused := 0, 0
+	for _, entry := range l.table.Ready(now) {
+		if started >= startsPerTick || refused >= refusalsPerTick || s.node.draining.Load() {
+			return
+		}
+		if s.start(entry) {
+			started++
+		} else {
+			refused++
+		}
+	}
+}
+
+// start begins a run of an item. It reports false if no runner has room.
+func (s *shard) start(entry *queue.Entry) bool {
+	l := s.leader
+	view := s.store.View()
+	item, err := queue.Item(view, entry.Key.Job, entry.Key.Number)
+	if err != nil || item == nil {
+		klog.ErrorS(err, "item's body is missing", "shard", s.id, "job", entry.Key.Job, "item", entry.ID)
+		l.table.Return(entry.Key, entry.Progress, false, time.Now().Add(time.Second))
+		return true
+	}
+	record, err := queue.Record(view, entry.Key.Job)
+	if err != nil || record == nil {
+		return true
+	}
+	ctx, cancel := context.WithCancel(l.context)
+	key, epoch := entry.Key, l.epoch
+	work := &Work{Key: key, Host: record.Host, Route: record.Route, Item: item, Progress: entry.Progress, Due: entry.Due, Failures: entry.Failures}
+	if !s.node.Executor.TryStart(ctx, work, func(outcome Outcome) {
+		cancel()
+		_ = s.ask(s.node.context, func() { s.ended(key, epoch, work, outcome) })
+	}) {
+		cancel()
+		return false
+	}
+	l.table.Start(key)
+	l.runs[key] = cancel
+	return true
+}
+
+// ended takes what came of a run.
+func (s *shard) ended(key queue.Key, epoch uint64, work *Work, outcome Outcome) {
+	s.node.metrics.runs.WithLabelValues(outcome.Reason).Inc()
+	l := s.leader
+	if l == nil || l.epoch != epoch {
+		return
+	}
+	delete(l.runs, key)
+	if l.table.Entry(key) == nil {
+		return
+	}
+	final := outcome.Done || outcome.Dead || outcome.Failed && work.Failures+1 >= outcome.Attempts
+	if !final {
+		l.table.Return(key, outcome.Progress, outcome.Failed, time.Now().Add(outcome.Wait))
+		return
+	}
+	klog.InfoS("item decided", "job", key.Job, "item", work.Item.Id, "done", outcome.Done, "reason", outcome.Reason, "failures", work.Failures, "bytes", len(outcome.Text))
+	s.list(key, work.Item.Id, !outcome.Done, outcome.Text)
+}
+
+// list proposes an item's result. Until it is applied the item counts as
+// running, so it is not started again.
+func (s *shard) list(key queue.Key, item string, dead bool, text []byte) {
+	s.silent(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Finish{Finish: &wirev1.QueueResults{Results: []*wirev1.QueueResult{{
+		JobId: key.Job, Item: key.Number, ItemId: item, Dead: dead, Text: text,
+	}}}}})
+}
+
+func (s *shard) giveUpExpired(now time.Time) {
+	for _, entry := range s.leader.table.Expired(now.Add(-giveUpSlack)) {
+		klog.InfoS("item given up", "job", entry.Key.Job, "item", entry.ID, "failures", entry.Failures)
+		entry.GiveUp = now.Add(giveUpSlack) // proposed once in a while, until applied
+		s.list(entry.Key, entry.ID, true, nil)
+	}
+}
+
+// retain proposes to drop jobs past their retention that have nothing open.
+func (s *shard) retain(now time.Time) {
+	l := s.leader
+	if now.Sub(l.retained) < retainInterval {
+		return
+	}
+	l.retained = now
+	before := now.Add(-s.node.Retention).UnixMilli()
+	var old []string
+	for job, taken := range l.taken {
+		if taken < before && !l.table.Open(job) && len(old) < retainLimit {
+			old = append(old, job)
+		}
+	}
+	if len(old) > 0 {
+		klog.InfoS("jobs past their retention dropped", "shard", s.id, "jobs", len(old))
+		s.silent(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Drop{Drop: &wirev1.QueueDrop{JobIds: old}}})
+	}
+}
--- /dev/null
+++ b/internal/queuestore/node.go
@@ -0,0 +1,184 @@
+// Package queuestore runs the replicas of queue shards on a storage node: their
+// logs and elections, the applied state of batch jobs, changes of their member
+// sets, and, on the leader of a shard, the running of items.
+package queuestore
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/logstore"
+	"cobaltramp.example/cobaltramp/internal/peers"
+	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/queue"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+)
+
+// Work is one item to be run.
+type Work struct {
+	Key      queue.Key
+	Host     string
+	Route    string
+	Item     *wirev1.QueueItem
+	Progress queue.Progress
+	Due      time.Time
+	Failures int
+}
+
+// Outcome is what came of a run.
+type Outcome struct {
+	// Done: Text is the item's whole output. Dead: it can never be done.
+	Done, Dead bool
+	Text       []byte
+	// Failed: the runner's own failure, which counts as an attempt; Attempts is
+	// how many the route allows.
+	Failed   bool
+	Attempts int
+	// Progress is what is known of the output, for the next run.
+	Progress queue.Progress
+	// Wait is how long to wait before the next run.
+	Wait   time.Duration
+	Reason string
+}
+
+// Executor runs items at runners.
+type Executor interface {
+	// TryStart starts an item if a runner has room for it, and calls done once
+	// when the run has ended. It does not block.
+	TryStart(ctx context.Context, work *Work, done func(Outcome)) bool
+}
+
+// Retirement tells operators how far the emptying of a node is.
+type Retirement interface {
+	Report(ctx context.Context, node string, done bool)
+}
+
+// StoreContact tells whether the platform's store does not answer this node.
+type StoreContact interface{ Lost() bool }
+
+// Options are what a node needs.
+type Options struct {
+	Node       string
+	Region     string
+	DiskLosses int
+	// Retention is how long after its acceptance a finished job is kept.
+	Retention time.Duration
+	DB        *logstore.DB
+	Directory *peers.Directory
+	Layouts   *Layouts
+	Pool      *rpc.Pool
+	Store     platform.KeyValue
+	Contact   StoreContact
+	// Retirement is told what becomes of nodes that are being emptied.
+	Retirement Retirement
+	Executor   Executor
+	Registry   prometheus.Registerer
+}
+
+// Node runs this machine's replicas.
+type Node struct {
+	Options
+
+	metrics  *metrics
+	mutex    sync.Mutex
+	shards   map[uint32]*shard
+	context  context.Context
+	cancel   context.CancelFunc
+	draining atomic.Bool
+}
+
+// New returns a node that does not run yet.
+func New(options Options) *Node {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Node{Options: options, metrics: newMetrics(options.Registry), shards: map[uint32]*shard{}, context: ctx, cancel: cancel}
+}
+
+type metrics struct {
+	leading   prometheus.Gauge
+	unfinish  prometheus.Gauge
+	persists  prometheus.Histogram
+	jobs      *prometheus.CounterVec
+	results   *prometheus.CounterVec
+	runs      *prometheus.CounterVec
+	handOvers *prometheus.CounterVec
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		leading:   prometheus.NewGauge(prometheus.GaugeOpts{Name: "cobaltramp_queue_shards_leading", Help: "Queue shards this node leads."}),
+		unfinish:  prometheus.NewGauge(prometheus.GaugeOpts{Name: "cobaltramp_queue_items_unfinished", Help: "Accepted items without a result, on the leader."}),
+		persists:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cobaltramp_queue_persist_seconds", Help: "Time of one durable write.", Buckets: prometheus.ExponentialBuckets(0.0005, 2, 13)}),
+		jobs:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_queue_jobs_total", Help: "Submissions by outcome."}, []string{"outcome"}),
+		results:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_queue_results_total", Help: "Listed results by kind."}, []string{"kind"}),
+		runs:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_queue_runs_total", Help: "Ended runs of items by reason."}, []string{"reason"}),
+		handOvers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_queue_handovers_total", Help: "Member set changes driven here by outcome."}, []string{"outcome"}),
+	}
+	registry.MustRegister(m.leading, m.unfinish, m.persists, m.jobs, m.results, m.runs, m.handOvers)
+	return m
+}
+
+// Handle registers the node's calls.
+func (n *Node) Handle(server *rpc.Server) {
+	server.HandleNotice(wirev1.Method_METHOD_REPLICA, n.receiveReplica)
+	server.Handle(wirev1.Method_METHOD_SNAPSHOT, n.serveSnapshot)
+	server.Handle(wirev1.Method_METHOD_QUEUE_SUBMIT, n.serveSubmit)
+	server.Handle(wirev1.Method_METHOD_QUEUE_READ, n.serveRead)
+	server.Handle(wirev1.Method_METHOD_QUEUE_ITEM, n.serveItem)
+	server.Handle(wirev1.Method_METHOD_QUEUE_END, n.serveEnd)
+}
+
+// Start starts the shards the disk holds, before the platform's store is
+// asked: elections need only the shards' own replicas.
+func (n *Node) Start() error {
+	ids, err := n.DB.Shards()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, id := range ids {
+		if err := n.startShard(id, nil); err != nil {
+			return trace.Wrap(err, "shard %d", id)
+		}
+	}
+	go n.layoutLoop(n.context)
+	return nil
+}
+
+func (n *Node) shard(id uint32) *shard {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.shards[id]
+}
+
+func (n *Node) allShards() []*shard {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	list := make([]*shard, 0, len(n.shards))
+	for _, s := range n.shards {
+		list = append(list, s)
+	}
+	return list
+}
+
+// Drain hands leaderships on; the node takes no new part in changes.
+func (n *Node) Drain(ctx context.Context) {
+	n.draining.Store(true)
+	for _, s := range n.allShards() {
+		s.handOnLeadership(ctx)
+	}
+}
+
+// Stop ends all replicas.
+func (n *Node) Stop() {
+	n.cancel()
+	for _, s := range n.allShards() {
+		s.stop()
+	}
+	klog.InfoS("queue replicas stopped", "node", n.Node)
+}
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -19,6 +19,9 @@
 //     member raises the attempt by compare-and-swap, which makes the sealer's
 //     own fail; then the old generation thaws and goes on.
 
+// sealerDelay lets the other members hear of the new generation.
+const sealerDelay = 80 * time.Millisecond
+
 // SetLearners names disks that catch up without counting.
 func (r *Replica) SetLearners(now time.Time, learners []string) {
 	r.learners = learners
@@ -105,11 +108,18 @@
 
 // activate moves to a newer member set. The log goes on unchanged.
 func (r *Replica) activate(now time.Time, next Config) {
+	sealer := r.frozenBy != nil
 	r.config = next
 	r.hard.Generation = next.Generation
 	r.learners = nil
 	r.leader = ""
 	r.thaw(now)
+	// The generation has no leader yet: who led the one before campaigns first.
+	r.leaderSeen = time.Time{}
+	r.deadline = now.Add(sealerDelay)
+	if !sealer {
+		r.deadline = now.Add(firstElection + time.Duration(r.random.Int64N(int64(firstElection))))
+	}
 }
 
 func (r *Replica) handleFreeze(now time.Time, message *wirev1.ReplicaMessage) {
--- a/internal/replica/lead.go
+++ b/internal/replica/lead.go
@@ -14,6 +14,61 @@
 	seenAt    time.Time
 	sentAt    time.Time
 	confirmed bool // answered in this epoch
+	probe     uint64
+	inFlight  []sentEntries
+}
+
+// sentEntries are entries on their way to a member.
+type sentEntries struct {
+	last  uint64
+	bytes int
+}
+
+func (p *progress) inFlightBytes() int {
+	total := 0
+	for _, sent := range p.inFlight {
+		total += sent.bytes
+	}
+	return total
+}
+
+// landed forgets what a member has answered for.
+func (p *progress) landed(match uint64) {
+	for len(p.inFlight) > 0 && p.inFlight[0].last <= match {
+		p.inFlight = p.inFlight[1:]
+	}
+}
+
+// BeginProbe starts a round that confirms, once Confirmed reaches the returned
+// number, that no other replica led when the round began.
+func (r *Replica) BeginProbe(now time.Time) uint64 {
+	r.probe++
+	if r.role == Leader {
+		for _, member := range r.followers() {
+			r.sendAppend(member, r.progress[member], now, true)
+		}
+	}
+	return r.probe
+}
+
+// Confirmed returns the last round that enough members have answered: any
+// election quorum shares a member with them.
+func (r *Replica) Confirmed() uint64 {
+	if r.role != Leader {
+		return 0
+	}
+	rounds := []uint64{r.probe}
+	for member, p := range r.progress {
+		if r.config.Has(member) {
+			rounds = append(rounds, p.probe)
+		}
+	}
+	quorum := r.config.WriteQuorum()
+	if len(rounds) < quorum {
+		return 0
+	}
+	sort.Slice(rounds, func(i, j int) bool { return rounds[i] > rounds[j] })
+	return rounds[quorum-1]
 }
 
 // LiveMembers counts members heard of within the election time, a leader's
@@ -41,6 +96,7 @@
 		// No answer for two heartbeats: what was sent may be lost.
 		if p.next > p.match+1 && now.Sub(p.heardAt) > 2*r.timing.Heartbeat {
 			p.next = p.match + 1
+			p.inFlight = nil
 		}
 		busy := p.confirmed && now.Sub(p.sentAt) < r.timing.Heartbeat
 		if !busy || p.next > p.match+1 {
@@ -114,7 +170,7 @@
 	for {
 		// A member that has not answered in this epoch is probed one message
 		// at a time.
-		blocked := !p.confirmed && !heartbeat || p.next-p.match > maxInFlight
+		blocked := !p.confirmed && !heartbeat || p.next-p.match > maxInFlight || p.inFlightBytes() > maxInFlightBytes
 		var entries []*wirev1.LogEntry
 		if !blocked && p.next <= r.lastIndex() {
 			entries = r.read(p.next)
@@ -130,10 +186,13 @@
 		r.sendEarly(&wirev1.ReplicaMessage{
 			Kind: wirev1.ReplicaKind_REPLICA_KIND_APPEND, To: member, Epoch: r.hard.Promised,
 			LastIndex: previous, LastEpoch: previousEpoch, Commit: r.hard.Commit, Entries: entries,
-			Learner: !r.config.Has(member),
+			Learner: !r.config.Has(member), Probe: r.probe,
 		})
 		p.sentAt = now
 		p.next += uint64(len(entries))
+		if len(entries) > 0 {
+			p.inFlight = append(p.inFlight, sentEntries{p.next - 1, commandBytes(entries)})
+		}
 		heartbeat = false
 		if len(entries) == 0 || !p.confirmed {
 			return
@@ -165,6 +224,14 @@
 	return entries
 }
 
+func commandBytes(entries []*wirev1.LogEntry) int {
+	size := 0
+	for _, entry := range entries {
+		size += len(entry.Command)
+	}
+	return size
+}
+
 func bounded(entries []*wirev1.LogEntry) []*wirev1.LogEntry {
 	size := 0
 	for i, entry := range entries {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -48,10 +48,19 @@
 	// Attempt counts hand-overs of this generation that were given up. Raising
 	// it in the platform's service fences the sealer of the attempt before.
 	Attempt uint64 `json:"attempt,omitempty"`
+	// Copies is the number of fsynced copies before an acknowledgement; 0 is
+	// CopiesWanted. It never changes over the life of a shard.
+	Copies int `json:"copies,omitempty"`
 }
 
 // WriteQuorum is the number of disks that must hold an entry to commit it.
-func (c Config) WriteQuorum() int { return min(CopiesWanted, len(c.Members)) }
+func (c Config) WriteQuorum() int {
+	copies := c.Copies
+	if copies == 0 {
+		copies = CopiesWanted
+	}
+	return min(copies, len(c.Members))
+}
 
 // ElectionQuorum is the number of votes that elect; it shares a member with
 // every write quorum.
@@ -113,8 +122,11 @@
 const (
 	// maxAppendBytes bounds the entries of one message.
 	maxAppendBytes = 1 << 20
-	// maxInFlight bounds entries sent and not yet answered by a follower.
-	maxInFlight = 4096
+	// maxInFlight bounds entries sent and not yet answered by a follower,
+	// maxInFlightBytes their size, so that a member that catches up does not
+	// make the leader hold the whole log in its queues.
+	maxInFlight      = 4096
+	maxInFlightBytes = 4 << 20
 	// An epoch is made of the generation, a counter, and the candidate's place
 	// in the member set. The place keeps candidates of one generation apart, the
 	// generation those of different member sets: an entry's index and epoch must
@@ -177,6 +189,7 @@
 	progress    map[string]*progress
 	learners    []string
 	epochStart  uint64 // index of the leader's first entry
+	probe       uint64 // the last round of BeginProbe
 	frozenBy    map[string]bool
 }
 
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -123,7 +123,7 @@
 	matched := message.LastIndex + uint64(len(message.Entries))
 	r.hard.Commit = max(r.hard.Commit, min(message.Commit, matched))
 	r.send(&wirev1.ReplicaMessage{
-		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, Granted: true, MatchIndex: matched,
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, Granted: true, MatchIndex: matched, Probe: message.Probe,
 	})
 }
 
@@ -144,7 +144,7 @@
 
 func (r *Replica) reject(message *wirev1.ReplicaMessage, hint uint64) {
 	r.send(&wirev1.ReplicaMessage{
-		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, MatchIndex: hint,
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, MatchIndex: hint, Probe: message.Probe,
 	})
 }
 
@@ -196,7 +196,9 @@
 		return
 	}
 	p.heardAt = now
+	p.probe = max(p.probe, message.Probe)
 	if !message.Granted {
+		p.inFlight = nil
 		p.next = max(p.match, min(message.MatchIndex, r.lastIndex())) + 1
 		p.confirmed = false
 		r.sendAppend(message.From, p, now, true)
@@ -205,6 +207,7 @@
 	p.confirmed = true
 	p.match = max(p.match, message.MatchIndex)
 	p.next = max(p.next, p.match+1)
+	p.landed(p.match)
 	r.advanceCommit()
 	r.sendAppend(message.From, p, now, false)
 }
--- /dev/null
+++ b/internal/role/role.go
@@ -0,0 +1,90 @@
+// Package role runs one node of a role: an edge, which serves callers and keeps
+// nothing, or a storage node, which keeps batch jobs on its disk and runs their
+// items.
+package role
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"k8s.io/klog/v2"
+
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/internal/version"
+)
+
+// Roles of a node.
+const (
+	Edge    = "edge"
+	Storage = "storage"
+)
+
+const (
+	// heapShare of the machine's memory is the collector's limit; the rest is for
+	// stacks, sockets and what the database maps.
+	heapShare = 0.5
+	// stopSlack is kept of the time to stop, for the end of the process itself.
+	stopSlack = 900 * time.Millisecond
+)
+
+// Run runs a node until a signal asks it to stop. SIGHUP reads the settings
+// again, which cuts nothing.
+func Run(name, path string) error {
+	loaded, err := settings.LoadRole(path)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(heapShare * float64(loaded.Machine.MemoryMegabytes) * (1 << 20)))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
+	started := time.Now()
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	k, err := kernel.New(kernel.NamesOf(name), loaded, registry)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := k.Start(); err != nil {
+		return trace.Wrap(err)
+	}
+	klog.InfoS("started", "role", name, "node", loaded.Node, "zone", loaded.Zone, "version", version.Version, "pid", os.Getpid(),
+		"firstStart", loaded.FirstStart, "diskLosses", loaded.DiskLosses, "ms", time.Since(started).Milliseconds())
+	for received := range signals {
+		if received != syscall.SIGHUP {
+			break
+		}
+		reload(path, loaded)
+	}
+	stop(k, loaded)
+	return nil
+}
+
+// reload reads the settings again. What they say of addresses holds from the
+// next start on; seeds and the rest are not needed by a running node.
+func reload(path string, before *settings.Role) {
+	next, err := settings.LoadRole(path)
+	if err != nil {
+		klog.ErrorS(err, "settings not taken, those in force stay", "node", before.Node)
+		return
+	}
+	klog.InfoS("settings read again", "node", next.Node, "seeds", next.Seeds)
+}
+
+func stop(k *kernel.Kernel, loaded *settings.Role) {
+	klog.InfoS("stopping", "node", loaded.Node, "within", loaded.StopTime())
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), loaded.StopTime()-stopSlack)
+	defer cancel()
+	k.Drain(ctx)
+	k.Kill()
+	klog.InfoS("stopped", "node", loaded.Node, "ms", time.Since(began).Milliseconds())
+}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -16,6 +16,7 @@
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/sockets"
 )
 
 // Class separates kinds of traffic onto their own connections.
@@ -216,7 +217,7 @@
 }
 
 func (p *Pool) dialConn(ctx context.Context, address string) (net.Conn, error) {
-	dialer := &net.Dialer{}
+	dialer := sockets.Dialer(dialTimeout)
 	var config *tls.Config
 	if p.tls != nil {
 		config = p.tls()
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -22,6 +23,37 @@
 	Closed
 )
 
+// Times after which a peer that says nothing counts as gone.
+const (
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 4
+	// unackedTime bounds how long written bytes may stay unacknowledged.
+	unackedTime = 2500 * time.Millisecond
+)
+
+// Dialer returns a dialer whose connections notice a dead peer within a few
+// seconds, with and without bytes on their way.
+func Dialer(timeout time.Duration) *net.Dialer {
+	return &net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+}
+
+// ListenConfig returns the same for accepted connections.
+func ListenConfig() *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: keepAlive(), Control: setUserTimeout}
+}
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount}
+}
+
+// setUserTimeout is best effort: a kernel without the option still probes.
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(descriptor uintptr) {
+		_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTime.Milliseconds()))
+	})
+}
+
 type unwrapper interface{ NetConn() net.Conn }
 
 // Raw finds the socket beneath TLS and tracking layers, nil if there is none.
--- /dev/null
+++ b/modules/batch/queues/queues.go
@@ -0,0 +1,99 @@
+// Package queues runs the queue replicas of a storage node.
+package queues
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+	"k8s.io/klog/v2"
+
+	"cobaltramp.example/cobaltramp/internal/catalog"
+	"cobaltramp.example/cobaltramp/internal/exchange"
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/logstore"
+	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/queuerun"
+	"cobaltramp.example/cobaltramp/internal/queuestore"
+	"cobaltramp.example/cobaltramp/internal/role"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+	"cobaltramp.example/cobaltramp/internal/runnerset"
+	"cobaltramp.example/cobaltramp/internal/settings"
+	link "cobaltramp.example/cobaltramp/platform"
+)
+
+// ModuleName registers the module.
+const ModuleName = "batch.queues"
+
+func init() {
+	kernel.Register(kernel.Info{
+		Name: ModuleName, Roles: []string{role.Storage}, Needs: []string{link.ModuleName},
+		New: func() kernel.Module { return &Module{} },
+	})
+}
+
+// Module runs the replicas on this node's disk.
+type Module struct {
+	settings *settings.Role
+	db       *logstore.DB
+	node     *queuestore.Node
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Starter = (*Module)(nil)
+	_ kernel.Drainer = (*Module)(nil)
+	_ kernel.Cleaner = (*Module)(nil)
+)
+
+// retentionFactor is how many times the time that results are promised for a
+// job is kept: its client counts from its own first try.
+const retentionFactor = 2
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	options := queuestore.Options{}
+	var server *rpc.Server
+	var catalogs *catalog.Holder
+	var runners *runnerset.Set
+	var client exchange.Client
+	var store platform.KeyValue
+	err := ctx.Fill(
+		kernel.Into(&m.settings), kernel.Into(&server), kernel.Into(&catalogs), kernel.Into(&runners), kernel.Into(&client),
+		kernel.Into(&store), kernel.Into(&options.Directory), kernel.Into(&options.Layouts), kernel.Into(&options.Pool),
+		kernel.Into(&options.Contact), kernel.Into(&options.Retirement), kernel.Into(&options.Registry),
+	)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if m.settings.DataFolder == "" {
+		return &settings.FieldError{Path: "data_folder", Found: "", Allowed: "a folder on the node's disk"}
+	}
+	if m.db, err = logstore.Open(m.settings.DataFolder, 0); err != nil {
+		return trace.Wrap(err)
+	}
+	klog.InfoS("disk opened", "folder", m.settings.DataFolder, "disk", m.db.DiskID())
+	options.Directory.SetDisk(m.db.DiskID())
+	options.Node, options.Region = m.settings.Node, m.settings.Region
+	options.DiskLosses, options.Retention = m.settings.DiskLosses, retentionFactor*m.settings.ResultsKept()
+	options.DB, options.Store = m.db, store
+	options.Executor = &queuerun.Executor{Zone: m.settings.Zone, Catalogs: catalogs, Runners: runners, Client: client}
+	m.node = queuestore.New(options)
+	m.node.Handle(server)
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(context.Context) error { return m.node.Start() }
+
+// Drain implements kernel.Drainer: leaderships are handed on.
+func (m *Module) Drain(ctx context.Context) { m.node.Drain(ctx) }
+
+// Cleanup implements kernel.Cleaner.
+func (m *Module) Cleanup() {
+	if m.node != nil {
+		m.node.Stop()
+	}
+	if m.db != nil {
+		_ = m.db.Close()
+	}
+}
--- /dev/null
+++ b/modules/roles/metrics/metrics.go
@@ -0,0 +1,72 @@
+// Package metrics serves a role's counters and histograms as text.
+package metrics
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/role"
+	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/internal/sockets"
+)
+
+// ModuleName registers the module.
+const ModuleName = "roles.metrics"
+
+// Path is where the figures are.
+const Path = "/metrics"
+
+func init() {
+	kernel.Register(kernel.Info{Name: ModuleName, Roles: []string{role.Edge, role.Storage}, New: func() kernel.Module { return &Module{} }})
+}
+
+// Module serves the figures if the settings name a port.
+type Module struct {
+	settings *settings.Role
+	registry *prometheus.Registry
+	server   *http.Server
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Starter = (*Module)(nil)
+	_ kernel.Cleaner = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	return ctx.Fill(kernel.Into(&m.settings), kernel.Into(&m.registry))
+}
+
+const headerTimeout = 3 * time.Second
+
+// Start implements kernel.Starter.
+func (m *Module) Start(ctx context.Context) error {
+	if m.settings.Listen.MetricsPort == 0 {
+		return nil
+	}
+	address := fmt.Sprintf("%s:%d", m.settings.Address, m.settings.Listen.MetricsPort)
+	listener, err := sockets.ListenConfig().Listen(ctx, "tcp", address)
+	if err != nil {
+		return trace.Wrap(err, "listening for metrics on %s", address)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(Path, promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	m.server = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = m.server.Serve(listener) }()
+	return nil
+}
+
+// Cleanup implements kernel.Cleaner.
+func (m *Module) Cleanup() {
+	if m.server != nil {
+		_ = m.server.Close()
+	}
+}
--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -6,6 +6,7 @@
 	// Each import registers one module.
 	_ "cobaltramp.example/cobaltramp/modules/batch/directory"
 	_ "cobaltramp.example/cobaltramp/modules/batch/disk"
+	_ "cobaltramp.example/cobaltramp/modules/batch/queues"
 	_ "cobaltramp.example/cobaltramp/modules/batch/store"
 	_ "cobaltramp.example/cobaltramp/modules/batch/worker"
 	_ "cobaltramp.example/cobaltramp/modules/callers/openai"
@@ -17,6 +18,9 @@
 	_ "cobaltramp.example/cobaltramp/modules/operators/admin"
 	_ "cobaltramp.example/cobaltramp/modules/platform/etcdgateway"
 	_ "cobaltramp.example/cobaltramp/modules/platform/httpsd"
+	_ "cobaltramp.example/cobaltramp/modules/roles/links"
+	_ "cobaltramp.example/cobaltramp/modules/roles/metrics"
 	_ "cobaltramp.example/cobaltramp/modules/serving/owner"
 	_ "cobaltramp.example/cobaltramp/modules/serving/router"
+	_ "cobaltramp.example/cobaltramp/platform"
 )
