A disk's identity outlives a loss of power

The identity file was renamed into place without a sync of its folder. Ruled out: the log itself (log=414 applied=413 known=true at the restart), the store (it answered). Change: the file is synced, renamed, and the folder and those above it synced; the database works on an injected file system, so that a test can lose power. Test TestPowerLossKeepsIdentityAndEntries fails without the folder sync and passes with it.

--- a/internal/logstore/db.go
+++ b/internal/logstore/db.go
@@ -6,15 +6,16 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"os"
+	"io"
 	"path/filepath"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors/oserror"
 	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
-	"golang.org/x/sys/unix"
 	"k8s.io/klog/v2"
 )
 
@@ -25,6 +26,7 @@
 
 // DB is the database of one data folder.
 type DB struct {
+	fs      vfs.FS
 	folder  string
 	diskID  string
 	reserve int64
@@ -34,18 +36,21 @@
 // Open opens or creates the database of a data folder. A database that is
 // damaged is moved aside and replaced by an empty one with a new identity: it
 // may have forgotten promises, so it must not vote as the disk it was.
-func Open(folder string, reserve int64) (*DB, error) {
-	if err := os.MkdirAll(folder, 0o755); err != nil {
+func Open(folder string, reserve int64) (*DB, error) { return OpenOn(vfs.Default, folder, reserve) }
+
+// OpenOn is Open on a file system.
+func OpenOn(fs vfs.FS, folder string, reserve int64) (*DB, error) {
+	if err := fs.MkdirAll(folder, 0o755); err != nil {
 		return nil, trace.Wrap(trace.ConvertSystemError(err), "data folder")
 	}
-	d := &DB{folder: folder, reserve: reserve}
-	opened, err := openChecked(filepath.Join(folder, databaseFolder))
+	d := &DB{fs: fs, folder: folder, reserve: reserve}
+	opened, err := d.openChecked(filepath.Join(folder, databaseFolder))
 	if err != nil {
 		klog.ErrorS(err, "database is damaged, moved aside; the disk gets a new identity", "folder", folder)
 		if err := d.moveAside(); err != nil {
 			return nil, err
 		}
-		if opened, err = openPebble(filepath.Join(folder, databaseFolder)); err != nil {
+		if opened, err = d.openPebble(filepath.Join(folder, databaseFolder)); err != nil {
 			return nil, trace.Wrap(err, "opening database in %s", folder)
 		}
 	}
@@ -58,8 +63,8 @@
 }
 
 // openChecked opens a database and checks every entry of every log.
-func openChecked(path string) (*pebble.DB, error) {
-	opened, err := openPebble(path)
+func (d *DB) openChecked(path string) (*pebble.DB, error) {
+	opened, err := d.openPebble(path)
 	if err != nil {
 		return nil, err
 	}
@@ -83,8 +88,9 @@
 	return nil
 }
 
-func openPebble(path string) (*pebble.DB, error) {
+func (d *DB) openPebble(path string) (*pebble.DB, error) {
 	options := &pebble.Options{
+		FS:           d.fs,
 		Logger:       quietLogger{},
 		MemTableSize: 16 << 20,
 		// Values are small records and segments that are read once or twice.
@@ -110,17 +116,30 @@
 // replaced with it.
 func (d *DB) identity() (string, error) {
 	path := filepath.Join(d.folder, identityFile)
-	text, err := os.ReadFile(path)
-	if err == nil && len(strings.TrimSpace(string(text))) > 0 {
-		return strings.TrimSpace(string(text)), nil
+	if text := d.read(path); text != "" {
+		return text, nil
 	}
 	id := newDiskID()
-	if err := writeSynced(path, []byte(id+"\n")); err != nil {
+	if err := d.writeSynced(path, []byte(id+"\n")); err != nil {
 		return "", trace.Wrap(err, "writing disk identity")
 	}
 	return id, nil
 }
 
+// read returns a small file's text without its end, "" if it can't be read.
+func (d *DB) read(path string) string {
+	file, err := d.fs.Open(path)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = file.Close() }()
+	text, err := io.ReadAll(file)
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(text))
+}
+
 // diskIDBytes of randomness name a disk; ids travel on every replica message.
 const diskIDBytes = 8
 
@@ -129,9 +148,11 @@
 	return fmt.Sprintf("disk-%x", random[:diskIDBytes])
 }
 
-func writeSynced(path string, text []byte) error {
+// writeSynced replaces a file so that a loss of power leaves the old or the
+// new one: the text is synced before the name, and the name before return.
+func (d *DB) writeSynced(path string, text []byte) error {
 	temporary := path + ".new"
-	file, err := os.Create(temporary)
+	file, err := d.fs.Create(temporary, vfs.WriteCategoryUnspecified)
 	if err != nil {
 		return trace.ConvertSystemError(err)
 	}
@@ -146,17 +167,41 @@
 	if err := file.Close(); err != nil {
 		return trace.ConvertSystemError(err)
 	}
-	return trace.ConvertSystemError(os.Rename(temporary, path))
+	if err := d.fs.Rename(temporary, path); err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	return d.syncFolders()
+}
+
+// syncFolders makes the names in the data folder, and its own, last.
+func (d *DB) syncFolders() error {
+	for folder := d.folder; ; folder = filepath.Dir(folder) {
+		if err := d.syncFolder(folder); err != nil && folder == d.folder {
+			return err // the folders above may be out of reach
+		}
+		if folder == filepath.Dir(folder) {
+			return nil
+		}
+	}
+}
+
+func (d *DB) syncFolder(folder string) error {
+	opened, err := d.fs.OpenDir(folder)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer func() { _ = opened.Close() }()
+	return trace.ConvertSystemError(opened.Sync())
 }
 
 // moveAside keeps a damaged database for inspection and forgets its identity.
 func (d *DB) moveAside() error {
 	stamp := time.Now().UTC().Format("20060102-150405.000")
 	from := filepath.Join(d.folder, databaseFolder)
-	if err := os.Rename(from, filepath.Join(d.folder, "damaged-"+stamp)); err != nil && !os.IsNotExist(err) {
+	if err := d.fs.Rename(from, filepath.Join(d.folder, "damaged-"+stamp)); err != nil && !oserror.IsNotExist(err) {
 		return trace.ConvertSystemError(err)
 	}
-	if err := os.Remove(filepath.Join(d.folder, identityFile)); err != nil && !os.IsNotExist(err) {
+	if err := d.fs.Remove(filepath.Join(d.folder, identityFile)); err != nil && !oserror.IsNotExist(err) {
 		return trace.ConvertSystemError(err)
 	}
 	return nil
@@ -170,11 +215,8 @@
 
 // HasRoom reports whether more than the reserve is free under the data folder.
 func (d *DB) HasRoom() bool {
-	var stat unix.Statfs_t
-	if err := unix.Statfs(d.folder, &stat); err != nil {
-		return false
-	}
-	return int64(stat.Bavail)*stat.Bsize > d.reserve
+	usage, err := d.fs.GetDiskUsage(d.folder)
+	return err == nil && int64(usage.AvailBytes) > d.reserve
 }
 
 // Metrics returns pebble's metrics.
--- a/internal/logstore/logstore_test.go
+++ b/internal/logstore/logstore_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/cockroachdb/pebble/v2"
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/matryer/is"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
@@ -210,3 +211,25 @@
 		}
 	}
 }
+
+// A loss of power right after the first durable write loses neither the disk's
+// identity nor what was written, whatever folder entries were not synced.
+func TestPowerLossKeepsIdentityAndEntries(t *testing.T) {
+	is := is.New(t)
+	disk := vfs.NewCrashableMem()
+	db, err := OpenOn(disk, "/data/node", 0)
+	is.NoErr(err)
+	identity := db.DiskID()
+	ready := &replica.Ready{
+		HardState: &replica.HardState{Promised: 5, Generation: 1},
+		Entries:   []*wirev1.LogEntry{{Index: 1, Epoch: 5, Command: []byte("taken"), Checksum: replica.Checksum([]byte("taken"))}},
+	}
+	is.NoErr(db.Shard(0).Persist(ready, replica.Config{Generation: 1, Members: []string{identity}}, 0, 0))
+	after, err := OpenOn(disk.CrashClone(vfs.CrashCloneCfg{}), "/data/node", 0)
+	is.NoErr(err)
+	is.Equal(after.DiskID(), identity)
+	loaded, err := after.Shard(0).Load()
+	is.NoErr(err)
+	is.Equal(len(loaded.Epochs), 1)
+	is.Equal(loaded.Hard.Promised, uint64(5))
+}
