Runners are chosen by the expected first event; batch gives way; what is begun is finished first

Batch was late because it went by due time alone. Ruled out: the runners' speed (p50 28 ms without waiting), processor time of edges (under 0.02 cores). Change: nodes tell each other what they have at runners (loadshare); the choice is by tokens not yet read, kept parts, slots, slowness, zone and bytes; the queue's leader keeps one slot free, ends the run with most time to spare when online work needs its slot, and continues it later; begun items go first, late ones last.

--- a/internal/online/online.go
+++ b/internal/online/online.go
@@ -35,8 +35,8 @@
 	Deadline time.Time
 	// ResumeAfter is the last event the caller has; negative to start anew.
 	ResumeAfter int64
-	// Affinity names the part of the prompt worth finding again.
-	Affinity string
+	// Prompt is what is known of the prompt.
+	Prompt runnerset.Prompt
 }
 
 // Responder takes the answer. Before Head nothing has been said.
@@ -168,7 +168,7 @@
 // choose picks a runner, and waits a little if none is listed.
 func (s *serving) choose(ctx context.Context) (runnerset.Choice, error) {
 	service := s.request.Route.ServiceFor(s.request.ID)
-	wish := &runnerset.Wish{Service: service, Zone: s.Zone, Affinity: s.request.Affinity, Excluded: s.tried}
+	wish := &runnerset.Wish{Service: service, Zone: s.Zone, Prompt: s.request.Prompt, Bytes: len(s.request.Body), Excluded: s.tried}
 	until := time.Now().Add(noRunnerWait)
 	for {
 		changed := s.Runners.Changed()
@@ -204,15 +204,16 @@
 // attempt sends the request to a runner. It reports whether to try another.
 func (s *serving) attempt(ctx context.Context, choice runnerset.Choice) (bool, error) {
 	runner := choice.Runner
-	end := runner.BeginOnline()
-	defer end()
 	started := time.Now()
+	use := s.Runners.Begin(runner, s.request.Prompt, false, started)
+	defer use.End()
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watch := s.watchSilence(cancel)
 	defer watch.Stop()
 	answer, err := s.Client.Do(attemptContext, s.call(runner))
 	if err != nil {
+		use.Slow(time.Now())
 		again, err := s.notAnswered(ctx, runner, err)
 		s.note(choice, started, err, again)
 		return again, err
@@ -221,7 +222,7 @@
 	s.runs++
 	s.sent = true
 	runner.NoteLoad(answer.Load, time.Now())
-	again, err := s.pass(ctx, runner, answer, started, watch)
+	again, err := s.pass(ctx, runner, answer, use, watch)
 	s.note(choice, started, err, again)
 	return again, err
 }
@@ -233,7 +234,7 @@
 	}
 	s.attempts.WithLabelValues(result.CodeOf(err).String()).Inc()
 	revision, since := s.Runners.Revision()
-	klog.InfoS("attempt", "id", s.request.ID, "runner", choice.Runner.ID, "zone", choice.Runner.Zone, "load", int(choice.Load),
+	klog.InfoS("attempt", "id", s.request.ID, "runner", choice.Runner.ID, "zone", choice.Runner.Zone, "load", int(choice.Load), "unread", int(choice.Unread), "costMs", choice.Cost.Milliseconds(),
 		"candidates", choice.Candidates, "list", revision, "listAgeMs", time.Since(since).Milliseconds(),
 		"ms", time.Since(started).Milliseconds(), "again", again, "outcome", outcome)
 }
@@ -302,23 +303,23 @@
 }
 
 // pass passes an answer on.
-func (s *serving) pass(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer, started time.Time, watch *time.Timer) (bool, error) {
+func (s *serving) pass(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer, use *runnerset.Use, watch *time.Timer) (bool, error) {
 	if answer.Status >= http.StatusInternalServerError && s.mayMove() && answer.Status != http.StatusGatewayTimeout {
 		runner.NoteBad(time.Now())
 		s.lastCause = fmt.Sprintf("runner answered %d", answer.Status)
 		return true, nil
 	}
 	if answer.Status == http.StatusOK && s.request.Route.Kind == catalog.Streaming {
-		return s.stream(ctx, runner, answer, started, watch)
+		return s.stream(ctx, runner, answer, use, watch)
 	}
 	if s.headSent {
 		return false, result.New(result.StreamBroken, "the stream could not go on: status %d", answer.Status)
 	}
-	return s.whole(ctx, runner, answer, started)
+	return s.whole(ctx, runner, answer, use)
 }
 
 // whole passes on an answer that is not a stream.
-func (s *serving) whole(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer, started time.Time) (bool, error) {
+func (s *serving) whole(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer, use *runnerset.Use) (bool, error) {
 	if !answer.Stamped && answer.Status < http.StatusMultipleChoices {
 		runner.NoteBad(time.Now())
 		return s.broken(ctx, errors.New("a success without the runner's mark"))
@@ -328,7 +329,7 @@
 		runner.NoteBad(time.Now())
 		return s.broken(ctx, err)
 	}
-	s.seen(runner, started, answer.Status < http.StatusMultipleChoices)
+	s.seen(use)
 	length := answer.Length
 	if len(body) < wholeBytes {
 		length = int64(len(body))
@@ -364,15 +365,13 @@
 }
 
 // seen records the time to the first event or answer.
-func (s *serving) seen(runner *runnerset.Runner, started time.Time, good bool) {
+func (s *serving) seen(use *runnerset.Use) {
 	now := time.Now()
 	if s.firstSeen == 0 {
 		s.firstSeen = now.Sub(s.request.Received)
 		s.first.Observe(s.firstSeen.Seconds())
 	}
-	if good {
-		runner.NoteGood(now.Sub(started))
-	}
+	use.First(now)
 }
 
 // broken decides what becomes of a request whose answer broke.
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -15,7 +15,7 @@
 // stream passes on events as they come, only whole ones and only in order. The
 // head goes out with the first event, so that a run that breaks before it can
 // be replaced unseen; the head of the first runner stays.
-func (s *serving) stream(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer, started time.Time, watch *time.Timer) (bool, error) {
+func (s *serving) stream(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer, use *runnerset.Use, watch *time.Timer) (bool, error) {
 	if !answer.Stamped {
 		runner.NoteBad(time.Now())
 		return s.broken(ctx, errors.New("a success without the runner's mark"))
@@ -31,13 +31,13 @@
 			err = &eventstream.BrokenError{Reason: "an event out of order"}
 		}
 		if err != nil {
-			s.noteBroken(ctx, runner, first, started)
+			s.noteBroken(ctx, runner, first, use)
 			return s.broken(ctx, err)
 		}
 		watch.Reset(s.silence())
 		if first {
 			first = false
-			s.seen(runner, started, true)
+			s.seen(use)
 		}
 		if !s.headSent {
 			s.headSent = true
@@ -52,10 +52,10 @@
 	}
 }
 
-func (s *serving) noteBroken(ctx context.Context, runner *runnerset.Runner, first bool, started time.Time) {
+func (s *serving) noteBroken(ctx context.Context, runner *runnerset.Runner, first bool, use *runnerset.Use) {
 	if ctx.Err() != nil {
 		if first {
-			runner.NoteSlow(time.Since(started))
+			use.Slow(time.Now())
 		}
 		return
 	}
--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -38,6 +38,8 @@
 	// calmEvery is how many rounds a node that the store serves skips between
 	// two questions to nodes with disks.
 	calmEvery = 2
+	// eagerRounds after its start a node asks at every round.
+	eagerRounds = 6
 )
 
 // Serve answers a peer's question.
@@ -55,14 +57,14 @@
 	return stream.Send(reply)
 }
 
-// Run asks until the context ends: other disk nodes always, anybody while the
-// store does not answer.
+// Run asks until the context ends: one peer a second, one at each round while
+// the store does not answer or no peer is known, and disk nodes each other.
 func (e *Exchange) Run(ctx context.Context) {
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
 	for round := 0; ; round++ {
-		if e.Documents.Stale() {
-			e.ask(ctx, e.anyPeer())
+		if e.Documents.Stale() || round < eagerRounds || round%calmEvery == 0 {
+			go e.ask(ctx, e.anyPeer())
 		}
 		if self := e.Directory.Self(); self.DiskId != "" && round%calmEvery == 0 {
 			for _, disk := range e.Directory.Disks() {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -92,7 +92,7 @@
 		ResultTargetMs: job.ResultTargetMs, GiveUpMs: job.GiveUpMs, Index: index,
 	}
 	for number, item := range job.Items {
-		record.Items = append(record.Items, &wirev1.QueueItemInfo{Id: item.Id, Tokens: item.Tokens})
+		record.Items = append(record.Items, &wirev1.QueueItemInfo{Id: item.Id, Tokens: item.Tokens, OutputTokens: item.OutputTokens})
 		if err := save(store, numbered(spaceItem, job.Id, uint32(number)), item); err != nil {
 			return nil, err
 		}
--- a/internal/queue/table.go
+++ b/internal/queue/table.go
@@ -26,10 +26,13 @@
 	Failures int
 	// NotBefore delays the next try.
 	NotBefore time.Time
+	// Output is the submitter's estimate of the tokens that come out.
+	Output uint32
 	// Progress is what earlier runs have produced.
 	Progress Progress
 	running  bool
 	order    uint64
+	rank     int // as of the last Ready
 }
 
 // Progress is the part of an item's output that is known.
@@ -47,6 +50,7 @@
 	jobs    map[string]map[uint32]*Entry
 	waiting map[string]uint64
 	order   uint64
+	pace    pace
 }
 
 // NewTable returns an empty table.
@@ -67,7 +71,7 @@
 		}
 		t.order++
 		entry := &Entry{
-			Key: Key{record.Id, uint32(number)}, ID: info.Id, Tokens: info.Tokens, Route: record.Route,
+			Key: Key{record.Id, uint32(number)}, ID: info.Id, Tokens: info.Tokens, Route: record.Route, Output: info.OutputTokens,
 			Due:    accepted.Add(time.Duration(record.ResultTargetMs) * time.Millisecond),
 			GiveUp: accepted.Add(time.Duration(record.GiveUpMs) * time.Millisecond),
 			order:  t.order,
@@ -128,23 +132,109 @@
 // Entry returns an unfinished item, nil if it is finished or ended.
 func (t *Table) Entry(key Key) *Entry { return t.entries[key] }
 
-// Ready lists the items that may be started, the earliest due first.
+// Ready lists the items that may be started, in this order: those begun that
+// can still be in time, so that what is begun is finished; those not begun that
+// can be in time with a margin, the earliest due first; then what is late
+// whatever is done, the earliest due first.
 func (t *Table) Ready(now time.Time) []*Entry {
 	var ready []*Entry
 	for _, entry := range t.entries {
 		if !entry.running && !now.Before(entry.NotBefore) {
+			entry.rank = t.rank(entry, now)
 			ready = append(ready, entry)
 		}
 	}
-	sort.Slice(ready, func(i, j int) bool {
-		if !ready[i].Due.Equal(ready[j].Due) {
-			return ready[i].Due.Before(ready[j].Due)
-		}
-		return ready[i].order < ready[j].order
-	})
+	sort.Slice(ready, func(i, j int) bool { return before(ready[i], ready[j]) })
 	return ready
 }
 
+// Ranks of items that wait, the first to be started first.
+const (
+	rankBegun = iota
+	rankFresh
+	rankLate
+)
+
+// freshMargin is the share of its time that an item needs to spare to be begun:
+// runs are interrupted.
+const freshMargin = 0.35
+
+func (t *Table) rank(entry *Entry, now time.Time) int {
+	slack := t.Slack(entry, now)
+	begun := entry.Progress.Last > 0
+	switch {
+	case begun && slack >= 0:
+		return rankBegun
+	case !begun && slack >= time.Duration(freshMargin*float64(t.pace.remaining(entry))):
+		return rankFresh
+	default:
+		return rankLate
+	}
+}
+
+func before(a, b *Entry) bool {
+	if a.rank != b.rank {
+		return a.rank < b.rank
+	}
+	if !a.Due.Equal(b.Due) {
+		return a.Due.Before(b.Due)
+	}
+	return a.order < b.order
+}
+
+// Slack is the time to spare if the item ran from now on.
+func (t *Table) Slack(entry *Entry, now time.Time) time.Duration {
+	return entry.Due.Sub(now) - t.pace.remaining(entry)
+}
+
+// Observe learns how long items take from one that ran through.
+func (t *Table) Observe(entry *Entry, events int64, took time.Duration) {
+	t.pace.observe(entry, events, took)
+}
+
+// pace is what is learnt of the time that items take.
+type pace struct {
+	// perEvent is the time of an event, perToken how many events a token of the
+	// estimate makes. Moving averages.
+	perEvent float64
+	perToken float64
+}
+
+const (
+	// firstPerEvent and firstPerToken are assumed before anything is learnt.
+	firstPerEvent = 0.025
+	firstPerToken = 1.0 / 6
+	// unknownOutput is assumed of items without an estimate.
+	unknownOutput = 1200
+	paceWeight    = 0.05
+)
+
+func (p *pace) observe(entry *Entry, events int64, took time.Duration) {
+	if events <= 0 {
+		return
+	}
+	if p.perEvent == 0 {
+		p.perEvent, p.perToken = firstPerEvent, firstPerToken
+	}
+	p.perEvent += paceWeight * (took.Seconds()/float64(events) - p.perEvent)
+	if entry.Output > 0 && entry.Progress.Last == 0 {
+		p.perToken += paceWeight * (float64(events)/float64(entry.Output) - p.perToken)
+	}
+}
+
+func (p *pace) remaining(entry *Entry) time.Duration {
+	perEvent, perToken := p.perEvent, p.perToken
+	if perEvent == 0 {
+		perEvent, perToken = firstPerEvent, firstPerToken
+	}
+	output := float64(entry.Output)
+	if output == 0 {
+		output = unknownOutput
+	}
+	left := max(output*perToken-float64(entry.Progress.Last), 1)
+	return time.Duration(left * perEvent * float64(time.Second))
+}
+
 // Start marks an item as running.
 func (t *Table) Start(key Key) {
 	if entry := t.entries[key]; entry != nil {
--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -11,10 +11,12 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"k8s.io/klog/v2"
 
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/catalog"
 	"cobaltramp.example/cobaltramp/internal/eventstream"
 	"cobaltramp.example/cobaltramp/internal/exchange"
@@ -29,15 +31,30 @@
 	Catalogs *catalog.Holder
 	Runners  *runnerset.Set
 	Client   exchange.Client
+
+	mutex sync.Mutex
+	runs  map[string]map[*run]bool
+	// pauses holds until when a runner that was made room at gets no item.
+	pauses map[string]time.Time
+}
+
+// New returns an executor that makes room when other nodes need it.
+func New(zone string, catalogs *catalog.Holder, runners *runnerset.Set, client exchange.Client) *Executor {
+	e := &Executor{
+		Zone: zone, Catalogs: catalogs, Runners: runners, Client: client,
+		runs: map[string]map[*run]bool{}, pauses: map[string]time.Time{},
+	}
+	runners.OnPeer(e.makeRoom)
+	return e
 }
 
 var _ queuestore.Executor = (*Executor)(nil)
 
 const (
-	// batchShare of a runner's slots may hold this node's items.
-	batchShare = 0.5
-	// loadCeiling is the share of a runner's slots above which it gets no item.
-	loadCeiling = 0.8
+	// reserve is how many slots of a runner stay free when an item is sent.
+	reserve = 1
+	// unreadCeiling is how many prompt tokens may wait at a runner that gets one.
+	unreadCeiling = 1500
 	// headTimeout and eventTimeout bound the waits for a runner's answer and for
 	// its next event.
 	headTimeout  = 6 * time.Second
@@ -64,32 +81,40 @@
 		go done(queuestore.Outcome{Dead: true, Reason: "route gone"})
 		return true
 	}
-	choice := e.pick(route, held, work, now)
+	choice := e.pick(route, work, now)
 	if choice.Runner == nil {
 		return false
 	}
-	end := choice.Runner.BeginBatch()
+	use := e.Runners.Begin(choice.Runner, promptOf(work.Item), true, now)
 	go func() {
-		defer end()
-		run := &run{executor: e, work: work, route: route, runner: choice.Runner, last: work.Progress.Last, texts: work.Progress.Texts}
+		run := &run{executor: e, work: work, route: route, runner: choice.Runner, use: use, began: now, last: work.Progress.Last, texts: work.Progress.Texts}
 		outcome := run.run(ctx)
-		end()
+		use.End()
 		outcome.Attempts = route.Attempts
+		outcome.Events, outcome.Took = run.last-work.Progress.Last, time.Since(now)
 		klog.InfoS("item run ended", "job", work.Key.Job, "item", work.Item.Id, "runner", choice.Runner.ID, "load", int(choice.Load),
-			"catalog", held.Version, "from", work.Progress.Last, "to", run.last, "outcome", outcome.Reason, "ms", time.Since(now).Milliseconds())
+			"catalog", held.Version, "slackMs", work.Slack.Milliseconds(), "from", work.Progress.Last, "to", run.last, "outcome", outcome.Reason, "ms", time.Since(now).Milliseconds())
 		done(outcome)
 	}()
 	return true
 }
 
-func (e *Executor) pick(route *catalog.Route, held *catalog.Catalog, work *queuestore.Work, now time.Time) runnerset.Choice {
-	name := route.ServiceFor(work.Item.Id)
-	slots := 0
-	if service := held.Services[name]; service != nil {
-		slots = service.Slots
+func promptOf(item *wirev1.QueueItem) runnerset.Prompt {
+	prompt := runnerset.Prompt{}
+	for i, part := range item.Prompt {
+		prompt.Tokens += int(part.Tokens)
+		if i < len(item.Prompt)-1 {
+			prompt.Shared = append(prompt.Shared, runnerset.Part{ID: part.Id, Tokens: int(part.Tokens)})
+		}
 	}
-	wish := &runnerset.Wish{Service: name, Zone: e.Zone, Ceiling: loadCeiling, BatchCeiling: max(1, int64(batchShare*float64(slots)))}
-	return e.Runners.Pick(wish, now)
+	return prompt
+}
+
+func (e *Executor) pick(route *catalog.Route, work *queuestore.Work, now time.Time) runnerset.Choice {
+	return e.Runners.Pick(&runnerset.Wish{
+		Service: route.ServiceFor(work.Item.Id), Zone: e.Zone, Prompt: promptOf(work.Item), Bytes: len(work.Item.Body),
+		Excluded: e.paused(now), Batch: &runnerset.BatchRoom{Reserve: reserve, Unread: unreadCeiling},
+	}, now)
 }
 
 // run is one run of an item at one runner.
@@ -98,6 +123,9 @@
 	work     *queuestore.Work
 	route    *catalog.Route
 	runner   *runnerset.Runner
+	use      *runnerset.Use
+	began    time.Time
+	cancel   context.CancelCauseFunc
 	last     int64
 	texts    [][]byte
 }
@@ -105,18 +133,21 @@
 func (r *run) run(parent context.Context) queuestore.Outcome {
 	ctx, cancel := context.WithCancelCause(parent)
 	defer cancel(nil)
+	r.cancel = cancel
+	r.executor.register(r)
+	defer r.executor.unregister(r)
 	silence := time.AfterFunc(headTimeout, func() { cancel(errSilent) })
 	defer silence.Stop()
 	answer, err := r.executor.Client.Do(ctx, r.call())
 	if err != nil {
-		return r.notAnswered(parent, err)
+		return r.gaveWay(ctx, r.notAnswered(parent, err))
 	}
 	defer func() { _ = answer.Body.Close() }()
 	r.runner.NoteLoad(answer.Load, time.Now())
 	if answer.Status != http.StatusOK {
 		return r.refused(answer)
 	}
-	return r.follow(parent, answer, silence)
+	return r.gaveWay(ctx, r.follow(parent, answer, silence))
 }
 
 var errSilent = errors.New("the runner was silent for too long")
@@ -148,6 +179,9 @@
 		outcome.Reason = "cancelled"
 		return outcome
 	}
+	if r.executor.gaveWay(r) {
+		return outcome
+	}
 	if notRun == nil || !notRun.Reached && notRun.Reason == exchange.ReasonDial {
 		r.runner.NoteBad(time.Now())
 	}
@@ -184,17 +218,31 @@
 		if err != nil {
 			return r.broken(parent, err)
 		}
+		if len(r.texts) == len(r.work.Progress.Texts) {
+			r.use.First(time.Now())
+		}
 		r.last = event.ID
 		r.texts = append(r.texts, append([]byte(nil), event.Data...))
 	}
 }
 
+// gaveWay corrects what is said of a run that was ended to make room.
+func (r *run) gaveWay(ctx context.Context, outcome queuestore.Outcome) queuestore.Outcome {
+	if !outcome.Done && errors.Is(context.Cause(ctx), errGaveWay) {
+		outcome.Wait, outcome.Reason = gaveWayWait, "gave way"
+	}
+	return outcome
+}
+
 func (r *run) broken(parent context.Context, err error) queuestore.Outcome {
 	outcome := queuestore.Outcome{Progress: r.progress(), Wait: refusedWait, Reason: "stream broken"}
 	if parent.Err() != nil {
 		outcome.Reason = "cancelled"
 		return outcome
 	}
+	if errors.Is(err, context.Canceled) || r.executor.gaveWay(r) {
+		return outcome
+	}
 	r.runner.NoteBad(time.Now())
 	klog.InfoS("item stream broken", "item", r.work.Item.Id, "runner", r.runner.ID, "after", r.last, "err", strings.TrimSpace(err.Error()))
 	return outcome
--- a/internal/queuestore/leader.go
+++ b/internal/queuestore/leader.go
@@ -223,7 +223,7 @@
 	}
 	ctx, cancel := context.WithCancel(l.context)
 	key, epoch := entry.Key, l.epoch
-	work := &Work{Key: key, Host: record.Host, Route: record.Route, Item: item, Progress: entry.Progress, Due: entry.Due, Failures: entry.Failures}
+	work := &Work{Key: key, Host: record.Host, Route: record.Route, Item: item, Progress: entry.Progress, Due: entry.Due, Slack: l.table.Slack(entry, time.Now()), Failures: entry.Failures}
 	if !s.node.Executor.TryStart(ctx, work, func(outcome Outcome) {
 		cancel()
 		_ = s.ask(s.node.context, func() { s.ended(key, epoch, work, outcome) })
@@ -247,6 +247,9 @@
 	if l.table.Entry(key) == nil {
 		return
 	}
+	if outcome.Done {
+		l.table.Observe(l.table.Entry(key), outcome.Events, outcome.Took)
+	}
 	final := outcome.Done || outcome.Dead || outcome.Failed && work.Failures+1 >= outcome.Attempts
 	if !final {
 		l.table.Return(key, outcome.Progress, outcome.Failed, time.Now().Add(outcome.Wait))
--- a/internal/queuestore/node.go
+++ b/internal/queuestore/node.go
@@ -29,6 +29,9 @@
 	Item     *wirev1.QueueItem
 	Progress queue.Progress
 	Due      time.Time
+	// Slack is the time to spare at the start of the run; negative if the item
+	// will be late.
+	Slack    time.Duration
 	Failures int
 }
 
@@ -44,7 +47,10 @@
 	// Progress is what is known of the output, for the next run.
 	Progress queue.Progress
 	// Wait is how long to wait before the next run.
-	Wait   time.Duration
+	Wait time.Duration
+	// Events and Took are what the run made and how long it worked.
+	Events int64
+	Took   time.Duration
 	Reason string
 }
 
--- /dev/null
+++ b/internal/runnerset/kept.go
@@ -0,0 +1,76 @@
+package runnerset
+
+import "time"
+
+// keptParts models which parts of prompts a runner keeps in its memory: those
+// used last, as far as a share of the memory reaches. A part counts only if
+// every part before it is kept as well.
+type keptParts struct {
+	capacity int
+	tokens   int
+	parts    map[uint64]keptPart
+}
+
+type keptPart struct {
+	tokens int
+	used   time.Time
+}
+
+const (
+	// keptShare of a runner's memory holds parts; the rest is for what runs.
+	keptShare = 0.6
+	// defaultCapacity is a runner's memory in tokens where none is stated.
+	defaultCapacity = 100_000
+	// leastPart is the smallest part worth remembering.
+	leastPart = 48
+)
+
+// missing returns how many tokens of a prompt have to be read.
+func (k *keptParts) missing(prompt Prompt) int {
+	missing := prompt.Tokens
+	for _, part := range prompt.Shared {
+		if _, kept := k.parts[part.ID]; !kept {
+			break
+		}
+		missing -= part.Tokens
+	}
+	return max(1, missing)
+}
+
+// touch records that a prompt that begins with these parts was sent.
+func (k *keptParts) touch(shared []Part, now time.Time) {
+	if len(shared) == 0 {
+		return
+	}
+	if k.parts == nil {
+		k.parts = map[uint64]keptPart{}
+	}
+	for _, part := range shared {
+		if part.Tokens < leastPart {
+			continue
+		}
+		if _, known := k.parts[part.ID]; !known {
+			k.tokens += part.Tokens
+		}
+		k.parts[part.ID] = keptPart{part.Tokens, now}
+	}
+	k.evict()
+}
+
+func (k *keptParts) evict() {
+	capacity := k.capacity
+	if capacity == 0 {
+		capacity = defaultCapacity
+	}
+	for k.tokens > int(keptShare*float64(capacity)) && len(k.parts) > 1 {
+		var oldest uint64
+		var at time.Time
+		for id, part := range k.parts {
+			if at.IsZero() || part.used.Before(at) {
+				oldest, at = id, part.used
+			}
+		}
+		k.tokens -= k.parts[oldest].tokens
+		delete(k.parts, oldest)
+	}
+}
--- a/internal/runnerset/pick.go
+++ b/internal/runnerset/pick.go
@@ -3,129 +3,160 @@
 import (
 	"math/rand/v2"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Wish is what a request asks of the choice.
 type Wish struct {
 	Service string
 	Zone    string
-	// Affinity names the part of the prompt worth finding again; empty if none
-	// is.
-	Affinity string
+	Prompt  Prompt
+	// Bytes of the request, which cost more between zones.
+	Bytes int
 	// Excluded runners were tried already, or must not be used.
 	Excluded map[string]bool
-	// Ceiling bounds a runner's load, as a share of its slots; 0 is no bound.
-	Ceiling float64
-	// BatchCeiling bounds this node's own batch items at a runner; 0 is no bound.
-	BatchCeiling int64
+	// Batch asks for room that online work leaves; it may find none.
+	Batch *BatchRoom
+}
+
+// BatchRoom bounds what batch may hold of a runner.
+type BatchRoom struct {
+	// Reserve is how many of a runner's slots stay free when an item comes.
+	Reserve float64
+	// Unread is the most prompt tokens that may wait to be read there.
+	Unread float64
 }
 
-// Weights of the choice, in units of a runner's whole load.
+// The cost of a runner is the time until the first event is expected there,
+// with surcharges, all as durations.
 const (
-	// zoneWeight is what another zone costs: bytes between zones are dear.
-	zoneWeight = 0.5
-	// affinityWeight is what a kept prompt is worth.
-	affinityWeight = 0.5
-	// chanceWeight keeps nodes that see the same loads from choosing alike.
-	chanceWeight = 0.06
-	// slowWeight is what a time to the first event twice the fleet's costs.
-	slowWeight = 0.5
-	// asideWeight is what being set aside costs: such a runner is used only when
+	// firstOverhead is the time to a first event apart from reading the prompt.
+	firstOverhead = 12 * time.Millisecond
+	// slotTime is how long a request is expected to hold its slot when others
+	// wait for one.
+	slotTime = 400 * time.Millisecond
+	// yieldTime is how long a batch item takes to give its slot up.
+	yieldTime = 15 * time.Millisecond
+	// reserveShare of a runner's slots stays free of batch items.
+	reserveShare = 0.06
+	// decodeTime is what each running request adds to the others' steps.
+	decodeTime = 300 * time.Microsecond
+	// zoneTime and zoneByteTime are what another zone costs: bytes between zones
+	// are dear.
+	zoneTime     = 12 * time.Millisecond
+	zoneByteTime = 12 * time.Microsecond
+	// asideTime is what being set aside costs: such a runner is used only when
 	// there is no other.
-	asideWeight  = 100
-	coldWeight   = 0.3
+	asideTime = time.Minute
+	coldTime  = 100 * time.Millisecond
+	// chanceTime keeps nodes that see the same from choosing alike.
+	chanceTime   = 2 * time.Millisecond
 	defaultSlots = 8
 )
 
 // Choice is a picked runner and why.
 type Choice struct {
 	Runner *Runner
-	Score  float64
+	// Cost is the expected time to the first event with surcharges.
+	Cost time.Duration
+	// Load is the estimate of the requests there, Unread of the tokens.
 	Load   float64
+	Unread float64
 	// Candidates that could have been picked.
 	Candidates int
 }
 
-// Pick chooses a runner, nil if none may be used.
+// Pick chooses a runner; the choice has none if none may be used.
 func (s *Set) Pick(wish *Wish, now time.Time) Choice {
-	list := s.Service(wish.Service)
-	typical := typicalFirst(list)
-	preferred := s.preferred(list, wish)
 	best := Choice{}
+	list := s.Service(wish.Service)
+	typical := typicalSlowness(list)
+	rate := s.rate()
+	candidates := 0
 	for _, runner := range list {
 		if !runner.Takes() || wish.Excluded[runner.ID] {
 			continue
 		}
-		load := runner.Load(now)
-		slots := float64(runner.Slots)
-		if slots == 0 {
-			slots = defaultSlots
-		}
-		if wish.Ceiling > 0 && load+1 > wish.Ceiling*slots {
-			continue
-		}
-		if wish.BatchCeiling > 0 && runner.batch.Load() >= wish.BatchCeiling {
+		choice, fits := runner.weigh(wish, now, rate, typical)
+		if !fits {
 			continue
 		}
-		best.Candidates++
-		score := load/slots + chanceWeight*rand.Float64()
-		if load > slots {
-			score += 2 * (load - slots) / slots
-		}
-		if runner.Zone != wish.Zone {
-			score += zoneWeight
-		}
-		if runner == preferred {
-			score -= affinityWeight
-		}
-		if runner.isAside(now) {
-			score += asideWeight
-		}
-		if now.Before(runner.ColdUntil) {
-			score += coldWeight
-		}
-		if slow := runner.firstSeconds(); typical > 0 && slow > 1.5*typical {
-			score += slowWeight * min(slow/typical-1, 8)
-		}
-		if best.Runner == nil || score < best.Score {
-			best.Runner, best.Score, best.Load = runner, score, load
+		candidates++
+		if best.Runner == nil || choice.Cost < best.Cost {
+			best = choice
 		}
 	}
+	best.Candidates = candidates
 	return best
 }
 
-// preferred is the runner of the zone that prompts with this part go to: the
-// highest rendezvous weight among those that take work.
-func (s *Set) preferred(list []*Runner, wish *Wish) *Runner {
-	if wish.Affinity == "" {
-		return nil
+// weigh works out the cost of a runner.
+func (r *Runner) weigh(wish *Wish, now time.Time, rate, typical float64) (Choice, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	estimate := r.estimate(now)
+	choice := Choice{Runner: r, Load: estimate.running, Unread: estimate.unread}
+	if wish.Batch != nil && !r.hasRoom(wish.Batch, estimate) {
+		return choice, false
 	}
-	var best *Runner
-	var highest uint64
-	for _, runner := range list {
-		if !runner.Takes() || runner.Zone != wish.Zone {
-			continue
-		}
-		weight := xxhash.Sum64String(wish.Affinity + "/" + runner.ID)
-		if best == nil || weight > highest {
-			best, highest = runner, weight
-		}
+	choice.Cost = r.expectedFirst(r.kept.missing(wish.Prompt), now, rate)
+	choice.Cost = time.Duration(float64(choice.Cost) * max(1, r.relativeSlowness(typical)))
+	if r.Zone != wish.Zone {
+		choice.Cost += zoneTime + time.Duration(wish.Bytes)*zoneByteTime
 	}
-	return best
+	if now.Before(r.aside) {
+		choice.Cost += asideTime
+	}
+	if now.Before(r.ColdUntil) {
+		choice.Cost += coldTime
+	}
+	choice.Cost += time.Duration(rand.Float64() * float64(chanceTime))
+	return choice, true
+}
+
+func (r *Runner) slots() float64 {
+	if r.Slots == 0 {
+		return defaultSlots
+	}
+	return float64(r.Slots)
+}
+
+func (r *Runner) hasRoom(room *BatchRoom, estimate state) bool {
+	reserve := max(room.Reserve, reserveShare*r.slots())
+	return estimate.running+1 <= r.slots()-reserve && estimate.unread <= room.Unread
+}
+
+// expectedFirst is the expected time to the first event of a prompt of which
+// that many tokens have to be read. The mutex is held.
+func (r *Runner) expectedFirst(missing int, now time.Time, rate float64) time.Duration {
+	estimate := r.estimate(now)
+	expected := firstOverhead + time.Duration((estimate.unread+float64(missing))/rate*float64(time.Millisecond))
+	expected += time.Duration(estimate.running * float64(decodeTime))
+	over := estimate.running + 1 - r.slots()
+	if over <= 0 {
+		return expected
+	}
+	yielding := min(over, estimate.batch)
+	expected += time.Duration(yielding * float64(yieldTime))
+	return expected + time.Duration((over-yielding)/r.slots()*float64(slotTime))
+}
+
+func (r *Runner) relativeSlowness(typical float64) float64 {
+	if r.slowness == 0 || typical == 0 {
+		return 1
+	}
+	return r.slowness / typical
 }
 
-// typicalFirst is the harmonic mean of the times to a first event: it leans to
-// the fast runners.
-func typicalFirst(list []*Runner) float64 {
-	var sum float64
-	count := 0
+// typicalSlowness is the harmonic mean over the runners: it leans to the fast.
+func typicalSlowness(list []*Runner) float64 {
+	sum, count := 0.0, 0
 	for _, runner := range list {
-		if first := runner.firstSeconds(); first > 0 {
-			sum += 1 / first
+		runner.mutex.Lock()
+		if runner.slowness > 0 {
+			sum += 1 / runner.slowness
 			count++
 		}
+		runner.mutex.Unlock()
 	}
 	if count == 0 {
 		return 0
--- /dev/null
+++ b/internal/runnerset/runner.go
@@ -0,0 +1,285 @@
+package runnerset
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cobaltramp.example/cobaltramp/internal/exchange"
+)
+
+// Record is a runner as the platform lists it. Each start of a runner is a new
+// record with a new ID.
+type Record struct {
+	ID      string
+	Service string
+	Address string
+	Zone    string
+	Slots   int
+	// Leaving, as it was when the runner was first listed; see Runner.Takes.
+	Leaving bool
+	// ColdUntil is when the runner is at full speed.
+	ColdUntil time.Time
+}
+
+// Part is a part of a prompt; equal ids stand for equal text.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Prompt is what is known of a request's prompt.
+type Prompt struct {
+	// Tokens of the whole prompt.
+	Tokens int
+	// Shared are the leading parts that other requests may have as well.
+	Shared []Part
+}
+
+// Runner is a listed runner with what this node knows of it: its own requests,
+// those other nodes told of, the load the runner told, failures and speed.
+type Runner struct {
+	Record
+
+	gone  atomic.Bool // leaving, or no longer listed
+	mutex sync.Mutex
+	// own is this node's use; peers is what other nodes said of theirs.
+	own   use
+	peers map[string]peerUse
+	told  told
+	kept  keptParts
+	// strikes are failures in a row; aside is until when they set it aside.
+	strikes int
+	aside   time.Time
+	// slowness is a moving average of how much longer than expected the first
+	// event took.
+	slowness float64
+}
+
+// use is what a node has at a runner.
+type use struct {
+	running int
+	batch   int // how many of running are batch items, which give way
+	unread  int // prompt tokens sent whose first event has not come
+}
+
+type peerUse struct {
+	use
+	at time.Time
+}
+
+type told struct {
+	load float64
+	at   time.Time
+}
+
+const (
+	// toldLife is how long a told load counts; it fades linearly.
+	toldLife = time.Second
+	// peerLife is how long a peer's word counts without a new one.
+	peerLife = 4 * time.Second
+	// unreadLife is how long tokens a peer has sent may take to be read.
+	unreadLife = 700 * time.Millisecond
+	// asideFirst and asideMost bound how long a failing runner is set aside.
+	asideFirst = 400 * time.Millisecond
+	asideMost  = 6 * time.Second
+	// slownessWeight is the weight of a new sample; a sample is bounded.
+	slownessWeight = 0.2
+	slownessMost   = 10.0
+	slownessLeast  = 0.5
+)
+
+// Takes reports whether the runner may be sent new work.
+func (r *Runner) Takes() bool { return !r.gone.Load() }
+
+// same reports whether a record differs at most in what changes with time.
+func (r *Runner) same(record Record) bool {
+	return r.Address == record.Address && r.Service == record.Service && r.Zone == record.Zone && r.Slots == record.Slots
+}
+
+// Use is one request of this node at a runner.
+type Use struct {
+	set    *Set
+	runner *Runner
+	unread int
+	expect time.Duration
+	began  time.Time
+	batch  bool
+	once   sync.Once
+}
+
+// Begin counts a request that is about to be sent. End must be called.
+func (s *Set) Begin(runner *Runner, prompt Prompt, batch bool, now time.Time) *Use {
+	runner.mutex.Lock()
+	unread := runner.kept.missing(prompt)
+	u := &Use{set: s, runner: runner, unread: unread, began: now, batch: batch, expect: runner.expectedFirst(unread, now, s.rate())}
+	runner.own.running++
+	runner.own.unread += unread
+	if batch {
+		runner.own.batch++
+	}
+	runner.kept.touch(prompt.Shared, now)
+	runner.mutex.Unlock()
+	s.tell(runner, prompt.Shared)
+	return u
+}
+
+// First records that the first event, or the answer, has come.
+func (u *Use) First(now time.Time) {
+	took := now.Sub(u.began)
+	u.runner.mutex.Lock()
+	u.settle()
+	u.runner.strikes = 0
+	u.runner.aside = time.Time{}
+	u.runner.noteSlowness(float64(took) / float64(u.expect))
+	u.runner.mutex.Unlock()
+	u.set.tell(u.runner, nil)
+}
+
+// settle takes the request's tokens from those not read.
+func (u *Use) settle() {
+	u.runner.own.unread -= u.unread
+	u.unread = 0
+}
+
+// End ends the count, once.
+func (u *Use) End() {
+	u.once.Do(func() {
+		u.runner.mutex.Lock()
+		u.settle()
+		u.runner.own.running--
+		if u.batch {
+			u.runner.own.batch--
+		}
+		u.runner.mutex.Unlock()
+		u.set.tell(u.runner, nil)
+	})
+}
+
+// Slow records that the request waited until now without a first event.
+func (u *Use) Slow(now time.Time) {
+	u.runner.mutex.Lock()
+	defer u.runner.mutex.Unlock()
+	if sample := float64(now.Sub(u.began)) / float64(u.expect); sample > u.runner.slowness {
+		u.runner.noteSlowness(sample)
+	}
+}
+
+func (r *Runner) noteSlowness(sample float64) {
+	sample = min(max(sample, slownessLeast), slownessMost)
+	if r.slowness == 0 {
+		r.slowness = 1
+	}
+	r.slowness += slownessWeight * (sample - r.slowness)
+}
+
+// NoteBad records a failure that speaks against the runner; it is set aside
+// for a time that doubles with each failure in a row.
+func (r *Runner) NoteBad(now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.strikes++
+	wait := asideFirst << min(r.strikes-1, 4)
+	r.aside = now.Add(min(wait, asideMost))
+}
+
+// NoteLoad takes the load that the runner told in an answer.
+func (r *Runner) NoteLoad(load *exchange.Load, now time.Time) {
+	if load == nil {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.told = told{max(0, float64(load.Running+load.Waiting)-float64(r.own.running)), now}
+}
+
+// notePeer takes what another node has at the runner.
+func (r *Runner) notePeer(peer string, told PeerUse, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.peers == nil {
+		r.peers = map[string]peerUse{}
+	}
+	r.peers[peer] = peerUse{use{told.Running, told.Batch, told.Unread}, now}
+	r.kept.touch(told.Shared, now)
+}
+
+// PeerUse is what a node has at a runner.
+type PeerUse struct {
+	Running int
+	// Batch is how many of Running are batch items.
+	Batch int
+	// Unread are prompt tokens sent whose first event has not come.
+	Unread int
+	// Shared parts of the prompt just sent.
+	Shared []Part
+}
+
+// state is an estimate of what a runner has, of all nodes.
+type state struct {
+	running, batch, unread float64
+}
+
+// estimate works out the state, with what the runner told. The mutex is held.
+func (r *Runner) estimate(now time.Time) state {
+	counted := r.counted(now)
+	if age := now.Sub(r.told.at); age < toldLife {
+		told := float64(r.own.running) + r.told.load*(1-float64(age)/float64(toldLife))
+		counted.running = max(counted.running, told)
+	}
+	return counted
+}
+
+// counted is what this node and its peers have at the runner. The mutex is held.
+func (r *Runner) counted(now time.Time) state {
+	var peers state
+	for _, peer := range r.peers {
+		age := now.Sub(peer.at)
+		if age < peerLife {
+			peers.running += float64(peer.running)
+			peers.batch += float64(peer.batch)
+		}
+		if age < unreadLife {
+			peers.unread += float64(peer.unread)
+		}
+	}
+	return state{
+		running: float64(r.own.running) + peers.running, batch: float64(r.own.batch) + peers.batch,
+		unread: float64(r.own.unread) + peers.unread,
+	}
+}
+
+// Crowd tells how many requests nodes have at the runner, and how many of them
+// are batch items of this node and of all. What the runner told is left out: it
+// may still count items that have given way.
+func (r *Runner) Crowd(now time.Time) (running float64, ownBatch int, batch float64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	counted := r.counted(now)
+	return counted.running, r.own.batch, counted.batch
+}
+
+// BatchHolders lists the nodes that have batch items at the runner.
+func (r *Runner) BatchHolders(now time.Time) []string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var holders []string
+	for node, peer := range r.peers {
+		if peer.batch > 0 && now.Sub(peer.at) < peerLife {
+			holders = append(holders, node)
+		}
+	}
+	return holders
+}
+
+// Load estimates the requests at the runner, of all nodes.
+func (r *Runner) Load(now time.Time) float64 {
+	running, _, _ := r.Crowd(now)
+	return running
+}
+
+func (r *Runner) ownUse(shared []Part) PeerUse {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return PeerUse{r.own.running, r.own.batch, r.own.unread, shared}
+}
--- a/internal/runnerset/runnerset.go
+++ b/internal/runnerset/runnerset.go
@@ -1,144 +1,16 @@
 // Package runnerset holds the runners the platform lists, what this node knows
-// of each (own requests in flight, the load it told, failures, speed), and the
-// choice among them. Readers use an atomically swapped snapshot.
+// of each, and the choice among them: the runner where the first event is
+// expected soonest. Readers use an atomically swapped snapshot.
 package runnerset
 
 import (
+	"math"
 	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"cobaltramp.example/cobaltramp/internal/exchange"
-)
-
-// Record is a runner as the platform lists it. Each start of a runner is a new
-// record with a new ID.
-type Record struct {
-	ID      string
-	Service string
-	Address string
-	Zone    string
-	Slots   int
-	// Leaving, as it was when the runner was first listed; see Runner.Takes.
-	Leaving bool
-	// ColdUntil is when the runner is at full speed.
-	ColdUntil time.Time
-}
-
-// Runner is a listed runner with what this node knows of it.
-type Runner struct {
-	Record
-
-	gone    atomic.Bool // leaving, or no longer listed
-	online  atomic.Int64
-	batch   atomic.Int64
-	mutex   sync.Mutex
-	others  float64 // requests of other callers, as of reportAt
-	report  time.Time
-	strikes int
-	aside   time.Time
-	first   float64 // moving average of the time to a first event, seconds
-}
-
-// Takes reports whether the runner may be sent new work.
-func (r *Runner) Takes() bool { return !r.gone.Load() }
-
-// InFlight returns this node's own requests at the runner.
-func (r *Runner) InFlight() (online, batch int64) { return r.online.Load(), r.batch.Load() }
-
-// BeginOnline and BeginBatch count a request; the returned function ends it.
-func (r *Runner) BeginOnline() func() { return begin(&r.online) }
-
-// BeginBatch counts an item.
-func (r *Runner) BeginBatch() func() { return begin(&r.batch) }
-
-func begin(counter *atomic.Int64) func() {
-	counter.Add(1)
-	var once sync.Once
-	return func() { once.Do(func() { counter.Add(-1) }) }
-}
-
-// NoteLoad takes the load that the runner told in an answer. own says that the
-// answer's own request is still counted in flight here and there.
-func (r *Runner) NoteLoad(load *exchange.Load, now time.Time) {
-	if load == nil {
-		return
-	}
-	mine := float64(r.online.Load() + r.batch.Load())
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.others = max(0, float64(load.Running+load.Waiting)-mine)
-	r.report = now
-}
-
-const (
-	// reportLife is how long a told load counts; it fades linearly.
-	reportLife = 2 * time.Second
-	// asideFirst and asideMost bound how long a failing runner is set aside.
-	asideFirst = 400 * time.Millisecond
-	asideMost  = 6 * time.Second
-	// firstWeight is the weight of a new sample of the time to a first event.
-	firstWeight = 0.2
 )
 
-// Load estimates the requests at the runner, of all callers.
-func (r *Runner) Load(now time.Time) float64 {
-	mine := float64(r.online.Load() + r.batch.Load())
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	age := now.Sub(r.report)
-	if age >= reportLife {
-		return mine
-	}
-	return mine + r.others*(1-float64(age)/float64(reportLife))
-}
-
-// NoteGood records an answer that came as it should, after a time to its first
-// event; 0 says nothing of the time.
-func (r *Runner) NoteGood(first time.Duration) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.strikes = 0
-	r.aside = time.Time{}
-	if first > 0 {
-		if r.first == 0 {
-			r.first = first.Seconds()
-		}
-		r.first += firstWeight * (first.Seconds() - r.first)
-	}
-}
-
-// NoteBad records a failure that speaks against the runner; it is set aside
-// for a time that doubles with each failure in a row.
-func (r *Runner) NoteBad(now time.Time) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.strikes++
-	wait := asideFirst << min(r.strikes-1, 4)
-	r.aside = now.Add(min(wait, asideMost))
-}
-
-// NoteSlow records that a runner let a request wait that long without a first
-// event.
-func (r *Runner) NoteSlow(waited time.Duration) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.first = max(r.first, r.first+firstWeight*(waited.Seconds()-r.first))
-}
-
-func (r *Runner) isAside(now time.Time) bool {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return now.Before(r.aside)
-}
-
-func (r *Runner) firstSeconds() float64 {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	return r.first
-}
-
 // Set is the list of runners.
 //
 // Invariant: its revision never falls; a list of an older revision changes
@@ -149,6 +21,11 @@
 	byID     map[string]*Runner
 	snapshot atomic.Pointer[snapshot]
 	changed  chan struct{}
+	// readRate is how many prompt tokens a runner reads a millisecond, learnt
+	// from large prompts; the bits of a float64.
+	readRate atomic.Uint64
+	onUse    atomic.Pointer[func(runner *Runner, use PeerUse)]
+	onPeer   atomic.Pointer[func(runner *Runner)]
 }
 
 type snapshot struct {
@@ -161,9 +38,41 @@
 func New() *Set {
 	s := &Set{byID: map[string]*Runner{}, changed: make(chan struct{})}
 	s.snapshot.Store(&snapshot{services: map[string][]*Runner{}})
+	s.readRate.Store(math.Float64bits(firstReadRate))
 	return s
 }
 
+// firstReadRate is assumed before anything is learnt, tokens a millisecond.
+const firstReadRate = 50.0
+
+func (s *Set) rate() float64 { return math.Float64frombits(s.readRate.Load()) }
+
+// OnUse names who is told when this node's use of a runner changes.
+func (s *Set) OnUse(told func(runner *Runner, use PeerUse)) { s.onUse.Store(&told) }
+
+// OnPeer names who is told when another node's use of a runner changes.
+func (s *Set) OnPeer(told func(runner *Runner)) { s.onPeer.Store(&told) }
+
+func (s *Set) tell(runner *Runner, shared []Part) {
+	if told := s.onUse.Load(); told != nil {
+		(*told)(runner, runner.ownUse(shared))
+	}
+}
+
+// NotePeer takes what another node has at a runner.
+func (s *Set) NotePeer(peer, runner string, use PeerUse, now time.Time) {
+	s.mutex.Lock()
+	known := s.byID[runner]
+	s.mutex.Unlock()
+	if known == nil {
+		return
+	}
+	known.notePeer(peer, use, now)
+	if told := s.onPeer.Load(); told != nil {
+		(*told)(known)
+	}
+}
+
 // Revision returns the revision of the list and since when it is held.
 func (s *Set) Revision() (int64, time.Time) {
 	current := s.snapshot.Load()
@@ -221,11 +130,6 @@
 	s.byID[record.ID] = next
 }
 
-// same reports whether a record differs at most in what changes with time.
-func (r *Runner) same(record Record) bool {
-	return r.Address == record.Address && r.Service == record.Service && r.Zone == record.Zone && r.Slots == record.Slots
-}
-
 func (s *Set) remove(id string) {
 	if known := s.byID[id]; known != nil {
 		known.gone.Store(true)
--- a/modules/batch/queues/queues.go
+++ b/modules/batch/queues/queues.go
@@ -76,7 +76,7 @@
 	options.Node, options.Region = m.settings.Node, m.settings.Region
 	options.DiskLosses, options.Retention = m.settings.DiskLosses, retentionFactor*m.settings.ResultsKept()
 	options.DB, options.Store = m.db, store
-	options.Executor = &queuerun.Executor{Zone: m.settings.Zone, Catalogs: catalogs, Runners: runners, Client: client}
+	options.Executor = queuerun.New(m.settings.Zone, catalogs, runners, client)
 	m.node = queuestore.New(options)
 	m.node.Handle(server)
 	return nil
