Runs outlast a change of the member set, and what they produced is in the log

Ruled out: intake (no job refused there). Change: a leader that loses its epoch to a change of members suspends its leadership for up to 1.2 s and goes on if it leads again; every 1.5 s a run's new text goes into the log, the result then carries only the rest, and a new leader continues after the last saved event.

--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -36,6 +36,8 @@
 	spaceRecord = 'j'
 	spaceItem   = 'i'
 	spaceResult = 'r'
+	// spaceProgress holds what runs of unfinished items have produced.
+	spaceProgress = 'p'
 )
 
 func recordKey(job string) []byte { return append([]byte{spaceRecord}, job...) }
@@ -60,6 +62,10 @@
 	Known bool
 	// Finished are the results that were listed.
 	Finished []*wirev1.QueueResult
+	// Saved is progress that was kept; Refused are results and progress that did
+	// not follow what is saved.
+	Saved   []*wirev1.QueueResult
+	Refused []*wirev1.QueueResult
 	// Ended: an end took effect now.
 	Ended bool
 	// Dropped are jobs that were removed.
@@ -73,6 +79,8 @@
 		return accept(store, index, kind.Accept)
 	case *wirev1.QueueCommand_Finish:
 		return finish(store, kind.Finish)
+	case *wirev1.QueueCommand_Progress:
+		return progress(store, kind.Progress)
 	case *wirev1.QueueCommand_End:
 		return end(store, kind.End)
 	case *wirev1.QueueCommand_Drop:
@@ -103,36 +111,117 @@
 func finish(store Store, results *wirev1.QueueResults) (*Applied, error) {
 	applied := &Applied{}
 	for _, result := range results.Results {
-		listed, err := list(store, result)
+		listed, follows, err := list(store, result)
 		if err != nil {
 			return nil, err
 		}
 		if listed {
 			applied.Finished = append(applied.Finished, result)
 		}
+		if !follows {
+			applied.Refused = append(applied.Refused, result)
+		}
 	}
 	return applied, nil
 }
 
-// list gives a result the next position, unless its item has one.
-func list(store Store, result *wirev1.QueueResult) (bool, error) {
+// unfinished returns the record of a result's job if its item has none yet.
+func unfinished(store Store, result *wirev1.QueueResult) (*wirev1.QueueRecord, error) {
 	record, err := Record(store, result.JobId)
 	if err != nil || record == nil || record.Ended || int(result.Item) >= len(record.Items) {
-		return false, err
+		return nil, err
+	}
+	if info := record.Items[result.Item]; info.Position > 0 || info.Id != result.ItemId {
+		return nil, nil
 	}
-	info := record.Items[result.Item]
-	if info.Position > 0 || info.Id != result.ItemId {
-		return false, nil
+	return record, nil
+}
+
+// list gives a result the next position, unless its item has one. It reports
+// whether the result follows what is saved.
+func list(store Store, result *wirev1.QueueResult) (listed, follows bool, err error) {
+	record, err := unfinished(store, result)
+	if err != nil || record == nil {
+		return false, true, err
 	}
-	if err := save(store, numbered(spaceResult, record.Id, record.Results), result); err != nil {
-		return false, err
+	whole, follows, err := join(store, result)
+	if err != nil || !follows {
+		return false, follows, err
+	}
+	if err := save(store, numbered(spaceResult, record.Id, record.Results), whole); err != nil {
+		return false, true, err
 	}
 	record.Results++
-	info.Position = record.Results
-	if err := store.Delete(numbered(spaceItem, record.Id, result.Item)); err != nil {
-		return false, trace.Wrap(err)
+	record.Items[result.Item].Position = record.Results
+	for _, space := range []byte{spaceItem, spaceProgress} {
+		if err := store.Delete(numbered(space, record.Id, result.Item)); err != nil {
+			return false, true, trace.Wrap(err)
+		}
 	}
-	return true, save(store, recordKey(record.Id), record)
+	return true, true, save(store, recordKey(record.Id), record)
+}
+
+// join puts a result behind what is saved of its item. A result from 0 is whole.
+func join(store Store, result *wirev1.QueueResult) (*wirev1.QueueResult, bool, error) {
+	whole := &wirev1.QueueResult{JobId: result.JobId, Item: result.Item, ItemId: result.ItemId, Dead: result.Dead, Last: result.Last, Text: result.Text}
+	if result.Dead || result.From == 0 {
+		return whole, true, nil
+	}
+	saved, err := Progress(store, result.JobId, result.Item)
+	if err != nil || saved.Last != result.From {
+		return nil, false, err
+	}
+	whole.Text = saved.Text
+	if result.Last > result.From {
+		whole.Text = JoinTexts(saved.Text, result.Text)
+	}
+	return whole, true, nil
+}
+
+// JoinTexts joins the texts of consecutive events; neither stands for no event.
+func JoinTexts(before, after []byte) []byte {
+	joined := make([]byte, 0, len(before)+len(after)+1)
+	joined = append(joined, before...)
+	joined = append(joined, '\n')
+	return append(joined, after...)
+}
+
+// progress saves what runs have produced, if it follows what is saved.
+func progress(store Store, results *wirev1.QueueResults) (*Applied, error) {
+	applied := &Applied{}
+	for _, result := range results.Results {
+		record, err := unfinished(store, result)
+		if err != nil {
+			return nil, err
+		}
+		if record == nil {
+			continue
+		}
+		saved, err := Progress(store, result.JobId, result.Item)
+		if err != nil {
+			return nil, err
+		}
+		if result.From > 0 && saved.Last != result.From || result.Last <= saved.Last {
+			applied.Refused = append(applied.Refused, result)
+			continue
+		}
+		next := &wirev1.QueueResult{JobId: result.JobId, Item: result.Item, ItemId: result.ItemId, Last: result.Last, Text: result.Text}
+		if result.From > 0 {
+			next.Text = JoinTexts(saved.Text, result.Text)
+		}
+		if err := save(store, numbered(spaceProgress, result.JobId, result.Item), next); err != nil {
+			return nil, err
+		}
+		applied.Saved = append(applied.Saved, result)
+	}
+	return applied, nil
+}
+
+// Progress returns what is saved of an unfinished item; Last is 0 for nothing.
+func Progress(reader Reader, job string, number uint32) (*wirev1.QueueResult, error) {
+	saved := &wirev1.QueueResult{}
+	_, err := load(reader, numbered(spaceProgress, job, number), saved)
+	return saved, err
 }
 
 func end(store Store, job string) (*Applied, error) {
@@ -141,20 +230,16 @@
 		return &Applied{Record: record}, err
 	}
 	record.Ended = true
-	from, to := rowsOf(spaceItem, job)
-	if err := store.DeleteRange(from, to); err != nil {
-		return nil, trace.Wrap(err)
+	if err := deleteRows(store, job, spaceItem, spaceProgress); err != nil {
+		return nil, err
 	}
 	return &Applied{Record: record, Ended: true}, save(store, recordKey(job), record)
 }
 
 func drop(store Store, command *wirev1.QueueDrop) (*Applied, error) {
 	for _, job := range command.JobIds {
-		for _, space := range []byte{spaceItem, spaceResult} {
-			from, to := rowsOf(space, job)
-			if err := store.DeleteRange(from, to); err != nil {
-				return nil, trace.Wrap(err)
-			}
+		if err := deleteRows(store, job, spaceItem, spaceProgress, spaceResult); err != nil {
+			return nil, err
 		}
 		if err := store.Delete(recordKey(job)); err != nil {
 			return nil, trace.Wrap(err)
@@ -163,6 +248,16 @@
 	return &Applied{Dropped: command.JobIds}, nil
 }
 
+func deleteRows(store Store, job string, spaces ...byte) error {
+	for _, space := range spaces {
+		from, to := rowsOf(space, job)
+		if err := store.DeleteRange(from, to); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
 func save(store Store, key []byte, message proto.Message) error {
 	value, err := proto.MarshalOptions{Deterministic: true}.Marshal(message)
 	if err != nil {
--- a/internal/queue/table.go
+++ b/internal/queue/table.go
@@ -26,21 +26,32 @@
 	Failures int
 	// NotBefore delays the next try.
 	NotBefore time.Time
-	// Output is the submitter's estimate of the tokens that come out.
-	Output uint32
-	// Progress is what earlier runs have produced.
-	Progress Progress
-	running  bool
-	order    uint64
-	rank     int // as of the last Ready
+	// Expected is the submitter's estimate of the tokens that come out.
+	Expected uint32
+	// Output is what earlier runs have produced.
+	Output Output
+	// saved is how much of the output is in the log or on its way there.
+	saved   mark
+	running bool
+	order   uint64
+	rank    int // as of the last Ready
 }
 
-// Progress is the part of an item's output that is known.
-type Progress struct {
+// Output is the part of an item's output that is known.
+type Output struct {
 	// Last is the id of the last event; 0 before the first.
 	Last int64
-	// Texts are the data of the events up to Last.
-	Texts [][]byte
+	// Text is the data of the events up to Last, joined by line feeds.
+	Text []byte
+}
+
+// Append adds the data of the next event.
+func (o *Output) Append(id int64, data []byte) {
+	if o.Last > 0 {
+		o.Text = append(o.Text, '\n')
+	}
+	o.Text = append(o.Text, data...)
+	o.Last = id
 }
 
 // Table is what the leader of a shard knows of unfinished items. It is rebuilt
@@ -71,7 +82,7 @@
 		}
 		t.order++
 		entry := &Entry{
-			Key: Key{record.Id, uint32(number)}, ID: info.Id, Tokens: info.Tokens, Route: record.Route, Output: info.OutputTokens,
+			Key: Key{record.Id, uint32(number)}, ID: info.Id, Tokens: info.Tokens, Route: record.Route, Expected: info.OutputTokens,
 			Due:    accepted.Add(time.Duration(record.ResultTargetMs) * time.Millisecond),
 			GiveUp: accepted.Add(time.Duration(record.GiveUpMs) * time.Millisecond),
 			order:  t.order,
@@ -161,7 +172,7 @@
 
 func (t *Table) rank(entry *Entry, now time.Time) int {
 	slack := t.Slack(entry, now)
-	begun := entry.Progress.Last > 0
+	begun := entry.Output.Last > 0
 	switch {
 	case begun && slack >= 0:
 		return rankBegun
@@ -217,8 +228,8 @@
 		p.perEvent, p.perToken = firstPerEvent, firstPerToken
 	}
 	p.perEvent += paceWeight * (took.Seconds()/float64(events) - p.perEvent)
-	if entry.Output > 0 && entry.Progress.Last == 0 {
-		p.perToken += paceWeight * (float64(events)/float64(entry.Output) - p.perToken)
+	if entry.Expected > 0 && entry.Output.Last == 0 {
+		p.perToken += paceWeight * (float64(events)/float64(entry.Expected) - p.perToken)
 	}
 }
 
@@ -227,11 +238,11 @@
 	if perEvent == 0 {
 		perEvent, perToken = firstPerEvent, firstPerToken
 	}
-	output := float64(entry.Output)
+	output := float64(entry.Expected)
 	if output == 0 {
 		output = unknownOutput
 	}
-	left := max(output*perToken-float64(entry.Progress.Last), 1)
+	left := max(output*perToken-float64(entry.Output.Last), 1)
 	return time.Duration(left * perEvent * float64(time.Second))
 }
 
@@ -243,13 +254,13 @@
 }
 
 // Return takes back an item whose run ended without a result.
-func (t *Table) Return(key Key, progress Progress, failed bool, notBefore time.Time) {
+func (t *Table) Return(key Key, output Output, failed bool, notBefore time.Time) {
 	entry := t.entries[key]
 	if entry == nil {
 		return
 	}
 	entry.running = false
-	entry.Progress = progress
+	entry.Output = output
 	entry.NotBefore = notBefore
 	if failed {
 		entry.Failures++
@@ -267,5 +278,46 @@
 	return expired
 }
 
+// mark is a point in an item's output.
+type mark struct {
+	last  int64
+	bytes int
+}
+
+// Restore takes what is saved of an item in the state.
+func (t *Table) Restore(key Key, output Output) {
+	if entry := t.entries[key]; entry != nil {
+		entry.Output = output
+		entry.saved = mark{output.Last, len(output.Text)}
+	}
+}
+
+// Unsaved returns what of an output is not in the log yet, and marks it as on
+// its way: the event it follows, and the text.
+func (t *Table) Unsaved(key Key, output Output) (from int64, text []byte) {
+	entry := t.entries[key]
+	if entry == nil || entry.saved.last == 0 || entry.saved.last > output.Last || entry.saved.bytes > len(output.Text) {
+		if entry != nil {
+			entry.saved = mark{output.Last, len(output.Text)}
+		}
+		return 0, output.Text
+	}
+	from = entry.saved.last
+	text = output.Text[entry.saved.bytes:]
+	if len(text) > 0 && text[0] == '\n' {
+		text = text[1:]
+	}
+	entry.saved = mark{output.Last, len(output.Text)}
+	return from, text
+}
+
+// Forget says that what was on its way to the log did not come there: the next
+// time the whole output is sent.
+func (t *Table) Forget(key Key) {
+	if entry := t.entries[key]; entry != nil {
+		entry.saved = mark{}
+	}
+}
+
 // Open reports whether a job has unfinished items.
 func (t *Table) Open(job string) bool { return len(t.jobs[job]) > 0 }
--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -5,7 +5,6 @@
 package queuerun
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -59,6 +58,8 @@
 	// its next event.
 	headTimeout  = 6 * time.Second
 	eventTimeout = 4 * time.Second
+	// saveInterval is how often what a run has produced is saved.
+	saveInterval = 1500 * time.Millisecond
 	retryWait    = 150 * time.Millisecond
 	refusedWait  = 100 * time.Millisecond
 	// routeGoneTime is how long a configuration without the item's route must
@@ -87,13 +88,13 @@
 	}
 	use := e.Runners.Begin(choice.Runner, promptOf(work.Item), true, now)
 	go func() {
-		run := &run{executor: e, work: work, route: route, runner: choice.Runner, use: use, began: now, last: work.Progress.Last, texts: work.Progress.Texts}
+		run := &run{executor: e, work: work, route: route, runner: choice.Runner, use: use, began: now, output: work.Output, savedAt: now}
 		outcome := run.run(ctx)
 		use.End()
 		outcome.Attempts = route.Attempts
-		outcome.Events, outcome.Took = run.last-work.Progress.Last, time.Since(now)
+		outcome.Events, outcome.Took = run.output.Last-work.Output.Last, time.Since(now)
 		klog.InfoS("item run ended", "job", work.Key.Job, "item", work.Item.Id, "runner", choice.Runner.ID, "load", int(choice.Load),
-			"catalog", held.Version, "slackMs", work.Slack.Milliseconds(), "from", work.Progress.Last, "to", run.last, "outcome", outcome.Reason, "ms", time.Since(now).Milliseconds())
+			"catalog", held.Version, "slackMs", work.Slack.Milliseconds(), "from", work.Output.Last, "to", run.output.Last, "outcome", outcome.Reason, "ms", time.Since(now).Milliseconds())
 		done(outcome)
 	}()
 	return true
@@ -126,8 +127,8 @@
 	use      *runnerset.Use
 	began    time.Time
 	cancel   context.CancelCauseFunc
-	last     int64
-	texts    [][]byte
+	output   queue.Output
+	savedAt  time.Time
 }
 
 func (r *run) run(parent context.Context) queuestore.Outcome {
@@ -160,16 +161,14 @@
 	for _, header := range r.work.Item.Headers {
 		call.Headers = append(call.Headers, exchange.Header{Name: header.Name, Value: header.Value})
 	}
-	if r.last > 0 {
-		call.ResumeAfter = r.last
+	if r.output.Last > 0 {
+		call.ResumeAfter = r.output.Last
 	}
 	return call
 }
 
-func (r *run) progress() queue.Progress { return queue.Progress{Last: r.last, Texts: r.texts} }
-
 func (r *run) notAnswered(parent context.Context, err error) queuestore.Outcome {
-	outcome := queuestore.Outcome{Progress: r.progress(), Wait: retryWait, Reason: "unanswered"}
+	outcome := queuestore.Outcome{Output: r.output, Wait: retryWait, Reason: "unanswered"}
 	var notRun *exchange.NotRunError
 	if errors.As(err, &notRun) {
 		outcome.Wait, outcome.Reason = refusedWait, "not run: "+notRun.Reason
@@ -190,7 +189,7 @@
 
 // refused takes an answer other than 200.
 func (r *run) refused(answer *exchange.Answer) queuestore.Outcome {
-	outcome := queuestore.Outcome{Progress: r.progress(), Wait: retryWait}
+	outcome := queuestore.Outcome{Output: r.output, Wait: retryWait}
 	switch {
 	case answer.Status == http.StatusUnprocessableEntity && answer.Stamped:
 		outcome.Dead, outcome.Reason = true, "can never be done"
@@ -209,23 +208,33 @@
 	for {
 		silence.Reset(eventTimeout)
 		event, err := events.Next()
-		if errors.Is(err, io.EOF) && r.last > 0 {
-			return queuestore.Outcome{Done: true, Text: bytes.Join(r.texts, []byte("\n")), Reason: "completed"}
+		if errors.Is(err, io.EOF) && r.output.Last > 0 {
+			return queuestore.Outcome{Done: true, Output: r.output, Reason: "completed"}
 		}
-		if err == nil && (!event.HasID || event.ID != r.last+1) {
+		if err == nil && (!event.HasID || event.ID != r.output.Last+1) {
 			err = &eventstream.BrokenError{Reason: "event out of order"}
 		}
 		if err != nil {
 			return r.broken(parent, err)
 		}
-		if len(r.texts) == len(r.work.Progress.Texts) {
-			r.use.First(time.Now())
+		now := time.Now()
+		if r.output.Last == r.work.Output.Last {
+			r.use.First(now)
+		}
+		r.output.Append(event.ID, event.Data)
+		if now.Sub(r.savedAt) > saveInterval {
+			r.savedAt = now
+			r.save()
 		}
-		r.last = event.ID
-		r.texts = append(r.texts, append([]byte(nil), event.Data...))
 	}
 }
 
+// save keeps what the run has produced, without holding it up.
+func (r *run) save() {
+	output := queue.Output{Last: r.output.Last, Text: append([]byte(nil), r.output.Text...)}
+	go r.work.Save(output)
+}
+
 // gaveWay corrects what is said of a run that was ended to make room.
 func (r *run) gaveWay(ctx context.Context, outcome queuestore.Outcome) queuestore.Outcome {
 	if !outcome.Done && errors.Is(context.Cause(ctx), errGaveWay) {
@@ -235,7 +244,7 @@
 }
 
 func (r *run) broken(parent context.Context, err error) queuestore.Outcome {
-	outcome := queuestore.Outcome{Progress: r.progress(), Wait: refusedWait, Reason: "stream broken"}
+	outcome := queuestore.Outcome{Output: r.output, Wait: refusedWait, Reason: "stream broken"}
 	if parent.Err() != nil {
 		outcome.Reason = "cancelled"
 		return outcome
@@ -244,6 +253,6 @@
 		return outcome
 	}
 	r.runner.NoteBad(time.Now())
-	klog.InfoS("item stream broken", "item", r.work.Item.Id, "runner", r.runner.ID, "after", r.last, "err", strings.TrimSpace(err.Error()))
+	klog.InfoS("item stream broken", "item", r.work.Item.Id, "runner", r.runner.ID, "after", r.output.Last, "err", strings.TrimSpace(err.Error()))
 	return outcome
 }
--- a/internal/queuestore/layout.go
+++ b/internal/queuestore/layout.go
@@ -231,7 +231,9 @@
 func (n *Node) leadsAny() bool {
 	for _, s := range n.allShards() {
 		leads := false
-		_ = s.ask(n.context, func() { leads = s.leader != nil && s.leader.aloneSince.IsZero() && s.replica.Serving() })
+		_ = s.ask(n.context, func() {
+			leads = s.leader != nil && s.leader.suspended.IsZero() && s.leader.aloneSince.IsZero() && s.replica.Serving()
+		})
 		if leads {
 			return true
 		}
--- a/internal/queuestore/leader.go
+++ b/internal/queuestore/leader.go
@@ -12,13 +12,17 @@
 )
 
 // leadership is what only a serving leader has: the table of unfinished items,
-// the runs in progress, and those who wait for results.
+// the runs in progress, and those who wait for results. While this replica has
+// lost its epoch and no other leads yet it is kept, suspended: a change of the
+// member set then interrupts no run.
 type leadership struct {
 	epoch   uint64
 	table   *queue.Table
 	context context.Context
 	cancel  context.CancelFunc
 	runs    map[queue.Key]context.CancelFunc
+	// decided are results on their way through the log.
+	decided map[queue.Key]*wirev1.QueueResult
 	changed map[string]chan struct{}
 	// taken are the acceptance times of all jobs, for retention.
 	taken map[string]int64
@@ -27,38 +31,75 @@
 	retained  time.Time
 	// aloneSince is when contact to a quorum was lost.
 	aloneSince time.Time
+	// suspended is when the epoch was lost; zero while this replica serves.
+	suspended time.Time
 }
 
-// followLeadership makes the table when this replica comes to serve and drops
-// it when it no longer leads.
+// suspendTime is how long runs go on without a leader.
+const suspendTime = 1200 * time.Millisecond
+
+// followLeadership takes leadership up when this replica comes to serve,
+// suspends it when it no longer leads, and drops it when another does.
 func (s *shard) followLeadership() {
 	if s.replica.Role() != replica.Leader {
-		s.dropLeadership("not leader")
+		s.suspendLeadership()
 		return
 	}
-	if s.leader != nil && s.leader.epoch == s.replica.Epoch() {
+	if s.leader != nil && s.leader.epoch == s.replica.Epoch() && s.leader.suspended.IsZero() {
 		return
 	}
 	if !s.replica.Serving() || s.applied < s.replica.Commit() {
 		return
 	}
-	s.dropLeadership("new epoch")
+	if s.leader != nil {
+		s.resumeLeadership()
+		return
+	}
 	s.takeLeadership()
 }
 
+func (s *shard) suspendLeadership() {
+	l := s.leader
+	if l == nil {
+		return
+	}
+	now := time.Now()
+	if l.suspended.IsZero() {
+		l.suspended = now
+		klog.InfoS("queue shard led no more", "shard", s.id, "epoch", l.epoch, "runs", len(l.runs))
+	}
+	other := s.replica.Leader()
+	if other != "" && other != s.disk {
+		s.dropLeadership("another leads")
+	} else if now.Sub(l.suspended) > suspendTime {
+		s.dropLeadership("no leader for too long")
+	}
+}
+
+// resumeLeadership goes on after an interruption. The table has followed the
+// log; only what was on its way to it has to be sent again.
+func (s *shard) resumeLeadership() {
+	l := s.leader
+	l.epoch, l.suspended = s.replica.Epoch(), time.Time{}
+	l.accepting = map[string]uint64{}
+	klog.InfoS("queue shard led again", "shard", s.id, "epoch", l.epoch, "unfinished", l.table.Len(), "runs", len(l.runs), "decided", len(l.decided))
+	for key := range l.runs {
+		l.table.Forget(key)
+	}
+	for key, decided := range l.decided {
+		l.table.Forget(key)
+		s.silent(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Finish{Finish: &wirev1.QueueResults{Results: []*wirev1.QueueResult{decided}}}})
+	}
+}
+
 func (s *shard) takeLeadership() {
 	ctx, cancel := context.WithCancel(s.node.context)
 	l := &leadership{
 		epoch: s.replica.Epoch(), table: queue.NewTable(), context: ctx, cancel: cancel,
-		runs: map[queue.Key]context.CancelFunc{}, changed: map[string]chan struct{}{}, taken: map[string]int64{},
-		accepting: map[string]uint64{},
+		runs: map[queue.Key]context.CancelFunc{}, decided: map[queue.Key]*wirev1.QueueResult{},
+		changed: map[string]chan struct{}{}, taken: map[string]int64{}, accepting: map[string]uint64{},
 	}
-	now := time.Now()
-	err := queue.Records(s.store.View(), func(record *wirev1.QueueRecord) {
-		l.taken[record.Id] = record.AcceptedUnixMs
-		l.table.Add(record, now, now)
-	})
-	if err != nil {
+	if err := s.fillTable(l); err != nil {
 		cancel()
 		s.fail(err)
 		return
@@ -68,6 +109,32 @@
 	klog.InfoS("queue shard led", "shard", s.id, "epoch", l.epoch, "jobs", len(l.taken), "unfinished", l.table.Len(), "commit", s.replica.Commit())
 }
 
+// fillTable builds the table from the state, with what runs have saved.
+func (s *shard) fillTable(l *leadership) error {
+	now := time.Now()
+	view := s.store.View()
+	var failed error
+	err := queue.Records(view, func(record *wirev1.QueueRecord) {
+		l.taken[record.Id] = record.AcceptedUnixMs
+		l.table.Add(record, now, now)
+		if record.Ended || !l.table.Open(record.Id) {
+			return
+		}
+		for number := range record.Items {
+			saved, err := queue.Progress(view, record.Id, uint32(number))
+			if err != nil {
+				failed = err
+			} else if saved.Last > 0 {
+				l.table.Restore(queue.Key{Job: record.Id, Number: uint32(number)}, queue.Output{Last: saved.Last, Text: saved.Text})
+			}
+		}
+	})
+	if err == nil {
+		err = failed
+	}
+	return err
+}
+
 func (s *shard) dropLeadership(reason string) {
 	if s.leader == nil {
 		return
@@ -76,7 +143,7 @@
 	for _, changed := range s.leader.changed {
 		close(changed)
 	}
-	klog.InfoS("queue shard led no more", "shard", s.id, "epoch", s.leader.epoch, "reason", reason, "runs", len(s.leader.runs))
+	klog.InfoS("queue leadership dropped", "shard", s.id, "epoch", s.leader.epoch, "reason", reason, "runs", len(s.leader.runs))
 	s.leader = nil
 	s.node.metrics.leading.Dec()
 	s.node.metrics.unfinish.Set(0)
@@ -94,30 +161,60 @@
 		l.table.Add(applied.Record, now, now)
 	}
 	for _, finished := range applied.Finished {
-		key := queue.Key{Job: finished.JobId, Number: finished.Item}
-		l.table.Finish(key)
-		s.cancelRun(key)
-		kind := "completed"
-		if finished.Dead {
-			kind = "dead"
-		}
-		s.node.metrics.results.WithLabelValues(kind).Inc()
-		l.wake(finished.JobId)
+		s.noteFinished(finished)
+	}
+	for _, refused := range applied.Refused {
+		s.noteRefused(refused)
 	}
 	if applied.Ended {
-		for key := range l.runs {
-			if key.Job == applied.Record.Id {
-				s.cancelRun(key)
-			}
-		}
-		l.table.End(applied.Record.Id)
-		l.wake(applied.Record.Id)
+		s.noteEnded(applied.Record.Id)
 	}
 	for _, job := range applied.Dropped {
 		delete(l.taken, job)
 	}
 }
 
+func (s *shard) noteFinished(finished *wirev1.QueueResult) {
+	l := s.leader
+	key := queue.Key{Job: finished.JobId, Number: finished.Item}
+	l.table.Finish(key)
+	delete(l.decided, key)
+	s.cancelRun(key)
+	kind := "completed"
+	if finished.Dead {
+		kind = "dead"
+	}
+	s.node.metrics.results.WithLabelValues(kind).Inc()
+	l.wake(finished.JobId)
+}
+
+// noteRefused sends a result again that did not follow what is saved, whole.
+func (s *shard) noteRefused(refused *wirev1.QueueResult) {
+	l := s.leader
+	key := queue.Key{Job: refused.JobId, Number: refused.Item}
+	l.table.Forget(key)
+	if decided := l.decided[key]; decided != nil && l.suspended.IsZero() {
+		klog.InfoS("item's result sent again, whole", "job", key.Job, "item", decided.ItemId, "from", refused.From)
+		s.silent(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Finish{Finish: &wirev1.QueueResults{Results: []*wirev1.QueueResult{decided}}}})
+	}
+}
+
+func (s *shard) noteEnded(job string) {
+	l := s.leader
+	for key := range l.runs {
+		if key.Job == job {
+			s.cancelRun(key)
+		}
+	}
+	for key := range l.decided {
+		if key.Job == job {
+			delete(l.decided, key)
+		}
+	}
+	l.table.End(job)
+	l.wake(job)
+}
+
 func (s *shard) cancelRun(key queue.Key) {
 	if cancel := s.leader.runs[key]; cancel != nil {
 		cancel()
@@ -160,7 +257,7 @@
 // tickLeader starts items that are ready and proposes what time has decided.
 func (s *shard) tickLeader(now time.Time) {
 	l := s.leader
-	if l == nil {
+	if l == nil || !l.suspended.IsZero() {
 		return
 	}
 	if !s.inContact(now) {
@@ -214,7 +311,7 @@
 	item, err := queue.Item(view, entry.Key.Job, entry.Key.Number)
 	if err != nil || item == nil {
 		klog.ErrorS(err, "item's body is missing", "shard", s.id, "job", entry.Key.Job, "item", entry.ID)
-		l.table.Return(entry.Key, entry.Progress, false, time.Now().Add(time.Second))
+		l.table.Return(entry.Key, entry.Output, false, time.Now().Add(time.Second))
 		return true
 	}
 	record, err := queue.Record(view, entry.Key.Job)
@@ -222,11 +319,14 @@
 		return true
 	}
 	ctx, cancel := context.WithCancel(l.context)
-	key, epoch := entry.Key, l.epoch
-	work := &Work{Key: key, Host: record.Host, Route: record.Route, Item: item, Progress: entry.Progress, Due: entry.Due, Slack: l.table.Slack(entry, time.Now()), Failures: entry.Failures}
+	key := entry.Key
+	work := &Work{Key: key, Host: record.Host, Route: record.Route, Item: item, Output: entry.Output, Due: entry.Due, Slack: l.table.Slack(entry, time.Now()), Failures: entry.Failures}
+	work.Save = func(output queue.Output) {
+		_ = s.ask(ctx, func() { s.saveProgress(l, key, item.Id, output) })
+	}
 	if !s.node.Executor.TryStart(ctx, work, func(outcome Outcome) {
 		cancel()
-		_ = s.ask(s.node.context, func() { s.ended(key, epoch, work, outcome) })
+		_ = s.ask(s.node.context, func() { s.ended(l, key, work, outcome) })
 	}) {
 		cancel()
 		return false
@@ -236,11 +336,24 @@
 	return true
 }
 
+// saveProgress proposes to keep what a run has produced since the last time.
+func (s *shard) saveProgress(l *leadership, key queue.Key, item string, output queue.Output) {
+	if s.leader != l || !l.suspended.IsZero() || l.table.Entry(key) == nil {
+		return
+	}
+	from, text := l.table.Unsaved(key, output)
+	if from == output.Last {
+		return
+	}
+	s.silent(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Progress{Progress: &wirev1.QueueResults{Results: []*wirev1.QueueResult{{
+		JobId: key.Job, Item: key.Number, ItemId: item, From: from, Last: output.Last, Text: text,
+	}}}}})
+}
+
 // ended takes what came of a run.
-func (s *shard) ended(key queue.Key, epoch uint64, work *Work, outcome Outcome) {
+func (s *shard) ended(l *leadership, key queue.Key, work *Work, outcome Outcome) {
 	s.node.metrics.runs.WithLabelValues(outcome.Reason).Inc()
-	l := s.leader
-	if l == nil || l.epoch != epoch {
+	if s.leader != l {
 		return
 	}
 	delete(l.runs, key)
@@ -252,26 +365,39 @@
 	}
 	final := outcome.Done || outcome.Dead || outcome.Failed && work.Failures+1 >= outcome.Attempts
 	if !final {
-		l.table.Return(key, outcome.Progress, outcome.Failed, time.Now().Add(outcome.Wait))
+		s.saveProgress(l, key, work.Item.Id, outcome.Output)
+		l.table.Return(key, outcome.Output, outcome.Failed, time.Now().Add(outcome.Wait))
 		return
 	}
-	klog.InfoS("item decided", "job", key.Job, "item", work.Item.Id, "done", outcome.Done, "reason", outcome.Reason, "failures", work.Failures, "bytes", len(outcome.Text))
-	s.list(key, work.Item.Id, !outcome.Done, outcome.Text)
+	klog.InfoS("item decided", "job", key.Job, "item", work.Item.Id, "done", outcome.Done, "reason", outcome.Reason, "failures", work.Failures, "bytes", len(outcome.Output.Text))
+	s.list(key, work.Item.Id, !outcome.Done, outcome.Output)
 }
 
 // list proposes an item's result. Until it is applied the item counts as
-// running, so it is not started again.
-func (s *shard) list(key queue.Key, item string, dead bool, text []byte) {
-	s.silent(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Finish{Finish: &wirev1.QueueResults{Results: []*wirev1.QueueResult{{
-		JobId: key.Job, Item: key.Number, ItemId: item, Dead: dead, Text: text,
-	}}}}})
+// running, so it is not started again; the whole is kept in case that what was
+// on its way did not come there.
+func (s *shard) list(key queue.Key, item string, dead bool, output queue.Output) {
+	l := s.leader
+	whole := &wirev1.QueueResult{JobId: key.Job, Item: key.Number, ItemId: item, Dead: dead, Last: output.Last, Text: output.Text}
+	if dead {
+		whole.Text, whole.Last = nil, 0
+	}
+	l.decided[key] = whole
+	if !l.suspended.IsZero() {
+		return
+	}
+	result := whole
+	if from, text := l.table.Unsaved(key, output); !dead && from > 0 {
+		result = &wirev1.QueueResult{JobId: key.Job, Item: key.Number, ItemId: item, From: from, Last: output.Last, Text: text}
+	}
+	s.silent(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Finish{Finish: &wirev1.QueueResults{Results: []*wirev1.QueueResult{result}}}})
 }
 
 func (s *shard) giveUpExpired(now time.Time) {
 	for _, entry := range s.leader.table.Expired(now.Add(-giveUpSlack)) {
 		klog.InfoS("item given up", "job", entry.Key.Job, "item", entry.ID, "failures", entry.Failures)
 		entry.GiveUp = now.Add(giveUpSlack) // proposed once in a while, until applied
-		s.list(entry.Key, entry.ID, true, nil)
+		s.list(entry.Key, entry.ID, true, queue.Output{})
 	}
 }
 
--- a/internal/queuestore/node.go
+++ b/internal/queuestore/node.go
@@ -23,29 +23,30 @@
 
 // Work is one item to be run.
 type Work struct {
-	Key      queue.Key
-	Host     string
-	Route    string
-	Item     *wirev1.QueueItem
-	Progress queue.Progress
-	Due      time.Time
+	Key    queue.Key
+	Host   string
+	Route  string
+	Item   *wirev1.QueueItem
+	Output queue.Output
+	Due    time.Time
 	// Slack is the time to spare at the start of the run; negative if the item
 	// will be late.
 	Slack    time.Duration
 	Failures int
+	// Save keeps what the run has produced so far; the run may be ended any time.
+	Save func(output queue.Output)
 }
 
 // Outcome is what came of a run.
 type Outcome struct {
-	// Done: Text is the item's whole output. Dead: it can never be done.
+	// Done: Output is whole. Dead: the item can never be done.
 	Done, Dead bool
-	Text       []byte
 	// Failed: the runner's own failure, which counts as an attempt; Attempts is
 	// how many the route allows.
 	Failed   bool
 	Attempts int
-	// Progress is what is known of the output, for the next run.
-	Progress queue.Progress
+	// Output is what is known of the output, for the next run.
+	Output queue.Output
 	// Wait is how long to wait before the next run.
 	Wait time.Duration
 	// Events and Took are what the run made and how long it worked.
--- a/internal/queuestore/serve.go
+++ b/internal/queuestore/serve.go
@@ -90,7 +90,7 @@
 	var refused error
 	err := s.ask(ctx, func() {
 		l := s.leader
-		if l == nil || !s.replica.Serving() {
+		if l == nil || !l.suspended.IsZero() || !s.replica.Serving() {
 			refused = result.New(result.NotLeader, "shard %d is not led here", s.id)
 			return
 		}
--- a/internal/queuestore/transport.go
+++ b/internal/queuestore/transport.go
@@ -160,6 +160,7 @@
 	if index <= s.applied {
 		return
 	}
+	s.dropLeadership("snapshot installed")
 	s.replica.InstallSnapshot(index, epoch)
 	if err := installer.Finish(s.replica.HardState(), s.replica.Config(), index, epoch); err != nil {
 		s.fail(err)
