--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,84 @@
+package catalog
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+)
+
+func routeAt(host, prefix string, parts ...Part) *Route {
+	return &Route{Name: host + prefix, Host: host, PathPrefix: prefix, Parts: append(parts, Part{"s", 1})}
+}
+
+func TestLongestPrefixOfTheHost(t *testing.T) {
+	is := is.New(t)
+	c, err := New(1, []*Route{routeAt("a", "/x/"), routeAt("a", "/x/y/"), routeAt("b", "/")}, nil, Limits{})
+	is.NoErr(err)
+	is.Equal(c.Match("a", "/x/y/z").PathPrefix, "/x/y/")
+	is.Equal(c.Match("A:80", "/x/z").PathPrefix, "/x/")
+	is.Equal(c.Match("b", "/q").PathPrefix, "/")
+	is.True(c.Match("a", "/y/") == nil)
+	is.True(c.Match("c", "/x/") == nil)
+}
+
+// The version in force never falls, in whatever order versions are offered.
+func TestVersionNeverFalls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		holder := NewHolder()
+		highest := uint64(0)
+		for _, version := range rapid.SliceOfN(rapid.Uint64Range(1, 50), 1, 30).Draw(t, "versions") {
+			next, err := New(version, nil, nil, Limits{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			taken := holder.Offer(next, nil, 0, time.Now())
+			if taken != (version > highest) {
+				t.Fatalf("version %d after %d taken: %v", version, highest, taken)
+			}
+			highest = max(highest, version)
+			if holder.Current().Version != highest {
+				t.Fatalf("version %d in force, want %d", holder.Current().Version, highest)
+			}
+		}
+	})
+}
+
+// Each part of a split gets its share, and a request always the same part.
+func TestSplitFollowsWeights(t *testing.T) {
+	is := is.New(t)
+	route := &Route{Name: "r", Parts: []Part{{"a", 70}, {"b", 30}, {"none", 0}}}
+	counts := map[string]int{}
+	for i := range 20000 {
+		id := fmt.Sprintf("%016x", i*7919)
+		service := route.ServiceFor(id)
+		is.Equal(route.ServiceFor(id), service)
+		counts[service]++
+	}
+	is.Equal(counts["none"], 0)
+	is.True(counts["a"] > 13700 && counts["a"] < 14300)
+}
+
+func TestWhatMayRepeat(t *testing.T) {
+	is := is.New(t)
+	is.True((&Route{Kind: Repeatable}).MayRepeat())
+	is.True(!(&Route{Kind: Once}).MayRepeat())
+	is.True(!(&Route{Kind: Streaming}).MayRepeat())
+	is.True((&Route{Kind: Streaming, Resumable: true}).MayRepeat())
+}
+
+func TestUnservableRoutes(t *testing.T) {
+	is := is.New(t)
+	for _, route := range []*Route{
+		{Name: "no prefix", Parts: []Part{{"s", 1}}},
+		{Name: "no service", PathPrefix: "/"},
+		{Name: "negative", PathPrefix: "/", Parts: []Part{{"s", -1}}},
+	} {
+		_, err := New(1, []*Route{route}, nil, Limits{})
+		is.True(err != nil)
+	}
+}
--- /dev/null
+++ b/internal/eventstream/eventstream_test.go
@@ -0,0 +1,67 @@
+package eventstream
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"github.com/matryer/is"
+)
+
+func TestEvents(t *testing.T) {
+	is := is.New(t)
+	text := "id: 1\ndata: a\ndata: b\n\nversion: 3\nid:2\r\ndata:c\r\n\r\n"
+	reader := NewReader(iotest.OneByteReader(strings.NewReader(text)))
+	first, err := reader.Next()
+	is.NoErr(err)
+	is.Equal(string(first.Raw), "id: 1\ndata: a\ndata: b\n\n")
+	is.Equal(string(first.Data), "a\nb")
+	is.Equal(first.ID, int64(1))
+	second, err := reader.Next()
+	is.NoErr(err)
+	is.Equal(second.ID, int64(2))
+	is.Equal(string(second.Data), "c")
+	_, err = reader.Next()
+	is.True(errors.Is(err, io.EOF))
+}
+
+// A stream that ends within an event is not at its end.
+func TestEndWithinAnEvent(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{"id: 1", "id: 1\n", "id: 1\ndata: x\n"} {
+		_, err := NewReader(strings.NewReader(text)).Next()
+		is.True(errors.Is(err, io.ErrUnexpectedEOF))
+	}
+}
+
+func TestBrokenEvents(t *testing.T) {
+	is := is.New(t)
+	var broken *BrokenError
+	_, err := NewReader(strings.NewReader("id: x\n\n")).Next()
+	is.True(errors.As(err, &broken))
+	_, err = NewReader(strings.NewReader("data: " + strings.Repeat("x", MaxEventBytes) + "\n\n")).Next()
+	is.True(errors.As(err, &broken))
+}
+
+// Whatever bytes come, events are whole and nothing is read twice.
+func FuzzReader(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\n"))
+	f.Add([]byte("\n\nid:\n\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		reader := NewReader(bytes.NewReader(text))
+		var seen []byte
+		for {
+			event, err := reader.Next()
+			if err != nil {
+				break
+			}
+			seen = append(seen, event.Raw...)
+		}
+		if !bytes.HasPrefix(text, seen) {
+			t.Fatalf("%q is not the beginning of %q", seen, text)
+		}
+	})
+}
--- a/internal/online/online.go
+++ b/internal/online/online.go
@@ -56,6 +56,7 @@
 	Zone     string
 	Runners  *runnerset.Set
 	Client   exchange.Client
+	listWait time.Duration
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	first    prometheus.Histogram
@@ -64,7 +65,7 @@
 // New returns a forwarder.
 func New(zone string, runners *runnerset.Set, client exchange.Client, registry prometheus.Registerer) *Forwarder {
 	f := &Forwarder{
-		Zone: zone, Runners: runners, Client: client,
+		Zone: zone, Runners: runners, Client: client, listWait: noRunnerWait,
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_requests_total", Help: "Online requests by outcome."}, []string{"outcome"}),
 		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_attempts_total", Help: "Sends to runners by outcome."}, []string{"outcome"}),
 		first:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "cobaltramp_first_event_seconds", Help: "Time to the first event or answer.", Buckets: prometheus.ExponentialBuckets(0.01, 1.6, 14)}),
@@ -169,7 +170,7 @@
 func (s *serving) choose(ctx context.Context) (runnerset.Choice, error) {
 	service := s.request.Route.ServiceFor(s.request.ID)
 	wish := &runnerset.Wish{Service: service, Zone: s.Zone, Prompt: s.request.Prompt, Bytes: len(s.request.Body), Excluded: s.tried}
-	until := time.Now().Add(noRunnerWait)
+	until := time.Now().Add(s.listWait)
 	for {
 		changed := s.Runners.Changed()
 		choice := s.Runners.Pick(wish, time.Now())
--- a/internal/queue/table.go
+++ b/internal/queue/table.go
@@ -83,7 +83,7 @@
 		t.order++
 		entry := &Entry{
 			Key: Key{record.Id, uint32(number)}, ID: info.Id, Tokens: info.Tokens, Route: record.Route, Expected: info.OutputTokens,
-			Due:    accepted.Add(time.Duration(record.ResultTargetMs) * time.Millisecond),
+			Due:    accepted.Add(time.Duration(record.DueAfterMs) * time.Millisecond),
 			GiveUp: accepted.Add(time.Duration(record.GiveUpMs) * time.Millisecond),
 			order:  t.order,
 		}
--- a/internal/queuestore/harness_test.go
+++ b/internal/queuestore/harness_test.go
@@ -294,7 +294,7 @@
 }
 
 func (c *testCluster) trySubmit(id string, items int, limit uint64) error {
-	job := &wirev1.QueueJob{Id: id, Host: testHost, Route: "route", ResultTargetMs: 60000, GiveUpMs: 120000}
+	job := &wirev1.QueueJob{Id: id, Host: testHost, Route: "route", DueAfterMs: 60000, GiveUpMs: 120000}
 	for i := range items {
 		job.Items = append(job.Items, &wirev1.QueueItem{Id: fmt.Sprintf("%s-%d", id, i), Path: "/x", Tokens: 10, Body: fmt.Appendf(nil, "body %s %d", id, i)})
 	}
--- /dev/null
+++ b/internal/runnerset/runnerset_test.go
@@ -0,0 +1,182 @@
+package runnerset
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+)
+
+func setOf(records ...Record) *Set {
+	s := New()
+	s.Replace(records, 1, time.Now())
+	return s
+}
+
+func record(id, zone string) Record { return Record{ID: id, Service: "s", Zone: zone, Slots: 4} }
+
+func pick(s *Set, wish Wish, now time.Time) string {
+	wish.Service = "s"
+	choice := s.Pick(&wish, now)
+	if choice.Runner == nil {
+		return ""
+	}
+	return choice.Runner.ID
+}
+
+// The list's revision never falls, and runners that leave or are gone are not
+// chosen.
+func TestListNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		newest := int64(0)
+		taking := map[string]bool{}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			revision := int64(rapid.IntRange(1, 20).Draw(t, "revision"))
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "runner")
+			leaving := rapid.Bool().Draw(t, "leaving")
+			next := Record{ID: id, Service: "s", Slots: 1, Leaving: leaving}
+			switch rapid.IntRange(0, 2).Draw(t, "kind") {
+			case 0:
+				s.Replace([]Record{next}, revision, time.Now())
+				if revision > newest {
+					taking = map[string]bool{id: !leaving}
+				}
+			case 1:
+				s.Change([]Record{next}, nil, revision, time.Now())
+				if revision > newest {
+					taking[id] = !leaving
+				}
+			case 2:
+				s.Change(nil, []string{id}, revision, time.Now())
+				if revision > newest {
+					delete(taking, id)
+				}
+			}
+			newest = max(newest, revision)
+			held, _ := s.Revision()
+			if held != newest {
+				t.Fatalf("revision %d, want %d", held, newest)
+			}
+			for _, runner := range s.Service("s") {
+				if runner.Takes() != taking[runner.ID] {
+					t.Fatalf("runner %s takes work: %v", runner.ID, runner.Takes())
+				}
+			}
+		}
+	})
+}
+
+// The runner is chosen where the first event is expected soonest: by tokens not
+// yet read, by parts that are kept, by zone.
+func TestChoice(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	big := Prompt{Tokens: 9000}
+	s := setOf(record("a", "z"), record("b", "z"))
+	first := s.Pick(&Wish{Service: "s", Zone: "z", Prompt: big}, now).Runner
+	use := s.Begin(first, big, false, now)
+	second := pick(s, Wish{Zone: "z", Prompt: Prompt{Tokens: 100}}, now)
+	is.True(second != first.ID) // the other has nothing to read
+	use.First(now)
+	use.End()
+
+	shared := Prompt{Tokens: 9000, Shared: []Part{{ID: 7, Tokens: 8000}}}
+	s.Begin(first, shared, false, now).End()
+	is.Equal(pick(s, Wish{Zone: "z", Prompt: shared}, now), first.ID) // it keeps the shared part
+
+	far := setOf(record("near", "z"), record("far", "y"))
+	is.Equal(pick(far, Wish{Zone: "z", Prompt: Prompt{Tokens: 100}}, now), "near")
+	near := far.Pick(&Wish{Service: "s", Zone: "z"}, now).Runner
+	far.Begin(near, Prompt{Tokens: 20000}, false, now)
+	is.Equal(pick(far, Wish{Zone: "z", Prompt: Prompt{Tokens: 100}}, now), "far") // rather another zone than a long wait
+}
+
+// What peers tell counts as the node's own, replaces what they told before, and
+// ends after a while.
+func TestPeers(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := setOf(record("a", "z"), record("b", "z"))
+	s.NotePeer("p", "a", PeerUse{Running: 4, Batch: 1, Unread: 9000}, now)
+	is.Equal(pick(s, Wish{Zone: "z", Prompt: Prompt{Tokens: 100}}, now), "b")
+	a := s.byID["a"]
+	running, own, batch := a.Crowd(now)
+	is.Equal(running, 4.0)
+	is.Equal(own, 0)
+	is.Equal(batch, 1.0)
+	is.Equal(a.BatchHolders(now), []string{"p"})
+	s.NotePeer("p", "a", PeerUse{Running: 1}, now)
+	running, _, _ = a.Crowd(now)
+	is.Equal(running, 1.0)
+	running, _, _ = a.Crowd(now.Add(time.Hour))
+	is.Equal(running, 0.0)
+}
+
+// Batch finds room only where slots stay free.
+func TestBatchRoom(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := setOf(record("a", "z"))
+	wish := Wish{Zone: "z", Batch: &BatchRoom{Reserve: 1, Unread: 1000}}
+	a := s.byID["a"]
+	for range 3 {
+		is.Equal(pick(s, wish, now), "a")
+		s.Begin(a, Prompt{Tokens: 10}, true, now).First(now)
+	}
+	is.Equal(pick(s, wish, now), "") // three of four slots are taken, one stays free
+}
+
+// A runner that fails is set aside, is used when there is no other, and comes
+// back after a good answer; a slow one is avoided.
+func TestFailingAndSlowRunners(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := setOf(record("a", "z"), record("b", "z"))
+	s.byID["a"].NoteBad(now)
+	is.Equal(pick(s, Wish{Zone: "z"}, now), "b")
+	is.Equal(pick(s, Wish{Zone: "z", Excluded: map[string]bool{"b": true}}, now), "a")
+	for range 30 {
+		use := s.Begin(s.byID["a"], Prompt{Tokens: 100}, false, now)
+		use.First(now.Add(800 * time.Millisecond))
+		use.End()
+		use = s.Begin(s.byID["b"], Prompt{Tokens: 100}, false, now)
+		use.First(now.Add(15 * time.Millisecond))
+		use.End()
+	}
+	is.Equal(pick(s, Wish{Zone: "z", Prompt: Prompt{Tokens: 100}}, now), "b")
+}
+
+// The model of what a runner keeps is bounded and forgets what was used least
+// lately.
+func TestKeptPartsAreBounded(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	kept := &keptParts{capacity: 1000}
+	for id := range uint64(50) {
+		kept.touch([]Part{{ID: id, Tokens: 100}}, now.Add(time.Duration(id)*time.Second))
+	}
+	is.True(kept.tokens <= 600)
+	is.Equal(kept.missing(Prompt{Tokens: 150, Shared: []Part{{ID: 49, Tokens: 100}}}), 50)
+	is.Equal(kept.missing(Prompt{Tokens: 150, Shared: []Part{{ID: 1, Tokens: 100}}}), 150)
+	// A part counts only if every part before it is kept.
+	is.Equal(kept.missing(Prompt{Tokens: 250, Shared: []Part{{ID: 1, Tokens: 100}, {ID: 49, Tokens: 100}}}), 250)
+}
+
+// A count ends once, whatever is called how often.
+func TestUseEndsOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := setOf(record("a", "z"))
+	use := s.Begin(s.byID["a"], Prompt{Tokens: 500}, true, now)
+	use.First(now)
+	use.End()
+	use.End()
+	use.First(now)
+	is.Equal(s.byID["a"].own, use0())
+}
+
+func use0() use { return use{} }
--- a/lab/cli/cli.go
+++ b/lab/cli/cli.go
@@ -28,10 +28,11 @@
 	Demo demoCommand `command:"demo" description:"run the whole path with a node killed in the middle, and count what came of it"`
 	Up   upCommand   `command:"up" description:"start the demonstration's deployment and keep it running"`
 
-	Bench   benchCommands  `command:"bench" description:"measure single parts"`
-	Run     runCommand     `command:"run" description:"run a scenario with its policies and seeds, and write result and report"`
-	Compare compareCommand `command:"compare" description:"print the ratios of two results"`
-	Hollow  hollowCommand  `command:"hollow" description:"measure what control costs one node at a fleet's size, with hollow nodes on a virtual clock"`
+	Bench       benchCommands      `command:"bench" description:"measure single parts"`
+	Run         runCommand         `command:"run" description:"run a scenario with its policies and seeds, and write result and report"`
+	Compare     compareCommand     `command:"compare" description:"print the ratios of two results"`
+	Hollow      hollowCommand      `command:"hollow" description:"measure what control costs one node at a fleet's size, with hollow nodes on a virtual clock"`
+	PlatformDay platformDayCommand `command:"platform-day" description:"play a short day of a platform deployment: real processes, stand-ins, faults"`
 }
 
 // Main runs the command line and returns the process's exit code.
--- /dev/null
+++ b/lab/platformday/platformday.go
@@ -0,0 +1,458 @@
+// Package platformday plays a short day of a platform deployment on loopback:
+// real edge and storage processes before stand-ins of the platform's store,
+// runners, callers and batch clients, with faults, and checks the promises
+// from outside.
+package platformday
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/gravitational/trace"
+
+	"cobaltramp.example/cobaltramp/internal/settings"
+	"cobaltramp.example/cobaltramp/lab/standin"
+)
+
+// Options of a day.
+type Options struct {
+	// Program is the path of the product's binary.
+	Program string
+	// Folder holds settings, data and logs.
+	Folder string
+	Seed   uint64
+	// Length is how long callers send.
+	Length time.Duration
+	// PerSecond is how many requests callers send.
+	PerSecond int
+	// Progress is told what happens; nil tells nobody.
+	Progress io.Writer
+}
+
+// Day is a running day.
+type Day struct {
+	Options
+	store   *standin.Store
+	ledger  *standin.Ledger
+	tally   *standin.Tally
+	runners []*standin.Runner
+	nodes   []*process
+	mutex   sync.Mutex
+	started time.Time
+}
+
+// process is one node of the product.
+type process struct {
+	name, role, settings string
+	callers, readiness   string
+	data                 string
+	command              *exec.Cmd
+	log                  *os.File
+	ready                bool
+}
+
+const (
+	edges, storages, runners = 2, 3, 4
+	host                     = "day.example"
+	readyInterval            = 100 * time.Millisecond
+	startTimeout             = 30 * time.Second
+	finishTimeout            = 60 * time.Second
+)
+
+var config = map[string]any{
+	"version": 3,
+	"routes": []map[string]any{
+		{"name": "events", "host": host, "path_prefix": "/events/", "route_kind": "streaming", "timeout_ms": 4000, "target_ms": 300, "attempts": 2, "resumable": true, "service": "s"},
+		{"name": "once", "host": host, "path_prefix": "/once/", "route_kind": "streaming", "timeout_ms": 4000, "target_ms": 300, "attempts": 1, "resumable": false, "service": "s"},
+		{"name": "batch", "host": host, "path_prefix": "/batch/", "route_kind": "batch", "timeout_ms": 4000, "target_ms": 400, "attempts": 3, "result_target_ms": 10000, "max_wait_s": 600, "max_queued_tokens": 1000000, "service": "s"},
+	},
+	"services": []map[string]any{{"name": "s", "health_path": "/healthz", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity": 100000}}},
+	"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+}
+
+// Play plays a day and returns what callers saw. The error is of the play
+// itself; broken promises are in the tally.
+func Play(ctx context.Context, options Options) (*standin.Tally, error) {
+	d := &Day{Options: options, store: standin.NewStore(), ledger: standin.NewLedger(), tally: &standin.Tally{}, started: time.Now()}
+	defer d.store.Close()
+	defer d.killAll()
+	d.store.Put("op/config", config)
+	for number := range runners {
+		if err := d.startRunner(number, 0); err != nil {
+			return nil, trace.Wrap(err)
+		}
+	}
+	if err := d.startNodes(); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.watchReadiness(ctx)
+	if err := d.awaitReady(ctx); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return d.tally, d.traffic(ctx)
+}
+
+func (d *Day) say(format string, args ...any) {
+	if d.Progress != nil {
+		fmt.Fprintf(d.Progress, "%6.2f s  %s\n", time.Since(d.started).Seconds(), fmt.Sprintf(format, args...))
+	}
+}
+
+func (d *Day) startRunner(number, life int) error {
+	runner, err := standin.StartRunner(standin.RunnerOptions{
+		ID: fmt.Sprintf("r%d-%d", number, life), Service: "s", Zone: fmt.Sprintf("z%d", number%edges), Address: "127.0.0.1:0",
+		Slots: 8, Queue: 32, EventTime: 15 * time.Millisecond, Store: d.store, Ledger: d.ledger,
+	})
+	if err != nil {
+		return err
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.runners = append(d.runners, runner)
+	return nil
+}
+
+// freePort finds a port that is free now.
+func freePort() (int, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().(*net.TCPAddr).Port, nil
+}
+
+func (d *Day) startNodes() error {
+	var seeds []string
+	for number := range edges + storages {
+		role := "edge"
+		if number >= edges {
+			role = "storage"
+		}
+		p, err := d.prepare(role, number, &seeds)
+		if err != nil {
+			return err
+		}
+		d.nodes = append(d.nodes, p)
+	}
+	for _, p := range d.nodes {
+		if err := d.start(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// prepare writes a node's settings.
+func (d *Day) prepare(role string, number int, seeds *[]string) (*process, error) {
+	ports := make([]int, 5)
+	for i := range ports {
+		port, err := freePort()
+		if err != nil {
+			return nil, err
+		}
+		ports[i] = port
+	}
+	name := fmt.Sprintf("%s-%d", role, number)
+	p := &process{name: name, role: role, settings: filepath.Join(d.Folder, name+".yaml")}
+	s := settings.Role{
+		Cluster: "day", Node: name, Zone: fmt.Sprintf("z%d", number%edges), Region: "r", Address: "127.0.0.1", Ports: []int{ports[0], ports[0]},
+		Listen: settings.RoleListen{MetricsPort: ports[4]}, FirstStart: true, DiskLosses: 1,
+		Store:   settings.RoleStore{Address: d.store.Address()},
+		Machine: settings.RoleMachine{MemoryMegabytes: 256}, Bounds: settings.RoleBounds{StopSeconds: 8, DrainMilliseconds: 2000},
+	}
+	if role == "edge" {
+		address := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+		s.Listen.Callers, s.Listen.Readiness, s.Listen.Peers = address(ports[1]), address(ports[2]), address(ports[3])
+		p.callers, p.readiness = s.Listen.Callers, s.Listen.Readiness
+		*seeds = append(*seeds, s.Listen.Peers)
+	} else {
+		s.DataFolder = filepath.Join(d.Folder, name+"-data")
+		p.data = s.DataFolder
+	}
+	s.Seeds = *seeds
+	text, err := yaml.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	return p, os.WriteFile(p.settings, text, 0o644)
+}
+
+func (d *Day) start(p *process) error {
+	log, err := os.OpenFile(filepath.Join(d.Folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	p.log = log
+	p.command = exec.Command(d.Program, p.role, "--settings", p.settings)
+	p.command.Stdout, p.command.Stderr = log, log
+	d.say("%s starts", p.name)
+	return p.command.Start()
+}
+
+func (d *Day) signal(p *process, signal os.Signal) {
+	d.say("%s gets %v", p.name, signal)
+	_ = p.command.Process.Signal(signal)
+	_ = p.command.Wait()
+	_ = p.log.Close()
+}
+
+func (d *Day) killAll() {
+	for _, p := range d.nodes {
+		if p.command != nil && p.command.ProcessState == nil {
+			d.signal(p, syscall.SIGKILL)
+		}
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, runner := range d.runners {
+		runner.Crash()
+	}
+}
+
+// watchReadiness asks edges whether they take connections, as the platform's
+// ingress does.
+func (d *Day) watchReadiness(ctx context.Context) {
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for ctx.Err() == nil {
+		for _, p := range d.nodes {
+			if p.role != "edge" {
+				continue
+			}
+			response, err := client.Get("http://" + p.readiness + "/-/readyz")
+			ready := err == nil && response.StatusCode == http.StatusOK
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			d.mutex.Lock()
+			p.ready = ready
+			d.mutex.Unlock()
+		}
+		time.Sleep(readyInterval)
+	}
+}
+
+// Addresses implements standin.Front: the edges that are ready, or all while
+// none is.
+func (d *Day) Addresses() []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var ready, all []string
+	for _, p := range d.nodes {
+		if p.role != "edge" {
+			continue
+		}
+		all = append(all, p.callers)
+		if p.ready {
+			ready = append(ready, p.callers)
+		}
+	}
+	if len(ready) == 0 {
+		return all
+	}
+	return ready
+}
+
+func (d *Day) readyCount() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	count := 0
+	for _, p := range d.nodes {
+		if p.ready {
+			count++
+		}
+	}
+	return count
+}
+
+func (d *Day) awaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(startTimeout)
+	for d.readyCount() < edges {
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return trace.ConnectionProblem(nil, "edges are not ready after %v; see the logs in %s", startTimeout, d.Folder)
+		}
+		time.Sleep(readyInterval)
+	}
+	d.say("all edges are ready")
+	return nil
+}
+
+// traffic sends requests and jobs while the faults come, and waits until every
+// taken item has its result.
+func (d *Day) traffic(ctx context.Context) error {
+	random := rand.New(rand.NewPCG(d.Seed, 1))
+	fork := func() *rand.Rand { return rand.New(rand.NewPCG(random.Uint64(), random.Uint64())) }
+	var group sync.WaitGroup
+	groups := []*standin.Callers{
+		{Front: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: "/events/", Random: fork()},
+		{Front: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: "/once/", Once: true, Random: fork()},
+	}
+	for number, callers := range groups {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			d.send(ctx, callers, number)
+		}()
+	}
+	batch := &standin.BatchClient{Front: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: "/batch/", Random: fork()}
+	group.Add(1)
+	go func() {
+		defer group.Done()
+		d.batch(ctx, batch)
+	}()
+	d.faults(ctx, fork())
+	group.Wait()
+	for _, callers := range groups {
+		callers.CheckRuns()
+	}
+	d.say("%s", d.tally.Summary())
+	if open := batch.Open(); open > 0 {
+		d.tally.Broken = append(d.tally.Broken, fmt.Sprintf("%d taken items have no result", open))
+	}
+	return nil
+}
+
+func (d *Day) send(ctx context.Context, callers *standin.Callers, number int) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	ticker := time.NewTicker(time.Second / time.Duration(d.PerSecond))
+	defer ticker.Stop()
+	ends := time.Now().Add(d.Length)
+	for count := 0; time.Now().Before(ends); count++ {
+		<-ticker.C
+		group.Add(1)
+		// Draws are made one after the other; each request has its own.
+		one := *callers
+		one.Random = rand.New(rand.NewPCG(d.Seed, uint64(number*1_000_000+count)))
+		go func() {
+			defer group.Done()
+			one.One(ctx, fmt.Sprintf("%d%06d", number+1, count))
+		}()
+	}
+}
+
+func (d *Day) batch(ctx context.Context, batch *standin.BatchClient) {
+	ends := time.Now().Add(d.Length)
+	for count := 0; time.Now().Before(ends); count++ {
+		submitContext, cancel := context.WithTimeout(ctx, 10*time.Second)
+		batch.Submit(submitContext, fmt.Sprintf("job%03d", count), 4)
+		cancel()
+		batch.ReadAll(ctx)
+		time.Sleep(250 * time.Millisecond)
+	}
+	deadline := time.Now().Add(finishTimeout)
+	for batch.Open() > 0 && time.Now().Before(deadline) {
+		batch.ReadAll(ctx)
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// faults bring trouble, in an order drawn from the seed, spread over the day.
+func (d *Day) faults(ctx context.Context, random *rand.Rand) {
+	list := []func(){d.killEdge, d.killStorage, d.wipeStorage, d.stopEdge, d.silenceStore, d.crashRunner, d.drainRunner, d.spoilAnswers}
+	random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	pause := d.Length / time.Duration(len(list)+1)
+	for _, fault := range list {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		fault()
+	}
+}
+
+func (d *Day) pick(role string) *process {
+	for _, p := range d.nodes {
+		if p.role == role {
+			return p
+		}
+	}
+	return nil
+}
+
+func (d *Day) restart(p *process, signal os.Signal) {
+	d.signal(p, signal)
+	if err := d.start(p); err != nil {
+		d.say("%s does not start: %v", p.name, err)
+	}
+}
+
+func (d *Day) killEdge() { d.restart(d.pick("edge"), syscall.SIGKILL) }
+
+func (d *Day) stopEdge() { d.restart(d.nodes[1], syscall.SIGTERM) }
+
+func (d *Day) killStorage() { d.restart(d.pick("storage"), syscall.SIGKILL) }
+
+func (d *Day) wipeStorage() {
+	p := d.nodes[edges+1]
+	d.signal(p, syscall.SIGKILL)
+	d.say("%s loses its disk", p.name)
+	_ = os.RemoveAll(p.data)
+	if err := d.start(p); err != nil {
+		d.say("%s does not start: %v", p.name, err)
+	}
+}
+
+const silenceTime = 1500 * time.Millisecond
+
+func (d *Day) silenceStore() {
+	d.say("the store is silent")
+	d.store.SetFault(standin.StoreFault{Silent: true})
+	time.AfterFunc(silenceTime, func() { d.store.SetFault(standin.StoreFault{}) })
+}
+
+func (d *Day) crashRunner() {
+	d.say("a runner crashes")
+	d.runner(0).Crash()
+	time.AfterFunc(time.Second, func() {
+		d.runner(0).Stop()
+		_ = d.startRunner(0, 1)
+	})
+}
+
+func (d *Day) drainRunner() {
+	d.say("a runner drains")
+	d.runner(1).Drain()
+	time.AfterFunc(3*time.Second, func() {
+		_ = d.startRunner(1, 1)
+		d.runner(1).Stop()
+	})
+}
+
+func (d *Day) spoilAnswers() {
+	d.say("a runner spoils answers")
+	d.runner(2).SetFault(standin.RunnerFault{LoseAnswer: 0.1, Break: 0.1, Extra: 0.1, Fail: 0.05})
+}
+
+func (d *Day) runner(number int) *standin.Runner {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.runners[number]
+}
+
+// Logs returns the last lines of each node's log, for a day that went wrong.
+func Logs(folder string) string {
+	var text strings.Builder
+	paths, _ := filepath.Glob(filepath.Join(folder, "*.log"))
+	for _, path := range paths {
+		content, _ := os.ReadFile(path)
+		lines := strings.Split(string(content), "\n")
+		fmt.Fprintf(&text, "== %s\n%s\n", filepath.Base(path), strings.Join(lines[max(0, len(lines)-40):], "\n"))
+	}
+	return text.String()
+}
--- /dev/null
+++ b/lab/platformday/platformday_test.go
@@ -0,0 +1,33 @@
+package platformday
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// A short day with every fault of the list, against real processes: no promise
+// is broken, and every taken item gets its result.
+func TestShortDay(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	program := filepath.Join(folder, "cobaltramp")
+	built, err := exec.Command("go", "build", "-o", program, "../../cmd/cobaltramp").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, built)
+	}
+	tally, err := Play(context.Background(), Options{
+		Program: program, Folder: folder, Seed: 1, Length: 12 * time.Second, PerSecond: 20, Progress: os.Stderr,
+	})
+	is.NoErr(err)
+	if len(tally.Broken) > 0 {
+		t.Fatalf("%v\n%s", tally.Broken, Logs(folder))
+	}
+	is.True(tally.Served > 0)
+	is.True(tally.JobsTaken > 0)
+}
