Edges pass a silent storage node over

Ruled out: the replicas (their logs show a leader again 0.1 to 2 s after each loss). Change: nodes are asked one after the other, the next when the one before is silent for 250 ms; a node that did not answer is forgotten as leader. Test TestSilentLeaderIsPassedOver fails without the mend (20 of 20 time out) and passes with it.

--- a/internal/queueclient/queueclient.go
+++ b/internal/queueclient/queueclient.go
@@ -34,7 +34,10 @@
 const (
 	// tryTimeout bounds one try at one node, beyond what a read waits.
 	tryTimeout = 900 * time.Millisecond
-	roundWait  = 60 * time.Millisecond
+	// hedgeTime is how long one node is waited for before the next is asked as
+	// well: a dead machine says nothing.
+	hedgeTime = 250 * time.Millisecond
+	roundWait = 60 * time.Millisecond
 	// comeBack is when a caller that could not be served should try again.
 	comeBack = 300 * time.Millisecond
 )
@@ -65,28 +68,22 @@
 	return reply, c.call(ctx, request.Host, wirev1.Method_METHOD_QUEUE_END, 0, request, reply)
 }
 
-// call tries the nodes of the shard, its last known leader first, until one
+// call asks the nodes of the shard, its last known leader first, until one
 // answers or the context ends. All calls may be repeated: a job is taken once,
 // and an end is an end.
 func (c *Client) call(ctx context.Context, host string, method wirev1.Method, wait time.Duration, request, reply proto.Message) error {
 	unknown := false
 	var last error
 	for round := 0; ; round++ {
-		for _, address := range c.candidates(host) {
-			err := c.try(ctx, address, method, wait, request, reply)
-			if err == nil {
-				c.remember(host, address)
-				return nil
-			}
-			last = err
-			if final(err) {
-				return err
-			}
-			unknown = unknown || !result.Is(err, result.NotLeader) && !result.Is(err, result.PeerUnreachable) && !result.Is(err, result.StoreUnavailable)
-			if ctx.Err() != nil {
-				break
-			}
+		answered := c.round(ctx, host, method, wait, request, reply)
+		if answered.err == nil {
+			return nil
 		}
+		if final(answered.err) {
+			return answered.err
+		}
+		last = answered.err
+		unknown = unknown || answered.unknown
 		if !pause(ctx, roundWait) {
 			klog.InfoS("queue call failed", "method", method.String(), "host", host, "rounds", round+1, "unknown", unknown, "last", last)
 			return c.failed(unknown, last)
@@ -94,6 +91,64 @@
 	}
 }
 
+// outcome is what came of a round, or of one try in it.
+type outcome struct {
+	address string
+	reply   proto.Message
+	err     error
+	// unknown: some node may have done what was asked.
+	unknown bool
+}
+
+// round asks each node once, the next one when the one before has failed or is
+// silent for a while, and takes the first answer.
+func (c *Client) round(ctx context.Context, host string, method wirev1.Method, wait time.Duration, request, reply proto.Message) outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	waiting := c.candidates(host)
+	tries := make(chan outcome, len(waiting))
+	running := 0
+	whole := outcome{err: result.New(result.StoreUnavailable, "no storage node is known")}
+	for len(waiting) > 0 || running > 0 {
+		if len(waiting) > 0 {
+			address := waiting[0]
+			waiting = waiting[1:]
+			running++
+			go func() { tries <- c.try(ctx, address, method, wait, request, reply) }()
+		}
+		one, ended := c.await(tries, len(waiting) > 0, wait)
+		if !ended {
+			continue
+		}
+		running--
+		if one.err == nil || final(one.err) {
+			proto.Merge(reply, one.reply)
+			c.remember(host, one.address)
+			return outcome{err: one.err}
+		}
+		c.forget(host, one.address)
+		whole.err = one.err
+		whole.unknown = whole.unknown || one.unknown
+	}
+	return whole
+}
+
+// await waits for the end of a try; if there is another node to ask, not for
+// long.
+func (c *Client) await(tries <-chan outcome, more bool, wait time.Duration) (outcome, bool) {
+	if !more {
+		return <-tries, true
+	}
+	timer := time.NewTimer(hedgeTime + wait)
+	defer timer.Stop()
+	select {
+	case one := <-tries:
+		return one, true
+	case <-timer.C:
+		return outcome{}, false
+	}
+}
+
 func (c *Client) failed(unknown bool, last error) error {
 	if unknown {
 		return result.New(result.CommitUnknown, "no storage node confirmed it: %v", last)
@@ -104,10 +159,13 @@
 // final tells the answers that another node or try would give as well.
 func final(err error) bool { return result.Is(err, result.TenantTokens) }
 
-func (c *Client) try(ctx context.Context, address string, method wirev1.Method, wait time.Duration, request, reply proto.Message) error {
+func (c *Client) try(ctx context.Context, address string, method wirev1.Method, wait time.Duration, request, reply proto.Message) outcome {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout+wait)
 	defer cancel()
-	return c.Pool.Call(ctx, address, rpc.ClassOnline, method, request, reply)
+	own := reply.ProtoReflect().New().Interface()
+	err := c.Pool.Call(ctx, address, rpc.ClassOnline, method, request, own)
+	notDone := result.Is(err, result.NotLeader) || result.Is(err, result.PeerUnreachable) || result.Is(err, result.StoreUnavailable) || result.Is(err, result.NotReady)
+	return outcome{address: address, reply: own, err: err, unknown: err != nil && !notDone}
 }
 
 // candidates lists the nodes that may lead the shard of a host.
@@ -134,6 +192,7 @@
 	return list
 }
 
+// remember keeps who answered for a shard.
 func (c *Client) remember(host, address string) {
 	layout := c.Layouts.Current()
 	if layout == nil {
@@ -148,6 +207,20 @@
 	}
 }
 
+// forget drops a leader that did not answer.
+func (c *Client) forget(host, address string) {
+	layout := c.Layouts.Current()
+	if layout == nil {
+		return
+	}
+	id := queuestore.ShardOf(host, len(layout.Shards))
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.leaders[id] == address {
+		delete(c.leaders, id)
+	}
+}
+
 func pause(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- /dev/null
+++ b/internal/queueclient/queueclient_test.go
@@ -0,0 +1,111 @@
+package queueclient
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/peers"
+	"cobaltramp.example/cobaltramp/internal/queuestore"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+)
+
+const layoutText = `{"shards":[{"generation":1,"members":["disk-a","disk-b"],"copies":2}]}`
+
+// silentAddress takes connections and says nothing, like a machine that is cut
+// off.
+func silentAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener.Addr().String()
+}
+
+// serving answers reads with an outcome.
+func serving(t *testing.T, answer func() (*wirev1.QueueReadReply, error)) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer("b", "c", &rpc.Counters{})
+	server.Handle(wirev1.Method_METHOD_QUEUE_READ, func(_ context.Context, stream *rpc.ServerStream) error {
+		reply, err := answer()
+		if err != nil {
+			return err
+		}
+		return stream.Send(reply)
+	})
+	go func() { _ = server.Serve(listener, nil) }()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		server.Close()
+	})
+	return listener.Addr().String()
+}
+
+func clientOf(t *testing.T, addresses ...string) *Client {
+	t.Helper()
+	directory := peers.NewDirectory(&wirev1.NodeRecord{NodeId: "edge"}, nil)
+	for i, address := range addresses {
+		name := string(rune('a' + i))
+		directory.Put(&wirev1.NodeRecord{NodeId: name, Address: address, DiskId: "disk-" + name, Incarnation: 1})
+	}
+	layouts := queuestore.NewLayouts()
+	layouts.Offer([]byte(layoutText), 1, "test")
+	pool := rpc.NewPool("edge", "c", nil, &rpc.Counters{})
+	t.Cleanup(pool.Close)
+	return New(directory, layouts, pool)
+}
+
+// A leader that falls silent does not keep callers from the one that leads now,
+// however many ask at once.
+func TestSilentLeaderIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	live := serving(t, func() (*wirev1.QueueReadReply, error) { return &wirev1.QueueReadReply{Found: true, Total: 3}, nil })
+	client := clientOf(t, silentAddress(t), live)
+	client.remember("h", client.candidates("h")[0]) // the silent one led
+	results := make(chan error, 20)
+	for range cap(results) {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			reply, err := client.Read(ctx, &wirev1.QueueReadRequest{JobId: "j", Host: "h"})
+			if err == nil && reply.Total != 3 {
+				err = errors.New("not the reply")
+			}
+			results <- err
+		}()
+	}
+	for range cap(results) {
+		is.NoErr(<-results)
+	}
+	is.Equal(client.candidates("h")[0], live)
+}
+
+// What no node did is told as not done; what one may have done is not.
+func TestWhetherItMayHaveBeenDone(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	notLeader := func() (*wirev1.QueueReadReply, error) { return nil, result.New(result.NotLeader, "no") }
+	client := clientOf(t, serving(t, notLeader), serving(t, notLeader))
+	_, err := client.Read(ctx, &wirev1.QueueReadRequest{Host: "h"})
+	is.Equal(result.CodeOf(err).Entry().Ran, result.RanNo)
+
+	ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	unsure := func() (*wirev1.QueueReadReply, error) { return nil, result.New(result.CommitUnknown, "perhaps") }
+	client = clientOf(t, serving(t, notLeader), serving(t, unsure))
+	_, err = client.Read(ctx, &wirev1.QueueReadRequest{Host: "h"})
+	is.Equal(result.CodeOf(err).Entry().Ran, result.RanUnknown)
+}
