--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,194 @@
+// Package explain tells the story of one request, item or job from the log
+// lines of many processes: who took it, every choice with what it rested on,
+// every send and its outcome, how it ended, and what the record lacks.
+//
+// Clocks of machines disagree: lines of one source keep their order, sources
+// are merged by their time stamps, and the story names the source of each line.
+package explain
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"regexp"
+	"sort"
+	"strings"
+)
+
+// Line is one structured log line.
+type Line struct {
+	Source string
+	// Stamp is the time of day of the process, "15:04:05.000000".
+	Stamp string
+	// Message is the line's fixed text, Fields its values by name.
+	Message string
+	Fields  map[string]string
+	order   int
+}
+
+var (
+	linePattern  = regexp.MustCompile(`[IEWF]\d{4} (\d\d:\d\d:\d\d\.\d{6}) +\d+ \S+\] "([^"]*)"(.*)$`)
+	fieldPattern = regexp.MustCompile(`([A-Za-z]+)=("(?:[^"\\]|\\.)*"|\S+)`)
+	// sourcePattern finds the machine's name where lines of many are mixed.
+	sourcePattern = regexp.MustCompile(`([a-z][a-z0-9-]*-\d+) [IEWF]\d{4} `)
+)
+
+// maxLineBytes bounds one line.
+const maxLineBytes = 1 << 20
+
+// Parse reads the lines of a source. Lines that are not structured are skipped.
+func Parse(source string, reader io.Reader) ([]Line, error) {
+	var lines []Line
+	scanner := bufio.NewScanner(reader)
+	scanner.Buffer(make([]byte, 64<<10), maxLineBytes)
+	for scanner.Scan() {
+		if line, ok := parseLine(source, scanner.Text()); ok {
+			line.order = len(lines)
+			lines = append(lines, line)
+		}
+	}
+	return lines, scanner.Err()
+}
+
+func parseLine(source, text string) (Line, bool) {
+	found := linePattern.FindStringSubmatch(text)
+	if found == nil {
+		return Line{}, false
+	}
+	if mixed := sourcePattern.FindStringSubmatch(text); mixed != nil {
+		source = mixed[1]
+	}
+	line := Line{Source: source, Stamp: found[1], Message: found[2], Fields: map[string]string{}}
+	for _, field := range fieldPattern.FindAllStringSubmatch(found[3], -1) {
+		line.Fields[field[1]] = strings.Trim(field[2], `"`)
+	}
+	return line, true
+}
+
+// idFields are the fields that name a request, an item or a job.
+var idFields = []string{"id", "item", "job"}
+
+func (l *Line) about(id string) bool {
+	for _, field := range idFields {
+		if l.Fields[field] == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Story is what the lines tell of one id.
+type Story struct {
+	ID    string
+	Lines []Line
+	// Decisive is the line that made the end certain; nil if none did.
+	Decisive *Line
+	// Missing says what a whole record would have.
+	Missing []string
+}
+
+// Tell gathers the story of an id.
+func Tell(id string, lines []Line) *Story {
+	story := &Story{ID: id}
+	for _, line := range lines {
+		if line.about(id) {
+			story.Lines = append(story.Lines, line)
+		}
+	}
+	sort.SliceStable(story.Lines, func(i, j int) bool {
+		a, b := &story.Lines[i], &story.Lines[j]
+		if a.Source == b.Source {
+			return a.order < b.order
+		}
+		return a.Stamp < b.Stamp
+	})
+	story.decide()
+	story.lack()
+	return story
+}
+
+// Messages that the story's end is read from.
+const (
+	messageAttempt   = "attempt"
+	messageEnded     = "request ended"
+	messageRefused   = "request refused"
+	messageHandedIn  = "job handed in"
+	messageTaken     = "job submission"
+	messageItemEnded = "item run ended"
+	messageDecided   = "item decided"
+	messageGivenUp   = "item given up"
+	messageJobEnd    = "job end"
+)
+
+// decide finds the line that made the end certain: a refusal, the last attempt
+// that was not tried again, the decision on an item, the end of a job.
+func (s *Story) decide() {
+	for i := range s.Lines {
+		line := &s.Lines[i]
+		final := line.Message == messageRefused || line.Message == messageDecided || line.Message == messageGivenUp ||
+			line.Message == messageJobEnd || line.Message == messageAttempt && line.Fields["again"] == "false"
+		if final && s.Decisive == nil {
+			s.Decisive = line
+		}
+	}
+	if s.Decisive == nil {
+		for i := range s.Lines {
+			if m := s.Lines[i].Message; m == messageEnded || m == messageHandedIn && s.Lines[i].Fields["err"] != "null" {
+				s.Decisive = &s.Lines[i]
+				return
+			}
+		}
+	}
+}
+
+// lack names what a whole record of its kind would have.
+func (s *Story) lack() {
+	has := map[string]bool{}
+	for _, line := range s.Lines {
+		has[line.Message] = true
+	}
+	switch {
+	case len(s.Lines) == 0:
+		s.Missing = append(s.Missing, "any line with this id: the process that took it was killed, its lines were dropped, or it came nowhere")
+	case has[messageAttempt] && !has[messageEnded]:
+		s.Missing = append(s.Missing, "the end of the request: the edge was stopped or killed before it")
+	case has[messageEnded] && !has[messageAttempt]:
+		s.Missing = append(s.Missing, "an attempt: no runner was found to try")
+	case has[messageHandedIn] && !has[messageTaken]:
+		s.Missing = append(s.Missing, "the storage node that answered the submission")
+	case has[messageItemEnded] && !has[messageDecided]:
+		s.Missing = append(s.Missing, "the decision on the item: it has no result yet, its job was ended, or another leader took over")
+	}
+}
+
+// Print writes the story as text.
+func (s *Story) Print(writer io.Writer) {
+	fmt.Fprintf(writer, "%s: %d lines\n", s.ID, len(s.Lines))
+	for i := range s.Lines {
+		line := &s.Lines[i]
+		mark := " "
+		if line == s.Decisive {
+			mark = "*"
+		}
+		fmt.Fprintf(writer, "%s %s %-24s %s%s\n", mark, line.Stamp, line.Source, line.Message, line.values())
+	}
+	if s.Decisive != nil {
+		fmt.Fprintf(writer, "made certain by (*): %s at %s%s\n", s.Decisive.Message, s.Decisive.Source, s.Decisive.values())
+	}
+	for _, missing := range s.Missing {
+		fmt.Fprintf(writer, "missing: %s\n", missing)
+	}
+}
+
+func (l *Line) values() string {
+	names := make([]string, 0, len(l.Fields))
+	for name := range l.Fields {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var text strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&text, " %s=%s", name, l.Fields[name])
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,40 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const mixedLog = `
+  16.5857 edge-a-1 I0714 10:16:30.585365    8426 online.go:237] "attempt" id="x1" runner="r1" load=4 again=true outcome="done"
+  16.5900 edge-a-1 I0714 10:16:30.599000    8426 online.go:237] "attempt" id="x1" runner="r2" load=2 again=false outcome="outcome_unknown (1301): lost \"twice\""
+  16.5901 edge-a-1 I0714 10:16:30.599100    8426 online.go:126] "request ended" id="x1" outcome="outcome_unknown" runs=2
+  16.7000 storage-b-1 I0714 10:16:29.000000    8427 leader.go:1] "item run ended" job="j1" item="i1" outcome="gave way"
+not a line
+`
+
+func TestStoryOfARequest(t *testing.T) {
+	is := is.New(t)
+	lines, err := Parse("file", strings.NewReader(mixedLog))
+	is.NoErr(err)
+	is.Equal(len(lines), 4)
+	story := Tell("x1", lines)
+	is.Equal(len(story.Lines), 3)
+	is.Equal(story.Lines[0].Source, "edge-a-1")
+	is.Equal(story.Decisive.Fields["runner"], "r2") // the first that was not tried again
+	is.Equal(len(story.Missing), 0)
+	var text strings.Builder
+	story.Print(&text)
+	is.True(strings.Contains(text.String(), "made certain by"))
+}
+
+func TestStoryOfAnItemAndOfNothing(t *testing.T) {
+	is := is.New(t)
+	lines, err := Parse("file", strings.NewReader(mixedLog))
+	is.NoErr(err)
+	is.Equal(len(Tell("i1", lines).Missing), 1) // no decision yet
+	is.Equal(len(Tell("j1", lines).Lines), 1)
+	is.Equal(len(Tell("unknown", lines).Missing), 1)
+}
