Each freeze of a member set has its own time

In a bad one a member raised the attempt 0.26 s after a hand-over had begun, not after 1.5 s: it still held the time of a freeze long over. The hand-over failed, and again at each try. Change: the time is forgotten when the set is not frozen. Test TestHandOversAreNotGivenUpTooSoon fails without the mend and passes with it.

--- a/internal/queuestore/cluster_test.go
+++ b/internal/queuestore/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
@@ -61,6 +62,25 @@
 	c.finished("one", 3)
 }
 
+// Changes of members that come one after the other, with time between, are not
+// given up: each freeze has its own time.
+func TestHandOversAreNotGivenUpTooSoon(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.submit("one", 1)
+	for _, name := range []string{"a", "b", "c"} {
+		c.wipe(name)
+		c.start(name)
+		disk := c.nodes[name].db.DiskID()
+		c.eventually("the new disk is a member", func() bool { return c.layouts.Current().Shards[0].Has(disk) })
+		time.Sleep(frozenTimeout + 100*time.Millisecond)
+	}
+	c.finished("one", 1)
+	c.store.mutex.Lock()
+	defer c.store.mutex.Unlock()
+	is.Equal(c.store.fenced, 0)
+}
+
 // A machine is emptied with no spare: two members are left. When one of these
 // loses its disk the other, alone, holds everything and goes on, whichever led.
 func TestEmptiedThenAnotherDiskLost(t *testing.T) {
--- a/internal/queuestore/handover.go
+++ b/internal/queuestore/handover.go
@@ -36,7 +36,9 @@
 // tickHandOver looks for disks to replace or add and advances a running change.
 func (s *shard) tickHandOver(now time.Time) {
 	h := &s.handOver
-	if s.replica.Frozen() && !h.swapping {
+	if !s.replica.Frozen() {
+		h.frozenAt = time.Time{} // the next freeze has its own time
+	} else if !h.swapping {
 		s.tickFrozen(now, h)
 	}
 	if s.replica.Role() != replica.Leader {
--- a/internal/queuestore/harness_test.go
+++ b/internal/queuestore/harness_test.go
@@ -1,6 +1,7 @@
 package queuestore
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -27,6 +28,7 @@
 	value    []byte
 	revision int64
 	down     bool
+	fenced   int // changes by which a hand-over was given up
 	follow   []*Layouts
 	retired  map[string]bool
 }
@@ -59,6 +61,9 @@
 	}
 	s.revision++
 	s.value = puts[0].Value
+	if bytes.Contains(s.value, []byte(`"attempt"`)) {
+		s.fenced++
+	}
 	for _, layouts := range s.follow {
 		layouts.Offer(s.value, s.revision, "test")
 	}
