A node is told as emptied only when every member is another node's present disk

Change: a member that no node has keeps the emptying open. Test TestNotEmptiedWhileItsLostDiskIsAMember fails with the check before (the second case).

--- a/internal/queuestore/cluster_test.go
+++ b/internal/queuestore/cluster_test.go
@@ -8,6 +8,8 @@
 	"google.golang.org/protobuf/proto"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/peers"
+	"cobaltramp.example/cobaltramp/internal/replica"
 	"cobaltramp.example/cobaltramp/internal/result"
 )
 
@@ -81,6 +83,21 @@
 	is.Equal(c.store.fenced, 0)
 }
 
+// A node whose disk is lost while it is being emptied is not told as emptied
+// as long as the lost disk is a member.
+func TestNotEmptiedWhileItsLostDiskIsAMember(t *testing.T) {
+	is := is.New(t)
+	directory := peers.NewDirectory(&wirev1.NodeRecord{NodeId: "b", DiskId: "disk-b", Incarnation: 1}, nil)
+	directory.Put(&wirev1.NodeRecord{NodeId: "a", DiskId: "disk-a", Incarnation: 1})
+	n := &Node{Options: Options{Directory: directory}}
+	layout := &Layout{Shards: []replica.Config{{Generation: 1, Members: []string{"disk-a", "disk-b"}, Copies: 2}}}
+	is.True(!n.emptied(layout, "a"))
+	directory.Put(&wirev1.NodeRecord{NodeId: "a", DiskId: "disk-a-2", Incarnation: 2})
+	is.True(!n.emptied(layout, "a"))
+	layout.Shards[0].Members = []string{"disk-b"}
+	is.True(n.emptied(layout, "a"))
+}
+
 // A machine is emptied with no spare: two members are left. When one of these
 // loses its disk the other, alone, holds everything and goes on, whichever led.
 func TestEmptiedThenAnotherDiskLost(t *testing.T) {
--- a/internal/queuestore/layout.go
+++ b/internal/queuestore/layout.go
@@ -210,21 +210,24 @@
 	if len(retiring) == 0 || !n.leadsAny() {
 		return
 	}
-	members := map[string]bool{}
+	for _, node := range retiring {
+		n.Retirement.Report(ctx, node, n.emptied(layout, node))
+	}
+}
+
+// emptied reports whether nothing rests on a node any more: every member of
+// every shard is the present disk of another node. A member that no node has is
+// a loss that is not made good yet, perhaps the node's own disk.
+func (n *Node) emptied(layout *Layout, node string) bool {
 	for _, config := range layout.Shards {
 		for _, member := range config.Members {
-			members[member] = true
+			record, known := n.Directory.Disk(member)
+			if !known || record.NodeId == node {
+				return false
+			}
 		}
 	}
-	holds := map[string]bool{}
-	for _, disk := range n.Directory.Disks() {
-		if members[disk.DiskId] {
-			holds[disk.NodeId] = true
-		}
-	}
-	for _, node := range retiring {
-		n.Retirement.Report(ctx, node, !holds[node])
-	}
+	return true
 }
 
 // leadsAny reports whether this node leads a shard, with a quorum in contact.
--- a/lab/platformday/platformday.go
+++ b/lab/platformday/platformday.go
@@ -71,24 +71,13 @@
 	finishTimeout            = 60 * time.Second
 )
 
-var config = map[string]any{
-	"version": 3,
-	"routes": []map[string]any{
-		{"name": "events", "host": host, "path_prefix": "/events/", "route_kind": "streaming", "timeout_ms": 4000, "target_ms": 300, "attempts": 2, "resumable": true, "service": "s"},
-		{"name": "once", "host": host, "path_prefix": "/once/", "route_kind": "streaming", "timeout_ms": 4000, "target_ms": 300, "attempts": 1, "resumable": false, "service": "s"},
-		{"name": "batch", "host": host, "path_prefix": "/batch/", "route_kind": "batch", "timeout_ms": 4000, "target_ms": 400, "attempts": 3, "result_target_ms": 10000, "max_wait_s": 600, "max_queued_tokens": 1000000, "service": "s"},
-	},
-	"services": []map[string]any{{"name": "s", "health_path": "/healthz", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity": 100000}}},
-	"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-}
-
 // Play plays a day and returns what callers saw. The error is of the play
 // itself; broken promises are in the tally.
 func Play(ctx context.Context, options Options) (*standin.Tally, error) {
 	d := &Day{Options: options, store: standin.NewStore(), ledger: standin.NewLedger(), tally: &standin.Tally{}, started: time.Now()}
 	defer d.store.Close()
 	defer d.killAll()
-	d.store.Put("op/config", config)
+	d.store.PutConfig(standin.DayConfig(host, 3))
 	for number := range runners {
 		if err := d.startRunner(number, 0); err != nil {
 			return nil, trace.Wrap(err)
@@ -233,7 +222,7 @@
 			if p.role != "edge" {
 				continue
 			}
-			response, err := client.Get("http://" + p.readiness + "/-/readyz")
+			response, err := client.Get("http://" + p.readiness + standin.ReadyPath)
 			ready := err == nil && response.StatusCode == http.StatusOK
 			if err == nil {
 				_ = response.Body.Close()
@@ -298,8 +287,8 @@
 	fork := func() *rand.Rand { return rand.New(rand.NewPCG(random.Uint64(), random.Uint64())) }
 	var group sync.WaitGroup
 	groups := []*standin.Callers{
-		{Front: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: "/events/", Random: fork()},
-		{Front: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: "/once/", Once: true, Random: fork()},
+		{Front: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: standin.EventsPrefix, Random: fork()},
+		{Front: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: standin.OncePrefix, Once: true, Random: fork()},
 	}
 	for number, callers := range groups {
 		group.Add(1)
@@ -308,7 +297,7 @@
 			d.send(ctx, callers, number)
 		}()
 	}
-	batch := &standin.BatchClient{Front: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: "/batch/", Random: fork()}
+	batch := &standin.BatchClient{Front: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: standin.BatchPrefix, Random: fork()}
 	group.Add(1)
 	go func() {
 		defer group.Done()
--- /dev/null
+++ b/lab/standin/config.go
@@ -0,0 +1,38 @@
+package standin
+
+// ReadyPath is where an edge tells whether it takes connections.
+const ReadyPath = "/-/readyz"
+
+// Prefixes of the routes of DayConfig.
+const (
+	EventsPrefix = "/events/"
+	OncePrefix   = "/once/"
+	BatchPrefix  = "/batch/"
+)
+
+// PutConfig writes the operators' configuration.
+func (s *Store) PutConfig(config map[string]any) { s.Put("op/config", config) }
+
+// DayConfig is a configuration of one service with a stream that may be
+// resumed, one that may not, and a batch route.
+func DayConfig(host string, version int) map[string]any {
+	route := func(name, prefix, kind string, more map[string]any) map[string]any {
+		all := map[string]any{
+			"name": name, "host": host, "path_prefix": prefix, "route_kind": kind, "timeout_ms": 4000, "target_ms": 300, "service": "s",
+		}
+		for key, value := range more {
+			all[key] = value
+		}
+		return all
+	}
+	return map[string]any{
+		"version": version,
+		"routes": []map[string]any{
+			route("events", EventsPrefix, "streaming", map[string]any{"attempts": 2, "resumable": true}),
+			route("once", OncePrefix, "streaming", map[string]any{"attempts": 1}),
+			route("batch", BatchPrefix, "batch", map[string]any{"attempts": 3, "result_target_ms": 10000, "max_wait_s": 600, "max_queued_tokens": 1000000}),
+		},
+		"services": []map[string]any{{"name": "s", "health_path": "/healthz", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity": 100000}}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	}
+}
