--- a/internal/online/online.go
+++ b/internal/online/online.go
@@ -263,10 +263,14 @@
 }
 
 func (s *serving) call(runner *runnerset.Runner) *exchange.Call {
+	current := runner.Takes
+	if !runner.Takes() {
+		current = runner.StillServes
+	}
 	call := &exchange.Call{
 		ID: s.request.ID, Method: s.request.Method, URI: s.request.URI, Host: s.request.Host, Headers: s.request.Headers,
 		Body: s.request.Body, RunnerID: runner.ID, Address: runner.Address, Service: runner.Service,
-		Remaining: time.Until(s.request.Deadline), ResumeAfter: s.request.ResumeAfter, Current: runner.Takes,
+		Remaining: time.Until(s.request.Deadline), ResumeAfter: s.request.ResumeAfter, Current: current,
 	}
 	if s.headSent {
 		call.ResumeAfter = s.last
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -307,3 +307,14 @@
 		check(t, err == nil && len(results) == 1 && bytes.Equal(results[0].Text, lines("j-0", itemEvents)), "the text is not whole")
 	})
 }
+
+// An estimate far off the average does not make an item late from the start.
+func TestEstimatesFarOff(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table, _ := tableOf(now, &wirev1.QueueItemInfo{Id: "known", OutputTokens: 1200}, &wirev1.QueueItemInfo{Id: "far off", OutputTokens: 50_000})
+	table.Observe(table.Entry(Key{"j", 0}), 200, 5*time.Second)
+	slack := table.Slack(table.Entry(Key{"j", 1}), now)
+	is.True(slack > 0)                                          // it is taken for twice the average, not for forty times
+	is.True(slack < table.Slack(table.Entry(Key{"j", 0}), now)) // but for longer than others
+}
--- a/internal/queue/table.go
+++ b/internal/queue/table.go
@@ -209,6 +209,8 @@
 	// estimate makes. Moving averages.
 	perEvent float64
 	perToken float64
+	// events is how many an item has on average; 0 before anything is learnt.
+	events float64
 }
 
 const (
@@ -218,6 +220,10 @@
 	// unknownOutput is assumed of items without an estimate.
 	unknownOutput = 1200
 	paceWeight    = 0.05
+	// estimates of single items are often far off: they count only within these
+	// multiples of the average.
+	fewestEvents = 0.4
+	mostEvents   = 2.0
 )
 
 func (p *pace) observe(entry *Entry, events int64, took time.Duration) {
@@ -228,7 +234,14 @@
 		p.perEvent, p.perToken = firstPerEvent, firstPerToken
 	}
 	p.perEvent += paceWeight * (took.Seconds()/float64(events) - p.perEvent)
-	if entry.Expected > 0 && entry.Output.Last == 0 {
+	if entry.Output.Last > 0 {
+		return // the run was a part of the item
+	}
+	if p.events == 0 {
+		p.events = float64(events)
+	}
+	p.events += paceWeight * (float64(events) - p.events)
+	if entry.Expected > 0 {
 		p.perToken += paceWeight * (float64(events)/float64(entry.Expected) - p.perToken)
 	}
 }
@@ -242,7 +255,11 @@
 	if output == 0 {
 		output = unknownOutput
 	}
-	left := max(output*perToken-float64(entry.Output.Last), 1)
+	expected := output * perToken
+	if p.events > 0 {
+		expected = min(max(expected, fewestEvents*p.events), mostEvents*p.events)
+	}
+	left := max(expected-float64(entry.Output.Last), 1)
 	return time.Duration(left * perEvent * float64(time.Second))
 }
 
--- a/internal/runnerset/pick.go
+++ b/internal/runnerset/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -65,15 +66,24 @@
 	Candidates int
 }
 
-// Pick chooses a runner; the choice has none if none may be used.
+// Pick chooses a runner; the choice has none if none may be used. Online work
+// of a service that has no listed runner at all may go to one removed lately.
 func (s *Set) Pick(wish *Wish, now time.Time) Choice {
+	choice := s.pickAmong(wish, now, (*Runner).Takes)
+	if choice.Runner == nil && wish.Batch == nil && !slices.ContainsFunc(s.Service(wish.Service), (*Runner).Takes) {
+		choice = s.pickAmong(wish, now, (*Runner).StillServes)
+	}
+	return choice
+}
+
+func (s *Set) pickAmong(wish *Wish, now time.Time, usable func(*Runner) bool) Choice {
 	best := Choice{}
 	list := s.Service(wish.Service)
 	typical := typicalSlowness(list)
 	rate := s.rate()
 	candidates := 0
 	for _, runner := range list {
-		if !runner.Takes() || wish.Excluded[runner.ID] {
+		if !usable(runner) || wish.Excluded[runner.ID] {
 			continue
 		}
 		choice, fits := runner.weigh(wish, now, rate, typical)
--- a/internal/runnerset/runner.go
+++ b/internal/runnerset/runner.go
@@ -41,8 +41,11 @@
 type Runner struct {
 	Record
 
-	gone  atomic.Bool // leaving, or no longer listed
-	mutex sync.Mutex
+	gone atomic.Bool // leaving, or no longer listed
+	// removed is when the runner was listed no more without having said that it
+	// leaves, as time since processStart; 0 if it was not.
+	removed atomic.Int64
+	mutex   sync.Mutex
 	// own is this node's use; peers is what other nodes said of theirs.
 	own   use
 	peers map[string]peerUse
@@ -92,6 +95,22 @@
 // Takes reports whether the runner may be sent new work.
 func (r *Runner) Takes() bool { return !r.gone.Load() }
 
+// processStart anchors times kept in atomics to the monotonic clock.
+var processStart = time.Now()
+
+// lastResortTime is how long a runner that is listed no more is still used when
+// there is no other: it is well within the time that leaving runners serve on.
+// Entries of runners that live are lost at times while the store is down, and
+// come back with their next heartbeat.
+const lastResortTime = 800 * time.Millisecond
+
+// StillServes reports whether the runner is listed no more only since lately,
+// without having said that it leaves.
+func (r *Runner) StillServes() bool {
+	removed := r.removed.Load()
+	return removed > 0 && time.Since(processStart)-time.Duration(removed) < lastResortTime
+}
+
 // same reports whether a record differs at most in what changes with time.
 func (r *Runner) same(record Record) bool {
 	return r.Address == record.Address && r.Service == record.Service && r.Zone == record.Zone && r.Slots == record.Slots
--- a/internal/runnerset/runnerset.go
+++ b/internal/runnerset/runnerset.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,8 @@
 	mutex    sync.Mutex
 	revision int64
 	byID     map[string]*Runner
+	// departed are runners removed lately; see Runner.StillServes.
+	departed []*Runner
 	snapshot atomic.Pointer[snapshot]
 	changed  chan struct{}
 	// readRate is how many prompt tokens a runner reads a millisecond, learnt
@@ -131,10 +134,16 @@
 }
 
 func (s *Set) remove(id string) {
-	if known := s.byID[id]; known != nil {
-		known.gone.Store(true)
-		delete(s.byID, id)
+	known := s.byID[id]
+	if known == nil {
+		return
 	}
+	if known.Takes() {
+		known.removed.Store(int64(time.Since(processStart)))
+		s.departed = append(s.departed, known)
+	}
+	known.gone.Store(true)
+	delete(s.byID, id)
 }
 
 func (s *Set) publish(revision int64, now time.Time) {
@@ -143,6 +152,10 @@
 	for _, runner := range s.byID {
 		next.services[runner.Service] = append(next.services[runner.Service], runner)
 	}
+	s.departed = slices.DeleteFunc(s.departed, func(runner *Runner) bool { return !runner.StillServes() || s.byID[runner.ID] != nil })
+	for _, runner := range s.departed {
+		next.services[runner.Service] = append(next.services[runner.Service], runner)
+	}
 	for _, list := range next.services {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
@@ -161,7 +174,7 @@
 // Service lists the runners of a service; the list must not be changed.
 func (s *Set) Service(name string) []*Runner { return s.snapshot.Load().services[name] }
 
-// Count returns how many runners are listed and how many take work.
+// Count returns how many runners are known and how many take work.
 func (s *Set) Count() (listed, taking int) {
 	for _, list := range s.snapshot.Load().services {
 		listed += len(list)
--- a/internal/runnerset/runnerset_test.go
+++ b/internal/runnerset/runnerset_test.go
@@ -180,3 +180,25 @@
 }
 
 func use0() use { return use{} }
+
+// A runner that is listed no more, without having said that it leaves, is used
+// for a while when there is no other; one that said so is not.
+func TestRemovedRunnersAreALastResort(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := setOf(record("a", "z"), record("b", "z"))
+	s.Change(nil, []string{"a"}, 2, now)
+	is.Equal(pick(s, Wish{Zone: "z"}, now), "b") // there is another
+	s.Change(nil, []string{"b"}, 3, now)
+	is.True(pick(s, Wish{Zone: "z"}, now) != "")
+	is.Equal(pick(s, Wish{Zone: "z", Batch: &BatchRoom{Unread: 1000}}, now), "")
+	s.Change([]Record{record("a", "z")}, nil, 4, now) // it is listed again
+	is.Equal(pick(s, Wish{Zone: "z"}, now), "a")
+	leaving := record("a", "z")
+	leaving.Leaving = true
+	s.Change([]Record{leaving}, nil, 5, now)
+	s.Change(nil, []string{"a", "b"}, 6, now)
+	for _, runner := range s.Service("s") {
+		is.True(runner.ID != "a") // it had said that it leaves
+	}
+}
