A node that is to be emptied stays a member as long as others make too few copies

Ruled out: the store (regained at 21 s), the learner (started at 19.1 s). Change: lost, silent and to-be-emptied members are told apart; one that answers takes part until copies are enough. Test TestLastHolderIsToBeEmptied hangs without the mend (stopped after 30 s) and passes with it.

--- a/internal/queuestore/cluster_test.go
+++ b/internal/queuestore/cluster_test.go
@@ -122,6 +122,25 @@
 	}
 }
 
+// The last node that holds everything is to be emptied itself while the other
+// one's disk is lost: it stays a member until there are copies enough, and the
+// jobs are served.
+func TestLastHolderIsToBeEmptied(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.submit("one", 3)
+	c.retire("a")
+	c.eventually("a is emptied", func() bool { return c.store.isRetired("a") })
+	c.stop("a")
+	c.wipe("b")
+	c.retiring = map[string]bool{"a": true, "c": true}
+	c.start("b")
+	c.finished("one", 3)
+	c.submit("two", 2)
+	c.finished("two", 2)
+	is.True(!c.store.isRetired("c")) // one copy elsewhere is not as safe as before
+}
+
 // All processes are killed at once, with work taken and unfinished.
 func TestAllKilled(t *testing.T) {
 	c := newCluster(t, "a", "b", "c")
--- a/internal/queuestore/handover.go
+++ b/internal/queuestore/handover.go
@@ -78,21 +78,15 @@
 }
 
 func (s *shard) plan(now time.Time, config replica.Config) []string {
-	var keep, silent []string
+	by := map[standing][]string{}
 	for _, member := range config.Members {
-		switch s.standing(now, member) {
-		case standingGood:
-			keep = append(keep, member)
-		case standingSilent:
-			silent = append(silent, member)
-		}
-	}
-	next := s.node.place(s.id, s.node.liveDisks(now), keep)
-	for _, member := range silent {
-		if len(next) < s.node.membersWanted() && !contains(next, member) {
-			next = append(next, member)
-		}
+		at := s.standing(now, member)
+		by[at] = append(by[at], member)
 	}
+	next := s.node.place(s.id, s.node.liveDisks(now), by[standingGood])
+	next = fill(next, by[standingSilent], s.node.membersWanted())
+	// Nodes that are to be emptied stay as long as others make too few copies.
+	next = fill(next, by[standingRetiring], config.Copies)
 	// A set is made smaller only for a member that is being emptied.
 	if len(next) < len(config.Members) && !s.anyRetiring(config) {
 		return config.Members
@@ -100,6 +94,16 @@
 	return next
 }
 
+// fill adds members to a set until it has as many as wanted.
+func fill(set, members []string, wanted int) []string {
+	for _, member := range members {
+		if len(set) < wanted && !contains(set, member) {
+			set = append(set, member)
+		}
+	}
+	return set
+}
+
 func (s *shard) anyRetiring(config replica.Config) bool {
 	for _, member := range config.Members {
 		if record, known := s.node.Directory.Disk(member); known && s.node.Directory.IsRetiring(record.NodeId) {
@@ -115,19 +119,30 @@
 	standingGood standing = iota
 	// standingSilent: not heard of for a while.
 	standingSilent
-	// standingOut: its node is being emptied, or has another disk now.
-	standingOut
+	// standingRetiring: its node answers and is to be emptied.
+	standingRetiring
+	// standingLost: its node has another disk now.
+	standingLost
 )
 
 func (s *shard) standing(now time.Time, member string) standing {
-	record, known := s.node.Directory.Disk(member)
-	if known && s.node.Directory.IsRetiring(record.NodeId) || s.node.Directory.DiskLost(member) {
-		return standingOut
+	if s.node.Directory.DiskLost(member) {
+		return standingLost
+	}
+	if member != s.disk && s.replica.UnseenFor(member, now) >= lostDiskTime {
+		return standingSilent
 	}
-	if member == s.disk || s.replica.UnseenFor(member, now) < lostDiskTime {
-		return standingGood
+	record, known := s.node.Directory.Disk(member)
+	if known && s.node.Directory.IsRetiring(record.NodeId) {
+		return standingRetiring
 	}
-	return standingSilent
+	return standingGood
+}
+
+// answers reports whether a member's node takes part, emptied or not.
+func (s *shard) answers(now time.Time, member string) bool {
+	at := s.standing(now, member)
+	return at == standingGood || at == standingRetiring
 }
 
 // liveDisks are usable disks whose nodes answer.
@@ -235,7 +250,7 @@
 		return
 	}
 	for _, member := range h.next.Members {
-		if s.standing(now, member) == standingGood && !s.replica.CaughtUp(member) {
+		if s.answers(now, member) && !s.replica.CaughtUp(member) {
 			return
 		}
 	}
@@ -251,7 +266,7 @@
 func (s *shard) quorumOfNext(now time.Time, next replica.Config) bool {
 	count := 0
 	for _, member := range next.Members {
-		if s.standing(now, member) == standingGood && s.replica.CaughtUp(member) {
+		if s.answers(now, member) && s.replica.CaughtUp(member) {
 			count++
 		}
 	}
