--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -52,7 +52,10 @@
 		e.Directory.Put(request.Self)
 		e.Directory.NoteHeard(request.Self.NodeId, time.Now())
 	}
-	reply := &wirev1.PeerStateReply{Nodes: e.Directory.Records()}
+	reply := &wirev1.PeerStateReply{}
+	if request.NodesDigest != e.Directory.Digest() {
+		reply.Nodes = e.Directory.Records()
+	}
 	e.Documents.Newer(&request, reply)
 	return stream.Send(reply)
 }
@@ -105,20 +108,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	request := &wirev1.PeerStateRequest{Self: e.Directory.Self()}
+	request := &wirev1.PeerStateRequest{Self: e.Directory.Self(), NodesDigest: e.Directory.Digest()}
 	e.Documents.Asking(request)
 	reply := &wirev1.PeerStateReply{}
 	if err := e.Pool.Call(ctx, address, rpc.ClassControl, wirev1.Method_METHOD_PEER_STATE, request, reply); err != nil {
 		return
 	}
-	now := time.Now()
 	for _, record := range reply.Nodes {
-		if record.Address == address {
-			e.Directory.NoteHeard(record.NodeId, now)
-		}
 		if e.Directory.Put(record) {
 			klog.InfoS("node learnt from peer", "node", record.NodeId, "address", record.Address, "disk", record.DiskId, "incarnation", record.Incarnation, "peer", address)
 		}
 	}
+	e.Directory.NoteAnswered(address, time.Now())
 	e.Documents.Take(reply, address)
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -4,10 +4,13 @@
 package peers
 
 import (
+	"encoding/binary"
 	"sort"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 )
 
@@ -166,6 +169,28 @@
 	d.heard[node] = now
 }
 
+// NoteAnswered records that the node at an address answered.
+func (d *Directory) NoteAnswered(address string, now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for id, record := range d.records {
+		if record.Address == address {
+			d.heard[id] = now
+		}
+	}
+}
+
+// Digest is the same for directories that hold the same records.
+func (d *Directory) Digest() uint64 {
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, record := range d.Records() {
+		_, _ = digest.WriteString(record.NodeId)
+		_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, record.Incarnation))
+	}
+	return digest.Sum64()
+}
+
 // HeardWithin reports whether a node answered within a time.
 func (d *Directory) HeardWithin(node string, now time.Time, within time.Duration) bool {
 	d.mutex.Lock()
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -66,6 +66,13 @@
 	ReadsPerSecond  float64 `yaml:"reads_per_second"`
 	// ValueBytes bounds one value.
 	ValueBytes int `yaml:"value_bytes"`
+	// HistorySeconds is how long the store tells what changed; 0 if not known.
+	HistorySeconds float64 `yaml:"history_seconds"`
+}
+
+// History is how long the store tells what changed; 0 if not known.
+func (s *RoleStore) History() time.Duration {
+	return time.Duration(s.HistorySeconds * float64(time.Second))
 }
 
 // RoleMachine is what a node may use.
@@ -73,6 +80,8 @@
 	MemoryMegabytes int `yaml:"memory_megabytes"`
 	Descriptors     int `yaml:"descriptors"`
 	DiskMegabytes   int `yaml:"disk_megabytes"`
+	// LinkMegabits is what the machine's link carries a second.
+	LinkMegabits float64 `yaml:"link_megabits"`
 }
 
 // RoleBounds are the times that the users' rules give.
@@ -98,6 +107,8 @@
 	defaultCatchUpSeconds      = 5
 	defaultStoreValueBytes     = 1 << 20
 	defaultRoleMemoryMegabytes = 256
+	defaultRoleDiskMegabytes   = 512
+	defaultRoleLinkMegabits    = 1000
 	defaultDrainMilliseconds   = 2000
 )
 
@@ -131,6 +142,8 @@
 	orDefault(&r.Bounds.DrainMilliseconds, defaultDrainMilliseconds)
 	orDefault(&r.Store.ValueBytes, defaultStoreValueBytes)
 	orDefault(&r.Machine.MemoryMegabytes, defaultRoleMemoryMegabytes)
+	orDefault(&r.Machine.DiskMegabytes, defaultRoleDiskMegabytes)
+	orDefault(&r.Machine.LinkMegabits, defaultRoleLinkMegabits)
 }
 
 func (r *Role) check() error {
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -4,9 +4,9 @@
 package standin
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -41,7 +41,10 @@
 // bounded history, and leases.
 type Store struct {
 	server *httptest.Server
+	// doors are further listeners, by the machine that calls there.
+	doors map[string]*httptest.Server
 
+	handler  http.Handler
 	mutex    sync.Mutex
 	revision int64
 	items    map[string]storeItem
@@ -49,7 +52,7 @@
 	oldest   int64       // changes up to this revision are forgotten
 	changed  chan struct{}
 	fault    StoreFault
-	faultOf  map[string]StoreFault // by the caller's IP
+	faultOf  map[string]StoreFault // by machine
 	leases   map[int64]*lease
 	calls    map[string]int
 }
@@ -73,7 +76,7 @@
 func NewStore() *Store {
 	s := &Store{
 		items: map[string]storeItem{}, changed: make(chan struct{}), revision: 1, faultOf: map[string]StoreFault{},
-		leases: map[int64]*lease{}, calls: map[string]int{},
+		leases: map[int64]*lease{}, calls: map[string]int{}, doors: map[string]*httptest.Server{},
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-key", s.serveKey)
@@ -83,17 +86,37 @@
 	mux.HandleFunc("POST /-/kv-lease", s.serveLease)
 	mux.HandleFunc("POST /-/kv-keep/{id}", s.serveKeep)
 	mux.HandleFunc("DELETE /-/kv-lease-end/{id}", s.serveLeaseEnd)
-	s.server = httptest.NewServer(s.faulty(mux))
+	s.handler = mux
+	s.server = httptest.NewServer(s.faulty("", mux))
 	return s
 }
 
+// AddressFor is the IP:port at which one machine calls the store, so that it
+// can be treated unlike others; see SetFaultOf.
+func (s *Store) AddressFor(machine string) string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.doors[machine] == nil {
+		s.doors[machine] = httptest.NewServer(s.faulty(machine, s.handler))
+	}
+	return s.doors[machine].Listener.Addr().String()
+}
+
 // Address is the store's IP:port.
 func (s *Store) Address() string { return s.server.Listener.Addr().String() }
 
 // Close ends the store.
 func (s *Store) Close() {
-	s.server.CloseClientConnections()
-	s.server.Close()
+	s.mutex.Lock()
+	doors := []*httptest.Server{s.server}
+	for _, door := range s.doors {
+		doors = append(doors, door)
+	}
+	s.mutex.Unlock()
+	for _, door := range doors {
+		door.CloseClientConnections()
+		door.Close()
+	}
 }
 
 // SetFault sets the behaviour towards everybody.
@@ -104,11 +127,12 @@
 	s.wake()
 }
 
-// SetFaultOf sets the behaviour towards one machine.
-func (s *Store) SetFaultOf(ip string, fault StoreFault) {
+// SetFaultOf sets the behaviour towards one machine that calls at its own
+// address; the zero value is well.
+func (s *Store) SetFaultOf(machine string, fault StoreFault) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.faultOf[ip] = fault
+	s.faultOf[machine] = fault
 	s.wake()
 }
 
@@ -185,19 +209,23 @@
 	}
 }
 
+// machineKey is where a call's context says which machine made it.
+type machineKey struct{}
+
 func (s *Store) faultFor(request *http.Request) StoreFault {
-	ip, _, _ := net.SplitHostPort(request.RemoteAddr)
+	machine, _ := request.Context().Value(machineKey{}).(string)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if fault, found := s.faultOf[ip]; found && fault != (StoreFault{}) {
+	if fault, found := s.faultOf[machine]; found && fault != (StoreFault{}) {
 		return fault
 	}
 	return s.fault
 }
 
 // faulty puts the present fault before every call.
-func (s *Store) faulty(next http.Handler) http.Handler {
+func (s *Store) faulty(machine string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		request = request.WithContext(context.WithValue(request.Context(), machineKey{}, machine))
 		fault := s.faultFor(request)
 		kind := strings.TrimPrefix(strings.TrimPrefix(request.URL.Path, "/-/kv-"), "/-/")
 		s.mutex.Lock()
@@ -319,9 +347,11 @@
 		case <-request.Context().Done():
 			return
 		}
-		if s.faultFor(request).Silent {
+		if fault := s.faultFor(request); fault.Silent {
 			<-request.Context().Done()
 			return
+		} else if fault.Reset {
+			panic(http.ErrAbortHandler)
 		}
 	}
 }
