A replica that no commit needs trails: item bodies are sent to two disks of three

A job's bodies went to all three members although two copies make a commit, and are dropped when the items are finished. Ruled out: member sets of two (a change of the set would be needed whenever one is away), a witness without entries (a second kind of member next to the proven one). Change: the leader sends entries to as many members as a commit needs, heartbeats to the rest. A member that falls silent is replaced by one that trails within three heartbeats even when nothing is proposed, so the number of whole copies does not stay low; everybody gets everything while the member set changes, and beyond what the machine's link carries in half a second. A replica that hears a candidate which lacks what it has campaigns at once. Safety does not rest on it: commit and election quorums are as before. The drawn schedules of the package run with trailing in four strengths. Deliberate breaks tried: the silent member not replaced, the bound dropped, one follower too many or too few, trailing while sealed, with learners, or while the set is to change: each is caught by a property of trail_test.go. A rule that sent to all when a commit stalls survived its break, since a member with a stuck disk is silent: it was dropped.

--- a/internal/queuestore/handover.go
+++ b/internal/queuestore/handover.go
@@ -74,6 +74,7 @@
 	h.began = now
 	h.frozenAt = time.Time{}
 	s.replica.SetLearners(now, learners(next, config))
+	s.replica.SendToAll(now, true)
 	klog.InfoS("hand-over begun", "shard", s.id, "generation", h.next.Generation, "from", config.Members, "to", next)
 }
 
@@ -278,6 +279,7 @@
 	klog.InfoS("hand-over ended", "shard", s.id, "generation", h.next.Generation, "outcome", outcome)
 	h.next = replica.Config{}
 	h.swapping = false
+	s.replica.SendToAll(time.Now(), false)
 }
 
 // swap replaces the member set in the platform's store, in the background.
@@ -364,7 +366,7 @@
 func (s *shard) truncateLog() error {
 	base, _ := s.replica.Base()
 	kept := uint64(keepEntries)
-	if s.logBytes > keepLogBytes {
+	if s.logBytes > s.node.LogBytes {
 		kept = keepEntries / 20
 	}
 	if s.installing || s.applied < base+2*kept {
--- a/internal/queuestore/node.go
+++ b/internal/queuestore/node.go
@@ -77,7 +77,11 @@
 	DiskLosses int
 	// Retention is how long after its acceptance a finished job is kept.
 	Retention time.Duration
-	DB        *logstore.DB
+	// TrailBytes is the most that a replica which no commit needs may lack, and
+	// LogBytes how much of the applied log is kept for replicas that lag.
+	TrailBytes int
+	LogBytes   uint64
+	DB         *logstore.DB
 	Directory *peers.Directory
 	Layouts   *Layouts
 	Pool      *rpc.Pool
--- a/internal/queuestore/shard.go
+++ b/internal/queuestore/shard.go
@@ -75,7 +75,6 @@
 	// keepEntries of the log stay for followers that lag; a follower further
 	// behind gets a snapshot.
 	keepEntries   = 4000
-	keepLogBytes  = 48 << 20
 	truncateEvery = 5 * time.Second
 )
 
@@ -120,6 +119,7 @@
 		quit:      make(chan struct{}), done: make(chan struct{}),
 		waiting: map[uint64]*proposal{},
 	}
+	s.replica.SetTrail(n.TrailBytes)
 	n.shards[id] = s
 	klog.InfoS("queue replica started", "shard", id, "disk", disk, "generation", config.Generation, "members", config.Members,
 		"log", s.replica.LastIndex(), "applied", s.applied, "known", loaded.Known)
--- a/modules/batch/queues/queues.go
+++ b/modules/batch/queues/queues.go
@@ -76,12 +76,31 @@
 	options.Node, options.Region = m.settings.Node, m.settings.Region
 	options.DiskLosses, options.Retention = m.settings.DiskLosses, retentionFactor*m.settings.ResultsKept()
 	options.DB, options.Store = m.db, store
+	options.TrailBytes, options.LogBytes = logBounds(m.settings.Machine)
 	options.Executor = queuerun.New(m.settings.Zone, catalogs, runners, client)
 	m.node = queuestore.New(options)
 	m.node.Handle(server)
 	return nil
 }
 
+const (
+	// logShare of a disk holds applied log entries for replicas that lag.
+	logShare = 0.1
+	mostLog  = 48 << 20
+	// trailTime of the machine's link is how long a replica that trails takes to
+	// get what it lacks.
+	trailTime = 0.5 // seconds
+	mebibyte  = 1 << 20
+	bitsAByte = 8
+)
+
+// logBounds works out how much a replica may lack, and how much log is kept.
+func logBounds(machine settings.RoleMachine) (trail int, log uint64) {
+	log = uint64(min(logShare*float64(machine.DiskMegabytes)*mebibyte, mostLog))
+	link := machine.LinkMegabits * 1e6 / bitsAByte
+	return int(min(trailTime*link, float64(log))), log
+}
+
 // Start implements kernel.Starter.
 func (m *Module) Start(context.Context) error { return m.node.Start() }
 
