--- a/internal/httpcall/client_test.go
+++ b/internal/httpcall/client_test.go
@@ -155,3 +155,46 @@
 	_, err = response.ReadAll(100)
 	is.True(err != nil && !strings.Contains(err.Error(), "exceeds"))
 }
+
+// A server may answer a long request before it has read it, and keep the
+// connection. The answer counts, and nothing but that request's own body is
+// ever written on that connection: the next request takes another one.
+func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
+	is := is.New(t)
+	body := strings.Repeat("x", 4<<20) // more than what sockets hold
+	var connections atomic.Int64
+	var foreign atomic.Bool
+	gone := make(chan struct{}, 1)
+	url := rawServer(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		if !readRequest(reader) {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+		if connections.Add(1) > 1 {
+			return
+		}
+		for { // the rest of the body is still due
+			data, err := reader.ReadByte()
+			if err != nil {
+				gone <- struct{}{}
+				return
+			}
+			if data != 'x' {
+				foreign.Store(true)
+			}
+		}
+	})
+	client := NewClient(nil)
+	for range 2 {
+		response, err := client.Do(context.Background(), &Request{Method: "POST", URL: url, Body: []byte(body)})
+		is.NoErr(err)
+		is.Equal(response.Status, 413)
+		answer, err := response.ReadAll(10)
+		is.NoErr(err)
+		is.Equal(string(answer), "no")
+	}
+	<-gone
+	is.Equal(connections.Load(), int64(2))
+	is.True(!foreign.Load())
+}
--- /dev/null
+++ b/internal/queuerun/queuerun_test.go
@@ -0,0 +1,186 @@
+package queuerun
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/catalog"
+	"cobaltramp.example/cobaltramp/internal/exchange"
+	"cobaltramp.example/cobaltramp/internal/queue"
+	"cobaltramp.example/cobaltramp/internal/queuestore"
+	"cobaltramp.example/cobaltramp/internal/runnerset"
+)
+
+// scripted is a runner that answers as it is told, and records what it is sent.
+type scripted struct {
+	mutex  sync.Mutex
+	answer func(ctx context.Context, call *exchange.Call) (*exchange.Answer, error)
+	calls  []*exchange.Call
+}
+
+// Do implements exchange.Client.
+func (s *scripted) Do(ctx context.Context, call *exchange.Call) (*exchange.Answer, error) {
+	s.mutex.Lock()
+	s.calls = append(s.calls, call)
+	s.mutex.Unlock()
+	return s.answer(ctx, call)
+}
+
+func answers(status int, stamped bool, text string) func(context.Context, *exchange.Call) (*exchange.Answer, error) {
+	return func(context.Context, *exchange.Call) (*exchange.Answer, error) {
+		return &exchange.Answer{Status: status, Stamped: stamped, Length: -1, Body: io.NopCloser(strings.NewReader(text))}, nil
+	}
+}
+
+func fails(err error) func(context.Context, *exchange.Call) (*exchange.Answer, error) {
+	return func(context.Context, *exchange.Call) (*exchange.Answer, error) { return nil, err }
+}
+
+const twoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+// newExecutor has one runner of four slots.
+func newExecutor(t *testing.T, client exchange.Client) *Executor {
+	t.Helper()
+	runners := runnerset.New()
+	runners.Replace([]runnerset.Record{{ID: "r1", Service: "s", Address: "127.0.0.1:1", Zone: "z", Slots: 4}}, 1, time.Now())
+	catalogs := catalog.NewHolder()
+	parsed, err := catalog.New(1, []*catalog.Route{{
+		Name: "jobs", Host: "h", PathPrefix: "/x/", Kind: catalog.Batch, Attempts: 3, Parts: []catalog.Part{{Service: "s", Weight: 1}},
+	}}, []*catalog.Service{{Name: "s", Slots: 4}}, catalog.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	catalogs.Offer(parsed, nil, 1, time.Now())
+	return New("z", catalogs, runners, client)
+}
+
+func workOf(output queue.Output) *queuestore.Work {
+	return &queuestore.Work{
+		Key: queue.Key{Job: "j"}, Host: "h", Output: output, Save: func(queue.Output) {},
+		Item: &wirev1.QueueItem{Id: "i", Path: "/x/1", Body: []byte("body"), Tokens: 10, Headers: []*wirev1.HeaderField{{Name: "Model", Value: "m"}}},
+	}
+}
+
+func runOnce(t *testing.T, executor *Executor, work *queuestore.Work) queuestore.Outcome {
+	t.Helper()
+	outcomes := make(chan queuestore.Outcome, 1)
+	if !executor.TryStart(context.Background(), work, func(outcome queuestore.Outcome) { outcomes <- outcome }) {
+		t.Fatal("not started")
+	}
+	return <-outcomes
+}
+
+// What comes of a run, for each kind of answer: only the runner's own word ends
+// an item for good or counts as an attempt, and only a whole output is done.
+func TestOutcomes(t *testing.T) {
+	begun := queue.Output{Last: 1, Text: []byte("a")}
+	for _, test := range []struct {
+		name               string
+		answer             func(context.Context, *exchange.Call) (*exchange.Answer, error)
+		from               queue.Output
+		done, dead, failed bool
+		text               string
+	}{
+		{name: "whole", answer: answers(200, true, twoEvents), done: true, text: "a\nb"},
+		{name: "goes on after the last event", from: begun, answer: answers(200, true, "id: 2\ndata: b\n\n"), done: true, text: "a\nb"},
+		{name: "goes on with an event too early", from: begun, answer: answers(200, true, twoEvents), text: "a"},
+		{name: "an event is missing", answer: answers(200, true, "id: 1\ndata: a\n\nid: 3\ndata: c\n\n"), text: "a"},
+		{name: "an event comes twice", answer: answers(200, true, "id: 1\ndata: a\n\nid: 1\ndata: a\n\n"), text: "a"},
+		{name: "ends within an event", answer: answers(200, true, "id: 1\ndata: a\n\nid: 2\nda"), text: "a"},
+		{name: "ends before the first event", answer: answers(200, true, "")},
+		{name: "can never be done", answer: answers(422, true, ""), dead: true},
+		{name: "another's 422", answer: answers(422, false, "")},
+		{name: "the runner failed", answer: answers(500, true, ""), failed: true},
+		{name: "another's 500", answer: answers(500, false, "")},
+		{name: "a deadline", answer: answers(504, true, "")},
+		{name: "full", answer: fails(&exchange.NotRunError{Reason: exchange.ReasonFull, Reached: true, Cause: errors.New("full")})},
+		{name: "another stands at the address", answer: fails(&exchange.NotRunError{Reason: exchange.ReasonMisdirected, Reached: true, Cause: errors.New("421")})},
+		{name: "lost", answer: fails(&exchange.UnknownError{Cause: io.ErrUnexpectedEOF})},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			client := &scripted{answer: test.answer}
+			outcome := runOnce(t, newExecutor(t, client), workOf(test.from))
+			is.Equal(outcome.Done, test.done)
+			is.Equal(outcome.Dead, test.dead)
+			is.Equal(outcome.Failed, test.failed)
+			is.Equal(string(outcome.Output.Text), test.text)
+			is.Equal(outcome.Attempts, 3)
+			is.Equal(len(client.calls), 1)
+			call := client.calls[0]
+			is.Equal(call.RunnerID, "r1") // the incarnation that is meant
+			is.Equal(string(call.Body), "body")
+			is.Equal(call.Headers, []exchange.Header{{Name: "Model", Value: "m"}})
+			resume := int64(-1)
+			if test.from.Last > 0 {
+				resume = test.from.Last
+			}
+			is.Equal(call.ResumeAfter, resume)
+		})
+	}
+}
+
+// An item whose route is gone is given up only once the configuration without
+// it has been in force for a while: it may come back with the next version.
+func TestRouteGone(t *testing.T) {
+	is := is.New(t)
+	executor := newExecutor(t, &scripted{answer: answers(200, true, twoEvents)})
+	work := workOf(queue.Output{})
+	work.Item.Path = "/gone/1"
+	is.True(!executor.TryStart(context.Background(), work, func(queuestore.Outcome) { t.Error("given up at once") }))
+}
+
+// The run that an interruption hurts least gives way: one that is late anyway
+// before all others, then the one with the most time to spare. Its output so
+// far is kept, and its runner is not set aside for it.
+func TestGivesWay(t *testing.T) {
+	is := is.New(t)
+	silent := func(ctx context.Context, _ *exchange.Call) (*exchange.Answer, error) {
+		<-ctx.Done()
+		return nil, &exchange.UnknownError{Cause: ctx.Err()}
+	}
+	executor := newExecutor(t, &scripted{answer: silent})
+	ended := make(chan string, 3)
+	for _, item := range []struct {
+		id    string
+		slack time.Duration
+	}{{"tight", time.Second}, {"late", -time.Second}, {"spare", time.Minute}} {
+		work := workOf(queue.Output{Last: 1, Text: []byte("a")})
+		work.Item.Id, work.Slack = item.id, item.slack
+		is.True(executor.TryStart(context.Background(), work, func(outcome queuestore.Outcome) {
+			if string(outcome.Output.Text) != "a" || outcome.Failed || outcome.Dead {
+				t.Errorf("%s: %+v", work.Item.Id, outcome)
+			}
+			ended <- work.Item.Id
+		}))
+	}
+	online := func(running int) {
+		executor.Runners.NotePeer("edge", "r1", runnerset.PeerUse{Running: running}, time.Now())
+	}
+	for executor.running("r1") < 3 {
+		time.Sleep(time.Millisecond)
+	}
+	online(1) // four slots hold the three and one
+	online(2)
+	is.Equal(<-ended, "late")
+	online(3)
+	is.Equal(<-ended, "spare")
+	is.Equal(executor.running("r1"), 1)
+	choice := executor.Runners.Pick(&runnerset.Wish{Service: "s", Zone: "z"}, time.Now())
+	is.True(choice.Runner != nil && choice.Cost < time.Second) // not set aside
+}
+
+// running returns how many runs are registered at a runner.
+func (e *Executor) running(runner string) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.runs[runner])
+}
--- /dev/null
+++ b/internal/queuestore/disk_test.go
@@ -0,0 +1,92 @@
+package queuestore
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/matryer/is"
+)
+
+// slowDisk is a file system whose syncs take a time that can be changed.
+type slowDisk struct {
+	vfs.FS
+	delay atomic.Int64
+	syncs atomic.Int64
+}
+
+type slowFile struct {
+	vfs.File
+	disk *slowDisk
+}
+
+func (d *slowDisk) wait() {
+	d.syncs.Add(1)
+	time.Sleep(time.Duration(d.delay.Load()))
+}
+
+func (d *slowDisk) wrap(file vfs.File, err error) (vfs.File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &slowFile{file, d}, nil
+}
+
+// Create implements vfs.FS.
+func (d *slowDisk) Create(name string, category vfs.DiskWriteCategory) (vfs.File, error) {
+	return d.wrap(d.FS.Create(name, category))
+}
+
+// ReuseForWrite implements vfs.FS.
+func (d *slowDisk) ReuseForWrite(before, after string, category vfs.DiskWriteCategory) (vfs.File, error) {
+	return d.wrap(d.FS.ReuseForWrite(before, after, category))
+}
+
+// Sync implements vfs.File.
+func (f *slowFile) Sync() error {
+	f.disk.wait()
+	return f.File.Sync()
+}
+
+// SyncData implements vfs.File.
+func (f *slowFile) SyncData() error {
+	f.disk.wait()
+	return f.File.SyncData()
+}
+
+// With the leader's disk many times slower jobs are still taken, many by one
+// sync, and run and read to the end.
+func TestSlowDisk(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.submit("first", 1)
+	leader := c.nodes[c.leader()]
+	leader.disk.delay.Store(int64(60 * time.Millisecond))
+	before := leader.disk.syncs.Load()
+	const jobs = 24
+	var group sync.WaitGroup
+	var failed atomic.Int64
+	for i := range jobs {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for range 100 { // until it is taken
+				if c.trySubmit(fmt.Sprintf("job-%d", i), 1, 0) == nil {
+					return
+				}
+			}
+			failed.Add(1)
+		}()
+	}
+	group.Wait()
+	is.Equal(failed.Load(), int64(0))
+	if c.leader() == leader.name {
+		is.True(leader.disk.syncs.Load()-before < jobs) // one sync serves many
+	}
+	for i := range jobs {
+		c.finished(fmt.Sprintf("job-%d", i), 1)
+	}
+}
--- a/internal/queuestore/harness_test.go
+++ b/internal/queuestore/harness_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/prometheus/client_golang/prometheus"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
@@ -118,6 +119,7 @@
 type testNode struct {
 	name     string
 	folder   string
+	disk     slowDisk
 	address  string
 	db       *logstore.DB
 	node     *Node
@@ -165,7 +167,7 @@
 	c.t.Helper()
 	n := c.nodes[name]
 	if n == nil {
-		n = &testNode{name: name, folder: filepath.Join(c.t.TempDir(), name), address: "127.0.0.1:0"}
+		n = &testNode{name: name, disk: slowDisk{FS: vfs.Default}, folder: filepath.Join(c.t.TempDir(), name), address: "127.0.0.1:0"}
 		c.nodes[name] = n
 	}
 	var err error
@@ -173,7 +175,7 @@
 		c.t.Fatal(err)
 	}
 	n.address = n.listener.Addr().String()
-	if n.db, err = logstore.Open(n.folder, 0); err != nil {
+	if n.db, err = logstore.OpenOn(&n.disk, n.folder, 0); err != nil {
 		c.t.Fatal(err)
 	}
 	c.life++
@@ -189,7 +191,7 @@
 	n.server = rpc.NewServer(name, "test", &rpc.Counters{})
 	n.pool = rpc.NewPool(name, "test", nil, &rpc.Counters{})
 	n.node = New(Options{
-		Node: name, Region: "r", DiskLosses: 1, Retention: time.Hour, DB: n.db, Directory: directory, Layouts: layouts,
+		Node: name, Region: "r", DiskLosses: 1, Retention: time.Hour, TrailBytes: 1 << 20, LogBytes: 48 << 20, DB: n.db, Directory: directory, Layouts: layouts,
 		Pool: n.pool, Store: c.store, Contact: c.store, Retirement: c.store, Executor: c.executor, Registry: prometheus.NewRegistry(),
 	})
 	n.node.Handle(n.server)
