Replicas trail no more; small disks; progress saved in parts; elections sooner

Change: progress lies in parts, a row each; memory tables and the log kept follow the disk's size; a job that the leader's disk has no room for is refused as not run (1405, with a time to come back); a full disk makes background work pause, not spin.

Elections after 0.35 to 0.7 s (0.7 to 1.4 before): a job that comes while the leader is lost is late after 0.4 s.

--- a/internal/logstore/db.go
+++ b/internal/logstore/db.go
@@ -24,26 +24,34 @@
 	identityFile   = "disk-id"
 )
 
+// Limits bound what a database takes of its disk; zero values bound nothing.
+type Limits struct {
+	// Reserve is how many bytes of the file system stay free.
+	Reserve int64
+	// Disk is how many bytes the database may take.
+	Disk int64
+}
+
 // DB is the database of one data folder.
 type DB struct {
-	fs      vfs.FS
-	folder  string
-	diskID  string
-	reserve int64
-	pebble  *pebble.DB
+	fs     vfs.FS
+	folder string
+	diskID string
+	limits Limits
+	pebble *pebble.DB
 }
 
 // Open opens or creates the database of a data folder. A database that is
 // damaged is moved aside and replaced by an empty one with a new identity: it
 // may have forgotten promises, so it must not vote as the disk it was.
-func Open(folder string, reserve int64) (*DB, error) { return OpenOn(vfs.Default, folder, reserve) }
+func Open(folder string, limits Limits) (*DB, error) { return OpenOn(vfs.Default, folder, limits) }
 
 // OpenOn is Open on a file system.
-func OpenOn(fs vfs.FS, folder string, reserve int64) (*DB, error) {
+func OpenOn(fs vfs.FS, folder string, limits Limits) (*DB, error) {
 	if err := fs.MkdirAll(folder, 0o755); err != nil {
 		return nil, trace.Wrap(trace.ConvertSystemError(err), "data folder")
 	}
-	d := &DB{fs: fs, folder: folder, reserve: reserve}
+	d := &DB{fs: fs, folder: folder, limits: limits}
 	opened, err := d.openChecked(filepath.Join(folder, databaseFolder))
 	if err != nil {
 		klog.ErrorS(err, "database is damaged, moved aside; the disk gets a new identity", "folder", folder)
@@ -92,13 +100,35 @@
 	options := &pebble.Options{
 		FS:           d.fs,
 		Logger:       quietLogger{},
-		MemTableSize: 16 << 20,
+		MemTableSize: memTableBytes(d.limits.Disk),
 		// Values are small records and segments that are read once or twice.
 		MaxOpenFiles: 256,
 	}
+	if d.limits.Disk > 0 {
+		// Most of what is written is soon dropped: it is merged early, so that it
+		// takes little of the disk.
+		options.L0CompactionThreshold = 2
+		options.LBaseMaxBytes = int64(options.MemTableSize)
+	}
 	return pebble.Open(path, options)
 }
 
+const (
+	mostMemTable  = 16 << 20
+	leastMemTable = 1 << 20
+	// memTableShare of a small disk: what is in memory is in the write-ahead log
+	// too, of which there are several.
+	memTableShare = 1.0 / 24
+)
+
+// memTableBytes is how much is gathered in memory before it becomes a table.
+func memTableBytes(disk int64) uint64 {
+	if disk <= 0 {
+		return mostMemTable
+	}
+	return uint64(min(max(memTableShare*float64(disk), leastMemTable), mostMemTable))
+}
+
 // quietLogger drops pebble's routine messages; a fatal one ends the process,
 // because a log that cannot be written must not acknowledge.
 type quietLogger struct{}
@@ -106,8 +136,15 @@
 // Infof implements pebble.Logger.
 func (quietLogger) Infof(string, ...any) {}
 
+// errorPause is how long the database's background work rests after an error: it
+// tries again at once, which a full disk would make it do without end.
+const errorPause = 200 * time.Millisecond
+
 // Errorf implements pebble.Logger.
-func (quietLogger) Errorf(format string, args ...any) { klog.Errorf("storage: "+format, args...) }
+func (quietLogger) Errorf(format string, args ...any) {
+	klog.Errorf("storage: "+format, args...)
+	time.Sleep(errorPause)
+}
 
 // Fatalf implements pebble.Logger.
 func (quietLogger) Fatalf(format string, args ...any) { klog.Fatalf("storage: "+format, args...) }
@@ -216,9 +253,29 @@
 // HasRoom reports whether more than the reserve is free under the data folder.
 func (d *DB) HasRoom() bool {
 	usage, err := d.fs.GetDiskUsage(d.folder)
-	return err == nil && int64(usage.AvailBytes) > d.reserve
+	return err == nil && int64(usage.AvailBytes) > d.limits.Reserve
 }
 
+const (
+	// fullShare of the disk may be taken when something is accepted: what is
+	// accepted has to be finished, and tables are written anew before old ones go.
+	fullShare = 0.7
+	// writtenTimes is how often what is accepted lies on the disk until the log
+	// and older tables are dropped.
+	writtenTimes = 2
+)
+
+// Fits reports whether something of that size may be accepted.
+func (d *DB) Fits(bytes int) bool {
+	if d.limits.Disk <= 0 {
+		return true
+	}
+	return float64(d.Used())+float64(writtenTimes*bytes) < fullShare*float64(d.limits.Disk)
+}
+
+// Used returns how many bytes the database takes of the disk.
+func (d *DB) Used() uint64 { return d.pebble.Metrics().DiskSpaceUsage() }
+
 // Metrics returns pebble's metrics.
 func (d *DB) Metrics() *pebble.Metrics { return d.pebble.Metrics() }
 
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -36,7 +36,7 @@
 	spaceRecord = 'j'
 	spaceItem   = 'i'
 	spaceResult = 'r'
-	// spaceProgress holds what runs of unfinished items have produced.
+	// spaceProgress holds what runs of unfinished items have produced, in parts.
 	spaceProgress = 'p'
 )
 
@@ -153,10 +153,11 @@
 	}
 	record.Results++
 	record.Items[result.Item].Position = record.Results
-	for _, space := range []byte{spaceItem, spaceProgress} {
-		if err := store.Delete(numbered(space, record.Id, result.Item)); err != nil {
-			return false, true, trace.Wrap(err)
-		}
+	if err := store.Delete(numbered(spaceItem, record.Id, result.Item)); err != nil {
+		return false, true, trace.Wrap(err)
+	}
+	if err := dropProgress(store, record.Id, result.Item); err != nil {
+		return false, true, err
 	}
 	return true, true, save(store, recordKey(record.Id), record)
 }
@@ -197,33 +198,19 @@
 		if record == nil {
 			continue
 		}
-		saved, err := Progress(store, result.JobId, result.Item)
+		follows, err := addProgress(store, result)
 		if err != nil {
 			return nil, err
 		}
-		if result.From > 0 && saved.Last != result.From || result.Last <= saved.Last {
+		if follows {
+			applied.Saved = append(applied.Saved, result)
+		} else {
 			applied.Refused = append(applied.Refused, result)
-			continue
-		}
-		next := &wirev1.QueueResult{JobId: result.JobId, Item: result.Item, ItemId: result.ItemId, Last: result.Last, Text: result.Text}
-		if result.From > 0 {
-			next.Text = JoinTexts(saved.Text, result.Text)
 		}
-		if err := save(store, numbered(spaceProgress, result.JobId, result.Item), next); err != nil {
-			return nil, err
-		}
-		applied.Saved = append(applied.Saved, result)
 	}
 	return applied, nil
 }
 
-// Progress returns what is saved of an unfinished item; Last is 0 for nothing.
-func Progress(reader Reader, job string, number uint32) (*wirev1.QueueResult, error) {
-	saved := &wirev1.QueueResult{}
-	_, err := load(reader, numbered(spaceProgress, job, number), saved)
-	return saved, err
-}
-
 func end(store Store, job string) (*Applied, error) {
 	record, err := Record(store, job)
 	if err != nil || record == nil || record.Ended {
--- a/internal/queueclient/queueclient.go
+++ b/internal/queueclient/queueclient.go
@@ -24,11 +24,12 @@
 
 	mutex   sync.Mutex
 	leaders map[uint32]string // address of each shard's last known leader
+	silent  map[string]time.Time
 }
 
 // New returns a client.
 func New(directory *peers.Directory, layouts *queuestore.Layouts, pool *rpc.Pool) *Client {
-	return &Client{Directory: directory, Layouts: layouts, Pool: pool, leaders: map[uint32]string{}}
+	return &Client{Directory: directory, Layouts: layouts, Pool: pool, leaders: map[uint32]string{}, silent: map[string]time.Time{}}
 }
 
 const (
@@ -36,8 +37,10 @@
 	tryTimeout = 900 * time.Millisecond
 	// hedgeTime is how long one node is waited for before the next is asked as
 	// well: a dead machine says nothing.
-	hedgeTime = 250 * time.Millisecond
-	roundWait = 60 * time.Millisecond
+	hedgeTime = 150 * time.Millisecond
+	// silentTime is how long a node that was silent is asked last.
+	silentTime = 2 * time.Second
+	roundWait  = 60 * time.Millisecond
 	// comeBack is when a caller that could not be served should try again.
 	comeBack = 300 * time.Millisecond
 )
@@ -75,7 +78,8 @@
 	unknown := false
 	var last error
 	for round := 0; ; round++ {
-		answered := c.round(ctx, host, method, wait, request, reply)
+		patience := hedgeTime*time.Duration(round+1) + wait
+		answered := c.round(ctx, host, method, wait, patience, request, reply)
 		if answered.err == nil {
 			return nil
 		}
@@ -101,26 +105,37 @@
 }
 
 // round asks each node once, the next one when the one before has failed or is
-// silent for a while, and takes the first answer.
-func (c *Client) round(ctx context.Context, host string, method wirev1.Method, wait time.Duration, request, reply proto.Message) outcome {
+// silent for a while, and takes the first answer. Nodes that are silent when all
+// others have failed are waited for with a patience that grows with each round:
+// another may lead by now.
+func (c *Client) round(ctx context.Context, host string, method wirev1.Method, wait, patience time.Duration, request, reply proto.Message) outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	waiting := c.candidates(host)
 	tries := make(chan outcome, len(waiting))
-	running := 0
+	running := map[string]bool{}
 	whole := outcome{err: result.New(result.StoreUnavailable, "no storage node is known")}
-	for len(waiting) > 0 || running > 0 {
+	for len(waiting) > 0 || len(running) > 0 {
 		if len(waiting) > 0 {
 			address := waiting[0]
 			waiting = waiting[1:]
-			running++
+			running[address] = true
 			go func() { tries <- c.try(ctx, address, method, wait, request, reply) }()
 		}
-		one, ended := c.await(tries, len(waiting) > 0, wait)
+		bound := patience
+		if len(waiting) > 0 {
+			bound = hedgeTime + wait
+		}
+		one, ended := await(tries, bound)
+		if !ended && len(waiting) == 0 {
+			c.noteSilent(host, running)
+			whole.unknown = true
+			return whole
+		}
 		if !ended {
 			continue
 		}
-		running--
+		delete(running, one.address)
 		if one.err == nil || final(one.err) {
 			proto.Merge(reply, one.reply)
 			c.remember(host, one.address)
@@ -133,13 +148,20 @@
 	return whole
 }
 
-// await waits for the end of a try; if there is another node to ask, not for
-// long.
-func (c *Client) await(tries <-chan outcome, more bool, wait time.Duration) (outcome, bool) {
-	if !more {
-		return <-tries, true
+// noteSilent makes nodes that did not answer the last to be asked for a while.
+func (c *Client) noteSilent(host string, addresses map[string]bool) {
+	now := time.Now()
+	for address := range addresses {
+		c.forget(host, address)
+		c.mutex.Lock()
+		c.silent[address] = now
+		c.mutex.Unlock()
 	}
-	timer := time.NewTimer(hedgeTime + wait)
+}
+
+// await waits for the end of a try, but not for longer than a bound.
+func await(tries <-chan outcome, bound time.Duration) (outcome, bool) {
+	timer := time.NewTimer(bound)
 	defer timer.Stop()
 	select {
 	case one := <-tries:
@@ -157,7 +179,9 @@
 }
 
 // final tells the answers that another node or try would give as well.
-func final(err error) bool { return result.Is(err, result.TenantTokens) }
+func final(err error) bool {
+	return result.Is(err, result.TenantTokens) || result.Is(err, result.StoreFull)
+}
 
 func (c *Client) try(ctx context.Context, address string, method wirev1.Method, wait time.Duration, request, reply proto.Message) outcome {
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout+wait)
@@ -176,20 +200,21 @@
 	}
 	id := queuestore.ShardOf(host, len(layout.Shards))
 	c.mutex.Lock()
-	leader := c.leaders[id]
-	c.mutex.Unlock()
-	var list []string
+	defer c.mutex.Unlock()
+	var list, silent []string
 	for _, member := range layout.Shards[id].Members {
 		record, known := c.Directory.Disk(member)
 		switch {
 		case !known:
-		case record.Address == leader:
-			list = append([]string{leader}, list...)
+		case record.Address == c.leaders[id]:
+			list = append([]string{record.Address}, list...)
+		case time.Since(c.silent[record.Address]) < silentTime:
+			silent = append(silent, record.Address)
 		default:
 			list = append(list, record.Address)
 		}
 	}
-	return list
+	return append(list, silent...)
 }
 
 // remember keeps who answered for a shard.
--- a/internal/queuestore/disk_test.go
+++ b/internal/queuestore/disk_test.go
@@ -9,6 +9,9 @@
 
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/matryer/is"
+
+	"cobaltramp.example/cobaltramp/internal/logstore"
+	"cobaltramp.example/cobaltramp/internal/result"
 )
 
 // slowDisk is a file system whose syncs take a time that can be changed.
@@ -90,3 +93,38 @@
 		c.finished(fmt.Sprintf("job-%d", i), 1)
 	}
 }
+
+// A job that the leader's disk has no room for is refused as not run, and not
+// known after; the jobs taken before run to their end.
+func TestFullDiskRefusesJobs(t *testing.T) {
+	is := is.New(t)
+	c := newClusterOf(t, logstore.Limits{Disk: 4 << 20}, "a", "b", "c")
+	c.executor.setHold(true)
+	c.submit("small", 1)
+	var refusal error
+	taken := []string{}
+	for i := range 40 {
+		id := fmt.Sprintf("big-%d", i)
+		c.eventually("an answer to "+id, func() bool {
+			refusal = c.trySubmitOf(id, 1, 0, 256<<10)
+			return refusal == nil || result.Is(refusal, result.StoreFull)
+		})
+		if refusal != nil {
+			break
+		}
+		taken = append(taken, id)
+	}
+	is.True(result.Is(refusal, result.StoreFull))
+	is.True(len(taken) > 0)
+	is.True(result.From(refusal).RetryAfter > 0)
+	reply, err := c.read(fmt.Sprintf("big-%d", len(taken)))
+	is.NoErr(err)
+	is.True(!reply.Found)
+	c.executor.setHold(false)
+	for _, id := range append(taken, "small") {
+		c.eventually(id+" is finished", func() bool {
+			reply, err := c.read(id)
+			return err == nil && len(reply.Results) == 1
+		})
+	}
+}
--- a/internal/queuestore/handover.go
+++ b/internal/queuestore/handover.go
@@ -74,7 +74,6 @@
 	h.began = now
 	h.frozenAt = time.Time{}
 	s.replica.SetLearners(now, learners(next, config))
-	s.replica.SendToAll(now, true)
 	klog.InfoS("hand-over begun", "shard", s.id, "generation", h.next.Generation, "from", config.Members, "to", next)
 }
 
@@ -279,7 +278,6 @@
 	klog.InfoS("hand-over ended", "shard", s.id, "generation", h.next.Generation, "outcome", outcome)
 	h.next = replica.Config{}
 	h.swapping = false
-	s.replica.SendToAll(time.Now(), false)
 }
 
 // swap replaces the member set in the platform's store, in the background.
--- a/internal/queuestore/node.go
+++ b/internal/queuestore/node.go
@@ -77,11 +77,9 @@
 	DiskLosses int
 	// Retention is how long after its acceptance a finished job is kept.
 	Retention time.Duration
-	// TrailBytes is the most that a replica which no commit needs may lack, and
-	// LogBytes how much of the applied log is kept for replicas that lag.
-	TrailBytes int
-	LogBytes   uint64
-	DB         *logstore.DB
+	// LogBytes is how much of the applied log is kept for replicas that lag.
+	LogBytes  uint64
+	DB        *logstore.DB
 	Directory *peers.Directory
 	Layouts   *Layouts
 	Pool      *rpc.Pool
--- a/internal/queuestore/serve.go
+++ b/internal/queuestore/serve.go
@@ -15,6 +15,9 @@
 // retryAfter is when a refused submission may fit.
 const retryAfter = 500 * time.Millisecond
 
+// diskFullAfter is when a submission may fit that the disk had no room for.
+const diskFullAfter = time.Second
+
 // serving finds the shard of a job's host if this node may lead it.
 func (n *Node) serving(host string) (*shard, error) {
 	layout := n.Layouts.Current()
@@ -60,10 +63,12 @@
 func (s *shard) take(ctx context.Context, request *wirev1.QueueSubmitRequest) (*wirev1.QueueSubmitReply, error) {
 	job := request.Job
 	tokens := uint64(0)
+	size := 0
 	for _, item := range job.Items {
 		tokens += item.Tokens
+		size += len(item.Body)
 	}
-	known, err := s.reserve(ctx, request, tokens)
+	known, err := s.reserve(ctx, request, tokens, size)
 	if err != nil {
 		return nil, err
 	}
@@ -84,7 +89,7 @@
 
 // reserve counts a submission against its route's limit until it is applied.
 // It reports true for a job that is known already.
-func (s *shard) reserve(ctx context.Context, request *wirev1.QueueSubmitRequest, tokens uint64) (bool, error) {
+func (s *shard) reserve(ctx context.Context, request *wirev1.QueueSubmitRequest, tokens uint64, size int) (bool, error) {
 	job := request.Job
 	var known bool
 	var refused error
@@ -102,6 +107,10 @@
 			refused = result.New(result.TenantTokens, "%d tokens wait on route %s, the job has %d, allowed are %d", waiting, job.Route, tokens, limit).After(retryAfter)
 			return
 		}
+		if !s.node.DB.Fits(size) {
+			refused = result.New(result.StoreFull, "%d bytes of the disk are taken, the job has %d", s.node.DB.Used(), size).After(diskFullAfter)
+			return
+		}
 		l.accepting[job.Route] += tokens
 	})
 	if err != nil {
--- a/internal/queuestore/shard.go
+++ b/internal/queuestore/shard.go
@@ -69,18 +69,18 @@
 
 const (
 	queueLength = 1024
-	tickTime    = 50 * time.Millisecond
+	tickTime    = 20 * time.Millisecond
 	maxBatch    = 256
 	applyBytes  = 8 << 20
 	// keepEntries of the log stay for followers that lag; a follower further
 	// behind gets a snapshot.
 	keepEntries   = 4000
-	truncateEvery = 5 * time.Second
+	truncateEvery = time.Second
 )
 
 // timing suits a few shards on near machines.
 func timing() replica.Timing {
-	return replica.Timing{Heartbeat: 150 * time.Millisecond, Election: 700 * time.Millisecond}
+	return replica.Timing{Heartbeat: 80 * time.Millisecond, Election: 350 * time.Millisecond}
 }
 
 // startShard restores a shard from disk, or creates it with a first member set.
@@ -119,7 +119,6 @@
 		quit:      make(chan struct{}), done: make(chan struct{}),
 		waiting: map[uint64]*proposal{},
 	}
-	s.replica.SetTrail(n.TrailBytes)
 	n.shards[id] = s
 	klog.InfoS("queue replica started", "shard", id, "disk", disk, "generation", config.Generation, "members", config.Members,
 		"log", s.replica.LastIndex(), "applied", s.applied, "known", loaded.Known)
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -37,11 +37,12 @@
 
 // CaughtUp reports whether a member or learner has all but a few entries.
 func (r *Replica) CaughtUp(member string) bool {
+	const slack = 64
 	if member == r.self {
 		return true
 	}
 	p := r.progress[member]
-	return r.role == Leader && p != nil && r.whole(p)
+	return r.role == Leader && p != nil && p.confirmed && p.match+slack >= r.lastIndex()
 }
 
 // Freeze starts to seal the generation. Nothing is proposed after it.
--- a/internal/replica/lead.go
+++ b/internal/replica/lead.go
@@ -13,16 +13,9 @@
 	heardAt   time.Time
 	seenAt    time.Time
 	sentAt    time.Time
-	confirmed bool // its log is known to agree up to next
-	answered  bool // in this epoch
+	confirmed bool // answered in this epoch
 	probe     uint64
 	inFlight  []sentEntries
-	// trails: it is sent no entries at present; lacks is how many bytes it was
-	// not sent for that. behind: it lacked too much, and is sent everything until
-	// it has all.
-	trails bool
-	lacks  int
-	behind bool
 }
 
 // sentEntries are entries on their way to a member.
@@ -94,7 +87,6 @@
 }
 
 func (r *Replica) heartbeat(now time.Time) {
-	r.chooseTrailing(now)
 	if now.Before(r.heartbeatAt) {
 		return
 	}
@@ -122,7 +114,6 @@
 		r.progress[member] = &progress{next: r.lastIndex() + 1, heardAt: now}
 	}
 	r.frozenBy = nil
-	r.trail.everybody = false
 	// An empty entry commits all that earlier epochs left.
 	r.epochStart = r.append(now, [][]byte{nil})
 	r.heartbeatAt = now
@@ -151,7 +142,6 @@
 	if r.role != Leader || r.hard.Frozen || len(commands) == 0 {
 		return 0, false
 	}
-	r.noteProposed(commands)
 	first := r.append(now, commands)
 	for _, member := range r.followers() {
 		r.sendAppend(member, r.progress[member], now, false)
@@ -180,7 +170,7 @@
 	for {
 		// A member that has not answered in this epoch is probed one message
 		// at a time.
-		blocked := p.trails || !p.confirmed && !heartbeat || p.next-p.match > maxInFlight || p.inFlightBytes() > maxInFlightBytes
+		blocked := !p.confirmed && !heartbeat || p.next-p.match > maxInFlight || p.inFlightBytes() > maxInFlightBytes
 		var entries []*wirev1.LogEntry
 		if !blocked && p.next <= r.lastIndex() {
 			entries = r.read(p.next)
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -191,7 +191,6 @@
 	epochStart  uint64 // index of the leader's first entry
 	probe       uint64 // the last round of BeginProbe
 	frozenBy    map[string]bool
-	trail       trailing
 }
 
 // Restore returns a replica with what its disk holds: the hard state, the
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -52,9 +52,6 @@
 func (r *Replica) handlePrePrepare(now time.Time, message *wirev1.ReplicaMessage) {
 	leaderLives := r.role == Leader || now.Sub(r.leaderSeen) < r.timing.Election
 	granted := !leaderLives && !r.hard.Frozen && r.upToDate(message)
-	if !leaderLives && !r.upToDate(message) && r.role == Follower {
-		r.deadline = now // this one has what the candidate lacks
-	}
 	r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_PRE_PROMISE, To: message.From, Epoch: r.hard.Promised, Granted: granted})
 }
 
@@ -199,13 +196,11 @@
 		return
 	}
 	p.heardAt = now
-	p.answered = true
 	p.probe = max(p.probe, message.Probe)
 	if !message.Granted {
 		p.inFlight = nil
 		p.next = max(p.match, min(message.MatchIndex, r.lastIndex())) + 1
 		p.confirmed = false
-		p.trails = p.trails || r.trail.bytes > 0 // until the next choice
 		r.sendAppend(message.From, p, now, true)
 		return
 	}
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -80,8 +80,6 @@
 	MemoryMegabytes int `yaml:"memory_megabytes"`
 	Descriptors     int `yaml:"descriptors"`
 	DiskMegabytes   int `yaml:"disk_megabytes"`
-	// LinkMegabits is what the machine's link carries a second.
-	LinkMegabits float64 `yaml:"link_megabits"`
 }
 
 // RoleBounds are the times that the users' rules give.
@@ -108,7 +106,6 @@
 	defaultStoreValueBytes     = 1 << 20
 	defaultRoleMemoryMegabytes = 256
 	defaultRoleDiskMegabytes   = 512
-	defaultRoleLinkMegabits    = 1000
 	defaultDrainMilliseconds   = 2000
 )
 
@@ -143,7 +140,6 @@
 	orDefault(&r.Store.ValueBytes, defaultStoreValueBytes)
 	orDefault(&r.Machine.MemoryMegabytes, defaultRoleMemoryMegabytes)
 	orDefault(&r.Machine.DiskMegabytes, defaultRoleDiskMegabytes)
-	orDefault(&r.Machine.LinkMegabits, defaultRoleLinkMegabits)
 }
 
 func (r *Role) check() error {
--- a/modules/batch/queues/queues.go
+++ b/modules/batch/queues/queues.go
@@ -68,7 +68,7 @@
 	if m.settings.DataFolder == "" {
 		return &settings.FieldError{Path: "data_folder", Found: "", Allowed: "a folder on the node's disk"}
 	}
-	if m.db, err = logstore.Open(m.settings.DataFolder, 0); err != nil {
+	if m.db, err = logstore.Open(m.settings.DataFolder, logstore.Limits{Disk: int64(m.settings.Machine.DiskMegabytes) * mebibyte}); err != nil {
 		return trace.Wrap(err)
 	}
 	klog.InfoS("disk opened", "folder", m.settings.DataFolder, "disk", m.db.DiskID())
@@ -76,7 +76,7 @@
 	options.Node, options.Region = m.settings.Node, m.settings.Region
 	options.DiskLosses, options.Retention = m.settings.DiskLosses, retentionFactor*m.settings.ResultsKept()
 	options.DB, options.Store = m.db, store
-	options.TrailBytes, options.LogBytes = logBounds(m.settings.Machine)
+	options.LogBytes = logBytes(m.settings.Machine)
 	options.Executor = queuerun.New(m.settings.Zone, catalogs, runners, client)
 	m.node = queuestore.New(options)
 	m.node.Handle(server)
@@ -85,20 +85,14 @@
 
 const (
 	// logShare of a disk holds applied log entries for replicas that lag.
-	logShare = 0.1
+	logShare = 0.06
 	mostLog  = 48 << 20
-	// trailTime of the machine's link is how long a replica that trails takes to
-	// get what it lacks.
-	trailTime = 0.5 // seconds
-	mebibyte  = 1 << 20
-	bitsAByte = 8
+	mebibyte = 1 << 20
 )
 
-// logBounds works out how much a replica may lack, and how much log is kept.
-func logBounds(machine settings.RoleMachine) (trail int, log uint64) {
-	log = uint64(min(logShare*float64(machine.DiskMegabytes)*mebibyte, mostLog))
-	link := machine.LinkMegabits * 1e6 / bitsAByte
-	return int(min(trailTime*link, float64(log))), log
+// logBytes works out how much of the applied log is kept.
+func logBytes(machine settings.RoleMachine) uint64 {
+	return uint64(min(logShare*float64(machine.DiskMegabytes)*mebibyte, mostLog))
 }
 
 // Start implements kernel.Starter.
