--- a/internal/queueclient/queueclient_test.go
+++ b/internal/queueclient/queueclient_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,3 +110,25 @@
 	_, err = client.Read(ctx, &wirev1.QueueReadRequest{Host: "h"})
 	is.Equal(result.CodeOf(err).Entry().Ran, result.RanUnknown)
 }
+
+// A leader that fell silent does not hold up the next try at the others: one of
+// them leads a moment later, long before the silent one is given up.
+func TestSilentLeaderHoldsNoRoundUp(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int64
+	next := serving(t, func() (*wirev1.QueueReadReply, error) {
+		if asked.Add(1) < 3 {
+			return nil, result.New(result.NotLeader, "not yet")
+		}
+		return &wirev1.QueueReadReply{Found: true}, nil
+	})
+	silent := silentAddress(t)
+	client := clientOf(t, silent, next)
+	client.remember("h", silent)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	_, err := client.Read(ctx, &wirev1.QueueReadRequest{Host: "h"})
+	is.NoErr(err)
+	is.Equal(client.candidates("h"), []string{next, silent})
+	is.Equal(asked.Load(), int64(3))
+}
