A started replica drops only what it knows to be committed

A replica restores what it has applied, not how far its log is committed; its first tick truncates by the former. Trailing, blamed at first, had no part in it. Change: the log is truncated up to the lesser of both, here and in the plain node's store.

--- a/internal/queuestore/cluster_test.go
+++ b/internal/queuestore/cluster_test.go
@@ -1,6 +1,7 @@
 package queuestore
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -194,3 +195,43 @@
 	is.Equal(len(reply.Results), 0)
 	is.Equal(c.executor.runs["one-0"], 0)
 }
+
+// A replica that starts with a long applied log does not know yet how far it is
+// committed: it drops none of it before it does, and goes on.
+func TestLongLogAfterAllKilled(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.submit("one", 2)
+	c.finished("one", 2)
+	shard := c.nodes[c.leader()].node.shard(0)
+	batch := make([]*proposal, 2*keepEntries+100)
+	for i := range batch {
+		batch[i] = &proposal{result: make(chan proposalResult, 1), command: &wirev1.QueueCommand{Kind: &wirev1.QueueCommand_End{End: "nobody"}}}
+	}
+	for _, n := range c.nodes {
+		held := n.node.shard(0)
+		_ = held.ask(context.Background(), func() { held.truncated = time.Now().Add(time.Hour) }) // the log stays long
+	}
+	_ = shard.ask(context.Background(), func() { shard.propose(batch...) })
+	<-batch[len(batch)-1].result
+	c.eventually("all have applied it", func() bool {
+		count := 0
+		for _, n := range c.nodes {
+			held := n.node.shard(0)
+			_ = held.ask(context.Background(), func() {
+				if held.applied > 2*keepEntries {
+					count++
+				}
+			})
+		}
+		return count == len(c.nodes)
+	})
+	for name := range c.nodes {
+		c.stop(name)
+	}
+	for name := range c.nodes {
+		c.start(name)
+	}
+	c.finished("one", 2)
+	c.submit("two", 2)
+	c.finished("two", 2)
+}
--- a/internal/queuestore/handover.go
+++ b/internal/queuestore/handover.go
@@ -367,10 +367,13 @@
 	if s.logBytes > s.node.LogBytes {
 		kept = keepEntries / 20
 	}
-	if s.installing || s.applied < base+2*kept {
+	// A replica that has just started does not know yet how far its log is
+	// committed, though it has applied it.
+	settled := min(s.applied, s.replica.Commit())
+	if s.installing || settled < base+2*kept {
 		return nil
 	}
-	index := s.applied - kept
+	index := settled - kept
 	if err := s.replica.Truncate(index); err != nil {
 		return err
 	}
--- a/modules/batch/store/upkeep.go
+++ b/modules/batch/store/upkeep.go
@@ -66,10 +66,13 @@
 	if r.logSize > keepLogBytes {
 		kept = keepEntries / 20
 	}
-	if r.installing || r.applied < base+2*kept {
+	// A replica that has just started does not know yet how far its log is
+	// committed, though it has applied it.
+	settled := min(r.applied, r.replica.Commit())
+	if r.installing || settled < base+2*kept {
 		return nil
 	}
-	index := r.applied - kept
+	index := settled - kept
 	if err := r.replica.Truncate(index); err != nil {
 		return trace.Wrap(err)
 	}
