--- a/internal/queuestore/transport.go
+++ b/internal/queuestore/transport.go
@@ -101,7 +101,11 @@
 // is behind it.
 func (s *shard) considerSnapshot(offer *wirev1.ReplicaMessage) {
 	stale := offer.Epoch < s.replica.Epoch() || offer.Generation != s.replica.Config().Generation
-	if s.installing || stale || offer.LastIndex <= s.replica.LastIndex() && offer.LastIndex <= s.applied {
+	if s.installing || stale {
+		return
+	}
+	if offer.LastIndex <= s.replica.LastIndex() && offer.LastIndex <= s.applied {
+		s.replica.DeclineSnapshot(time.Now(), offer)
 		return
 	}
 	record, known := s.node.Directory.Disk(offer.From)
--- a/internal/replica/lead.go
+++ b/internal/replica/lead.go
@@ -8,8 +8,11 @@
 )
 
 type progress struct {
-	match     uint64 // known to be on the member's disk
-	next      uint64 // next entry to send
+	match uint64 // known to be on the member's disk
+	next  uint64 // next entry to send
+	// start is where the member's log is thought to end while it has confirmed
+	// nothing in this epoch: after a silence it is asked from there again.
+	start     uint64
 	heardAt   time.Time
 	seenAt    time.Time
 	sentAt    time.Time
@@ -86,6 +89,18 @@
 	return live
 }
 
+// LiveMatch returns how far the log is on the disks of all members and learners
+// that were heard of lately, a leader's view; a follower knows only its own.
+func (r *Replica) LiveMatch(now time.Time) uint64 {
+	match := r.lastIndex()
+	for _, p := range r.progress {
+		if p.confirmed && now.Sub(p.heardAt) < r.timing.Election {
+			match = min(match, p.match)
+		}
+	}
+	return match
+}
+
 func (r *Replica) heartbeat(now time.Time) {
 	if now.Before(r.heartbeatAt) {
 		return
@@ -94,8 +109,8 @@
 	for _, member := range r.followers() {
 		p := r.progress[member]
 		// No answer for a while: what was sent may be lost.
-		if p.next > p.match+1 && r.silent(p, now) {
-			p.next = p.match + 1
+		if p.next > max(p.match+1, p.start) && r.silent(p, now) {
+			p.next = max(p.match+1, p.start)
 			p.inFlight = nil
 		}
 		busy := p.confirmed && now.Sub(p.sentAt) < r.timing.Heartbeat
@@ -121,7 +136,7 @@
 	r.lonely = 0
 	r.progress = map[string]*progress{}
 	for _, member := range r.followers() {
-		r.progress[member] = &progress{next: r.lastIndex() + 1, heardAt: now}
+		r.progress[member] = &progress{next: r.lastIndex() + 1, start: r.lastIndex() + 1, heardAt: now}
 	}
 	r.frozenBy = nil
 	// An empty entry commits all that earlier epochs left.
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -148,6 +148,17 @@
 	})
 }
 
+// DeclineSnapshot answers the offer of a snapshot that this log does not need
+// with where the log ends, so that the leader goes on from there.
+func (r *Replica) DeclineSnapshot(now time.Time, offer *wirev1.ReplicaMessage) {
+	if offer.Generation != r.config.Generation || offer.To != r.self || offer.Epoch < r.hard.Promised || r.hard.Frozen {
+		return
+	}
+	r.follow(now, offer.Epoch, offer.From)
+	r.leaderSeen = now
+	r.reject(offer, r.lastIndex())
+}
+
 // take appends the entries this log lacks and drops its own that differ. It
 // refuses damaged entries.
 func (r *Replica) take(entries []*wirev1.LogEntry) bool {
@@ -200,6 +211,7 @@
 	if !message.Granted {
 		p.inFlight = nil
 		p.next = max(p.match, min(message.MatchIndex, r.lastIndex())) + 1
+		p.start = p.next
 		p.confirmed = false
 		r.sendAppend(message.From, p, now, true)
 		return
--- /dev/null
+++ b/internal/replica/truncated_test.go
@@ -0,0 +1,102 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+)
+
+// truncatedMember is a replica whose log begins after a base, as after a run
+// that was long enough for old entries to be dropped.
+type truncatedMember struct {
+	replica *Replica
+	base    uint64
+	entries []*wirev1.LogEntry
+}
+
+func (m *truncatedMember) Entries(lo, hi uint64, _ int) ([]*wirev1.LogEntry, error) {
+	if lo <= m.base || hi > m.base+uint64(len(m.entries)) {
+		return nil, fmt.Errorf("entries %d to %d of %d to %d", lo, hi, m.base+1, m.base+uint64(len(m.entries)))
+	}
+	return m.entries[lo-m.base-1 : hi-m.base], nil
+}
+
+func (m *truncatedMember) work() []*wirev1.ReplicaMessage {
+	ready := m.replica.Ready()
+	if ready.TruncateFrom > 0 {
+		m.entries = m.entries[:ready.TruncateFrom-m.base-1]
+	}
+	m.entries = append(m.entries, ready.Entries...)
+	m.replica.Persisted(m.base + uint64(len(m.entries)))
+	return append(ready.Early, ready.Messages...)
+}
+
+// takeOffer does what the driver does with the offer of a snapshot that ends
+// before the member's own log.
+func (m *truncatedMember) takeOffer(now time.Time, offer *wirev1.ReplicaMessage) {
+	if offer.LastIndex <= m.replica.LastIndex() {
+		m.replica.DeclineSnapshot(now, offer)
+	}
+}
+
+// Of five members the three that are left restart with logs of different
+// lengths, all of which begin after a base. They come to serve once messages are
+// no longer lost: a leader finds where each member's log ends though it dropped
+// the entries before. None can be elected instead, for that needs all three.
+func TestRestartWithDroppedEntries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const base, epoch = 100, uint64(1)<<(counterBits+indexBits) + 1<<indexBits + 1
+		config := Config{Generation: 1, Members: []string{"d0", "d1", "d2", "d3", "d4"}}
+		living := config.Members[:3]
+		now := time.Unix(0, 0)
+		members := map[string]*truncatedMember{}
+		for i, id := range living {
+			m := &truncatedMember{base: base}
+			for n := range rapid.IntRange(0, 6).Draw(t, "entries") {
+				m.entries = append(m.entries, &wirev1.LogEntry{Index: base + uint64(n) + 1, Epoch: epoch, Checksum: Checksum(nil)})
+			}
+			epochs := make([]uint64, len(m.entries))
+			for n := range epochs {
+				epochs[n] = epoch
+			}
+			hard := HardState{Promised: epoch, Commit: base, Generation: 1}
+			m.replica = Restore(0, id, config, testTiming(), rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), uint64(i))), m, hard, base, epoch, epochs, now)
+			members[id] = m
+		}
+		losses := rapid.IntRange(0, 150).Draw(t, "steps with losses")
+		for step := range losses + 600 {
+			now = now.Add(20 * time.Millisecond)
+			var sent []*wirev1.ReplicaMessage
+			for _, id := range living {
+				members[id].replica.Tick(now)
+				sent = append(sent, members[id].work()...)
+			}
+			for _, message := range sent {
+				entries := message.Kind == wirev1.ReplicaKind_REPLICA_KIND_APPEND || message.Kind == wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED
+				if step < losses && entries && rapid.IntRange(0, 2).Draw(t, "lost") > 0 {
+					continue
+				}
+				to := members[message.To]
+				if to == nil {
+					continue
+				}
+				if message.Kind == wirev1.ReplicaKind_REPLICA_KIND_SNAPSHOT_OFFER {
+					to.takeOffer(now, message)
+				} else {
+					to.replica.Step(now, message)
+				}
+			}
+		}
+		for _, m := range members {
+			if m.replica.Serving() {
+				return
+			}
+		}
+		t.Fatal("no member serves")
+	})
+}
