--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,134 @@
+package relay
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"cobaltramp.example/cobaltramp/internal/platform"
+
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+)
+
+// contents is a sink that holds what it is told, and sees that no change comes
+// twice or in the wrong order.
+type contents struct {
+	values   map[string]int64
+	revision int64
+	fail     func(string, ...any)
+}
+
+func (c *contents) Reset(values []platform.Value, revision int64) {
+	c.values = map[string]int64{}
+	for _, value := range values {
+		c.values[value.Key] = value.Revision
+	}
+	c.revision = revision
+}
+
+func (c *contents) Apply(events []platform.Event, revision int64) {
+	for _, event := range events {
+		if event.Value.Revision <= c.revision {
+			c.fail("change %d came after %d", event.Value.Revision, c.revision)
+		}
+		c.revision = event.Value.Revision
+		if event.Deleted {
+			delete(c.values, event.Value.Key)
+		} else {
+			c.values[event.Value.Key] = event.Value.Revision
+		}
+	}
+	c.revision = max(c.revision, revision)
+}
+
+// storeModel is the platform's store with two mirrors that follow it, at times
+// far behind, at times having lost its history.
+type storeModel struct {
+	values   map[string]int64
+	events   []platform.Event
+	revision int64
+	mirrors  [2]*Mirror
+	streams  [2]int64 // up to where each mirror has told the follower
+	merge    *Merge
+	taken    *contents
+}
+
+func (m *storeModel) change(key string, gone bool) {
+	m.revision++
+	event := platform.Event{Value: platform.Value{Key: key, Revision: m.revision}, Deleted: gone}
+	m.events = append(m.events, event)
+	if gone {
+		delete(m.values, key)
+	} else {
+		m.values[key] = m.revision
+	}
+}
+
+// catchUp lets a mirror follow up to a revision, as watches do.
+func (m *storeModel) catchUp(mirror *Mirror, upTo int64) {
+	var events []platform.Event
+	for _, event := range m.events {
+		if event.Value.Revision > mirror.revision && event.Value.Revision <= upTo {
+			events = append(events, event)
+		}
+	}
+	if len(events) > 0 {
+		mirror.Apply(events, upTo)
+	}
+}
+
+func (m *storeModel) list(mirror *Mirror) {
+	var values []platform.Value
+	for key, revision := range m.values {
+		values = append(values, platform.Value{Key: key, Revision: revision})
+	}
+	mirror.Reset(values, m.revision)
+}
+
+// tell passes on what a mirror has, as its stream does.
+func (m *storeModel) tell(index int) {
+	update, _ := m.mirrors[index].After(m.streams[index])
+	if update == nil {
+		return
+	}
+	deliver(encode(update), m.merge)
+	m.streams[index] = update.Revision
+}
+
+// A follower of two nodes that follow the store comes to hold what the store
+// holds, gets each change once and in order, and never goes back, however far
+// behind either is, and whichever stream breaks and begins anew.
+func TestFollowersHoldWhatTheStoreHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &storeModel{values: map[string]int64{}, mirrors: [2]*Mirror{NewMirror(), NewMirror()}, streams: [2]int64{-1, -1}}
+		m.taken = &contents{values: map[string]int64{}, fail: t.Fatalf}
+		m.merge = NewMerge(m.taken)
+		for _, mirror := range m.mirrors {
+			m.list(mirror)
+		}
+		which := rapid.IntRange(0, 1)
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				for range rapid.IntRange(1, keptEvents/3).Draw(t, "changes") {
+					m.change(fmt.Sprint("k", rapid.IntRange(0, 4).Draw(t, "key")), rapid.IntRange(0, 3).Draw(t, "gone") == 0)
+				}
+			},
+			"mirror follows": func(t *rapid.T) {
+				mirror := m.mirrors[which.Draw(t, "mirror")]
+				m.catchUp(mirror, mirror.revision+rapid.Int64Range(0, m.revision-mirror.revision).Draw(t, "by"))
+			},
+			"mirror lists again": func(t *rapid.T) { m.list(m.mirrors[which.Draw(t, "mirror")]) },
+			"told":               func(t *rapid.T) { m.tell(which.Draw(t, "mirror")) },
+			"stream begins anew": func(t *rapid.T) { m.streams[which.Draw(t, "mirror")] = m.merge.Revision() },
+		})
+		for index, mirror := range m.mirrors {
+			m.catchUp(mirror, m.revision)
+			m.tell(index)
+		}
+		if m.merge.Revision() != m.revision || !maps.Equal(m.taken.values, m.values) {
+			t.Fatalf("held %v at %d, the store has %v at %d", m.taken.values, m.merge.Revision(), m.values, m.revision)
+		}
+	})
+}
