Jobs lie in shards on all disks; limits hold over all shards; a job's bytes go to its leader only

Cause: all jobs of a host lay in one shard of five members: ten and more disks served as five, and one leader took, copied and ran everything. Change: one shard for each disk where there are at least twice as many as a shard has members, else one as before; a job's shard follows from its id. Placed evenly over disks and zones; leadership is offered to the first member while no run would be interrupted. The limit of waiting tokens is kept by the leader of one shard: the others tell it what waits, submissions on their way included, before they take one; a new keeper lets nothing in before every shard has told. What a submission takes of limit and disk is counted until its fate is decided. Items are placed at runners by the node whose home they are, others leave more room. The log is dropped by bytes, not by entries of any size, and not before members that answer have it. An edge asks whether a job is known before it sends it, which also finds the leader; after a try of unknown outcome a refusal is not told as 'not run'. Weighed: fixed shares of the limit for each shard (refuses jobs that fit), leases of tokens (a second truth to expire).

--- /dev/null
+++ b/internal/queue/ledger.go
@@ -0,0 +1,59 @@
+package queue
+
+// Ledger adds up the waiting tokens of all shards, for limits that hold over
+// all of them. The leader of each shard reports what waits there, submissions
+// on their way included, before it lets one in: a report that is old counts too
+// much or too little only by what has ended or begun since, and nothing begins
+// without a report.
+//
+// Invariant: a shard's entry is replaced only by a report of a newer epoch, or
+// of the same epoch and a higher number.
+type Ledger struct {
+	shards  int
+	reports map[uint32]shardReport
+}
+
+type shardReport struct {
+	epoch, number uint64
+	waiting       map[string]uint64
+}
+
+// NewLedger returns a ledger of so many shards that knows none of them.
+func NewLedger(shards int) *Ledger {
+	return &Ledger{shards: shards, reports: map[uint32]shardReport{}}
+}
+
+// Report takes what waits in a shard, by route. It reports false for a leader
+// that another has followed.
+func (l *Ledger) Report(shard uint32, epoch, number uint64, waiting map[string]uint64) bool {
+	held, known := l.reports[shard]
+	if known && epoch < held.epoch {
+		return false
+	}
+	if !known || epoch > held.epoch || number > held.number {
+		l.reports[shard] = shardReport{epoch, number, waiting}
+	}
+	return true
+}
+
+// Complete reports whether every shard has reported: before that nothing can be
+// said of a sum.
+func (l *Ledger) Complete() bool { return len(l.reports) == l.shards }
+
+// Waiting returns the tokens of a route over all shards.
+func (l *Ledger) Waiting(route string) uint64 {
+	sum := uint64(0)
+	for _, report := range l.reports {
+		sum += report.waiting[route]
+	}
+	return sum
+}
+
+// Release takes tokens of a shard back that were reported and not let in, unless
+// the shard has reported since.
+func (l *Ledger) Release(shard uint32, epoch, number uint64, route string, tokens uint64) {
+	held := l.reports[shard]
+	if held.epoch == epoch && held.number == number && held.waiting[route] >= tokens {
+		held.waiting[route] -= tokens
+	}
+}
--- a/internal/queue/table.go
+++ b/internal/queue/table.go
@@ -105,6 +105,17 @@
 // Waiting returns the tokens of a route's unfinished items.
 func (t *Table) Waiting(route string) uint64 { return t.waiting[route] }
 
+// WaitingByRoute returns the tokens of unfinished items by route.
+func (t *Table) WaitingByRoute() map[string]uint64 {
+	waiting := make(map[string]uint64, len(t.waiting))
+	for route, tokens := range t.waiting {
+		if tokens > 0 {
+			waiting[route] = tokens
+		}
+	}
+	return waiting
+}
+
 // Len returns how many items are unfinished.
 func (t *Table) Len() int { return len(t.entries) }
 
--- a/internal/queueclient/queueclient.go
+++ b/internal/queueclient/queueclient.go
@@ -1,4 +1,4 @@
-// Package queueclient reaches the leader of a host's queue shard from any node.
+// Package queueclient reaches the leader of a job's queue shard from any node.
 package queueclient
 
 import (
@@ -47,39 +47,83 @@
 
 // Submit hands in a job. The error's code tells whether it may have been
 // taken: CommitUnknown if so.
+//
+// A job may be large: it is sent to the leader only, and only if the leader does
+// not know it yet. Asking first finds the leader, by a call that is small.
 func (c *Client) Submit(ctx context.Context, request *wirev1.QueueSubmitRequest) (*wirev1.QueueSubmitReply, error) {
-	reply := &wirev1.QueueSubmitReply{}
-	return reply, c.call(ctx, request.Job.Host, wirev1.Method_METHOD_QUEUE_SUBMIT, 0, request, reply)
+	job := request.Job
+	unknown := false
+	for {
+		known, err := c.Read(ctx, &wirev1.QueueReadRequest{JobId: job.Id, Host: job.Host, MaxBytes: 1})
+		if err != nil {
+			return nil, c.failed(unknown, err)
+		}
+		if known.Found {
+			return &wirev1.QueueSubmitReply{Known: true}, nil
+		}
+		sent := c.submitToLeader(ctx, request)
+		if sent.err == nil {
+			return sent.reply.(*wirev1.QueueSubmitReply), nil
+		}
+		if final(sent.err) && !unknown {
+			return nil, sent.err
+		}
+		// After a try whose outcome is not known even a refusal does not say that
+		// the job is not taken: the first may be on its way still.
+		unknown = unknown || sent.unknown
+		klog.InfoS("job submission not confirmed", "job", job.Id, "address", sent.address, "unknown", unknown, "err", sent.err)
+		if !pause(ctx, roundWait) {
+			return nil, c.failed(unknown, sent.err)
+		}
+	}
+}
+
+// slowestRate is at what rate a job's bytes come to its leader at the least, in
+// bytes a second: nodes' links are narrow, and shared.
+const slowestRate = 1 << 20
+
+// submitToLeader sends a job to the last known leader of its shard.
+func (c *Client) submitToLeader(ctx context.Context, request *wirev1.QueueSubmitRequest) outcome {
+	addresses := c.candidates(request.Job.Id)
+	if len(addresses) == 0 {
+		return outcome{err: result.New(result.StoreUnavailable, "no storage node is known")}
+	}
+	transfer := time.Duration(float64(proto.Size(request)) / slowestRate * float64(time.Second))
+	sent := c.try(ctx, addresses[0], wirev1.Method_METHOD_QUEUE_SUBMIT, transfer, request, &wirev1.QueueSubmitReply{})
+	if sent.err != nil && !final(sent.err) {
+		c.forget(request.Job.Id, addresses[0])
+	}
+	return sent
 }
 
 // Read reads results.
 func (c *Client) Read(ctx context.Context, request *wirev1.QueueReadRequest) (*wirev1.QueueReadReply, error) {
 	reply := &wirev1.QueueReadReply{}
 	wait := time.Duration(request.WaitMs) * time.Millisecond
-	return reply, c.call(ctx, request.Host, wirev1.Method_METHOD_QUEUE_READ, wait, request, reply)
+	return reply, c.call(ctx, request.JobId, wirev1.Method_METHOD_QUEUE_READ, wait, request, reply)
 }
 
 // Item reads an item's body.
 func (c *Client) Item(ctx context.Context, request *wirev1.QueueItemRequest) (*wirev1.QueueItemReply, error) {
 	reply := &wirev1.QueueItemReply{}
-	return reply, c.call(ctx, request.Host, wirev1.Method_METHOD_QUEUE_ITEM, 0, request, reply)
+	return reply, c.call(ctx, request.JobId, wirev1.Method_METHOD_QUEUE_ITEM, 0, request, reply)
 }
 
 // End ends a job.
 func (c *Client) End(ctx context.Context, request *wirev1.QueueEndRequest) (*wirev1.QueueEndReply, error) {
 	reply := &wirev1.QueueEndReply{}
-	return reply, c.call(ctx, request.Host, wirev1.Method_METHOD_QUEUE_END, 0, request, reply)
+	return reply, c.call(ctx, request.JobId, wirev1.Method_METHOD_QUEUE_END, 0, request, reply)
 }
 
 // call asks the nodes of the shard, its last known leader first, until one
 // answers or the context ends. All calls may be repeated: a job is taken once,
 // and an end is an end.
-func (c *Client) call(ctx context.Context, host string, method wirev1.Method, wait time.Duration, request, reply proto.Message) error {
+func (c *Client) call(ctx context.Context, job string, method wirev1.Method, wait time.Duration, request, reply proto.Message) error {
 	unknown := false
 	var last error
 	for round := 0; ; round++ {
 		patience := hedgeTime*time.Duration(round+1) + wait
-		answered := c.round(ctx, host, method, wait, patience, request, reply)
+		answered := c.round(ctx, job, method, wait, patience, request, reply)
 		if answered.err == nil {
 			return nil
 		}
@@ -89,7 +133,7 @@
 		last = answered.err
 		unknown = unknown || answered.unknown
 		if !pause(ctx, roundWait) {
-			klog.InfoS("queue call failed", "method", method.String(), "host", host, "rounds", round+1, "unknown", unknown, "last", last)
+			klog.InfoS("queue call failed", "method", method.String(), "job", job, "rounds", round+1, "unknown", unknown, "last", last)
 			return c.failed(unknown, last)
 		}
 	}
@@ -108,10 +152,10 @@
 // silent for a while, and takes the first answer. Nodes that are silent when all
 // others have failed are waited for with a patience that grows with each round:
 // another may lead by now.
-func (c *Client) round(ctx context.Context, host string, method wirev1.Method, wait, patience time.Duration, request, reply proto.Message) outcome {
+func (c *Client) round(ctx context.Context, job string, method wirev1.Method, wait, patience time.Duration, request, reply proto.Message) outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	waiting := c.candidates(host)
+	waiting := c.candidates(job)
 	tries := make(chan outcome, len(waiting))
 	running := map[string]bool{}
 	whole := outcome{err: result.New(result.StoreUnavailable, "no storage node is known")}
@@ -128,7 +172,7 @@
 		}
 		one, ended := await(tries, bound)
 		if !ended && len(waiting) == 0 {
-			c.noteSilent(host, running)
+			c.noteSilent(job, running)
 			whole.unknown = true
 			return whole
 		}
@@ -138,10 +182,10 @@
 		delete(running, one.address)
 		if one.err == nil || final(one.err) {
 			proto.Merge(reply, one.reply)
-			c.remember(host, one.address)
+			c.remember(job, one.address)
 			return outcome{err: one.err}
 		}
-		c.forget(host, one.address)
+		c.forget(job, one.address)
 		whole.err = one.err
 		whole.unknown = whole.unknown || one.unknown
 	}
@@ -149,10 +193,10 @@
 }
 
 // noteSilent makes nodes that did not answer the last to be asked for a while.
-func (c *Client) noteSilent(host string, addresses map[string]bool) {
+func (c *Client) noteSilent(job string, addresses map[string]bool) {
 	now := time.Now()
 	for address := range addresses {
-		c.forget(host, address)
+		c.forget(job, address)
 		c.mutex.Lock()
 		c.silent[address] = now
 		c.mutex.Unlock()
@@ -192,13 +236,13 @@
 	return outcome{address: address, reply: own, err: err, unknown: err != nil && !notDone}
 }
 
-// candidates lists the nodes that may lead the shard of a host.
-func (c *Client) candidates(host string) []string {
+// candidates lists the nodes that may lead the shard of a job.
+func (c *Client) candidates(job string) []string {
 	layout := c.Layouts.Current()
 	if layout == nil {
 		return nil
 	}
-	id := queuestore.ShardOf(host, len(layout.Shards))
+	id := queuestore.ShardOf(job, len(layout.Shards))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var list, silent []string
@@ -218,12 +262,12 @@
 }
 
 // remember keeps who answered for a shard.
-func (c *Client) remember(host, address string) {
+func (c *Client) remember(job, address string) {
 	layout := c.Layouts.Current()
 	if layout == nil {
 		return
 	}
-	id := queuestore.ShardOf(host, len(layout.Shards))
+	id := queuestore.ShardOf(job, len(layout.Shards))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.leaders[id] != address {
@@ -233,12 +277,12 @@
 }
 
 // forget drops a leader that did not answer.
-func (c *Client) forget(host, address string) {
+func (c *Client) forget(job, address string) {
 	layout := c.Layouts.Current()
 	if layout == nil {
 		return
 	}
-	id := queuestore.ShardOf(host, len(layout.Shards))
+	id := queuestore.ShardOf(job, len(layout.Shards))
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.leaders[id] == address {
--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -30,6 +30,9 @@
 	Catalogs *catalog.Holder
 	Runners  *runnerset.Set
 	Client   exchange.Client
+	// Home tells the runners that items are placed at from here before any other
+	// node does; nil stands for all.
+	Home func(runner *runnerset.Record) bool
 
 	mutex sync.Mutex
 	runs  map[string]map[*run]bool
@@ -52,6 +55,9 @@
 const (
 	// reserve is how many slots of a runner stay free when an item is sent.
 	reserve = 1
+	// awayReserve is the share of its slots that stays free at a runner that is
+	// another node's to place items at: two nodes may see the same free slot.
+	awayReserve = 0.4
 	// unreadCeiling is how many prompt tokens may wait at a runner that gets one.
 	unreadCeiling = 1500
 	// headTimeout and eventTimeout bound the waits for a runner's answer and for
@@ -115,7 +121,7 @@
 func (e *Executor) pick(route *catalog.Route, work *queuestore.Work, now time.Time) runnerset.Choice {
 	return e.Runners.Pick(&runnerset.Wish{
 		Service: route.ServiceFor(work.Item.Id), Zone: e.Zone, Prompt: promptOf(work.Item), Bytes: len(work.Item.Body),
-		Excluded: e.paused(now), Batch: &runnerset.BatchRoom{Reserve: reserve, Unread: unreadCeiling},
+		Excluded: e.paused(now), Batch: &runnerset.BatchRoom{Reserve: reserve, Unread: unreadCeiling, Home: e.Home, AwayReserve: awayReserve},
 	}, now)
 }
 
--- a/internal/queuestore/handover.go
+++ b/internal/queuestore/handover.go
@@ -83,7 +83,7 @@
 		at := s.standing(now, member)
 		by[at] = append(by[at], member)
 	}
-	next := s.node.place(s.id, s.node.liveDisks(now), by[standingGood])
+	next := s.node.place(s.id, s.node.liveDisks(now), by[standingGood], s.node.Layouts.Current().held())
 	next = fill(next, by[standingSilent], s.node.membersWanted())
 	// Nodes that are to be emptied stay as long as others make too few copies.
 	next = fill(next, by[standingRetiring], config.Copies)
@@ -156,9 +156,10 @@
 	return live
 }
 
-// place picks a shard's disks: those kept, then by rendezvous weight, each
-// time from a zone that has the fewest of them.
-func (n *Node) place(shard uint32, disks []*wirev1.NodeRecord, keep []string) []string {
+// place picks a shard's disks: those kept, then each time one from a zone that
+// has the fewest of them, of these one that holds the fewest shards, and of
+// these the one of the highest rendezvous weight.
+func (n *Node) place(shard uint32, disks []*wirev1.NodeRecord, keep []string, held map[string]int) []string {
 	chosen := append([]string(nil), keep...)
 	perZone := map[string]int{}
 	for _, member := range keep {
@@ -169,7 +170,7 @@
 	ranked := append([]*wirev1.NodeRecord(nil), disks...)
 	sort.Slice(ranked, func(i, j int) bool { return weight(shard, ranked[i].DiskId) > weight(shard, ranked[j].DiskId) })
 	for len(chosen) < n.membersWanted() {
-		best := fewestInZone(ranked, chosen, perZone)
+		best := fewestHeld(ranked, chosen, perZone, held)
 		if best == nil {
 			break
 		}
@@ -179,19 +180,34 @@
 	return chosen
 }
 
-func fewestInZone(ranked []*wirev1.NodeRecord, chosen []string, perZone map[string]int) *wirev1.NodeRecord {
+func fewestHeld(ranked []*wirev1.NodeRecord, chosen []string, perZone, held map[string]int) *wirev1.NodeRecord {
 	var best *wirev1.NodeRecord
 	for _, disk := range ranked {
 		if contains(chosen, disk.DiskId) {
 			continue
 		}
-		if best == nil || perZone[disk.Zone] < perZone[best.Zone] {
+		if best == nil || perZone[disk.Zone] < perZone[best.Zone] ||
+			perZone[disk.Zone] == perZone[best.Zone] && held[disk.DiskId] < held[best.DiskId] {
 			best = disk
 		}
 	}
 	return best
 }
 
+// held counts the shards of each disk.
+func (l *Layout) held() map[string]int {
+	held := map[string]int{}
+	if l == nil {
+		return held
+	}
+	for _, config := range l.Shards {
+		for _, member := range config.Members {
+			held[member]++
+		}
+	}
+	return held
+}
+
 func weight(shard uint32, disk string) uint64 {
 	var digest xxhash.Digest
 	digest.ResetWithSeed(uint64(shard))
@@ -361,27 +377,77 @@
 }
 
 // truncateLog drops applied entries that no follower is likely to need.
-func (s *shard) truncateLog() error {
+func (s *shard) truncateLog(now time.Time) error {
 	base, _ := s.replica.Base()
-	kept := uint64(keepEntries)
-	if s.logBytes > s.node.LogBytes {
-		kept = keepEntries / 20
-	}
 	// A replica that has just started does not know yet how far its log is
 	// committed, though it has applied it.
 	settled := min(s.applied, s.replica.Commit())
-	if s.installing || settled < base+2*kept {
+	index := min(s.truncationPoint(now, base, settled), settled)
+	if s.installing || index <= base {
 		return nil
 	}
-	index := settled - kept
 	if err := s.replica.Truncate(index); err != nil {
 		return err
 	}
+	s.log.dropped(index)
 	_, epoch := s.replica.Base()
-	s.logBytes = 0
 	return s.store.TruncatePrefix(s.replica.HardState(), s.replica.Config(), index, epoch)
 }
 
+const (
+	// longLog is how many times the bytes kept the log may have before it is
+	// dropped, and hardLog how many before live members that lag are not minded.
+	longLog = 2
+	hardLog = 8
+)
+
+// truncationPoint is up to where the log is long enough to be dropped; at or
+// below base it is not.
+func (s *shard) truncationPoint(now time.Time, base, settled uint64) uint64 {
+	index := uint64(0)
+	if settled >= base+2*keepEntries {
+		index = settled - keepEntries
+	}
+	share := s.node.logShare()
+	if s.log.total > longLog*share {
+		index = max(index, s.log.leaving(share))
+	}
+	if s.log.total <= hardLog*share {
+		index = min(index, s.replica.LiveMatch(now))
+	}
+	return index
+}
+
+// logShare is how many bytes of the log each shard here keeps.
+func (n *Node) logShare() uint64 {
+	return n.LogBytes / uint64(max(1, len(n.allShards())))
+}
+
+// preferInterval is how often a leader looks whether its shard's first member
+// should lead instead.
+const preferInterval = 2 * time.Second
+
+// tickPreference hands leadership on to the first member, so that each disk
+// leads about as many shards as the others, while no run would be interrupted.
+func (s *shard) tickPreference(now time.Time) {
+	l := s.leader
+	config := s.replica.Config()
+	if l == nil || !l.suspended.IsZero() || len(l.runs) > 0 || len(config.Members) == 0 || now.Sub(l.preferred) < preferInterval {
+		return
+	}
+	l.preferred = now
+	if len(s.node.Layouts.Current().Shards) < 2 {
+		return // one shard is led where it is
+	}
+	first := config.Members[0]
+	if first == s.disk || s.handOver.next.Generation != 0 || s.replica.Frozen() || s.standing(now, first) != standingGood {
+		return
+	}
+	if s.replica.TransferLeadership(now, func(member string) bool { return member == first }) {
+		klog.InfoS("leadership offered to the first member", "shard", s.id, "disk", first)
+	}
+}
+
 // handOnLeadership asks another member to lead, as before a planned stop.
 func (s *shard) handOnLeadership(ctx context.Context) {
 	for range 20 {
--- a/internal/queuestore/harness_test.go
+++ b/internal/queuestore/harness_test.go
@@ -280,7 +280,7 @@
 // leader names the node that leads shard 0 and serves, "" if none does.
 func (c *testCluster) leader() string {
 	for name, n := range c.nodes {
-		if n.running && n.node.leadsAny() {
+		if n.running && n.node.leads(reportingShard) {
 			return name
 		}
 	}
--- a/internal/queuestore/layout.go
+++ b/internal/queuestore/layout.go
@@ -83,9 +83,13 @@
 
 const (
 	layoutInterval = 500 * time.Millisecond
-	// foundingCalm is how long disks must be known before the first layout is
-	// made of fewer than wanted.
-	foundingCalm = 3 * time.Second
+	// foundingCalm is how long the known disks must have been the same before the
+	// first layout is made of them, and foundingFew if they are fewer than wanted.
+	foundingCalm = time.Second
+	foundingFew  = 3 * time.Second
+	// foundingTurn is how much longer each node waits than the one before it by
+	// name, so that one of them makes the layout and not all at once.
+	foundingTurn = 200 * time.Millisecond
 )
 
 // membersWanted is how many disks a shard has so that it goes on when as many
@@ -94,14 +98,14 @@
 
 // layoutLoop applies layouts as they become known, and makes the first.
 func (n *Node) layoutLoop(ctx context.Context) {
-	var calmSince time.Time
+	var calm founding
 	for ctx.Err() == nil {
 		changed := n.Layouts.Changed()
 		if layout := n.Layouts.Current(); layout != nil {
 			n.applyLayout(layout)
 			n.reportRetired(ctx, layout)
 		} else {
-			calmSince = n.found(ctx, calmSince)
+			n.found(ctx, &calm)
 		}
 		select {
 		case <-ctx.Done():
@@ -136,25 +140,69 @@
 	})
 }
 
-// found makes the first layout once enough disks are known. Every storage node
-// may try; the compare-and-swap lets one win.
-func (n *Node) found(ctx context.Context, calmSince time.Time) time.Time {
+// founding is what a node that makes the first layout waits for.
+type founding struct {
+	disks []string
+	since time.Time
+}
+
+// ready reports whether the known disks have been the same for long enough.
+func (f *founding) ready(disks []string, wanted, turn int, now time.Time) bool {
+	if f.since.IsZero() || !sameSet(f.disks, disks) {
+		f.disks, f.since = disks, now
+	}
+	calm := foundingCalm
+	if len(disks) < wanted {
+		calm = foundingFew
+	}
+	return now.Sub(f.since) >= calm+time.Duration(turn)*foundingTurn
+}
+
+// found makes the first layout once the known disks stay the same. Every
+// storage node may try; the compare-and-swap lets one win.
+func (n *Node) found(ctx context.Context, waiting *founding) {
 	disks := n.usableDisks()
-	now := time.Now()
 	if len(disks) == 0 || n.Contact.Lost() {
-		return time.Time{}
+		*waiting = founding{}
+		return
 	}
-	if calmSince.IsZero() {
-		calmSince = now
+	ids := make([]string, 0, len(disks))
+	turn := 0
+	for _, disk := range disks {
+		ids = append(ids, disk.DiskId)
+		if disk.NodeId < n.Node {
+			turn++
+		}
 	}
-	if len(disks) < n.membersWanted() && now.Sub(calmSince) < foundingCalm {
-		return calmSince
+	if !waiting.ready(ids, n.membersWanted(), turn, time.Now()) {
+		return
 	}
-	members := n.place(0, disks, nil)
-	config := replica.Config{Generation: 1, Members: members, Copies: n.DiskLosses + 1}
-	committed, err := n.commitLayout(ctx, &Layout{Shards: []replica.Config{config}})
-	klog.InfoS("queue layout founded", "committed", committed, "err", err, "members", members, "disks", len(disks))
-	return calmSince
+	layout := n.firstLayout(disks)
+	committed, err := n.commitLayout(ctx, layout)
+	klog.InfoS("queue layout founded", "committed", committed, "err", err, "shards", len(layout.Shards), "disks", len(disks))
+}
+
+// firstLayout places every shard on the disks there are.
+func (n *Node) firstLayout(disks []*wirev1.NodeRecord) *Layout {
+	layout := &Layout{}
+	for id := range shardsWanted(len(disks), n.membersWanted()) {
+		members := n.place(uint32(id), disks, nil, layout.held())
+		layout.Shards = append(layout.Shards, replica.Config{Generation: 1, Members: members, Copies: n.DiskLosses + 1})
+	}
+	return layout
+}
+
+// spreadFrom is how many times the disks of a shard there must be for more
+// shards than one: with fewer, each disk would hold most of all shards anyway.
+const spreadFrom = 2
+
+// shardsWanted is how many shards the jobs are spread over, for good: one for
+// each disk where a shard takes a small part of the disks only.
+func shardsWanted(disks, members int) int {
+	if disks < spreadFrom*members {
+		return 1
+	}
+	return disks
 }
 
 // usableDisks are those of nodes that are not being emptied or leaving.
@@ -207,7 +255,7 @@
 // of their disks is a member any more.
 func (n *Node) reportRetired(ctx context.Context, layout *Layout) {
 	retiring := n.Directory.Retiring()
-	if len(retiring) == 0 || !n.leadsAny() {
+	if len(retiring) == 0 || !n.leads(reportingShard) {
 		return
 	}
 	for _, node := range retiring {
@@ -230,16 +278,18 @@
 	return true
 }
 
-// leadsAny reports whether this node leads a shard, with a quorum in contact.
-func (n *Node) leadsAny() bool {
-	for _, s := range n.allShards() {
-		leads := false
-		_ = s.ask(n.context, func() {
-			leads = s.leader != nil && s.leader.suspended.IsZero() && s.leader.aloneSince.IsZero() && s.replica.Serving()
-		})
-		if leads {
-			return true
-		}
+// reportingShard is the shard whose leader speaks for all.
+const reportingShard = 0
+
+// leads reports whether this node leads a shard, with a quorum in contact.
+func (n *Node) leads(id uint32) bool {
+	s := n.shard(id)
+	if s == nil {
+		return false
 	}
-	return false
+	leads := false
+	_ = s.ask(n.context, func() {
+		leads = s.leader != nil && s.leader.suspended.IsZero() && s.leader.aloneSince.IsZero() && s.replica.Serving()
+	})
+	return leads
 }
--- a/internal/queuestore/leader.go
+++ b/internal/queuestore/leader.go
@@ -28,7 +28,17 @@
 	taken map[string]int64
 	// accepting are tokens of submissions on their way through the log.
 	accepting map[string]uint64
-	retained  time.Time
+	// acceptingBytes are their sizes.
+	acceptingBytes int
+	// ledger is what all shards have told, on the keeper of the limits.
+	ledger *queue.Ledger
+	// reports counts what this shard told the keeper; reportedSum and reportedAt
+	// are of the last time.
+	reports     uint64
+	reportedSum uint64
+	reportedAt  time.Time
+	retained    time.Time
+	preferred   time.Time // when the first member was last thought of
 	// aloneSince is when contact to a quorum was lost.
 	aloneSince time.Time
 	// suspended is when the epoch was lost; zero while this replica serves.
@@ -81,7 +91,7 @@
 func (s *shard) resumeLeadership() {
 	l := s.leader
 	l.epoch, l.suspended = s.replica.Epoch(), time.Time{}
-	l.accepting = map[string]uint64{}
+	l.ledger = nil // others may have told another keeper meanwhile
 	klog.InfoS("queue shard led again", "shard", s.id, "epoch", l.epoch, "unfinished", l.table.Len(), "runs", len(l.runs), "decided", len(l.decided))
 	for key := range l.runs {
 		l.table.Forget(key)
@@ -97,7 +107,7 @@
 	l := &leadership{
 		epoch: s.replica.Epoch(), table: queue.NewTable(), context: ctx, cancel: cancel,
 		runs: map[queue.Key]context.CancelFunc{}, decided: map[queue.Key]*wirev1.QueueResult{},
-		changed: map[string]chan struct{}{}, taken: map[string]int64{}, accepting: map[string]uint64{},
+		changed: map[string]chan struct{}{}, taken: map[string]int64{}, accepting: map[string]uint64{}, preferred: time.Now(),
 	}
 	if err := s.fillTable(l); err != nil {
 		cancel()
@@ -267,6 +277,7 @@
 	s.startReady(now)
 	s.giveUpExpired(now)
 	s.retain(now)
+	s.tickPreference(now)
 	s.node.metrics.unfinish.Set(float64(l.table.Len()))
 }
 
--- /dev/null
+++ b/internal/queuestore/limits.go
@@ -0,0 +1,223 @@
+package queuestore
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/queue"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+)
+
+// Limits of waiting tokens hold over all shards. The leader of one shard keeps
+// them: every other leader asks it before it takes a job of a limited route.
+// What the keeper knows is soft: a new keeper lets nothing in before every
+// shard's leader has told it what waits there.
+
+// keepingShard is the shard whose leader keeps the limits.
+const keepingShard = 0
+
+const (
+	// reportInterval is how often leaders look whether the keeper has to be told,
+	// and reportMost how long it is told nothing at the most.
+	reportInterval = 200 * time.Millisecond
+	reportMost     = time.Second
+	// keeperTimeout bounds one question to a node that may be the keeper.
+	keeperTimeout = 300 * time.Millisecond
+)
+
+// limitsLoop tells the keeper what waits in the shards led here.
+func (n *Node) limitsLoop(ctx context.Context) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if layout := n.Layouts.Current(); layout == nil || len(layout.Shards) < 2 {
+			continue
+		}
+		for _, s := range n.allShards() {
+			s.tellKeeper(ctx)
+		}
+	}
+}
+
+// tellKeeper reports what waits in a shard, if it is led here and has changed.
+func (s *shard) tellKeeper(ctx context.Context) {
+	var request *wirev1.QueueReserveRequest
+	err := s.ask(ctx, func() {
+		l := s.leader
+		if l == nil || !l.suspended.IsZero() || !s.replica.Serving() {
+			return
+		}
+		now := time.Now()
+		if sum := l.sum(); sum != l.reportedSum || now.Sub(l.reportedAt) >= reportMost {
+			l.reportedSum, l.reportedAt = sum, now
+			request = s.report()
+		}
+	})
+	if err == nil && request != nil {
+		_, _ = s.node.askKeeper(ctx, request)
+	}
+}
+
+// sum of the tokens that wait on all routes.
+func (l *leadership) sum() uint64 {
+	sum := uint64(0)
+	for _, tokens := range l.waiting() {
+		sum += tokens
+	}
+	return sum
+}
+
+// waiting returns the tokens that wait by route, those on their way included.
+func (l *leadership) waiting() map[string]uint64 {
+	waiting := l.table.WaitingByRoute()
+	for route, tokens := range l.accepting {
+		waiting[route] += tokens
+	}
+	return waiting
+}
+
+// report makes the next report of a shard that is led here.
+func (s *shard) report() *wirev1.QueueReserveRequest {
+	l := s.leader
+	l.reports++
+	request := &wirev1.QueueReserveRequest{Shard: s.id, Epoch: l.epoch, Number: l.reports}
+	for route, tokens := range l.waiting() {
+		request.Waiting = append(request.Waiting, &wirev1.RouteTokens{Route: route, Tokens: tokens})
+	}
+	return request
+}
+
+// askKeeper sends a report or a question to whoever keeps the limits.
+func (n *Node) askKeeper(ctx context.Context, request *wirev1.QueueReserveRequest) (*wirev1.QueueReserveReply, error) {
+	var last error = result.New(result.NotReady, "no keeper of the limits is known")
+	for _, member := range n.keeperCandidates() {
+		reply, err := n.askMember(ctx, member, request)
+		if err == nil {
+			n.noteKeeper(member)
+			return reply, nil
+		}
+		last = err
+		if result.Is(err, result.NotReady) {
+			n.noteKeeper(member)
+			break // it keeps the limits, and does not know enough yet
+		}
+	}
+	return nil, last
+}
+
+func (n *Node) askMember(ctx context.Context, member string, request *wirev1.QueueReserveRequest) (*wirev1.QueueReserveReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, keeperTimeout)
+	defer cancel()
+	if member == n.DB.DiskID() {
+		return n.reserveHere(ctx, request)
+	}
+	record, known := n.Directory.Disk(member)
+	if !known {
+		return nil, result.New(result.PeerUnreachable, "disk %s is not known", member)
+	}
+	reply := &wirev1.QueueReserveReply{}
+	return reply, n.Pool.Call(ctx, record.Address, rpc.ClassControl, wirev1.Method_METHOD_QUEUE_RESERVE, request, reply)
+}
+
+// keeperCandidates lists the members that may keep the limits, the one that
+// did last first.
+func (n *Node) keeperCandidates() []string {
+	layout := n.Layouts.Current()
+	if layout == nil {
+		return nil
+	}
+	members := layout.Shards[keepingShard].Members
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if !contains(members, n.keeper) {
+		return members
+	}
+	list := []string{n.keeper}
+	for _, member := range members {
+		if member != n.keeper {
+			list = append(list, member)
+		}
+	}
+	return list
+}
+
+func (n *Node) noteKeeper(member string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.keeper != member {
+		klog.InfoS("keeper of the limits found", "disk", member, "before", n.keeper)
+		n.keeper = member
+	}
+}
+
+// serveReserve answers other leaders.
+func (n *Node) serveReserve(ctx context.Context, stream *rpc.ServerStream) error {
+	var request wirev1.QueueReserveRequest
+	if err := stream.Request(&request); err != nil {
+		return err
+	}
+	reply, err := n.reserveHere(ctx, &request)
+	if err != nil {
+		return err
+	}
+	return stream.Send(reply)
+}
+
+// reserveHere takes a report and decides on the submission it names, if this
+// node keeps the limits.
+func (n *Node) reserveHere(ctx context.Context, request *wirev1.QueueReserveRequest) (*wirev1.QueueReserveReply, error) {
+	s := n.shard(keepingShard)
+	if s == nil {
+		return nil, result.New(result.NotLeader, "shard %d is not here", keepingShard)
+	}
+	reply := &wirev1.QueueReserveReply{}
+	var refused error
+	if err := s.ask(ctx, func() { refused = s.reserveInLedger(request, reply) }); err != nil {
+		return nil, err
+	}
+	if refused != nil || !reply.Granted {
+		return reply, refused
+	}
+	// Only who still keeps the limits may let a job in.
+	return reply, s.confirm(ctx)
+}
+
+func (s *shard) reserveInLedger(request *wirev1.QueueReserveRequest, reply *wirev1.QueueReserveReply) error {
+	l := s.leader
+	if l == nil || !l.suspended.IsZero() || !s.replica.Serving() {
+		return result.New(result.NotLeader, "shard %d is not led here", s.id)
+	}
+	if l.ledger == nil {
+		l.ledger = queue.NewLedger(len(s.node.Layouts.Current().Shards))
+	}
+	waiting := map[string]uint64{}
+	for _, route := range request.Waiting {
+		waiting[route.Route] = route.Tokens
+	}
+	if !l.ledger.Report(request.Shard, request.Epoch, request.Number, waiting) {
+		return result.New(result.NotLeader, "shard %d has a newer leader", request.Shard)
+	}
+	if request.Route == "" {
+		return nil
+	}
+	if !l.ledger.Complete() {
+		l.ledger.Release(request.Shard, request.Epoch, request.Number, request.Route, request.Tokens)
+		return result.New(result.NotReady, "not every shard has told what waits there")
+	}
+	sum := l.ledger.Waiting(request.Route)
+	reply.Granted = sum <= request.Limit
+	reply.Waiting = sum - min(sum, request.Tokens)
+	if !reply.Granted {
+		l.ledger.Release(request.Shard, request.Epoch, request.Number, request.Route, request.Tokens)
+	}
+	return nil
+}
--- a/internal/queuestore/node.go
+++ b/internal/queuestore/node.go
@@ -98,6 +98,8 @@
 	metrics  *metrics
 	mutex    sync.Mutex
 	shards   map[uint32]*shard
+	homes    homes
+	keeper   string // disk of the last known keeper of the limits
 	context  context.Context
 	cancel   context.CancelFunc
 	draining atomic.Bool
@@ -141,6 +143,7 @@
 	server.Handle(wirev1.Method_METHOD_QUEUE_READ, n.serveRead)
 	server.Handle(wirev1.Method_METHOD_QUEUE_ITEM, n.serveItem)
 	server.Handle(wirev1.Method_METHOD_QUEUE_END, n.serveEnd)
+	server.Handle(wirev1.Method_METHOD_QUEUE_RESERVE, n.serveReserve)
 }
 
 // Start starts the shards the disk holds, before the platform's store is
@@ -156,6 +159,7 @@
 		}
 	}
 	go n.layoutLoop(n.context)
+	go n.limitsLoop(n.context)
 	return nil
 }
 
--- a/internal/queuestore/serve.go
+++ b/internal/queuestore/serve.go
@@ -18,22 +18,22 @@
 // diskFullAfter is when a submission may fit that the disk had no room for.
 const diskFullAfter = time.Second
 
-// serving finds the shard of a job's host if this node may lead it.
-func (n *Node) serving(host string) (*shard, error) {
+// serving finds the shard of a job if this node may lead it.
+func (n *Node) serving(job string) (*shard, error) {
 	layout := n.Layouts.Current()
 	if layout == nil {
 		return nil, result.New(result.NotReady, "no queue layout is known yet")
 	}
-	id := ShardOf(host, len(layout.Shards))
+	id := ShardOf(job, len(layout.Shards))
 	if s := n.shard(id); s != nil {
 		return s, nil
 	}
 	return nil, result.New(result.NotLeader, "shard %d is not here", id)
 }
 
-// ShardOf returns the shard of a host's jobs: all jobs of a route are in one,
-// so that its limit of waiting tokens is exact.
-func ShardOf(host string, shards int) uint32 { return uint32(weight(0, host) % uint64(shards)) }
+// ShardOf returns the shard of a job: jobs are spread over all disks, and every
+// node finds one by its id alone.
+func ShardOf(job string, shards int) uint32 { return uint32(weight(0, job) % uint64(shards)) }
 
 // serveSubmit takes a job. A job taken before is known whatever the limit is.
 func (n *Node) serveSubmit(ctx context.Context, stream *rpc.ServerStream) error {
@@ -41,7 +41,7 @@
 	if err := stream.Request(&request); err != nil {
 		return err
 	}
-	s, err := n.serving(request.Job.Host)
+	s, err := n.serving(request.Job.Id)
 	if err != nil {
 		return err
 	}
@@ -62,13 +62,12 @@
 
 func (s *shard) take(ctx context.Context, request *wirev1.QueueSubmitRequest) (*wirev1.QueueSubmitReply, error) {
 	job := request.Job
-	tokens := uint64(0)
-	size := 0
+	want := reservation{route: job.Route, limit: request.MaxWaitingTokens}
 	for _, item := range job.Items {
-		tokens += item.Tokens
-		size += len(item.Body)
+		want.tokens += item.Tokens
+		want.bytes += len(item.Body)
 	}
-	known, err := s.reserve(ctx, request, tokens, size)
+	known, err := s.reserve(ctx, job.Id, &want)
 	if err != nil {
 		return nil, err
 	}
@@ -78,19 +77,34 @@
 		}
 		return &wirev1.QueueSubmitReply{Known: true}, nil
 	}
+	if err := s.reserveOverAll(ctx, &want); err != nil {
+		s.unreserve(&want)
+		return nil, err
+	}
 	job.AcceptedUnixMs = time.Now().UnixMilli()
-	applied, err := s.submit(ctx, &wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Accept{Accept: job}})
-	_ = s.ask(s.node.context, func() { s.unreserve(job.Route, tokens) })
+	command := &wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Accept{Accept: job}}
+	applied, err := s.submitThen(ctx, command, func() { s.unreserve(&want) })
 	if err != nil {
 		return nil, err
 	}
 	return &wirev1.QueueSubmitReply{Known: applied.Known}, nil
 }
 
-// reserve counts a submission against its route's limit until it is applied.
-// It reports true for a job that is known already.
-func (s *shard) reserve(ctx context.Context, request *wirev1.QueueSubmitRequest, tokens uint64, size int) (bool, error) {
-	job := request.Job
+// reservation is what a submission takes until it is applied or dropped.
+type reservation struct {
+	route  string
+	tokens uint64
+	bytes  int
+	// limit of the route's waiting tokens; 0 is none.
+	limit uint64
+	// holder is the leadership that counts it.
+	holder *leadership
+	report *wirev1.QueueReserveRequest
+}
+
+// reserve counts a submission against its route's limit and the disk's room
+// until it is applied. It reports true for a job that is known already.
+func (s *shard) reserve(ctx context.Context, job string, want *reservation) (bool, error) {
 	var known bool
 	var refused error
 	err := s.ask(ctx, func() {
@@ -99,19 +113,22 @@
 			refused = result.New(result.NotLeader, "shard %d is not led here", s.id)
 			return
 		}
-		if _, known = l.taken[job.Id]; known {
+		if _, known = l.taken[job]; known {
 			return
 		}
-		waiting := l.table.Waiting(job.Route) + l.accepting[job.Route]
-		if limit := request.MaxWaitingTokens; limit > 0 && waiting+tokens > limit {
-			refused = result.New(result.TenantTokens, "%d tokens wait on route %s, the job has %d, allowed are %d", waiting, job.Route, tokens, limit).After(retryAfter)
+		waiting := l.table.Waiting(want.route) + l.accepting[want.route]
+		if want.limit > 0 && waiting+want.tokens > want.limit {
+			refused = tooManyTokens(want, waiting)
 			return
 		}
-		if !s.node.DB.Fits(size) {
-			refused = result.New(result.StoreFull, "%d bytes of the disk are taken, the job has %d", s.node.DB.Used(), size).After(diskFullAfter)
+		if !s.node.DB.Fits(want.bytes + l.acceptingBytes) {
+			refused = result.New(result.StoreFull, "%d bytes of the disk are taken, %d come, the job has %d", s.node.DB.Used(), l.acceptingBytes, want.bytes).After(diskFullAfter)
 			return
 		}
-		l.accepting[job.Route] += tokens
+		want.holder = l
+		l.accepting[want.route] += want.tokens
+		l.acceptingBytes += want.bytes
+		want.report = s.report()
 	})
 	if err != nil {
 		return false, err
@@ -119,10 +136,33 @@
 	return known, refused
 }
 
-func (s *shard) unreserve(route string, tokens uint64) {
-	if l := s.leader; l != nil && l.accepting[route] >= tokens {
-		l.accepting[route] -= tokens
+func tooManyTokens(want *reservation, waiting uint64) error {
+	return result.New(result.TenantTokens, "%d tokens wait on route %s, the job has %d, allowed are %d", waiting, want.route, want.tokens, want.limit).After(retryAfter)
+}
+
+// reserveOverAll asks the keeper of the limits whether a submission fits.
+func (s *shard) reserveOverAll(ctx context.Context, want *reservation) error {
+	if want.limit == 0 || len(s.node.Layouts.Current().Shards) < 2 {
+		return nil
 	}
+	request := want.report
+	request.Route, request.Tokens, request.Limit = want.route, want.tokens, want.limit
+	reply, err := s.node.askKeeper(ctx, request)
+	if err != nil {
+		return result.New(result.StoreUnavailable, "the limit of route %s can't be asked for: %v", want.route, err)
+	}
+	if !reply.Granted {
+		return tooManyTokens(want, reply.Waiting)
+	}
+	return nil
+}
+
+// unreserve gives back what a submission that is applied or dropped had taken.
+func (s *shard) unreserve(want *reservation) {
+	_ = s.ask(s.node.context, func() {
+		want.holder.accepting[want.route] -= want.tokens
+		want.holder.acceptingBytes -= want.bytes
+	})
 }
 
 // serveRead answers what a job has listed, for sure or not at all.
@@ -131,7 +171,7 @@
 	if err := stream.Request(&request); err != nil {
 		return err
 	}
-	s, err := n.serving(request.Host)
+	s, err := n.serving(request.JobId)
 	if err != nil {
 		return err
 	}
@@ -192,7 +232,7 @@
 	if err := stream.Request(&request); err != nil {
 		return err
 	}
-	s, err := n.serving(request.Host)
+	s, err := n.serving(request.JobId)
 	if err != nil {
 		return err
 	}
@@ -231,7 +271,7 @@
 	if err := stream.Request(&request); err != nil {
 		return err
 	}
-	s, err := n.serving(request.Host)
+	s, err := n.serving(request.JobId)
 	if err != nil {
 		return err
 	}
--- a/internal/queuestore/shard.go
+++ b/internal/queuestore/shard.go
@@ -44,7 +44,7 @@
 	removed    time.Time // since when the disk is in the member set no more
 	installing bool
 	handOver   handOver
-	logBytes   uint64
+	log        logSize
 	stopped    bool
 }
 
@@ -72,8 +72,8 @@
 	tickTime    = 20 * time.Millisecond
 	maxBatch    = 256
 	applyBytes  = 8 << 20
-	// keepEntries of the log stay for followers that lag; a follower further
-	// behind gets a snapshot.
+	// keepEntries of the log stay for followers that lag, or as many bytes as the
+	// disk has for it; a follower further behind gets a snapshot.
 	keepEntries   = 4000
 	truncateEvery = time.Second
 )
@@ -221,7 +221,7 @@
 	s.tickRemoved(now)
 	if now.Sub(s.truncated) > truncateEvery {
 		s.truncated = now
-		if err := s.truncateLog(); err != nil {
+		if err := s.truncateLog(now); err != nil {
 			s.fail(err)
 		}
 	}
@@ -257,11 +257,17 @@
 		return trace.Wrap(err)
 	}
 	s.node.metrics.persists.Observe(time.Since(started).Seconds())
-	for _, entry := range ready.Entries {
-		s.logBytes += uint64(len(entry.Command))
+	if ready.TruncateFrom > 0 {
+		s.log.cut(ready.TruncateFrom)
 	}
 	if len(ready.Entries) > 0 {
-		s.replica.Persisted(ready.Entries[len(ready.Entries)-1].Index)
+		bytes := uint64(0)
+		for _, entry := range ready.Entries {
+			bytes += uint64(len(entry.Command))
+		}
+		last := ready.Entries[len(ready.Entries)-1].Index
+		s.log.wrote(last, bytes)
+		s.replica.Persisted(last)
 	}
 	return nil
 }
@@ -391,24 +397,44 @@
 // submit proposes a command and waits until it is applied. The error says
 // NotLeader if it was not taken and CommitUnknown if its fate is not known.
 func (s *shard) submit(ctx context.Context, command *wirev1.QueueCommand) (*queue.Applied, error) {
+	return s.submitThen(ctx, command, func() {})
+}
+
+// submitThen is submit, and calls settled once the command is applied or
+// dropped, which may be after the context has ended.
+func (s *shard) submitThen(ctx context.Context, command *wirev1.QueueCommand, settled func()) (*queue.Applied, error) {
 	p := &proposal{command: command, result: make(chan proposalResult, 1)}
 	select {
 	case s.proposals <- p:
 	case <-s.done:
+		settled()
 		return nil, result.New(result.NotLeader, "shard %d stopped here", s.id)
 	case <-ctx.Done():
+		settled()
 		return nil, result.New(result.StoreUnavailable, "shard %d is busy", s.id)
 	}
 	select {
 	case answer := <-p.result:
+		settled()
 		return answer.applied, answer.err
 	case <-s.done:
+		settled()
 		return nil, result.New(result.CommitUnknown, "shard %d stopped here", s.id)
 	case <-ctx.Done():
+		go s.settle(p, settled)
 		return nil, result.New(result.CommitUnknown, "shard %d did not confirm in time", s.id)
 	}
 }
 
+// settle waits for the fate of a command whose proposer has left.
+func (s *shard) settle(p *proposal, settled func()) {
+	select {
+	case <-p.result:
+	case <-s.done:
+	}
+	settled()
+}
+
 // silent proposes a command whose result nobody waits for.
 func (s *shard) silent(command *wirev1.QueueCommand) {
 	s.propose(&proposal{command: command, result: make(chan proposalResult, 1)})
--- /dev/null
+++ b/internal/queuestore/spread_test.go
@@ -0,0 +1,126 @@
+package queuestore
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+	"cobaltramp.example/cobaltramp/internal/peers"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+// Jobs lie in shards on all disks. The limit of waiting tokens holds over all
+// shards, also right after the node is lost that keeps it; with a disk lost
+// every job runs to its end.
+func TestJobsAreSpreadOverAllDisks(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c", "d", "e", "f")
+	c.executor.setHold(true)
+	const jobs, limit = 6, 60
+	taken := map[uint32]bool{}
+	for i := range jobs {
+		id := fmt.Sprintf("job-%d", i)
+		c.eventually(id+" is taken", func() bool { return c.trySubmit(id, 1, limit) == nil })
+		taken[ShardOf(id, len(c.layouts.Current().Shards))] = true
+	}
+	is.Equal(len(c.layouts.Current().Shards), 6)
+	is.True(len(taken) > 1)
+	full := func() bool { return result.Is(c.trySubmit("one-too-many", 1, limit), result.TenantTokens) }
+	c.eventually("the limit is reached", full)
+	keeper := c.leader()
+	c.wipe(keeper)
+	for range 3 {
+		err := c.trySubmit("one-too-many", 1, limit)
+		is.True(err != nil) // refused, or not known yet whether it fits
+	}
+	c.start(keeper)
+	c.eventually("the limit is reached again", full)
+	c.executor.setHold(false)
+	for i := range jobs {
+		c.finished(fmt.Sprintf("job-%d", i), 1)
+	}
+	c.eventually("there is room again", func() bool { return c.trySubmit("one-too-many", 1, limit) == nil })
+	c.finished("one-too-many", 1)
+}
+
+// However many disks there are in however many zones, each shard has as many
+// members as wanted, of as many zones as there are, and no disk holds many more
+// shards than another.
+func TestShardsAreSpreadEvenly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.IntRange(1, 7).Draw(t, "zones")
+		perZone := rapid.IntRange(1, 8).Draw(t, "disks in a zone")
+		losses := rapid.IntRange(1, 2).Draw(t, "losses")
+		n := &Node{Options: Options{DiskLosses: losses, Directory: peers.NewDirectory(&wirev1.NodeRecord{NodeId: "self"}, nil)}}
+		var disks []*wirev1.NodeRecord
+		zoneOf := map[string]string{}
+		for i := range zones * perZone {
+			record := &wirev1.NodeRecord{NodeId: fmt.Sprint("n", i), DiskId: fmt.Sprint("disk-", i), Zone: fmt.Sprint("z", i%zones), Incarnation: 1}
+			n.Directory.Put(record)
+			disks = append(disks, record)
+			zoneOf[record.DiskId] = record.Zone
+		}
+		layout := n.firstLayout(disks)
+		for _, config := range layout.Shards {
+			in := map[string]bool{}
+			for _, member := range config.Members {
+				in[zoneOf[member]] = true
+			}
+			if want := min(len(disks), n.membersWanted()); len(config.Members) != want || len(in) != min(zones, want) {
+				t.Fatalf("shard of %v lies in %d zones", config.Members, len(in))
+			}
+		}
+		held := layout.held()
+		least, most := len(layout.Shards), 0
+		for _, disk := range disks {
+			least, most = min(least, held[disk.DiskId]), max(most, held[disk.DiskId])
+		}
+		if len(layout.Shards) > 1 && most-least > 2 {
+			t.Fatalf("disks hold %d to %d shards of %d", least, most, len(layout.Shards))
+		}
+	})
+}
+
+// The log is dropped by the bytes it takes: what stays is at least as much as is
+// kept, and entries that a newer leader does not have count no more.
+func TestLogSize(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var log logSize
+		sizes := map[uint64]uint64{}
+		last, base := uint64(0), uint64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"write": func(t *rapid.T) {
+				bytes := uint64(0)
+				for range rapid.IntRange(1, 3).Draw(t, "entries") {
+					last++
+					sizes[last] = uint64(rapid.IntRange(0, 50).Draw(t, "bytes"))
+					bytes += sizes[last]
+				}
+				log.wrote(last, bytes)
+			},
+			"drop": func(t *rapid.T) {
+				keep := uint64(rapid.IntRange(0, 100).Draw(t, "bytes"))
+				index := log.leaving(keep)
+				if index <= base {
+					return
+				}
+				left := uint64(0)
+				for i := index + 1; i <= last; i++ {
+					left += sizes[i]
+				}
+				if left < keep {
+					t.Fatalf("%d bytes stay, %d are to be kept", left, keep)
+				}
+				log.dropped(index)
+				base = index
+				if log.total != left {
+					t.Fatalf("%d bytes are counted, %d stay", log.total, left)
+				}
+			},
+		})
+	})
+}
--- a/internal/runnerset/pick.go
+++ b/internal/runnerset/pick.go
@@ -25,6 +25,11 @@
 	Reserve float64
 	// Unread is the most prompt tokens that may wait to be read there.
 	Unread float64
+	// Home tells the runners that this node places items at before other nodes
+	// do: what is known of their room is exact. Nil stands for all.
+	Home func(runner *Record) bool
+	// AwayReserve is the share of its slots that stays free at another runner.
+	AwayReserve float64
 }
 
 // The cost of a runner is the time until the first event is expected there,
@@ -49,6 +54,9 @@
 	// there is no other.
 	asideTime = time.Minute
 	coldTime  = 100 * time.Millisecond
+	// awayTime is what a batch item costs at a runner that is another node's to
+	// place items at: any with room of its own comes first.
+	awayTime = 200 * time.Millisecond
 	// chanceTime keeps nodes that see the same from choosing alike.
 	chanceTime   = 2 * time.Millisecond
 	defaultSlots = 8
@@ -105,7 +113,8 @@
 	defer r.mutex.Unlock()
 	estimate := r.estimate(now)
 	choice := Choice{Runner: r, Load: estimate.running, Unread: estimate.unread}
-	if wish.Batch != nil && !r.hasRoom(wish.Batch, estimate) {
+	away := wish.Batch != nil && wish.Batch.Home != nil && !wish.Batch.Home(&r.Record)
+	if wish.Batch != nil && !r.hasRoom(wish.Batch, away, estimate) {
 		return choice, false
 	}
 	choice.Cost = r.expectedFirst(r.kept.missing(wish.Prompt), now, rate)
@@ -113,6 +122,9 @@
 	if r.Zone != wish.Zone {
 		choice.Cost += zoneTime + time.Duration(wish.Bytes)*zoneByteTime
 	}
+	if away {
+		choice.Cost += awayTime
+	}
 	if now.Before(r.aside) {
 		choice.Cost += asideTime
 	}
@@ -130,8 +142,11 @@
 	return float64(r.Slots)
 }
 
-func (r *Runner) hasRoom(room *BatchRoom, estimate state) bool {
+func (r *Runner) hasRoom(room *BatchRoom, away bool, estimate state) bool {
 	reserve := max(room.Reserve, reserveShare*r.slots())
+	if away {
+		reserve = max(reserve, room.AwayReserve*r.slots())
+	}
 	return estimate.running+1 <= r.slots()-reserve && estimate.unread <= room.Unread
 }
 
--- a/modules/batch/queues/queues.go
+++ b/modules/batch/queues/queues.go
@@ -77,7 +77,9 @@
 	options.DiskLosses, options.Retention = m.settings.DiskLosses, retentionFactor*m.settings.ResultsKept()
 	options.DB, options.Store = m.db, store
 	options.LogBytes = logBytes(m.settings.Machine)
-	options.Executor = queuerun.New(m.settings.Zone, catalogs, runners, client)
+	executor := queuerun.New(m.settings.Zone, catalogs, runners, client)
+	executor.Home = func(runner *runnerset.Record) bool { return m.node.IsHomeOf(runner.ID, runner.Zone) }
+	options.Executor = executor
 	m.node = queuestore.New(options)
 	m.node.Handle(server)
 	return nil
