Who sealed a member set campaigns until the others have heard of the next one

Change: ten campaigns 80 ms apart instead of one. Test: replica.TestSealerLeadsThoughOthersHearLate, seen to fail without it.

--- a/internal/replica/elect.go
+++ b/internal/replica/elect.go
@@ -18,6 +18,11 @@
 }
 
 func (r *Replica) resetDeadline(now time.Time) {
+	if r.eager > 0 {
+		r.eager--
+		r.deadline = now.Add(sealerDelay)
+		return
+	}
 	r.deadline = now.Add(r.timing.Election + time.Duration(r.random.Int64N(int64(r.timing.Election))))
 }
 
--- a/internal/replica/handover.go
+++ b/internal/replica/handover.go
@@ -19,8 +19,13 @@
 //     member raises the attempt by compare-and-swap, which makes the sealer's
 //     own fail; then the old generation thaws and goes on.
 
-// sealerDelay lets the other members hear of the new generation.
-const sealerDelay = 80 * time.Millisecond
+const (
+	// sealerDelay lets the other members hear of the new generation. While they
+	// have not, the sealer's campaigns are in vain: it tries sealerTries times, so
+	// that no other member comes before it, whose leadership would end its runs.
+	sealerDelay = 80 * time.Millisecond
+	sealerTries = 10
+)
 
 // SetLearners names disks that catch up without counting.
 func (r *Replica) SetLearners(now time.Time, learners []string) {
@@ -109,6 +114,10 @@
 // activate moves to a newer member set. The log goes on unchanged.
 func (r *Replica) activate(now time.Time, next Config) {
 	sealer := r.frozenBy != nil
+	r.eager = 0
+	if sealer {
+		r.eager = sealerTries
+	}
 	r.config = next
 	r.hard.Generation = next.Generation
 	r.learners = nil
--- a/internal/replica/handover_test.go
+++ b/internal/replica/handover_test.go
@@ -246,3 +246,52 @@
 		t.Fatal("a raised attempt does not thaw")
 	}
 }
+
+// Members hear of a new member set one after the other, within what a slow
+// service takes. Who sealed the old one leads the new one all the same: what
+// runs under its leadership is not interrupted.
+func TestSealerLeadsThoughOthersHearLate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, 5)
+		c.run(150)
+		leader := c.leader()
+		if leader == nil {
+			return
+		}
+		next := Config{Generation: 2, Members: c.config.Members, Copies: c.config.Copies}
+		leader.Freeze()
+		for step := 0; !leader.Sealed(next); step++ {
+			if step > 100 {
+				t.Fatal("never sealed")
+			}
+			c.step()
+		}
+		c.swap(next, leader.config.Attempt)
+		c.config = next
+		leader.Observe(c.now, next)
+		latest := rapid.IntRange(0, 20).Draw(t, "steps until the last hears")
+		hears := map[string]int{}
+		for _, id := range c.ids() {
+			hears[id] = latest
+			if latest > 8 {
+				hears[id] = rapid.IntRange(latest-8, latest).Draw(t, "steps until it hears")
+			}
+		}
+		for step := range 120 {
+			for id, at := range hears {
+				if at == step && id != leader.self {
+					c.replicas[id].Observe(c.now, next)
+				}
+			}
+			c.step()
+			for id, r := range c.replicas {
+				if r.Role() == Leader && r.config.Generation == 2 && id != leader.self {
+					t.Fatalf("%s leads the new set, %s sealed the old one", id, leader.self)
+				}
+			}
+		}
+		if !leader.Serving() {
+			t.Fatal("the sealer does not serve")
+		}
+	})
+}
--- a/internal/replica/lead.go
+++ b/internal/replica/lead.go
@@ -134,6 +134,7 @@
 	r.role = Leader
 	r.leader = r.self
 	r.lonely = 0
+	r.eager = 0
 	r.progress = map[string]*progress{}
 	for _, member := range r.followers() {
 		r.progress[member] = &progress{next: r.lastIndex() + 1, start: r.lastIndex() + 1, heardAt: now}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -186,6 +186,7 @@
 	leaderSeen  time.Time
 	votes       map[string]bool
 	lonely      int // campaigns in a row without a majority's pre-votes
+	eager       int // campaigns left that follow each other soon
 	progress    map[string]*progress
 	learners    []string
 	epochStart  uint64 // index of the leader's first entry
--- a/internal/replica/step.go
+++ b/internal/replica/step.go
@@ -106,6 +106,7 @@
 	if r.hard.Frozen && message.Epoch != r.hard.Promised {
 		return
 	}
+	r.eager = 0
 	r.follow(now, message.Epoch, message.From)
 	r.leaderSeen = now
 	r.lonely = 0
