A member whose entries are on their way is not taken for silent

Cause: a job of 3.5 MB takes a second to four members over a link of 120 Mbit/s; after 160 ms without an answer the leader took them for silent, forgot what was on its way and sent it again. Change: the wait grows with the bytes on their way. Test: the properties of the package pass; not measured alone.

--- a/internal/replica/lead.go
+++ b/internal/replica/lead.go
@@ -120,14 +120,20 @@
 	}
 }
 
-// silentHeartbeats without an answer make a member silent.
-const silentHeartbeats = 2
+const (
+	// silentHeartbeats without an answer make a member silent.
+	silentHeartbeats = 2
+	// slowestRate is the rate, in bytes a second, at which entries come to a
+	// member's disk at the least: an answer waits for the entries before it.
+	slowestRate = 2 << 20
+)
 
 // silent reports whether a member has not answered for a while. It is sent no
 // entries until it does: they would pile up on the way to a machine that is
 // gone or stands still.
 func (r *Replica) silent(p *progress, now time.Time) bool {
-	return now.Sub(p.heardAt) > silentHeartbeats*r.timing.Heartbeat
+	transfer := time.Duration(p.inFlightBytes()) * time.Second / slowestRate
+	return now.Sub(p.heardAt) > silentHeartbeats*r.timing.Heartbeat+transfer
 }
 
 func (r *Replica) lead(now time.Time) {
