A runner where a first event is long overdue is avoided; items do not go to runners that fail

Change: what is sent to a runner is expected to wait as long as the longest overdue first event there, of this node or of a peer (overdue: four times what is expected and the typical time, which is learnt). A request that ends overdue sets its runner aside. Nobody there, or another runner there, speaks against a runner; items go to none that is set aside or overdue. Tests: runnerset.TestOverdueRunnersAreAvoided, TestEndedOverdueSetsAside, TestTypicalFirstEventIsLearnt.

--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -74,6 +74,12 @@
 // Unwrap returns the cause.
 func (e *NotRunError) Unwrap() error { return e.Cause }
 
+// Absent reports whether it speaks against the runner: nothing answers at its
+// address, or another than the one meant.
+func (e *NotRunError) Absent() bool {
+	return e.Reason == ReasonMisdirected || e.Reason == ReasonDial && !e.Reached
+}
+
 // UnknownError: the request was sent and may have run.
 type UnknownError struct{ Cause error }
 
--- a/internal/online/online.go
+++ b/internal/online/online.go
@@ -284,7 +284,7 @@
 	if errors.As(err, &notRun) {
 		s.notRun++
 		runner.NoteLoad(notRun.Load, time.Now())
-		if !notRun.Reached && notRun.Reason == exchange.ReasonDial {
+		if notRun.Absent() {
 			runner.NoteBad(time.Now())
 		}
 		if ctx.Err() != nil {
--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -188,7 +188,7 @@
 	if r.executor.gaveWay(r) {
 		return outcome
 	}
-	if notRun == nil || !notRun.Reached && notRun.Reason == exchange.ReasonDial {
+	if notRun == nil || notRun.Absent() {
 		r.runner.NoteBad(time.Now())
 	}
 	return outcome
--- a/internal/runnerset/pick.go
+++ b/internal/runnerset/pick.go
@@ -88,13 +88,13 @@
 	best := Choice{}
 	list := s.Service(wish.Service)
 	typical := typicalSlowness(list)
-	rate := s.rate()
+	rate, first := s.rate(), s.firstTime()
 	candidates := 0
 	for _, runner := range list {
 		if !usable(runner) || wish.Excluded[runner.ID] {
 			continue
 		}
-		choice, fits := runner.weigh(wish, now, rate, typical)
+		choice, fits := runner.weigh(wish, now, rate, typical, first)
 		if !fits {
 			continue
 		}
@@ -108,17 +108,21 @@
 }
 
 // weigh works out the cost of a runner.
-func (r *Runner) weigh(wish *Wish, now time.Time, rate, typical float64) (Choice, bool) {
+func (r *Runner) weigh(wish *Wish, now time.Time, rate, typical float64, first time.Duration) (Choice, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	estimate := r.estimate(now)
 	choice := Choice{Runner: r, Load: estimate.running, Unread: estimate.unread}
 	away := wish.Batch != nil && wish.Batch.Home != nil && !wish.Batch.Home(&r.Record)
-	if wish.Batch != nil && !r.hasRoom(wish.Batch, away, estimate) {
+	overdue := r.overdue(now, first, rate)
+	// Items wait rather than go to a runner that fails: it looks empty.
+	if wish.Batch != nil && (now.Before(r.aside) || overdue > 0 || !r.hasRoom(wish.Batch, away, estimate)) {
 		return choice, false
 	}
 	choice.Cost = r.expectedFirst(r.kept.missing(wish.Prompt), now, rate)
 	choice.Cost = time.Duration(float64(choice.Cost) * max(1, r.relativeSlowness(typical)))
+	// What is sent now waits as long as what waits there already, at least.
+	choice.Cost = max(choice.Cost, overdue)
 	if r.Zone != wish.Zone {
 		choice.Cost += zoneTime + time.Duration(wish.Bytes)*zoneByteTime
 	}
--- a/internal/runnerset/runner.go
+++ b/internal/runnerset/runner.go
@@ -54,6 +54,8 @@
 	// strikes are failures in a row; aside is until when they set it aside.
 	strikes int
 	aside   time.Time
+	// waiting are this node's requests whose first event has not come.
+	waiting map[*Use]bool
 	// slowness is a moving average of how much longer than expected the first
 	// event took.
 	slowness float64
@@ -69,6 +71,9 @@
 type peerUse struct {
 	use
 	at time.Time
+	// since is when the peer first had prompts there that are not read; what it
+	// said after shows none of them read.
+	since time.Time
 }
 
 type told struct {
@@ -134,6 +139,10 @@
 	u := &Use{set: s, runner: runner, unread: unread, began: now, batch: batch, expect: runner.expectedFirst(unread, now, s.rate())}
 	runner.own.running++
 	runner.own.unread += unread
+	if runner.waiting == nil {
+		runner.waiting = map[*Use]bool{}
+	}
+	runner.waiting[u] = true
 	if batch {
 		runner.own.batch++
 	}
@@ -146,6 +155,7 @@
 // First records that the first event, or the answer, has come.
 func (u *Use) First(now time.Time) {
 	took := now.Sub(u.began)
+	u.set.noteFirst(took)
 	u.runner.mutex.Lock()
 	u.settle()
 	u.runner.strikes = 0
@@ -159,12 +169,18 @@
 func (u *Use) settle() {
 	u.runner.own.unread -= u.unread
 	u.unread = 0
+	delete(u.runner.waiting, u)
 }
 
-// End ends the count, once.
+// End ends the count, once. A request that was overdue when it ended speaks
+// against the runner.
 func (u *Use) End() {
 	u.once.Do(func() {
+		now := time.Now()
 		u.runner.mutex.Lock()
+		if u.runner.waiting[u] && now.Sub(u.began) > overdueAfter(u.set.firstTime(), u.expect) {
+			u.runner.strike(now)
+		}
 		u.settle()
 		u.runner.own.running--
 		if u.batch {
@@ -197,6 +213,11 @@
 func (r *Runner) NoteBad(now time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.strike(now)
+}
+
+// strike sets the runner aside. The mutex is held.
+func (r *Runner) strike(now time.Time) {
 	r.strikes++
 	wait := asideFirst << min(r.strikes-1, 4)
 	r.aside = now.Add(min(wait, asideMost))
@@ -219,7 +240,11 @@
 	if r.peers == nil {
 		r.peers = map[string]peerUse{}
 	}
-	r.peers[peer] = peerUse{use{told.Running, told.Batch, told.Unread}, now}
+	since := now
+	if before := r.peers[peer]; before.unread > 0 && told.Unread >= before.unread {
+		since = before.since
+	}
+	r.peers[peer] = peerUse{use{told.Running, told.Batch, told.Unread}, now, since}
 	r.kept.touch(told.Shared, now)
 }
 
@@ -268,6 +293,36 @@
 	}
 }
 
+// overdueFactor is how many times longer than expected a first event takes until
+// it is overdue.
+const overdueFactor = 4
+
+// overdueAfter is when a first event is overdue that is expected after a time,
+// where the typical one comes after first.
+func overdueAfter(first, expected time.Duration) time.Duration {
+	return overdueFactor * (first + expected)
+}
+
+// overdue returns how long a first event has been waited for at the runner, by
+// this node or a peer, if that is far longer than expected; else 0. The mutex is
+// held.
+func (r *Runner) overdue(now time.Time, first time.Duration, rate float64) time.Duration {
+	longest := time.Duration(0)
+	for u := range r.waiting {
+		if waited := now.Sub(u.began); waited > overdueAfter(first, u.expect) {
+			longest = max(longest, waited)
+		}
+	}
+	for _, peer := range r.peers {
+		expected := time.Duration(float64(peer.unread) / rate * float64(time.Millisecond))
+		waited := now.Sub(peer.since)
+		if peer.unread > 0 && now.Sub(peer.at) < peerLife && waited > overdueAfter(first, expected) {
+			longest = max(longest, waited)
+		}
+	}
+	return longest
+}
+
 // Crowd tells how many requests nodes have at the runner, and how many of them
 // are batch items of this node and of all. What the runner told is left out: it
 // may still count items that have given way.
--- a/internal/runnerset/runnerset.go
+++ b/internal/runnerset/runnerset.go
@@ -27,8 +27,11 @@
 	// readRate is how many prompt tokens a runner reads a millisecond, learnt
 	// from large prompts; the bits of a float64.
 	readRate atomic.Uint64
-	onUse    atomic.Pointer[func(runner *Runner, use PeerUse)]
-	onPeer   atomic.Pointer[func(runner *Runner)]
+	// first is the typical time to a first event, a moving average; the bits of a
+	// float64, in seconds.
+	first  atomic.Uint64
+	onUse  atomic.Pointer[func(runner *Runner, use PeerUse)]
+	onPeer atomic.Pointer[func(runner *Runner)]
 }
 
 type snapshot struct {
@@ -42,6 +45,7 @@
 	s := &Set{byID: map[string]*Runner{}, changed: make(chan struct{})}
 	s.snapshot.Store(&snapshot{services: map[string][]*Runner{}})
 	s.readRate.Store(math.Float64bits(firstReadRate))
+	s.first.Store(math.Float64bits(assumedFirst.Seconds()))
 	return s
 }
 
@@ -50,6 +54,28 @@
 
 func (s *Set) rate() float64 { return math.Float64frombits(s.readRate.Load()) }
 
+const (
+	// assumedFirst is the typical time to a first event before any has come.
+	assumedFirst = 100 * time.Millisecond
+	// firstWeight is the weight of a new sample, which counts for firstMost times
+	// the average at the most.
+	firstWeight = 0.02
+	firstMost   = 4.0
+)
+
+// firstTime is the typical time to a first event.
+func (s *Set) firstTime() time.Duration {
+	return time.Duration(math.Float64frombits(s.first.Load()) * float64(time.Second))
+}
+
+// noteFirst takes the time that a first event took. Of two samples at the same
+// moment one may be lost.
+func (s *Set) noteFirst(took time.Duration) {
+	average := math.Float64frombits(s.first.Load())
+	sample := min(took.Seconds(), firstMost*average)
+	s.first.Store(math.Float64bits(average + firstWeight*(sample-average)))
+}
+
 // OnUse names who is told when this node's use of a runner changes.
 func (s *Set) OnUse(told func(runner *Runner, use PeerUse)) { s.onUse.Store(&told) }
 
--- a/internal/runnerset/runnerset_test.go
+++ b/internal/runnerset/runnerset_test.go
@@ -202,3 +202,60 @@
 		is.True(runner.ID != "a") // it had said that it leaves
 	}
 }
+
+// A runner at which a first event is long overdue, to this node or to a peer, is
+// avoided before any request there has ended, and used again once it comes.
+func TestOverdueRunnersAreAvoided(t *testing.T) {
+	is := is.New(t)
+	began := time.Now()
+	later := began.Add(2 * time.Second)
+	s := setOf(record("mute", "z"), record("far", "y"))
+	mute, prompt := s.Service("s")[1], Prompt{Tokens: 100}
+	is.Equal(mute.ID, "mute")
+	use := s.Begin(mute, prompt, false, began)
+	is.Equal(pick(s, Wish{Zone: "z"}, began.Add(20*time.Millisecond)), "mute") // nothing is late yet
+	is.Equal(pick(s, Wish{Zone: "z"}, later), "far")
+	is.Equal(pick(s, Wish{Zone: "z", Batch: &BatchRoom{}, Excluded: map[string]bool{"far": true}}, later), "")
+	use.First(later)
+	is.Equal(pick(s, Wish{Zone: "z"}, later), "mute")
+	use.End()
+
+	s = setOf(record("mute", "z"), record("far", "y"))
+	s.NotePeer("peer", "mute", PeerUse{Running: 1, Unread: 100}, began)
+	s.NotePeer("peer", "mute", PeerUse{Running: 2, Unread: 200}, later) // one more, the first still waits
+	is.Equal(pick(s, Wish{Zone: "z"}, later.Add(time.Millisecond)), "far")
+	s.NotePeer("peer", "mute", PeerUse{Running: 2, Unread: 100}, later.Add(2*time.Millisecond)) // one has come
+	is.Equal(pick(s, Wish{Zone: "z"}, later.Add(3*time.Millisecond)), "mute")
+}
+
+// A request that ends while its first event is long overdue sets its runner
+// aside; items do not go to such a runner though it looks empty.
+func TestEndedOverdueSetsAside(t *testing.T) {
+	is := is.New(t)
+	s := setOf(record("mute", "z"))
+	now := time.Now()
+	s.Begin(s.Service("s")[0], Prompt{Tokens: 100}, false, now.Add(-3*time.Second)).End()
+	is.Equal(pick(s, Wish{Zone: "z"}, now), "mute") // there is no other
+	is.Equal(pick(s, Wish{Zone: "z", Batch: &BatchRoom{}}, now), "")
+	is.Equal(pick(s, Wish{Zone: "z", Batch: &BatchRoom{}}, now.Add(asideMost)), "mute")
+	s.Begin(s.Service("s")[0], Prompt{Tokens: 100}, false, time.Now()).End() // its caller left at once
+	is.Equal(pick(s, Wish{Zone: "z", Batch: &BatchRoom{}}, now.Add(asideMost)), "mute")
+}
+
+// The typical time to a first event is learnt, and no single one spoils it.
+func TestTypicalFirstEventIsLearnt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		usual := time.Duration(rapid.IntRange(5, 2000).Draw(t, "usual ms")) * time.Millisecond
+		for n := range 400 {
+			took := usual
+			if n%20 == 7 {
+				took = time.Duration(rapid.IntRange(1, 60_000).Draw(t, "odd ms")) * time.Millisecond
+			}
+			s.noteFirst(took)
+		}
+		if learnt := s.firstTime(); learnt < usual/2 || learnt > 2*usual {
+			t.Fatalf("learnt %v, usual is %v", learnt, usual)
+		}
+	})
+}
