--- a/internal/logstore/db.go
+++ b/internal/logstore/db.go
@@ -9,6 +9,7 @@
 	"io"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors/oserror"
@@ -39,6 +40,9 @@
 	diskID string
 	limits Limits
 	pebble *pebble.DB
+	// closing is held by those who may write while the database is closed.
+	closing sync.RWMutex
+	closed  bool
 }
 
 // Open opens or creates the database of a data folder. A database that is
@@ -248,7 +252,12 @@
 func (d *DB) DiskID() string { return d.diskID }
 
 // Close closes the database.
-func (d *DB) Close() error { return trace.Wrap(d.pebble.Close()) }
+func (d *DB) Close() error {
+	d.closing.Lock()
+	defer d.closing.Unlock()
+	d.closed = true
+	return trace.Wrap(d.pebble.Close())
+}
 
 // HasRoom reports whether more than the reserve is free under the data folder.
 func (d *DB) HasRoom() bool {
--- a/internal/logstore/shard.go
+++ b/internal/logstore/shard.go
@@ -64,7 +64,7 @@
 
 // Shards lists the shards the database holds.
 func (d *DB) Shards() ([]uint32, error) {
-	iterator, err := d.pebble.NewIter(nil)
+	iterator, err := d.pebble.NewIter(&pebble.IterOptions{UpperBound: shardPrefix(documentSpace, 0)})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/modules/batch/queues/queues.go
+++ b/modules/batch/queues/queues.go
@@ -57,9 +57,10 @@
 	var runners *runnerset.Set
 	var client exchange.Client
 	var store platform.KeyValue
+	var follower *link.Link
 	err := ctx.Fill(
 		kernel.Into(&m.settings), kernel.Into(&server), kernel.Into(&catalogs), kernel.Into(&runners), kernel.Into(&client),
-		kernel.Into(&store), kernel.Into(&options.Directory), kernel.Into(&options.Layouts), kernel.Into(&options.Pool),
+		kernel.Into(&store), kernel.Into(&follower), kernel.Into(&options.Directory), kernel.Into(&options.Layouts), kernel.Into(&options.Pool),
 		kernel.Into(&options.Contact), kernel.Into(&options.Retirement), kernel.Into(&options.Registry),
 	)
 	if err != nil {
@@ -73,6 +74,7 @@
 	}
 	klog.InfoS("disk opened", "folder", m.settings.DataFolder, "disk", m.db.DiskID())
 	options.Directory.SetDisk(m.db.DiskID())
+	follower.Keeper = m.db
 	options.Node, options.Region = m.settings.Node, m.settings.Region
 	options.DiskLosses, options.Retention = m.settings.DiskLosses, retentionFactor*m.settings.ResultsKept()
 	options.DB, options.Store = m.db, store
