--- a/internal/runnerset/pick.go
+++ b/internal/runnerset/pick.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"cobaltramp.example/cobaltramp/internal/enginemodel"
 )
 
 // Wish is what a request asks of the choice.
@@ -32,20 +34,14 @@
 	AwayReserve float64
 }
 
-// The cost of a runner is the time until the first event is expected there,
-// with surcharges, all as durations.
+// The cost of a runner is the time until the first event is expected there, as
+// the service's engine model has it, with surcharges, all as durations.
 const (
-	// firstOverhead is the time to a first event apart from reading the prompt.
-	firstOverhead = 12 * time.Millisecond
-	// slotTime is how long a request is expected to hold its slot when others
-	// wait for one.
-	slotTime = 400 * time.Millisecond
-	// yieldTime is how long a batch item takes to give its slot up.
+	// yieldTime is how long a batch item takes to give its slot up: the notice to
+	// the node that sent it, the close to the runner, and a step of the engine.
 	yieldTime = 15 * time.Millisecond
 	// reserveShare of a runner's slots stays free of batch items.
 	reserveShare = 0.06
-	// decodeTime is what each running request adds to the others' steps.
-	decodeTime = 300 * time.Microsecond
 	// zoneTime and zoneByteTime are what another zone costs: bytes between zones
 	// are dear.
 	zoneTime     = 12 * time.Millisecond
@@ -88,13 +84,12 @@
 	best := Choice{}
 	list := s.Service(wish.Service)
 	typical := typicalSlowness(list)
-	rate, first := s.rate(), s.firstTime()
 	candidates := 0
 	for _, runner := range list {
 		if !usable(runner) || wish.Excluded[runner.ID] {
 			continue
 		}
-		choice, fits := runner.weigh(wish, now, rate, typical, first)
+		choice, fits := runner.weigh(wish, now, typical)
 		if !fits {
 			continue
 		}
@@ -108,18 +103,18 @@
 }
 
 // weigh works out the cost of a runner.
-func (r *Runner) weigh(wish *Wish, now time.Time, rate, typical float64, first time.Duration) (Choice, bool) {
+func (r *Runner) weigh(wish *Wish, now time.Time, typical float64) (Choice, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	estimate := r.estimate(now)
 	choice := Choice{Runner: r, Load: estimate.running, Unread: estimate.unread}
 	away := wish.Batch != nil && wish.Batch.Home != nil && !wish.Batch.Home(&r.Record)
-	overdue := r.overdue(now, first, rate)
+	overdue := r.overdue(now)
 	// Items wait rather than go to a runner that fails: it looks empty.
 	if wish.Batch != nil && (now.Before(r.aside) || overdue > 0 || !r.hasRoom(wish.Batch, away, estimate)) {
 		return choice, false
 	}
-	choice.Cost = r.expectedFirst(r.kept.missing(wish.Prompt), now, rate)
+	choice.Cost = r.expectedFirst(r.kept.missing(wish.Prompt), now)
 	choice.Cost = time.Duration(float64(choice.Cost) * max(1, r.relativeSlowness(typical)))
 	// What is sent now waits as long as what waits there already, at least.
 	choice.Cost = max(choice.Cost, overdue)
@@ -156,17 +151,16 @@
 
 // expectedFirst is the expected time to the first event of a prompt of which
 // that many tokens have to be read. The mutex is held.
-func (r *Runner) expectedFirst(missing int, now time.Time, rate float64) time.Duration {
+func (r *Runner) expectedFirst(missing int, now time.Time) time.Duration {
 	estimate := r.estimate(now)
-	expected := firstOverhead + time.Duration((estimate.unread+float64(missing))/rate*float64(time.Millisecond))
-	expected += time.Duration(estimate.running * float64(decodeTime))
+	expected := r.model.First(enginemodel.Load{Tokens: estimate.unread + float64(missing), Running: estimate.running})
 	over := estimate.running + 1 - r.slots()
 	if over <= 0 {
 		return expected
 	}
 	yielding := min(over, estimate.batch)
 	expected += time.Duration(yielding * float64(yieldTime))
-	return expected + time.Duration((over-yielding)/r.slots()*float64(slotTime))
+	return expected + time.Duration((over-yielding)/r.slots()*float64(r.model.Hold()))
 }
 
 func (r *Runner) relativeSlowness(typical float64) float64 {
--- a/internal/runnerset/runner.go
+++ b/internal/runnerset/runner.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"cobaltramp.example/cobaltramp/internal/enginemodel"
 	"cobaltramp.example/cobaltramp/internal/exchange"
 )
 
@@ -41,7 +42,9 @@
 type Runner struct {
 	Record
 
-	gone atomic.Bool // leaving, or no longer listed
+	// model is of the service's engines.
+	model *enginemodel.Model
+	gone  atomic.Bool // leaving, or no longer listed
 	// removed is when the runner was listed no more without having said that it
 	// leaves, as time since processStart; 0 if it was not.
 	removed atomic.Int64
@@ -129,6 +132,11 @@
 	expect time.Duration
 	began  time.Time
 	batch  bool
+	// load is what the runner had when the request was sent; queued is true if
+	// more than it runs at once.
+	load   enginemodel.Load
+	queued bool
+	seen   bool // the first event has come
 	once   sync.Once
 }
 
@@ -136,7 +144,12 @@
 func (s *Set) Begin(runner *Runner, prompt Prompt, batch bool, now time.Time) *Use {
 	runner.mutex.Lock()
 	unread := runner.kept.missing(prompt)
-	u := &Use{set: s, runner: runner, unread: unread, began: now, batch: batch, expect: runner.expectedFirst(unread, now, s.rate())}
+	estimate := runner.estimate(now)
+	u := &Use{
+		set: s, runner: runner, unread: unread, began: now, batch: batch, expect: runner.expectedFirst(unread, now),
+		load:   enginemodel.Load{Tokens: estimate.unread + float64(unread), Running: estimate.running},
+		queued: estimate.running+1 > runner.slots(),
+	}
 	runner.own.running++
 	runner.own.unread += unread
 	if runner.waiting == nil {
@@ -155,8 +168,11 @@
 // First records that the first event, or the answer, has come.
 func (u *Use) First(now time.Time) {
 	took := now.Sub(u.began)
-	u.set.noteFirst(took)
+	if !u.queued {
+		u.runner.model.ObserveFirst(u.load, took)
+	}
 	u.runner.mutex.Lock()
+	u.seen = true
 	u.settle()
 	u.runner.strikes = 0
 	u.runner.aside = time.Time{}
@@ -178,9 +194,12 @@
 	u.once.Do(func() {
 		now := time.Now()
 		u.runner.mutex.Lock()
-		if u.runner.waiting[u] && now.Sub(u.began) > overdueAfter(u.set.firstTime(), u.expect) {
+		if u.runner.waiting[u] && now.Sub(u.began) > strikeFactor*u.expect {
 			u.runner.strike(now)
 		}
+		if u.seen && !u.batch {
+			u.runner.model.ObserveHold(now.Sub(u.began))
+		}
 		u.settle()
 		u.runner.own.running--
 		if u.batch {
@@ -293,30 +312,29 @@
 	}
 }
 
-// overdueFactor is how many times longer than expected a first event takes until
-// it is overdue.
-const overdueFactor = 4
-
-// overdueAfter is when a first event is overdue that is expected after a time,
-// where the typical one comes after first.
-func overdueAfter(first, expected time.Duration) time.Duration {
-	return overdueFactor * (first + expected)
-}
+const (
+	// overdueFactor is how many times longer than expected a first event takes
+	// until it is overdue, and strikeFactor until it speaks against the runner.
+	overdueFactor = 4
+	strikeFactor  = 8
+)
 
 // overdue returns how long a first event has been waited for at the runner, by
 // this node or a peer, if that is far longer than expected; else 0. The mutex is
 // held.
-func (r *Runner) overdue(now time.Time, first time.Duration, rate float64) time.Duration {
+func (r *Runner) overdue(now time.Time) time.Duration {
 	longest := time.Duration(0)
 	for u := range r.waiting {
-		if waited := now.Sub(u.began); waited > overdueAfter(first, u.expect) {
+		if waited := now.Sub(u.began); waited > overdueFactor*u.expect {
 			longest = max(longest, waited)
 		}
 	}
 	for _, peer := range r.peers {
-		expected := time.Duration(float64(peer.unread) / rate * float64(time.Millisecond))
-		waited := now.Sub(peer.since)
-		if peer.unread > 0 && now.Sub(peer.at) < peerLife && waited > overdueAfter(first, expected) {
+		if peer.unread == 0 || now.Sub(peer.at) > peerLife {
+			continue
+		}
+		expected := r.model.First(enginemodel.Load{Tokens: float64(peer.unread), Running: float64(r.Slots)})
+		if waited := now.Sub(peer.since); waited > overdueFactor*expected {
 			longest = max(longest, waited)
 		}
 	}
--- a/internal/runnerset/runnerset.go
+++ b/internal/runnerset/runnerset.go
@@ -4,12 +4,13 @@
 package runnerset
 
 import (
-	"math"
 	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cobaltramp.example/cobaltramp/internal/enginemodel"
 )
 
 // Set is the list of runners.
@@ -24,12 +25,8 @@
 	departed []*Runner
 	snapshot atomic.Pointer[snapshot]
 	changed  chan struct{}
-	// readRate is how many prompt tokens a runner reads a millisecond, learnt
-	// from large prompts; the bits of a float64.
-	readRate atomic.Uint64
-	// first is the typical time to a first event, a moving average; the bits of a
-	// float64, in seconds.
-	first  atomic.Uint64
+	// models are what is learnt of each service's engines.
+	models map[string]*enginemodel.Model
 	onUse  atomic.Pointer[func(runner *Runner, use PeerUse)]
 	onPeer atomic.Pointer[func(runner *Runner)]
 }
@@ -42,40 +39,11 @@
 
 // New returns an empty set.
 func New() *Set {
-	s := &Set{byID: map[string]*Runner{}, changed: make(chan struct{})}
+	s := &Set{byID: map[string]*Runner{}, models: map[string]*enginemodel.Model{}, changed: make(chan struct{})}
 	s.snapshot.Store(&snapshot{services: map[string][]*Runner{}})
-	s.readRate.Store(math.Float64bits(firstReadRate))
-	s.first.Store(math.Float64bits(assumedFirst.Seconds()))
 	return s
 }
 
-// firstReadRate is assumed before anything is learnt, tokens a millisecond.
-const firstReadRate = 50.0
-
-func (s *Set) rate() float64 { return math.Float64frombits(s.readRate.Load()) }
-
-const (
-	// assumedFirst is the typical time to a first event before any has come.
-	assumedFirst = 100 * time.Millisecond
-	// firstWeight is the weight of a new sample, which counts for firstMost times
-	// the average at the most.
-	firstWeight = 0.02
-	firstMost   = 4.0
-)
-
-// firstTime is the typical time to a first event.
-func (s *Set) firstTime() time.Duration {
-	return time.Duration(math.Float64frombits(s.first.Load()) * float64(time.Second))
-}
-
-// noteFirst takes the time that a first event took. Of two samples at the same
-// moment one may be lost.
-func (s *Set) noteFirst(took time.Duration) {
-	average := math.Float64frombits(s.first.Load())
-	sample := min(took.Seconds(), firstMost*average)
-	s.first.Store(math.Float64bits(average + firstWeight*(sample-average)))
-}
-
 // OnUse names who is told when this node's use of a runner changes.
 func (s *Set) OnUse(told func(runner *Runner, use PeerUse)) { s.onUse.Store(&told) }
 
@@ -154,11 +122,21 @@
 	if known != nil {
 		known.gone.Store(true)
 	}
-	next := &Runner{Record: record}
+	next := &Runner{Record: record, model: s.modelOf(record.Service)}
 	next.gone.Store(record.Leaving)
 	s.byID[record.ID] = next
 }
 
+// modelOf returns the model of a service's engines. The mutex is held.
+func (s *Set) modelOf(service string) *enginemodel.Model {
+	model := s.models[service]
+	if model == nil {
+		model = enginemodel.New()
+		s.models[service] = model
+	}
+	return model
+}
+
 func (s *Set) remove(id string) {
 	known := s.byID[id]
 	if known == nil {
