--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -22,6 +22,8 @@
 	Take(reply *wirev1.PeerStateReply, from string)
 	// Stale reports whether the store has not answered lately.
 	Stale() bool
+	// Empty reports whether no configuration is known yet: the node can't serve.
+	Empty() bool
 }
 
 // Exchange asks peers.
@@ -35,6 +37,8 @@
 const (
 	exchangeInterval = 500 * time.Millisecond
 	exchangeTimeout  = 400 * time.Millisecond
+	// emptyInterval is the pause of a node that can't serve yet.
+	emptyInterval = 120 * time.Millisecond
 	// calmEvery is how many rounds a node that the store serves skips between
 	// two questions to nodes with disks.
 	calmEvery = 2
@@ -61,14 +65,19 @@
 }
 
 // Run asks until the context ends: one peer a second, one at each round while
-// the store does not answer or no peer is known, and disk nodes each other.
+// the store does not answer or no peer is known, and disk nodes each other. A
+// node that can't serve yet asks more often. A node with a disk makes itself
+// known to the seeds first: who starts while the store is down finds it there.
 func (e *Exchange) Run(ctx context.Context) {
-	ticker := time.NewTicker(exchangeInterval)
-	defer ticker.Stop()
-	for round := 0; ; round++ {
+	for round := 0; ctx.Err() == nil; round++ {
 		if e.Documents.Stale() || round < eagerRounds || round%calmEvery == 0 {
 			go e.ask(ctx, e.anyPeer())
 		}
+		if round < eagerRounds && e.Directory.Self().DiskId != "" {
+			for _, seed := range e.Seeds {
+				go e.ask(ctx, seed)
+			}
+		}
 		if self := e.Directory.Self(); self.DiskId != "" && round%calmEvery == 0 {
 			for _, disk := range e.Directory.Disks() {
 				if disk.NodeId != self.NodeId {
@@ -76,10 +85,21 @@
 				}
 			}
 		}
+		e.pause(ctx)
+	}
+}
+
+// pause waits until the next round, and no longer than for what is missing.
+func (e *Exchange) pause(ctx context.Context) {
+	for waited := time.Duration(0); waited < exchangeInterval && ctx.Err() == nil; waited += emptyInterval {
+		timer := time.NewTimer(emptyInterval)
 		select {
 		case <-ctx.Done():
+		case <-timer.C:
+		}
+		timer.Stop()
+		if e.Documents.Empty() {
 			return
-		case <-ticker.C:
 		}
 	}
 }
