Submissions wait a moment for a new keeper of the limits, which is told at once what waits

Change: a leader whose keeper lacks a shard, or is not found, tells it at the next look (0.2 s); a submission waits up to 0.7 s, each question with a report of its own.

--- a/internal/queuestore/limits.go
+++ b/internal/queuestore/limits.go
@@ -27,6 +27,10 @@
 	reportMost     = time.Second
 	// keeperTimeout bounds one question to a node that may be the keeper.
 	keeperTimeout = 300 * time.Millisecond
+	// keeperPatience is how long a submission waits for a keeper that knows
+	// enough, and keeperPause the time between two questions.
+	keeperPatience = 700 * time.Millisecond
+	keeperPause    = 40 * time.Millisecond
 )
 
 // limitsLoop tells the keeper what waits in the shards led here.
@@ -62,8 +66,19 @@
 			request = s.report()
 		}
 	})
-	if err == nil && request != nil {
-		_, _ = s.node.askKeeper(ctx, request)
+	if err != nil || request == nil {
+		return
+	}
+	reply, err := s.node.askKeeper(ctx, request)
+	if err != nil || reply.Incomplete {
+		_ = s.ask(ctx, func() { s.tellAgain() })
+	}
+}
+
+// tellAgain has what waits reported at the next look: the keeper may be new.
+func (s *shard) tellAgain() {
+	if s.leader != nil {
+		s.leader.reportedAt = time.Time{}
 	}
 }
 
@@ -206,10 +221,11 @@
 	if !l.ledger.Report(request.Shard, request.Epoch, request.Number, waiting) {
 		return result.New(result.NotLeader, "shard %d has a newer leader", request.Shard)
 	}
+	reply.Incomplete = !l.ledger.Complete()
 	if request.Route == "" {
 		return nil
 	}
-	if !l.ledger.Complete() {
+	if reply.Incomplete {
 		l.ledger.Release(request.Shard, request.Epoch, request.Number, request.Route, request.Tokens)
 		return result.New(result.NotReady, "not every shard has told what waits there")
 	}
--- a/internal/queuestore/serve.go
+++ b/internal/queuestore/serve.go
@@ -97,9 +97,9 @@
 	bytes  int
 	// limit of the route's waiting tokens; 0 is none.
 	limit uint64
-	// holder is the leadership that counts it.
+	// holder is the leadership that counts it; gone is set when it is no more.
 	holder *leadership
-	report *wirev1.QueueReserveRequest
+	gone   bool
 }
 
 // reserve counts a submission against its route's limit and the disk's room
@@ -128,7 +128,6 @@
 		want.holder = l
 		l.accepting[want.route] += want.tokens
 		l.acceptingBytes += want.bytes
-		want.report = s.report()
 	})
 	if err != nil {
 		return false, err
@@ -140,21 +139,44 @@
 	return result.New(result.TenantTokens, "%d tokens wait on route %s, the job has %d, allowed are %d", waiting, want.route, want.tokens, want.limit).After(retryAfter)
 }
 
-// reserveOverAll asks the keeper of the limits whether a submission fits.
+// reserveOverAll asks the keeper of the limits whether a submission fits, and
+// waits a moment for one that knows enough.
 func (s *shard) reserveOverAll(ctx context.Context, want *reservation) error {
 	if want.limit == 0 || len(s.node.Layouts.Current().Shards) < 2 {
 		return nil
 	}
-	request := want.report
-	request.Route, request.Tokens, request.Limit = want.route, want.tokens, want.limit
-	reply, err := s.node.askKeeper(ctx, request)
+	for until := time.Now().Add(keeperPatience); ; time.Sleep(keeperPause) {
+		reply, err := s.askForRoom(ctx, want)
+		if err == nil && !reply.Granted {
+			return tooManyTokens(want, reply.Waiting)
+		}
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(until) || ctx.Err() != nil || want.gone {
+			return result.New(result.StoreUnavailable, "the limit of route %s can't be asked for: %v", want.route, err)
+		}
+	}
+}
+
+// askForRoom asks once. Each question has a report of its own: what the keeper
+// took of the one before may be given back already.
+func (s *shard) askForRoom(ctx context.Context, want *reservation) (*wirev1.QueueReserveReply, error) {
+	var request *wirev1.QueueReserveRequest
+	err := s.ask(ctx, func() {
+		if s.leader == want.holder {
+			request = s.report()
+		}
+	})
 	if err != nil {
-		return result.New(result.StoreUnavailable, "the limit of route %s can't be asked for: %v", want.route, err)
+		return nil, err
 	}
-	if !reply.Granted {
-		return tooManyTokens(want, reply.Waiting)
+	if request == nil {
+		want.gone = true
+		return nil, result.New(result.NotLeader, "shard %d is not led here any more", s.id)
 	}
-	return nil
+	request.Route, request.Tokens, request.Limit = want.route, want.tokens, want.limit
+	return s.node.askKeeper(ctx, request)
 }
 
 // unreserve gives back what a submission that is applied or dropped had taken.
