A full runner is not taken for a mute one

Change: overdue is only what a runner has sent this node nothing at all since. Test: runnerset.TestOverdueRunnersAreAvoided.

--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -35,6 +35,7 @@
 			return s.broken(ctx, err)
 		}
 		watch.Reset(s.silence())
+		use.Event(time.Now())
 		if first {
 			first = false
 			s.seen(use)
--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -227,6 +227,8 @@
 		now := time.Now()
 		if r.output.Last == r.work.Output.Last {
 			r.use.First(now)
+		} else {
+			r.use.Event(now)
 		}
 		r.output.Append(event.ID, event.Data)
 		if now.Sub(r.savedAt) >= saveInterval {
--- a/internal/runnerset/runner.go
+++ b/internal/runnerset/runner.go
@@ -48,7 +48,10 @@
 	// removed is when the runner was listed no more without having said that it
 	// leaves, as time since processStart; 0 if it was not.
 	removed atomic.Int64
-	mutex   sync.Mutex
+	// lastEvent is when an event of any request last came to this node, as time
+	// since processStart; 0 if none has.
+	lastEvent atomic.Int64
+	mutex     sync.Mutex
 	// own is this node's use; peers is what other nodes said of theirs.
 	own   use
 	peers map[string]peerUse
@@ -165,8 +168,12 @@
 	return u
 }
 
+// Event records that an event has come, the first or a later one.
+func (u *Use) Event(now time.Time) { u.runner.lastEvent.Store(int64(now.Sub(processStart))) }
+
 // First records that the first event, or the answer, has come.
 func (u *Use) First(now time.Time) {
+	u.Event(now)
 	took := now.Sub(u.began)
 	if !u.queued {
 		u.runner.model.ObserveFirst(u.load, took)
@@ -194,7 +201,7 @@
 	u.once.Do(func() {
 		now := time.Now()
 		u.runner.mutex.Lock()
-		if u.runner.waiting[u] && now.Sub(u.began) > strikeFactor*u.expect {
+		if u.runner.waiting[u] && u.mute() && now.Sub(u.began) > strikeFactor*u.expect {
 			u.runner.strike(now)
 		}
 		if u.seen && !u.batch {
@@ -319,13 +326,20 @@
 	strikeFactor  = 8
 )
 
+// mute reports whether the runner has sent this node nothing at all since the
+// request was sent: one that is only full goes on with what it runs.
+func (u *Use) mute() bool {
+	last := u.runner.lastEvent.Load()
+	return last == 0 || last < int64(u.began.Sub(processStart))
+}
+
 // overdue returns how long a first event has been waited for at the runner, by
-// this node or a peer, if that is far longer than expected; else 0. The mutex is
-// held.
+// this node or a peer, if that is far longer than expected and nothing else comes
+// from there; else 0. The mutex is held.
 func (r *Runner) overdue(now time.Time) time.Duration {
 	longest := time.Duration(0)
 	for u := range r.waiting {
-		if waited := now.Sub(u.began); waited > overdueFactor*u.expect {
+		if waited := now.Sub(u.began); waited > overdueFactor*u.expect && u.mute() {
 			longest = max(longest, waited)
 		}
 	}
--- a/internal/runnerset/runnerset_test.go
+++ b/internal/runnerset/runnerset_test.go
@@ -220,6 +220,13 @@
 	is.Equal(pick(s, Wish{Zone: "z"}, later), "mute")
 	use.End()
 
+	// A runner that goes on with what it runs is full, not mute.
+	running := s.Begin(mute, prompt, false, later)
+	running.First(later)
+	s.Begin(mute, prompt, false, later)
+	running.Event(later.Add(2 * time.Second))
+	is.Equal(pick(s, Wish{Zone: "z"}, later.Add(2*time.Second)), "mute")
+
 	s = setOf(record("mute", "z"), record("far", "y"))
 	s.NotePeer("peer", "mute", PeerUse{Running: 1, Unread: 100}, began)
 	s.NotePeer("peer", "mute", PeerUse{Running: 2, Unread: 200}, later) // one more, the first still waits
