A request that later ones have overtaken speaks against its runner

Change: overdue is also what a request waits that one sent later has overtaken. Test: runnerset.TestOverdueRunnersAreAvoided.

--- a/internal/runnerset/runner.go
+++ b/internal/runnerset/runner.go
@@ -62,6 +62,9 @@
 	aside   time.Time
 	// waiting are this node's requests whose first event has not come.
 	waiting map[*Use]bool
+	// newestSeen is when the newest of this node's requests was sent whose first
+	// event has come.
+	newestSeen time.Time
 	// slowness is a moving average of how much longer than expected the first
 	// event took.
 	slowness float64
@@ -180,6 +183,9 @@
 	}
 	u.runner.mutex.Lock()
 	u.seen = true
+	if u.began.After(u.runner.newestSeen) {
+		u.runner.newestSeen = u.began
+	}
 	u.settle()
 	u.runner.strikes = 0
 	u.runner.aside = time.Time{}
@@ -201,7 +207,7 @@
 	u.once.Do(func() {
 		now := time.Now()
 		u.runner.mutex.Lock()
-		if u.runner.waiting[u] && u.mute() && now.Sub(u.began) > strikeFactor*u.expect {
+		if u.runner.waiting[u] && u.passedOver() && now.Sub(u.began) > strikeFactor*u.expect {
 			u.runner.strike(now)
 		}
 		if u.seen && !u.batch {
@@ -326,20 +332,23 @@
 	strikeFactor  = 8
 )
 
-// mute reports whether the runner has sent this node nothing at all since the
-// request was sent: one that is only full goes on with what it runs.
-func (u *Use) mute() bool {
+// passedOver reports whether a request that waits does so by the runner's fault:
+// it has sent this node nothing at all since, while one that is only full goes on
+// with what it runs; or it has begun with a request that was sent later, though
+// runners take requests in the order of their arrival. The mutex is held.
+func (u *Use) passedOver() bool {
 	last := u.runner.lastEvent.Load()
-	return last == 0 || last < int64(u.began.Sub(processStart))
+	mute := last == 0 || last < int64(u.began.Sub(processStart))
+	return mute || u.runner.newestSeen.After(u.began)
 }
 
 // overdue returns how long a first event has been waited for at the runner, by
-// this node or a peer, if that is far longer than expected and nothing else comes
-// from there; else 0. The mutex is held.
+// this node or a peer, if that is far longer than expected and the runner's fault;
+// else 0. The mutex is held.
 func (r *Runner) overdue(now time.Time) time.Duration {
 	longest := time.Duration(0)
 	for u := range r.waiting {
-		if waited := now.Sub(u.began); waited > overdueFactor*u.expect && u.mute() {
+		if waited := now.Sub(u.began); waited > overdueFactor*u.expect && u.passedOver() {
 			longest = max(longest, waited)
 		}
 	}
--- a/internal/runnerset/runnerset_test.go
+++ b/internal/runnerset/runnerset_test.go
@@ -226,6 +226,10 @@
 	s.Begin(mute, prompt, false, later)
 	running.Event(later.Add(2 * time.Second))
 	is.Equal(pick(s, Wish{Zone: "z"}, later.Add(2*time.Second)), "mute")
+	// One that has begun with a later request has dropped the one that waits.
+	overtaking := s.Begin(mute, prompt, false, later.Add(time.Second))
+	overtaking.First(later.Add(2 * time.Second))
+	is.Equal(pick(s, Wish{Zone: "z"}, later.Add(2*time.Second)), "far")
 
 	s = setOf(record("mute", "z"), record("far", "y"))
 	s.NotePeer("peer", "mute", PeerUse{Running: 1, Unread: 100}, began)
