A job is refused while any member's disk has no room

With many shards the disks of a shard's members are not equally full, and the leader looked at its own only. Ruled out: a log that is kept too long (dropped by bytes), documents kept (hundreds of kilobytes). Change: a member tells with each answer how much its disk may still take; a job is refused, as not run, unless it fits on all that have told. Test: queuestore.TestFullMemberRefusesJobs, seen to fail without it.

--- a/internal/logstore/db.go
+++ b/internal/logstore/db.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -275,11 +276,16 @@
 )
 
 // Fits reports whether something of that size may be accepted.
-func (d *DB) Fits(bytes int) bool {
+func (d *DB) Fits(bytes int) bool { return uint64(writtenTimes*bytes) < d.Room() }
+
+// Room returns how many bytes may be written before nothing is accepted any
+// more.
+func (d *DB) Room() uint64 {
 	if d.limits.Disk <= 0 {
-		return true
+		return math.MaxUint64 >> 1
 	}
-	return float64(d.Used())+float64(writtenTimes*bytes) < fullShare*float64(d.limits.Disk)
+	full := uint64(fullShare * float64(d.limits.Disk))
+	return full - min(full, d.Used())
 }
 
 // Used returns how many bytes the database takes of the disk.
--- a/internal/queuestore/disk_test.go
+++ b/internal/queuestore/disk_test.go
@@ -1,7 +1,10 @@
 package queuestore
 
 import (
+	"context"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -11,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"cobaltramp.example/cobaltramp/internal/logstore"
+	"cobaltramp.example/cobaltramp/internal/platform"
 	"cobaltramp.example/cobaltramp/internal/result"
 )
 
@@ -128,3 +132,57 @@
 		})
 	}
 }
+
+// A job is refused as not run as well while another member's disk has no room: a
+// member that is full would stop, and all it holds would have to be copied.
+func TestFullMemberRefusesJobs(t *testing.T) {
+	is := is.New(t)
+	c := newClusterOf(t, logstore.Limits{Disk: 4 << 20}, "a", "b", "c")
+	c.executor.setHold(true)
+	c.submit("small", 1)
+	const size = 400 << 10
+	full := ""
+	for name, n := range c.nodes {
+		if name == c.leader() {
+			continue
+		}
+		filling := platform.Value{Key: "filling", Value: randomBytes(2500 << 10)}
+		is.NoErr(n.db.SaveDocuments(false, []platform.Value{filling}, nil, 1))
+		full = n.db.DiskID()
+		break
+	}
+	c.eventually("the leader is told", func() bool {
+		leader := c.nodes[c.leader()]
+		return leader != nil && leader.node.shard(0).roomOf(full) < writtenTimes*size
+	})
+	var err error
+	c.eventually("the job is answered", func() bool {
+		err = c.trySubmitOf("big", 1, 0, size)
+		return err == nil || result.Is(err, result.StoreFull)
+	})
+	is.True(result.Is(err, result.StoreFull))
+	reply, err := c.read("big")
+	is.NoErr(err)
+	is.True(!reply.Found)
+	c.executor.setHold(false)
+	c.finished("small", 1)
+}
+
+// roomOf returns what a member told of its disk.
+func (s *shard) roomOf(member string) uint64 {
+	room := uint64(math.MaxUint64)
+	_ = s.ask(context.Background(), func() {
+		if told, known := s.rooms[member]; known {
+			room = told
+		}
+	})
+	return room
+}
+
+// randomBytes can't be stored shorter.
+func randomBytes(size int) []byte {
+	bytes := make([]byte, size)
+	random := rand.NewChaCha8([32]byte{1})
+	_, _ = random.Read(bytes)
+	return bytes
+}
--- a/internal/queuestore/node.go
+++ b/internal/queuestore/node.go
@@ -99,6 +99,7 @@
 	mutex    sync.Mutex
 	shards   map[uint32]*shard
 	homes    homes
+	room     room
 	keeper   string // disk of the last known keeper of the limits
 	context  context.Context
 	cancel   context.CancelFunc
--- a/internal/queuestore/serve.go
+++ b/internal/queuestore/serve.go
@@ -121,8 +121,8 @@
 			refused = tooManyTokens(want, waiting)
 			return
 		}
-		if !s.node.DB.Fits(want.bytes + l.acceptingBytes) {
-			refused = result.New(result.StoreFull, "%d bytes of the disk are taken, %d come, the job has %d", s.node.DB.Used(), l.acceptingBytes, want.bytes).After(diskFullAfter)
+		if !s.fits(want.bytes + l.acceptingBytes) {
+			refused = result.New(result.StoreFull, "a disk of shard %d has no room: %d bytes come, the job has %d", s.id, l.acceptingBytes, want.bytes).After(diskFullAfter)
 			return
 		}
 		want.holder = l
--- a/internal/queuestore/shard.go
+++ b/internal/queuestore/shard.go
@@ -45,6 +45,7 @@
 	installing bool
 	handOver   handOver
 	log        logSize
+	rooms      map[string]uint64 // what members told of their disks
 	stopped    bool
 }
 
@@ -180,6 +181,7 @@
 		s.considerSnapshot(message)
 		return
 	}
+	s.noteRoom(message.From, message.Room)
 	if !s.installing {
 		s.replica.Step(time.Now(), message)
 	}
