A node leads without a layout

Cause, found by reading: a storage node that starts while the store is down, with nothing kept of it and no peer that knows, leads what its disk holds; two seconds later the look at the first member read the layout that it does not have, and the process ended. The keeper of the limits had the same fault. Test: queuestore.TestLedWithoutALayout, seen to end the process without the mend.

--- a/internal/queuestore/layout.go
+++ b/internal/queuestore/layout.go
@@ -192,6 +192,16 @@
 	return layout
 }
 
+// shardCount is how many shards there are, 0 while no layout is known: a node
+// that starts while the store is down leads what its disk holds all the same.
+func (n *Node) shardCount() int {
+	layout := n.Layouts.Current()
+	if layout == nil {
+		return 0
+	}
+	return len(layout.Shards)
+}
+
 // spreadFrom is how many times the disks of a shard there must be for more
 // shards than one: with fewer, each disk would hold most of all shards anyway.
 const spreadFrom = 2
--- a/internal/queuestore/limits.go
+++ b/internal/queuestore/limits.go
@@ -43,7 +43,7 @@
 			return
 		case <-ticker.C:
 		}
-		if layout := n.Layouts.Current(); layout == nil || len(layout.Shards) < 2 {
+		if n.shardCount() < 2 {
 			continue
 		}
 		for _, s := range n.allShards() {
@@ -211,8 +211,12 @@
 	if l == nil || !l.suspended.IsZero() || !s.replica.Serving() {
 		return result.New(result.NotLeader, "shard %d is not led here", s.id)
 	}
+	shards := s.node.shardCount()
+	if shards == 0 {
+		return result.New(result.NotReady, "no queue layout is known yet")
+	}
 	if l.ledger == nil {
-		l.ledger = queue.NewLedger(len(s.node.Layouts.Current().Shards))
+		l.ledger = queue.NewLedger(shards)
 	}
 	waiting := map[string]uint64{}
 	for _, route := range request.Waiting {
--- a/internal/queuestore/serve.go
+++ b/internal/queuestore/serve.go
@@ -142,7 +142,7 @@
 // reserveOverAll asks the keeper of the limits whether a submission fits, and
 // waits a moment for one that knows enough.
 func (s *shard) reserveOverAll(ctx context.Context, want *reservation) error {
-	if want.limit == 0 || len(s.node.Layouts.Current().Shards) < 2 {
+	if want.limit == 0 || s.node.shardCount() < 2 {
 		return nil
 	}
 	for until := time.Now().Add(keeperPatience); ; time.Sleep(keeperPause) {
--- a/internal/queuestore/spread_test.go
+++ b/internal/queuestore/spread_test.go
@@ -1,8 +1,10 @@
 package queuestore
 
 import (
+	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -124,3 +126,34 @@
 		})
 	})
 }
+
+// Nodes that start while the store is down, and know no layout yet, lead what
+// their disks hold, and say that they can't keep limits.
+func TestLedWithoutALayout(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.submit("one", 2)
+	c.finished("one", 2)
+	for _, name := range []string{"a", "b", "c"} {
+		c.stop(name)
+	}
+	c.store.mutex.Lock()
+	c.store.down = true
+	c.store.mutex.Unlock()
+	for _, name := range []string{"a", "b", "c"} {
+		c.start(name)
+	}
+	c.eventually("one leads", func() bool { return c.leader() != "" })
+	leader := c.nodes[c.leader()].node
+	is.Equal(leader.shardCount(), 0)
+	_, err := leader.reserveHere(context.Background(), &wirev1.QueueReserveRequest{Route: "route", Epoch: 1, Number: 1})
+	is.True(result.Is(err, result.NotReady) || result.Is(err, result.NotLeader))
+	s := leader.shard(keepingShard)
+	started := time.Now()
+	c.eventually("the first member was thought of", func() bool {
+		thought := false
+		_ = s.ask(context.Background(), func() { thought = s.leader == nil || s.leader.preferred.After(started) })
+		return thought
+	})
+	is.True(c.leader() != "")
+}
--- a/internal/queuestore/transfer.go
+++ b/internal/queuestore/transfer.go
@@ -22,7 +22,7 @@
 		return
 	}
 	l.preferred = now
-	if len(s.node.Layouts.Current().Shards) < 2 {
+	if s.node.shardCount() < 2 {
 		return // one shard is led where it is
 	}
 	first := config.Members[0]
