--- a/internal/peers/exchange.go
+++ b/internal/peers/exchange.go
@@ -89,18 +89,17 @@
 	}
 }
 
-// pause waits until the next round, and no longer than for what is missing.
+// pause waits until the next round.
 func (e *Exchange) pause(ctx context.Context) {
-	for waited := time.Duration(0); waited < exchangeInterval && ctx.Err() == nil; waited += emptyInterval {
-		timer := time.NewTimer(emptyInterval)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
-		if e.Documents.Empty() {
-			return
-		}
+	interval := exchangeInterval
+	if e.Documents.Empty() {
+		interval = emptyInterval
+	}
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
--- a/internal/queuestore/home.go
+++ b/internal/queuestore/home.go
@@ -36,16 +36,21 @@
 	return best == nil || best.NodeId == n.Node
 }
 
-// in lists the live disks of a zone, or all if it has none.
+// in lists the live disks of a zone that hold shards, or all if it has none: a
+// node that joined later and leads nothing would keep its runners from items.
 func (h *homes) in(zone string, n *Node) []*wirev1.NodeRecord {
 	now := time.Now()
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if h.zones == nil || now.Sub(h.at) > homesLife {
-		h.at, h.all = now, n.liveDisks(now)
+		h.at, h.all = now, nil
 		h.zones = map[string][]*wirev1.NodeRecord{}
-		for _, disk := range h.all {
-			h.zones[disk.Zone] = append(h.zones[disk.Zone], disk)
+		held := n.Layouts.Current().held()
+		for _, disk := range n.liveDisks(now) {
+			if held[disk.DiskId] > 0 {
+				h.all = append(h.all, disk)
+				h.zones[disk.Zone] = append(h.zones[disk.Zone], disk)
+			}
 		}
 	}
 	if list := h.zones[zone]; len(list) > 0 {
--- a/internal/queuestore/spread_test.go
+++ b/internal/queuestore/spread_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
 	"cobaltramp.example/cobaltramp/internal/peers"
+	"cobaltramp.example/cobaltramp/internal/replica"
 	"cobaltramp.example/cobaltramp/internal/result"
 )
 
@@ -157,3 +159,41 @@
 	})
 	is.True(c.leader() != "")
 }
+
+// Each runner is the home of one live node that holds shards, in its own zone
+// where there is one; a node that holds none is nobody's home.
+func TestHomesAreOfNodesThatHoldShards(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	nodes := map[string]*Node{}
+	layout := &Layout{}
+	for i := range 6 {
+		layout.Shards = append(layout.Shards, replica.Config{Generation: 1, Members: []string{fmt.Sprint("disk-", i)}})
+	}
+	text, err := json.Marshal(layout)
+	is.NoErr(err)
+	for self := range 7 { // the last one joined later
+		directory := peers.NewDirectory(&wirev1.NodeRecord{NodeId: fmt.Sprint("n", self), DiskId: fmt.Sprint("disk-", self), Zone: fmt.Sprint("z", self%3), Incarnation: 1}, nil)
+		for i := range 7 {
+			directory.Put(&wirev1.NodeRecord{NodeId: fmt.Sprint("n", i), DiskId: fmt.Sprint("disk-", i), Zone: fmt.Sprint("z", i%3), Incarnation: 1})
+			directory.NoteHeard(fmt.Sprint("n", i), now)
+		}
+		layouts := NewLayouts()
+		layouts.Offer(text, 1, "test")
+		name := fmt.Sprint("n", self)
+		nodes[name] = &Node{Options: Options{Node: name, Directory: directory, Layouts: layouts}}
+	}
+	for runner := range 60 {
+		zone := fmt.Sprint("z", runner%4) // the last zone has no node
+		var homes []string
+		for name, n := range nodes {
+			if n.IsHomeOf(fmt.Sprint("r", runner), zone) {
+				homes = append(homes, name)
+			}
+		}
+		is.Equal(len(homes), 1)
+		is.True(homes[0] != "n6")
+		record, _ := nodes["n0"].Directory.Disk("disk-" + homes[0][1:])
+		is.True(zone == "z3" || record.Zone == zone)
+	}
+}
--- a/internal/relay/mirror.go
+++ b/internal/relay/mirror.go
@@ -21,9 +21,12 @@
 	Apply(events []platform.Event, revision int64)
 }
 
-// keptEvents is how many changes a mirror can tell one by one; who lacks more
-// gets everything.
-const keptEvents = 512
+// keptEvents and keptBytes bound the changes that a mirror can tell one by one;
+// who lacks more gets everything.
+const (
+	keptEvents = 512
+	keptBytes  = 4 << 20
+)
 
 // Mirror holds what a node knows of the store, for others. It implements Sink.
 //
@@ -34,6 +37,7 @@
 	values      map[string]platform.Value
 	revision    int64
 	events      []platform.Event
+	eventBytes  int
 	eventsAfter int64
 	changed     chan struct{}
 }
@@ -54,7 +58,7 @@
 	for _, value := range values {
 		m.values[value.Key] = value
 	}
-	m.events, m.eventsAfter = nil, revision
+	m.events, m.eventBytes, m.eventsAfter = nil, 0, revision
 	m.move(revision)
 }
 
@@ -72,12 +76,23 @@
 			m.values[event.Value.Key] = event.Value
 		}
 		m.events = append(m.events, event)
+		m.eventBytes += len(event.Value.Value)
+	}
+	m.forgetOld()
+	m.move(revision)
+}
+
+// forgetOld drops the oldest changes beyond what is kept. The mutex is held.
+func (m *Mirror) forgetOld() {
+	over := 0
+	for over < len(m.events) && (len(m.events)-over > keptEvents || m.eventBytes > keptBytes) {
+		m.eventBytes -= len(m.events[over].Value.Value)
+		m.eventsAfter = m.events[over].Value.Revision
+		over++
 	}
-	if over := len(m.events) - keptEvents; over > 0 {
-		m.eventsAfter = m.events[over-1].Value.Revision
+	if over > 0 {
 		m.events = append([]platform.Event(nil), m.events[over:]...)
 	}
-	m.move(revision)
 }
 
 // move takes a revision and wakes who waits. The mutex is held.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -132,3 +132,24 @@
 		}
 	})
 }
+
+// What a mirror keeps of changes is bounded in bytes: who lacks more gets all
+// there is, which is as large as the store.
+func TestChangesKeptAreBounded(t *testing.T) {
+	mirror := NewMirror()
+	mirror.Reset(nil, 1)
+	large := make([]byte, 1<<20)
+	for revision := int64(2); revision < 40; revision++ {
+		mirror.Apply([]platform.Event{{Value: platform.Value{Key: "k", Value: large, Revision: revision}}}, revision)
+		if mirror.eventBytes > keptBytes {
+			t.Fatalf("%d bytes of changes are kept", mirror.eventBytes)
+		}
+	}
+	update, _ := mirror.After(1)
+	if !update.Whole || len(update.Values) != 1 || update.Revision != 39 {
+		t.Fatalf("whole: %v, %d values at %d", update.Whole, len(update.Values), update.Revision)
+	}
+	if update, _ := mirror.After(37); update.Whole || len(update.Events) != 2 {
+		t.Fatalf("whole: %v, %d changes", update.Whole, len(update.Events))
+	}
+}
