Reports that are overtaken are drawn more often: two breaks of the ledger had survived

Accepting older reports, and reports of earlier leaders, was not caught by queue.TestLimitHoldsOverAllShards in its hundred draws; with an action in which a submission overtakes a report both are.

--- a/internal/queue/ledger_test.go
+++ b/internal/queue/ledger_test.go
@@ -92,6 +92,16 @@
 				index := rapid.IntRange(0, len(m.late)-1).Draw(t, "which")
 				m.deliver(m.late[index])
 			},
+			"a submission overtakes a report": func(t *rapid.T) {
+				shard := anyShard.Draw(t, "shard")
+				overtaken := m.report(shard)
+				if rapid.Bool().Draw(t, "of the leader before") {
+					m.epochs[shard]++
+					m.numbers[shard] = 0
+				}
+				m.submit(shard, uint64(rapid.IntRange(30, 60).Draw(t, "tokens")))
+				m.deliver(overtaken)
+			},
 			"another leads": func(t *rapid.T) {
 				shard := anyShard.Draw(t, "shard")
 				m.epochs[shard]++
