--- a/internal/queue/ledger_test.go
+++ b/internal/queue/ledger_test.go
@@ -87,7 +87,7 @@
 			},
 			"late one comes": func(t *rapid.T) {
 				if len(m.late) == 0 {
-					t.Skip("none")
+					return
 				}
 				index := rapid.IntRange(0, len(m.late)-1).Draw(t, "which")
 				m.deliver(m.late[index])
