What peers tell of unread prompts makes no runner overdue

It has no requests of its own, nodes with disks hear gathered notices, and a runner to which others go on sending always has some prompt unread: it looked overdue, and items do not go to such. Change: only this node's own requests make a runner overdue.

--- a/internal/runnerset/overdue.go
+++ b/internal/runnerset/overdue.go
@@ -1,10 +1,6 @@
 package runnerset
 
-import (
-	"time"
-
-	"cobaltramp.example/cobaltramp/internal/enginemodel"
-)
+import "time"
 
 const (
 	// overdueFactor is how many times longer than expected a first event takes
@@ -27,9 +23,11 @@
 	return last == 0 || last < int64(moment.Sub(processStart))
 }
 
-// overdue returns how long a first event has been waited for at the runner, by
-// this node or a peer, if that is far longer than expected and the runner's fault;
-// else 0. The mutex is held.
+// overdue returns how long this node has waited for a first event at the runner,
+// if that is far longer than expected and the runner's fault; else 0. What peers
+// tell is not enough for it: notices are gathered, and a runner that always has
+// some prompt to read looks the same as one that never reads it. The mutex is
+// held.
 func (r *Runner) overdue(now time.Time) time.Duration {
 	longest := time.Duration(0)
 	for u := range r.waiting {
@@ -37,14 +35,5 @@
 			longest = max(longest, waited)
 		}
 	}
-	for _, peer := range r.peers {
-		if peer.unread == 0 || now.Sub(peer.at) > peerLife || !r.muteSince(peer.since) {
-			continue
-		}
-		expected := r.model.First(enginemodel.Load{Tokens: float64(peer.unread), Running: float64(r.Slots)})
-		if waited := now.Sub(peer.since); waited > overdueFactor*expected {
-			longest = max(longest, waited)
-		}
-	}
 	return longest
 }
--- a/internal/runnerset/runner.go
+++ b/internal/runnerset/runner.go
@@ -80,9 +80,6 @@
 type peerUse struct {
 	use
 	at time.Time
-	// since is when the peer first had prompts there that are not read; what it
-	// said after shows none of them read.
-	since time.Time
 }
 
 type told struct {
@@ -170,11 +167,7 @@
 	if r.peers == nil {
 		r.peers = map[string]peerUse{}
 	}
-	since := now
-	if before := r.peers[peer]; before.unread > 0 && told.Unread >= before.unread {
-		since = before.since
-	}
-	r.peers[peer] = peerUse{use{told.Running, told.Batch, told.Unread}, now, since}
+	r.peers[peer] = peerUse{use{told.Running, told.Batch, told.Unread}, now}
 	r.kept.touch(told.Shared, now)
 }
 
