What a node has at a runner is told to that runner's audience, which does not grow with the fleet

Cause: an edge told each change of its use of a runner to every edge of the runner's zone at once and to every node with a disk each 60 ms. Change: a runner's audience is 12 edges of its zone and 6 nodes with disks of highest rendezvous weight (more where a node would hear of too few runners; every node with a disk up to 12). A use is encoded once. cobaltramp_runner_use_notices_total counts them. Ruled out by reading: gathering alone (an edge of a large fleet has seven changes a second, so little is gathered). Test: loadshare.TestNoticesOfARequestDoNotGrowWithTheFleet: at most 8 notices a request at 10 nodes, 48 at 100 and at 1,000. It fails without the audience (a width of all nodes).

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -2,9 +2,11 @@
 // what they tell, so that nodes that choose among the same runners know each
 // other's choices within a network delay.
 //
-// Edges in a runner's zone are told at once: they choose it most. Nodes with
-// disks, which place batch items everywhere, are told at intervals. Each notice
-// holds the whole of what the node has at a runner, so a lost one does no harm.
+// What a node has at a runner is told to that runner's audience only: some edges
+// of its zone at once, and some nodes with disks, which place batch items, at
+// intervals. The audience of a runner does not grow with the fleet; see
+// audiences. Each notice holds the whole of what the node has at a runner, so a
+// lost one does no harm.
 package loadshare
 
 import (
@@ -12,70 +14,109 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
-	"cobaltramp.example/cobaltramp/internal/peers"
 	"cobaltramp.example/cobaltramp/internal/rpc"
 	"cobaltramp.example/cobaltramp/internal/runnerset"
 )
 
+// Directory knows the nodes.
+type Directory interface {
+	Self() *wirev1.NodeRecord
+	Records() []*wirev1.NodeRecord
+	// Generation rises with each change of the records.
+	Generation() uint64
+}
+
+// Notifier sends one-way messages, which may be lost.
+type Notifier interface {
+	NotifyAll(addresses []string, class rpc.Class, method wirev1.Method, message proto.Message)
+}
+
 // Share tells and takes.
 type Share struct {
-	directory *peers.Directory
 	runners   *runnerset.Set
-	pool      *rpc.Pool
+	notifier  Notifier
+	directory Directory
+	audiences audiences
+	notices   *prometheus.CounterVec
 
 	mutex   sync.Mutex
-	pending map[string]*wirev1.RunnerUse
+	pending map[*runnerset.Runner]*wirev1.RunnerUse
 }
 
 // gatherInterval is how often nodes with disks are told.
 const gatherInterval = 60 * time.Millisecond
 
 // New returns a share and hangs it on the runners.
-func New(directory *peers.Directory, runners *runnerset.Set, pool *rpc.Pool) *Share {
-	s := &Share{directory: directory, runners: runners, pool: pool, pending: map[string]*wirev1.RunnerUse{}}
+func New(directory Directory, runners *runnerset.Set, notifier Notifier, registry prometheus.Registerer) *Share {
+	s := &Share{
+		runners: runners, notifier: notifier, directory: directory, pending: map[*runnerset.Runner]*wirev1.RunnerUse{},
+		audiences: audiences{directory: directory, runners: runners},
+		notices:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_runner_use_notices_total", Help: "Notices of what this node has at runners, by receivers."}, []string{"to"}),
+	}
+	registry.MustRegister(s.notices)
 	runners.OnUse(s.changed)
+	runners.SetListens(s.listens)
 	return s
 }
 
+// listens reports whether other nodes tell this one what they have at a runner.
+func (s *Share) listens(runner *runnerset.Runner) bool { return s.audiences.of(runner).self }
+
 // changed tells of a change of this node's use of a runner.
 func (s *Share) changed(runner *runnerset.Runner, use runnerset.PeerUse) {
+	told := encodeUse(runner, use)
+	receivers := s.audiences.of(runner).edges
+	if holders := s.crowdedHolders(runner); len(holders) > 0 {
+		receivers = append(append([]string(nil), receivers...), holders...)
+	}
+	s.send("edges", receivers, &wirev1.RunnerUses{Uses: []*wirev1.RunnerUse{told}})
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	told.Prompt = nil // nodes with disks place items by other parts
+	s.pending[runner] = told
+}
+
+func encodeUse(runner *runnerset.Runner, use runnerset.PeerUse) *wirev1.RunnerUse {
 	told := &wirev1.RunnerUse{
 		Runner: runner.ID, Running: uint32(max(0, use.Running)), Batch: uint32(max(0, use.Batch)), UnreadTokens: uint32(max(0, use.Unread)),
 	}
 	for _, part := range use.Shared {
 		told.Prompt = append(told.Prompt, &wirev1.PromptPart{Id: part.ID, Tokens: uint32(part.Tokens)})
 	}
-	holders := s.crowdedHolders(runner)
-	self := s.directory.Self()
-	for _, node := range s.directory.Records() {
-		near := node.DiskId == "" && node.Zone == runner.Zone
-		if node.NodeId != self.NodeId && (near || holders[node.NodeId]) {
-			s.pool.Notify(node.Address, rpc.ClassControl, wirev1.Method_METHOD_RUNNER_USE, &wirev1.RunnerUses{Uses: []*wirev1.RunnerUse{told}})
-		}
+	return told
+}
+
+func (s *Share) send(kind string, addresses []string, uses *wirev1.RunnerUses) {
+	if len(addresses) == 0 {
+		return
 	}
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.pending[runner.ID] = &wirev1.RunnerUse{Runner: told.Runner, Running: told.Running, Batch: told.Batch, UnreadTokens: told.UnreadTokens}
+	s.notices.WithLabelValues(kind).Add(float64(len(addresses)))
+	s.notifier.NotifyAll(addresses, rpc.ClassControl, wirev1.Method_METHOD_RUNNER_USE, uses)
 }
 
 // crowdedSlots is how few free slots make a runner crowded.
 const crowdedSlots = 2
 
-// crowdedHolders lists the nodes that should make room at a crowded runner.
-func (s *Share) crowdedHolders(runner *runnerset.Runner) map[string]bool {
+// crowdedHolders lists the addresses of the nodes that should make room at a
+// crowded runner and are not told at once anyway.
+func (s *Share) crowdedHolders(runner *runnerset.Runner) []string {
 	now := time.Now()
 	running, _, batch := runner.Crowd(now)
 	if batch == 0 || running < float64(runner.Slots-crowdedSlots) {
 		return nil
 	}
-	holders := map[string]bool{}
+	var addresses []string
 	for _, node := range runner.BatchHolders(now) {
-		holders[node] = true
+		if address := s.audiences.address(node); address != "" {
+			addresses = append(addresses, address)
+		}
 	}
-	return holders
+	return addresses
 }
 
 // Run tells nodes with disks until the context ends.
@@ -92,29 +133,31 @@
 	}
 }
 
+// flush tells each node with a disk what has changed at its runners.
 func (s *Share) flush() {
 	s.mutex.Lock()
-	uses := &wirev1.RunnerUses{}
-	for _, use := range s.pending {
-		uses.Uses = append(uses.Uses, use)
-	}
-	s.pending = map[string]*wirev1.RunnerUse{}
+	pending := s.pending
+	s.pending = map[*runnerset.Runner]*wirev1.RunnerUse{}
 	s.mutex.Unlock()
-	if len(uses.Uses) == 0 {
-		return
-	}
-	self := s.directory.Self()
-	for _, node := range s.directory.Disks() {
-		if node.NodeId != self.NodeId {
-			s.pool.Notify(node.Address, rpc.ClassControl, wirev1.Method_METHOD_RUNNER_USE, uses)
+	byAddress := map[string]*wirev1.RunnerUses{}
+	for runner, use := range pending {
+		for _, address := range s.audiences.of(runner).disks {
+			if byAddress[address] == nil {
+				byAddress[address] = &wirev1.RunnerUses{}
+			}
+			byAddress[address].Uses = append(byAddress[address].Uses, use)
 		}
 	}
+	for address, uses := range byAddress {
+		s.send("disks", []string{address}, uses)
+	}
 }
 
 // Take takes a peer's notice.
 func (s *Share) Take(from string, payload []byte) {
 	var uses wirev1.RunnerUses
-	if proto.Unmarshal(payload, &uses) != nil {
+	if err := proto.Unmarshal(payload, &uses); err != nil {
+		klog.ErrorS(err, "notice of a peer's use of runners is unreadable", "peer", from, "bytes", len(payload))
 		return
 	}
 	now := time.Now()
--- /dev/null
+++ b/internal/loadshare/loadshare_test.go
@@ -0,0 +1,212 @@
+package loadshare
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+	"cobaltramp.example/cobaltramp/internal/peers"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+	"cobaltramp.example/cobaltramp/internal/runnerset"
+)
+
+// mailbox keeps notices by receiver.
+type mailbox struct {
+	mutex sync.Mutex
+	sent  map[string][]*wirev1.RunnerUses
+}
+
+func (m *mailbox) NotifyAll(addresses []string, _ rpc.Class, _ wirev1.Method, message proto.Message) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, address := range addresses {
+		m.sent[address] = append(m.sent[address], proto.Clone(message).(*wirev1.RunnerUses))
+	}
+}
+
+func (m *mailbox) count() int {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	count := 0
+	for _, messages := range m.sent {
+		count += len(messages)
+	}
+	return count
+}
+
+// fleet is a number of edges, nodes with disks and runners, evenly in zones.
+type fleet struct{ edges, disks, runners, zones int }
+
+func (f fleet) records() []*wirev1.NodeRecord {
+	var records []*wirev1.NodeRecord
+	for i := range f.edges {
+		records = append(records, &wirev1.NodeRecord{NodeId: fmt.Sprint("edge-", i), Address: fmt.Sprint("e", i), Zone: fmt.Sprint("z", i%f.zones), Incarnation: 1})
+	}
+	for i := range f.disks {
+		records = append(records, &wirev1.NodeRecord{NodeId: fmt.Sprint("disk-", i), Address: fmt.Sprint("d", i), Zone: fmt.Sprint("z", i%f.zones), DiskId: fmt.Sprint("disk", i), Incarnation: 1})
+	}
+	return records
+}
+
+// node returns one node's share, runners and mailbox.
+func (f fleet) node(self int) (*Share, *runnerset.Set, *mailbox) {
+	records := f.records()
+	directory := peers.NewDirectory(records[self], nil)
+	for _, record := range records {
+		directory.Put(record)
+	}
+	runners := runnerset.New()
+	var listed []runnerset.Record
+	for i := range f.runners {
+		listed = append(listed, runnerset.Record{ID: fmt.Sprint("runner-", i), Service: "s", Zone: fmt.Sprint("z", i%f.zones), Slots: 8})
+	}
+	runners.Replace(listed, 1, time.Now())
+	box := &mailbox{sent: map[string][]*wirev1.RunnerUses{}}
+	return New(directory, runners, box, prometheus.NewRegistry()), runners, box
+}
+
+// What one request makes a node send does not grow with the fleet.
+func TestNoticesOfARequestDoNotGrowWithTheFleet(t *testing.T) {
+	const bound = 3*leastEdges + 2*fewDisks // three changes, told to edges at once and to disks in two rounds
+	for _, size := range []int{10, 100, 1000} {
+		is := is.New(t)
+		f := fleet{edges: size * 85 / 100, disks: size * 15 / 100, runners: size * 45 / 100, zones: 5}
+		share, runners, box := f.node(0)
+		most := 0
+		for _, runner := range runners.Service("s") {
+			before := box.count()
+			use := runners.Begin(runner, runnerset.Prompt{Tokens: 100}, false, time.Now())
+			use.First(time.Now())
+			share.flush()
+			use.End()
+			share.flush()
+			most = max(most, box.count()-before)
+		}
+		t.Logf("%d nodes: at most %d notices a request", size, most)
+		is.True(most <= bound)
+	}
+}
+
+// Every node works out the same audience of a runner, whoever it is itself; each
+// runner has one, and each node is told of enough runners to choose among.
+func TestAudiencesAgreeAndAreEven(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := fleet{
+			edges: rapid.IntRange(1, 120).Draw(t, "edges"), disks: rapid.IntRange(1, 40).Draw(t, "disks"),
+			runners: rapid.IntRange(5, 60).Draw(t, "runners"), zones: rapid.IntRange(1, 5).Draw(t, "zones"),
+		}
+		one, runners, _ := f.node(0)
+		hears := map[int]int{}
+		for self := range f.edges + f.disks {
+			share, set, _ := f.node(self)
+			for _, runner := range set.Service("s") {
+				if share.listens(runner) {
+					hears[self]++
+				}
+			}
+		}
+		total := 0
+		for _, runner := range runners.Service("s") {
+			told := one.audiences.of(runner)
+			total += len(told.edges) + len(told.disks)
+			if told.self {
+				total++
+			}
+			if f.disks > 0 && len(told.disks) == 0 {
+				t.Fatalf("no node with a disk is told of %s", runner.ID)
+			}
+		}
+		sum := 0
+		for _, count := range hears {
+			sum += count
+		}
+		if sum != total {
+			t.Fatalf("nodes hear of %d runners in all, node 0 would tell %d", sum, total)
+		}
+		if f.disks <= fewDisks {
+			for disk := f.edges; disk < f.edges+f.disks; disk++ {
+				if hears[disk] != f.runners {
+					t.Fatalf("disk %d of %d hears of %d of %d runners", disk-f.edges, f.disks, hears[disk], f.runners)
+				}
+			}
+		}
+	})
+}
+
+// A node that is told arrives at the same use as the teller has, whatever the
+// order of later notices; what ends is told as well.
+func TestUseArrives(t *testing.T) {
+	is := is.New(t)
+	f := fleet{edges: 3, disks: 2, runners: 2, zones: 1}
+	share, runners, box := f.node(0)
+	runner := runners.Service("s")[0]
+	use := runners.Begin(runner, runnerset.Prompt{Tokens: 100, Shared: []runnerset.Part{{ID: 7, Tokens: 60}}}, false, time.Now())
+	share.flush()
+	taker, other, _ := f.node(1)
+	deliver := func(box *mailbox, address, from string, to *Share) {
+		for _, message := range box.sent[address] {
+			payload, err := proto.Marshal(message)
+			is.NoErr(err)
+			to.Take(from, payload)
+		}
+	}
+	deliver(box, "e1", "edge-0", taker)
+	is.Equal(other.Service("s")[0].Load(time.Now()), 1.0)
+	use.End()
+	deliver(box, "e1", "edge-0", taker)
+	is.Equal(other.Service("s")[0].Load(time.Now()), 0.0)
+	disk, atDisk, _ := f.node(3)
+	deliver(box, "d0", "edge-0", disk)
+	is.Equal(atDisk.Service("s")[0].Load(time.Now()), 1.0) // told before the request ended
+	share.flush()
+	deliver(box, "d0", "edge-0", disk)
+	is.Equal(atDisk.Service("s")[0].Load(time.Now()), 0.0)
+	disk.Take("edge-0", []byte{0xff}) // what is no notice changes nothing
+}
+
+// The node whose items fill a runner hears at once of online work there, whether
+// it belongs to the runner's audience or not.
+func TestHoldersOfCrowdedRunnersHearAtOnce(t *testing.T) {
+	is := is.New(t)
+	f := fleet{edges: 2, disks: 40, runners: 100, zones: 1}
+	share, runners, box := f.node(0)
+	runner := runners.Service("s")[0]
+	outside := ""
+	told := map[string]bool{}
+	for _, address := range share.audiences.of(runner).disks {
+		told[address] = true
+	}
+	for i := range f.disks {
+		if !told[fmt.Sprint("d", i)] {
+			outside = fmt.Sprint("disk-", i)
+		}
+	}
+	is.True(outside != "")
+	runners.NotePeer(outside, runner.ID, runnerset.PeerUse{Running: 7, Batch: 7}, time.Now())
+	runners.Begin(runner, runnerset.Prompt{Tokens: 10}, false, time.Now())
+	is.Equal(len(box.sent["d"+outside[len("disk-"):]]), 1)
+}
+
+// A node that joins is told, and one whose record is newer is reached at its new
+// address.
+func TestAudienceFollowsTheRecords(t *testing.T) {
+	is := is.New(t)
+	directory := peers.NewDirectory(&wirev1.NodeRecord{NodeId: "a", Address: "a1", Zone: "z", Incarnation: 1}, nil)
+	runners := runnerset.New()
+	runners.Replace([]runnerset.Record{{ID: "r", Service: "s", Zone: "z", Slots: 8}}, 1, time.Now())
+	share := New(directory, runners, &mailbox{sent: map[string][]*wirev1.RunnerUses{}}, prometheus.NewRegistry())
+	runner := runners.Service("s")[0]
+	is.Equal(len(share.audiences.of(runner).edges), 0)
+	directory.Put(&wirev1.NodeRecord{NodeId: "b", Address: "b1", Zone: "z", Incarnation: 1})
+	is.Equal(share.audiences.of(runner).edges, []string{"b1"})
+	directory.Put(&wirev1.NodeRecord{NodeId: "b", Address: "b2", Zone: "z", Incarnation: 2})
+	is.Equal(share.audiences.of(runner).edges, []string{"b2"})
+}
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -72,10 +72,17 @@
 
 // Ranked returns the nodes of the zone in the order they would own the key.
 func (p *Place) Ranked(key, zone string) []Node {
-	ranked := append([]Node(nil), p.byZone[zone]...)
-	sort.Slice(ranked, func(i, j int) bool {
-		return weight(key, ranked[i].ID) > weight(key, ranked[j].ID)
-	})
+	return Ranked(key, p.byZone[zone])
+}
+
+// Ranked returns nodes in the order they would own the key.
+func Ranked(key string, nodes []Node) []Node {
+	weights := make(map[string]uint64, len(nodes))
+	for _, node := range nodes {
+		weights[node.ID] = PairWeight(key, node.ID)
+	}
+	ranked := append([]Node(nil), nodes...)
+	sort.Slice(ranked, func(i, j int) bool { return weights[ranked[i].ID] > weights[ranked[j].ID] })
 	return ranked
 }
 
@@ -83,7 +90,7 @@
 	var owner string
 	var best uint64
 	for _, node := range candidates {
-		w := weight(key, node.ID)
+		w := PairWeight(key, node.ID)
 		if owner == "" || w > best || (w == best && node.ID < owner) {
 			owner = node.ID
 			best = w
@@ -92,7 +99,8 @@
 	return owner
 }
 
-func weight(key, node string) uint64 {
+// PairWeight is the rendezvous weight of a node for a key; the highest owns it.
+func PairWeight(key, node string) uint64 {
 	var digest xxhash.Digest
 	digest.Reset()
 	_, _ = digest.WriteString(key)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -25,6 +26,16 @@
 	lost     map[string]bool // disks whose node has another one now
 	heard    map[string]time.Time
 	onSelf   func(*wirev1.NodeRecord)
+	// view is what follows from records; nil after they have changed.
+	view       *view
+	generation uint64
+}
+
+// view is worked out of the records once for each change of them.
+type view struct {
+	// records and disks are in the order of their node ids.
+	records, disks []*wirev1.NodeRecord
+	digest         uint64
 }
 
 // NewDirectory returns a directory of a node that knows only itself. onSelf is
@@ -50,7 +61,45 @@
 	next := clone(d.self)
 	next.DiskId = id
 	d.self = next
-	d.records[next.NodeId] = next
+	d.keep(next)
+}
+
+// keep takes a record. The mutex is held.
+func (d *Directory) keep(record *wirev1.NodeRecord) {
+	d.records[record.NodeId] = record
+	d.view = nil
+	d.generation++
+}
+
+// Generation rises with each change of the records.
+func (d *Directory) Generation() uint64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.generation
+}
+
+// current returns what follows from the records. The mutex is held.
+func (d *Directory) current() *view {
+	if d.view != nil {
+		return d.view
+	}
+	next := &view{}
+	for _, record := range d.records {
+		next.records = append(next.records, record)
+	}
+	sort.Slice(next.records, func(i, j int) bool { return next.records[i].NodeId < next.records[j].NodeId })
+	var digest xxhash.Digest
+	digest.Reset()
+	for _, record := range next.records {
+		if record.DiskId != "" {
+			next.disks = append(next.disks, record)
+		}
+		_, _ = digest.WriteString(record.NodeId)
+		_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, record.Incarnation))
+	}
+	next.digest = digest.Sum64()
+	d.view = next
+	return next
 }
 
 func clone(record *wirev1.NodeRecord) *wirev1.NodeRecord {
@@ -75,7 +124,7 @@
 	if known != nil && known.DiskId != "" && known.DiskId != record.DiskId {
 		d.lost[known.DiskId] = true
 	}
-	d.records[record.NodeId] = record
+	d.keep(record)
 	return true
 }
 
@@ -94,7 +143,7 @@
 	next := clone(d.self)
 	next.Incarnation = record.Incarnation + 1
 	d.self = next
-	d.records[next.NodeId] = next
+	d.keep(next)
 	if d.onSelf != nil {
 		go d.onSelf(next)
 	}
@@ -131,23 +180,21 @@
 func (d *Directory) Records() []*wirev1.NodeRecord {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	list := make([]*wirev1.NodeRecord, 0, len(d.records))
-	for _, record := range d.records {
-		list = append(list, record)
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].NodeId < list[j].NodeId })
-	return list
+	return slices.Clone(d.current().records)
+}
+
+// Count returns how many nodes are known.
+func (d *Directory) Count() int {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return len(d.records)
 }
 
-// Disks returns the records of nodes with a disk.
+// Disks returns the records of nodes with a disk, by node id.
 func (d *Directory) Disks() []*wirev1.NodeRecord {
-	var disks []*wirev1.NodeRecord
-	for _, record := range d.Records() {
-		if record.DiskId != "" {
-			disks = append(disks, record)
-		}
-	}
-	return disks
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.Clone(d.current().disks)
 }
 
 // Disk finds the node that has a disk.
@@ -182,13 +229,9 @@
 
 // Digest is the same for directories that hold the same records.
 func (d *Directory) Digest() uint64 {
-	var digest xxhash.Digest
-	digest.Reset()
-	for _, record := range d.Records() {
-		_, _ = digest.WriteString(record.NodeId)
-		_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, record.Incarnation))
-	}
-	return digest.Sum64()
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.current().digest
 }
 
 // HeardWithin reports whether a node answered within a time.
--- a/internal/queuestore/home.go
+++ b/internal/queuestore/home.go
@@ -5,6 +5,7 @@
 	"time"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/ownership"
 )
 
 // homes remembers for a moment which nodes place items where.
@@ -29,7 +30,7 @@
 	}
 	var best *wirev1.NodeRecord
 	for _, disk := range n.homes.in(zone, n) {
-		if best == nil || pairWeight(runner, disk.DiskId) > pairWeight(runner, best.DiskId) {
+		if best == nil || ownership.PairWeight(runner, disk.NodeId) > ownership.PairWeight(runner, best.NodeId) {
 			best = disk
 		}
 	}
@@ -58,6 +59,3 @@
 	}
 	return h.all
 }
-
-// pairWeight is the rendezvous weight of a disk for a name.
-func pairWeight(name, disk string) uint64 { return weight(uint32(weight(0, name)), disk) }
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -16,7 +16,7 @@
 // Nodes tells which nodes there are.
 type Nodes interface {
 	Self() *wirev1.NodeRecord
-	Records() []*wirev1.NodeRecord
+	Count() int
 	Disks() []*wirev1.NodeRecord
 }
 
@@ -65,7 +65,7 @@
 
 // Wanted reports whether the fleet is so large that the store is to be followed
 // through others.
-func (f *Follower) Wanted() bool { return len(f.Nodes.Records()) > directNodes }
+func (f *Follower) Wanted() bool { return f.Nodes.Count() > directNodes }
 
 // Live reports whether a source has said lately that the store answers it.
 func (f *Follower) Live() bool {
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/gravitational/trace"
 	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/result"
@@ -118,14 +119,30 @@
 // Notify sends a one-way message if a link exists or can be dialled; it may be
 // lost. It does not block: dialling happens in the background.
 func (p *Pool) Notify(address string, class Class, method wirev1.Method, message proto.Message) {
+	p.NotifyAll([]string{address}, class, method, message)
+}
+
+// NotifyAll is Notify to several addresses; the message is encoded once.
+func (p *Pool) NotifyAll(addresses []string, class Class, method wirev1.Method, message proto.Message) {
 	payload, err := proto.Marshal(message)
 	if err != nil {
+		klog.ErrorS(err, "notice cannot be encoded", "method", method)
+		return
+	}
+	encoded, err := AppendFrame(nil, &wirev1.Frame{Kind: wirev1.FrameKind_FRAME_KIND_NOTIFY, Method: method, Payload: payload})
+	if err != nil {
+		klog.ErrorS(err, "notice cannot be sent", "method", method, "bytes", len(payload))
 		return
 	}
-	frame := &wirev1.Frame{Kind: wirev1.FrameKind_FRAME_KIND_NOTIFY, Method: method, Payload: payload}
+	for _, address := range addresses {
+		p.notify(address, class, encoded)
+	}
+}
+
+func (p *Pool) notify(address string, class Class, encoded []byte) {
 	if known := p.peer(address, class); known != nil {
 		if l := known.current.Load(); l != nil && l.alive() {
-			l.link.trySend(frame)
+			l.link.tryQueue(encoded)
 			return
 		}
 	}
@@ -133,7 +150,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 		defer cancel()
 		if l, err := p.link(ctx, address, class); err == nil {
-			l.link.trySend(frame)
+			l.link.tryQueue(encoded)
 		}
 	}()
 }
--- a/internal/rpc/link.go
+++ b/internal/rpc/link.go
@@ -80,6 +80,12 @@
 	if err != nil {
 		return false
 	}
+	return l.tryQueue(encoded)
+}
+
+// tryQueue queues an encoded frame unless the queue is full. The bytes may be
+// shared with other links and are not changed.
+func (l *link) tryQueue(encoded []byte) bool {
 	select {
 	case l.queue <- encoded:
 		return true
--- a/internal/runnerset/pick.go
+++ b/internal/runnerset/pick.go
@@ -114,7 +114,7 @@
 	if wish.Batch != nil && (now.Before(r.aside) || overdue > 0 || !r.hasRoom(wish.Batch, away, estimate)) {
 		return choice, false
 	}
-	choice.Cost = r.expectedFirst(r.kept.missing(wish.Prompt), now)
+	choice.Cost = r.expectedFirst(estimate, r.kept.missing(wish.Prompt))
 	choice.Cost = time.Duration(float64(choice.Cost) * max(1, r.relativeSlowness(typical)))
 	// What is sent now waits as long as what waits there already, at least.
 	choice.Cost = max(choice.Cost, overdue)
@@ -150,9 +150,8 @@
 }
 
 // expectedFirst is the expected time to the first event of a prompt of which
-// that many tokens have to be read. The mutex is held.
-func (r *Runner) expectedFirst(missing int, now time.Time) time.Duration {
-	estimate := r.estimate(now)
+// that many tokens have to be read, at a runner that has what is estimated.
+func (r *Runner) expectedFirst(estimate state, missing int) time.Duration {
 	expected := r.model.First(enginemodel.Load{Tokens: estimate.unread + float64(missing), Running: estimate.running})
 	over := estimate.running + 1 - r.slots()
 	if over <= 0 {
--- a/internal/runnerset/runner.go
+++ b/internal/runnerset/runner.go
@@ -42,8 +42,10 @@
 type Runner struct {
 	Record
 
-	// model is of the service's engines.
+	set *Set
+	// model is of the service's engines, crowd of the runner's neighbourhood.
 	model *enginemodel.Model
+	crowd *crowd
 	gone  atomic.Bool // leaving, or no longer listed
 	// removed is when the runner was listed no more without having said that it
 	// leaves, as time since processStart; 0 if it was not.
@@ -158,6 +160,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.told = told{max(0, float64(load.Running+load.Waiting)-float64(r.own.running)), now}
+	r.crowd.observe(r.told.load/r.slots(), now)
 }
 
 // notePeer takes what another node has at the runner.
@@ -187,9 +190,14 @@
 	running, batch, unread float64
 }
 
-// estimate works out the state, with what the runner told. The mutex is held.
+// estimate works out the state: what this node and its peers have there, if that
+// is less what the runner told, and if peers do not tell this node of the runner
+// what its neighbours told. The mutex is held.
 func (r *Runner) estimate(now time.Time) state {
 	counted := r.counted(now)
+	if !r.set.hears(r) {
+		counted.running = max(counted.running, float64(r.own.running)+r.crowd.expected(now)*r.slots())
+	}
 	if age := now.Sub(r.told.at); age < toldLife {
 		told := float64(r.own.running) + r.told.load*(1-float64(age)/float64(toldLife))
 		counted.running = max(counted.running, told)
--- a/internal/runnerset/runnerset.go
+++ b/internal/runnerset/runnerset.go
@@ -27,23 +27,41 @@
 	changed  chan struct{}
 	// models are what is learnt of each service's engines.
 	models map[string]*enginemodel.Model
-	onUse  atomic.Pointer[func(runner *Runner, use PeerUse)]
-	onPeer atomic.Pointer[func(runner *Runner)]
+	// crowds are of each neighbourhood that a runner was ever listed in.
+	crowds  map[Neighbourhood]*crowd
+	listens atomic.Pointer[func(runner *Runner) bool]
+	onUse   atomic.Pointer[func(runner *Runner, use PeerUse)]
+	onPeer  atomic.Pointer[func(runner *Runner)]
 }
 
 type snapshot struct {
 	services map[string][]*Runner
+	counts   map[Neighbourhood]int
 	revision int64
 	at       time.Time
 }
 
 // New returns an empty set.
 func New() *Set {
-	s := &Set{byID: map[string]*Runner{}, models: map[string]*enginemodel.Model{}, changed: make(chan struct{})}
+	s := &Set{byID: map[string]*Runner{}, models: map[string]*enginemodel.Model{}, crowds: map[Neighbourhood]*crowd{}, changed: make(chan struct{})}
 	s.snapshot.Store(&snapshot{services: map[string][]*Runner{}})
 	return s
 }
 
+// SetListens names who knows whether other nodes tell this one what they have at
+// a runner. Without it they are taken to do so for all runners.
+func (s *Set) SetListens(listens func(runner *Runner) bool) { s.listens.Store(&listens) }
+
+// hears reports whether other nodes tell this one what they have at a runner.
+func (s *Set) hears(runner *Runner) bool {
+	listens := s.listens.Load()
+	return listens == nil || (*listens)(runner)
+}
+
+// Neighbourhoods counts the listed runners by service and zone; the map must not
+// be changed.
+func (s *Set) Neighbourhoods() map[Neighbourhood]int { return s.snapshot.Load().counts }
+
 // OnUse names who is told when this node's use of a runner changes.
 func (s *Set) OnUse(told func(runner *Runner, use PeerUse)) { s.onUse.Store(&told) }
 
@@ -122,11 +140,21 @@
 	if known != nil {
 		known.gone.Store(true)
 	}
-	next := &Runner{Record: record, model: s.modelOf(record.Service)}
+	next := &Runner{Record: record, set: s, model: s.modelOf(record.Service), crowd: s.crowdOf(Neighbourhood{record.Service, record.Zone})}
 	next.gone.Store(record.Leaving)
 	s.byID[record.ID] = next
 }
 
+// crowdOf returns what is known of a neighbourhood. The mutex is held.
+func (s *Set) crowdOf(place Neighbourhood) *crowd {
+	known := s.crowds[place]
+	if known == nil {
+		known = &crowd{}
+		s.crowds[place] = known
+	}
+	return known
+}
+
 // modelOf returns the model of a service's engines. The mutex is held.
 func (s *Set) modelOf(service string) *enginemodel.Model {
 	model := s.models[service]
@@ -152,8 +180,9 @@
 
 func (s *Set) publish(revision int64, now time.Time) {
 	s.revision = revision
-	next := &snapshot{services: map[string][]*Runner{}, revision: revision, at: now}
+	next := &snapshot{services: map[string][]*Runner{}, counts: map[Neighbourhood]int{}, revision: revision, at: now}
 	for _, runner := range s.byID {
+		next.counts[Neighbourhood{runner.Service, runner.Zone}]++
 		next.services[runner.Service] = append(next.services[runner.Service], runner)
 	}
 	s.departed = slices.DeleteFunc(s.departed, func(runner *Runner) bool { return !runner.StillServes() || s.byID[runner.ID] != nil })
--- a/internal/runnerset/runnerset_test.go
+++ b/internal/runnerset/runnerset_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"cobaltramp.example/cobaltramp/internal/exchange"
 	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
 )
 
@@ -259,3 +260,20 @@
 	s.Begin(s.Service("s")[0], Prompt{Tokens: 100}, false, time.Now()).End() // its caller left at once
 	is.Equal(pick(s, Wish{Zone: "z", Batch: &BatchRoom{}}, now.Add(asideMost)), "mute")
 }
+
+// A runner that no other node tells of is not taken for an empty one: it is
+// expected to be as full as its neighbours said of themselves lately.
+func TestUnknownRunnersAreNotEmpty(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := setOf(record("heard", "z"), record("asked", "y"), record("unheard", "y"))
+	s.SetListens(func(runner *Runner) bool { return runner.ID == "heard" })
+	s.NotePeer("p", "heard", PeerUse{Running: 4}, now)
+	wish := Wish{Zone: "z", Excluded: map[string]bool{"asked": true}}
+	is.Equal(pick(s, wish, now), "unheard") // nothing is known of the zone yet
+	s.byID["asked"].NoteLoad(&exchange.Load{Running: 4, Waiting: 4, Slots: 4}, now)
+	is.Equal(pick(s, wish, now), "heard")
+	is.Equal(pick(s, Wish{Zone: "y", Excluded: map[string]bool{"asked": true, "heard": true}}, now), "unheard") // it is the last one
+	is.Equal(pick(s, wish, now.Add(crowdLife)), "unheard")                                                      // what was told is too old
+	is.Equal(pick(s, Wish{Zone: "y", Batch: &BatchRoom{Unread: 1000}, Excluded: map[string]bool{"asked": true, "heard": true}}, now), "")
+}
--- a/internal/runnerset/use.go
+++ b/internal/runnerset/use.go
@@ -29,7 +29,7 @@
 	unread := runner.kept.missing(prompt)
 	estimate := runner.estimate(now)
 	u := &Use{
-		set: s, runner: runner, unread: unread, began: now, batch: batch, expect: runner.expectedFirst(unread, now),
+		set: s, runner: runner, unread: unread, began: now, batch: batch, expect: runner.expectedFirst(estimate, unread),
 		load:   enginemodel.Load{Tokens: estimate.unread + float64(unread), Running: estimate.running},
 		queued: estimate.running+1 > runner.slots(),
 	}
