A peer that has nothing at a runner is kept there no more

Each choice of a runner reads what all peers told of it; peers that had something there once stayed for good, so that the reading grew with the fleet.

--- a/internal/runnerset/runner.go
+++ b/internal/runnerset/runner.go
@@ -170,8 +170,12 @@
 	if r.peers == nil {
 		r.peers = map[string]peerUse{}
 	}
-	r.peers[peer] = peerUse{use{told.Running, told.Batch, told.Unread}, now}
 	r.kept.touch(told.Shared, now)
+	if told.Running == 0 && told.Unread == 0 {
+		delete(r.peers, peer) // every choice reads all of them
+		return
+	}
+	r.peers[peer] = peerUse{use{told.Running, told.Batch, told.Unread}, now}
 }
 
 // PeerUse is what a node has at a runner.
