A service without room is tried once for all its items, not once for each at every tick

Cause: a leader whose items find no room tried eight of them each 20 ms; to try one its body is read and all runners are weighed. Now the executor names the service that has no room, and no item is tried there for 60 ms (as often as nodes hear of room) unless a run of the shard ends. Test queuestore.TestFullServiceIsNotTriedForEachItem, seen to fail without the change.

--- a/internal/queue/table.go
+++ b/internal/queue/table.go
@@ -28,6 +28,9 @@
 	NotBefore time.Time
 	// Expected is the submitter's estimate of the tokens that come out.
 	Expected uint32
+	// Service is the one that had no room for the item when it was last tried;
+	// empty if it was not.
+	Service string
 	// Output is what earlier runs have produced.
 	Output Output
 	// saved is how much of the output is in the log or on its way there.
--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -91,6 +91,7 @@
 	}
 	choice := e.pick(route, work, now)
 	if choice.Runner == nil {
+		work.FullService = route.ServiceFor(work.Item.Id)
 		return false
 	}
 	use := e.Runners.Begin(choice.Runner, promptOf(work.Item), true, now)
--- a/internal/queuestore/cluster_test.go
+++ b/internal/queuestore/cluster_test.go
@@ -235,3 +235,25 @@
 	c.submit("two", 2)
 	c.finished("two", 2)
 }
+
+// Items that wait for a service without room are not tried one by one at each
+// tick: to try one its body is read and all runners are weighed. When a run of
+// the shard ends, room is looked for at once.
+func TestFullServiceIsNotTriedForEachItem(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.executor.hold = true
+	const items = 40
+	c.submit("one", items)
+	count := func() int {
+		c.executor.mutex.Lock()
+		defer c.executor.mutex.Unlock()
+		return c.executor.refused
+	}
+	c.eventually("each was tried once", func() bool { return count() >= items })
+	before, began := count(), time.Now()
+	c.eventually("it is tried again", func() bool { return count() >= before+10 })
+	is.True(count()-before <= int(time.Since(began)/fullPause)+2)
+	c.executor.setHold(false)
+	c.finished("one", items)
+}
--- a/internal/queuestore/harness_test.go
+++ b/internal/queuestore/harness_test.go
@@ -97,12 +97,16 @@
 	mutex sync.Mutex
 	hold  bool
 	runs  map[string]int
+	// refused counts the items that were tried in vain.
+	refused int
 }
 
 func (e *testExecutor) TryStart(ctx context.Context, work *Work, done func(Outcome)) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
 	if e.hold {
+		e.refused++
+		work.FullService = "service"
 		return false
 	}
 	e.runs[work.Item.Id]++
--- a/internal/queuestore/leader.go
+++ b/internal/queuestore/leader.go
@@ -39,6 +39,8 @@
 	reportedAt  time.Time
 	retained    time.Time
 	preferred   time.Time // when the first member was last thought of
+	// full holds until when no room is looked for at a service that had none.
+	full map[string]time.Time
 	// aloneSince is when contact to a quorum was lost.
 	aloneSince time.Time
 	// suspended is when the epoch was lost; zero while this replica serves.
@@ -107,7 +109,7 @@
 	l := &leadership{
 		epoch: s.replica.Epoch(), table: queue.NewTable(), context: ctx, cancel: cancel,
 		runs: map[queue.Key]context.CancelFunc{}, decided: map[queue.Key]*wirev1.QueueResult{},
-		changed: map[string]chan struct{}{}, taken: map[string]int64{}, accepting: map[string]uint64{}, preferred: time.Now(),
+		changed: map[string]chan struct{}{}, taken: map[string]int64{}, accepting: map[string]uint64{}, full: map[string]time.Time{}, preferred: time.Now(),
 	}
 	if err := s.fillTable(l); err != nil {
 		cancel()
@@ -263,6 +265,10 @@
 	// refusalsPerTick bounds the items tried in vain: those behind may be of a
 	// service that has room.
 	refusalsPerTick = 8
+	// fullPause is how long no item is tried at a service that had no room, unless
+	// a run of this shard ends: nodes tell each other of room that often
+	// (loadshare). To try an item its body is read and all runners are weighed.
+	fullPause = 60 * time.Millisecond
 )
 
 // tickLeader starts items that are ready and proposes what time has decided.
@@ -308,6 +314,9 @@
 		if started >= startsPerTick || refused >= refusalsPerTick || s.node.draining.Load() {
 			return
 		}
+		if now.Before(l.full[entry.Service]) {
+			continue
+		}
 		if s.start(entry) {
 			started++
 		} else {
@@ -341,6 +350,9 @@
 		_ = s.ask(s.node.context, func() { s.ended(l, key, work, outcome) })
 	}) {
 		cancel()
+		if entry.Service = work.FullService; entry.Service != "" {
+			l.full[entry.Service] = time.Now().Add(fullPause)
+		}
 		return false
 	}
 	l.table.Start(key)
@@ -369,6 +381,7 @@
 		return
 	}
 	delete(l.runs, key)
+	clear(l.full)
 	if l.table.Entry(key) == nil {
 		return
 	}
--- a/internal/queuestore/node.go
+++ b/internal/queuestore/node.go
@@ -35,6 +35,8 @@
 	Failures int
 	// Save keeps what the run has produced so far; the run may be ended any time.
 	Save func(output queue.Output)
+	// FullService is set by an executor that found no room there for the item.
+	FullService string
 }
 
 // Outcome is what came of a run.
@@ -58,7 +60,8 @@
 // Executor runs items at runners.
 type Executor interface {
 	// TryStart starts an item if a runner has room for it, and calls done once
-	// when the run has ended. It does not block.
+	// when the run has ended. It does not block. If it finds no room it names the
+	// service in work.FullService.
 	TryStart(ctx context.Context, work *Work, done func(Outcome)) bool
 }
 
