What runs of a shard save at about the same moment goes into the log as one command

Cause: each run saved its output each 0.4 s as a command of its own: a write and a message to each of four members for each of some 400 running items. Runs of a node now save at the same moments, and the leader gathers for 80 ms. What may be run again stays bounded by half a second (queuerun.TestWhatIsRunAgainIsBounded, unchanged). queue.TestSavesJoinToTheOutput: whatever is noted, dropped and taken, the commands join to the newest output and never come after a result.

--- /dev/null
+++ b/internal/queue/saves.go
@@ -0,0 +1,72 @@
+package queue
+
+import (
+	"time"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+)
+
+// gatherSaves is how long what runs have produced is gathered before it goes
+// into the log as one command: one write and one message to each member for all
+// runs of a shard in place of one for each run. The runs of a node save at the
+// same moments (internal/queuerun), which lie several times as far apart.
+const gatherSaves = 80 * time.Millisecond
+
+// Saves gathers what the runs of a shard have produced so far. It is used by the
+// leader's goroutine.
+type Saves struct {
+	since time.Time
+	byKey map[Key]savedOutput
+}
+
+type savedOutput struct {
+	item   string
+	output Output
+}
+
+// Note takes what a run has produced, if it is not less than is known.
+func (s *Saves) Note(key Key, item string, output Output, now time.Time) {
+	if s.byKey == nil {
+		s.byKey = map[Key]savedOutput{}
+	}
+	if len(s.byKey) == 0 {
+		s.since = now
+	}
+	if known, found := s.byKey[key]; !found || output.Last >= known.output.Last {
+		s.byKey[key] = savedOutput{item, output}
+	}
+}
+
+// Drop forgets an item: its result is on its way.
+func (s *Saves) Drop(key Key) { delete(s.byKey, key) }
+
+// Due returns what is to be kept in the log once it was gathered for long
+// enough; nil if there is nothing.
+func (s *Saves) Due(table *Table, now time.Time) *wirev1.QueueResults {
+	if len(s.byKey) == 0 || now.Sub(s.since) < gatherSaves {
+		return nil
+	}
+	due := &wirev1.QueueResults{}
+	for key, saved := range s.byKey {
+		if part := saved.unsaved(table, key); part != nil {
+			due.Results = append(due.Results, part)
+		}
+	}
+	clear(s.byKey)
+	if len(due.Results) == 0 {
+		return nil
+	}
+	return due
+}
+
+// unsaved returns the part that is neither in the log nor on its way there.
+func (s *savedOutput) unsaved(table *Table, key Key) *wirev1.QueueResult {
+	if table.Entry(key) == nil {
+		return nil
+	}
+	from, text := table.Unsaved(key, s.output)
+	if from == s.output.Last {
+		return nil
+	}
+	return &wirev1.QueueResult{JobId: key.Job, Item: key.Number, ItemId: s.item, From: from, Last: s.output.Last, Text: text}
+}
--- /dev/null
+++ b/internal/queue/saves_test.go
@@ -0,0 +1,107 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+)
+
+func waitingTable(items int, now time.Time) *Table {
+	record := &wirev1.QueueRecord{Id: "j", Route: "r", DueAfterMs: 60000, GiveUpMs: 120000}
+	for i := range items {
+		record.Items = append(record.Items, &wirev1.QueueItemInfo{Id: fmt.Sprint("i", i), Tokens: 1})
+	}
+	table := NewTable()
+	table.Add(record, now, now)
+	return table
+}
+
+// What many runs save at about the same moment becomes one command.
+func TestSavesAreGathered(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := waitingTable(50, now)
+	var saves Saves
+	for i := range 50 {
+		saves.Note(Key{"j", uint32(i)}, fmt.Sprint("i", i), Output{Last: 3, Text: []byte("a\nb\nc")}, now)
+		is.Equal(saves.Due(table, now.Add(gatherSaves-1)), nil)
+	}
+	is.Equal(len(saves.Due(table, now.Add(gatherSaves)).Results), 50)
+	is.Equal(saves.Due(table, now.Add(2*gatherSaves)), nil) // nothing is left
+}
+
+// Whatever is noted, dropped and taken in whatever order: what the commands hold
+// joins to the newest output noted, nothing is kept twice, and an item whose
+// result is on its way or known is in no later command.
+func TestSavesJoinToTheOutput(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		table := waitingTable(3, now)
+		var saves Saves
+		outputs := make([]Output, 3)
+		kept := make([]Output, 3)
+		over := make([]bool, 3)
+		take := func() {
+			due := saves.Due(table, now)
+			if due == nil {
+				return
+			}
+			for _, part := range due.Results {
+				if over[part.Item] {
+					t.Fatalf("item %d is saved after its result", part.Item)
+				}
+				if part.From != kept[part.Item].Last {
+					t.Fatalf("item %d: a part after event %d follows event %d", part.Item, part.From, kept[part.Item].Last)
+				}
+				text := part.Text
+				if part.From > 0 {
+					text = JoinTexts(kept[part.Item].Text, part.Text)
+				}
+				kept[part.Item] = Output{Last: part.Last, Text: text}
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, 2).Draw(t, "item")
+			key := Key{"j", uint32(i)}
+			switch rapid.IntRange(0, 4).Draw(t, "kind") {
+			case 0, 1:
+				outputs[i].Append(outputs[i].Last+1, fmt.Append(nil, "e", outputs[i].Last+1))
+				if !over[i] {
+					saves.Note(key, "i", Output{Last: outputs[i].Last, Text: append([]byte(nil), outputs[i].Text...)}, now)
+				}
+			case 2:
+				take()
+			case 3:
+				saves.Drop(key)
+				over[i] = true
+			case 4:
+				table.Finish(key)
+				over[i] = true
+			}
+		}
+		now = now.Add(time.Second)
+		take()
+		for i, output := range outputs {
+			if !over[i] && string(kept[i].Text) != string(output.Text) {
+				t.Fatalf("item %d: kept %q of %q", i, kept[i].Text, output.Text)
+			}
+		}
+	})
+}
+
+// A save that comes after a newer one changes nothing.
+func TestLateSaveChangesNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	table := waitingTable(1, now)
+	var saves Saves
+	saves.Note(Key{"j", 0}, "i", Output{Last: 2, Text: []byte("a\nb")}, now)
+	saves.Note(Key{"j", 0}, "i", Output{Last: 1, Text: []byte("a")}, now)
+	is.Equal(saves.Due(table, now.Add(time.Second)).Results[0].Last, int64(2))
+}
--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -65,7 +65,8 @@
 	headTimeout  = 6 * time.Second
 	eventTimeout = 4 * time.Second
 	// saveInterval is how often what a run has produced is saved: as much is run
-	// again when the leader is lost.
+	// again when the leader is lost. All runs of a node save at the same moments,
+	// so that a shard can write it at once.
 	saveInterval = 400 * time.Millisecond
 	retryWait    = 150 * time.Millisecond
 	refusedWait  = 100 * time.Millisecond
@@ -96,7 +97,7 @@
 	}
 	use := e.Runners.Begin(choice.Runner, promptOf(work.Item), true, now)
 	go func() {
-		run := &run{executor: e, work: work, route: route, runner: choice.Runner, use: use, began: now, output: work.Output, savedAt: now}
+		run := &run{executor: e, work: work, route: route, runner: choice.Runner, use: use, began: now, output: work.Output, saved: saveRound(now)}
 		outcome := run.run(ctx)
 		use.End()
 		outcome.Attempts = route.Attempts
@@ -136,7 +137,7 @@
 	began    time.Time
 	cancel   context.CancelCauseFunc
 	output   queue.Output
-	savedAt  time.Time
+	saved    int64 // the round in which it was last saved
 }
 
 func (r *run) run(parent context.Context) queuestore.Outcome {
@@ -232,13 +233,19 @@
 			r.use.Event(now)
 		}
 		r.output.Append(event.ID, event.Data)
-		if now.Sub(r.savedAt) >= saveInterval {
-			r.savedAt = now
+		if round := saveRound(now); round > r.saved {
+			r.saved = round
 			r.save()
 		}
 	}
 }
 
+// started is when the process counts the rounds of saves from.
+var started = time.Now()
+
+// saveRound numbers the moments at which runs save.
+func saveRound(now time.Time) int64 { return int64(now.Sub(started) / saveInterval) }
+
 // save keeps what the run has produced, without holding it up.
 func (r *run) save() {
 	output := queue.Output{Last: r.output.Last, Text: append([]byte(nil), r.output.Text...)}
--- a/internal/queuestore/leader.go
+++ b/internal/queuestore/leader.go
@@ -21,6 +21,8 @@
 	context context.Context
 	cancel  context.CancelFunc
 	runs    map[queue.Key]context.CancelFunc
+	// saves is what runs have produced that is not proposed yet.
+	saves queue.Saves
 	// decided are results on their way through the log.
 	decided map[queue.Key]*wirev1.QueueResult
 	changed map[string]chan struct{}
@@ -280,6 +282,7 @@
 	if !s.inContact(now) {
 		return
 	}
+	s.saveGathered(now)
 	s.startReady(now)
 	s.giveUpExpired(now)
 	s.retain(now)
@@ -343,7 +346,7 @@
 	key := entry.Key
 	work := &Work{Key: key, Host: record.Host, Route: record.Route, Item: item, Output: entry.Output, Due: entry.Due, Slack: l.table.Slack(entry, time.Now()), Failures: entry.Failures}
 	work.Save = func(output queue.Output) {
-		_ = s.ask(ctx, func() { s.saveProgress(l, key, item.Id, output) })
+		_ = s.ask(ctx, func() { s.gatherProgress(l, key, item.Id, output) })
 	}
 	if !s.node.Executor.TryStart(ctx, work, func(outcome Outcome) {
 		cancel()
@@ -360,18 +363,18 @@
 	return true
 }
 
-// saveProgress proposes to keep what a run has produced since the last time.
-func (s *shard) saveProgress(l *leadership, key queue.Key, item string, output queue.Output) {
-	if s.leader != l || !l.suspended.IsZero() || l.table.Entry(key) == nil {
-		return
+// gatherProgress takes what a run has produced, to be kept in the log.
+func (s *shard) gatherProgress(l *leadership, key queue.Key, item string, output queue.Output) {
+	if s.leader == l && l.table.Entry(key) != nil && l.decided[key] == nil {
+		l.saves.Note(key, item, output, time.Now())
 	}
-	from, text := l.table.Unsaved(key, output)
-	if from == output.Last {
-		return
+}
+
+// saveGathered proposes to keep what runs have produced.
+func (s *shard) saveGathered(now time.Time) {
+	if due := s.leader.saves.Due(s.leader.table, now); due != nil {
+		s.silent(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Progress{Progress: due}})
 	}
-	s.silent(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Progress{Progress: &wirev1.QueueResults{Results: []*wirev1.QueueResult{{
-		JobId: key.Job, Item: key.Number, ItemId: item, From: from, Last: output.Last, Text: text,
-	}}}}})
 }
 
 // ended takes what came of a run.
@@ -390,7 +393,7 @@
 	}
 	final := outcome.Done || outcome.Dead || outcome.Failed && work.Failures+1 >= outcome.Attempts
 	if !final {
-		s.saveProgress(l, key, work.Item.Id, outcome.Output)
+		s.gatherProgress(l, key, work.Item.Id, outcome.Output)
 		l.table.Return(key, outcome.Output, outcome.Failed, time.Now().Add(outcome.Wait))
 		return
 	}
@@ -408,6 +411,7 @@
 		whole.Text, whole.Last = nil, 0
 	}
 	l.decided[key] = whole
+	l.saves.Drop(key)
 	if !l.suspended.IsZero() {
 		return
 	}
