--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -46,6 +46,8 @@
 
 	mutex   sync.Mutex
 	pending map[*runnerset.Runner]*wirev1.RunnerUse
+	// due is signalled when something begins to be pending.
+	due chan struct{}
 }
 
 // gatherInterval is how often nodes with disks are told.
@@ -54,7 +56,7 @@
 // New returns a share and hangs it on the runners.
 func New(directory Directory, runners *runnerset.Set, notifier Notifier, registry prometheus.Registerer) *Share {
 	s := &Share{
-		runners: runners, notifier: notifier, directory: directory, pending: map[*runnerset.Runner]*wirev1.RunnerUse{},
+		runners: runners, notifier: notifier, directory: directory, pending: map[*runnerset.Runner]*wirev1.RunnerUse{}, due: make(chan struct{}, 1),
 		audiences: audiences{directory: directory, runners: runners},
 		notices:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_runner_use_notices_total", Help: "Notices of what this node has at runners, by receivers."}, []string{"to"}),
 	}
@@ -79,6 +81,10 @@
 	defer s.mutex.Unlock()
 	told.Prompt = nil // nodes with disks place items by other parts
 	s.pending[runner] = told
+	select {
+	case s.due <- struct{}{}:
+	default: // it is signalled already
+	}
 }
 
 func encodeUse(runner *runnerset.Runner, use runnerset.PeerUse) *wirev1.RunnerUse {
@@ -119,17 +125,23 @@
 	return addresses
 }
 
-// Run tells nodes with disks until the context ends.
+// Run tells nodes with disks until the context ends. A node at which nothing
+// changes is not woken.
 func (s *Share) Run(ctx context.Context) {
-	ticker := time.NewTicker(gatherInterval)
-	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			s.flush()
+		case <-s.due:
+		}
+		timer := time.NewTimer(gatherInterval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
 		}
+		s.flush()
 	}
 }
 
