What a node told of its use of runners ends with its process, and is repeated while it lasts

A peer's word now ends with its last connection, or with the first word of the process that starts again under its name; what goes on unchanged is told again each second, so that a lost notice does no lasting harm, and an unrepeated word counts 2.5 s instead of 4. Tests: loadshare.TestWordOfALostPeerEndsWithIt, TestStandingUseIsRepeated, rpc.TestLostPeerIsToldOnce.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -48,15 +48,32 @@
 	pending map[*runnerset.Runner]*wirev1.RunnerUse
 	// due is signalled when something begins to be pending.
 	due chan struct{}
+	// standing is what this node was last known to have at runners, as long as
+	// that is something.
+	standing map[*runnerset.Runner]standingUse
+	// incarnations are those of the processes that peers told from.
+	incarnations map[string]uint64
 }
 
-// gatherInterval is how often nodes with disks are told.
-const gatherInterval = 60 * time.Millisecond
+// standingUse is a use that was told at a moment.
+type standingUse struct {
+	told *wirev1.RunnerUse
+	at   time.Time
+}
+
+const (
+	// gatherInterval is how often nodes with disks are told.
+	gatherInterval = 60 * time.Millisecond
+	// repeatInterval is how often a use that goes on unchanged is told again: a
+	// notice may be lost, and who joins an audience has heard none.
+	repeatInterval = time.Second
+)
 
 // New returns a share and hangs it on the runners.
 func New(directory Directory, runners *runnerset.Set, notifier Notifier, registry prometheus.Registerer) *Share {
 	s := &Share{
 		runners: runners, notifier: notifier, directory: directory, pending: map[*runnerset.Runner]*wirev1.RunnerUse{}, due: make(chan struct{}, 1),
+		standing: map[*runnerset.Runner]standingUse{}, incarnations: map[string]uint64{},
 		audiences: audiences{directory: directory, runners: runners},
 		notices:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_runner_use_notices_total", Help: "Notices of what this node has at runners, by receivers."}, []string{"to"}),
 	}
@@ -81,6 +98,11 @@
 	defer s.mutex.Unlock()
 	told.Prompt = nil // nodes with disks place items by other parts
 	s.pending[runner] = told
+	if told.Running == 0 {
+		delete(s.standing, runner)
+	} else {
+		s.standing[runner] = standingUse{told, time.Now()}
+	}
 	select {
 	case s.due <- struct{}{}:
 	default: // it is signalled already
@@ -101,6 +123,7 @@
 	if len(addresses) == 0 {
 		return
 	}
+	uses.Incarnation = s.directory.Self().Incarnation
 	s.notices.WithLabelValues(kind).Add(float64(len(addresses)))
 	s.notifier.NotifyAll(addresses, rpc.ClassControl, wirev1.Method_METHOD_RUNNER_USE, uses)
 }
@@ -125,13 +148,17 @@
 	return addresses
 }
 
-// Run tells nodes with disks until the context ends. A node at which nothing
-// changes is not woken.
+// Run tells nodes with disks, and repeats what goes on, until the context ends.
 func (s *Share) Run(ctx context.Context) {
+	ticker := time.NewTicker(repeatInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-ticker.C:
+			s.repeat(time.Now())
+			continue
 		case <-s.due:
 		}
 		timer := time.NewTimer(gatherInterval)
@@ -151,17 +178,63 @@
 	pending := s.pending
 	s.pending = map[*runnerset.Runner]*wirev1.RunnerUse{}
 	s.mutex.Unlock()
-	byAddress := map[string]*wirev1.RunnerUses{}
+	byAddress := gathered{}
 	for runner, use := range pending {
-		for _, address := range s.audiences.of(runner).disks {
-			if byAddress[address] == nil {
-				byAddress[address] = &wirev1.RunnerUses{}
-			}
-			byAddress[address].Uses = append(byAddress[address].Uses, use)
+		byAddress.add(s.audiences.of(runner).disks, use)
+	}
+	s.sendGathered("disks", byAddress)
+}
+
+// repeat tells again what has gone on unchanged.
+func (s *Share) repeat(now time.Time) {
+	s.mutex.Lock()
+	byAddress := gathered{}
+	for runner, standing := range s.standing {
+		if now.Sub(standing.at) >= repeatInterval {
+			told := s.audiences.of(runner)
+			byAddress.add(told.edges, standing.told)
+			byAddress.add(told.disks, standing.told)
 		}
 	}
+	s.mutex.Unlock()
+	s.sendGathered("repeats", byAddress)
+}
+
+// gathered are notices by the address of their receiver.
+type gathered map[string]*wirev1.RunnerUses
+
+func (g gathered) add(addresses []string, use *wirev1.RunnerUse) {
+	for _, address := range addresses {
+		if g[address] == nil {
+			g[address] = &wirev1.RunnerUses{}
+		}
+		g[address].Uses = append(g[address].Uses, use)
+	}
+}
+
+func (s *Share) sendGathered(kind string, byAddress gathered) {
 	for address, uses := range byAddress {
-		s.send("disks", []string{address}, uses)
+		s.send(kind, []string{address}, uses)
+	}
+}
+
+// Lost takes that a peer's connections have ended: what it told is over.
+func (s *Share) Lost(peer string) { s.forget(peer, "connections ended") }
+
+func (s *Share) forget(peer, reason string) {
+	if count := s.runners.ForgetPeer(peer); count > 0 {
+		klog.InfoS("peer's use of runners forgotten", "peer", peer, "runners", count, "reason", reason)
+	}
+}
+
+// noteIncarnation forgets what an earlier process of a peer told.
+func (s *Share) noteIncarnation(peer string, incarnation uint64) {
+	s.mutex.Lock()
+	known := s.incarnations[peer]
+	s.incarnations[peer] = incarnation
+	s.mutex.Unlock()
+	if known > 0 && known != incarnation {
+		s.forget(peer, "started again")
 	}
 }
 
@@ -172,6 +245,7 @@
 		klog.ErrorS(err, "notice of a peer's use of runners is unreadable", "peer", from, "bytes", len(payload))
 		return
 	}
+	s.noteIncarnation(from, uses.Incarnation)
 	now := time.Now()
 	for _, use := range uses.Uses {
 		var shared []runnerset.Part
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -210,3 +210,50 @@
 	directory.Put(&wirev1.NodeRecord{NodeId: "b", Address: "b2", Zone: "z", Incarnation: 2})
 	is.Equal(share.audiences.of(runner).edges, []string{"b2"})
 }
+
+// What a process told ends with it: with its connections, or with the first word
+// of the process that takes its place under the same name.
+func TestWordOfALostPeerEndsWithIt(t *testing.T) {
+	is := is.New(t)
+	f := fleet{edges: 3, disks: 2, runners: 2, zones: 1}
+	tell := func(incarnation uint64, runner string, running uint32) []byte {
+		payload, err := proto.Marshal(&wirev1.RunnerUses{Incarnation: incarnation, Uses: []*wirev1.RunnerUse{{Runner: runner, Running: running, Batch: running}}})
+		is.NoErr(err)
+		return payload
+	}
+	share, runners, _ := f.node(0)
+	load := func(i int) float64 { return runners.Service("s")[i].Load(time.Now()) }
+	share.Take("disk-0", tell(1, "runner-0", 5))
+	share.Take("disk-1", tell(1, "runner-0", 2))
+	is.Equal(load(0), 7.0)
+	share.Lost("disk-0")
+	is.Equal(load(0), 2.0) // the other's word stands
+	share.Take("disk-0", tell(2, "runner-1", 1))
+	is.Equal(load(0), 2.0)
+	share.Take("disk-0", tell(2, "runner-0", 4))
+	share.Take("disk-0", tell(3, "runner-1", 3)) // started again: it has nothing at the first
+	is.Equal(load(0), 2.0)
+	is.Equal(load(1), 3.0)
+}
+
+// What goes on unchanged is told again, so that a lost notice, or one sent before
+// its receiver joined, does no lasting harm; what has ended is not.
+func TestStandingUseIsRepeated(t *testing.T) {
+	is := is.New(t)
+	f := fleet{edges: 2, disks: 1, runners: 1, zones: 1}
+	share, runners, box := f.node(0)
+	use := runners.Begin(runners.Service("s")[0], runnerset.Prompt{Tokens: 10}, true, time.Now())
+	share.flush()
+	before := box.count()
+	share.repeat(time.Now()) // it was told just now
+	is.Equal(box.count(), before)
+	later := time.Now().Add(repeatInterval)
+	share.repeat(later)
+	is.Equal(box.count(), before+2)
+	is.Equal(box.sent["e1"][len(box.sent["e1"])-1].Uses[0].Running, uint32(1))
+	use.End()
+	share.flush()
+	before = box.count()
+	share.repeat(later)
+	is.Equal(box.count(), before)
+}
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -210,3 +210,25 @@
 		}
 	}
 }
+
+// A server tells once when the last link of a peer ends, not before.
+func TestLostPeerIsToldOnce(t *testing.T) {
+	is := is.New(t)
+	lost := make(chan string, 4)
+	heard := make(chan struct{}, 4)
+	address, pool := serve(t, func(server *Server) {
+		server.OnLost(func(peer string) { lost <- peer })
+		server.HandleNotice(wirev1.Method_METHOD_RUNNER_USE, func(string, []byte) { heard <- struct{}{} })
+	})
+	for _, class := range []Class{ClassControl, ClassBulk} {
+		pool.Notify(address, class, wirev1.Method_METHOD_RUNNER_USE, &wirev1.RunnerUses{})
+		<-heard
+	}
+	pool.peer(address, ClassBulk).current.Load().link.close()
+	pool.Notify(address, ClassBulk, wirev1.Method_METHOD_RUNNER_USE, &wirev1.RunnerUses{})
+	<-heard // the server has another link again, and one was there all the time
+	is.Equal(len(lost), 0)
+	pool.Close()
+	is.Equal(<-lost, "client")
+	is.Equal(len(lost), 0)
+}
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -36,9 +36,11 @@
 	handlers map[wirev1.Method]StreamHandler
 	notices  map[wirev1.Method]NoticeHandler
 	counters *Counters
+	onLost   func(peer string)
 
 	mutex  sync.Mutex
 	links  map[*link]struct{}
+	peers  map[string]int // accepted links by peer
 	closed bool
 
 	streams conc.WaitGroup
@@ -53,9 +55,14 @@
 		notices:  map[wirev1.Method]NoticeHandler{},
 		counters: counters,
 		links:    map[*link]struct{}{},
+		peers:    map[string]int{},
 	}
 }
 
+// OnLost names who is told when the last link that a peer had dialled ends; the
+// peer has ended, or its connections broke. Call it before Serve.
+func (s *Server) OnLost(told func(peer string)) { s.onLost = told }
+
 // Handle registers the stream handler of a method.
 func (s *Server) Handle(method wirev1.Method, handler StreamHandler) {
 	s.handlers[method] = handler
@@ -109,6 +116,26 @@
 	delete(s.links, l)
 }
 
+// join counts a link of a peer, and leave ends that.
+func (s *Server) join(peer string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.peers[peer]++
+}
+
+func (s *Server) leave(peer string) {
+	s.mutex.Lock()
+	s.peers[peer]--
+	lost := s.peers[peer] == 0
+	if lost {
+		delete(s.peers, peer)
+	}
+	s.mutex.Unlock()
+	if lost && s.onLost != nil {
+		s.onLost(peer)
+	}
+}
+
 func (s *Server) serveConn(conn net.Conn) {
 	l := newLink(conn, s.counters)
 	defer l.close()
@@ -121,6 +148,8 @@
 	if err != nil {
 		return
 	}
+	s.join(peer)
+	defer s.leave(peer)
 	s.loops.Go(l.writeLoop)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/internal/runnerset/runner.go
+++ b/internal/runnerset/runner.go
@@ -92,8 +92,9 @@
 const (
 	// toldLife is how long a told load counts; it fades linearly.
 	toldLife = time.Second
-	// peerLife is how long a peer's word counts without a new one.
-	peerLife = 4 * time.Second
+	// peerLife is how long a peer's word counts without a new one; a peer repeats
+	// it each second (loadshare), and two may be lost.
+	peerLife = 2500 * time.Millisecond
 	// unreadLife is how long tokens a peer has sent may take to be read.
 	unreadLife = 700 * time.Millisecond
 	// asideFirst and asideMost bound how long a failing runner is set aside.
@@ -178,6 +179,16 @@
 	r.peers[peer] = peerUse{use{told.Running, told.Batch, told.Unread}, now}
 }
 
+// forgetPeer drops what a node told of the runner, and reports whether it had
+// something there.
+func (r *Runner) forgetPeer(peer string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, had := r.peers[peer]
+	delete(r.peers, peer)
+	return had
+}
+
 // PeerUse is what a node has at a runner.
 type PeerUse struct {
 	Running int
--- a/internal/runnerset/runnerset.go
+++ b/internal/runnerset/runnerset.go
@@ -88,6 +88,20 @@
 	}
 }
 
+// ForgetPeer drops what another node told: its process has ended. It returns at
+// how many runners the node had something.
+func (s *Set) ForgetPeer(peer string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	count := 0
+	for _, runner := range s.byID {
+		if runner.forgetPeer(peer) {
+			count++
+		}
+	}
+	return count
+}
+
 // Revision returns the revision of the list and since when it is held.
 func (s *Set) Revision() (int64, time.Time) {
 	current := s.snapshot.Load()
