Audiences are ranked once a runner: runners that come and go and nodes that start again change no other's

Cause: each change of the runner list or of a node record dropped all rankings, some milliseconds of work on each of 295 nodes; a release changes runners several times a second.

--- a/internal/loadshare/audience.go
+++ b/internal/loadshare/audience.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -10,12 +11,22 @@
 	"cobaltramp.example/cobaltramp/internal/runnerset"
 )
 
-// audience are the nodes that are told what others have at one runner.
+// ranking orders the nodes that may be told what others have at one runner, as
+// node ids. Those that come first are told: its audience.
+type ranking struct {
+	edges, disks rankedNodes
+}
+
+// rankedNodes are node ids in order, and where this node stands among them.
+type rankedNodes struct {
+	ids  []string
+	self int // len(ids) if it is not one of them
+}
+
+// audience are the nodes that are told of a runner; this node may be among them.
 type audience struct {
-	// edges and disks are the addresses of nodes without and with a disk, this
-	// node's left out.
 	edges, disks []string
-	// self: this node belongs to it.
+	// self: this node is told as well.
 	self bool
 }
 
@@ -48,6 +59,9 @@
 // subsets are even, and a node that comes or goes changes few of them. Every
 // node works out the same from the records and the list of runners; while these
 // differ, a node chooses with less knowledge for a moment.
+//
+// The order of the nodes is kept as long as the same nodes are there: runners
+// that come and go, and nodes that start again, change no other runner's.
 type audiences struct {
 	directory Directory
 	runners   *runnerset.Set
@@ -55,15 +69,11 @@
 	building  sync.Mutex
 }
 
-// audienceTable holds the audiences that follow from one state of the records
-// and the list of runners.
+// audienceTable holds the rankings that follow from one state of the records.
 type audienceTable struct {
 	generation uint64
-	revision   int64
-	counts     map[runnerset.Neighbourhood]int
-	total      map[string]int // runners of each service
 	nodes      *nodeIndex
-	byRunner   *sync.Map // runner id to *audience
+	byRunner   *sync.Map // runner id to *ranking
 }
 
 // nodeIndex is the records, as the audiences need them.
@@ -72,7 +82,7 @@
 	edges     map[string][]ownership.Node // by zone
 	disks     map[string][]ownership.Node
 	diskCount int
-	addresses map[string]string
+	addresses map[string]string // by node id
 }
 
 func indexOf(directory Directory) *nodeIndex {
@@ -96,93 +106,93 @@
 	i.diskCount++
 }
 
+// sameNodes reports whether two indexes hold the same nodes, whatever their
+// addresses.
+func (i *nodeIndex) sameNodes(other *nodeIndex) bool {
+	return maps.EqualFunc(i.edges, other.edges, slices.Equal) && maps.EqualFunc(i.disks, other.disks, slices.Equal)
+}
+
 // of returns a runner's audience.
-func (a *audiences) of(runner *runnerset.Runner) *audience {
+func (a *audiences) of(runner *runnerset.Runner) audience {
 	table := a.table()
-	if known, found := table.byRunner.Load(runner.ID); found {
-		return known.(*audience)
+	ranked := table.ranking(runner)
+	edges, disks := table.nodes.widthsFor(runner, a.runners.Counts())
+	return audience{
+		edges: ranked.edges.ids[:edges], disks: ranked.disks.ids[:disks],
+		self: ranked.edges.self < edges || ranked.disks.self < disks,
 	}
-	next := table.work(runner)
-	table.byRunner.Store(runner.ID, next)
+}
+
+func (t *audienceTable) ranking(runner *runnerset.Runner) *ranking {
+	if known, found := t.byRunner.Load(runner.ID); found {
+		return known.(*ranking)
+	}
+	next := t.nodes.rank(runner)
+	t.byRunner.Store(runner.ID, next)
 	return next
 }
 
-// address returns where a node is reached; empty if it is not known.
-func (a *audiences) address(node string) string { return a.table().nodes.addresses[node] }
+// addresses returns where other nodes are reached; this node and those not known
+// are left out.
+func (a *audiences) addresses(nodes []string) []string {
+	index := a.table().nodes
+	addresses := make([]string, 0, len(nodes))
+	for _, node := range nodes {
+		if address := index.addresses[node]; address != "" && node != index.self {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
 
 func (a *audiences) table() *audienceTable {
 	generation := a.directory.Generation()
-	revision, _ := a.runners.Revision()
-	if held := a.current.Load(); held != nil && held.generation == generation && held.revision == revision {
+	if held := a.current.Load(); held != nil && held.generation == generation {
 		return held
 	}
 	a.building.Lock()
 	defer a.building.Unlock()
-	next := a.next(generation, revision)
+	next := &audienceTable{generation: generation, nodes: indexOf(a.directory), byRunner: &sync.Map{}}
+	if last := a.current.Load(); last != nil && last.nodes.sameNodes(next.nodes) {
+		next.byRunner = last.byRunner
+	}
 	a.current.Store(next)
 	return next
 }
 
-// next works out the table, and keeps what still holds of the last one.
-func (a *audiences) next(generation uint64, revision int64) *audienceTable {
-	counts := a.runners.Neighbourhoods()
-	next := &audienceTable{generation: generation, revision: revision, counts: counts, total: map[string]int{}}
-	for place, count := range counts {
-		next.total[place.Service] += count
-	}
-	last := a.current.Load()
-	if last != nil && last.generation == generation {
-		next.nodes = last.nodes
-		if maps.Equal(last.counts, counts) {
-			next.byRunner = last.byRunner
-			return next
-		}
-	} else {
-		next.nodes = indexOf(a.directory)
+// widthsFor returns how many edges and nodes with disks are told of a runner.
+func (i *nodeIndex) widthsFor(runner *runnerset.Runner, counts *runnerset.Counts) (edges, disks int) {
+	near := counts.Places[runnerset.Neighbourhood{Service: runner.Service, Zone: runner.Zone}]
+	edges = width(len(i.edges[runner.Zone]), near, leastEdges, choiceOfEdge)
+	if i.diskCount <= fewDisks {
+		return edges, i.diskCount
 	}
-	next.byRunner = &sync.Map{}
-	return next
+	return edges, width(i.diskCount, counts.Services[runner.Service], leastDisks, choiceOfDisk)
 }
 
-func (t *audienceTable) work(runner *runnerset.Runner) *audience {
-	next := &audience{}
-	place := runnerset.Neighbourhood{Service: runner.Service, Zone: runner.Zone}
-	edges := t.nodes.edges[runner.Zone]
-	told := ownership.Ranked(runner.ID, edges)[:width(len(edges), t.counts[place], leastEdges, choiceOfEdge)]
-	next.edges = next.take(told, t.nodes)
-	next.disks = next.take(t.disksFor(runner), t.nodes)
-	return next
-}
-
-// disksFor lists the nodes with disks that are told of a runner: those of its
-// zone first, since items run in the zone they lie in if they can.
-func (t *audienceTable) disksFor(runner *runnerset.Runner) []ownership.Node {
-	wanted := t.nodes.diskCount
-	if wanted > fewDisks {
-		wanted = width(wanted, t.total[runner.Service], leastDisks, choiceOfDisk)
-	}
-	near := ownership.Ranked(runner.ID, t.nodes.disks[runner.Zone])
-	if len(near) >= wanted {
-		return near[:wanted]
-	}
+// rank orders the nodes for a runner. Nodes with disks of its zone come first,
+// since items run in the zone they lie in if they can.
+func (i *nodeIndex) rank(runner *runnerset.Runner) *ranking {
+	disks := ownership.Ranked(runner.ID, i.disks[runner.Zone])
 	var far []ownership.Node
-	for zone, disks := range t.nodes.disks {
+	for zone, nodes := range i.disks {
 		if zone != runner.Zone {
-			far = append(far, disks...)
+			far = append(far, nodes...)
 		}
 	}
-	return append(near, ownership.Ranked(runner.ID, far)[:wanted-len(near)]...)
+	return &ranking{
+		edges: i.ids(ownership.Ranked(runner.ID, i.edges[runner.Zone])),
+		disks: i.ids(append(disks, ownership.Ranked(runner.ID, far)...)),
+	}
 }
 
-// take lists the addresses of nodes, and notes whether this node is among them.
-func (a *audience) take(nodes []ownership.Node, index *nodeIndex) []string {
-	var addresses []string
-	for _, node := range nodes {
-		if node.ID == index.self {
-			a.self = true
-			continue
+func (i *nodeIndex) ids(nodes []ownership.Node) rankedNodes {
+	ranked := rankedNodes{ids: make([]string, len(nodes)), self: len(nodes)}
+	for place, node := range nodes {
+		ranked.ids[place] = node.ID
+		if node.ID == i.self {
+			ranked.self = place
 		}
-		addresses = append(addresses, index.addresses[node.ID])
 	}
-	return addresses
+	return ranked
 }
--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -91,9 +92,9 @@
 	told := encodeUse(runner, use)
 	receivers := s.audiences.of(runner).edges
 	if holders := s.crowdedHolders(runner); len(holders) > 0 {
-		receivers = append(append([]string(nil), receivers...), holders...)
+		receivers = append(slices.Clone(receivers), holders...)
 	}
-	s.send("edges", receivers, &wirev1.RunnerUses{Uses: []*wirev1.RunnerUse{told}})
+	s.send("edges", s.audiences.addresses(receivers), &wirev1.RunnerUses{Uses: []*wirev1.RunnerUse{told}})
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	told.Prompt = nil // nodes with disks place items by other parts
@@ -131,21 +132,15 @@
 // crowdedSlots is how few free slots make a runner crowded.
 const crowdedSlots = 2
 
-// crowdedHolders lists the addresses of the nodes that should make room at a
-// crowded runner and are not told at once anyway.
+// crowdedHolders lists the nodes that should make room at a crowded runner; they
+// have a disk, and are not told at once anyway.
 func (s *Share) crowdedHolders(runner *runnerset.Runner) []string {
 	now := time.Now()
 	running, _, batch := runner.Crowd(now)
 	if batch == 0 || running < float64(runner.Slots-crowdedSlots) {
 		return nil
 	}
-	var addresses []string
-	for _, node := range runner.BatchHolders(now) {
-		if address := s.audiences.address(node); address != "" {
-			addresses = append(addresses, address)
-		}
-	}
-	return addresses
+	return runner.BatchHolders(now)
 }
 
 // Run tells nodes with disks, and repeats what goes on, until the context ends.
@@ -180,7 +175,7 @@
 	s.mutex.Unlock()
 	byAddress := gathered{}
 	for runner, use := range pending {
-		byAddress.add(s.audiences.of(runner).disks, use)
+		byAddress.add(s.audiences.addresses(s.audiences.of(runner).disks), use)
 	}
 	s.sendGathered("disks", byAddress)
 }
@@ -192,8 +187,8 @@
 	for runner, standing := range s.standing {
 		if now.Sub(standing.at) >= repeatInterval {
 			told := s.audiences.of(runner)
-			byAddress.add(told.edges, standing.told)
-			byAddress.add(told.disks, standing.told)
+			byAddress.add(s.audiences.addresses(told.edges), standing.told)
+			byAddress.add(s.audiences.addresses(told.disks), standing.told)
 		}
 	}
 	s.mutex.Unlock()
--- a/internal/ownership/ownership.go
+++ b/internal/ownership/ownership.go
@@ -8,7 +8,8 @@
 package ownership
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -77,12 +78,19 @@
 
 // Ranked returns nodes in the order they would own the key.
 func Ranked(key string, nodes []Node) []Node {
-	weights := make(map[string]uint64, len(nodes))
-	for _, node := range nodes {
-		weights[node.ID] = PairWeight(key, node.ID)
+	type weighed struct {
+		Node
+		weight uint64
+	}
+	list := make([]weighed, len(nodes))
+	for i, node := range nodes {
+		list[i] = weighed{node, PairWeight(key, node.ID)}
+	}
+	slices.SortFunc(list, func(a, b weighed) int { return cmp.Compare(b.weight, a.weight) })
+	ranked := make([]Node, len(list))
+	for i := range list {
+		ranked[i] = list[i].Node
 	}
-	ranked := append([]Node(nil), nodes...)
-	sort.Slice(ranked, func(i, j int) bool { return weights[ranked[i].ID] > weights[ranked[j].ID] })
 	return ranked
 }
 
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,7 +29,7 @@
 	onSelf   func(*wirev1.NodeRecord)
 	// view is what follows from records; nil after they have changed.
 	view       *view
-	generation uint64
+	generation atomic.Uint64
 }
 
 // view is worked out of the records once for each change of them.
@@ -68,15 +69,11 @@
 func (d *Directory) keep(record *wirev1.NodeRecord) {
 	d.records[record.NodeId] = record
 	d.view = nil
-	d.generation++
+	d.generation.Add(1)
 }
 
 // Generation rises with each change of the records.
-func (d *Directory) Generation() uint64 {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.generation
-}
+func (d *Directory) Generation() uint64 { return d.generation.Load() }
 
 // current returns what follows from the records. The mutex is held.
 func (d *Directory) current() *view {
--- a/internal/runnerset/runnerset.go
+++ b/internal/runnerset/runnerset.go
@@ -36,7 +36,7 @@
 
 type snapshot struct {
 	services map[string][]*Runner
-	counts   map[Neighbourhood]int
+	counts   *Counts
 	revision int64
 	at       time.Time
 }
@@ -44,7 +44,7 @@
 // New returns an empty set.
 func New() *Set {
 	s := &Set{byID: map[string]*Runner{}, models: map[string]*enginemodel.Model{}, crowds: map[Neighbourhood]*crowd{}, changed: make(chan struct{})}
-	s.snapshot.Store(&snapshot{services: map[string][]*Runner{}})
+	s.snapshot.Store(&snapshot{services: map[string][]*Runner{}, counts: newCounts()})
 	return s
 }
 
@@ -58,9 +58,16 @@
 	return listens == nil || (*listens)(runner)
 }
 
-// Neighbourhoods counts the listed runners by service and zone; the map must not
-// be changed.
-func (s *Set) Neighbourhoods() map[Neighbourhood]int { return s.snapshot.Load().counts }
+// Counts are how many runners are listed; its maps must not be changed.
+type Counts struct {
+	Places   map[Neighbourhood]int
+	Services map[string]int
+}
+
+func newCounts() *Counts { return &Counts{Places: map[Neighbourhood]int{}, Services: map[string]int{}} }
+
+// Counts returns how many runners are listed.
+func (s *Set) Counts() *Counts { return s.snapshot.Load().counts }
 
 // OnUse names who is told when this node's use of a runner changes.
 func (s *Set) OnUse(told func(runner *Runner, use PeerUse)) { s.onUse.Store(&told) }
@@ -194,9 +201,10 @@
 
 func (s *Set) publish(revision int64, now time.Time) {
 	s.revision = revision
-	next := &snapshot{services: map[string][]*Runner{}, counts: map[Neighbourhood]int{}, revision: revision, at: now}
+	next := &snapshot{services: map[string][]*Runner{}, counts: newCounts(), revision: revision, at: now}
 	for _, runner := range s.byID {
-		next.counts[Neighbourhood{runner.Service, runner.Zone}]++
+		next.counts.Places[Neighbourhood{runner.Service, runner.Zone}]++
+		next.counts.Services[runner.Service]++
 		next.services[runner.Service] = append(next.services[runner.Service], runner)
 	}
 	s.departed = slices.DeleteFunc(s.departed, func(runner *Runner) bool { return !runner.StillServes() || s.byID[runner.ID] != nil })
