One node with a disk in each zone follows the store, the others follow such nodes

Now the first live one of each zone by rendezvous weight follows it and the rest take its changes from two such nodes; a node that follows others is no source, so that no two follow each other. Without a live source each follows the store itself, as before. A source that tells nothing is asked again after a pause that doubles. Test platform.TestOneNodeOfAZoneFollowsTheStore.

--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -1,8 +1,9 @@
 package relay
 
 import (
+	"cmp"
 	"context"
-	"sort"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/ownership"
 	"cobaltramp.example/cobaltramp/internal/rpc"
 )
 
@@ -18,9 +20,12 @@
 	Self() *wirev1.NodeRecord
 	Count() int
 	Disks() []*wirev1.NodeRecord
+	// HeardWithin reports whether a node answered this one within a time.
+	HeardWithin(node string, now time.Time, within time.Duration) bool
 }
 
-// Follower takes the changes that nodes with disks pass on.
+// Follower takes the changes that other nodes pass on. In a large fleet one node
+// with a disk in each zone follows the store, and all others follow such nodes.
 type Follower struct {
 	Nodes Nodes
 	Pool  *rpc.Pool
@@ -47,9 +52,13 @@
 	silentTime  = 3 * time.Second
 	openTimeout = 500 * time.Millisecond
 	// retryLeast is the pause before the next source is asked; it doubles up to
-	// retryMost as long as none lives, as when the store is down for all.
+	// retryMost as long as none tells anything, as when the store is down for all
+	// or fewer nodes follow it than are wanted.
 	retryLeast = 100 * time.Millisecond
 	retryMost  = 1600 * time.Millisecond
+	// heardTime is how long a node with a disk that was heard counts as alive;
+	// such nodes ask each other once a second.
+	heardTime = 2500 * time.Millisecond
 	// directNodes is up to how many nodes each follows the store itself: the
 	// store's calls are few then, and no other node is needed.
 	directNodes = 16
@@ -67,6 +76,31 @@
 // through others.
 func (f *Follower) Wanted() bool { return f.Nodes.Count() > directNodes }
 
+// Relieved reports whether this node has no need to follow the store itself:
+// another one does so for its zone, and a source has said lately that the store
+// answers it.
+func (f *Follower) Relieved() bool { return f.Wanted() && !f.leads() && f.Live() }
+
+// leads reports whether this node follows the store for its zone: no node with a
+// disk that comes before it is known to live.
+func (f *Follower) leads() bool {
+	self := f.Nodes.Self()
+	if self.DiskId == "" {
+		return false
+	}
+	now := time.Now()
+	for _, node := range f.Nodes.Disks() {
+		before := node.Zone == self.Zone && node.NodeId != self.NodeId && followWeight(node) > followWeight(self)
+		if before && f.Nodes.HeardWithin(node.NodeId, now, heardTime) {
+			return false
+		}
+	}
+	return true
+}
+
+// followWeight orders the nodes of a zone by who follows the store.
+func followWeight(node *wirev1.NodeRecord) uint64 { return ownership.PairWeight("store", node.NodeId) }
+
 // Live reports whether a source has said lately that the store answers it.
 func (f *Follower) Live() bool {
 	f.mutex.Lock()
@@ -87,8 +121,9 @@
 		if f.Wanted() {
 			address = f.choose(slot)
 		}
+		told := false
 		if address != "" {
-			err := f.follow(ctx, slot, address)
+			err := f.follow(ctx, slot, address, func() { told = true })
 			if ctx.Err() != nil {
 				return
 			}
@@ -96,44 +131,69 @@
 			f.leave(slot, address)
 		}
 		wait = min(2*wait, retryMost)
-		if address == "" || f.Live() {
+		if address == "" || told {
 			wait = retryLeast
 		}
 		pause(ctx, wait)
 	}
 }
 
-// choose picks a source that no other slot has: of this node's zone first, each
-// node in an order of its own, silent ones last.
+// choose picks a source that no other slot has: one that follows the store for
+// its zone, this node's zone first, silent ones last.
 func (f *Follower) choose(slot int) string {
 	self := f.Nodes.Self()
-	disks := f.Nodes.Disks()
 	now := time.Now()
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	rank := func(node *wirev1.NodeRecord) int {
-		rank := 0
-		if node.Zone != self.Zone {
-			rank++
-		}
-		if now.Sub(f.silent[node.Address]) < silentTime {
-			rank += 2
+	var best *candidate
+	for _, next := range candidates(f.Nodes.Disks(), self) {
+		next.silent = now.Sub(f.silent[next.node.Address]) < silentTime
+		if next.node.NodeId != self.NodeId && !f.taken(slot, next.node.Address) && (best == nil || next.before(best)) {
+			best = next
 		}
-		return rank
 	}
-	sort.SliceStable(disks, func(i, j int) bool {
-		if one, other := rank(disks[i]), rank(disks[j]); one != other {
-			return one < other
-		}
-		return order(self.NodeId, disks[i].NodeId) < order(self.NodeId, disks[j].NodeId)
-	})
+	if best == nil {
+		return ""
+	}
+	f.sources[slot] = source{address: best.node.Address}
+	return best.node.Address
+}
+
+// candidate is a node that may be a source.
+type candidate struct {
+	node   *wirev1.NodeRecord
+	silent bool
+	// place is how many of its zone come before it in following the store.
+	place int
+	far   bool
+	order uint64
+}
+
+// candidates ranks nodes with disks, as seen from a node.
+func candidates(disks []*wirev1.NodeRecord, self *wirev1.NodeRecord) []*candidate {
+	disks = slices.Clone(disks)
+	slices.SortFunc(disks, func(a, b *wirev1.NodeRecord) int { return cmp.Compare(followWeight(b), followWeight(a)) })
+	places := map[string]int{}
+	list := make([]*candidate, 0, len(disks))
 	for _, node := range disks {
-		if !f.taken(slot, node.Address) {
-			f.sources[slot] = source{address: node.Address}
-			return node.Address
-		}
+		list = append(list, &candidate{node: node, place: places[node.Zone], far: node.Zone != self.Zone, order: order(self.NodeId, node.NodeId)})
+		places[node.Zone]++
+	}
+	return list
+}
+
+// before orders candidates: the first is asked first.
+func (c *candidate) before(other *candidate) bool {
+	switch {
+	case c.silent != other.silent:
+		return other.silent
+	case c.place != other.place:
+		return c.place < other.place
+	case c.far != other.far:
+		return other.far
+	default:
+		return c.order < other.order
 	}
-	return ""
 }
 
 func (f *Follower) taken(slot int, address string) bool {
@@ -158,8 +218,9 @@
 }
 
 // follow takes a source's changes until it falls silent, or says that the store
-// does not answer it.
-func (f *Follower) follow(ctx context.Context, slot int, address string) error {
+// does not answer it. It calls heard for each reply of a source that follows the
+// store.
+func (f *Follower) follow(ctx context.Context, slot int, address string, heard func()) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	opening := time.AfterFunc(openTimeout, cancel)
@@ -180,6 +241,7 @@
 			return errLost
 		}
 		f.note(slot)
+		heard()
 	}
 }
 
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -18,6 +18,9 @@
 type Server struct {
 	Mirror  *Mirror
 	Contact Contact
+	// Relieved reports whether this node follows others itself; it is no source
+	// then, so that no two nodes follow each other. Nil stands for never.
+	Relieved func() bool
 }
 
 // lifeInterval is how often a node that passes on says that it lives.
@@ -33,9 +36,16 @@
 		return result.New(result.NotReady, "this node does not follow the store")
 	}
 	after := request.After
+	relieved := s.Relieved
+	if relieved == nil {
+		relieved = func() bool { return false }
+	}
 	ticker := time.NewTicker(lifeInterval)
 	defer ticker.Stop()
 	for {
+		if relieved() {
+			return result.New(result.NotReady, "this node does not follow the store at present")
+		}
 		update, changed := s.Mirror.After(after)
 		reply := encode(update)
 		reply.Lost = s.Contact.Lost()
