Runners that nobody tells of are taken to be as full as those known, and are chosen after them; items go only to known ones

A runner outside a node's audience looked emptier than those it is told of, and items went to runners whose audience their node is not in, so that nobody could ask it to make room. Change: such a runner counts as full as the known ones of its zone in the mean (half as full where none is known there), mixed with what runners of the zone told in answers lately, and costs as much as a slot that turns out to be taken; items go only to runners that the node is told of, if there are any. Tests: runnerset.TestUnknownRunnersAreNotEmpty, TestKnownRoomGoesFirst, TestItemsGoToKnownRunners (fail before).

--- a/internal/runnerset/pick.go
+++ b/internal/runnerset/pick.go
@@ -53,6 +53,10 @@
 	// awayTime is what a batch item costs at a runner that is another node's to
 	// place items at: any with room of its own comes first.
 	awayTime = 200 * time.Millisecond
+	// unheardTime is what a runner costs that no other node tells this one of: it is
+	// chosen once there is no room at those known. A slot that turns out to be taken
+	// there costs as much at the least.
+	unheardTime = yieldTime
 	// chanceTime keeps nodes that see the same from choosing alike.
 	chanceTime   = 2 * time.Millisecond
 	defaultSlots = 8
@@ -84,11 +88,17 @@
 	best := Choice{}
 	list := s.Service(wish.Service)
 	typical := typicalSlowness(list)
+	anyKnown := s.noteKnown(list, now)
 	candidates := 0
 	for _, runner := range list {
 		if !usable(runner) || wish.Excluded[runner.ID] {
 			continue
 		}
+		// Who holds items at a runner has to hear at once of online work there: items
+		// go only to runners that this node is told of, if there are any.
+		if wish.Batch != nil && anyKnown && !s.hears(runner) {
+			continue
+		}
 		choice, fits := runner.weigh(wish, now, typical)
 		if !fits {
 			continue
@@ -124,6 +134,9 @@
 	if away {
 		choice.Cost += awayTime
 	}
+	if !r.set.hears(r) {
+		choice.Cost += unheardTime
+	}
 	if now.Before(r.aside) {
 		choice.Cost += asideTime
 	}
--- a/internal/runnerset/runner.go
+++ b/internal/runnerset/runner.go
@@ -46,6 +46,7 @@
 	// model is of the service's engines, crowd of the runner's neighbourhood.
 	model *enginemodel.Model
 	crowd *crowd
+	known *knownState
 	gone  atomic.Bool // leaving, or no longer listed
 	// removed is when the runner was listed no more without having said that it
 	// leaves, as time since processStart; 0 if it was not.
@@ -207,7 +208,7 @@
 
 // estimate works out the state: what this node and its peers have there, if that
 // is less what the runner told, and if peers do not tell this node of the runner
-// what its neighbours told. The mutex is held.
+// what is usual in its neighbourhood. The mutex is held.
 func (r *Runner) estimate(now time.Time) state {
 	counted := r.counted(now)
 	if !r.set.hears(r) {
--- a/internal/runnerset/runnerset.go
+++ b/internal/runnerset/runnerset.go
@@ -29,6 +29,7 @@
 	models map[string]*enginemodel.Model
 	// crowds are of each neighbourhood that a runner was ever listed in.
 	crowds  map[Neighbourhood]*crowd
+	knowns  map[string]*knownState // by service
 	listens atomic.Pointer[func(runner *Runner) bool]
 	onUse   atomic.Pointer[func(runner *Runner, use PeerUse)]
 	onPeer  atomic.Pointer[func(runner *Runner)]
@@ -43,7 +44,7 @@
 
 // New returns an empty set.
 func New() *Set {
-	s := &Set{byID: map[string]*Runner{}, models: map[string]*enginemodel.Model{}, crowds: map[Neighbourhood]*crowd{}, changed: make(chan struct{})}
+	s := &Set{byID: map[string]*Runner{}, models: map[string]*enginemodel.Model{}, crowds: map[Neighbourhood]*crowd{}, knowns: map[string]*knownState{}, changed: make(chan struct{})}
 	s.snapshot.Store(&snapshot{services: map[string][]*Runner{}, counts: newCounts()})
 	return s
 }
@@ -161,7 +162,7 @@
 	if known != nil {
 		known.gone.Store(true)
 	}
-	next := &Runner{Record: record, set: s, model: s.modelOf(record.Service), crowd: s.crowdOf(Neighbourhood{record.Service, record.Zone})}
+	next := &Runner{Record: record, set: s, model: s.modelOf(record.Service), crowd: s.crowdOf(Neighbourhood{record.Service, record.Zone}), known: s.knownOf(record.Service)}
 	next.gone.Store(record.Leaving)
 	s.byID[record.ID] = next
 }
@@ -176,6 +177,14 @@
 	return known
 }
 
+// knownOf returns the state of a service's means. The mutex is held.
+func (s *Set) knownOf(service string) *knownState {
+	if s.knowns[service] == nil {
+		s.knowns[service] = &knownState{}
+	}
+	return s.knowns[service]
+}
+
 // modelOf returns the model of a service's engines. The mutex is held.
 func (s *Set) modelOf(service string) *enginemodel.Model {
 	model := s.models[service]
--- a/internal/runnerset/runnerset_test.go
+++ b/internal/runnerset/runnerset_test.go
@@ -262,18 +262,57 @@
 }
 
 // A runner that no other node tells of is not taken for an empty one: it is
-// expected to be as full as its neighbours said of themselves lately.
+// expected to be as full as those that are known in its zone; where none is, half
+// as full, until one tells how full it is.
 func TestUnknownRunnersAreNotEmpty(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	s := setOf(record("heard", "z"), record("asked", "y"), record("unheard", "y"))
+	s := setOf(record("heard", "z"), record("unheard", "z"), record("far", "y"), record("asked", "y"))
+	s.SetListens(func(runner *Runner) bool { return runner.ID == "heard" })
+	load := func(id string, at time.Time) float64 {
+		s.Pick(&Wish{Service: "s", Zone: "z"}, at)
+		s.byID[id].mutex.Lock()
+		defer s.byID[id].mutex.Unlock()
+		return s.byID[id].estimate(at).running
+	}
+	is.Equal(load("unheard", now), 0.0)
+	later := now.Add(time.Second)
+	s.NotePeer("p", "heard", PeerUse{Running: 4}, later)
+	is.Equal(load("unheard", later), 4.0)
+	is.Equal(load("far", later), 2.0)
+	s.byID["asked"].NoteLoad(&exchange.Load{Running: 4, Waiting: 0, Slots: 4}, later)
+	is.Equal(load("far", later), 4.0) // its neighbour has said how full it is
+	is.Equal(pick(s, Wish{Zone: "z"}, later), "heard")
+	is.Equal(load("far", later.Add(crowdLife)), 2.0) // that is too old, and what is usual holds
+	use := s.Begin(s.byID["unheard"], Prompt{Tokens: 10}, false, later)
+	is.Equal(load("unheard", later), 5.0) // this node's own count comes on top
+	use.End()
+}
+
+// The best of the runners that a node is told of is chosen before any that it
+// knows nothing of, as long as it has room.
+func TestKnownRoomGoesFirst(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := setOf(record("a", "z"), record("b", "z"), record("unheard", "z"))
+	s.SetListens(func(runner *Runner) bool { return runner.ID != "unheard" })
+	s.NotePeer("p", "a", PeerUse{Running: 1}, now)
+	s.NotePeer("p", "b", PeerUse{Running: 4}, now)
+	for range 50 {
+		is.Equal(pick(s, Wish{Zone: "z"}, now), "a")
+	}
+}
+
+// Items go only to runners that this node is told of: else nobody could ask it to
+// make room. A node that is told of none uses what there is.
+func TestItemsGoToKnownRunners(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	wish := Wish{Zone: "z", Batch: &BatchRoom{Unread: 1000}}
+	s := setOf(record("heard", "y"), record("unheard", "z"))
 	s.SetListens(func(runner *Runner) bool { return runner.ID == "heard" })
-	s.NotePeer("p", "heard", PeerUse{Running: 4}, now)
-	wish := Wish{Zone: "z", Excluded: map[string]bool{"asked": true}}
-	is.Equal(pick(s, wish, now), "unheard") // nothing is known of the zone yet
-	s.byID["asked"].NoteLoad(&exchange.Load{Running: 4, Waiting: 4, Slots: 4}, now)
 	is.Equal(pick(s, wish, now), "heard")
-	is.Equal(pick(s, Wish{Zone: "y", Excluded: map[string]bool{"asked": true, "heard": true}}, now), "unheard") // it is the last one
-	is.Equal(pick(s, wish, now.Add(crowdLife)), "unheard")                                                      // what was told is too old
-	is.Equal(pick(s, Wish{Zone: "y", Batch: &BatchRoom{Unread: 1000}, Excluded: map[string]bool{"asked": true, "heard": true}}, now), "")
+	none := setOf(record("unheard", "z"))
+	none.SetListens(func(*Runner) bool { return false })
+	is.Equal(pick(none, wish, now), "unheard")
 }
