--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -60,7 +60,8 @@
 }
 
 // OnLost names who is told when the last link that a peer had dialled ends; the
-// peer has ended, or its connections broke. Call it before Serve.
+// peer has ended, or its connections broke. Nobody is told when the server itself
+// closes. Call it before Serve.
 func (s *Server) OnLost(told func(peer string)) { s.onLost = told }
 
 // Handle registers the stream handler of a method.
@@ -126,8 +127,8 @@
 func (s *Server) leave(peer string) {
 	s.mutex.Lock()
 	s.peers[peer]--
-	lost := s.peers[peer] == 0
-	if lost {
+	lost := s.peers[peer] == 0 && !s.closed
+	if s.peers[peer] == 0 {
 		delete(s.peers, peer)
 	}
 	s.mutex.Unlock()
