A shard's members lie in as few zones as a lost zone allows

Now a zone takes as many members of a shard as may be lost, so a lost zone still leaves a quorum: with two losses borne 2, 2 and 1 instead of five zones, three copies cross instead of four. With one loss borne nothing changes. The placement property asked for members in as many zones as there are. That is no promise: it is replaced by one as strict, that a lost zone takes no more members along than may be lost (or than it must), that no more zones are used than that needs, and that disks stay even.

--- a/internal/queuestore/placement.go
+++ b/internal/queuestore/placement.go
@@ -10,9 +10,9 @@
 	"cobaltramp.example/cobaltramp/internal/replica"
 )
 
-// place picks a shard's disks: those kept, then each time one from a zone that
-// has the fewest of them, of these one that holds the fewest shards, and of
-// these the one of the highest rendezvous weight.
+// place picks a shard's disks: those kept, then each time one of the zone that
+// zoneRank puts first, of these one that holds the fewest shards, and of these the
+// one of the highest rendezvous weight.
 func (n *Node) place(shard uint32, disks []*wirev1.NodeRecord, keep []string, held map[string]int) []string {
 	chosen := append([]string(nil), keep...)
 	perZone := map[string]int{}
@@ -24,7 +24,7 @@
 	ranked := append([]*wirev1.NodeRecord(nil), disks...)
 	sort.Slice(ranked, func(i, j int) bool { return weight(shard, ranked[i].DiskId) > weight(shard, ranked[j].DiskId) })
 	for len(chosen) < n.membersWanted() {
-		best := fewestHeld(ranked, chosen, perZone, held)
+		best := n.nextMember(ranked, chosen, perZone, held)
 		if best == nil {
 			break
 		}
@@ -34,20 +34,38 @@
 	return chosen
 }
 
-func fewestHeld(ranked []*wirev1.NodeRecord, chosen []string, perZone, held map[string]int) *wirev1.NodeRecord {
+func (n *Node) nextMember(ranked []*wirev1.NodeRecord, chosen []string, perZone, held map[string]int) *wirev1.NodeRecord {
 	var best *wirev1.NodeRecord
 	for _, disk := range ranked {
 		if contains(chosen, disk.DiskId) {
 			continue
 		}
-		if best == nil || perZone[disk.Zone] < perZone[best.Zone] ||
-			perZone[disk.Zone] == perZone[best.Zone] && held[disk.DiskId] < held[best.DiskId] {
+		if best == nil {
+			best = disk
+			continue
+		}
+		rank, least := n.zoneRank(perZone[disk.Zone]), n.zoneRank(perZone[best.Zone])
+		if rank < least || rank == least && held[disk.DiskId] < held[best.DiskId] {
 			best = disk
 		}
 	}
 	return best
 }
 
+// zoneRank orders zones by how many of a shard's members they have, the zone to
+// take the next from first: one that has some, but fewer than may be lost, since
+// bytes between zones are dear; then one that has none. So a zone that is lost
+// takes no more members along than may be lost, and the others go on. Where there
+// are too few zones for that, the one with the fewest comes first.
+func (n *Node) zoneRank(members int) int {
+	switch {
+	case members > 0 && members < n.DiskLosses:
+		return -1
+	default:
+		return members
+	}
+}
+
 // held counts the shards of each disk.
 func (l *Layout) held() map[string]int {
 	held := map[string]int{}
