--- a/internal/queuestore/disk_test.go
+++ b/internal/queuestore/disk_test.go
@@ -18,11 +18,13 @@
 	"cobaltramp.example/cobaltramp/internal/result"
 )
 
-// slowDisk is a file system whose syncs take a time that can be changed.
+// slowDisk is a file system whose syncs take a time that can be changed, and hang
+// while its gate is locked.
 type slowDisk struct {
 	vfs.FS
 	delay atomic.Int64
 	syncs atomic.Int64
+	gate  sync.RWMutex
 }
 
 type slowFile struct {
@@ -33,6 +35,8 @@
 func (d *slowDisk) wait() {
 	d.syncs.Add(1)
 	time.Sleep(time.Duration(d.delay.Load()))
+	d.gate.RLock()
+	defer d.gate.RUnlock()
 }
 
 func (d *slowDisk) wrap(file vfs.File, err error) (vfs.File, error) {
@@ -98,6 +102,34 @@
 	}
 }
 
+// A disk that hangs, also the leader's, keeps no job from being taken, run and
+// read by way of the others; what was on its way to it is taken once; when it goes
+// on its member catches up, and the next may hang.
+func TestDiskHangs(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.submit("first", 2)
+	for round := range 2 {
+		hanging := c.nodes[c.leader()]
+		hanging.disk.gate.Lock()
+		name := fmt.Sprintf("while-%d", round)
+		c.submit(name, 3)
+		c.finished(name, 3)
+		hanging.disk.gate.Unlock()
+		c.eventually("the member has caught up", func() bool {
+			leader := c.leader()
+			return leader != "" && hanging.node.shard(reportingShard) != nil && hanging.applied() >= c.nodes[leader].applied()
+		})
+	}
+	c.finished("first", 2)
+}
+
+// applied returns how far the node's replica of the first shard has applied its log.
+func (n *testNode) applied() uint64 {
+	applied := uint64(0)
+	_ = n.node.shard(reportingShard).ask(context.Background(), func() { applied = n.node.shard(reportingShard).applied })
+	return applied
+}
+
 // A job that the leader's disk has no room for is refused as not run, and not
 // known after; the jobs taken before run to their end.
 func TestFullDiskRefusesJobs(t *testing.T) {
