The last that a node tells of a runner is what it has there; choices tell the parts of what they believe

Cause, by reading: a use was read before it was told, so of two changes at once the older could be told last; repeated each second it would have stood for as long as nothing else happened at the runner.

--- a/internal/loadshare/loadshare.go
+++ b/internal/loadshare/loadshare.go
@@ -45,23 +45,20 @@
 	audiences audiences
 	notices   *prometheus.CounterVec
 
-	mutex   sync.Mutex
-	pending map[*runnerset.Runner]*wirev1.RunnerUse
+	// mutex is held while a use is read and told: of two changes at once the later
+	// is told later.
+	mutex sync.Mutex
+	// pending are the runners of which nodes with disks are to be told.
+	pending map[*runnerset.Runner]bool
 	// due is signalled when something begins to be pending.
 	due chan struct{}
-	// standing is what this node was last known to have at runners, as long as
-	// that is something.
-	standing map[*runnerset.Runner]standingUse
+	// standing are the runners at which this node has something, by when it was
+	// told.
+	standing map[*runnerset.Runner]time.Time
 	// incarnations are those of the processes that peers told from.
 	incarnations map[string]uint64
 }
 
-// standingUse is a use that was told at a moment.
-type standingUse struct {
-	told *wirev1.RunnerUse
-	at   time.Time
-}
-
 const (
 	// gatherInterval is how often nodes with disks are told.
 	gatherInterval = 60 * time.Millisecond
@@ -73,8 +70,8 @@
 // New returns a share and hangs it on the runners.
 func New(directory Directory, runners *runnerset.Set, notifier Notifier, registry prometheus.Registerer) *Share {
 	s := &Share{
-		runners: runners, notifier: notifier, directory: directory, pending: map[*runnerset.Runner]*wirev1.RunnerUse{}, due: make(chan struct{}, 1),
-		standing: map[*runnerset.Runner]standingUse{}, incarnations: map[string]uint64{},
+		runners: runners, notifier: notifier, directory: directory, pending: map[*runnerset.Runner]bool{}, due: make(chan struct{}, 1),
+		standing: map[*runnerset.Runner]time.Time{}, incarnations: map[string]uint64{},
 		audiences: audiences{directory: directory, runners: runners},
 		notices:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_runner_use_notices_total", Help: "Notices of what this node has at runners, by receivers."}, []string{"to"}),
 	}
@@ -88,21 +85,23 @@
 func (s *Share) listens(runner *runnerset.Runner) bool { return s.audiences.of(runner).self }
 
 // changed tells of a change of this node's use of a runner.
-func (s *Share) changed(runner *runnerset.Runner, use runnerset.PeerUse) {
-	told := encodeUse(runner, use)
+func (s *Share) changed(runner *runnerset.Runner, shared []runnerset.Part) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	told := encodeUse(runner)
+	for _, part := range shared { // nodes with disks place items by other parts
+		told.Prompt = append(told.Prompt, &wirev1.PromptPart{Id: part.ID, Tokens: uint32(part.Tokens)})
+	}
 	receivers := s.audiences.of(runner).edges
 	if holders := s.crowdedHolders(runner); len(holders) > 0 {
 		receivers = append(slices.Clone(receivers), holders...)
 	}
 	s.send("edges", s.audiences.addresses(receivers), &wirev1.RunnerUses{Uses: []*wirev1.RunnerUse{told}})
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	told.Prompt = nil // nodes with disks place items by other parts
-	s.pending[runner] = told
+	s.pending[runner] = true
 	if told.Running == 0 {
 		delete(s.standing, runner)
 	} else {
-		s.standing[runner] = standingUse{told, time.Now()}
+		s.standing[runner] = time.Now()
 	}
 	select {
 	case s.due <- struct{}{}:
@@ -110,14 +109,12 @@
 	}
 }
 
-func encodeUse(runner *runnerset.Runner, use runnerset.PeerUse) *wirev1.RunnerUse {
-	told := &wirev1.RunnerUse{
+// encodeUse encodes what this node has at a runner now.
+func encodeUse(runner *runnerset.Runner) *wirev1.RunnerUse {
+	use := runner.Use()
+	return &wirev1.RunnerUse{
 		Runner: runner.ID, Running: uint32(max(0, use.Running)), Batch: uint32(max(0, use.Batch)), UnreadTokens: uint32(max(0, use.Unread)),
 	}
-	for _, part := range use.Shared {
-		told.Prompt = append(told.Prompt, &wirev1.PromptPart{Id: part.ID, Tokens: uint32(part.Tokens)})
-	}
-	return told
 }
 
 func (s *Share) send(kind string, addresses []string, uses *wirev1.RunnerUses) {
@@ -170,28 +167,28 @@
 // flush tells each node with a disk what has changed at its runners.
 func (s *Share) flush() {
 	s.mutex.Lock()
-	pending := s.pending
-	s.pending = map[*runnerset.Runner]*wirev1.RunnerUse{}
-	s.mutex.Unlock()
+	defer s.mutex.Unlock()
 	byAddress := gathered{}
-	for runner, use := range pending {
-		byAddress.add(s.audiences.addresses(s.audiences.of(runner).disks), use)
+	for runner := range s.pending {
+		byAddress.add(s.audiences.addresses(s.audiences.of(runner).disks), encodeUse(runner))
 	}
+	clear(s.pending)
 	s.sendGathered("disks", byAddress)
 }
 
 // repeat tells again what has gone on unchanged.
 func (s *Share) repeat(now time.Time) {
 	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	byAddress := gathered{}
-	for runner, standing := range s.standing {
-		if now.Sub(standing.at) >= repeatInterval {
-			told := s.audiences.of(runner)
-			byAddress.add(s.audiences.addresses(told.edges), standing.told)
-			byAddress.add(s.audiences.addresses(told.disks), standing.told)
+	for runner, at := range s.standing {
+		if now.Sub(at) < repeatInterval {
+			continue
 		}
+		use, told := encodeUse(runner), s.audiences.of(runner)
+		byAddress.add(s.audiences.addresses(told.edges), use)
+		byAddress.add(s.audiences.addresses(told.disks), use)
 	}
-	s.mutex.Unlock()
 	s.sendGathered("repeats", byAddress)
 }
 
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -272,3 +272,34 @@
 	share.repeat(later)
 	is.Equal(box.count(), before)
 }
+
+// Whatever requests begin and end at the same moment, the last that a receiver is
+// told is what the node has: a use that has ended would else be repeated for good.
+func TestLastNoticeIsTheLastUse(t *testing.T) {
+	is := is.New(t)
+	f := fleet{edges: 2, disks: 1, runners: 1, zones: 1}
+	share, runners, box := f.node(0)
+	runner := runners.Service("s")[0]
+	var group sync.WaitGroup
+	for range 8 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for range 200 {
+				use := runners.Begin(runner, runnerset.Prompt{Tokens: 10}, false, time.Now())
+				use.First(time.Now())
+				use.End()
+			}
+		}()
+	}
+	group.Wait()
+	share.flush()
+	for _, address := range []string{"e1", "d0"} {
+		last := box.sent[address][len(box.sent[address])-1]
+		is.Equal(last.Uses[0].Running, uint32(0))
+		is.Equal(last.Uses[0].UnreadTokens, uint32(0))
+	}
+	before := box.count()
+	share.repeat(time.Now().Add(repeatInterval))
+	is.Equal(box.count(), before) // nothing goes on
+}
--- a/internal/online/online.go
+++ b/internal/online/online.go
@@ -235,7 +235,8 @@
 	}
 	s.attempts.WithLabelValues(result.CodeOf(err).String()).Inc()
 	revision, since := s.Runners.Revision()
-	klog.InfoS("attempt", "id", s.request.ID, "runner", choice.Runner.ID, "zone", choice.Runner.Zone, "load", int(choice.Load), "unread", int(choice.Unread), "costMs", choice.Cost.Milliseconds(),
+	klog.InfoS("attempt", "id", s.request.ID, "runner", choice.Runner.ID, "zone", choice.Runner.Zone, "load", int(choice.Load), "own", int(choice.Belief.Own), "peers", int(choice.Belief.Peers), "peersMs", choice.Belief.OldestPeer.Milliseconds(),
+		"told", int(choice.Belief.Told), "toldMs", choice.Belief.ToldAge.Milliseconds(), "heard", choice.Belief.Heard, "unread", int(choice.Unread), "costMs", choice.Cost.Milliseconds(),
 		"candidates", choice.Candidates, "list", revision, "listAgeMs", time.Since(since).Milliseconds(),
 		"ms", time.Since(started).Milliseconds(), "again", again, "outcome", outcome)
 }
--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -103,6 +103,8 @@
 		outcome.Attempts = route.Attempts
 		outcome.Events, outcome.Took = run.output.Last-work.Output.Last, time.Since(now)
 		klog.InfoS("item run ended", "job", work.Key.Job, "item", work.Item.Id, "runner", choice.Runner.ID, "load", int(choice.Load),
+			"own", int(choice.Belief.Own), "peers", int(choice.Belief.Peers), "peersMs", choice.Belief.OldestPeer.Milliseconds(),
+			"told", int(choice.Belief.Told), "toldMs", choice.Belief.ToldAge.Milliseconds(), "heard", choice.Belief.Heard,
 			"catalog", held.Version, "slackMs", work.Slack.Milliseconds(), "from", work.Output.Last, "to", run.output.Last, "outcome", outcome.Reason, "ms", time.Since(now).Milliseconds())
 		done(outcome)
 	}()
--- a/internal/runnerset/pick.go
+++ b/internal/runnerset/pick.go
@@ -70,6 +70,8 @@
 	// Load is the estimate of the requests there, Unread of the tokens.
 	Load   float64
 	Unread float64
+	// Belief are the parts of Load.
+	Belief Belief
 	// Candidates that could have been picked.
 	Candidates int
 }
@@ -109,6 +111,9 @@
 		}
 	}
 	best.Candidates = candidates
+	if best.Runner != nil {
+		best.Belief = best.Runner.belief(now)
+	}
 	return best
 }
 
--- a/internal/runnerset/runner.go
+++ b/internal/runnerset/runner.go
@@ -240,6 +240,38 @@
 	}
 }
 
+// Belief is what a choice rests on: the parts of what a node takes to be at a
+// runner, each with its age, for the log.
+type Belief struct {
+	// Own are this node's requests there, Peers those that other nodes told of.
+	Own, Peers float64
+	// OldestPeer is how old the oldest of these words is; 0 if there is none.
+	OldestPeer time.Duration
+	// Told is what the runner said others have there, ToldAge ago; 0 and 0 if it
+	// has said nothing that still counts.
+	Told    float64
+	ToldAge time.Duration
+	// Heard: other nodes tell this one of the runner.
+	Heard bool
+}
+
+// belief returns the parts of the estimate of the runner's load.
+func (r *Runner) belief(now time.Time) Belief {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	parts := Belief{Own: float64(r.own.running), Heard: r.set.hears(r)}
+	for _, peer := range r.peers {
+		if age := now.Sub(peer.at); age < peerLife {
+			parts.Peers += float64(peer.running)
+			parts.OldestPeer = max(parts.OldestPeer, age)
+		}
+	}
+	if age := now.Sub(r.told.at); age < toldLife {
+		parts.Told, parts.ToldAge = r.told.load, age
+	}
+	return parts
+}
+
 // Crowd tells how many requests nodes have at the runner, and how many of them
 // are batch items of this node and of all. What the runner told is left out: it
 // may still count items that have given way.
@@ -269,8 +301,9 @@
 	return running
 }
 
-func (r *Runner) ownUse(shared []Part) PeerUse {
+// Use returns what this node has at the runner now.
+func (r *Runner) Use() PeerUse {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return PeerUse{r.own.running, r.own.batch, r.own.unread, shared}
+	return PeerUse{Running: r.own.running, Batch: r.own.batch, Unread: r.own.unread}
 }
--- a/internal/runnerset/runnerset.go
+++ b/internal/runnerset/runnerset.go
@@ -31,7 +31,7 @@
 	crowds  map[Neighbourhood]*crowd
 	knowns  map[string]*knownState // by service
 	listens atomic.Pointer[func(runner *Runner) bool]
-	onUse   atomic.Pointer[func(runner *Runner, use PeerUse)]
+	onUse   atomic.Pointer[func(runner *Runner, shared []Part)]
 	onPeer  atomic.Pointer[func(runner *Runner)]
 }
 
@@ -70,15 +70,17 @@
 // Counts returns how many runners are listed.
 func (s *Set) Counts() *Counts { return s.snapshot.Load().counts }
 
-// OnUse names who is told when this node's use of a runner changes.
-func (s *Set) OnUse(told func(runner *Runner, use PeerUse)) { s.onUse.Store(&told) }
+// OnUse names who is told when this node's use of a runner changes, and of the
+// shared parts of a prompt that was just sent there. It may be called by several
+// goroutines at once, so what the use is now is asked of the runner (Use).
+func (s *Set) OnUse(told func(runner *Runner, shared []Part)) { s.onUse.Store(&told) }
 
 // OnPeer names who is told when another node's use of a runner changes.
 func (s *Set) OnPeer(told func(runner *Runner)) { s.onPeer.Store(&told) }
 
 func (s *Set) tell(runner *Runner, shared []Part) {
 	if told := s.onUse.Load(); told != nil {
-		(*told)(runner, runner.ownUse(shared))
+		(*told)(runner, shared)
 	}
 }
 
--- a/internal/runnerset/runnerset_test.go
+++ b/internal/runnerset/runnerset_test.go
@@ -316,3 +316,18 @@
 	none.SetListens(func(*Runner) bool { return false })
 	is.Equal(pick(none, wish, now), "unheard")
 }
+
+// A choice tells the parts of what it believes of the runner, with their ages.
+func TestChoiceTellsItsBelief(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := setOf(record("a", "z"))
+	a := s.byID["a"]
+	s.Begin(a, Prompt{Tokens: 10}, false, now)
+	s.NotePeer("old", "a", PeerUse{Running: 1}, now.Add(-2*time.Second))
+	s.NotePeer("new", "a", PeerUse{Running: 2}, now)
+	s.NotePeer("gone", "a", PeerUse{Running: 3}, now.Add(-peerLife))
+	a.NoteLoad(&exchange.Load{Running: 5, Slots: 4}, now.Add(-100*time.Millisecond))
+	belief := s.Pick(&Wish{Service: "s", Zone: "z"}, now).Belief
+	is.Equal(belief, Belief{Own: 1, Peers: 3, OldestPeer: 2 * time.Second, Told: 4, ToldAge: 100 * time.Millisecond, Heard: true})
+}
