--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -10,6 +10,7 @@
 	"runtime"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -266,7 +267,7 @@
 }
 
 // Frames of several senders arrive whole, and those of each in its order, also
-// through a queue that is full at times; a closed link lets nobody wait.
+// through a queue that is full at times.
 func TestSendQueueKeepsOrderAndBound(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		queue := newSendQueue()
@@ -300,13 +301,25 @@
 			}
 		}
 		group.Wait()
+	})
+}
+
+// Whoever waits for room in a queue is let go when it closes, and a closed queue
+// takes nothing.
+func TestClosedQueueLetsNobodyWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		queue := newSendQueue()
 		for queue.tryPut([]byte{0}) {
 		}
-		waiting := make(chan bool)
+		waiting := make(chan bool, 1)
 		go func() { waiting <- queue.put([]byte{0}) }()
+		synctest.Wait() // it waits for room
+		is.Equal(len(waiting), 0)
 		queue.close()
-		if <-waiting || queue.tryPut([]byte{0}) {
-			t.Fatal("a closed queue takes a frame")
-		}
+		synctest.Wait()
+		is.Equal(len(waiting), 1)
+		is.True(!<-waiting)
+		is.True(!queue.tryPut([]byte{0}))
 	})
 }
