--- a/internal/runnerset/runnerset_test.go
+++ b/internal/runnerset/runnerset_test.go
@@ -308,7 +308,7 @@
 func TestItemsGoToKnownRunners(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	wish := Wish{Zone: "z", Batch: &BatchRoom{Unread: 1000}}
+	wish := Wish{Zone: "z", Bytes: 1 << 20, Batch: &BatchRoom{Unread: 1000}} // another zone is dear
 	s := setOf(record("heard", "y"), record("unheard", "z"))
 	s.SetListens(func(runner *Runner) bool { return runner.ID == "heard" })
 	is.Equal(pick(s, wish, now), "heard")
