All nodes with disks are told of each runner up to 20 of them, 12 beyond

Fleets of up to 12 nodes with disks are told as before, so the small and the grown sites are not touched. Notices a request: at most 8, 66 and 60 at 10, 100 and 1,000 nodes (8, 48, 48).

--- a/internal/loadshare/audience.go
+++ b/internal/loadshare/audience.go
@@ -37,12 +37,12 @@
 	// more than fewDisks: up to so many every one is told, since a single one may
 	// run all items.
 	leastEdges = 12
-	leastDisks = 6
-	fewDisks   = 12
+	leastDisks = 12
+	fewDisks   = 20
 	// choiceOfEdge and choiceOfDisk are of how many runners a node is told in the
 	// mean, at least: it chooses best among these.
 	choiceOfEdge = 6
-	choiceOfDisk = 12
+	choiceOfDisk = 24
 )
 
 // width is how many nodes of one kind are told of each of the runners, so that
