--- a/internal/httpcall/client_test.go
+++ b/internal/httpcall/client_test.go
@@ -156,15 +156,15 @@
 	is.True(err != nil && !strings.Contains(err.Error(), "exceeds"))
 }
 
-// A server may answer a long request before it has read it, and keep the
-// connection. The answer counts, and nothing but that request's own body is
-// ever written on that connection: the next request takes another one.
+// A server may answer before it has read a long body and read on later: the
+// connection is not used again, and nothing but the body comes on it.
 func TestAnswerBeforeTheBodyIsRead(t *testing.T) {
 	is := is.New(t)
-	body := strings.Repeat("x", 4<<20) // more than what sockets hold
+	body := strings.Repeat("x", 32<<20) // more than the buffers of both sockets hold
 	var connections atomic.Int64
 	var foreign atomic.Bool
-	gone := make(chan struct{}, 1)
+	answered := make(chan struct{})
+	ended := make(chan struct{})
 	url := rawServer(t, func(conn net.Conn) {
 		reader := bufio.NewReader(conn)
 		if !readRequest(reader) {
@@ -172,12 +172,14 @@
 		}
 		_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
 		if connections.Add(1) > 1 {
+			<-ended // stays open without reading, as the first one does
 			return
 		}
-		for { // the rest of the body is still due
+		<-answered // not a byte of the body is read before the client has both answers
+		for {
 			data, err := reader.ReadByte()
 			if err != nil {
-				gone <- struct{}{}
+				close(ended)
 				return
 			}
 			if data != 'x' {
@@ -194,7 +196,43 @@
 		is.NoErr(err)
 		is.Equal(string(answer), "no")
 	}
-	<-gone
+	close(answered)
+	<-ended
 	is.Equal(connections.Load(), int64(2))
 	is.True(!foreign.Load())
 }
+
+// A server that answers early and has the whole body before the client reads
+// the answer may be sent the next request on the same connection; each request
+// then begins right behind the whole body of the one before.
+func TestAnswerBeforeTheBodyIsReadWholeBodySent(t *testing.T) {
+	is := is.New(t)
+	const length = 1 << 20
+	body := strings.Repeat("x", length)
+	var foreign atomic.Bool
+	url := rawServer(t, func(conn net.Conn) {
+		reader := bufio.NewReader(conn)
+		for readRequest(reader) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno")
+			for range length {
+				data, err := reader.ReadByte()
+				if err != nil {
+					return // the client closed it: nothing more comes
+				}
+				if data != 'x' {
+					foreign.Store(true)
+				}
+			}
+		}
+	})
+	client := NewClient(nil)
+	for range 20 {
+		response, err := client.Do(context.Background(), &Request{Method: "POST", URL: url, Body: []byte(body)})
+		is.NoErr(err)
+		is.Equal(response.Status, 413)
+		answer, err := response.ReadAll(10)
+		is.NoErr(err)
+		is.Equal(string(answer), "no")
+	}
+	is.True(!foreign.Load())
+}
