Callers' keys on the users' path: a key opens what its one tenant may do, and no runner sees it

Change: the catalog holds tenants and digests of their keys; the door resolves a key once, refuses at once what has none that is known, names the tenant to the runner itself; jobs are kept by tenant and id, so that another tenant finds nothing; waiting tokens are counted by tenant and route; items carry their job's tenant and never a key.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -54,6 +54,8 @@
 	Priority int
 	// Resumable streams may go on at another runner after the last event.
 	Resumable bool
+	// Public requests need no key.
+	Public bool
 	// Parts are the services; weights are positive.
 	Parts []Part
 	// ResultTarget, GiveUp, MaxWaitingTokens are of batch routes: when results
@@ -130,6 +132,9 @@
 	// hosts holds each host's routes, longest prefix first.
 	hosts map[string][]*Route
 	count int
+	// tenants by name, and by the digests of their keys.
+	tenants map[string]*Tenant
+	keys    map[KeyDigest]*Tenant
 }
 
 // New checks and indexes a version.
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -25,6 +25,8 @@
 	// the client sets itself.
 	Headers []Header
 	Body    []byte
+	// Tenant is whose request it is; empty where there are no tenants.
+	Tenant string
 	// RunnerID and Address say which incarnation is meant.
 	RunnerID string
 	Address  string
--- a/internal/online/online.go
+++ b/internal/online/online.go
@@ -22,14 +22,16 @@
 
 // Request is a caller's request.
 type Request struct {
-	ID       string
-	Method   string
-	URI      string
-	Host     string
-	Headers  []exchange.Header
-	Body     []byte
-	Route    *catalog.Route
-	Version  uint64
+	ID      string
+	Method  string
+	URI     string
+	Host    string
+	Headers []exchange.Header
+	Body    []byte
+	Route   *catalog.Route
+	Version uint64
+	// Tenant is whose request it is; nil where there are no tenants.
+	Tenant   *catalog.Tenant
 	Received time.Time
 	// Deadline is when the caller or the route's time-out ends it.
 	Deadline time.Time
@@ -39,6 +41,13 @@
 	Prompt runnerset.Prompt
 }
 
+func (r *Request) tenantName() string {
+	if r.Tenant == nil {
+		return ""
+	}
+	return r.Tenant.Name
+}
+
 // Responder takes the answer. Before Head nothing has been said.
 type Responder interface {
 	// Head passes on the status and headers; length is negative if not known.
@@ -124,7 +133,7 @@
 		}
 	}
 	s.requests.WithLabelValues(outcome).Inc()
-	klog.InfoS("request ended", "id", s.request.ID, "route", s.request.Route.Name, "catalog", s.request.Version, "outcome", outcome,
+	klog.InfoS("request ended", "id", s.request.ID, "route", s.request.Route.Name, "tenant", s.request.tenantName(), "catalog", s.request.Version, "outcome", outcome,
 		"runs", s.runs, "notRun", s.notRun, "events", s.last, "firstMs", s.firstSeen.Milliseconds(),
 		"ms", time.Since(s.request.Received).Milliseconds(), "cause", s.lastCause)
 }
@@ -271,7 +280,7 @@
 	call := &exchange.Call{
 		ID: s.request.ID, Method: s.request.Method, URI: s.request.URI, Host: s.request.Host, Headers: s.request.Headers,
 		Body: s.request.Body, RunnerID: runner.ID, Address: runner.Address, Service: runner.Service,
-		Remaining: time.Until(s.request.Deadline), ResumeAfter: s.request.ResumeAfter, Current: current,
+		Tenant: s.request.tenantName(), Remaining: time.Until(s.request.Deadline), ResumeAfter: s.request.ResumeAfter, Current: current,
 	}
 	if s.headSent {
 		call.ResumeAfter = s.last
--- a/internal/queue/ledger.go
+++ b/internal/queue/ledger.go
@@ -15,7 +15,7 @@
 
 type shardReport struct {
 	epoch, number uint64
-	waiting       map[string]uint64
+	waiting       map[Account]uint64
 }
 
 // NewLedger returns a ledger of so many shards that knows none of them.
@@ -23,9 +23,9 @@
 	return &Ledger{shards: shards, reports: map[uint32]shardReport{}}
 }
 
-// Report takes what waits in a shard, by route. It reports false for a leader
+// Report takes what waits in a shard. It reports false for a leader
 // that another has followed.
-func (l *Ledger) Report(shard uint32, epoch, number uint64, waiting map[string]uint64) bool {
+func (l *Ledger) Report(shard uint32, epoch, number uint64, waiting map[Account]uint64) bool {
 	held, known := l.reports[shard]
 	if known && epoch < held.epoch {
 		return false
@@ -40,20 +40,20 @@
 // said of a sum.
 func (l *Ledger) Complete() bool { return len(l.reports) == l.shards }
 
-// Waiting returns the tokens of a route over all shards.
-func (l *Ledger) Waiting(route string) uint64 {
+// Waiting returns the tokens of an account over all shards.
+func (l *Ledger) Waiting(account Account) uint64 {
 	sum := uint64(0)
 	for _, report := range l.reports {
-		sum += report.waiting[route]
+		sum += report.waiting[account]
 	}
 	return sum
 }
 
 // Release takes tokens of a shard back that were reported and not let in, unless
 // the shard has reported since.
-func (l *Ledger) Release(shard uint32, epoch, number uint64, route string, tokens uint64) {
+func (l *Ledger) Release(shard uint32, epoch, number uint64, account Account, tokens uint64) {
 	held := l.reports[shard]
-	if held.epoch == epoch && held.number == number && held.waiting[route] >= tokens {
-		held.waiting[route] -= tokens
+	if held.epoch == epoch && held.number == number && held.waiting[account] >= tokens {
+		held.waiting[account] -= tokens
 	}
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -97,7 +97,7 @@
 	}
 	record := &wirev1.QueueRecord{
 		Id: job.Id, Host: job.Host, Path: job.Path, Route: job.Route, AcceptedUnixMs: job.AcceptedUnixMs,
-		DueAfterMs: job.DueAfterMs, GiveUpMs: job.GiveUpMs, Index: index,
+		DueAfterMs: job.DueAfterMs, GiveUpMs: job.GiveUpMs, Index: index, Tenant: job.Tenant,
 	}
 	for number, item := range job.Items {
 		record.Items = append(record.Items, &wirev1.QueueItemInfo{Id: item.Id, Tokens: item.Tokens, OutputTokens: item.OutputTokens})
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -254,14 +254,14 @@
 	is := is.New(t)
 	now := time.Now()
 	table, record := tableOf(now, &wirev1.QueueItemInfo{Id: "a", Tokens: 5}, &wirev1.QueueItemInfo{Id: "b", Tokens: 7}, &wirev1.QueueItemInfo{Id: "c", Tokens: 9, Position: 1})
-	is.Equal(table.Waiting("r"), uint64(12))
+	is.Equal(table.Waiting(Account{Route: "r"}), uint64(12))
 	table.Add(record, now, now) // the same again changes nothing
-	is.Equal(table.Waiting("r"), uint64(12))
+	is.Equal(table.Waiting(Account{Route: "r"}), uint64(12))
 	table.Finish(Key{"j", 0})
 	table.Finish(Key{"j", 0})
-	is.Equal(table.Waiting("r"), uint64(7))
+	is.Equal(table.Waiting(Account{Route: "r"}), uint64(7))
 	table.End("j")
-	is.Equal(table.Waiting("r"), uint64(0))
+	is.Equal(table.Waiting(Account{Route: "r"}), uint64(0))
 	is.True(!table.Open("j"))
 }
 
--- a/internal/queue/table.go
+++ b/internal/queue/table.go
@@ -13,12 +13,17 @@
 	Number uint32
 }
 
+// Account names the waiting tokens that are limited together: those of one
+// tenant's jobs on one route, or of all jobs where there are no tenants.
+type Account struct{ Tenant, Route string }
+
 // Entry is an unfinished item in the leader's table.
 type Entry struct {
 	Key    Key
 	ID     string
 	Tokens uint64
-	Route  string
+	// Account is what its tokens count against while it waits.
+	Account Account
 	// Due is when its result should be readable, GiveUp when it may be given up.
 	Due    time.Time
 	GiveUp time.Time
@@ -62,14 +67,14 @@
 type Table struct {
 	entries map[Key]*Entry
 	jobs    map[string]map[uint32]*Entry
-	waiting map[string]uint64
+	waiting map[Account]uint64
 	order   uint64
 	pace    pace
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{entries: map[Key]*Entry{}, jobs: map[string]map[uint32]*Entry{}, waiting: map[string]uint64{}}
+	return &Table{entries: map[Key]*Entry{}, jobs: map[string]map[uint32]*Entry{}, waiting: map[Account]uint64{}}
 }
 
 // Add adds the unfinished items of a job that is not ended.
@@ -85,14 +90,14 @@
 		}
 		t.order++
 		entry := &Entry{
-			Key: Key{record.Id, uint32(number)}, ID: info.Id, Tokens: info.Tokens, Route: record.Route, Expected: info.OutputTokens,
+			Key: Key{record.Id, uint32(number)}, ID: info.Id, Tokens: info.Tokens, Account: Account{record.Tenant, record.Route}, Expected: info.OutputTokens,
 			Due:    accepted.Add(time.Duration(record.DueAfterMs) * time.Millisecond),
 			GiveUp: accepted.Add(time.Duration(record.GiveUpMs) * time.Millisecond),
 			order:  t.order,
 		}
 		items[uint32(number)] = entry
 		t.entries[entry.Key] = entry
-		t.waiting[entry.Route] += entry.Tokens
+		t.waiting[entry.Account] += entry.Tokens
 	}
 	if len(items) > 0 {
 		t.jobs[record.Id] = items
@@ -105,15 +110,15 @@
 	return max(0, wall.Sub(time.UnixMilli(record.AcceptedUnixMs)))
 }
 
-// Waiting returns the tokens of a route's unfinished items.
-func (t *Table) Waiting(route string) uint64 { return t.waiting[route] }
+// Waiting returns the tokens of an account's unfinished items.
+func (t *Table) Waiting(account Account) uint64 { return t.waiting[account] }
 
-// WaitingByRoute returns the tokens of unfinished items by route.
-func (t *Table) WaitingByRoute() map[string]uint64 {
-	waiting := make(map[string]uint64, len(t.waiting))
-	for route, tokens := range t.waiting {
+// WaitingByAccount returns the tokens of unfinished items.
+func (t *Table) WaitingByAccount() map[Account]uint64 {
+	waiting := make(map[Account]uint64, len(t.waiting))
+	for account, tokens := range t.waiting {
 		if tokens > 0 {
-			waiting[route] = tokens
+			waiting[account] = tokens
 		}
 	}
 	return waiting
@@ -139,7 +144,7 @@
 	if entry == nil {
 		return
 	}
-	t.waiting[entry.Route] -= entry.Tokens
+	t.waiting[entry.Account] -= entry.Tokens
 	delete(t.entries, key)
 	delete(t.jobs[key.Job], key.Number)
 	if len(t.jobs[key.Job]) == 0 {
--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -167,7 +167,7 @@
 func (r *run) call() *exchange.Call {
 	call := &exchange.Call{
 		ID: r.work.Item.Id, Method: http.MethodPost, URI: r.work.Item.Path, Host: r.work.Host, Body: r.work.Item.Body,
-		RunnerID: r.runner.ID, Address: r.runner.Address, Service: r.runner.Service, ResumeAfter: -1, Current: r.runner.Takes,
+		RunnerID: r.runner.ID, Address: r.runner.Address, Service: r.runner.Service, Tenant: r.work.Tenant, ResumeAfter: -1, Current: r.runner.Takes,
 	}
 	for _, header := range r.work.Item.Headers {
 		call.Headers = append(call.Headers, exchange.Header{Name: header.Name, Value: header.Value})
--- a/internal/queuestore/leader.go
+++ b/internal/queuestore/leader.go
@@ -29,7 +29,7 @@
 	// taken are the acceptance times of all jobs, for retention.
 	taken map[string]int64
 	// accepting are tokens of submissions on their way through the log.
-	accepting map[string]uint64
+	accepting map[queue.Account]uint64
 	// acceptingBytes are their sizes.
 	acceptingBytes int
 	// ledger is what all shards have told, on the keeper of the limits.
@@ -111,7 +111,7 @@
 	l := &leadership{
 		epoch: s.replica.Epoch(), table: queue.NewTable(), context: ctx, cancel: cancel,
 		runs: map[queue.Key]context.CancelFunc{}, decided: map[queue.Key]*wirev1.QueueResult{},
-		changed: map[string]chan struct{}{}, taken: map[string]int64{}, accepting: map[string]uint64{}, full: map[string]time.Time{}, preferred: time.Now(),
+		changed: map[string]chan struct{}{}, taken: map[string]int64{}, accepting: map[queue.Account]uint64{}, full: map[string]time.Time{}, preferred: time.Now(),
 	}
 	if err := s.fillTable(l); err != nil {
 		cancel()
@@ -344,7 +344,7 @@
 	}
 	ctx, cancel := context.WithCancel(l.context)
 	key := entry.Key
-	work := &Work{Key: key, Host: record.Host, Route: record.Route, Item: item, Output: entry.Output, Due: entry.Due, Slack: l.table.Slack(entry, time.Now()), Failures: entry.Failures}
+	work := &Work{Key: key, Host: record.Host, Route: record.Route, Tenant: record.Tenant, Item: item, Output: entry.Output, Due: entry.Due, Slack: l.table.Slack(entry, time.Now()), Failures: entry.Failures}
 	work.Save = func(output queue.Output) {
 		_ = s.ask(ctx, func() { s.gatherProgress(l, key, item.Id, output) })
 	}
--- a/internal/queuestore/limits.go
+++ b/internal/queuestore/limits.go
@@ -91,11 +91,11 @@
 	return sum
 }
 
-// waiting returns the tokens that wait by route, those on their way included.
-func (l *leadership) waiting() map[string]uint64 {
-	waiting := l.table.WaitingByRoute()
-	for route, tokens := range l.accepting {
-		waiting[route] += tokens
+// waiting returns the tokens that wait, those on their way included.
+func (l *leadership) waiting() map[queue.Account]uint64 {
+	waiting := l.table.WaitingByAccount()
+	for account, tokens := range l.accepting {
+		waiting[account] += tokens
 	}
 	return waiting
 }
@@ -105,8 +105,8 @@
 	l := s.leader
 	l.reports++
 	request := &wirev1.QueueReserveRequest{Shard: s.id, Epoch: l.epoch, Number: l.reports}
-	for route, tokens := range l.waiting() {
-		request.Waiting = append(request.Waiting, &wirev1.RouteTokens{Route: route, Tokens: tokens})
+	for account, tokens := range l.waiting() {
+		request.Waiting = append(request.Waiting, &wirev1.RouteTokens{Tenant: account.Tenant, Route: account.Route, Tokens: tokens})
 	}
 	return request
 }
@@ -218,9 +218,9 @@
 	if l.ledger == nil {
 		l.ledger = queue.NewLedger(shards)
 	}
-	waiting := map[string]uint64{}
-	for _, route := range request.Waiting {
-		waiting[route.Route] = route.Tokens
+	waiting := map[queue.Account]uint64{}
+	for _, told := range request.Waiting {
+		waiting[queue.Account{Tenant: told.Tenant, Route: told.Route}] = told.Tokens
 	}
 	if !l.ledger.Report(request.Shard, request.Epoch, request.Number, waiting) {
 		return result.New(result.NotLeader, "shard %d has a newer leader", request.Shard)
@@ -229,15 +229,16 @@
 	if request.Route == "" {
 		return nil
 	}
+	account := queue.Account{Tenant: request.Tenant, Route: request.Route}
 	if reply.Incomplete {
-		l.ledger.Release(request.Shard, request.Epoch, request.Number, request.Route, request.Tokens)
+		l.ledger.Release(request.Shard, request.Epoch, request.Number, account, request.Tokens)
 		return result.New(result.NotReady, "not every shard has told what waits there")
 	}
-	sum := l.ledger.Waiting(request.Route)
+	sum := l.ledger.Waiting(account)
 	reply.Granted = sum <= request.Limit
 	reply.Waiting = sum - min(sum, request.Tokens)
 	if !reply.Granted {
-		l.ledger.Release(request.Shard, request.Epoch, request.Number, request.Route, request.Tokens)
+		l.ledger.Release(request.Shard, request.Epoch, request.Number, account, request.Tokens)
 	}
 	return nil
 }
--- a/internal/queuestore/node.go
+++ b/internal/queuestore/node.go
@@ -23,9 +23,11 @@
 
 // Work is one item to be run.
 type Work struct {
-	Key    queue.Key
-	Host   string
-	Route  string
+	Key   queue.Key
+	Host  string
+	Route string
+	// Tenant is whose job it is of; empty where there are no tenants.
+	Tenant string
 	Item   *wirev1.QueueItem
 	Output queue.Output
 	Due    time.Time
--- a/internal/queuestore/serve.go
+++ b/internal/queuestore/serve.go
@@ -62,7 +62,7 @@
 
 func (s *shard) take(ctx context.Context, request *wirev1.QueueSubmitRequest) (*wirev1.QueueSubmitReply, error) {
 	job := request.Job
-	want := reservation{route: job.Route, limit: request.MaxWaitingTokens}
+	want := reservation{account: queue.Account{Tenant: job.Tenant, Route: job.Route}, limit: request.MaxWaitingTokens}
 	for _, item := range job.Items {
 		want.tokens += item.Tokens
 		want.bytes += len(item.Body)
@@ -92,17 +92,17 @@
 
 // reservation is what a submission takes until it is applied or dropped.
 type reservation struct {
-	route  string
-	tokens uint64
-	bytes  int
-	// limit of the route's waiting tokens; 0 is none.
+	account queue.Account
+	tokens  uint64
+	bytes   int
+	// limit of the account's waiting tokens; 0 is none.
 	limit uint64
 	// holder is the leadership that counts it; gone is set when it is no more.
 	holder *leadership
 	gone   bool
 }
 
-// reserve counts a submission against its route's limit and the disk's room
+// reserve counts a submission against its account's limit and the disk's room
 // until it is applied. It reports true for a job that is known already.
 func (s *shard) reserve(ctx context.Context, job string, want *reservation) (bool, error) {
 	var known bool
@@ -116,7 +116,7 @@
 		if _, known = l.taken[job]; known {
 			return
 		}
-		waiting := l.table.Waiting(want.route) + l.accepting[want.route]
+		waiting := l.table.Waiting(want.account) + l.accepting[want.account]
 		if want.limit > 0 && waiting+want.tokens > want.limit {
 			refused = tooManyTokens(want, waiting)
 			return
@@ -126,7 +126,7 @@
 			return
 		}
 		want.holder = l
-		l.accepting[want.route] += want.tokens
+		l.accepting[want.account] += want.tokens
 		l.acceptingBytes += want.bytes
 	})
 	if err != nil {
@@ -136,7 +136,7 @@
 }
 
 func tooManyTokens(want *reservation, waiting uint64) error {
-	return result.New(result.TenantTokens, "%d tokens wait on route %s, the job has %d, allowed are %d", waiting, want.route, want.tokens, want.limit).After(retryAfter)
+	return result.New(result.TenantTokens, "%d tokens wait on route %s of tenant %q, the job has %d, allowed are %d", waiting, want.account.Route, want.account.Tenant, want.tokens, want.limit).After(retryAfter)
 }
 
 // reserveOverAll asks the keeper of the limits whether a submission fits, and
@@ -154,7 +154,7 @@
 			return nil
 		}
 		if time.Now().After(until) || ctx.Err() != nil || want.gone {
-			return result.New(result.StoreUnavailable, "the limit of route %s can't be asked for: %v", want.route, err)
+			return result.New(result.StoreUnavailable, "the limit of route %s can't be asked for: %v", want.account.Route, err)
 		}
 	}
 }
@@ -175,14 +175,14 @@
 		want.gone = true
 		return nil, result.New(result.NotLeader, "shard %d is not led here any more", s.id)
 	}
-	request.Route, request.Tokens, request.Limit = want.route, want.tokens, want.limit
+	request.Tenant, request.Route, request.Tokens, request.Limit = want.account.Tenant, want.account.Route, want.tokens, want.limit
 	return s.node.askKeeper(ctx, request)
 }
 
 // unreserve gives back what a submission that is applied or dropped had taken.
 func (s *shard) unreserve(want *reservation) {
 	_ = s.ask(s.node.context, func() {
-		want.holder.accepting[want.route] -= want.tokens
+		want.holder.accepting[want.account] -= want.tokens
 		want.holder.acceptingBytes -= want.bytes
 	})
 }
