--- /dev/null
+++ b/internal/admission/gate.go
@@ -0,0 +1,219 @@
+// Package admission admits tenants' requests on one node, within what the node
+// holds of their limits on requests a second (package allotment). Shares are
+// renewed in the background; only a request for which the node holds nothing
+// asks the keeper, together with others that do.
+package admission
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/allotment"
+	"cobaltramp.example/cobaltramp/internal/catalog"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+// Keepers reaches the keepers of tenants' limits.
+type Keepers interface {
+	// Allot asks the keeper of a tenant.
+	Allot(ctx context.Context, tenant string, request *wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error)
+	// ShardOf tells which tenants have the same keeper; false if it is not known.
+	ShardOf(tenant string) (uint32, bool)
+}
+
+// LimitOf tells tenants' limits by the configuration in force.
+func LimitOf(catalogs *catalog.Holder) func(tenant string) (allotment.Limit, bool) {
+	return func(name string) (allotment.Limit, bool) {
+		held := catalogs.Current()
+		if held == nil {
+			return allotment.Limit{}, false
+		}
+		tenant := held.Tenant(name)
+		if tenant == nil {
+			return allotment.Limit{}, false
+		}
+		return limitOf(tenant), true
+	}
+}
+
+func limitOf(tenant *catalog.Tenant) allotment.Limit {
+	return allotment.Limit{Rate: tenant.RatePerSecond, Burst: tenant.Burst}
+}
+
+// Gate admits requests.
+type Gate struct {
+	keepers   Keepers
+	limit     func(tenant string) (allotment.Limit, bool)
+	tolerance allotment.Tolerance
+	holder    allotment.Holder
+	number    atomic.Uint64
+	outcomes  *prometheus.CounterVec
+
+	mutex    sync.Mutex
+	accounts map[string]*account
+}
+
+// account is what the node holds of one tenant's limit.
+type account struct {
+	mutex sync.Mutex
+	*allotment.Account
+	// asking: a question to the keeper is on its way. waiting are requests that
+	// will be told of the next answer.
+	asking  bool
+	waiting []chan verdict
+}
+
+// verdict is what the keeper's answer is for one request.
+type verdict struct {
+	credit allotment.Credit
+	err    error
+}
+
+// New returns a gate of one life of a node.
+func New(keepers Keepers, limit func(string) (allotment.Limit, bool), tolerance allotment.Tolerance, holder allotment.Holder, registry prometheus.Registerer) *Gate {
+	g := &Gate{
+		keepers: keepers, limit: limit, tolerance: tolerance, holder: holder, accounts: map[string]*account{},
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_admissions_total", Help: "Requests of limited tenants by outcome."}, []string{"outcome"}),
+	}
+	registry.MustRegister(g.outcomes)
+	return g
+}
+
+// Admission is the right to send a request of a tenant once.
+type Admission struct {
+	gate    *Gate
+	account *account
+	limit   allotment.Limit
+	credit  allotment.Credit
+}
+
+// Valid reports whether the request may still be sent. It is asked in the
+// moment of sending. No admission is needed without a limit.
+func (a *Admission) Valid() bool { return a == nil || a.credit.Valid(time.Now()) }
+
+// Return gives the right back: no runner has run the request.
+func (a *Admission) Return() {
+	if a == nil {
+		return
+	}
+	a.account.mutex.Lock()
+	defer a.account.mutex.Unlock()
+	a.account.Account.Return(time.Now(), a.limit, a.credit)
+}
+
+// Outcomes that are counted.
+const (
+	outcomeShare   = "share"
+	outcomePool    = "pool"
+	outcomeRefused = "refused"
+	outcomeUnknown = "keeper_silent"
+)
+
+// Admit takes a credit for a request of a tenant, within a patience. It returns
+// nil for tenants without a limit. The error says that the request is not run,
+// and when to come back.
+func (g *Gate) Admit(ctx context.Context, id string, tenant *catalog.Tenant, patience time.Duration) (*Admission, error) {
+	if !tenant.Limited() {
+		return nil, nil
+	}
+	limit := limitOf(tenant)
+	admission := &Admission{gate: g, account: g.account(tenant.Name), limit: limit}
+	credit, answer, err := g.take(admission.account, tenant.Name, limit)
+	if err == nil && answer != nil {
+		credit, err = await(ctx, answer, patience)
+	}
+	switch {
+	case err == nil && credit.Pooled:
+		g.outcomes.WithLabelValues(outcomePool).Inc()
+	case err == nil:
+		g.outcomes.WithLabelValues(outcomeShare).Inc()
+	default:
+		g.refused(id, tenant, admission.account, err)
+		return nil, err
+	}
+	admission.credit = credit
+	return admission, nil
+}
+
+// take takes a credit that is held, or has the keeper asked for one.
+func (g *Gate) take(a *account, tenant string, limit allotment.Limit) (allotment.Credit, <-chan verdict, error) {
+	now := time.Now()
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.Note(now)
+	if credit, ok := a.Take(now, limit); ok {
+		return credit, nil, nil
+	}
+	if wait, dry := a.Dry(now); dry {
+		return allotment.Credit{}, nil, overLimit(tenant, limit, wait)
+	}
+	answer := make(chan verdict, 1)
+	a.waiting = append(a.waiting, answer)
+	if !a.asking {
+		a.asking = true
+		go g.ask(a, tenant, limit)
+	}
+	return allotment.Credit{}, answer, nil
+}
+
+// silentAfter is when a caller should come back whose tenant's keeper is silent:
+// another one takes its place within about a second.
+const silentAfter = 500 * time.Millisecond
+
+func await(ctx context.Context, answer <-chan verdict, patience time.Duration) (allotment.Credit, error) {
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case told := <-answer:
+		return told.credit, told.err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return allotment.Credit{}, result.New(result.NotReady, "the keeper of the tenant's limit does not answer").After(jittered(silentAfter))
+}
+
+// jittered spreads moments over half as much again, so that those refused
+// together do not return together.
+func jittered(wait time.Duration) time.Duration { return wait + rand.N(wait/2+time.Millisecond) }
+
+func overLimit(tenant string, limit allotment.Limit, wait time.Duration) error {
+	return result.New(result.TenantRate, "tenant %q has more than %g requests a second and a burst of %g", tenant, limit.Rate, limit.Burst).After(jittered(max(wait, leastComeBack)))
+}
+
+// leastComeBack is the shortest time that a refused caller is told.
+const leastComeBack = 50 * time.Millisecond
+
+// refused logs a request that is not admitted, with what is believed here.
+func (g *Gate) refused(id string, tenant *catalog.Tenant, a *account, err error) {
+	outcome := outcomeUnknown
+	if result.Is(err, result.TenantRate) {
+		outcome = outcomeRefused
+	}
+	g.outcomes.WithLabelValues(outcome).Inc()
+	now := time.Now()
+	a.mutex.Lock()
+	share, level := a.Share()
+	demand := a.Demand(now)
+	age := a.Age(now)
+	a.mutex.Unlock()
+	klog.InfoS("request not admitted", "id", id, "tenant", tenant.Name, "outcome", outcome, "rate", tenant.RatePerSecond, "burst", tenant.Burst,
+		"share", share, "credit", level, "demandHere", demand, "shareAgeMs", age.Milliseconds(), "comeBackMs", result.From(err).RetryAfter.Milliseconds())
+}
+
+func (g *Gate) account(tenant string) *account {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	held := g.accounts[tenant]
+	if held == nil {
+		held = &account{Account: allotment.NewAccount(time.Now(), g.tolerance)}
+		g.accounts[tenant] = held
+	}
+	return held
+}
--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,178 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/allotment"
+	"cobaltramp.example/cobaltramp/internal/catalog"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+var tolerance = allotment.Tolerance{Window: 5 * time.Second, Overrun: 0.1, Slack: 20}
+
+// scriptedKeepers answer as a test says.
+type scriptedKeepers struct {
+	calls atomic.Int64
+	allot func(request *wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error)
+}
+
+func (k *scriptedKeepers) Allot(_ context.Context, _ string, request *wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error) {
+	k.calls.Add(1)
+	return k.allot(request)
+}
+
+func (k *scriptedKeepers) ShardOf(string) (uint32, bool) { return 0, true }
+
+var limited = &catalog.Tenant{Name: "t", RatePerSecond: 10, Burst: 10}
+
+func gateOf(keepers Keepers) *Gate {
+	return New(keepers, func(string) (allotment.Limit, bool) { return limitOf(limited), true }, tolerance, allotment.Holder{Node: "n", Incarnation: 1}, prometheus.NewRegistry())
+}
+
+const patience = 5 * time.Second // of tests that don't wait it out
+
+// A tenant without a limit, and nobody's request, ask no keeper.
+func TestUnlimitedTenantsAskNobody(t *testing.T) {
+	is := is.New(t)
+	keepers := &scriptedKeepers{}
+	gate := gateOf(keepers)
+	for _, tenant := range []*catalog.Tenant{nil, {Name: "free"}} {
+		admitted, err := gate.Admit(context.Background(), "id", tenant, patience)
+		is.NoErr(err)
+		is.Equal(admitted, nil)
+		is.True(admitted.Valid())
+		admitted.Return()
+	}
+	is.Equal(keepers.calls.Load(), int64(0))
+}
+
+// Requests that come together are admitted by one question after the other, as
+// many as the keeper gives credits, and the others are told when to come back.
+func TestRequestsShareQuestions(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	var asked atomic.Int64
+	keepers := &scriptedKeepers{allot: func(request *wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error) {
+		<-release
+		asked.Add(int64(request.Credits))
+		return &wirev1.AllotmentReply{Credits: min(request.Credits, 4), WaitMs: 300}, nil
+	}}
+	gate := gateOf(keepers)
+	var admitted, refused atomic.Int64
+	var group sync.WaitGroup
+	for range 12 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			_, err := gate.Admit(context.Background(), "id", limited, patience)
+			switch {
+			case err == nil:
+				admitted.Add(1)
+			case result.Is(err, result.TenantRate) && result.From(err).RetryAfter > 0:
+				refused.Add(1)
+			}
+		}()
+	}
+	for { // all wait, one question is on its way
+		account := gate.account("t")
+		account.mutex.Lock()
+		waiting := len(account.waiting)
+		account.mutex.Unlock()
+		if keepers.calls.Load() == 1 && waiting >= 1 && waiting <= 11 && waiting+int(keepers.calls.Load()) >= 2 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	group.Wait()
+	is.Equal(admitted.Load()+refused.Load(), int64(12))
+	is.True(admitted.Load() >= 1)
+	is.True(keepers.calls.Load() < 12)
+}
+
+// A credit whose request no runner has run admits the next request.
+func TestReturnedCreditIsUsed(t *testing.T) {
+	is := is.New(t)
+	keepers := &scriptedKeepers{allot: func(*wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error) {
+		return &wirev1.AllotmentReply{Credits: 1}, nil
+	}}
+	gate := gateOf(keepers)
+	first, err := gate.Admit(context.Background(), "id", limited, patience)
+	is.NoErr(err)
+	first.Return()
+	_, err = gate.Admit(context.Background(), "id", limited, patience)
+	is.NoErr(err)
+	is.Equal(keepers.calls.Load(), int64(1))
+}
+
+// A keeper that is silent keeps no request for longer than its patience; the
+// refusal says that it has not run and when to come back.
+func TestSilentKeeperRefusesSoon(t *testing.T) {
+	is := is.New(t)
+	never := make(chan struct{})
+	defer close(never)
+	keepers := &scriptedKeepers{allot: func(*wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error) {
+		<-never
+		return nil, errors.New("ended")
+	}}
+	_, err := gateOf(keepers).Admit(context.Background(), "id", limited, time.Millisecond)
+	is.True(result.Is(err, result.NotReady))
+	is.Equal(result.CodeOf(err).Entry().Ran, result.RanNo)
+	is.True(result.From(err).RetryAfter >= silentAfter)
+}
+
+// Renewals carry what is held, one message for all tenants of a keeper, and the
+// share that is granted admits without a question.
+func TestRenewalsGiveShares(t *testing.T) {
+	is := is.New(t)
+	var mutex sync.Mutex
+	var claims []*wirev1.AllotmentClaim
+	keepers := &scriptedKeepers{allot: func(request *wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		reply := &wirev1.AllotmentReply{Credits: request.Credits}
+		for _, claim := range request.Claims {
+			claims = append(claims, claim)
+			reply.Grants = append(reply.Grants, &wirev1.AllotmentGrant{Tenant: claim.Tenant, Share: 0.4, Extra: true})
+		}
+		return reply, nil
+	}}
+	gate := gateOf(keepers)
+	for _, name := range []string{"t", "u"} {
+		_, err := gate.Admit(context.Background(), "id", &catalog.Tenant{Name: name, RatePerSecond: 10, Burst: 10}, patience)
+		is.NoErr(err)
+	}
+	gate.renewAt(context.Background(), []string{"t", "u"})
+	is.Equal(len(claims), 2)
+	is.True(claims[0].Wanted > 0 && claims[0].Held == 0)
+	gate.renewAt(context.Background(), []string{"t", "u"})
+	is.Equal(claims[2].Held, 0.4)
+	is.True(claims[2].Extra)
+	calls := keepers.calls.Load()
+	for { // credit comes together at the share's rate
+		account := gate.account("t")
+		account.mutex.Lock()
+		credit, ok := account.Take(time.Now(), limitOf(limited))
+		if ok {
+			account.Account.Return(time.Now(), limitOf(limited), credit)
+		}
+		account.mutex.Unlock()
+		if ok {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	admitted, err := gate.Admit(context.Background(), "id", limited, patience)
+	is.NoErr(err)
+	is.True(admitted.Valid())
+	is.Equal(keepers.calls.Load(), calls)
+}
--- /dev/null
+++ b/internal/admission/keepers.go
@@ -0,0 +1,158 @@
+package admission
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/allotment"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+const (
+	// askTimeout bounds a question to a keeper; it covers the search for a new
+	// one. Requests that wait for the answer leave sooner.
+	askTimeout = 600 * time.Millisecond
+	// renewTimeout bounds a renewal, less than the time between two.
+	renewTimeout = 800 * time.Millisecond
+)
+
+// ask asks the keeper of a tenant for credits until no request waits for one.
+func (g *Gate) ask(a *account, tenant string, limit allotment.Limit) {
+	for {
+		a.mutex.Lock()
+		waiting := a.waiting
+		a.waiting = nil
+		if len(waiting) == 0 {
+			a.asking = false
+			a.mutex.Unlock()
+			return
+		}
+		a.mutex.Unlock()
+		sent := time.Now()
+		reply, err := g.askOnce(tenant, len(waiting))
+		a.mutex.Lock()
+		g.answer(a, tenant, limit, sent, waiting, reply, err)
+		a.mutex.Unlock()
+	}
+}
+
+func (g *Gate) askOnce(tenant string, count int) (*wirev1.AllotmentReply, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	return g.keepers.Allot(ctx, tenant, &wirev1.AllotmentRequest{
+		Node: g.holder.Node, Incarnation: g.holder.Incarnation, Number: g.number.Add(1), Tenant: tenant, Credits: uint32(count),
+	})
+}
+
+// answer hands credits to those who wait, the first come first.
+func (g *Gate) answer(a *account, tenant string, limit allotment.Limit, sent time.Time, waiting []chan verdict, reply *wirev1.AllotmentReply, err error) {
+	now := time.Now()
+	if err != nil {
+		klog.InfoS("keeper of a limit did not answer", "tenant", tenant, "waiting", len(waiting), "ms", now.Sub(sent).Milliseconds(), "err", err)
+		silent := result.New(result.NotReady, "the keeper of the tenant's limit does not answer").After(jittered(silentAfter))
+		for _, one := range waiting {
+			one <- verdict{err: silent}
+		}
+		return
+	}
+	a.Stock(sent, int(reply.Credits))
+	wait := time.Duration(reply.WaitMs) * time.Millisecond
+	if int(reply.Credits) < len(waiting) {
+		a.NoteDry(now, wait)
+	}
+	for _, one := range waiting {
+		credit, ok := a.Take(now, limit)
+		if ok {
+			one <- verdict{credit: credit}
+		} else {
+			one <- verdict{err: overLimit(tenant, limit, wait)}
+		}
+	}
+}
+
+// Run renews shares until the context ends.
+func (g *Gate) Run(ctx context.Context) {
+	ticker := time.NewTicker(allotment.RenewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.renew(ctx)
+		}
+	}
+}
+
+// renew renews all shares, with one message to each keeper.
+func (g *Gate) renew(ctx context.Context) {
+	for _, tenants := range g.byKeeper() {
+		go g.renewAt(ctx, tenants)
+	}
+}
+
+// byKeeper groups the tenants in use by their keepers, and drops those that
+// nobody uses.
+func (g *Gate) byKeeper() map[uint32][]string {
+	now := time.Now()
+	groups := map[uint32][]string{}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for name, a := range g.accounts {
+		a.mutex.Lock()
+		idle := a.Idle(now) && !a.asking
+		a.mutex.Unlock()
+		if idle {
+			delete(g.accounts, name)
+			continue
+		}
+		if shard, known := g.keepers.ShardOf(name); known {
+			groups[shard] = append(groups[shard], name)
+		}
+	}
+	return groups
+}
+
+// renewAt renews the shares of tenants that have the same keeper. Renewals of a
+// keeper follow one another: each ends before the next begins.
+func (g *Gate) renewAt(ctx context.Context, tenants []string) {
+	sort.Strings(tenants)
+	request := &wirev1.AllotmentRequest{Node: g.holder.Node, Incarnation: g.holder.Incarnation, Number: g.number.Add(1)}
+	sent := time.Now()
+	for _, name := range tenants {
+		limit, known := g.limit(name)
+		a := g.account(name)
+		a.mutex.Lock()
+		claim := a.Claim(sent, name, limit)
+		a.mutex.Unlock()
+		if !known || limit.Rate <= 0 {
+			claim.Wanted = 0
+		}
+		request.Claims = append(request.Claims, &wirev1.AllotmentClaim{Tenant: name, Held: claim.Held, Wanted: claim.Wanted, Extra: claim.Extra})
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	reply, err := g.keepers.Allot(ctx, tenants[0], request)
+	if err != nil {
+		klog.InfoS("shares of limits not renewed", "tenants", len(tenants), "first", tenants[0], "ms", time.Since(sent).Milliseconds(), "err", err)
+		return
+	}
+	for _, told := range reply.Grants {
+		g.granted(told, sent)
+	}
+}
+
+func (g *Gate) granted(told *wirev1.AllotmentGrant, sent time.Time) {
+	limit, known := g.limit(told.Tenant)
+	if !known {
+		limit = allotment.Limit{}
+	}
+	a := g.account(told.Tenant)
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.Granted(time.Now(), sent, limit, allotment.Grant{Share: told.Share, Extra: told.Extra})
+}
--- /dev/null
+++ b/internal/allotment/account.go
@@ -0,0 +1,180 @@
+package allotment
+
+import "time"
+
+// Credit is the right to send one request of a tenant.
+type Credit struct {
+	// Pooled: it came from the keeper's pool, not from a share.
+	Pooled  bool
+	expires time.Time
+}
+
+// Valid reports whether the request may still be sent.
+func (c Credit) Valid(now time.Time) bool { return now.Before(c.expires) }
+
+// Account is what one node holds of one tenant's limit. Not safe for concurrent
+// use.
+type Account struct {
+	life time.Duration
+	// share of the limit, which may be used until a moment; extra is 1 or 0.
+	share  float64
+	extra  float64
+	until  time.Time
+	bucket bucket
+	// stock are credits of the pool.
+	stock []Credit
+	// seconds counts the requests of the last seconds, the current one last.
+	seconds [demandSeconds]float64
+	second  int64
+	// began is what the seconds are counted from.
+	began time.Time
+	// dry is until when the pool is known to have nothing.
+	dry time.Time
+}
+
+const (
+	// demandSeconds is over how long demand is measured: traffic swings within
+	// seconds, and a share is to cover its peaks.
+	demandSeconds = 8
+	// headroom is how much more than its demand a node wants.
+	headroom = 1.25
+	// spareRate is wanted beside, in requests a second: small numbers vary more.
+	spareRate = 0.2
+)
+
+// NewAccount returns the account of a node that holds nothing.
+func NewAccount(now time.Time, tolerance Tolerance) *Account {
+	return &Account{life: tolerance.CreditLife(), began: now}
+}
+
+// Note counts a request that has come, whatever becomes of it.
+func (a *Account) Note(now time.Time) {
+	a.turn(now)
+	a.seconds[demandSeconds-1]++
+}
+
+// turn moves the counts on to the current second.
+func (a *Account) turn(now time.Time) {
+	second := int64(now.Sub(a.began) / time.Second)
+	steps := min(second-a.second, demandSeconds)
+	for range steps {
+		copy(a.seconds[:], a.seconds[1:])
+		a.seconds[demandSeconds-1] = 0
+	}
+	if steps > 0 {
+		a.second = second
+	}
+}
+
+// Demand returns the requests a second of the last seconds.
+func (a *Account) Demand(now time.Time) float64 {
+	a.turn(now)
+	sum := 0.0
+	for _, count := range a.seconds {
+		sum += count
+	}
+	return sum / demandSeconds
+}
+
+// Idle reports whether no request has come lately and no share is held: nothing
+// has to be kept or renewed.
+func (a *Account) Idle(now time.Time) bool {
+	return a.Demand(now) == 0 && a.share == 0 && a.extra == 0
+}
+
+// Claim returns what to say to the keeper.
+func (a *Account) Claim(now time.Time, tenant string, limit Limit) Claim {
+	a.expire(now)
+	claim := Claim{Tenant: tenant, Held: a.share, Extra: a.extra > 0}
+	if demand := a.Demand(now); demand > 0 && limit.Rate > 0 {
+		claim.Wanted = min(1, (headroom*demand+spareRate)/limit.Rate)
+	}
+	return claim
+}
+
+// Granted takes the answer to a claim that was sent at a moment.
+func (a *Account) Granted(now, sent time.Time, limit Limit, grant Grant) {
+	a.fill(now, limit)
+	a.share, a.extra = grant.Share, 0
+	if grant.Extra {
+		a.extra = 1
+	}
+	a.until = sent.Add(Term)
+	a.fill(now, limit)
+}
+
+// expire drops a share whose term has ended.
+func (a *Account) expire(now time.Time) {
+	if (a.share > 0 || a.extra > 0) && !now.Before(a.until) {
+		a.share, a.extra, a.bucket = 0, 0, bucket{}
+	}
+}
+
+func (a *Account) fill(now time.Time, limit Limit) {
+	a.expire(now)
+	a.bucket.fill(now, a.share*limit.Rate, a.share*limit.Burst+a.extra)
+}
+
+// Take takes a credit of the share, or one of the pool that is in stock.
+func (a *Account) Take(now time.Time, limit Limit) (Credit, bool) {
+	a.fill(now, limit)
+	if a.bucket.take() {
+		return Credit{expires: earlier(now.Add(a.life), a.until)}, true
+	}
+	for len(a.stock) > 0 {
+		credit := a.stock[len(a.stock)-1]
+		a.stock = a.stock[:len(a.stock)-1]
+		if credit.Valid(now) {
+			return credit, true
+		}
+	}
+	return Credit{}, false
+}
+
+// Stock takes credits of the pool that were asked for at a moment.
+func (a *Account) Stock(asked time.Time, count int) {
+	for range count {
+		a.stock = append(a.stock, Credit{Pooled: true, expires: asked.Add(a.life)})
+	}
+}
+
+// Return takes back a credit whose request no runner has run.
+func (a *Account) Return(now time.Time, limit Limit, credit Credit) {
+	if !credit.Valid(now) {
+		return
+	}
+	if credit.Pooled {
+		a.stock = append(a.stock, credit)
+		return
+	}
+	a.fill(now, limit)
+	a.bucket.level = min(a.bucket.level+1, a.share*limit.Burst+a.extra)
+}
+
+// dryMost bounds how long the pool is taken for empty after it was.
+const dryMost = 100 * time.Millisecond
+
+// NoteDry records that the pool had nothing, and that it is worth asking again
+// after a time.
+func (a *Account) NoteDry(now time.Time, wait time.Duration) { a.dry = now.Add(min(wait, dryMost)) }
+
+// Dry reports whether asking the pool is in vain, and for how long.
+func (a *Account) Dry(now time.Time) (time.Duration, bool) { return a.dry.Sub(now), now.Before(a.dry) }
+
+// Age returns how old the keeper's word on the share is; 0 without a share.
+func (a *Account) Age(now time.Time) time.Duration {
+	if a.until.IsZero() {
+		return 0
+	}
+	return Term - a.until.Sub(now)
+}
+
+// Share returns the share held and how much credit has come together.
+func (a *Account) Share() (share, level float64) { return a.share, a.bucket.level }
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/allotment/keeper.go
@@ -0,0 +1,227 @@
+package allotment
+
+import "time"
+
+// Holder names one life of a node that holds shares.
+type Holder struct {
+	Node        string
+	Incarnation uint64
+}
+
+// Claim is what a holder says of one tenant when it renews.
+type Claim struct {
+	Tenant string
+	// Held is the share that it uses now, Wanted the one that its traffic needs;
+	// shares of the whole limit.
+	Held, Wanted float64
+	// Extra: it holds an extra request.
+	Extra bool
+}
+
+// Grant is a share for a term from the moment in which the claim was sent.
+type Grant struct {
+	Share float64
+	Extra bool
+}
+
+// Keeper lends the limits of tenants. Not safe for concurrent use.
+type Keeper struct {
+	started   time.Time
+	tolerance Tolerance
+	tenants   map[string]*kept
+	swept     time.Time
+}
+
+type kept struct {
+	holders map[string]*holding
+	// limit is the last that is known, and part the share of it that the pool has
+	// had since it was last filled.
+	limit Limit
+	part  float64
+	pool  bucket
+	// comeBack is the moment up to which refused callers were told to come back.
+	comeBack time.Time
+	// given and refused count the pool's credits.
+	given, refused uint64
+}
+
+// holding is what one node may have of a tenant's standing half.
+type holding struct {
+	incarnation uint64
+	number      uint64
+	// inUse is the most that the holder may be using, wanted what it asked for.
+	inUse, wanted float64
+	extra         bool
+	until         time.Time
+}
+
+// NewKeeper returns a keeper that knows of no share lent before.
+func NewKeeper(now time.Time, tolerance Tolerance) *Keeper {
+	return &Keeper{started: now, tolerance: tolerance, tenants: map[string]*kept{}, swept: now}
+}
+
+// Started returns when the keeper began.
+func (k *Keeper) Started() time.Time { return k.started }
+
+// settled reports whether what an earlier keeper had lent is over.
+func (k *Keeper) settled(now time.Time) bool { return now.Sub(k.started) > Term+termSlack }
+
+func (k *Keeper) tenant(name string, limit Limit) *kept {
+	held := k.tenants[name]
+	if held == nil {
+		held = &kept{holders: map[string]*holding{}, limit: limit, part: 1 - standingPart, pool: bucket{at: k.started}}
+		k.tenants[name] = held
+	}
+	return held
+}
+
+// refill fills a tenant's pool by what it has had until now. From now on it has
+// all that is not lent; what a keeper before may have lent counts as lent.
+func (k *Keeper) refill(t *kept, now time.Time, limit Limit) {
+	t.pool.fill(now, t.part*t.limit.Rate, max(1, t.part*t.limit.Burst))
+	t.limit, t.part = limit, 1-standingPart
+	if k.settled(now) {
+		t.part = 1
+		for _, h := range t.holders {
+			t.part -= h.inUse
+		}
+	}
+	t.pool.level = min(t.pool.level, max(1, t.part*limit.Burst))
+}
+
+// Renew takes a claim and grants a share. Number rises with each message of a
+// holder; false is returned for one that came after a later one, or from an
+// earlier life of the node, which must not be answered.
+func (k *Keeper) Renew(now time.Time, holder Holder, number uint64, limit Limit, claim Claim) (Grant, bool) {
+	k.sweep(now)
+	t := k.tenant(claim.Tenant, limit)
+	k.refill(t, now, limit)
+	defer func() { k.refill(t, now, limit) }()
+	h := t.holders[holder.Node]
+	if h != nil && (holder.Incarnation < h.incarnation || holder.Incarnation == h.incarnation && number <= h.number) {
+		return Grant{}, false
+	}
+	if h == nil {
+		h = &holding{}
+		t.holders[holder.Node] = h
+	}
+	h.incarnation, h.number, h.wanted = holder.Incarnation, number, claim.Wanted
+	// An earlier life of the node holds nothing any more.
+	h.inUse, h.extra, h.until = claim.Held, claim.Extra, now.Add(Term+termSlack)
+	grant := Grant{Share: k.shareFor(t, h, now), Extra: claim.Extra && claim.Wanted > 0}
+	if !grant.Extra && claim.Wanted > 0 && k.settled(now) {
+		grant.Extra = t.extras() < k.tolerance.extras()
+	}
+	if grant.Share*limit.Burst < 1 && !grant.Extra {
+		grant.Share = 0 // no whole request would ever come together of it
+	}
+	h.inUse = max(claim.Held, grant.Share)
+	h.extra = claim.Extra || grant.Extra
+	if h.inUse == 0 && !h.extra {
+		delete(t.holders, holder.Node)
+	}
+	return grant, true
+}
+
+// shareFor decides on a holder's share: what it wants if all that is wanted
+// fits, else its part by what is wanted; never more than is surely free.
+func (k *Keeper) shareFor(t *kept, h *holding, now time.Time) float64 {
+	wanted, others := 0.0, 0.0
+	for _, one := range t.holders {
+		wanted += one.wanted
+		if one != h {
+			others += one.inUse
+		}
+	}
+	share := h.wanted
+	if wanted > standingPart {
+		share *= standingPart / wanted
+	}
+	free := max(0, standingPart-others)
+	if !k.settled(now) {
+		free = h.inUse
+	}
+	return min(share, free)
+}
+
+// extras counts the holders that may have an extra request.
+func (t *kept) extras() int {
+	count := 0
+	for _, h := range t.holders {
+		if h.extra {
+			count++
+		}
+	}
+	return count
+}
+
+// longestComeBack bounds what a refused caller is told: how things stand later
+// is not known.
+const longestComeBack = 3 * time.Second
+
+// Credits gives up to so many credits of the pool. Wait is when those who got
+// none should come back, each at a moment of its own.
+func (k *Keeper) Credits(now time.Time, tenant string, limit Limit, wanted int) (given int, wait time.Duration) {
+	k.sweep(now)
+	t := k.tenant(tenant, limit)
+	k.refill(t, now, limit)
+	rate := t.part * limit.Rate
+	for given < wanted && t.pool.take() {
+		given++
+	}
+	t.given += uint64(given)
+	if given == wanted || rate <= 0 {
+		return given, 0
+	}
+	t.refused += uint64(wanted - given)
+	if t.comeBack.Before(now) {
+		t.comeBack = now
+	}
+	wait = t.comeBack.Sub(now) + time.Duration((1-t.pool.level)/rate*float64(time.Second))
+	t.comeBack = t.comeBack.Add(time.Duration(float64(wanted-given) / rate * float64(time.Second)))
+	if t.comeBack.Sub(now) > longestComeBack {
+		t.comeBack = now
+	}
+	return given, min(wait, longestComeBack)
+}
+
+// sweepInterval is how often what has ended is looked for.
+const sweepInterval = 250 * time.Millisecond
+
+// sweep drops holdings whose term has ended and tenants that nobody asks for.
+func (k *Keeper) sweep(now time.Time) {
+	if now.Sub(k.swept) < sweepInterval {
+		return
+	}
+	k.swept = now
+	for _, t := range k.tenants {
+		k.refill(t, now, t.limit)
+		for node, h := range t.holders {
+			if now.After(h.until) {
+				delete(t.holders, node)
+			}
+		}
+	}
+}
+
+// State is what a keeper knows of a tenant, for logs and operators.
+type State struct {
+	Holders int
+	// InUse is the sum of the shares that may be in use.
+	InUse float64
+	// Given and Refused count the pool's credits since the keeper began.
+	Given, Refused uint64
+}
+
+// State returns what is known of a tenant.
+func (k *Keeper) State(tenant string) State {
+	t := k.tenants[tenant]
+	if t == nil {
+		return State{}
+	}
+	state := State{Holders: len(t.holders), Given: t.given, Refused: t.refused}
+	for _, h := range t.holders {
+		state.InUse += h.inUse
+	}
+	return state
+}
--- /dev/null
+++ b/internal/online/limits_test.go
@@ -0,0 +1,120 @@
+package online
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/admission"
+	"cobaltramp.example/cobaltramp/internal/allotment"
+	"cobaltramp.example/cobaltramp/internal/catalog"
+	"cobaltramp.example/cobaltramp/internal/exchange"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/runnerset"
+)
+
+// fewCredits is a keeper with so many credits and no shares.
+type fewCredits struct {
+	mutex sync.Mutex
+	left  int
+	given int
+}
+
+func (k *fewCredits) Allot(_ context.Context, _ string, request *wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	count := min(int(request.Credits), k.left)
+	k.left -= count
+	k.given += count
+	return &wirev1.AllotmentReply{Credits: uint32(count), WaitMs: 700}, nil
+}
+
+func (k *fewCredits) ShardOf(string) (uint32, bool) { return 0, true }
+
+// longLived credits do not end while a test runs.
+var longLived = allotment.Tolerance{Window: time.Hour, Overrun: 1, Slack: 20}
+
+func limitedForwarder(keeper admission.Keepers, client exchange.Client, runners int, tolerance allotment.Tolerance) *Forwarder {
+	set := runnerset.New()
+	var records []runnerset.Record
+	for i := range runners {
+		records = append(records, runnerset.Record{ID: string(rune('a' + i)), Service: "s", Slots: 4})
+	}
+	set.Replace(records, 1, time.Now())
+	forwarder := New("z", set, client, prometheus.NewRegistry())
+	forwarder.listWait = time.Millisecond
+	limit := func(string) (allotment.Limit, bool) { return allotment.Limit{Rate: 1, Burst: 1}, true }
+	forwarder.Gate = admission.New(keeper, limit, tolerance, allotment.Holder{Node: "n", Incarnation: 1}, prometheus.NewRegistry())
+	return forwarder
+}
+
+func limitedRequest(route *catalog.Route) *Request {
+	now := time.Now()
+	return &Request{
+		ID: "id", Method: http.MethodPost, URI: "/x", Route: route, Tenant: &catalog.Tenant{Name: "t", RatePerSecond: 1, Burst: 1},
+		Received: now, Deadline: now.Add(30 * time.Second), ResumeAfter: -1,
+	}
+}
+
+// Each run takes a credit of its own; one that no runner took is there for the
+// next; who is refused has truly not run.
+func TestEachRunTakesACredit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		runners := &fakeRunners{fates: rapid.SliceOfN(rapid.SampledFrom(fates), 0, 12).Draw(t, "fates")}
+		credits := rapid.IntRange(0, 4).Draw(t, "credits")
+		keeper := &fewCredits{left: credits}
+		forwarder := limitedForwarder(keeper, runners, 8, longLived)
+		kind := rapid.SampledFrom([]catalog.Kind{catalog.Once, catalog.Streaming, catalog.Repeatable}).Draw(t, "kind")
+		for range rapid.IntRange(1, 4).Draw(t, "requests") {
+			before := runners.runs
+			err := forwarder.Serve(context.Background(), limitedRequest(routeOf(kind, true, 3)), &recorder{})
+			ran := runners.runs - before
+			if err != nil && !errors.Is(err, ErrCut) && result.CodeOf(err).Entry().Ran == result.RanNo && ran > 0 {
+				t.Fatalf("%v, and it ran %d times", err, ran)
+			}
+		}
+		if runners.runs > credits {
+			t.Fatalf("%d runs with %d credits", runners.runs, credits)
+		}
+	})
+}
+
+// Who is over the limit is refused at once with a time to come back, and sent
+// nowhere.
+func TestOverTheLimitIsRefused(t *testing.T) {
+	is := is.New(t)
+	runners := &fakeRunners{}
+	forwarder := limitedForwarder(&fewCredits{}, runners, 2, longLived)
+	err := forwarder.Serve(context.Background(), limitedRequest(routeOf(catalog.Once, false, 1)), &recorder{})
+	is.True(result.Is(err, result.TenantRate))
+	is.True(result.From(err).RetryAfter >= 700*time.Millisecond)
+	is.Equal(runners.runs, 0)
+}
+
+// A node that stood still between the admission and the send does not send: the
+// credit has ended by then.
+func TestCreditThatEndedIsNotSpent(t *testing.T) {
+	is := is.New(t)
+	brief := allotment.Tolerance{Window: time.Second} // its credits live for the shortest time
+	withdrawn := 0
+	client := clientFunc(func(_ context.Context, call *exchange.Call) (*exchange.Answer, error) {
+		time.Sleep(2 * brief.CreditLife())
+		if call.Current() {
+			return nil, &exchange.UnknownError{Cause: errors.New("sent")}
+		}
+		withdrawn++
+		return nil, &exchange.NotRunError{Reason: exchange.ReasonGone, Cause: errors.New("withdrawn")}
+	})
+	forwarder := limitedForwarder(&fewCredits{left: 2}, client, 4, brief)
+	err := forwarder.Serve(context.Background(), limitedRequest(routeOf(catalog.Once, false, 1)), &recorder{})
+	is.True(result.Is(err, result.TenantRate))
+	is.Equal(withdrawn, 2)
+}
--- a/internal/online/online.go
+++ b/internal/online/online.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"cobaltramp.example/cobaltramp/internal/admission"
 	"cobaltramp.example/cobaltramp/internal/catalog"
 	"cobaltramp.example/cobaltramp/internal/exchange"
 	"cobaltramp.example/cobaltramp/internal/result"
@@ -62,9 +63,11 @@
 
 // Forwarder serves requests.
 type Forwarder struct {
-	Zone     string
-	Runners  *runnerset.Set
-	Client   exchange.Client
+	Zone    string
+	Runners *runnerset.Set
+	Client  exchange.Client
+	// Gate admits tenants' requests within their limits; nil admits all.
+	Gate     *admission.Gate
 	listWait time.Duration
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
@@ -109,6 +112,9 @@
 	sent      bool // a runner may have worked on it
 	headSent  bool
 	last      int64
+	// admission is the right to send the request once more; nil if there is none,
+	// or none is needed.
+	admission *admission.Admission
 	firstSeen time.Duration
 	lastCause string
 }
@@ -120,6 +126,7 @@
 	defer cancel()
 	s := &serving{Forwarder: f, request: request, responder: responder, tried: map[string]bool{}, last: max(0, request.ResumeAfter)}
 	err := s.serve(ctx)
+	s.admission.Return()
 	s.report(err)
 	return err
 }
@@ -144,6 +151,9 @@
 		if err != nil {
 			return s.givenUp(err)
 		}
+		if err := s.admit(ctx); err != nil {
+			return s.givenUp(err)
+		}
 		again, err := s.attempt(ctx, choice)
 		if !again {
 			return s.givenUp(err)
@@ -155,6 +165,36 @@
 	}
 }
 
+const (
+	// admitShare of a route's target is what a request waits for its tenant's
+	// limit at the most: who is refused later has no time to come back.
+	admitShare = 0.25
+	admitLeast = 40 * time.Millisecond
+	admitMost  = 250 * time.Millisecond
+)
+
+// admit takes the right to send the request, which each send uses up. A send
+// that a runner turns down leaves it for the next.
+func (s *serving) admit(ctx context.Context) error {
+	if s.Gate == nil || s.admission != nil && s.admission.Valid() {
+		return nil
+	}
+	patience := time.Duration(admitShare * float64(s.request.Route.Target))
+	admitted, err := s.Gate.Admit(ctx, s.request.ID, s.request.Tenant, min(max(patience, admitLeast), admitMost))
+	if err != nil {
+		s.lastCause = err.Error()
+		if ctx.Err() != nil {
+			return s.ended(ctx)
+		}
+		if s.sent {
+			return result.New(result.OutcomeUnknown, "it may have run, and can't be sent again: %v", err)
+		}
+		return err
+	}
+	s.admission = admitted
+	return nil
+}
+
 // givenUp turns the end of a request whose answer was begun into a cut.
 func (s *serving) givenUp(err error) error {
 	if err != nil && s.headSent {
@@ -229,14 +269,20 @@
 		return again, err
 	}
 	defer func() { _ = answer.Body.Close() }()
-	s.runs++
-	s.sent = true
+	s.noteSent()
 	runner.NoteLoad(answer.Load, time.Now())
 	again, err := s.pass(ctx, runner, answer, use, watch)
 	s.note(choice, started, err, again)
 	return again, err
 }
 
+// noteSent records that a runner may have run the request.
+func (s *serving) noteSent() {
+	s.runs++
+	s.sent = true
+	s.admission = nil
+}
+
 func (s *serving) note(choice runnerset.Choice, started time.Time, err error, again bool) {
 	outcome := "done"
 	if err != nil {
@@ -273,10 +319,12 @@
 }
 
 func (s *serving) call(runner *runnerset.Runner) *exchange.Call {
-	current := runner.Takes
+	serves := runner.Takes
 	if !runner.Takes() {
-		current = runner.StillServes
+		serves = runner.StillServes
 	}
+	admitted := s.admission
+	current := func() bool { return serves() && admitted.Valid() }
 	call := &exchange.Call{
 		ID: s.request.ID, Method: s.request.Method, URI: s.request.URI, Host: s.request.Host, Headers: s.request.Headers,
 		Body: s.request.Body, RunnerID: runner.ID, Address: runner.Address, Service: runner.Service,
@@ -305,8 +353,7 @@
 		}
 		return true, nil
 	}
-	s.runs++
-	s.sent = true
+	s.noteSent()
 	if ctx.Err() != nil {
 		return false, s.ended(ctx)
 	}
--- a/internal/queueclient/queueclient.go
+++ b/internal/queueclient/queueclient.go
@@ -64,6 +64,23 @@
 	return reply, c.call(ctx, request.JobId, wirev1.Method_METHOD_QUEUE_END, 0, request, reply)
 }
 
+// Allot asks the keeper of a tenant's limit, who leads the shard that the
+// tenant's name falls to.
+func (c *Client) Allot(ctx context.Context, tenant string, request *wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error) {
+	reply := &wirev1.AllotmentReply{}
+	return reply, c.call(ctx, tenant, wirev1.Method_METHOD_ALLOTMENT, 0, request, reply)
+}
+
+// ShardOf returns the shard that a tenant's name falls to; false while no
+// layout is known.
+func (c *Client) ShardOf(tenant string) (uint32, bool) {
+	layout := c.Layouts.Current()
+	if layout == nil {
+		return 0, false
+	}
+	return queuestore.ShardOf(tenant, len(layout.Shards)), true
+}
+
 // call asks the nodes of the shard, its last known leader first, until one
 // answers or the context ends. All calls may be repeated: a job is taken once,
 // and an end is an end.
@@ -173,7 +190,7 @@
 
 // final tells the answers that another node or try would give as well.
 func final(err error) bool {
-	return result.Is(err, result.TenantTokens) || result.Is(err, result.StoreFull)
+	return result.Is(err, result.TenantTokens) || result.Is(err, result.StoreFull) || result.Is(err, result.StaleEpoch)
 }
 
 func (c *Client) try(ctx context.Context, address string, method wirev1.Method, wait time.Duration, request, reply proto.Message) outcome {
--- /dev/null
+++ b/internal/queuestore/allotments.go
@@ -0,0 +1,92 @@
+package queuestore
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/allotment"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+)
+
+// The leader of a shard keeps the limits on requests of the tenants whose names
+// fall to the shard, as jobs do by their ids. What it has lent is not in the log:
+// a new leader begins with a keeper that knows of nothing (package allotment).
+
+func (n *Node) newKeeper() *allotment.Keeper { return allotment.NewKeeper(time.Now(), n.Tolerance) }
+
+// serveAllotment answers nodes that admit requests of tenants.
+func (n *Node) serveAllotment(ctx context.Context, stream *rpc.ServerStream) error {
+	var request wirev1.AllotmentRequest
+	if err := stream.Request(&request); err != nil {
+		return err
+	}
+	tenant := request.Tenant
+	if tenant == "" && len(request.Claims) > 0 {
+		tenant = request.Claims[0].Tenant
+	}
+	s, err := n.serving(tenant)
+	if err != nil {
+		return err
+	}
+	reply := &wirev1.AllotmentReply{}
+	var refused error
+	if err := s.ask(ctx, func() { refused = s.allot(&request, reply) }); err != nil {
+		return err
+	}
+	if refused != nil {
+		return refused
+	}
+	// Only who still leads the shard may lend: another may do so by now.
+	if err := s.confirm(ctx); err != nil {
+		return err
+	}
+	return stream.Send(reply)
+}
+
+func (s *shard) allot(request *wirev1.AllotmentRequest, reply *wirev1.AllotmentReply) error {
+	l := s.leader
+	if l == nil || !l.suspended.IsZero() || !s.replica.Serving() {
+		return result.New(result.NotLeader, "shard %d is not led here", s.id)
+	}
+	now := time.Now()
+	holder := allotment.Holder{Node: request.Node, Incarnation: request.Incarnation}
+	for _, told := range request.Claims {
+		claim := allotment.Claim{Tenant: told.Tenant, Held: told.Held, Wanted: told.Wanted, Extra: told.Extra}
+		grant, err := s.renewShare(now, holder, request.Number, claim)
+		if err != nil {
+			return err
+		}
+		reply.Grants = append(reply.Grants, &wirev1.AllotmentGrant{Tenant: claim.Tenant, Share: grant.Share, Extra: grant.Extra})
+	}
+	if request.Credits == 0 {
+		return nil
+	}
+	limit, known := s.node.TenantLimit(request.Tenant)
+	if !known {
+		return result.New(result.NotReady, "tenant %q is not known here yet", request.Tenant)
+	}
+	given, wait := l.allotments.Credits(now, request.Tenant, limit, int(request.Credits))
+	reply.Credits, reply.WaitMs = uint32(given), uint32(wait.Milliseconds())
+	if given < int(request.Credits) {
+		state := l.allotments.State(request.Tenant)
+		klog.InfoS("tenant's credits refused", "tenant", request.Tenant, "shard", s.id, "node", request.Node, "wanted", request.Credits, "given", given,
+			"rate", limit.Rate, "burst", limit.Burst, "lent", state.InUse, "holders", state.Holders, "comeBackMs", reply.WaitMs, "keeperMs", now.Sub(l.allotments.Started()).Milliseconds())
+	}
+	return nil
+}
+
+func (s *shard) renewShare(now time.Time, holder allotment.Holder, number uint64, claim allotment.Claim) (allotment.Grant, error) {
+	limit, known := s.node.TenantLimit(claim.Tenant)
+	if !known {
+		claim.Wanted = 0 // dropped: what is held of it ends
+	}
+	grant, valid := s.leader.allotments.Renew(now, holder, number, limit, claim)
+	if !valid {
+		return grant, result.New(result.StaleEpoch, "a later message of node %s came before", holder.Node)
+	}
+	return grant, nil
+}
--- a/internal/queuestore/harness_test.go
+++ b/internal/queuestore/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/allotment"
 	"cobaltramp.example/cobaltramp/internal/logstore"
 	"cobaltramp.example/cobaltramp/internal/peers"
 	"cobaltramp.example/cobaltramp/internal/platform"
@@ -211,6 +212,7 @@
 	n.node = New(Options{
 		Node: name, Region: "r", DiskLosses: 1, Retention: time.Hour, LogBytes: 48 << 20, DB: n.db, Directory: directory, Layouts: layouts,
 		Pool: n.pool, Store: c.store, Contact: c.store, Retirement: c.store, Executor: c.executor, Registry: prometheus.NewRegistry(),
+		TenantLimit: testLimit, Tolerance: allotment.Tolerance{Window: 5 * time.Second, Overrun: 0.1, Slack: 20},
 	})
 	n.node.Handle(n.server)
 	n.running = true
--- a/internal/queuestore/leader.go
+++ b/internal/queuestore/leader.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/allotment"
 	"cobaltramp.example/cobaltramp/internal/queue"
 	"cobaltramp.example/cobaltramp/internal/replica"
 )
@@ -34,6 +35,8 @@
 	acceptingBytes int
 	// ledger is what all shards have told, on the keeper of the limits.
 	ledger *queue.Ledger
+	// allotments are the tenants' limits on requests that this leader lends.
+	allotments *allotment.Keeper
 	// reports counts what this shard told the keeper; reportedSum and reportedAt
 	// are of the last time.
 	reports     uint64
@@ -96,6 +99,7 @@
 	l := s.leader
 	l.epoch, l.suspended = s.replica.Epoch(), time.Time{}
 	l.ledger = nil // others may have told another keeper meanwhile
+	l.allotments = s.node.newKeeper()
 	klog.InfoS("queue shard led again", "shard", s.id, "epoch", l.epoch, "unfinished", l.table.Len(), "runs", len(l.runs), "decided", len(l.decided))
 	for key := range l.runs {
 		l.table.Forget(key)
@@ -109,7 +113,7 @@
 func (s *shard) takeLeadership() {
 	ctx, cancel := context.WithCancel(s.node.context)
 	l := &leadership{
-		epoch: s.replica.Epoch(), table: queue.NewTable(), context: ctx, cancel: cancel,
+		epoch: s.replica.Epoch(), allotments: s.node.newKeeper(), table: queue.NewTable(), context: ctx, cancel: cancel,
 		runs: map[queue.Key]context.CancelFunc{}, decided: map[queue.Key]*wirev1.QueueResult{},
 		changed: map[string]chan struct{}{}, taken: map[string]int64{}, accepting: map[queue.Account]uint64{}, full: map[string]time.Time{}, preferred: time.Now(),
 	}
--- a/internal/queuestore/node.go
+++ b/internal/queuestore/node.go
@@ -14,6 +14,7 @@
 	"k8s.io/klog/v2"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/allotment"
 	"cobaltramp.example/cobaltramp/internal/logstore"
 	"cobaltramp.example/cobaltramp/internal/peers"
 	"cobaltramp.example/cobaltramp/internal/platform"
@@ -93,7 +94,11 @@
 	// Retirement is told what becomes of nodes that are being emptied.
 	Retirement Retirement
 	Executor   Executor
-	Registry   prometheus.Registerer
+	// TenantLimit tells a tenant's limit on requests; false for one that is not
+	// known. Tolerance is by how much limits may be exceeded.
+	TenantLimit func(tenant string) (allotment.Limit, bool)
+	Tolerance   allotment.Tolerance
+	Registry    prometheus.Registerer
 }
 
 // Node runs this machine's replicas.
@@ -150,6 +155,7 @@
 	server.Handle(wirev1.Method_METHOD_QUEUE_ITEM, n.serveItem)
 	server.Handle(wirev1.Method_METHOD_QUEUE_END, n.serveEnd)
 	server.Handle(wirev1.Method_METHOD_QUEUE_RESERVE, n.serveReserve)
+	server.Handle(wirev1.Method_METHOD_ALLOTMENT, n.serveAllotment)
 }
 
 // Start starts the shards the disk holds, before the platform's store is
--- a/internal/settings/role.go
+++ b/internal/settings/role.go
@@ -9,6 +9,8 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/gravitational/trace"
+
+	"cobaltramp.example/cobaltramp/internal/allotment"
 )
 
 // Role is the settings file of an edge or a storage node: a node whose
@@ -96,6 +98,16 @@
 	CatchUpSeconds float64 `yaml:"catch_up_seconds"`
 	// ResultsKeptSeconds: how long after its submission a job stays readable.
 	ResultsKeptSeconds float64 `yaml:"results_kept_seconds"`
+	// QuotaWindowSeconds: over how long a tenant's requests are counted.
+	// QuotaOverrun: by which share of the limit a window may exceed it, and
+	// QuotaSlack by how many requests beside.
+	QuotaWindowSeconds float64 `yaml:"quota_window_seconds"`
+	QuotaOverrun       float64 `yaml:"quota_overrun"`
+	QuotaSlack         int     `yaml:"quota_slack"`
+	// RevokeFailClosed: a node that has not heard of the configuration for
+	// RevokeMilliseconds refuses requests that need a key.
+	RevokeFailClosed   bool `yaml:"revoke_fail_closed"`
+	RevokeMilliseconds int  `yaml:"revoke_milliseconds"`
 }
 
 // Defaults of a role's settings, for fields a deployment does not give.
@@ -107,6 +119,8 @@
 	defaultRoleMemoryMegabytes = 256
 	defaultRoleDiskMegabytes   = 512
 	defaultDrainMilliseconds   = 2000
+	defaultQuotaWindowSeconds  = 5
+	defaultRevokeMilliseconds  = 5000
 )
 
 // LoadRole reads, decodes, completes and checks a role's settings file.
@@ -137,6 +151,8 @@
 	orDefault(&r.Bounds.ResultsKeptSeconds, defaultResultsKeptSeconds)
 	orDefault(&r.Bounds.CatchUpSeconds, defaultCatchUpSeconds)
 	orDefault(&r.Bounds.DrainMilliseconds, defaultDrainMilliseconds)
+	orDefault(&r.Bounds.QuotaWindowSeconds, defaultQuotaWindowSeconds)
+	orDefault(&r.Bounds.RevokeMilliseconds, defaultRevokeMilliseconds)
 	orDefault(&r.Store.ValueBytes, defaultStoreValueBytes)
 	orDefault(&r.Machine.MemoryMegabytes, defaultRoleMemoryMegabytes)
 	orDefault(&r.Machine.DiskMegabytes, defaultRoleDiskMegabytes)
@@ -157,6 +173,17 @@
 	if !isIPPort(r.Store.Address) {
 		return &FieldError{"store.address", r.Store.Address, "an IP number and a port, such as 10.0.0.7:7400"}
 	}
+	for _, bound := range []struct {
+		path  string
+		value float64
+	}{
+		{"bounds.quota_window_seconds", r.Bounds.QuotaWindowSeconds}, {"bounds.quota_overrun", r.Bounds.QuotaOverrun},
+		{"bounds.quota_slack", float64(r.Bounds.QuotaSlack)}, {"bounds.revoke_milliseconds", float64(r.Bounds.RevokeMilliseconds)},
+	} {
+		if bound.value < 0 {
+			return &FieldError{bound.path, fmt.Sprint(bound.value), "0 or more"}
+		}
+	}
 	return r.checkListen()
 }
 
@@ -191,6 +218,23 @@
 	return time.Duration(r.Bounds.ResultsKeptSeconds * float64(time.Second))
 }
 
+// QuotaTolerance is by how much tenants' limits may be exceeded.
+func (r *Role) QuotaTolerance() allotment.Tolerance {
+	return allotment.Tolerance{
+		Window:  time.Duration(r.Bounds.QuotaWindowSeconds * float64(time.Second)),
+		Overrun: r.Bounds.QuotaOverrun, Slack: r.Bounds.QuotaSlack,
+	}
+}
+
+// RevokeTime is how old the word of the configuration may be before requests
+// that need a key are refused; 0 is any age.
+func (r *Role) RevokeTime() time.Duration {
+	if !r.Bounds.RevokeFailClosed {
+		return 0
+	}
+	return time.Duration(r.Bounds.RevokeMilliseconds) * time.Millisecond
+}
+
 // DrainTime is how long a leaving runner still takes requests.
 func (r *Role) DrainTime() time.Duration {
 	return time.Duration(r.Bounds.DrainMilliseconds) * time.Millisecond
--- a/modules/batch/queues/queues.go
+++ b/modules/batch/queues/queues.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
+	"cobaltramp.example/cobaltramp/internal/admission"
 	"cobaltramp.example/cobaltramp/internal/catalog"
 	"cobaltramp.example/cobaltramp/internal/exchange"
 	"cobaltramp.example/cobaltramp/internal/kernel"
@@ -79,6 +80,7 @@
 	options.DiskLosses, options.Retention = m.settings.DiskLosses, retentionFactor*m.settings.ResultsKept()
 	options.DB, options.Store = m.db, store
 	options.LogBytes = logBytes(m.settings.Machine)
+	options.TenantLimit, options.Tolerance = admission.LimitOf(catalogs), m.settings.QuotaTolerance()
 	executor := queuerun.New(m.settings.Zone, catalogs, runners, client)
 	executor.Home = func(runner *runnerset.Record) bool { return m.node.IsHomeOf(runner.ID, runner.Zone) }
 	options.Executor = executor
