Small tenants are served from the pool; spare requests while a keeper is silent

Large tenants were not refused. Change: a share is lent only if it holds two requests; the pool has all that is not lent, and 0.4 of the users' slack beside its burst; a holder's extra request became a spare one, for when the keeper is silent, one a window, counted for a window after it was given up.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -129,6 +129,9 @@
 	if err == nil && answer != nil {
 		credit, err = await(ctx, answer, patience)
 	}
+	if result.Is(err, result.NotReady) {
+		credit, err = admission.account.spareFor(err)
+	}
 	switch {
 	case err == nil && credit.Pooled:
 		g.outcomes.WithLabelValues(outcomePool).Inc()
@@ -163,6 +166,16 @@
 	return allotment.Credit{}, answer, nil
 }
 
+// spareFor takes the spare request in place of a refusal: the keeper is silent.
+func (a *account) spareFor(refusal error) (allotment.Credit, error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if credit, ok := a.TakeSpare(time.Now()); ok {
+		return credit, nil
+	}
+	return allotment.Credit{}, refusal
+}
+
 // silentAfter is when a caller should come back whose tenant's keeper is silent:
 // another one takes its place within about a second.
 const silentAfter = 500 * time.Millisecond
@@ -176,7 +189,12 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return allotment.Credit{}, result.New(result.NotReady, "the keeper of the tenant's limit does not answer").After(jittered(silentAfter))
+	return allotment.Credit{}, silent()
+}
+
+// silent is the refusal of a request whose tenant's keeper does not answer.
+func silent() error {
+	return result.New(result.NotReady, "the keeper of the tenant's limit does not answer").After(jittered(silentAfter))
 }
 
 // jittered spreads moments over half as much again, so that those refused
--- a/internal/admission/keepers.go
+++ b/internal/admission/keepers.go
@@ -9,7 +9,6 @@
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/allotment"
-	"cobaltramp.example/cobaltramp/internal/result"
 )
 
 const (
@@ -53,9 +52,8 @@
 	now := time.Now()
 	if err != nil {
 		klog.InfoS("keeper of a limit did not answer", "tenant", tenant, "waiting", len(waiting), "ms", now.Sub(sent).Milliseconds(), "err", err)
-		silent := result.New(result.NotReady, "the keeper of the tenant's limit does not answer").After(jittered(silentAfter))
 		for _, one := range waiting {
-			one <- verdict{err: silent}
+			one <- verdict{err: silent()}
 		}
 		return
 	}
@@ -132,7 +130,7 @@
 		if !known || limit.Rate <= 0 {
 			claim.Wanted = 0
 		}
-		request.Claims = append(request.Claims, &wirev1.AllotmentClaim{Tenant: name, Held: claim.Held, Wanted: claim.Wanted, Extra: claim.Extra})
+		request.Claims = append(request.Claims, &wirev1.AllotmentClaim{Tenant: name, Held: claim.Held, Wanted: claim.Wanted, Spare: claim.Spare})
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
@@ -154,5 +152,5 @@
 	a := g.account(told.Tenant)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.Granted(time.Now(), sent, limit, allotment.Grant{Share: told.Share, Extra: told.Extra})
+	a.Granted(time.Now(), sent, limit, allotment.Grant{Share: told.Share, Spare: told.Spare})
 }
--- a/internal/allotment/account.go
+++ b/internal/allotment/account.go
@@ -15,10 +15,13 @@
 // Account is what one node holds of one tenant's limit. Not safe for concurrent
 // use.
 type Account struct {
-	life time.Duration
-	// share of the limit, which may be used until a moment; extra is 1 or 0.
+	life   time.Duration
+	window time.Duration
+	// share of the limit, which may be used until a moment; spare: one request a
+	// window beside, last sent at spared.
 	share  float64
-	extra  float64
+	spare  bool
+	spared time.Time
 	until  time.Time
 	bucket bucket
 	// stock are credits of the pool.
@@ -44,7 +47,7 @@
 
 // NewAccount returns the account of a node that holds nothing.
 func NewAccount(now time.Time, tolerance Tolerance) *Account {
-	return &Account{life: tolerance.CreditLife(), began: now}
+	return &Account{life: tolerance.CreditLife(), window: tolerance.Window, began: now, spared: now}
 }
 
 // Note counts a request that has come, whatever becomes of it.
@@ -79,13 +82,13 @@
 // Idle reports whether no request has come lately and no share is held: nothing
 // has to be kept or renewed.
 func (a *Account) Idle(now time.Time) bool {
-	return a.Demand(now) == 0 && a.share == 0 && a.extra == 0
+	return a.Demand(now) == 0 && a.share == 0 && !a.spare
 }
 
 // Claim returns what to say to the keeper.
 func (a *Account) Claim(now time.Time, tenant string, limit Limit) Claim {
 	a.expire(now)
-	claim := Claim{Tenant: tenant, Held: a.share, Extra: a.extra > 0}
+	claim := Claim{Tenant: tenant, Held: a.share, Spare: a.spare}
 	if demand := a.Demand(now); demand > 0 && limit.Rate > 0 {
 		claim.Wanted = min(1, (headroom*demand+spareRate)/limit.Rate)
 	}
@@ -95,24 +98,21 @@
 // Granted takes the answer to a claim that was sent at a moment.
 func (a *Account) Granted(now, sent time.Time, limit Limit, grant Grant) {
 	a.fill(now, limit)
-	a.share, a.extra = grant.Share, 0
-	if grant.Extra {
-		a.extra = 1
-	}
+	a.share, a.spare = grant.Share, grant.Spare
 	a.until = sent.Add(Term)
 	a.fill(now, limit)
 }
 
 // expire drops a share whose term has ended.
 func (a *Account) expire(now time.Time) {
-	if (a.share > 0 || a.extra > 0) && !now.Before(a.until) {
-		a.share, a.extra, a.bucket = 0, 0, bucket{}
+	if (a.share > 0 || a.spare) && !now.Before(a.until) {
+		a.share, a.spare, a.bucket = 0, false, bucket{}
 	}
 }
 
 func (a *Account) fill(now time.Time, limit Limit) {
 	a.expire(now)
-	a.bucket.fill(now, a.share*limit.Rate, a.share*limit.Burst+a.extra)
+	a.bucket.fill(now, a.share*limit.Rate, a.share*limit.Burst)
 }
 
 // Take takes a credit of the share, or one of the pool that is in stock.
@@ -131,6 +131,17 @@
 	return Credit{}, false
 }
 
+// TakeSpare takes the spare request, for when the keeper is silent. A node that
+// has started anew has none for a window.
+func (a *Account) TakeSpare(now time.Time) (Credit, bool) {
+	a.expire(now)
+	if !a.spare || now.Sub(a.spared) < a.window+a.life {
+		return Credit{}, false
+	}
+	a.spared = now
+	return Credit{Pooled: true, expires: earlier(now.Add(a.life), a.until)}, true
+}
+
 // Stock takes credits of the pool that were asked for at a moment.
 func (a *Account) Stock(asked time.Time, count int) {
 	for range count {
@@ -148,7 +159,7 @@
 		return
 	}
 	a.fill(now, limit)
-	a.bucket.level = min(a.bucket.level+1, a.share*limit.Burst+a.extra)
+	a.bucket.level = min(a.bucket.level+1, a.share*limit.Burst)
 }
 
 // dryMost bounds how long the pool is taken for empty after it was.
--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -18,7 +18,9 @@
 //     and its pool begins empty;
 //   - a share begins with no credit, and what a holder gives up of a share takes
 //     the credit with it;
-//   - what is admitted must be sent within CreditLife.
+//   - what is admitted must be sent within CreditLife;
+//   - spare requests, for when the keeper is silent, come out of the tolerance:
+//     a holder sends one a window at the most, and few have one.
 //
 // docs/design/tenant-quotas.md weighs this against other ways.
 package allotment
@@ -59,9 +61,12 @@
 	lifeShare = 0.8
 	// shortestLife lets credits reach a runner at all where no overrun is allowed.
 	shortestLife = 50 * time.Millisecond
-	// extraShare of the slack is given to holders of small shares as one request
-	// each; the rest covers what is written in the moment of a freeze.
-	extraShare = 0.6
+	// spareShare of the slack is lent as spare requests, one each to so many
+	// holders, and poolShare is what the pool may hold beside its burst: small
+	// tenants' requests come together by chance. The rest covers what is written
+	// in the moment of a freeze.
+	spareShare = 0.5
+	poolShare  = 0.4
 )
 
 // CreditLife is how long after it was asked for or taken a credit may be spent.
@@ -69,8 +74,11 @@
 	return max(shortestLife, time.Duration(lifeShare*t.Overrun*float64(t.Window)))
 }
 
-// extras is how many holders of a tenant may have an extra request.
-func (t Tolerance) extras() int { return int(extraShare * float64(t.Slack)) }
+// spares is how many holders of a tenant may have a spare request.
+func (t Tolerance) spares() int { return int(spareShare * float64(t.Slack)) }
+
+// poolSlack is what the pool may hold beside its burst.
+func (t Tolerance) poolSlack() float64 { return poolShare * float64(t.Slack) }
 
 // bucket holds the credit that has come together at a rate. Parts of a limit are
 // fractions, which is why no library's bucket serves.
--- a/internal/allotment/keeper.go
+++ b/internal/allotment/keeper.go
@@ -14,14 +14,14 @@
 	// Held is the share that it uses now, Wanted the one that its traffic needs;
 	// shares of the whole limit.
 	Held, Wanted float64
-	// Extra: it holds an extra request.
-	Extra bool
+	// Spare: it holds a spare request.
+	Spare bool
 }
 
 // Grant is a share for a term from the moment in which the claim was sent.
 type Grant struct {
 	Share float64
-	Extra bool
+	Spare bool
 }
 
 // Keeper lends the limits of tenants. Not safe for concurrent use.
@@ -51,8 +51,10 @@
 	number      uint64
 	// inUse is the most that the holder may be using, wanted what it asked for.
 	inUse, wanted float64
-	extra         bool
-	until         time.Time
+	// spare: it may have a spare request; what it gave up counts until spareEnds.
+	spare     bool
+	spareEnds time.Time
+	until     time.Time
 }
 
 // NewKeeper returns a keeper that knows of no share lent before.
@@ -78,7 +80,7 @@
 // refill fills a tenant's pool by what it has had until now. From now on it has
 // all that is not lent; what a keeper before may have lent counts as lent.
 func (k *Keeper) refill(t *kept, now time.Time, limit Limit) {
-	t.pool.fill(now, t.part*t.limit.Rate, max(1, t.part*t.limit.Burst))
+	t.pool.fill(now, t.part*t.limit.Rate, k.poolMost(t.part, t.limit))
 	t.limit, t.part = limit, 1-standingPart
 	if k.settled(now) {
 		t.part = 1
@@ -86,7 +88,12 @@
 			t.part -= h.inUse
 		}
 	}
-	t.pool.level = min(t.pool.level, max(1, t.part*limit.Burst))
+	t.pool.level = min(t.pool.level, k.poolMost(t.part, limit))
+}
+
+// poolMost is the most that the pool holds; one request at least.
+func (k *Keeper) poolMost(part float64, limit Limit) float64 {
+	return max(1, part*limit.Burst+k.tolerance.poolSlack())
 }
 
 // Renew takes a claim and grants a share. Number rises with each message of a
@@ -107,22 +114,31 @@
 	}
 	h.incarnation, h.number, h.wanted = holder.Incarnation, number, claim.Wanted
 	// An earlier life of the node holds nothing any more.
-	h.inUse, h.extra, h.until = claim.Held, claim.Extra, now.Add(Term+termSlack)
-	grant := Grant{Share: k.shareFor(t, h, now), Extra: claim.Extra && claim.Wanted > 0}
-	if !grant.Extra && claim.Wanted > 0 && k.settled(now) {
-		grant.Extra = t.extras() < k.tolerance.extras()
-	}
-	if grant.Share*limit.Burst < 1 && !grant.Extra {
-		grant.Share = 0 // no whole request would ever come together of it
+	h.noteSpare(claim.Spare, now, k.tolerance)
+	h.inUse, h.until = claim.Held, now.Add(Term+termSlack)
+	grant := Grant{Share: k.shareFor(t, h, now), Spare: claim.Spare && claim.Wanted > 0}
+	if !grant.Spare && claim.Wanted > 0 && k.settled(now) {
+		grant.Spare = t.spares(now) < k.tolerance.spares()
 	}
 	h.inUse = max(claim.Held, grant.Share)
-	h.extra = claim.Extra || grant.Extra
-	if h.inUse == 0 && !h.extra {
+	h.noteSpare(claim.Spare || grant.Spare, now, k.tolerance)
+	if h.inUse == 0 && h.wanted == 0 && !h.hasSpare(now) {
 		delete(t.holders, holder.Node)
 	}
 	return grant, true
 }
 
+// noteSpare records whether the holder may have a spare request. One that it may
+// just have sent counts for a window more.
+func (h *holding) noteSpare(spare bool, now time.Time, tolerance Tolerance) {
+	if h.spare && !spare {
+		h.spareEnds = now.Add(tolerance.Window + tolerance.CreditLife())
+	}
+	h.spare = spare
+}
+
+func (h *holding) hasSpare(now time.Time) bool { return h.spare || now.Before(h.spareEnds) }
+
 // shareFor decides on a holder's share: what it wants if all that is wanted
 // fits, else its part by what is wanted; never more than is surely free.
 func (k *Keeper) shareFor(t *kept, h *holding, now time.Time) float64 {
@@ -141,14 +157,22 @@
 	if !k.settled(now) {
 		free = h.inUse
 	}
-	return min(share, free)
+	share = min(share, free)
+	if share*t.limit.Burst < leastBurst {
+		return 0 // credit would come together where nobody asks for it
+	}
+	return share
 }
 
-// extras counts the holders that may have an extra request.
-func (t *kept) extras() int {
+// leastBurst is how many requests a share must hold to be lent at all: below it
+// the pool serves better.
+const leastBurst = 2
+
+// spares counts the holders that may have a spare request.
+func (t *kept) spares(now time.Time) int {
 	count := 0
 	for _, h := range t.holders {
-		if h.extra {
+		if h.hasSpare(now) {
 			count++
 		}
 	}
@@ -194,11 +218,19 @@
 		return
 	}
 	k.swept = now
-	for _, t := range k.tenants {
+	for name, t := range k.tenants {
 		k.refill(t, now, t.limit)
+		if len(t.holders) == 0 && t.pool.level >= k.poolMost(t.part, t.limit) {
+			delete(k.tenants, name) // what is made anew is as full by now
+			continue
+		}
 		for node, h := range t.holders {
 			if now.After(h.until) {
-				delete(t.holders, node)
+				h.inUse, h.wanted = 0, 0
+				h.noteSpare(false, now, k.tolerance)
+				if !h.hasSpare(now) {
+					delete(t.holders, node)
+				}
 			}
 		}
 	}
--- a/internal/queuestore/allotments.go
+++ b/internal/queuestore/allotments.go
@@ -55,12 +55,12 @@
 	now := time.Now()
 	holder := allotment.Holder{Node: request.Node, Incarnation: request.Incarnation}
 	for _, told := range request.Claims {
-		claim := allotment.Claim{Tenant: told.Tenant, Held: told.Held, Wanted: told.Wanted, Extra: told.Extra}
+		claim := allotment.Claim{Tenant: told.Tenant, Held: told.Held, Wanted: told.Wanted, Spare: told.Spare}
 		grant, err := s.renewShare(now, holder, request.Number, claim)
 		if err != nil {
 			return err
 		}
-		reply.Grants = append(reply.Grants, &wirev1.AllotmentGrant{Tenant: claim.Tenant, Share: grant.Share, Extra: grant.Extra})
+		reply.Grants = append(reply.Grants, &wirev1.AllotmentGrant{Tenant: claim.Tenant, Share: grant.Share, Spare: grant.Spare})
 	}
 	if request.Credits == 0 {
 		return nil
