A job that surely fits needs no keeper's word: floors of waiting tokens by shard, out of the users' tolerance

Cause: the keeper of the waiting tokens hears from every shard's leader before it lets any job in, so one shard without a leader, or a loss of all power, refused jobs that fitted. Change: 0.8 of what the limit may be exceeded by is divided among the shards; what stays below a shard's floor is taken without a question. The keeper's own sum stays exact. Ruled out: halves that stand (they refuse what fits when jobs fall unevenly).

--- a/internal/queue/ledger.go
+++ b/internal/queue/ledger.go
@@ -1,10 +1,25 @@
 package queue
 
+// floorShare of what the users let a limit be exceeded by is divided among the
+// shards: up to that much may wait in a shard that the keeper has not heard of.
+const floorShare = 0.8
+
+// Floor returns how many tokens of an account may wait in each of so many shards
+// without the keeper's word. Overrun is by which share the limit may be exceeded:
+// all shards at their floor stay within it, so that a keeper that is silent, or a
+// shard that nobody leads, does not refuse what surely fits.
+func Floor(limit uint64, overrun float64, shards int) uint64 {
+	if shards < 1 {
+		return 0
+	}
+	return uint64(floorShare * overrun * float64(limit) / float64(shards))
+}
+
 // Ledger adds up the waiting tokens of all shards, for limits that hold over
 // all of them. The leader of each shard reports what waits there, submissions
 // on their way included, before it lets one in: a report that is old counts too
 // much or too little only by what has ended or begun since, and nothing begins
-// without a report.
+// without a report but what stays below the shard's floor.
 //
 // Invariant: a shard's entry is replaced only by a report of a newer epoch, or
 // of the same epoch and a higher number.
--- a/internal/queuestore/serve.go
+++ b/internal/queuestore/serve.go
@@ -97,6 +97,8 @@
 	bytes   int
 	// limit of the account's waiting tokens; 0 is none.
 	limit uint64
+	// below: what waits here with it is below the shard's floor.
+	below bool
 	// holder is the leadership that counts it; gone is set when it is no more.
 	holder *leadership
 	gone   bool
@@ -126,6 +128,7 @@
 			return
 		}
 		want.holder = l
+		want.below = waiting+want.tokens <= queue.Floor(want.limit, s.node.Tolerance.Overrun, s.node.shardCount())
 		l.accepting[want.account] += want.tokens
 		l.acceptingBytes += want.bytes
 	})
@@ -142,7 +145,7 @@
 // reserveOverAll asks the keeper of the limits whether a submission fits, and
 // waits a moment for one that knows enough.
 func (s *shard) reserveOverAll(ctx context.Context, want *reservation) error {
-	if want.limit == 0 || s.node.shardCount() < 2 {
+	if want.limit == 0 || want.below || s.node.shardCount() < 2 {
 		return nil
 	}
 	for until := time.Now().Add(keeperPatience); ; time.Sleep(keeperPause) {
