--- a/internal/online/online.go
+++ b/internal/online/online.go
@@ -69,6 +69,7 @@
 	// Gate admits tenants' requests within their limits; nil admits all.
 	Gate     *admission.Gate
 	listWait time.Duration
+	planners planners
 	requests *prometheus.CounterVec
 	attempts *prometheus.CounterVec
 	first    prometheus.Histogram
@@ -224,7 +225,7 @@
 		changed := s.Runners.Changed()
 		choice := s.Runners.Pick(wish, time.Now())
 		if choice.Runner != nil {
-			return choice, nil
+			return choice, s.noRoom(service, choice)
 		}
 		wait := time.Until(until)
 		if wait <= 0 || s.notRun > 0 || s.runs > 0 {
--- /dev/null
+++ b/internal/online/room.go
@@ -0,0 +1,73 @@
+package online
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cobaltramp.example/cobaltramp/internal/comeback"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/runnerset"
+)
+
+// A request that cannot have its first event within its target takes a slot from
+// one that can, if all runners are full. It is refused at once, as not run, and
+// told when to come back. Who has come back already is not refused again: it
+// would not come a third time.
+
+const (
+	// firstTryShare of its route's time-out is what a caller has left, at the
+	// least, who comes for the first time.
+	firstTryShare = 0.9
+	// waitShare of the time that is left is what callers wait at the most before
+	// they come back.
+	waitShare = 0.3
+	// leastWait is the shortest time that a refused caller is told.
+	leastWait = 50 * time.Millisecond
+)
+
+// planners tell refused callers when to come back, by service.
+type planners struct {
+	mutex     sync.Mutex
+	byService map[string]*comeback.Planner
+}
+
+// refused records that a service had no room, and draws when to come back.
+func (p *planners) refused(service string, now time.Time, bound time.Duration) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.byService == nil {
+		p.byService = map[string]*comeback.Planner{}
+	}
+	planner := p.byService[service]
+	if planner == nil {
+		planner = comeback.NewPlanner()
+		p.byService[service] = planner
+	}
+	planner.NoteFull(now)
+	return max(leastWait, planner.When(now, rand.Float64(), bound))
+}
+
+// noRoom refuses a request that would be late at the best runner, if its caller
+// can come back.
+func (s *serving) noRoom(service string, choice runnerset.Choice) error {
+	if s.sent || s.headSent || choice.Doubtful || !s.firstTry() {
+		return nil
+	}
+	now := time.Now()
+	safe := s.request.Route.Target
+	late := now.Sub(s.request.Received) + choice.First - safe
+	if safe <= 0 || late <= 0 {
+		return nil
+	}
+	wait := s.planners.refused(service, now, time.Duration(waitShare*float64(s.request.Deadline.Sub(now))))
+	return result.New(result.Saturated, "all runners of service %s are full: the first event is expected in %d ms, allowed are %d ms", service,
+		choice.First.Milliseconds(), safe.Milliseconds()).After(wait)
+}
+
+// firstTry reports whether the caller has so much time left that it has not come
+// before.
+func (s *serving) firstTry() bool {
+	timeout := s.request.Route.Timeout
+	return timeout > 0 && s.request.Deadline.Sub(s.request.Received) >= time.Duration(firstTryShare*float64(timeout))
+}
--- /dev/null
+++ b/internal/online/room_test.go
@@ -0,0 +1,74 @@
+package online
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cobaltramp.example/cobaltramp/internal/catalog"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/runnerset"
+)
+
+// crowdedForwarder has two runners of one slot, each with so many requests.
+func crowdedForwarder(runners *fakeRunners, requests int) *Forwarder {
+	set := runnerset.New()
+	set.Replace([]runnerset.Record{{ID: "a", Service: "s", Slots: 1}, {ID: "b", Service: "s", Slots: 1}}, 1, time.Now())
+	for _, runner := range set.Service("s") {
+		for range requests {
+			set.Begin(runner, runnerset.Prompt{}, false, time.Now())
+		}
+	}
+	forwarder := New("z", set, runners, prometheus.NewRegistry())
+	forwarder.listWait = time.Millisecond
+	return forwarder
+}
+
+func targetedRequest(held time.Duration) *Request {
+	route := routeOf(catalog.Streaming, true, 2)
+	route.Target, route.Timeout = 300*time.Millisecond, 5*time.Second
+	now := time.Now()
+	return &Request{ID: "id", Route: route, Received: now, Deadline: now.Add(held), ResumeAfter: -1}
+}
+
+// A request that would be late at every runner is refused at once as not run,
+// with a time to come back that its caller can wait.
+func TestRefusedWithoutRoom(t *testing.T) {
+	is := is.New(t)
+	runners := &fakeRunners{}
+	err := crowdedForwarder(runners, 5).Serve(context.Background(), targetedRequest(5*time.Second), &recorder{})
+	is.True(result.Is(err, result.Saturated))
+	is.Equal(result.CodeOf(err).Entry().Ran, result.RanNo)
+	wait := result.From(err).RetryAfter
+	is.True(wait >= leastWait && wait <= 1500*time.Millisecond)
+	is.Equal(runners.runs, 0)
+}
+
+// Nobody is refused while there is room, nor who has come back already.
+func TestServedWithRoomOrAfterComingBack(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		requests int
+		held     time.Duration
+	}{{0, 5 * time.Second}, {5, 3500 * time.Millisecond}} {
+		runners := &fakeRunners{}
+		is.NoErr(crowdedForwarder(runners, c.requests).Serve(context.Background(), targetedRequest(c.held), &recorder{}))
+		is.Equal(runners.runs, 1)
+	}
+}
+
+// Where all runners fail, what is expected of them says little: a request is sent
+// all the same.
+func TestFailingRunnersAreNotFull(t *testing.T) {
+	is := is.New(t)
+	runners := &fakeRunners{}
+	forwarder := crowdedForwarder(runners, 5)
+	for _, runner := range forwarder.Runners.Service("s") {
+		runner.NoteBad(time.Now())
+	}
+	is.NoErr(forwarder.Serve(context.Background(), targetedRequest(5*time.Second), &recorder{}))
+	is.Equal(runners.runs, 1)
+}
--- a/internal/runnerset/pick.go
+++ b/internal/runnerset/pick.go
@@ -67,6 +67,11 @@
 	Runner *Runner
 	// Cost is the expected time to the first event with surcharges.
 	Cost time.Duration
+	// First is the expected time to the first event alone.
+	First time.Duration
+	// Doubtful: the runner is used for want of a better one, and what is expected
+	// of it says little.
+	Doubtful bool
 	// Load is the estimate of the requests there, Unread of the tokens.
 	Load   float64
 	Unread float64
@@ -131,6 +136,8 @@
 	}
 	choice.Cost = r.expectedFirst(estimate, r.kept.missing(wish.Prompt))
 	choice.Cost = time.Duration(float64(choice.Cost) * max(1, r.relativeSlowness(typical)))
+	choice.First = choice.Cost
+	choice.Doubtful = overdue > 0 || now.Before(r.aside)
 	// What is sent now waits as long as what waits there already, at least.
 	choice.Cost = max(choice.Cost, overdue)
 	if r.Zone != wish.Zone {
