--- a/internal/runnerset/neighbourhood.go
+++ b/internal/runnerset/neighbourhood.go
@@ -35,9 +35,10 @@
 	// crowdMost bounds a sample: a runner may queue several times its slots.
 	crowdMost = 1.5
 	// unheardShare is how full a neighbourhood is taken to be, relative to those
-	// known, if this node is told of none of its runners: less, so that one is
-	// tried when there is no room nearer. Its answer then says how full it is.
-	unheardShare = 0.5
+	// known, if this node is told of none of its runners. Taken for emptier they
+	// draw what the near ones have no room for, from all nodes at once
+	// (docs/POLICY.md, round 14).
+	unheardShare = 1.0
 	// knownInterval is how often the means over known runners are worked out; a
 	// choice every few milliseconds would read all runners twice.
 	knownInterval = 20 * time.Millisecond
