--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -53,11 +53,12 @@
 var _ queuestore.Executor = (*Executor)(nil)
 
 const (
-	// reserve is how many slots of a runner stay free when an item is sent.
-	reserve = 1
+	// reserve is how many slots of a runner stay free when an item is sent: none,
+	// items give way (docs/POLICY.md, round 15).
+	reserve = 0
 	// awayReserve is the share of its slots that stays free at a runner that is
 	// another node's to place items at: two nodes may see the same free slot.
-	awayReserve = 0.4
+	awayReserve = 0.2
 	// unreadCeiling is how many prompt tokens may wait at a runner that gets one.
 	unreadCeiling = 1500
 	// headTimeout and eventTimeout bound the waits for a runner's answer and for
--- a/internal/runnerset/pick.go
+++ b/internal/runnerset/pick.go
@@ -40,8 +40,6 @@
 	// yieldTime is how long a batch item takes to give its slot up: the notice to
 	// the node that sent it, the close to the runner, and a step of the engine.
 	yieldTime = 15 * time.Millisecond
-	// reserveShare of a runner's slots stays free of batch items.
-	reserveShare = 0.06
 	// zoneTime and zoneByteTime are what another zone costs: bytes between zones
 	// are dear.
 	zoneTime     = 12 * time.Millisecond
@@ -167,7 +165,7 @@
 }
 
 func (r *Runner) hasRoom(room *BatchRoom, away bool, estimate state) bool {
-	reserve := max(room.Reserve, reserveShare*r.slots())
+	reserve := room.Reserve
 	if away {
 		reserve = max(reserve, room.AwayReserve*r.slots())
 	}
