--- a/internal/enginemodel/enginemodel.go
+++ b/internal/enginemodel/enginemodel.go
@@ -23,6 +23,10 @@
 	scale float64
 	// hold is the moving average of how long a request holds a slot, in seconds.
 	hold float64
+	// wait is how much longer a first event takes by requests that wait before it,
+	// as a multiple of the time that their holds would take if slots came free
+	// evenly; a moving average. Requests that began together end together.
+	wait float64
 }
 
 // Load is what a runner has when a request is sent.
@@ -59,11 +63,17 @@
 	leastScale   = 0.001
 	holdWeight   = 0.02
 	holdMost     = 5.0
+
+	// waitWeight is the weight of a new sample of wait, which is bounded: one
+	// request's wait says little, and a failing runner's nothing.
+	waitWeight = 0.01
+	waitLeast  = 0.3
+	waitMost   = 3.0
 )
 
 // New returns a model that has learnt nothing.
 func New() *Model {
-	return &Model{first: newLine([features]float64{assumedBase, assumedPerKToken, assumedPerRunning * runningUnit}), hold: assumedHold}
+	return &Model{first: newLine([features]float64{assumedBase, assumedPerKToken, assumedPerRunning * runningUnit}), hold: assumedHold, wait: 1}
 }
 
 func (l Load) features() [features]float64 {
@@ -114,6 +124,26 @@
 	return seconds(m.hold)
 }
 
+// Wait returns how long a request is expected to wait for a slot behind so many
+// others, as a share of the slots.
+func (m *Model) Wait(before float64) time.Duration {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return seconds(before * m.hold * m.wait)
+}
+
+// ObserveWait learns from a request that had so many before it and waited.
+func (m *Model) ObserveWait(before float64, took time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	even := before * m.hold
+	if even <= 0 {
+		return
+	}
+	sample := min(max(took.Seconds()/even, waitLeast), waitMost)
+	m.wait += waitWeight * (sample - m.wait)
+}
+
 // ObserveHold learns from a request that ran through.
 func (m *Model) ObserveHold(took time.Duration) {
 	m.mutex.Lock()
--- a/internal/enginemodel/enginemodel_test.go
+++ b/internal/enginemodel/enginemodel_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
@@ -84,3 +85,25 @@
 		}
 	})
 }
+
+// How long requests wait for a slot is learnt: first as if slots came free evenly
+// within a hold, then as it is seen; one far sample changes little.
+func TestWaitIsLearnt(t *testing.T) {
+	is := is.New(t)
+	m := New()
+	for range 500 {
+		m.ObserveHold(600 * time.Millisecond)
+	}
+	even := m.Wait(0.5)
+	is.True(even > 290*time.Millisecond && even < 310*time.Millisecond)
+	is.Equal(m.Wait(0), time.Duration(0))
+	for range 500 {
+		m.ObserveWait(0.5, 450*time.Millisecond)
+	}
+	learnt := m.Wait(0.5)
+	is.True(learnt > 440*time.Millisecond && learnt < 460*time.Millisecond)
+	m.ObserveWait(0.5, time.Minute)
+	is.True(m.Wait(0.5)-learnt < 20*time.Millisecond)
+	m.ObserveWait(0, time.Second) // who had nobody before it tells nothing of it
+	is.True(m.Wait(0.5)-learnt < 20*time.Millisecond)
+}
--- a/internal/runnerset/pick.go
+++ b/internal/runnerset/pick.go
@@ -176,13 +176,16 @@
 // that many tokens have to be read, at a runner that has what is estimated.
 func (r *Runner) expectedFirst(estimate state, missing int) time.Duration {
 	expected := r.model.First(enginemodel.Load{Tokens: estimate.unread + float64(missing), Running: estimate.running})
-	over := estimate.running + 1 - r.slots()
-	if over <= 0 {
-		return expected
-	}
-	yielding := min(over, estimate.batch)
-	expected += time.Duration(yielding * float64(yieldTime))
-	return expected + time.Duration((over-yielding)/r.slots()*float64(r.model.Hold()))
+	yielding, before := r.waitingBefore(estimate)
+	return expected + time.Duration(yielding*float64(yieldTime)) + r.model.Wait(before)
+}
+
+// waitingBefore returns how many items have to give way to one more request, and
+// how many requests, as a share of the slots, have to end before it has one.
+func (r *Runner) waitingBefore(estimate state) (yielding, before float64) {
+	over := max(0, estimate.running+1-r.slots())
+	yielding = min(over, estimate.batch)
+	return yielding, (over - yielding) / r.slots()
 }
 
 func (r *Runner) relativeSlowness(typical float64) float64 {
--- a/internal/runnerset/use.go
+++ b/internal/runnerset/use.go
@@ -19,8 +19,11 @@
 	// more than it runs at once.
 	load   enginemodel.Load
 	queued bool
-	seen   bool // the first event has come
-	once   sync.Once
+	// before is the share of the slots that had to come free for it first.
+	before float64
+	// firstAt is when the first event came; zero before.
+	firstAt time.Time
+	once    sync.Once
 }
 
 // Begin counts a request that is about to be sent. End must be called.
@@ -33,6 +36,7 @@
 		load:   enginemodel.Load{Tokens: estimate.unread + float64(unread), Running: estimate.running},
 		queued: estimate.running+1 > runner.slots(),
 	}
+	_, u.before = runner.waitingBefore(estimate)
 	runner.own.running++
 	runner.own.unread += unread
 	if runner.waiting == nil {
@@ -55,11 +59,14 @@
 func (u *Use) First(now time.Time) {
 	u.Event(now)
 	took := now.Sub(u.began)
-	if !u.queued {
+	switch {
+	case !u.queued:
 		u.runner.model.ObserveFirst(u.load, took)
+	case u.before > 0:
+		u.runner.model.ObserveWait(u.before, took-u.runner.model.First(u.load))
 	}
 	u.runner.mutex.Lock()
-	u.seen = true
+	u.firstAt = now
 	if u.began.After(u.runner.newestSeen) {
 		u.runner.newestSeen = u.began
 	}
@@ -87,8 +94,8 @@
 		if u.runner.waiting[u] && u.passedOver() && now.Sub(u.began) > strikeFactor*u.expect {
 			u.runner.strike(now)
 		}
-		if u.seen && !u.batch {
-			u.runner.model.ObserveHold(now.Sub(u.began))
+		if !u.firstAt.IsZero() && !u.batch { // what it waited for a slot is no part of it
+			u.runner.model.ObserveHold(now.Sub(u.firstAt) + u.runner.model.First(u.load))
 		}
 		u.settle()
 		u.runner.own.running--
