--- a/internal/loadshare/audience.go
+++ b/internal/loadshare/audience.go
@@ -36,7 +36,7 @@
 	// leastEdges of a runner's zone are told of it, and leastDisks if there are
 	// more than fewDisks: up to so many every one is told, since a single one may
 	// run all items.
-	leastEdges = 12
+	leastEdges = 24
 	leastDisks = 12
 	fewDisks   = 20
 	// choiceOfEdge and choiceOfDisk are of how many runners a node is told in the
