--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -16,6 +16,9 @@
 // would not come a third time.
 
 const (
+	// safeShare of its target is when a first event must be expected at the latest
+	// for a request to be sent: what is expected is the median of what comes.
+	safeShare = 0.7
 	// firstTryShare of its route's time-out is what a caller has left, at the
 	// least, who comes for the first time.
 	firstTryShare = 0.9
@@ -55,7 +58,7 @@
 		return nil
 	}
 	now := time.Now()
-	safe := s.request.Route.Target
+	safe := time.Duration(safeShare * float64(s.request.Route.Target))
 	late := now.Sub(s.request.Received) + choice.First - safe
 	if safe <= 0 || late <= 0 {
 		return nil
