--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -36,6 +36,7 @@
 	Bundle   bundleCommands  `command:"bundle" description:"make, sign, submit, roll and watch bundles"`
 	Job      jobCommands     `command:"job" description:"submit, follow, cancel and read batch jobs"`
 	Status   statusCommand   `command:"status" description:"show the nodes of the fleet, or one node in detail"`
+	Tenant   tenantCommand   `command:"tenant" description:"tell what came of a tenant's requests and its limit from log files"`
 	Explain  explainCommand  `command:"explain" description:"tell the story of a request, item or job from log files"`
 	Version  versionCommand  `command:"version" description:"print the version"`
 }
--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -19,23 +19,46 @@
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
-	var lines []explain.Line
-	if len(c.Logs) == 0 {
-		parsed, err := explain.Parse("stdin", os.Stdin)
-		if err != nil {
-			return trace.Wrap(err, "reading standard input")
-		}
-		lines = parsed
+	lines, err := readLogs(c.Logs)
+	if err != nil {
+		return err
 	}
-	for _, path := range c.Logs {
+	story := explain.Tell(c.Arguments.ID, lines)
+	return output.print(story, func() { story.Print(os.Stdout) })
+}
+
+type tenantCommand struct {
+	Logs      []string `short:"l" long:"logs" description:"log file of a process; may be given often; standard input if left out"`
+	Arguments struct {
+		Name string `positional-arg-name:"tenant" description:"name of a tenant"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute implements flags.Commander.
+func (c *tenantCommand) Execute([]string) error {
+	lines, err := readLogs(c.Logs)
+	if err != nil {
+		return err
+	}
+	story := explain.TellTenant(c.Arguments.Name, lines)
+	return output.print(story, func() { story.Print(os.Stdout) })
+}
+
+// readLogs reads the lines of files, or of standard input.
+func readLogs(paths []string) ([]explain.Line, error) {
+	if len(paths) == 0 {
+		lines, err := explain.Parse("stdin", os.Stdin)
+		return lines, trace.Wrap(err, "reading standard input")
+	}
+	var lines []explain.Line
+	for _, path := range paths {
 		parsed, err := parseFile(path)
 		if err != nil {
-			return trace.Wrap(err, "reading %s", path)
+			return nil, trace.Wrap(err, "reading %s", path)
 		}
 		lines = append(lines, parsed...)
 	}
-	story := explain.Tell(c.Arguments.ID, lines)
-	return output.print(story, func() { story.Print(os.Stdout) })
+	return lines, nil
 }
 
 func parseFile(path string) ([]explain.Line, error) {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -70,8 +70,8 @@
 
 func (l *Line) about(id string) bool {
 	for _, field := range idFields {
-		if l.Fields[field] == id {
-			return true
+		if value := l.Fields[field]; value == id || id != "" && strings.HasSuffix(value, "/"+id) {
+			return true // a job is named by its tenant and its own id
 		}
 	}
 	return false
@@ -109,15 +109,17 @@
 
 // Messages that the story's end is read from.
 const (
-	messageAttempt   = "attempt"
-	messageEnded     = "request ended"
-	messageRefused   = "request refused"
-	messageHandedIn  = "job handed in"
-	messageTaken     = "job submission"
-	messageItemEnded = "item run ended"
-	messageDecided   = "item decided"
-	messageGivenUp   = "item given up"
-	messageJobEnd    = "job end"
+	messageAttempt = "attempt"
+	messageEnded   = "request ended"
+	messageRefused = "request refused"
+	// messageNotAdmitted is of a request beyond its tenant's limit.
+	messageNotAdmitted = "request not admitted"
+	messageHandedIn    = "job handed in"
+	messageTaken       = "job submission"
+	messageItemEnded   = "item run ended"
+	messageDecided     = "item decided"
+	messageGivenUp     = "item given up"
+	messageJobEnd      = "job end"
 )
 
 // decide finds the line that made the end certain: a refusal, the last attempt
@@ -125,7 +127,7 @@
 func (s *Story) decide() {
 	for i := range s.Lines {
 		line := &s.Lines[i]
-		final := line.Message == messageRefused || line.Message == messageDecided || line.Message == messageGivenUp ||
+		final := line.Message == messageRefused || line.Message == messageNotAdmitted || line.Message == messageDecided || line.Message == messageGivenUp ||
 			line.Message == messageJobEnd || line.Message == messageAttempt && line.Fields["again"] == "false"
 		if final && s.Decisive == nil {
 			s.Decisive = line
@@ -152,7 +154,7 @@
 		s.Missing = append(s.Missing, "any line with this id: the process that took it was killed, its lines were dropped, or it came nowhere")
 	case has[messageAttempt] && !has[messageEnded]:
 		s.Missing = append(s.Missing, "the end of the request: the edge was stopped or killed before it")
-	case has[messageEnded] && !has[messageAttempt]:
+	case has[messageEnded] && !has[messageAttempt] && !has[messageNotAdmitted]:
 		s.Missing = append(s.Missing, "an attempt: no runner was found to try")
 	case has[messageHandedIn] && !has[messageTaken]:
 		s.Missing = append(s.Missing, "the storage node that answered the submission")
