A keeper that does not answer is asked once and then left alone for a moment; renewals are spread

Change: one round a question, a failure keeps all tenants of the shard from asking for 150 to 300 ms, what waits is refused at once; nodes renew at moments of their own (lines showed all of them at the same 10 ms). Test: three tenants of one shard ask once.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -56,6 +56,9 @@
 	number    atomic.Uint64
 	outcomes  *prometheus.CounterVec
 
+	// silent holds until when the keepers of shards are not asked, by shard.
+	silent sync.Map
+
 	mutex    sync.Mutex
 	accounts map[string]*account
 }
@@ -157,6 +160,9 @@
 	if wait, dry := a.Dry(now); dry {
 		return allotment.Credit{}, nil, overLimit(tenant, limit, wait)
 	}
+	if g.keeperSilent(tenant, now) {
+		return allotment.Credit{}, nil, silent()
+	}
 	answer := make(chan verdict, 1)
 	a.waiting = append(a.waiting, answer)
 	if !a.asking {
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -176,3 +176,24 @@
 	is.True(admitted.Valid())
 	is.Equal(keepers.calls.Load(), calls)
 }
+
+// While a keeper does not answer, requests are refused without a question for
+// each: all nodes of a fleet would ask at once.
+func TestSilentKeeperIsNotAskedForEachRequest(t *testing.T) {
+	is := is.New(t)
+	keepers := &scriptedKeepers{allot: func(*wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error) {
+		return nil, errors.New("no leader")
+	}}
+	gate := gateOf(keepers)
+	now := time.Now()
+	requests := 0
+	for time.Since(now) < silentPause {
+		for _, name := range []string{"t", "u", "v"} { // of one shard
+			_, err := gate.Admit(context.Background(), "id", &catalog.Tenant{Name: name, RatePerSecond: 10, Burst: 10}, patience)
+			is.True(result.Is(err, result.NotReady))
+			requests++
+		}
+	}
+	is.True(requests > 3)
+	is.Equal(keepers.calls.Load(), int64(1))
+}
--- a/internal/admission/keepers.go
+++ b/internal/admission/keepers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"time"
 
@@ -15,6 +16,10 @@
 	// askTimeout bounds a question to a keeper; it covers the search for a new
 	// one. Requests that wait for the answer leave sooner.
 	askTimeout = 600 * time.Millisecond
+	// silentPause is how long a keeper that did not answer is not asked for
+	// credits, and up to as much longer: while a shard has no leader all nodes would
+	// ask for each of its tenants.
+	silentPause = 150 * time.Millisecond
 	// renewTimeout bounds a renewal, less than the time between two.
 	renewTimeout = 800 * time.Millisecond
 )
@@ -32,6 +37,10 @@
 		}
 		a.mutex.Unlock()
 		sent := time.Now()
+		if g.keeperSilent(tenant, sent) {
+			refuse(waiting)
+			continue
+		}
 		reply, err := g.askOnce(tenant, len(waiting))
 		a.mutex.Lock()
 		g.answer(a, tenant, limit, sent, waiting, reply, err)
@@ -51,10 +60,9 @@
 func (g *Gate) answer(a *account, tenant string, limit allotment.Limit, sent time.Time, waiting []chan verdict, reply *wirev1.AllotmentReply, err error) {
 	now := time.Now()
 	if err != nil {
-		klog.InfoS("keeper of a limit did not answer", "tenant", tenant, "waiting", len(waiting), "ms", now.Sub(sent).Milliseconds(), "err", err)
-		for _, one := range waiting {
-			one <- verdict{err: silent()}
-		}
+		pause := g.noteSilent(tenant, now)
+		klog.InfoS("keeper of a limit did not answer", "tenant", tenant, "waiting", len(waiting), "ms", now.Sub(sent).Milliseconds(), "pauseMs", pause.Milliseconds(), "err", err)
+		refuse(waiting)
 		return
 	}
 	a.Stock(sent, int(reply.Credits))
@@ -72,8 +80,40 @@
 	}
 }
 
-// Run renews shares until the context ends.
+// refuse tells requests that the keeper does not answer.
+func refuse(waiting []chan verdict) {
+	for _, one := range waiting {
+		one <- verdict{err: silent()}
+	}
+}
+
+// noteSilent records that the keeper of a tenant did not answer.
+func (g *Gate) noteSilent(tenant string, now time.Time) time.Duration {
+	pause := silentPause + rand.N(silentPause)
+	if shard, known := g.keepers.ShardOf(tenant); known {
+		g.silent.Store(shard, now.Add(pause))
+	}
+	return pause
+}
+
+// keeperSilent reports whether the keeper of a tenant is not to be asked now.
+func (g *Gate) keeperSilent(tenant string, now time.Time) bool {
+	shard, known := g.keepers.ShardOf(tenant)
+	if !known {
+		return true
+	}
+	until, silent := g.silent.Load(shard)
+	return silent && now.Before(until.(time.Time))
+}
+
+// Run renews shares until the context ends. Nodes that started together do not
+// renew together.
 func (g *Gate) Run(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(rand.N(allotment.RenewInterval)):
+	}
 	ticker := time.NewTicker(allotment.RenewInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/queueclient/queueclient.go
+++ b/internal/queueclient/queueclient.go
@@ -65,10 +65,11 @@
 }
 
 // Allot asks the keeper of a tenant's limit, who leads the shard that the
-// tenant's name falls to.
+// tenant's name falls to. Each node that may lead it is asked once: who asks again
+// without an answer decides when, since all nodes of a fleet may.
 func (c *Client) Allot(ctx context.Context, tenant string, request *wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error) {
 	reply := &wirev1.AllotmentReply{}
-	return reply, c.call(ctx, tenant, wirev1.Method_METHOD_ALLOTMENT, 0, request, reply)
+	return reply, c.round(ctx, tenant, wirev1.Method_METHOD_ALLOTMENT, 0, hedgeTime, request, reply).err
 }
 
 // ShardOf returns the shard that a tenant's name falls to; false while no
