--- a/internal/queuestore/allotments.go
+++ b/internal/queuestore/allotments.go
@@ -41,7 +41,7 @@
 		return refused
 	}
 	// Only who still leads the shard may lend: another may do so by now.
-	if err := s.confirm(ctx); err != nil {
+	if err := s.confirmTogether(ctx); err != nil {
 		return err
 	}
 	return stream.Send(reply)
--- /dev/null
+++ b/internal/queuestore/rounds.go
@@ -0,0 +1,67 @@
+package queuestore
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+// rounds gathers those who wait for a confirmation of a shard's leader, so that
+// one round serves all who came within a moment. A round that begins after a
+// decision was made proves that its maker led at that time.
+type rounds struct {
+	mutex sync.Mutex
+	next  *round
+}
+
+// round is one confirmation that has not begun yet, or is on its way.
+type round struct {
+	done chan struct{}
+	err  error
+}
+
+const (
+	// roundGather is how long those who wait are gathered: far less than what a
+	// request waits for its tenant's limit, and several times the time between two
+	// messages to a keeper of a busy fleet.
+	roundGather = 8 * time.Millisecond
+	// roundTimeout bounds one round.
+	roundTimeout = 500 * time.Millisecond
+)
+
+// confirmTogether confirms that this replica leads, in one round with others
+// that ask within a moment.
+func (s *shard) confirmTogether(ctx context.Context) error {
+	joined := s.rounds.join(func(begun *round) {
+		ctx, cancel := context.WithTimeout(s.node.context, roundTimeout)
+		defer cancel()
+		begun.err = s.confirm(ctx)
+		close(begun.done)
+	})
+	select {
+	case <-joined.done:
+		return joined.err
+	case <-ctx.Done():
+		return result.New(result.StoreUnavailable, "shard %d: leadership is not confirmed", s.id)
+	}
+}
+
+// join returns the next round, and has it run after the time to gather if it is
+// new.
+func (r *rounds) join(run func(*round)) *round {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.next == nil {
+		begun := &round{done: make(chan struct{})}
+		r.next = begun
+		time.AfterFunc(roundGather, func() {
+			r.mutex.Lock()
+			r.next = nil // who decides from now on needs a later one
+			r.mutex.Unlock()
+			run(begun)
+		})
+	}
+	return r.next
+}
--- a/internal/queuestore/shard.go
+++ b/internal/queuestore/shard.go
@@ -23,6 +23,8 @@
 // Invariant: nothing is sent in the replica's name before what it rests on is
 // on disk, and nothing is answered before it is applied.
 type shard struct {
+	// rounds gathers confirmations for what is lent.
+	rounds  rounds
 	node    *Node
 	id      uint32
 	disk    string
