Small tenants have no shares, so a new keeper has their whole limit to give at once

Change: limits below a burst of 40 are never lent in shares, on either side, so their new keeper's pool has the full rate, from nothing; not if the limit is younger than a term where it is looked at.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -39,7 +39,9 @@
 		if tenant == nil {
 			return allotment.Limit{}, false
 		}
-		return limitOf(tenant), true
+		limit := limitOf(tenant)
+		limit.Steady = catalogs.Age(time.Now()) >= allotment.Term
+		return limit, true
 	}
 }
 
--- a/internal/allotment/account.go
+++ b/internal/allotment/account.go
@@ -87,7 +87,7 @@
 
 // Claim returns what to say to the keeper.
 func (a *Account) Claim(now time.Time, tenant string, limit Limit) Claim {
-	a.expire(now)
+	a.fill(now, limit)
 	claim := Claim{Tenant: tenant, Held: a.share, Spare: a.spare}
 	if demand := a.Demand(now); demand > 0 && limit.Rate > 0 {
 		claim.Wanted = min(1, (headroom*demand+spareRate)/limit.Rate)
@@ -112,6 +112,9 @@
 
 func (a *Account) fill(now time.Time, limit Limit) {
 	a.expire(now)
+	if !limit.shared() {
+		a.share, a.bucket = 0, bucket{}
+	}
 	a.bucket.fill(now, a.share*limit.Rate, a.share*limit.Burst)
 }
 
--- a/internal/allotment/allotment.go
+++ b/internal/allotment/allotment.go
@@ -45,8 +45,19 @@
 type Limit struct {
 	// Rate is requests a second, Burst requests above that at once.
 	Rate, Burst float64
+	// Steady: the limit has been the same for a term where it is looked at.
+	Steady bool
 }
 
+// leastShared is the burst from which on shares of a limit are lent. The requests
+// of a smaller tenant come thinly to many nodes, where shares would lie unused;
+// and a new keeper has its whole limit to give at once, since nothing of it can be
+// lent in shares.
+const leastShared = 40
+
+// shared reports whether shares of the limit are lent at all.
+func (l Limit) shared() bool { return l.Burst >= leastShared }
+
 // Tolerance is by how much the users let a limit be exceeded in any window.
 type Tolerance struct {
 	Window time.Duration
--- a/internal/allotment/keeper.go
+++ b/internal/allotment/keeper.go
@@ -71,18 +71,27 @@
 func (k *Keeper) tenant(name string, limit Limit) *kept {
 	held := k.tenants[name]
 	if held == nil {
-		held = &kept{holders: map[string]*holding{}, limit: limit, part: 1 - standingPart, pool: bucket{at: k.started}}
+		held = &kept{holders: map[string]*holding{}, limit: limit, part: k.firstPart(limit), pool: bucket{at: k.started}}
 		k.tenants[name] = held
 	}
 	return held
 }
 
+// firstPart is the share of a limit that a new keeper's pool has had since the
+// keeper began.
+func (k *Keeper) firstPart(limit Limit) float64 {
+	if limit.Steady && !limit.shared() {
+		return 1
+	}
+	return 1 - standingPart
+}
+
 // refill fills a tenant's pool by what it has had until now. From now on it has
 // all that is not lent; what a keeper before may have lent counts as lent.
 func (k *Keeper) refill(t *kept, now time.Time, limit Limit) {
 	t.pool.fill(now, t.part*t.limit.Rate, k.poolMost(t.part, t.limit))
 	t.limit, t.part = limit, 1-standingPart
-	if k.settled(now) {
+	if k.settled(now) || limit.Steady && !limit.shared() {
 		t.part = 1
 		for _, h := range t.holders {
 			t.part -= h.inUse
@@ -150,6 +159,9 @@
 		}
 	}
 	share := h.wanted
+	if !t.limit.shared() {
+		return 0
+	}
 	if wanted > standingPart {
 		share *= standingPart / wanted
 	}
