--- a/internal/queuestore/rounds.go
+++ b/internal/queuestore/rounds.go
@@ -23,10 +23,10 @@
 }
 
 const (
-	// roundGather is how long those who wait are gathered: far less than what a
-	// request waits for its tenant's limit, and several times the time between two
-	// messages to a keeper of a busy fleet.
-	roundGather = 8 * time.Millisecond
+	// roundGather is how long those who wait are gathered: it comes on top of each
+	// request that asks for a credit, and should be no more than a round takes
+	// itself, one or two milliseconds between zones.
+	roundGather = 2 * time.Millisecond
 	// roundTimeout bounds one round.
 	roundTimeout = 500 * time.Millisecond
 )
