--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -210,11 +210,11 @@
 func jittered(wait time.Duration) time.Duration { return wait + rand.N(wait/2+time.Millisecond) }
 
 func overLimit(tenant string, limit allotment.Limit, wait time.Duration) error {
-	return result.New(result.TenantRate, "tenant %q has more than %g requests a second and a burst of %g", tenant, limit.Rate, limit.Burst).After(jittered(max(wait, leastComeBack)))
+	return result.New(result.TenantRate, "tenant %q has more than %g requests a second and a burst of %g", tenant, limit.Rate, limit.Burst).After(jittered(max(wait, leastRetryAfter)))
 }
 
-// leastComeBack is the shortest time that a refused caller is told.
-const leastComeBack = 50 * time.Millisecond
+// leastRetryAfter is the shortest time that a refused caller is told.
+const leastRetryAfter = 50 * time.Millisecond
 
 // refused logs a request that is not admitted, with what is believed here.
 func (g *Gate) refused(id string, tenant *catalog.Tenant, a *account, err error) {
@@ -230,7 +230,7 @@
 	age := a.Age(now)
 	a.mutex.Unlock()
 	klog.InfoS("request not admitted", "id", id, "tenant", tenant.Name, "outcome", outcome, "rate", tenant.RatePerSecond, "burst", tenant.Burst,
-		"share", share, "credit", level, "demandHere", demand, "shareAgeMs", age.Milliseconds(), "comeBackMs", result.From(err).RetryAfter.Milliseconds())
+		"share", share, "credit", level, "demandHere", demand, "shareAgeMs", age.Milliseconds(), "retryAfterMs", result.From(err).RetryAfter.Milliseconds())
 }
 
 func (g *Gate) account(tenant string) *account {
--- a/internal/allotment/allotment_test.go
+++ b/internal/allotment/allotment_test.go
@@ -357,7 +357,7 @@
 }
 
 // Refused callers are told moments of their own to come back.
-func TestComeBackMomentsDiffer(t *testing.T) {
+func TestRetryMomentsDiffer(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(100, 0)
 	k := NewKeeper(now, tolerance)
@@ -365,7 +365,7 @@
 	for range 10 {
 		given, wait := k.Credits(now, testTenant, Limit{Rate: 20, Burst: 20}, 1)
 		is.Equal(given, 0)
-		is.True(wait > 0 && wait <= longestComeBack)
+		is.True(wait > 0 && wait <= longestRetryAfter)
 		seen[wait] = true
 	}
 	is.Equal(len(seen), 10)
--- a/internal/allotment/keeper.go
+++ b/internal/allotment/keeper.go
@@ -40,7 +40,7 @@
 	part  float64
 	pool  bucket
 	// comeBack is the moment up to which refused callers were told to come back.
-	comeBack time.Time
+	retryAt time.Time
 	// given and refused count the pool's credits.
 	given, refused uint64
 }
@@ -191,9 +191,9 @@
 	return count
 }
 
-// longestComeBack bounds what a refused caller is told: how things stand later
+// longestRetryAfter bounds what a refused caller is told: how things stand later
 // is not known.
-const longestComeBack = 3 * time.Second
+const longestRetryAfter = 3 * time.Second
 
 // Credits gives up to so many credits of the pool. Wait is when those who got
 // none should come back, each at a moment of its own.
@@ -210,15 +210,15 @@
 		return given, 0
 	}
 	t.refused += uint64(wanted - given)
-	if t.comeBack.Before(now) {
-		t.comeBack = now
+	if t.retryAt.Before(now) {
+		t.retryAt = now
 	}
-	wait = t.comeBack.Sub(now) + time.Duration((1-t.pool.level)/rate*float64(time.Second))
-	t.comeBack = t.comeBack.Add(time.Duration(float64(wanted-given) / rate * float64(time.Second)))
-	if t.comeBack.Sub(now) > longestComeBack {
-		t.comeBack = now
+	wait = t.retryAt.Sub(now) + time.Duration((1-t.pool.level)/rate*float64(time.Second))
+	t.retryAt = t.retryAt.Add(time.Duration(float64(wanted-given) / rate * float64(time.Second)))
+	if t.retryAt.Sub(now) > longestRetryAfter {
+		t.retryAt = now
 	}
-	return given, min(wait, longestComeBack)
+	return given, min(wait, longestRetryAfter)
 }
 
 // sweepInterval is how often what has ended is looked for.
--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"cobaltramp.example/cobaltramp/internal/comeback"
+	"cobaltramp.example/cobaltramp/internal/retryafter"
 	"cobaltramp.example/cobaltramp/internal/result"
 	"cobaltramp.example/cobaltramp/internal/runnerset"
 )
@@ -32,7 +32,7 @@
 // planners tell refused callers when to come back, by service.
 type planners struct {
 	mutex     sync.Mutex
-	byService map[string]*comeback.Planner
+	byService map[string]*retryafter.Planner
 }
 
 // refused records that a service had no room, and draws when to come back.
@@ -40,11 +40,11 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.byService == nil {
-		p.byService = map[string]*comeback.Planner{}
+		p.byService = map[string]*retryafter.Planner{}
 	}
 	planner := p.byService[service]
 	if planner == nil {
-		planner = comeback.NewPlanner()
+		planner = retryafter.NewPlanner()
 		p.byService[service] = planner
 	}
 	planner.NoteFull(now)
--- a/internal/queuestore/allotments.go
+++ b/internal/queuestore/allotments.go
@@ -74,7 +74,7 @@
 	if given < int(request.Credits) {
 		state := l.allotments.State(request.Tenant)
 		klog.InfoS("tenant's credits refused", "tenant", request.Tenant, "shard", s.id, "node", request.Node, "wanted", request.Credits, "given", given,
-			"rate", limit.Rate, "burst", limit.Burst, "lent", state.InUse, "holders", state.Holders, "comeBackMs", reply.WaitMs, "keeperMs", now.Sub(l.allotments.Started()).Milliseconds())
+			"rate", limit.Rate, "burst", limit.Burst, "lent", state.InUse, "holders", state.Holders, "retryAfterMs", reply.WaitMs, "keeperMs", now.Sub(l.allotments.Started()).Milliseconds())
 	}
 	return nil
 }
--- a/internal/comeback/comeback.go
+++ b/internal/retryafter/retryafter.go
@@ -1,8 +1,8 @@
-// Package comeback decides when a caller that is refused for want of room should
+// Package retryafter decides when a caller that is refused for want of room should
 // come back. It learns from the node's own arrivals how long the times last in
 // which there is no room, and spreads those who are refused over the time after,
 // so that they do not return together. Pure decision logic.
-package comeback
+package retryafter
 
 import "time"
 
--- a/internal/comeback/comeback_test.go
+++ b/internal/retryafter/retryafter_test.go
@@ -1,4 +1,4 @@
-package comeback
+package retryafter
 
 import (
 	"testing"
