--- a/internal/allotment/keeper.go
+++ b/internal/allotment/keeper.go
@@ -39,7 +39,7 @@
 	limit Limit
 	part  float64
 	pool  bucket
-	// comeBack is the moment up to which refused callers were told to come back.
+	// retryAt is the moment up to which refused callers were told to come back.
 	retryAt time.Time
 	// given and refused count the pool's credits.
 	given, refused uint64
--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"cobaltramp.example/cobaltramp/internal/retryafter"
 	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/retryafter"
 	"cobaltramp.example/cobaltramp/internal/runnerset"
 )
 
