--- /dev/null
+++ b/internal/authn/authn.go
@@ -0,0 +1,69 @@
+// Package authn decides whose request one is, by the key that its caller sent
+// and the configuration in force. Its errors hold no part of a key.
+package authn
+
+import (
+	"time"
+
+	"cobaltramp.example/cobaltramp/internal/catalog"
+	"cobaltramp.example/cobaltramp/internal/result"
+)
+
+// Credentials are what a request carries: a key, or what is wrong with it.
+type Credentials struct {
+	Key string
+	// Problem says why there is no key that could be looked up; empty if there is.
+	Problem string
+}
+
+// Authenticator finds the tenants of requests.
+type Authenticator struct {
+	// RevokeTime is how old the word of the configuration may be before keys are
+	// refused, which may have been taken away meanwhile; 0 is any age.
+	RevokeTime time.Duration
+	// Word tells how long ago the configuration in force was last known to be the
+	// newest; nil where nobody tells.
+	Word func() time.Duration
+}
+
+// wordLostAfter is when a caller should come back to a node that does not know
+// whether keys still hold.
+const wordLostAfter = time.Second
+
+// WordAge is how old the word of the configuration is; 0 where nobody tells.
+func (a *Authenticator) WordAge() time.Duration {
+	if a.Word == nil {
+		return 0
+	}
+	return a.Word()
+}
+
+// Authenticate returns the tenant that holds the key: nil where the configuration
+// has no tenants, or the route is public and nobody holds the key.
+func (a *Authenticator) Authenticate(held *catalog.Catalog, credentials Credentials, public bool) (*catalog.Tenant, error) {
+	if !held.Keyed() {
+		return nil, nil
+	}
+	problem := credentials.Problem
+	if problem == "" {
+		if tenant := held.TenantOf(credentials.Key); tenant != nil {
+			return a.fresh(held, tenant)
+		}
+		problem = "the key is not known"
+	}
+	if public {
+		return nil, nil
+	}
+	return nil, result.New(result.Unauthenticated, "%s in version %d", problem, held.Version)
+}
+
+// fresh refuses a tenant's request if its key may have been taken away without
+// this node having heard of it.
+func (a *Authenticator) fresh(held *catalog.Catalog, tenant *catalog.Tenant) (*catalog.Tenant, error) {
+	age := a.WordAge()
+	if a.RevokeTime == 0 || age <= a.RevokeTime {
+		return tenant, nil
+	}
+	return nil, result.New(result.NotReady, "keys can't be checked: no word of the configuration for %s, version %d is held",
+		age.Round(time.Millisecond), held.Version).After(wordLostAfter)
+}
