--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -93,7 +93,6 @@
 
 // Admission is the right to send a request of a tenant once.
 type Admission struct {
-	gate    *Gate
 	account *account
 	limit   allotment.Limit
 	credit  allotment.Credit
@@ -129,7 +128,7 @@
 		return nil, nil
 	}
 	limit := limitOf(tenant)
-	admission := &Admission{gate: g, account: g.account(tenant.Name), limit: limit}
+	admission := &Admission{account: g.account(tenant.Name), limit: limit}
 	credit, answer, err := g.take(admission.account, tenant.Name, limit)
 	if err == nil && answer != nil {
 		credit, err = await(ctx, answer, patience)
