Sight: lines and counters tell which requests are the same work, and which attempts broke

Change: a fingerprint (tenant, method, host, path, body) in the lines of attempts, ended requests and item runs; attempts that go on elsewhere say their cause and count as moved_on. No decision changes. Test: TestAttemptsThatMoveOnAreNotDone; TestFingerprintIsOfTheContent.

--- a/internal/online/online.go
+++ b/internal/online/online.go
@@ -17,6 +17,7 @@
 	"cobaltramp.example/cobaltramp/internal/admission"
 	"cobaltramp.example/cobaltramp/internal/catalog"
 	"cobaltramp.example/cobaltramp/internal/exchange"
+	"cobaltramp.example/cobaltramp/internal/quarantine"
 	"cobaltramp.example/cobaltramp/internal/result"
 	"cobaltramp.example/cobaltramp/internal/runnerset"
 )
@@ -42,6 +43,11 @@
 	Prompt runnerset.Prompt
 }
 
+// fingerprint tells whether two requests are the same work.
+func (r *Request) fingerprint() quarantine.Fingerprint {
+	return quarantine.Of(quarantine.Work{Tenant: r.tenantName(), Method: r.Method, Host: r.Host, URI: r.URI, Body: r.Body})
+}
+
 func (r *Request) tenantName() string {
 	if r.Tenant == nil {
 		return ""
@@ -105,14 +111,16 @@
 // serving is one request on its way.
 type serving struct {
 	*Forwarder
-	request   *Request
-	responder Responder
-	tried     map[string]bool
-	runs      int
-	notRun    int
-	sent      bool // a runner may have worked on it
-	headSent  bool
-	last      int64
+	request *Request
+	// fingerprint is of the request's content.
+	fingerprint quarantine.Fingerprint
+	responder   Responder
+	tried       map[string]bool
+	runs        int
+	notRun      int
+	sent        bool // a runner may have worked on it
+	headSent    bool
+	last        int64
 	// admission is the right to send the request once more; nil if there is none,
 	// or none is needed.
 	admission *admission.Admission
@@ -125,7 +133,9 @@
 func (f *Forwarder) Serve(ctx context.Context, request *Request, responder Responder) error {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
-	s := &serving{Forwarder: f, request: request, responder: responder, tried: map[string]bool{}, last: max(0, request.ResumeAfter)}
+	s := &serving{
+		Forwarder: f, request: request, fingerprint: request.fingerprint(), responder: responder, tried: map[string]bool{}, last: max(0, request.ResumeAfter),
+	}
 	err := s.serve(ctx)
 	s.admission.Return()
 	s.report(err)
@@ -141,7 +151,7 @@
 		}
 	}
 	s.requests.WithLabelValues(outcome).Inc()
-	klog.InfoS("request ended", "id", s.request.ID, "route", s.request.Route.Name, "tenant", s.request.tenantName(), "catalog", s.request.Version, "outcome", outcome,
+	klog.InfoS("request ended", "id", s.request.ID, "fingerprint", s.fingerprint, "route", s.request.Route.Name, "tenant", s.request.tenantName(), "catalog", s.request.Version, "outcome", outcome,
 		"runs", s.runs, "notRun", s.notRun, "events", s.last, "firstMs", s.firstSeen.Milliseconds(),
 		"ms", time.Since(s.request.Received).Milliseconds(), "cause", s.lastCause)
 }
@@ -284,14 +294,23 @@
 	s.admission = nil
 }
 
+// movedOn counts attempts that ended without an answer for the caller, whose
+// request goes on at another runner.
+const movedOn = "moved_on"
+
+// note records how an attempt ended. The cause of one that goes on elsewhere is
+// no error of the request.
 func (s *serving) note(choice runnerset.Choice, started time.Time, err error, again bool) {
-	outcome := "done"
-	if err != nil {
+	outcome, counted := "done", result.CodeOf(err).String()
+	switch {
+	case err != nil:
 		outcome = err.Error()
+	case again:
+		outcome, counted = s.lastCause, movedOn
 	}
-	s.attempts.WithLabelValues(result.CodeOf(err).String()).Inc()
+	s.attempts.WithLabelValues(counted).Inc()
 	revision, since := s.Runners.Revision()
-	klog.InfoS("attempt", "id", s.request.ID, "runner", choice.Runner.ID, "zone", choice.Runner.Zone, "load", int(choice.Load), "own", int(choice.Belief.Own), "peers", int(choice.Belief.Peers), "peersMs", choice.Belief.OldestPeer.Milliseconds(),
+	klog.InfoS("attempt", "id", s.request.ID, "fingerprint", s.fingerprint, "runner", choice.Runner.ID, "zone", choice.Runner.Zone, "load", int(choice.Load), "own", int(choice.Belief.Own), "peers", int(choice.Belief.Peers), "peersMs", choice.Belief.OldestPeer.Milliseconds(),
 		"told", int(choice.Belief.Told), "toldMs", choice.Belief.ToldAge.Milliseconds(), "heard", choice.Belief.Heard, "unread", int(choice.Unread), "costMs", choice.Cost.Milliseconds(),
 		"candidates", choice.Candidates, "list", revision, "listAgeMs", time.Since(since).Milliseconds(),
 		"ms", time.Since(started).Milliseconds(), "again", again, "outcome", outcome)
--- a/internal/online/online_test.go
+++ b/internal/online/online_test.go
@@ -255,3 +255,35 @@
 func (f clientFunc) Do(ctx context.Context, call *exchange.Call) (*exchange.Answer, error) {
 	return f(ctx, call)
 }
+
+// An attempt that broke is not counted as done because its request goes on at
+// another runner.
+func TestAttemptsThatMoveOnAreNotDone(t *testing.T) {
+	is := is.New(t)
+	registry := prometheus.NewRegistry()
+	set := runnerset.New()
+	set.Replace([]runnerset.Record{{ID: "r0", Service: "s", Slots: 4}, {ID: "r1", Service: "s", Slots: 4}}, 1, time.Now())
+	forwarder := New("z", set, &fakeRunners{fates: []fate{fateSilent, fateServes}}, registry)
+	now := time.Now()
+	request := &Request{ID: "id", Method: http.MethodPost, URI: "/x", Route: routeOf(catalog.Streaming, true, 2), Received: now, Deadline: now.Add(30 * time.Second), ResumeAfter: -1}
+	is.NoErr(forwarder.Serve(context.Background(), request, &recorder{}))
+	is.Equal(attemptsBy(t, registry), map[string]float64{movedOn: 1, result.OK.String(): 1})
+}
+
+// attemptsBy returns the counted attempts by outcome.
+func attemptsBy(t *testing.T, registry *prometheus.Registry) map[string]float64 {
+	t.Helper()
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	counts := map[string]float64{}
+	for _, family := range families {
+		if family.GetName() == "cobaltramp_attempts_total" {
+			for _, metric := range family.GetMetric() {
+				counts[metric.GetLabel()[0].GetValue()] = metric.GetCounter().GetValue()
+			}
+		}
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/quarantine/doc.go
@@ -0,0 +1,2 @@
+// Package quarantine keeps requests away from runners that such requests crash.
+package quarantine
--- /dev/null
+++ b/internal/quarantine/fingerprint_test.go
@@ -0,0 +1,43 @@
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	_ "cobaltramp.example/cobaltramp/internal/fixedseed"
+)
+
+// A fingerprint follows from what a request is, every part of it, and from nothing else.
+func TestFingerprintIsOfTheContent(t *testing.T) {
+	is := is.New(t)
+	work := Work{Tenant: "t", Method: "POST", Host: "h", URI: "/a/b", Body: []byte("body")}
+	is.Equal(Of(work), Of(Work{"t", "POST", "h", "/a/b", []byte("body")}))
+	for _, other := range []Work{
+		{"u", "POST", "h", "/a/b", []byte("body")},
+		{"t", "GET", "h", "/a/b", []byte("body")},
+		{"t", "POST", "g", "/a/b", []byte("body")},
+		{"t", "POST", "h", "/a/c", []byte("body")},
+		{"t", "POST", "h", "/a/b", []byte("bodz")},
+		{"tP", "OST", "h", "/a/b", []byte("body")}, // parts do not run into each other
+		{"t", "POST", "h/a", "/b", []byte("body")},
+		{"t", "POST", "h", "/a", []byte("/bbody")},
+	} {
+		is.True(Of(other) != Of(work))
+	}
+}
+
+// What String writes, Parse reads.
+func TestFingerprintText(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		fingerprint := Fingerprint(rapid.Uint64().Draw(rt, "fingerprint"))
+		read, err := Parse(fingerprint.String())
+		if err != nil || read != fingerprint {
+			rt.Fatalf("%v is read as %v: %v", fingerprint, read, err)
+		}
+	})
+	is := is.New(t)
+	_, err := Parse("not hexadecimal")
+	is.True(err != nil)
+}
--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -19,6 +19,7 @@
 	"cobaltramp.example/cobaltramp/internal/catalog"
 	"cobaltramp.example/cobaltramp/internal/eventstream"
 	"cobaltramp.example/cobaltramp/internal/exchange"
+	"cobaltramp.example/cobaltramp/internal/quarantine"
 	"cobaltramp.example/cobaltramp/internal/queue"
 	"cobaltramp.example/cobaltramp/internal/queuestore"
 	"cobaltramp.example/cobaltramp/internal/runnerset"
@@ -103,7 +104,7 @@
 		use.End()
 		outcome.Attempts = route.Attempts
 		outcome.Events, outcome.Took = run.output.Last-work.Output.Last, time.Since(now)
-		klog.InfoS("item run ended", "job", work.Key.Job, "item", work.Item.Id, "runner", choice.Runner.ID, "load", int(choice.Load),
+		klog.InfoS("item run ended", "job", work.Key.Job, "item", work.Item.Id, "fingerprint", fingerprintOf(work), "runner", choice.Runner.ID, "load", int(choice.Load),
 			"own", int(choice.Belief.Own), "peers", int(choice.Belief.Peers), "peersMs", choice.Belief.OldestPeer.Milliseconds(),
 			"told", int(choice.Belief.Told), "toldMs", choice.Belief.ToldAge.Milliseconds(), "heard", choice.Belief.Heard,
 			"catalog", held.Version, "slackMs", work.Slack.Milliseconds(), "from", work.Output.Last, "to", run.output.Last, "outcome", outcome.Reason, "ms", time.Since(now).Milliseconds())
@@ -112,6 +113,11 @@
 	return true
 }
 
+// fingerprintOf is the same for items that are the same work.
+func fingerprintOf(work *queuestore.Work) quarantine.Fingerprint {
+	return quarantine.Of(quarantine.Work{Tenant: work.Tenant, Method: http.MethodPost, Host: work.Host, URI: work.Item.Path, Body: work.Item.Body})
+}
+
 func promptOf(item *wirev1.QueueItem) runnerset.Prompt {
 	prompt := runnerset.Prompt{}
 	for i, part := range item.Prompt {
