--- a/lab/platformday/platformday.go
+++ b/lab/platformday/platformday.go
@@ -39,6 +39,9 @@
 	PerSecond int
 	// Progress is told what happens; nil tells nobody.
 	Progress io.Writer
+	// Crashes tells the requests, by their bodies, that end each runner that runs
+	// them; nil for none. The runner is back after a second as another one.
+	Crashes func(body []byte) bool
 }
 
 // Day is a running day.
@@ -74,25 +77,44 @@
 // Play plays a day and returns what callers saw. The error is of the play
 // itself; broken promises are in the tally.
 func Play(ctx context.Context, options Options) (*standin.Tally, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d, err := open(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	defer d.close()
+	return d.tally, d.traffic(ctx)
+}
+
+// open starts the stand-ins and the nodes, and waits until all edges are ready.
+// On an error nothing is left running.
+func open(ctx context.Context, options Options) (*Day, error) {
 	d := &Day{Options: options, store: standin.NewStore(), ledger: standin.NewLedger(), tally: &standin.Tally{}, started: time.Now()}
-	defer d.store.Close()
-	defer d.killAll()
+	if err := d.startAll(ctx); err != nil {
+		d.close()
+		return nil, trace.Wrap(err)
+	}
+	return d, nil
+}
+
+func (d *Day) startAll(ctx context.Context) error {
 	d.store.PutConfig(standin.DayConfig(host, 3))
 	for number := range runners {
 		if err := d.startRunner(number, 0); err != nil {
-			return nil, trace.Wrap(err)
+			return err
 		}
 	}
 	if err := d.startNodes(); err != nil {
-		return nil, trace.Wrap(err)
+		return err
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	go d.watchReadiness(ctx)
-	if err := d.awaitReady(ctx); err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return d.tally, d.traffic(ctx)
+	return d.awaitReady(ctx)
+}
+
+func (d *Day) close() {
+	d.killAll()
+	d.store.Close()
 }
 
 func (d *Day) say(format string, args ...any) {
@@ -105,6 +127,7 @@
 	runner, err := standin.StartRunner(standin.RunnerOptions{
 		ID: fmt.Sprintf("r%d-%d", number, life), Service: "s", Zone: fmt.Sprintf("z%d", number%edges), Address: "127.0.0.1:0",
 		Slots: 8, Queue: 32, EventTime: 15 * time.Millisecond, Store: d.store, Ledger: d.ledger,
+		Crashes: d.Crashes, OnCrash: func(crashed *standin.Runner) { d.replace(crashed, number, life) },
 	})
 	if err != nil {
 		return err
@@ -115,6 +138,20 @@
 	return nil
 }
 
+// crashTime is how long a runner that crashed is away.
+const crashTime = time.Second
+
+// replace starts another runner in place of one that has crashed.
+func (d *Day) replace(crashed *standin.Runner, number, life int) {
+	d.say("runner %s has crashed", crashed.ID)
+	time.AfterFunc(crashTime, func() {
+		crashed.Stop()
+		if err := d.startRunner(number, life+1); err != nil {
+			d.say("runner %d does not start: %v", number, err)
+		}
+	})
+}
+
 // freePort finds a port that is free now.
 func freePort() (int, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -189,6 +226,9 @@
 	p.log = log
 	p.command = exec.Command(d.Program, p.role, "--settings", p.settings)
 	p.command.Stdout, p.command.Stderr = log, log
+	d.mutex.Lock()
+	p.ready = false // until it says so itself
+	d.mutex.Unlock()
 	d.say("%s starts", p.name)
 	return p.command.Start()
 }
--- a/lab/platformday/platformday_test.go
+++ b/lab/platformday/platformday_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -16,13 +14,8 @@
 func TestShortDay(t *testing.T) {
 	is := is.New(t)
 	folder := t.TempDir()
-	program := filepath.Join(folder, "cobaltramp")
-	built, err := exec.Command("go", "build", "-o", program, "../../cmd/cobaltramp").CombinedOutput()
-	if err != nil {
-		t.Fatalf("%v: %s", err, built)
-	}
 	tally, err := Play(context.Background(), Options{
-		Program: program, Folder: folder, Seed: 1, Length: 12 * time.Second, PerSecond: 20, Progress: os.Stderr,
+		Program: build(t, folder), Folder: folder, Seed: 1, Length: 12 * time.Second, PerSecond: 20, Progress: os.Stderr,
 	})
 	is.NoErr(err)
 	if len(tally.Broken) > 0 {
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -40,6 +40,8 @@
 	// From is the event the run was asked to follow; 0 for a whole run.
 	From  int64
 	Ended bool
+	// Crashed: the runner ended as it began the run.
+	Crashed bool
 }
 
 // Ledger records what ran, over all runners.
@@ -68,6 +70,21 @@
 	return list
 }
 
+// Crashes counts the runs of requests with a body under which runners ended.
+func (l *Ledger) Crashes(body []byte) int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	sum, count := sha256.Sum256(body), 0
+	for _, runs := range l.runs {
+		for _, run := range runs {
+			if run.Crashed && run.Body == sum {
+				count++
+			}
+		}
+	}
+	return count
+}
+
 // IDs lists every request that ran.
 func (l *Ledger) IDs() []string {
 	l.mutex.Lock()
@@ -89,6 +106,10 @@
 	EventTime time.Duration
 	Store     *Store
 	Ledger    *Ledger
+	// Crashes tells the requests that end the runner as it begins to run them; nil
+	// for none. OnCrash is called then, once.
+	Crashes func(body []byte) bool
+	OnCrash func(crashed *Runner)
 }
 
 // Runner is a model runner: it takes requests in the order of arrival, as many
@@ -101,6 +122,7 @@
 	waiting  atomic.Int64
 	fault    atomic.Pointer[RunnerFault]
 	draining atomic.Bool
+	crashed  sync.Once
 	sequence int
 }
 
@@ -170,7 +192,15 @@
 	defer func() { <-r.slots }()
 	from, _ := strconv.ParseInt(request.Header.Get("Last-Event-Id"), 10, 64)
 	run := &Run{Runner: r.ID, Body: sha256.Sum256(body), Path: request.URL.RequestURI(), From: from}
+	run.Crashed = r.Crashes != nil && r.Crashes(body)
 	r.Ledger.begin(id, run)
+	if run.Crashed {
+		r.crashed.Do(func() {
+			r.Crash()
+			r.OnCrash(r)
+		})
+		panic(http.ErrAbortHandler)
+	}
 	r.answer(writer, request, id, from)
 }
 
