--- a/internal/httpcall/client.go
+++ b/internal/httpcall/client.go
@@ -20,6 +20,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -349,6 +350,22 @@
 	return dialer.DialContext(ctx, "tcp", target.Host)
 }
 
+// Refused dials a URL's address, and reports whether its machine says that nothing
+// listens there. A connection that comes up is kept for a later call.
+func (c *Client) Refused(ctx context.Context, address string) bool {
+	target, err := url.Parse(address)
+	if err != nil || target.Host == "" {
+		return false
+	}
+	connection, err := c.connect(ctx, target, true)
+	if err == nil {
+		connection.life = idleTimeout
+		c.keep(connection)
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // keepAliveShare is the share of a server's stated idle time that is used: a
 // connection taken up at its end may be closed under the request.
 const keepAliveShare = 0.6
--- a/internal/httpcall/client_test.go
+++ b/internal/httpcall/client_test.go
@@ -236,3 +236,22 @@
 	}
 	is.True(!foreign.Load())
 }
+
+// Only a machine that says that nothing listens there counts as a refusal; a
+// connection that comes up is kept for the next call.
+func TestRefused(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := "http://" + listener.Addr().String() + "/"
+	client := NewClient(nil)
+	is.True(!client.Refused(t.Context(), address))
+	is.Equal(len(client.idle["http://"+listener.Addr().String()]), 1)
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(!client.Refused(ended, address)) // no answer says nothing
+	client.CloseIdle()
+	is.NoErr(listener.Close())
+	is.True(client.Refused(t.Context(), address))
+	is.True(!client.Refused(t.Context(), "http://"))
+}
--- /dev/null
+++ b/internal/online/crashes.go
@@ -0,0 +1,72 @@
+package online
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"cobaltramp.example/cobaltramp/internal/quarantine"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/runnerset"
+)
+
+// quarantined refuses a request that crashes runners. Its caller is told when the
+// hold ends; before that no node will send it.
+func (s *serving) quarantined() error {
+	if s.Quarantine == nil {
+		return nil
+	}
+	left, held := s.Quarantine.Held(s.fingerprint)
+	if !held {
+		return nil
+	}
+	if s.sent {
+		return result.New(result.OutcomeUnknown, "runners end under this request (fingerprint %v), and it is not sent to another", s.fingerprint).After(left)
+	}
+	return result.New(result.Quarantined, "runners end under this request (fingerprint %v)", s.fingerprint).After(left)
+}
+
+// noteEnding counts an attempt that broke against the request if its runner has
+// ended, before the request is sent to another runner. One that was ended from here
+// says nothing of its runner.
+func (s *serving) noteEnding(ctx context.Context, runner *runnerset.Runner) {
+	endedHere := ctx.Err() != nil || s.current.silenced.Load()
+	if s.Quarantine == nil || endedHere || !quarantine.Blames(s.current.firstEvent, time.Now()) {
+		return
+	}
+	s.Quarantine.Broke(s.request.ID, s.fingerprint, runner.ID, runner.Address)
+}
+
+// noteCompleted records that a runner has answered the whole request.
+func (s *serving) noteCompleted() {
+	if s.Quarantine != nil {
+		s.Quarantine.Completed(s.fingerprint)
+	}
+}
+
+// pick chooses a runner. A request under which a runner ended goes to one without
+// another such request, if there is one.
+func (s *serving) pick(wish *runnerset.Wish) runnerset.Choice {
+	now := time.Now()
+	if s.Quarantine == nil {
+		return s.Runners.Pick(wish, now)
+	}
+	avoided := s.Quarantine.Avoid(s.fingerprint)
+	if len(avoided) == 0 {
+		return s.Runners.Pick(wish, now)
+	}
+	apart := *wish
+	apart.Excluded = avoided
+	maps.Copy(apart.Excluded, wish.Excluded)
+	if choice := s.Runners.Pick(&apart, now); choice.Runner != nil {
+		return choice
+	}
+	return s.Runners.Pick(wish, now)
+}
+
+func (s *serving) beginTrial(runner *runnerset.Runner) (end func()) {
+	if s.Quarantine == nil {
+		return func() {}
+	}
+	return s.Quarantine.Begin(s.fingerprint, runner.ID)
+}
--- a/internal/online/online.go
+++ b/internal/online/online.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -73,12 +74,14 @@
 	Runners *runnerset.Set
 	Client  exchange.Client
 	// Gate admits tenants' requests within their limits; nil admits all.
-	Gate     *admission.Gate
-	listWait time.Duration
-	planners planners
-	requests *prometheus.CounterVec
-	attempts *prometheus.CounterVec
-	first    prometheus.Histogram
+	Gate *admission.Gate
+	// Quarantine knows the requests that crash runners; nil knows none.
+	Quarantine quarantine.Guard
+	listWait   time.Duration
+	planners   planners
+	requests   *prometheus.CounterVec
+	attempts   *prometheus.CounterVec
+	first      prometheus.Histogram
 }
 
 // New returns a forwarder.
@@ -126,6 +129,16 @@
 	admission *admission.Admission
 	firstSeen time.Duration
 	lastCause string
+	// current is the attempt in progress.
+	current *attemptState
+}
+
+// attemptState is what is known of one attempt beside its runner.
+type attemptState struct {
+	// firstEvent is when its first event came; zero before.
+	firstEvent time.Time
+	// silenced: it was ended from here, since its runner said nothing for too long.
+	silenced atomic.Bool
 }
 
 // Serve answers a request. On a *result.Error nothing has been said to the
@@ -158,6 +171,9 @@
 
 func (s *serving) serve(ctx context.Context) error {
 	for {
+		if err := s.quarantined(); err != nil {
+			return s.givenUp(err)
+		}
 		choice, err := s.choose(ctx)
 		if err != nil {
 			return s.givenUp(err)
@@ -233,7 +249,7 @@
 	until := time.Now().Add(s.listWait)
 	for {
 		changed := s.Runners.Changed()
-		choice := s.Runners.Pick(wish, time.Now())
+		choice := s.pick(wish)
 		if choice.Runner != nil {
 			return choice, s.noRoom(service, choice)
 		}
@@ -268,9 +284,11 @@
 	started := time.Now()
 	use := s.Runners.Begin(runner, s.request.Prompt, false, started)
 	defer use.End()
+	defer s.beginTrial(runner)()
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watch := s.watchSilence(cancel)
+	s.current = &attemptState{}
+	watch := s.watchSilence(cancel, s.current)
 	defer watch.Stop()
 	answer, err := s.Client.Do(attemptContext, s.call(runner))
 	if err != nil {
@@ -330,9 +348,10 @@
 }
 
 // watchSilence ends an attempt that may be moved when its runner is silent.
-func (s *serving) watchSilence(cancel context.CancelCauseFunc) *time.Timer {
+func (s *serving) watchSilence(cancel context.CancelCauseFunc, attempt *attemptState) *time.Timer {
 	return time.AfterFunc(s.silence(), func() {
 		if s.request.Route.MayRepeat() {
+			attempt.silenced.Store(true)
 			cancel(errSilent)
 		}
 	})
@@ -378,6 +397,7 @@
 		return false, s.ended(ctx)
 	}
 	runner.NoteBad(time.Now())
+	s.noteEnding(ctx, runner)
 	if s.mayMove() {
 		return true, nil
 	}
@@ -404,12 +424,12 @@
 func (s *serving) whole(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer, use *runnerset.Use) (bool, error) {
 	if !answer.Stamped && answer.Status < http.StatusMultipleChoices {
 		runner.NoteBad(time.Now())
-		return s.broken(ctx, errors.New("a success without the runner's mark"))
+		return s.broken(ctx, runner, errors.New("a success without the runner's mark"))
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, wholeBytes))
 	if err != nil {
 		runner.NoteBad(time.Now())
-		return s.broken(ctx, err)
+		return s.broken(ctx, runner, err)
 	}
 	s.seen(use)
 	length := answer.Length
@@ -422,12 +442,13 @@
 		return false, result.New(result.CallerGone, "the caller left")
 	}
 	if len(body) < wholeBytes {
+		s.noteCompleted()
 		return false, nil
 	}
-	return false, s.copyRest(ctx, answer)
+	return false, s.copyRest(ctx, runner, answer)
 }
 
-func (s *serving) copyRest(ctx context.Context, answer *exchange.Answer) error {
+func (s *serving) copyRest(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer) error {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := answer.Body.Read(buffer)
@@ -437,10 +458,11 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			s.noteCompleted()
 			return nil
 		}
 		if err != nil {
-			_, broken := s.broken(ctx, err)
+			_, broken := s.broken(ctx, runner, err)
 			return broken
 		}
 	}
@@ -449,6 +471,7 @@
 // seen records the time to the first event or answer.
 func (s *serving) seen(use *runnerset.Use) {
 	now := time.Now()
+	s.current.firstEvent = now
 	if s.firstSeen == 0 {
 		s.firstSeen = now.Sub(s.request.Received)
 		s.first.Observe(s.firstSeen.Seconds())
@@ -457,11 +480,12 @@
 }
 
 // broken decides what becomes of a request whose answer broke.
-func (s *serving) broken(ctx context.Context, err error) (bool, error) {
+func (s *serving) broken(ctx context.Context, runner *runnerset.Runner, err error) (bool, error) {
 	s.lastCause = err.Error()
 	if ctx.Err() != nil {
 		return false, s.ended(ctx)
 	}
+	s.noteEnding(ctx, runner)
 	if s.mayMove() && (!s.headSent || s.request.Route.Resumable) {
 		return true, nil
 	}
--- a/internal/online/stream.go
+++ b/internal/online/stream.go
@@ -18,7 +18,7 @@
 func (s *serving) stream(ctx context.Context, runner *runnerset.Runner, answer *exchange.Answer, use *runnerset.Use, watch *time.Timer) (bool, error) {
 	if !answer.Stamped {
 		runner.NoteBad(time.Now())
-		return s.broken(ctx, errors.New("a success without the runner's mark"))
+		return s.broken(ctx, runner, errors.New("a success without the runner's mark"))
 	}
 	events := eventstream.NewReader(answer.Body)
 	first := true
@@ -32,7 +32,7 @@
 		}
 		if err != nil {
 			s.noteBroken(ctx, runner, first, use)
-			return s.broken(ctx, err)
+			return s.broken(ctx, runner, err)
 		}
 		watch.Reset(s.silence())
 		use.Event(time.Now())
@@ -65,6 +65,7 @@
 
 // finished ends a stream whose body is whole.
 func (s *serving) finished(answer *exchange.Answer) (bool, error) {
+	s.noteCompleted()
 	if !s.headSent {
 		s.headSent = true
 		s.responder.Head(answer.Status, answer.Headers, 0)
--- /dev/null
+++ b/internal/quarantine/share_test.go
@@ -0,0 +1,291 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+)
+
+// gone is a prober by which runners have ended, those at alive addresses not.
+type gone struct {
+	mutex sync.Mutex
+	alive map[string]bool
+	looks int
+}
+
+func (g *gone) Refused(_ context.Context, address string) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.looks++
+	return !g.alive[address]
+}
+
+// network carries notices between shares; lost tells which are lost.
+type network struct {
+	nodes map[string]*Share
+	lost  func(from, to string) bool
+}
+
+type member struct {
+	network *network
+	name    string
+}
+
+func (m member) Self() *wirev1.NodeRecord {
+	return &wirev1.NodeRecord{NodeId: m.name, Address: m.name}
+}
+
+func (m member) Records() []*wirev1.NodeRecord {
+	var records []*wirev1.NodeRecord
+	for name := range m.network.nodes {
+		records = append(records, &wirev1.NodeRecord{NodeId: name, Address: name})
+	}
+	return records
+}
+
+func (m member) NotifyAll(addresses []string, _ rpc.Class, _ wirev1.Method, message proto.Message) {
+	payload, err := proto.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	for _, address := range addresses {
+		if m.network.lost == nil || !m.network.lost(m.name, address) {
+			m.network.nodes[address].Take(m.name, payload)
+		}
+	}
+}
+
+// keptHolds is a Keeper in memory.
+type keptHolds struct{ holds map[Fingerprint]Hold }
+
+func (k *keptHolds) Keep(hold Hold) { k.holds[hold.Fingerprint] = hold }
+
+func newNetwork(count int) (*network, *gone, *keptHolds) {
+	n, prober, keeper := &network{nodes: map[string]*Share{}}, &gone{alive: map[string]bool{}}, &keptHolds{map[Fingerprint]Hold{}}
+	for number := range count {
+		name := fmt.Sprint("n", number)
+		m := member{n, name}
+		n.nodes[name] = NewShare(m, m, prober, keeper, prometheus.NewRegistry())
+	}
+	return n, prober, keeper
+}
+
+func (n *network) flush() {
+	for _, share := range n.nodes {
+		share.flush()
+	}
+}
+
+// Wherever the runners end, all nodes hold the request, and the hold is kept.
+func TestAllNodesHold(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		n, _, keeper := newNetwork(4)
+		together := rapid.Bool().Draw(rt, "all at once")
+		for number := range EndingsToHold {
+			at := rapid.IntRange(0, 3).Draw(rt, "node")
+			n.nodes[fmt.Sprint("n", at)].Broke("id", 7, fmt.Sprint("r", number), fmt.Sprint("a", number))
+			if !together {
+				n.flush()
+			}
+		}
+		n.flush()
+		for name, share := range n.nodes {
+			if _, held := share.Held(7); !held {
+				rt.Fatalf("%s does not hold it", name)
+			}
+		}
+		if _, kept := keeper.holds[7]; !kept {
+			rt.Fatal("the hold is not kept")
+		}
+	})
+}
+
+// A connection that breaks while the runner lives counts against nobody.
+func TestBrokenConnectionsDoNotCount(t *testing.T) {
+	is := is.New(t)
+	n, prober, _ := newNetwork(1)
+	for number := range 3 * EndingsToHold {
+		address := fmt.Sprint("a", number)
+		prober.alive[address] = true
+		n.nodes["n0"].Broke("id", 7, fmt.Sprint("r", number), address)
+	}
+	is.True(!n.nodes["n0"].table.Suspected(7))
+}
+
+// Many requests that break together look at their runner once.
+func TestOneLookForAll(t *testing.T) {
+	is := is.New(t)
+	n, prober, _ := newNetwork(1)
+	var group sync.WaitGroup
+	for number := range 20 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			n.nodes["n0"].Broke("id", Fingerprint(number), "r", "a")
+		}()
+	}
+	group.Wait()
+	is.Equal(prober.looks, 1)
+	suspected, held := n.nodes["n0"].table.Counts(time.Now())
+	is.Equal(suspected, 20)
+	is.Equal(held, 0)
+}
+
+// What a runner completes is cleared at all nodes, and at those that missed it by
+// the next exchange; a hold that was lifted does not come back from them.
+func TestCompletionReachesAllNodes(t *testing.T) {
+	is := is.New(t)
+	n, _, keeper := newNetwork(3)
+	for number := range EndingsToHold {
+		n.nodes["n0"].Broke("id", 7, fmt.Sprint("r", number), "a")
+	}
+	n.flush()
+	n.lost = func(_, to string) bool { return to == "n2" }
+	n.nodes["n1"].Completed(7)
+	n.flush()
+	for _, name := range []string{"n0", "n1"} {
+		_, held := n.nodes[name].Held(7)
+		is.True(!held)
+	}
+	is.Equal(keeper.holds[7].Until, int64(0))
+	is.True(n.nodes["n2"].Digest() != n.nodes["n1"].Digest())
+	n.nodes["n1"].TakeHolds(n.nodes["n2"].NewestHolds(), "n2")
+	_, held := n.nodes["n1"].Held(7)
+	is.True(!held)
+	n.nodes["n2"].TakeHolds(n.nodes["n1"].NewestHolds(), "n1")
+	_, held = n.nodes["n2"].Held(7)
+	is.True(!held)
+	is.Equal(n.nodes["n2"].Digest(), n.nodes["n1"].Digest())
+}
+
+// A node that starts anew learns holds from a peer, and from the store.
+func TestHoldsOutlastAProcess(t *testing.T) {
+	is := is.New(t)
+	n, _, keeper := newNetwork(2)
+	for number := range EndingsToHold {
+		n.nodes["n0"].Broke("id", 7, fmt.Sprint("r", number), "a")
+	}
+	fromPeer := NewShare(member{n, "n2"}, member{n, "n2"}, &gone{}, nil, prometheus.NewRegistry())
+	fromPeer.TakeHolds(n.nodes["n0"].NewestHolds(), "n0")
+	_, held := fromPeer.Held(7)
+	is.True(held)
+	store := &fakeStore{}
+	archive := NewArchive(store)
+	archive.Keep(keeper.holds[7])
+	is.True(archive.write(context.Background()))
+	fromStore := NewShare(member{n, "n3"}, member{n, "n3"}, &gone{}, nil, prometheus.NewRegistry())
+	fromStore.TakeDocument(store.value, 1)
+	_, held = fromStore.Held(7)
+	is.True(held)
+	is.True(fromStore.Lift(7))
+	is.True(!fromStore.Lift(7))
+	_, held = fromStore.Held(7)
+	is.True(!held)
+	fromStore.TakeDocument([]byte("not a document"), 2) // is logged, and changes nothing
+	_, held = fromStore.Held(7)
+	is.True(!held)
+}
+
+// Suspects of a node go to runners of their own.
+func TestSuspectsRunApart(t *testing.T) {
+	is := is.New(t)
+	n, _, _ := newNetwork(1)
+	share := n.nodes["n0"]
+	share.Broke("id", 1, "r0", "a")
+	share.Broke("id", 2, "r0", "a")
+	is.Equal(len(share.Avoid(1)), 0)
+	endOne := share.Begin(1, "r1")
+	is.Equal(share.Avoid(2), map[string]bool{"r1": true})
+	is.Equal(len(share.Avoid(1)), 0) // itself is no other
+	is.Equal(len(share.Avoid(3)), 0) // who is not suspected goes anywhere
+	share.Begin(3, "r2")()
+	endOne()
+	is.Equal(len(share.Avoid(2)), 0)
+	is.Equal(len(share.trials), 0)
+}
+
+// fakeStore holds one value; faults are played in order.
+type fakeStore struct {
+	platform.KeyValue
+	value    []byte
+	revision int64
+	faults   []string
+	commits  int
+}
+
+func (f *fakeStore) fault() string {
+	if len(f.faults) == 0 {
+		return ""
+	}
+	next := f.faults[0]
+	f.faults = f.faults[1:]
+	return next
+}
+
+func (f *fakeStore) Get(context.Context, string) (platform.Value, bool, error) {
+	if f.fault() != "" {
+		return platform.Value{}, false, platform.ErrUnavailable
+	}
+	return platform.Value{Key: DocumentKey, Value: f.value, Revision: f.revision}, f.revision > 0, nil
+}
+
+func (f *fakeStore) Commit(_ context.Context, conditions []platform.Condition, puts []platform.Put) (bool, error) {
+	fault := f.fault()
+	if fault == "down" {
+		return false, platform.ErrUnavailable
+	}
+	if conditions[0].Revision != f.revision {
+		return false, nil
+	}
+	f.value, f.revision = puts[0].Value, f.revision+1
+	f.commits++
+	if fault == "lost" {
+		return false, platform.ErrUnknown
+	}
+	return true, nil
+}
+
+// Holds of several nodes come together in the store, whatever calls fail or lose
+// their answer, and none is lost or written without need.
+func TestArchiveKeepsAllHolds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		store := &fakeStore{faults: rapid.SliceOfN(rapid.SampledFrom([]string{"", "down", "lost"}), 0, 12).Draw(rt, "faults")}
+		archives := []*Archive{NewArchive(store), NewArchive(store)}
+		until := time.Now().Add(time.Hour).UnixMilli()
+		count := rapid.IntRange(1, 8).Draw(rt, "holds")
+		for number := range count {
+			archive := archives[number%2]
+			archive.Keep(Hold{Fingerprint: Fingerprint(number + 1), Decided: int64(number + 1), Until: until})
+			if rapid.Bool().Draw(rt, "write now") {
+				archive.write(context.Background())
+			}
+		}
+		for _, archive := range archives {
+			for tries := 0; !archive.write(context.Background()); tries++ {
+				if tries > 50 {
+					rt.Fatal("it never comes to an end")
+				}
+			}
+		}
+		held, err := ParseDocument(store.value)
+		if err != nil || len(held) != count {
+			rt.Fatalf("%d of %d holds are stored: %v", len(held), count, err)
+		}
+		before := store.commits
+		store.faults = nil
+		if !archives[0].write(context.Background()) || store.commits != before || len(archives[0].wanted) != 0 {
+			rt.Fatal("what is stored is written again")
+		}
+	})
+}
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,155 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// endings records the ends of as many runners under a request as it takes to hold it.
+func hold(table *Table, fingerprint Fingerprint, prefix string, now time.Time) *Hold {
+	for number := range EndingsToHold - 1 {
+		table.Ended(fingerprint, fmt.Sprint(prefix, number), true, now)
+	}
+	return table.Ended(fingerprint, prefix+"last", true, now).Hold
+}
+
+// A request is held once enough different runners ended under it, for a bounded time.
+func TestHeldAfterEnoughRunners(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for range 5 { // one runner counts once, however often it is told
+		is.True(table.Ended(1, "r0", true, start).Hold == nil)
+	}
+	for number := 1; number < EndingsToHold-1; number++ {
+		is.True(table.Ended(1, fmt.Sprint("r", number), true, start).Hold == nil)
+	}
+	_, held := table.Held(1, start)
+	is.True(!held)
+	verdict := table.Ended(1, "r9", false, start)
+	is.True(verdict.Hold != nil)
+	is.True(verdict.Own) // this node has seen a part of it itself
+	left, held := table.Held(1, start)
+	is.True(held)
+	is.Equal(left, firstHold)
+	_, held = table.Held(2, start)
+	is.True(!held) // others are not
+	_, held = table.Held(1, start.Add(firstHold))
+	is.True(!held)
+}
+
+// Each hold of the same request is longer than the one before, up to a bound.
+func TestHoldsGrow(t *testing.T) {
+	is := is.New(t)
+	table, now, last := NewTable(), start, time.Duration(0)
+	for number := range 6 {
+		decided := hold(table, 1, fmt.Sprint("life", number, "-"), now)
+		is.True(decided != nil)
+		length := time.Duration(decided.Length) * time.Millisecond
+		is.True(length > last || length == longestHold)
+		last = length
+		now = now.Add(length)
+	}
+	is.Equal(last, longestHold)
+}
+
+// Endings count for a time only.
+func TestEndingsAge(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for number := range 4 * EndingsToHold {
+		now := start.Add(time.Duration(number) * endingLife)
+		is.True(table.Ended(1, fmt.Sprint("r", number), true, now).Hold == nil)
+	}
+}
+
+// A request that a runner completes is neither suspected nor held any more, and
+// what was told before does not hold it again.
+func TestCompletedIsAbsolved(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	decided := hold(table, 1, "r", start)
+	lifted := table.Absolve(1, start)
+	is.True(lifted != nil)
+	_, held := table.Held(1, start)
+	is.True(!held)
+	is.True(!table.Take(*decided)) // a peer that has not heard yet tells it again
+	_, held = table.Held(1, start)
+	is.True(!held)
+	is.True(table.Absolve(1, start) == nil) // nothing more to tell
+}
+
+// The ends of runners that are laid to one request are counted against no other
+// that was there, whether that was told before or after.
+func TestBystandersAreCleared(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for number := range EndingsToHold - 1 { // another is at all runners but the last
+		table.Ended(2, fmt.Sprint("r", number), true, start)
+	}
+	hold(table, 1, "r", start)
+	is.True(!table.Suspected(2))
+	is.True(!table.Ended(2, "rlast", false, start).Fresh) // told late
+	is.True(table.Ended(2, "another", false, start).Fresh)
+	is.True(table.Suspected(2))
+	_, held := table.Held(2, start)
+	is.True(!held)
+}
+
+// Memory is bounded, whatever comes: what was heard of last stays.
+func TestTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	for number := range mostSuspects + 50 {
+		table.mutex.Lock()
+		table.makeRoom()
+		table.suspects[Fingerprint(number)] = &suspect{last: start.Add(time.Duration(number)), endings: map[string]time.Time{}}
+		table.mutex.Unlock()
+	}
+	is.Equal(len(table.suspects), mostSuspects)
+	is.True(table.suspects[Fingerprint(mostSuspects+49)] != nil)
+	for number := range mostHolds + 50 {
+		table.Take(Hold{Fingerprint: Fingerprint(number), Decided: int64(number), Until: start.Add(time.Hour).UnixMilli()})
+	}
+	is.Equal(len(table.Holds(start)), mostHolds)
+	is.Equal(table.Holds(start)[0].Fingerprint, Fingerprint(mostHolds+49))
+}
+
+// Tables that have taken the same holds, in any order and any number of times,
+// are the same; of each request the hold decided last counts.
+func TestHoldsConverge(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		holds := rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) Hold {
+			until := rapid.SampledFrom([]int64{0, start.Add(time.Hour).UnixMilli(), start.Add(2 * time.Hour).UnixMilli()}).Draw(rt, "until")
+			return Hold{Fingerprint: Fingerprint(rapid.IntRange(1, 3).Draw(rt, "request")), Decided: start.UnixMilli() + rapid.Int64Range(0, 5).Draw(rt, "decided"), Until: until}
+		}), 0, 20).Draw(rt, "holds")
+		one, other := NewTable(), NewTable()
+		for _, hold := range holds {
+			one.Take(hold)
+		}
+		for _, hold := range rapid.Permutation(append(holds, holds...)).Draw(rt, "order") {
+			other.Take(hold)
+		}
+		for _, hold := range holds {
+			if one.holds[hold.Fingerprint] != other.holds[hold.Fingerprint] {
+				rt.Fatalf("%v and %v", one.holds, other.holds)
+			}
+			if hold.after(one.holds[hold.Fingerprint]) {
+				rt.Fatalf("%v is in force, %v was decided later", one.holds[hold.Fingerprint], hold)
+			}
+		}
+	})
+}
+
+// Only a run that may just have begun is blamed for its runner's end.
+func TestLongRunsAreNotBlamed(t *testing.T) {
+	is := is.New(t)
+	is.True(Blames(time.Time{}, start))
+	is.True(Blames(start, start.Add(blameTime/2)))
+	is.True(!Blames(start, start.Add(blameTime)))
+}
--- a/internal/queuerun/queuerun.go
+++ b/internal/queuerun/queuerun.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 	"sync"
@@ -34,6 +35,8 @@
 	// Home tells the runners that items are placed at from here before any other
 	// node does; nil stands for all.
 	Home func(runner *runnerset.Record) bool
+	// Quarantine knows the items that crash runners; nil knows none.
+	Quarantine quarantine.Guard
 
 	mutex sync.Mutex
 	runs  map[string]map[*run]bool
@@ -75,6 +78,9 @@
 	// routeGoneTime is how long a configuration without the item's route must
 	// have been in force before the item is given up.
 	routeGoneTime = 4 * time.Second
+	// heldWait is how long a held item waits before it is looked at again: its hold
+	// may be lifted, and it may be given up when its time is over.
+	heldWait = 5 * time.Second
 )
 
 // TryStart implements queuestore.Executor.
@@ -92,19 +98,28 @@
 		go done(queuestore.Outcome{Dead: true, Reason: "route gone"})
 		return true
 	}
-	choice := e.pick(route, work, now)
+	fingerprint := fingerprintOf(work)
+	if left, held := e.held(fingerprint); held {
+		wait := min(left, heldWait)
+		klog.InfoS("item held: runners end under it", "job", work.Key.Job, "item", work.Item.Id, "fingerprint", fingerprint, "heldMs", left.Milliseconds(), "waitMs", wait.Milliseconds())
+		go done(queuestore.Outcome{Output: work.Output, Wait: wait, Reason: "quarantined"})
+		return true
+	}
+	choice := e.pick(route, work, fingerprint, now)
 	if choice.Runner == nil {
 		work.FullService = route.ServiceFor(work.Item.Id)
 		return false
 	}
 	use := e.Runners.Begin(choice.Runner, promptOf(work.Item), true, now)
+	endTrial := e.beginTrial(fingerprint, choice.Runner)
 	go func() {
-		run := &run{executor: e, work: work, route: route, runner: choice.Runner, use: use, began: now, output: work.Output, saved: saveRound(now)}
+		defer endTrial()
+		run := &run{executor: e, work: work, fingerprint: fingerprint, route: route, runner: choice.Runner, use: use, began: now, output: work.Output, saved: saveRound(now)}
 		outcome := run.run(ctx)
 		use.End()
 		outcome.Attempts = route.Attempts
 		outcome.Events, outcome.Took = run.output.Last-work.Output.Last, time.Since(now)
-		klog.InfoS("item run ended", "job", work.Key.Job, "item", work.Item.Id, "fingerprint", fingerprintOf(work), "runner", choice.Runner.ID, "load", int(choice.Load),
+		klog.InfoS("item run ended", "job", work.Key.Job, "item", work.Item.Id, "fingerprint", fingerprint, "runner", choice.Runner.ID, "load", int(choice.Load),
 			"own", int(choice.Belief.Own), "peers", int(choice.Belief.Peers), "peersMs", choice.Belief.OldestPeer.Milliseconds(),
 			"told", int(choice.Belief.Told), "toldMs", choice.Belief.ToldAge.Milliseconds(), "heard", choice.Belief.Heard,
 			"catalog", held.Version, "slackMs", work.Slack.Milliseconds(), "from", work.Output.Last, "to", run.output.Last, "outcome", outcome.Reason, "ms", time.Since(now).Milliseconds())
@@ -113,6 +128,20 @@
 	return true
 }
 
+func (e *Executor) held(fingerprint quarantine.Fingerprint) (time.Duration, bool) {
+	if e.Quarantine == nil {
+		return 0, false
+	}
+	return e.Quarantine.Held(fingerprint)
+}
+
+func (e *Executor) beginTrial(fingerprint quarantine.Fingerprint, runner *runnerset.Runner) (end func()) {
+	if e.Quarantine == nil {
+		return func() {}
+	}
+	return e.Quarantine.Begin(fingerprint, runner.ID)
+}
+
 // fingerprintOf is the same for items that are the same work.
 func fingerprintOf(work *queuestore.Work) quarantine.Fingerprint {
 	return quarantine.Of(quarantine.Work{Tenant: work.Tenant, Method: http.MethodPost, Host: work.Host, URI: work.Item.Path, Body: work.Item.Body})
@@ -129,10 +158,14 @@
 	return prompt
 }
 
-func (e *Executor) pick(route *catalog.Route, work *queuestore.Work, now time.Time) runnerset.Choice {
+func (e *Executor) pick(route *catalog.Route, work *queuestore.Work, fingerprint quarantine.Fingerprint, now time.Time) runnerset.Choice {
+	excluded := e.paused(now)
+	if e.Quarantine != nil {
+		maps.Copy(excluded, e.Quarantine.Avoid(fingerprint))
+	}
 	return e.Runners.Pick(&runnerset.Wish{
 		Service: route.ServiceFor(work.Item.Id), Zone: e.Zone, Prompt: promptOf(work.Item), Bytes: len(work.Item.Body),
-		Excluded: e.paused(now), Batch: &runnerset.BatchRoom{Reserve: reserve, Unread: unreadCeiling, Home: e.Home, AwayReserve: awayReserve},
+		Excluded: excluded, Batch: &runnerset.BatchRoom{Reserve: reserve, Unread: unreadCeiling, Home: e.Home, AwayReserve: awayReserve},
 	}, now)
 }
 
@@ -140,13 +173,17 @@
 type run struct {
 	executor *Executor
 	work     *queuestore.Work
-	route    *catalog.Route
-	runner   *runnerset.Runner
-	use      *runnerset.Use
-	began    time.Time
-	cancel   context.CancelCauseFunc
-	output   queue.Output
-	saved    int64 // the round in which it was last saved
+	// fingerprint is of the item's content.
+	fingerprint quarantine.Fingerprint
+	route       *catalog.Route
+	runner      *runnerset.Runner
+	use         *runnerset.Use
+	began       time.Time
+	cancel      context.CancelCauseFunc
+	output      queue.Output
+	saved       int64 // the round in which it was last saved
+	// firstEvent is when this run's first event came; zero before.
+	firstEvent time.Time
 }
 
 func (r *run) run(parent context.Context) queuestore.Outcome {
@@ -202,9 +239,26 @@
 	if notRun == nil || notRun.Absent() {
 		r.runner.NoteBad(time.Now())
 	}
+	if notRun == nil && !errors.Is(err, context.Canceled) {
+		r.noteEnding()
+	}
 	return outcome
 }
 
+// noteEnding counts a run that broke against its item if its runner has ended.
+func (r *run) noteEnding() {
+	if r.executor.Quarantine != nil && quarantine.Blames(r.firstEvent, time.Now()) {
+		r.executor.Quarantine.Broke(r.work.Item.Id, r.fingerprint, r.runner.ID, r.runner.Address)
+	}
+}
+
+// noteCompleted records that a runner has completed the item.
+func (r *run) noteCompleted() {
+	if r.executor.Quarantine != nil {
+		r.executor.Quarantine.Completed(r.fingerprint)
+	}
+}
+
 // refused takes an answer other than 200.
 func (r *run) refused(answer *exchange.Answer) queuestore.Outcome {
 	outcome := queuestore.Outcome{Output: r.output, Wait: retryWait}
@@ -227,6 +281,7 @@
 		silence.Reset(eventTimeout)
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && r.output.Last > 0 {
+			r.noteCompleted()
 			return queuestore.Outcome{Done: true, Output: r.output, Reason: "completed"}
 		}
 		if err == nil && (!event.HasID || event.ID != r.output.Last+1) {
@@ -237,6 +292,7 @@
 		}
 		now := time.Now()
 		if r.output.Last == r.work.Output.Last {
+			r.firstEvent = now
 			r.use.First(now)
 		} else {
 			r.use.Event(now)
@@ -279,6 +335,7 @@
 		return outcome
 	}
 	r.runner.NoteBad(time.Now())
+	r.noteEnding()
 	klog.InfoS("item stream broken", "item", r.work.Item.Id, "runner", r.runner.ID, "after", r.output.Last, "err", strings.TrimSpace(err.Error()))
 	return outcome
 }
--- a/internal/queuerun/queuerun_test.go
+++ b/internal/queuerun/queuerun_test.go
@@ -14,6 +14,7 @@
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/catalog"
 	"cobaltramp.example/cobaltramp/internal/exchange"
+	"cobaltramp.example/cobaltramp/internal/quarantine"
 	"cobaltramp.example/cobaltramp/internal/queue"
 	"cobaltramp.example/cobaltramp/internal/queuestore"
 	"cobaltramp.example/cobaltramp/internal/runnerset"
@@ -184,3 +185,68 @@
 	defer e.mutex.Unlock()
 	return len(e.runs[runner])
 }
+
+// guard is a quarantine in memory.
+type guard struct {
+	held      time.Duration
+	avoid     map[string]bool
+	broke     int
+	completed int
+}
+
+func (g *guard) Held(quarantine.Fingerprint) (time.Duration, bool) { return g.held, g.held > 0 }
+func (g *guard) Broke(string, quarantine.Fingerprint, string, string) {
+	g.broke++
+}
+func (g *guard) Completed(quarantine.Fingerprint)             { g.completed++ }
+func (g *guard) Avoid(quarantine.Fingerprint) map[string]bool { return g.avoid }
+func (g *guard) Begin(quarantine.Fingerprint, string) func()  { return func() {} }
+
+// An item under which runners end is not run, and not given up for it: it waits, and
+// what it had produced is kept.
+func TestHeldItemsWait(t *testing.T) {
+	is := is.New(t)
+	client := &scripted{answer: answers(200, true, twoEvents)}
+	executor := newExecutor(t, client)
+	executor.Quarantine = &guard{held: time.Hour}
+	begun := queue.Output{Last: 1, Text: []byte("a")}
+	outcome := runOnce(t, executor, workOf(begun))
+	is.Equal(len(client.calls), 0)
+	is.True(!outcome.Dead && !outcome.Done && !outcome.Failed)
+	is.Equal(outcome.Wait, heldWait)
+	is.Equal(outcome.Output, begun)
+}
+
+// Runs that broke are told, those that a runner answered or that were not run are
+// not; a run that goes through is told as well.
+func TestBrokenRunsAreTold(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		answer           func(context.Context, *exchange.Call) (*exchange.Answer, error)
+		broke, completed int
+	}{
+		{"whole", answers(200, true, twoEvents), 0, 1},
+		{"breaks off", answers(200, true, "id: 1\ndata: a\n\nid: 2\nda"), 1, 0},
+		{"lost", fails(&exchange.UnknownError{Cause: io.ErrUnexpectedEOF}), 1, 0},
+		{"ended from here", fails(&exchange.UnknownError{Cause: context.Canceled}), 0, 0},
+		{"the runner failed", answers(500, true, ""), 0, 0},
+		{"not run", fails(&exchange.NotRunError{Reason: exchange.ReasonDial, Cause: errors.New("refused")}), 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			executor, g := newExecutor(t, &scripted{answer: test.answer}), &guard{}
+			executor.Quarantine = g
+			runOnce(t, executor, workOf(queue.Output{}))
+			is.Equal(g.broke, test.broke)
+			is.Equal(g.completed, test.completed)
+		})
+	}
+}
+
+// A suspected item does not run beside another.
+func TestSuspectedItemsRunApart(t *testing.T) {
+	is := is.New(t)
+	executor := newExecutor(t, &scripted{answer: answers(200, true, twoEvents)})
+	executor.Quarantine = &guard{avoid: map[string]bool{"r1": true}}
+	is.True(!executor.TryStart(context.Background(), workOf(queue.Output{}), func(queuestore.Outcome) { t.Error("it was run") }))
+}
--- a/modules/batch/queues/queues.go
+++ b/modules/batch/queues/queues.go
@@ -13,6 +13,7 @@
 	"cobaltramp.example/cobaltramp/internal/kernel"
 	"cobaltramp.example/cobaltramp/internal/logstore"
 	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/quarantine"
 	"cobaltramp.example/cobaltramp/internal/queuerun"
 	"cobaltramp.example/cobaltramp/internal/queuestore"
 	"cobaltramp.example/cobaltramp/internal/role"
@@ -59,9 +60,10 @@
 	var client exchange.Client
 	var store platform.KeyValue
 	var follower *link.Link
+	var guard *quarantine.Share
 	err := ctx.Fill(
 		kernel.Into(&m.settings), kernel.Into(&server), kernel.Into(&catalogs), kernel.Into(&runners), kernel.Into(&client),
-		kernel.Into(&store), kernel.Into(&follower), kernel.Into(&options.Directory), kernel.Into(&options.Layouts), kernel.Into(&options.Pool),
+		kernel.Into(&store), kernel.Into(&follower), kernel.Into(&guard), kernel.Into(&options.Directory), kernel.Into(&options.Layouts), kernel.Into(&options.Pool),
 		kernel.Into(&options.Contact), kernel.Into(&options.Retirement), kernel.Into(&options.Registry),
 	)
 	if err != nil {
@@ -83,6 +85,7 @@
 	options.TenantLimit, options.Tolerance = admission.LimitOf(catalogs), m.settings.QuotaTolerance()
 	executor := queuerun.New(m.settings.Zone, catalogs, runners, client)
 	executor.Home = func(runner *runnerset.Record) bool { return m.node.IsHomeOf(runner.ID, runner.Zone) }
+	executor.Quarantine = guard
 	options.Executor = executor
 	m.node = queuestore.New(options)
 	m.node.Handle(server)
