--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -16,6 +16,7 @@
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/allotment"
+	"cobaltramp.example/cobaltramp/internal/boottime"
 	"cobaltramp.example/cobaltramp/internal/catalog"
 	"cobaltramp.example/cobaltramp/internal/result"
 )
@@ -56,7 +57,10 @@
 	tolerance allotment.Tolerance
 	holder    allotment.Holder
 	number    atomic.Uint64
-	outcomes  *prometheus.CounterVec
+	// now counts the time in which the machine was suspended: what was lent ends by
+	// the keeper's clock, which went on.
+	now      func() time.Time
+	outcomes *prometheus.CounterVec
 
 	// silent holds until when the keepers of shards are not asked, by shard.
 	silent sync.Map
@@ -84,7 +88,7 @@
 // New returns a gate of one life of a node.
 func New(keepers Keepers, limit func(string) (allotment.Limit, bool), tolerance allotment.Tolerance, holder allotment.Holder, registry prometheus.Registerer) *Gate {
 	g := &Gate{
-		keepers: keepers, limit: limit, tolerance: tolerance, holder: holder, accounts: map[string]*account{},
+		keepers: keepers, limit: limit, tolerance: tolerance, holder: holder, accounts: map[string]*account{}, now: boottime.Now,
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_admissions_total", Help: "Requests of limited tenants by outcome."}, []string{"outcome"}),
 	}
 	registry.MustRegister(g.outcomes)
@@ -93,6 +97,7 @@
 
 // Admission is the right to send a request of a tenant once.
 type Admission struct {
+	now     func() time.Time
 	account *account
 	limit   allotment.Limit
 	credit  allotment.Credit
@@ -100,7 +105,7 @@
 
 // Valid reports whether the request may still be sent. It is asked in the
 // moment of sending. No admission is needed without a limit.
-func (a *Admission) Valid() bool { return a == nil || a.credit.Valid(time.Now()) }
+func (a *Admission) Valid() bool { return a == nil || a.credit.Valid(a.now()) }
 
 // Return gives the right back: no runner has run the request.
 func (a *Admission) Return() {
@@ -109,7 +114,7 @@
 	}
 	a.account.mutex.Lock()
 	defer a.account.mutex.Unlock()
-	a.account.Account.Return(time.Now(), a.limit, a.credit)
+	a.account.Account.Return(a.now(), a.limit, a.credit)
 }
 
 // Outcomes that are counted.
@@ -128,13 +133,13 @@
 		return nil, nil
 	}
 	limit := limitOf(tenant)
-	admission := &Admission{account: g.account(tenant.Name), limit: limit}
+	admission := &Admission{now: g.now, account: g.account(tenant.Name), limit: limit}
 	credit, answer, err := g.take(admission.account, tenant.Name, limit)
 	if err == nil && answer != nil {
 		credit, err = await(ctx, answer, patience)
 	}
 	if result.Is(err, result.NotReady) {
-		credit, err = admission.account.spareFor(err)
+		credit, err = admission.account.spareFor(err, g.now())
 	}
 	switch {
 	case err == nil && credit.Pooled:
@@ -151,7 +156,7 @@
 
 // take takes a credit that is held, or has the keeper asked for one.
 func (g *Gate) take(a *account, tenant string, limit allotment.Limit) (allotment.Credit, <-chan verdict, error) {
-	now := time.Now()
+	now := g.now()
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.Note(now)
@@ -174,10 +179,10 @@
 }
 
 // spareFor takes the spare request in place of a refusal: the keeper is silent.
-func (a *account) spareFor(refusal error) (allotment.Credit, error) {
+func (a *account) spareFor(refusal error, now time.Time) (allotment.Credit, error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if credit, ok := a.TakeSpare(time.Now()); ok {
+	if credit, ok := a.TakeSpare(now); ok {
 		return credit, nil
 	}
 	return allotment.Credit{}, refusal
@@ -222,7 +227,7 @@
 		outcome = outcomeRefused
 	}
 	g.outcomes.WithLabelValues(outcome).Inc()
-	now := time.Now()
+	now := g.now()
 	a.mutex.Lock()
 	share, level := a.Share()
 	demand := a.Demand(now)
@@ -237,7 +242,7 @@
 	defer g.mutex.Unlock()
 	held := g.accounts[tenant]
 	if held == nil {
-		held = &account{Account: allotment.NewAccount(time.Now(), g.tolerance)}
+		held = &account{Account: allotment.NewAccount(g.now(), g.tolerance)}
 		g.accounts[tenant] = held
 	}
 	return held
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -13,6 +13,7 @@
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/allotment"
+	"cobaltramp.example/cobaltramp/internal/boottime"
 	"cobaltramp.example/cobaltramp/internal/catalog"
 	"cobaltramp.example/cobaltramp/internal/result"
 )
@@ -161,9 +162,9 @@
 	for { // credit comes together at the share's rate
 		account := gate.account("t")
 		account.mutex.Lock()
-		credit, ok := account.Take(time.Now(), limitOf(limited))
+		credit, ok := account.Take(gate.now(), limitOf(limited))
 		if ok {
-			account.Account.Return(time.Now(), limitOf(limited), credit)
+			account.Account.Return(gate.now(), limitOf(limited), credit)
 		}
 		account.mutex.Unlock()
 		if ok {
@@ -189,7 +190,7 @@
 		_, err := gate.Admit(context.Background(), "id", &catalog.Tenant{Name: name, RatePerSecond: 10, Burst: 10}, patience)
 		return err
 	}
-	before := time.Now()
+	before := gate.now()
 	is.True(result.Is(admit("t"), result.NotReady))
 	until, silent := gate.silent.Load(uint32(0))
 	is.True(silent && until.(time.Time).After(before.Add(silentPause)))
@@ -202,3 +203,44 @@
 	is.True(result.Is(admit("u"), result.NotReady))
 	is.Equal(keepers.calls.Load(), int64(2))
 }
+
+// What was lent ends while the machine is suspended: the keeper lends it to others
+// meanwhile. The steady clock stands still then.
+func TestSuspendedMachineHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	keepers := &scriptedKeepers{allot: func(request *wirev1.AllotmentRequest) (*wirev1.AllotmentReply, error) {
+		reply := &wirev1.AllotmentReply{Credits: 2 * request.Credits}
+		for _, claim := range request.Claims {
+			reply.Grants = append(reply.Grants, &wirev1.AllotmentGrant{Tenant: claim.Tenant, Share: 0.4, Spare: true})
+		}
+		return reply, nil
+	}}
+	gate := gateOf(keepers)
+	suspended := time.Duration(0)
+	gate.now = func() time.Time { return boottime.Now().Add(suspended) }
+	admitted, err := gate.Admit(context.Background(), "id", limited, patience) // one more is in stock
+	is.NoErr(err)
+	gate.renewAt(context.Background(), []string{limited.Name})
+	account := gate.account(limited.Name)
+	share, _ := account.Share()
+	is.Equal(share, 0.4)
+	is.True(admitted.Valid())
+	suspended = allotment.Term
+	is.True(!admitted.Valid())
+	account.mutex.Lock()
+	defer account.mutex.Unlock()
+	_, ok := account.Take(gate.now(), limitOf(limited))
+	is.True(!ok)
+	_, ok = account.TakeSpare(gate.now())
+	is.True(!ok)
+	share, _ = account.Share()
+	is.Equal(share, 0.0)
+}
+
+// A gate measures terms by the clock that counts suspensions.
+func TestTermsCountSuspensions(t *testing.T) {
+	is := is.New(t)
+	before := boottime.Now()
+	now := gateOf(&scriptedKeepers{}).now()
+	is.True(!now.Before(before) && !now.After(boottime.Now()))
+}
--- a/internal/admission/keepers.go
+++ b/internal/admission/keepers.go
@@ -36,7 +36,7 @@
 			return
 		}
 		a.mutex.Unlock()
-		sent := time.Now()
+		sent := g.now()
 		if g.keeperSilent(tenant, sent) {
 			refuse(waiting)
 			continue
@@ -58,7 +58,7 @@
 
 // answer hands credits to those who wait, the first come first.
 func (g *Gate) answer(a *account, tenant string, limit allotment.Limit, sent time.Time, waiting []chan verdict, reply *wirev1.AllotmentReply, err error) {
-	now := time.Now()
+	now := g.now()
 	if err != nil {
 		pause := g.noteSilent(tenant, now)
 		klog.InfoS("keeper of a limit did not answer", "tenant", tenant, "waiting", len(waiting), "ms", now.Sub(sent).Milliseconds(), "pauseMs", pause.Milliseconds(), "err", err)
@@ -136,7 +136,7 @@
 // byKeeper groups the tenants in use by their keepers, and drops those that
 // nobody uses.
 func (g *Gate) byKeeper() map[uint32][]string {
-	now := time.Now()
+	now := g.now()
 	groups := map[uint32][]string{}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -160,7 +160,7 @@
 func (g *Gate) renewAt(ctx context.Context, tenants []string) {
 	sort.Strings(tenants)
 	request := &wirev1.AllotmentRequest{Node: g.holder.Node, Incarnation: g.holder.Incarnation, Number: g.number.Add(1)}
-	sent := time.Now()
+	sent := g.now()
 	for _, name := range tenants {
 		limit, known := g.limit(name)
 		a := g.account(name)
@@ -176,7 +176,7 @@
 	defer cancel()
 	reply, err := g.keepers.Allot(ctx, tenants[0], request)
 	if err != nil {
-		klog.InfoS("shares of limits not renewed", "tenants", len(tenants), "first", tenants[0], "ms", time.Since(sent).Milliseconds(), "err", err)
+		klog.InfoS("shares of limits not renewed", "tenants", len(tenants), "first", tenants[0], "ms", g.now().Sub(sent).Milliseconds(), "err", err)
 		return
 	}
 	for _, told := range reply.Grants {
@@ -192,5 +192,5 @@
 	a := g.account(told.Tenant)
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	a.Granted(time.Now(), sent, limit, allotment.Grant{Share: told.Share, Spare: told.Spare})
+	a.Granted(g.now(), sent, limit, allotment.Grant{Share: told.Share, Spare: told.Spare})
 }
--- a/internal/role/role.go
+++ b/internal/role/role.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"k8s.io/klog/v2"
 
+	"cobaltramp.example/cobaltramp/internal/boottime"
 	"cobaltramp.example/cobaltramp/internal/kernel"
 	"cobaltramp.example/cobaltramp/internal/settings"
 	"cobaltramp.example/cobaltramp/internal/version"
@@ -56,6 +57,9 @@
 	if err := k.Start(); err != nil {
 		return trace.Wrap(err)
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go watchSuspensions(ctx, registry)
 	klog.InfoS("started", "role", name, "node", loaded.Node, "zone", loaded.Zone, "version", version.Version, "pid", os.Getpid(),
 		"firstStart", loaded.FirstStart, "diskLosses", loaded.DiskLosses, "ms", time.Since(started).Milliseconds())
 	for received := range signals {
@@ -68,6 +72,13 @@
 	return nil
 }
 
+// watchSuspensions logs and counts the times in which the machine was suspended.
+func watchSuspensions(ctx context.Context, registry prometheus.Registerer) {
+	seconds := prometheus.NewCounter(prometheus.CounterOpts{Name: "cobaltramp_suspended_seconds_total", Help: "Time in which the machine was suspended."})
+	registry.MustRegister(seconds)
+	boottime.Watch(ctx, func(suspended time.Duration) { seconds.Add(suspended.Seconds()) })
+}
+
 // reload reads the settings again. What they say of addresses holds from the
 // next start on; seeds and the rest are not needed by a running node.
 func reload(path string, before *settings.Role) {
