Plain node: online requests that crash engines are held too; soak of kept connections under series that overlap

Change: modules/serving/crashes gives the quarantine the fleet's members and key-value service; the router asks it before each dispatch and tells it of streams whose engine ended. Test: e2e.TestCrashingRequestReachesFewEngines (fails when endings are not counted).

--- a/lab/cli/platformday.go
+++ b/lab/cli/platformday.go
@@ -23,30 +23,18 @@
 
 // Execute implements flags.Commander.
 func (c *platformDayCommand) Execute([]string) error {
-	if c.Folder == "" {
-		folder, err := os.MkdirTemp("", "cobaltramp-day-")
-		if err != nil {
-			return trace.ConvertSystemError(err)
-		}
-		c.Folder = folder
-	}
-	if err := os.MkdirAll(c.Folder, 0o755); err != nil {
-		return trace.ConvertSystemError(err)
-	}
-	if c.Program == "" {
-		c.Program = filepath.Join(c.Folder, "cobaltramp")
-		if built, err := exec.Command("go", "build", "-o", c.Program, "./cmd/cobaltramp").CombinedOutput(); err != nil {
-			return trace.BadParameter("building the product: %v: %s", err, built)
-		}
+	folder, program, err := labFolder(c.Folder, c.Program)
+	if err != nil {
+		return err
 	}
 	tally, err := platformday.Play(context.Background(), platformday.Options{
-		Program: c.Program, Folder: c.Folder, Seed: c.Seed, Length: c.Length, PerSecond: c.PerSecond, Progress: os.Stdout,
+		Program: program, Folder: folder, Seed: c.Seed, Length: c.Length, PerSecond: c.PerSecond, Progress: os.Stdout,
 	})
 	if err != nil {
 		return err
 	}
 	fmt.Println(tally.Summary())
-	fmt.Println("settings, data and logs:", c.Folder)
+	fmt.Println("settings, data and logs:", folder)
 	for _, broken := range tally.Broken {
 		fmt.Println("broken:", broken)
 	}
@@ -55,3 +43,26 @@
 	}
 	return nil
 }
+
+// labFolder makes a folder for a run, and the product's program in it if none is
+// given.
+func labFolder(folder, program string) (string, string, error) {
+	if folder == "" {
+		made, err := os.MkdirTemp("", "cobaltramp-lab-")
+		if err != nil {
+			return "", "", trace.ConvertSystemError(err)
+		}
+		folder = made
+	}
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return "", "", trace.ConvertSystemError(err)
+	}
+	if program != "" {
+		return folder, program, nil
+	}
+	program = filepath.Join(folder, "cobaltramp")
+	if built, err := exec.Command("go", "build", "-o", program, "./cmd/cobaltramp").CombinedOutput(); err != nil {
+		return "", "", trace.BadParameter("building the product: %v: %s", err, built)
+	}
+	return folder, program, nil
+}
--- /dev/null
+++ b/lab/cli/soak.go
@@ -0,0 +1,95 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"cobaltramp.example/cobaltramp/lab/platformday"
+)
+
+type soakCommand struct {
+	Program    string        `long:"program" description:"path of the cobaltramp binary; built from this checkout if left out"`
+	Folder     string        `long:"folder" description:"where settings, data and logs go; a temporary folder if left out"`
+	Seed       uint64        `long:"seed" default:"1" description:"the first seed; it draws what happens when"`
+	Seeds      int           `long:"seeds" default:"1" description:"how many seeds are played, one after the other from the first"`
+	AtOnce     int           `long:"at-once" default:"1" description:"how many seeds are played at the same time"`
+	Length     time.Duration `long:"length" default:"20s" description:"how long callers send in each"`
+	Edges      int           `long:"edges" default:"3" description:"edge processes"`
+	Storages   int           `long:"storages" default:"3" description:"storage processes"`
+	Runners    int           `long:"runners" default:"6" description:"stand-in runners"`
+	Kept       int           `long:"kept" default:"24" description:"callers that keep a connection"`
+	Disturbers int           `long:"disturbers" default:"3" description:"series of signals, restarts and changes that run at the same time"`
+	Verbose    bool          `long:"events" description:"print what happens"`
+}
+
+// Execute implements flags.Commander.
+func (c *soakCommand) Execute([]string) error {
+	folder, program, err := labFolder(c.Folder, c.Program)
+	if err != nil {
+		return err
+	}
+	var group sync.WaitGroup
+	var failed atomic.Int64
+	slots := make(chan struct{}, max(1, c.AtOnce))
+	for number := range max(1, c.Seeds) {
+		slots <- struct{}{}
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			defer func() { <-slots }()
+			if !c.one(c.Seed+uint64(number), folder, program) {
+				failed.Add(1)
+			}
+		}()
+	}
+	group.Wait()
+	fmt.Printf("%d seeds played, %d with a broken promise\n", max(1, c.Seeds), failed.Load())
+	if failed.Load() > 0 {
+		return trace.CompareFailed("promises were broken; settings, data and logs: %s", folder)
+	}
+	return os.RemoveAll(folder)
+}
+
+// one plays one seed, and keeps its folder if a promise was broken.
+func (c *soakCommand) one(seed uint64, folder, program string) bool {
+	own := filepath.Join(folder, fmt.Sprint("seed-", seed))
+	if err := os.MkdirAll(own, 0o755); err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+		return false
+	}
+	events, err := os.Create(filepath.Join(own, "events.txt"))
+	if err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+		return false
+	}
+	defer func() { _ = events.Close() }()
+	options := platformday.SoakOptions{
+		Options: platformday.Options{
+			Program: program, Folder: own, Seed: seed, Length: c.Length, Progress: events, Edges: c.Edges, Storages: c.Storages, Runners: c.Runners,
+		},
+		Kept: c.Kept, Disturbers: c.Disturbers,
+	}
+	if c.Verbose {
+		options.Progress = os.Stdout
+	}
+	tally, err := platformday.Soak(context.Background(), options)
+	if err != nil {
+		fmt.Printf("seed %d: %v\n", seed, err)
+		return false
+	}
+	fmt.Printf("seed %d: %s\n", seed, tally.Summary())
+	for _, broken := range tally.Broken {
+		fmt.Printf("seed %d: broken: %s\n", seed, broken)
+	}
+	if len(tally.Broken) == 0 {
+		_ = os.RemoveAll(own)
+	}
+	return len(tally.Broken) == 0
+}
--- a/lab/e2e/faults_test.go
+++ b/lab/e2e/faults_test.go
@@ -365,3 +365,30 @@
 	is.Equal(audit.Completed+audit.Failed, 2000) // every item has one outcome
 	is.Equal(audit.Duplicates+audit.Lost, 0)
 }
+
+// A request that crashes each engine that runs it comes again at every node: it
+// reaches few engines, and the others go on serving.
+func TestCrashingRequestReachesFewEngines(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const mark = "this prompt crashes engines"
+	running := start(t, topology(3, 10))
+	for _, fragile := range running.Engines {
+		fragile.CrashOn(mark)
+	}
+	for try := range 6 {
+		api := client(running, try%3)
+		_, err := api.Chat.Completions.New(patient(t), question(mark, 10), option.WithMaxRetries(0))
+		is.True(err != nil)
+	}
+	crashed := 0
+	for _, one := range running.Engines {
+		if one.Crashed() {
+			crashed++
+		}
+	}
+	is.True(crashed > 0 && crashed <= 6) // three, and three more sends
+	api := client(running, 1)
+	_, err := api.Chat.Completions.New(patient(t), question("an ordinary question", 10))
+	is.NoErr(err)
+}
--- a/lab/engine/faults.go
+++ b/lab/engine/faults.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"bytes"
+	"time"
+)
 
 // faults are switched on by the lab.
 type faults struct {
@@ -8,6 +11,26 @@
 	lateHeader time.Duration
 	lateEnd    time.Duration
 	disorderly bool
+	// crashOn ends the engine when it begins to run a body that holds it; empty for
+	// none.
+	crashOn string
+}
+
+// CrashOn makes the engine crash whenever it begins to run a body that holds a text.
+func (e *Engine) CrashOn(text string) { e.setFaults(func(f *faults) { f.crashOn = text }) }
+
+// crashes reports whether a body ends the engine.
+func (e *Engine) crashes(body []byte) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.faults.crashOn != "" && bytes.Contains(body, []byte(e.faults.crashOn))
+}
+
+// Crashed reports whether the engine has crashed and was not started again.
+func (e *Engine) Crashed() bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.server == nil
 }
 
 // Stall freezes the step loop for a time; streams stay open and silent.
--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -155,6 +155,10 @@
 	if id == "" {
 		id = "engine-" + uuid.NewString()
 	}
+	if e.crashes(body) {
+		e.Crash()
+		return nil
+	}
 	added := e.newSequence(id, model, body, chat)
 	if skip := e.takeImported(c.Get("X-KV-Import")); skip > 0 {
 		added.prefilled = min(skip, added.prompt.Tokens-1)
--- a/lab/platformday/crashing_test.go
+++ b/lab/platformday/crashing_test.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// crashesAllowed is the users' bound: three runners, and three more sends.
-	crashesAllowed = 6
 	// repeats is how often a request comes again, at the edges in turn.
 	repeats = 10
 	// patience is how many times a test looks before it gives up.
@@ -46,7 +44,7 @@
 func (d *Day) sendAgain(t *testing.T, phase, target string, body []byte, times int) {
 	for try := range times {
 		d.awaitServed(t, fmt.Sprint(phase, try))
-		status := d.at(try%edges).Request(target, fmt.Sprintf("%s-%d", phase, try), body)
+		status := d.at(try%d.Edges).Request(target, fmt.Sprintf("%s-%d", phase, try), body)
 		d.say("%s, try %d: status %d, %d runners ended so far", phase, try, status, d.ledger.Crashes(body))
 	}
 }
@@ -67,7 +65,7 @@
 func (d *Day) awaitServed(t *testing.T, phase string) {
 	t.Helper()
 	d.await(t, phase+": a request served", func(look int) bool {
-		return d.at(look%edges).Request(standin.EventsPrefix+"well", fmt.Sprintf("well-%s-%d", phase, look), fmt.Appendf(nil, "well %s %d", phase, look)) == http.StatusOK
+		return d.at(look%d.Edges).Request(standin.EventsPrefix+"well", fmt.Sprintf("well-%s-%d", phase, look), fmt.Appendf(nil, "well %s %d", phase, look)) == http.StatusOK
 	})
 }
 
@@ -101,8 +99,8 @@
 		d.sendAgain(t, phase.name+" again", phase.target, bodyOf(phase.name), 4)
 	}
 	for _, phase := range []string{"repeatable", "once", "item"} {
-		if count := d.ledger.Crashes(bodyOf(phase)); count == 0 || count > crashesAllowed {
-			t.Errorf("%s: %d runners ended under one request, allowed are %d", phase, count, crashesAllowed)
+		if count := d.ledger.Crashes(bodyOf(phase)); count == 0 || count > standin.CrashesAllowed {
+			t.Errorf("%s: %d runners ended under one request, allowed are %d", phase, count, standin.CrashesAllowed)
 		}
 	}
 	if t.Failed() {
--- a/lab/platformday/platformday.go
+++ b/lab/platformday/platformday.go
@@ -5,6 +5,7 @@
 package platformday
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -12,7 +13,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -39,6 +39,8 @@
 	PerSecond int
 	// Progress is told what happens; nil tells nobody.
 	Progress io.Writer
+	// Edges, Storages and Runners are how many there are; 0 takes the usual number.
+	Edges, Storages, Runners int
 	// Crashes tells the requests, by their bodies, that end each runner that runs
 	// them; nil for none. The runner is back after a second as another one.
 	Crashes func(body []byte) bool
@@ -56,22 +58,15 @@
 	started time.Time
 }
 
-// process is one node of the product.
-type process struct {
-	name, role, settings string
-	callers, readiness   string
-	data                 string
-	command              *exec.Cmd
-	log                  *os.File
-	ready                bool
-}
-
 const (
-	edges, storages, runners = 2, 3, 4
-	host                     = "day.example"
-	readyInterval            = 100 * time.Millisecond
-	startTimeout             = 30 * time.Second
-	finishTimeout            = 60 * time.Second
+	// usualEdges and the others are of a small deployment that can lose one of each.
+	usualEdges, usualStorages, usualRunners = 2, 3, 4
+	// zones is how many zones the nodes and runners lie in, in turn.
+	zones         = 2
+	host          = "day.example"
+	readyInterval = 100 * time.Millisecond
+	startTimeout  = 30 * time.Second
+	finishTimeout = 60 * time.Second
 )
 
 // Play plays a day and returns what callers saw. The error is of the play
@@ -90,6 +85,9 @@
 // open starts the stand-ins and the nodes, and waits until all edges are ready.
 // On an error nothing is left running.
 func open(ctx context.Context, options Options) (*Day, error) {
+	options.Edges = cmp.Or(options.Edges, usualEdges)
+	options.Storages = cmp.Or(options.Storages, usualStorages)
+	options.Runners = cmp.Or(options.Runners, usualRunners)
 	d := &Day{Options: options, store: standin.NewStore(), ledger: standin.NewLedger(), tally: &standin.Tally{}, started: time.Now()}
 	if err := d.startAll(ctx); err != nil {
 		d.close()
@@ -100,7 +98,7 @@
 
 func (d *Day) startAll(ctx context.Context) error {
 	d.store.PutConfig(standin.DayConfig(host, 3))
-	for number := range runners {
+	for number := range d.Runners {
 		if err := d.startRunner(number, 0); err != nil {
 			return err
 		}
@@ -125,7 +123,7 @@
 
 func (d *Day) startRunner(number, life int) error {
 	runner, err := standin.StartRunner(standin.RunnerOptions{
-		ID: fmt.Sprintf("r%d-%d", number, life), Service: "s", Zone: fmt.Sprintf("z%d", number%edges), Address: "127.0.0.1:0",
+		ID: fmt.Sprintf("r%d-%d", number, life), Service: "s", Zone: fmt.Sprintf("z%d", number%zones), Address: "127.0.0.1:0",
 		Slots: 8, Queue: 32, EventTime: 15 * time.Millisecond, Store: d.store, Ledger: d.ledger,
 		Crashes: d.Crashes, OnCrash: func(crashed *standin.Runner) { d.replace(crashed, number, life) },
 	})
@@ -164,9 +162,9 @@
 
 func (d *Day) startNodes() error {
 	var seeds []string
-	for number := range edges + storages {
+	for number := range d.Edges + d.Storages {
 		role := "edge"
-		if number >= edges {
+		if number >= d.Edges {
 			role = "storage"
 		}
 		p, err := d.prepare(role, number, &seeds)
@@ -196,7 +194,7 @@
 	name := fmt.Sprintf("%s-%d", role, number)
 	p := &process{name: name, role: role, settings: filepath.Join(d.Folder, name+".yaml")}
 	s := settings.Role{
-		Cluster: "day", Node: name, Zone: fmt.Sprintf("z%d", number%edges), Region: "r", Address: "127.0.0.1", Ports: []int{ports[0], ports[0]},
+		Cluster: "day", Node: name, Zone: fmt.Sprintf("z%d", number%zones), Region: "r", Address: "127.0.0.1", Ports: []int{ports[0], ports[0]},
 		Listen: settings.RoleListen{MetricsPort: ports[4]}, FirstStart: true, DiskLosses: 1,
 		Store:   settings.RoleStore{Address: d.store.Address()},
 		Machine: settings.RoleMachine{MemoryMegabytes: 256}, Bounds: settings.RoleBounds{StopSeconds: 8, DrainMilliseconds: 2000},
@@ -218,33 +216,9 @@
 	return p, os.WriteFile(p.settings, text, 0o644)
 }
 
-func (d *Day) start(p *process) error {
-	log, err := os.OpenFile(filepath.Join(d.Folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		return err
-	}
-	p.log = log
-	p.command = exec.Command(d.Program, p.role, "--settings", p.settings)
-	p.command.Stdout, p.command.Stderr = log, log
-	d.mutex.Lock()
-	p.ready = false // until it says so itself
-	d.mutex.Unlock()
-	d.say("%s starts", p.name)
-	return p.command.Start()
-}
-
-func (d *Day) signal(p *process, signal os.Signal) {
-	d.say("%s gets %v", p.name, signal)
-	_ = p.command.Process.Signal(signal)
-	_ = p.command.Wait()
-	_ = p.log.Close()
-}
-
 func (d *Day) killAll() {
 	for _, p := range d.nodes {
-		if p.command != nil && p.command.ProcessState == nil {
-			d.signal(p, syscall.SIGKILL)
-		}
+		d.signal(p, syscall.SIGKILL)
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -310,7 +284,7 @@
 
 func (d *Day) awaitReady(ctx context.Context) error {
 	deadline := time.Now().Add(startTimeout)
-	for d.readyCount() < edges {
+	for d.readyCount() < d.Edges {
 		if time.Now().After(deadline) || ctx.Err() != nil {
 			return trace.ConnectionProblem(nil, "edges are not ready after %v; see the logs in %s", startTimeout, d.Folder)
 		}
@@ -414,7 +388,7 @@
 	return nil
 }
 
-func (d *Day) restart(p *process, signal os.Signal) {
+func (d *Day) restart(p *process, signal syscall.Signal) {
 	d.signal(p, signal)
 	if err := d.start(p); err != nil {
 		d.say("%s does not start: %v", p.name, err)
@@ -428,7 +402,7 @@
 func (d *Day) killStorage() { d.restart(d.pick("storage"), syscall.SIGKILL) }
 
 func (d *Day) wipeStorage() {
-	p := d.nodes[edges+1]
+	p := d.nodes[d.Edges+1]
 	d.signal(p, syscall.SIGKILL)
 	d.say("%s loses its disk", p.name)
 	_ = os.RemoveAll(p.data)
--- /dev/null
+++ b/lab/platformday/soak_test.go
@@ -0,0 +1,32 @@
+package platformday
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Short soaks of fixed seeds; the long ones are started by hand (docs/LAB.md).
+func TestShortSoaks(t *testing.T) {
+	program := build(t, t.TempDir())
+	for _, seed := range []uint64{1, 2, 3} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			is := is.New(t)
+			folder := t.TempDir()
+			tally, err := Soak(context.Background(), SoakOptions{
+				Options: Options{Program: program, Folder: folder, Seed: seed, Length: 8 * time.Second, Progress: os.Stderr, Edges: 3, Storages: 3, Runners: 6},
+				Kept:    12, Disturbers: 3,
+			})
+			is.NoErr(err)
+			if len(tally.Broken) > 0 {
+				t.Fatalf("%v\n%s", tally.Broken, Logs(folder))
+			}
+			is.True(tally.Served > 0)
+			is.True(tally.JobsTaken > 0)
+		})
+	}
+}
--- a/lab/standin/callers.go
+++ b/lab/standin/callers.go
@@ -37,7 +37,8 @@
 		t.Served, t.Refused, t.Failed, t.JobsTaken, t.ItemsDone, len(t.Broken))
 }
 
-func (t *Tally) broke(format string, args ...any) {
+// Broke records a promise that was not kept.
+func (t *Tally) Broke(format string, args ...any) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.Broken = append(t.Broken, fmt.Sprintf(format, args...))
@@ -91,11 +92,7 @@
 	body := "prompt of " + id
 	request, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+c.Prefix+"x?y=1", strings.NewReader(body))
 	request.Host = c.Host
-	request.Header.Set("Cobaltramp-Attempt-Id", id)
-	request.Header.Set("Cobaltramp-Deadline-Ms", strconv.Itoa(int(callerDeadline.Milliseconds())))
-	request.Header.Set("Cobaltramp-Model", "m")
-	request.Header.Set("Cobaltramp-Token-Usage", "300,100")
-	request.Header.Set("Cobaltramp-Prompt-Prefix", "aa:100,bb:100,"+id+":100")
+	setCallerHeaders(request, id)
 	response, err := newClient().Do(request)
 	if err != nil {
 		c.Tally.count(&c.Tally.Failed)
@@ -110,11 +107,11 @@
 		return false
 	case response.StatusCode == http.StatusOK:
 		if !strings.HasPrefix(wholeText(id), string(text)) {
-			c.Tally.broke("request %s: %q is not the beginning of its stream", id, text)
+			c.Tally.Broke("request %s: %q is not the beginning of its stream", id, text)
 		}
 	case response.StatusCode == http.StatusTooManyRequests || response.StatusCode == http.StatusServiceUnavailable:
 		if c.Once && len(c.Ledger.Runs(id)) > 0 {
-			c.Tally.broke("request %s: refused as not run, and it ran", id)
+			c.Tally.Broke("request %s: refused as not run, and it ran", id)
 		}
 		c.Tally.count(&c.Tally.Refused)
 		return true
@@ -123,6 +120,14 @@
 	return !c.Once
 }
 
+func setCallerHeaders(request *http.Request, id string) {
+	request.Header.Set("Cobaltramp-Attempt-Id", id)
+	request.Header.Set("Cobaltramp-Deadline-Ms", strconv.Itoa(int(callerDeadline.Milliseconds())))
+	request.Header.Set("Cobaltramp-Model", "m")
+	request.Header.Set("Cobaltramp-Token-Usage", "300,100")
+	request.Header.Set("Cobaltramp-Prompt-Prefix", "aa:100,bb:100,"+id+":100")
+}
+
 func wholeText(id string) string {
 	var text strings.Builder
 	for number := int64(1); number <= EventsOf(id); number++ {
@@ -133,10 +138,10 @@
 
 func (c *Callers) checkWhole(id string, header http.Header, text string) {
 	if header.Get("Cobaltramp-Server-Seal") != "seal-"+id {
-		c.Tally.broke("request %s: an answer with the mark %q", id, header.Get("Cobaltramp-Server-Seal"))
+		c.Tally.Broke("request %s: an answer with the mark %q", id, header.Get("Cobaltramp-Server-Seal"))
 	}
 	if text != wholeText(id) {
-		c.Tally.broke("request %s: an answer that is not its whole stream: %q", id, text)
+		c.Tally.Broke("request %s: an answer that is not its whole stream: %q", id, text)
 	}
 }
 
@@ -145,7 +150,7 @@
 	for _, id := range c.Ledger.IDs() {
 		runs := c.Ledger.Runs(id)
 		if c.Once && strings.HasPrefix(runs[0].Path, c.Prefix) && len(runs) > 1 {
-			c.Tally.broke("request %s: ran %d times", id, len(runs))
+			c.Tally.Broke("request %s: ran %d times", id, len(runs))
 		}
 	}
 }
@@ -244,14 +249,14 @@
 func (b *BatchClient) Read(ctx context.Context, job *Job, since int) {
 	status, text := b.do(ctx, http.MethodGet, fmt.Sprintf("/-/lots/%s?since_rev=%d", job.ID, since), "", nil)
 	if status == http.StatusNotFound {
-		b.Tally.broke("job %s: 404 after it was taken", job.ID)
+		b.Tally.Broke("job %s: 404 after it was taken", job.ID)
 	}
 	if status != http.StatusOK {
 		return
 	}
 	var results wireResults
 	if json.Unmarshal(text, &results) != nil || results.Total != len(job.Items) || results.Next != since+len(results.Results) {
-		b.Tally.broke("job %s: an answer that does not add up: %s", job.ID, text)
+		b.Tally.Broke("job %s: an answer that does not add up: %s", job.ID, text)
 		return
 	}
 	for i, item := range results.Results {
@@ -262,13 +267,13 @@
 func (b *BatchClient) take(job *Job, position int, result seenResult) {
 	if position < len(job.Seen) {
 		if job.Seen[position] != result {
-			b.Tally.broke("job %s position %d: %v was %v", job.ID, position, result, job.Seen[position])
+			b.Tally.Broke("job %s position %d: %v was %v", job.ID, position, result, job.Seen[position])
 		}
 		return
 	}
 	for _, seen := range job.Seen {
 		if seen.id == result.id {
-			b.Tally.broke("job %s: item %s stands twice", job.ID, result.id)
+			b.Tally.Broke("job %s: item %s stands twice", job.ID, result.id)
 		}
 	}
 	var texts []string
@@ -276,7 +281,7 @@
 		texts = append(texts, EventData(result.id, number))
 	}
 	if result.state == "completed" && result.text != strings.Join(texts, "\n") {
-		b.Tally.broke("job %s item %s: the text is not its whole output: %q", job.ID, result.id, result.text)
+		b.Tally.Broke("job %s item %s: the text is not its whole output: %q", job.ID, result.id, result.text)
 	}
 	job.Seen = append(job.Seen, result)
 	b.Tally.count(&b.Tally.ItemsDone)
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -38,12 +38,18 @@
 	Body   [sha256.Size]byte
 	Path   string
 	// From is the event the run was asked to follow; 0 for a whole run.
-	From  int64
-	Ended bool
+	From int64
+	// Whole: the runner has sent the whole answer. Left: its sender closed the
+	// connection before.
+	Whole, Left bool
 	// Crashed: the runner ended as it began the run.
 	Crashed bool
 }
 
+// CrashesAllowed is how many runners a request that crashes them may end, by the
+// users' rule: three, and three more sends.
+const CrashesAllowed = 6
+
 // Ledger records what ran, over all runners.
 type Ledger struct {
 	mutex sync.Mutex
@@ -59,6 +65,12 @@
 	l.runs[id] = append(l.runs[id], run)
 }
 
+func (l *Ledger) end(run *Run, whole, left bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	run.Whole, run.Left = whole, left && !whole
+}
+
 // Runs returns the runs of a request, in order.
 func (l *Ledger) Runs(id string) []Run {
 	l.mutex.Lock()
@@ -122,7 +134,8 @@
 	waiting  atomic.Int64
 	fault    atomic.Pointer[RunnerFault]
 	draining atomic.Bool
-	crashed  sync.Once
+	claimed  atomic.Bool
+	ended    atomic.Bool
 	sequence int
 }
 
@@ -161,12 +174,18 @@
 // Stop ends the runner and removes its entry.
 func (r *Runner) Stop() {
 	r.Store.Remove("servers/" + r.ID)
-	_ = r.server.Close()
+	r.Crash()
 }
 
+// Claim is true for the first who wants to end the runner.
+func (r *Runner) Claim() bool { return r.claimed.CompareAndSwap(false, true) }
+
 // Crash ends the runner at once; its entry stays for a while, as with a runner
 // that falls silent.
-func (r *Runner) Crash() { _ = r.server.Close() }
+func (r *Runner) Crash() {
+	r.ended.Store(true)
+	_ = r.server.Close()
+}
 
 func (r *Runner) serve(writer http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("Cobaltramp-Attempt-Id")
@@ -195,13 +214,14 @@
 	run.Crashed = r.Crashes != nil && r.Crashes(body)
 	r.Ledger.begin(id, run)
 	if run.Crashed {
-		r.crashed.Do(func() {
+		if r.Claim() {
 			r.Crash()
 			r.OnCrash(r)
-		})
+		}
 		panic(http.ErrAbortHandler)
 	}
-	r.answer(writer, request, id, from)
+	whole := r.answer(writer, request, id, from)
+	r.Ledger.end(run, whole, request.Context().Err() != nil && !r.ended.Load())
 }
 
 func (r *Runner) notRun(writer http.ResponseWriter, id string, status int) {
@@ -242,7 +262,8 @@
 // EventData is the data of an event.
 func EventData(id string, number int64) string { return fmt.Sprintf("%s says %d", id, number) }
 
-func (r *Runner) answer(writer http.ResponseWriter, request *http.Request, id string, from int64) {
+// answer answers a request, and reports whether it sent the whole answer.
+func (r *Runner) answer(writer http.ResponseWriter, request *http.Request, id string, from int64) bool {
 	fault := *r.fault.Load()
 	header := writer.Header()
 	header.Set("Cobaltramp-Attempt-Id", id)
@@ -251,12 +272,12 @@
 	switch {
 	case fault.Mute:
 		<-request.Context().Done()
-		return
+		return false
 	case chosen(id, "lose", fault.LoseAnswer):
 		panic(http.ErrAbortHandler)
 	case chosen(id, "fail", fault.Fail):
 		writer.WriteHeader(http.StatusInternalServerError)
-		return
+		return true
 	case chosen(id, "unframed", fault.Unframed):
 		header.Set("Connection", "close")
 		header.Set("Transfer-Encoding", "identity")
@@ -270,7 +291,7 @@
 		select {
 		case <-time.After(wait):
 		case <-request.Context().Done():
-			return
+			return false
 		}
 		if number == from+2 && chosen(id+r.ID, "break", fault.Break) {
 			_, _ = fmt.Fprintf(writer, "id: %d\nda", number)
@@ -283,6 +304,7 @@
 	if chosen(id, "extra", fault.Extra) {
 		r.answerAgain(writer, id)
 	}
+	return true
 }
 
 // answerAgain sends a second answer that nobody asked for.
--- /dev/null
+++ b/modules/serving/crashes/crashes.go
@@ -0,0 +1,136 @@
+// Package crashes keeps requests away from model engines that such requests crash,
+// on all nodes of a fleet: it gives internal/quarantine the fleet's members, the
+// links between nodes and the platform's key-value service.
+package crashes
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/prometheus/client_golang/prometheus"
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/fleet"
+	"cobaltramp.example/cobaltramp/internal/httpcall"
+	"cobaltramp.example/cobaltramp/internal/kernel"
+	"cobaltramp.example/cobaltramp/internal/platform"
+	"cobaltramp.example/cobaltramp/internal/quarantine"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+	"cobaltramp.example/cobaltramp/modules/fleet/membership"
+)
+
+// ModuleName registers the module.
+const ModuleName = "serving.crashes"
+
+func init() {
+	kernel.Register(kernel.Info{
+		Name: ModuleName, Needs: []string{membership.ModuleName},
+		New: func() kernel.Module { return &Module{} },
+	})
+}
+
+// Views gives the view of the fleet.
+type Views interface{ View() *fleet.View }
+
+// Module provides *quarantine.Share.
+type Module struct {
+	store   platform.KeyValue
+	archive *quarantine.Archive
+	share   *quarantine.Share
+}
+
+var (
+	_ kernel.Module  = (*Module)(nil)
+	_ kernel.Starter = (*Module)(nil)
+)
+
+// Provision implements kernel.Module.
+func (m *Module) Provision(ctx *kernel.Context) error {
+	var views Views
+	var pool *rpc.Pool
+	var server *rpc.Server
+	var registry prometheus.Registerer
+	if err := ctx.Fill(kernel.Into(&m.store), kernel.Into(&views), kernel.Into(&pool), kernel.Into(&server), kernel.Into(&registry)); err != nil {
+		return trace.Wrap(err)
+	}
+	m.archive = quarantine.NewArchive(m.store)
+	m.share = quarantine.NewShare(members{views}, pool, prober{httpcall.NewClient(nil)}, m.archive, registry)
+	server.HandleNotice(wirev1.Method_METHOD_QUARANTINE, m.share.Take)
+	server.Handle(wirev1.Method_METHOD_QUARANTINE_ADMIN, m.share.ServeAdmin)
+	ctx.Provide(m.share)
+	return nil
+}
+
+// Start implements kernel.Starter.
+func (m *Module) Start(ctx context.Context) error {
+	go m.share.Run(ctx)
+	go m.archive.Run(ctx)
+	go m.follow(ctx)
+	return nil
+}
+
+// readPause is the pause between two tries to read what is kept while the service
+// does not answer, or after a watch broke.
+const readPause = 2 * time.Second
+
+// follow takes what is kept at the start, and what other nodes keep later.
+func (m *Module) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := m.followOnce(ctx); err != nil && ctx.Err() == nil {
+			klog.V(1).InfoS("quarantine not read from the key-value service", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(readPause):
+		}
+	}
+}
+
+func (m *Module) followOnce(ctx context.Context) error {
+	values, revision, err := m.store.List(ctx, quarantine.DocumentKey)
+	if err != nil {
+		return err
+	}
+	for _, value := range values {
+		m.share.TakeDocument(value.Value, value.Revision)
+	}
+	return m.store.Watch(ctx, quarantine.DocumentKey, revision, func(event platform.Event) {
+		if !event.Deleted {
+			m.share.TakeDocument(event.Value.Value, event.Value.Revision)
+		}
+	})
+}
+
+// members presents the fleet's view as node records.
+type members struct{ views Views }
+
+var _ quarantine.Directory = members{}
+
+// Self implements quarantine.Directory.
+func (m members) Self() *wirev1.NodeRecord { return recordOf(m.views.View().Self) }
+
+// Records implements quarantine.Directory.
+func (m members) Records() []*wirev1.NodeRecord {
+	view := m.views.View()
+	var records []*wirev1.NodeRecord
+	for _, candidate := range view.Candidates {
+		records = append(records, recordOf(view.Members[candidate.ID]))
+	}
+	return records
+}
+
+func recordOf(member *wirev1.MemberRecord) *wirev1.NodeRecord {
+	return &wirev1.NodeRecord{NodeId: member.Id, Address: member.Address, Zone: member.Zone, Region: member.Region}
+}
+
+// prober looks for engines.
+type prober struct{ http *httpcall.Client }
+
+var _ quarantine.Prober = prober{}
+
+// Refused implements quarantine.Prober.
+func (p prober) Refused(ctx context.Context, address string) bool {
+	return p.http.Refused(ctx, "http://"+address+"/")
+}
--- /dev/null
+++ b/modules/serving/router/crashes.go
@@ -0,0 +1,40 @@
+package router
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"cobaltramp.example/cobaltramp/internal/quarantine"
+	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/rpc"
+)
+
+// fingerprint tells whether two requests are the same work.
+func (r *Request) fingerprint() quarantine.Fingerprint {
+	return quarantine.Of(quarantine.Work{Tenant: r.Tenant, Method: http.MethodPost, Host: r.Model.Name, URI: r.Surface.String(), Body: r.Body})
+}
+
+// quarantined refuses a request that crashes engines.
+func (g *generation) quarantined() error {
+	left, held := g.module.guard.Held(g.fingerprint)
+	if !held {
+		return nil
+	}
+	if g.dispatched {
+		return g.broken(result.New(result.OutcomeUnknown, "engines end under this request (fingerprint %v)", g.fingerprint))
+	}
+	return result.New(result.Quarantined, "engines end under this request (fingerprint %v)", g.fingerprint).After(left)
+}
+
+// noteEnding counts a lost stream against the request if its engine has ended. A
+// lost link between nodes says nothing of the engine.
+func (g *generation) noteEnding(cause error) {
+	g.dispatched = true
+	if errors.Is(cause, rpc.ErrLinkLost) || !quarantine.Blames(g.firstEvent, time.Now()) {
+		return
+	}
+	if listed, known := g.module.tables.Table().ByID[g.runner]; known {
+		g.module.guard.Broke(g.request.ID, g.fingerprint, g.runner, listed.Address)
+	}
+}
--- a/modules/serving/router/generate.go
+++ b/modules/serving/router/generate.go
@@ -9,6 +9,7 @@
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/bundle"
+	"cobaltramp.example/cobaltramp/internal/quarantine"
 	"cobaltramp.example/cobaltramp/internal/result"
 	"cobaltramp.example/cobaltramp/internal/rpc"
 )
@@ -56,7 +57,9 @@
 type generation struct {
 	module  *Module
 	request *Request
-	emit    func(Piece) error
+	// fingerprint is of the request's content.
+	fingerprint quarantine.Fingerprint
+	emit        func(Piece) error
 
 	text     []byte
 	tokens   int
@@ -75,12 +78,16 @@
 	runner    string
 	ownerID   string
 	nextEvent uint32
+	// dispatched: an attempt may have run.
+	dispatched bool
+	// firstEvent is when the first event of the current stream came; zero before.
+	firstEvent time.Time
 }
 
 // Generate runs the request and calls emit for each piece. It returns when the
 // answer is whole, or the error that ended it.
 func (m *Module) Generate(ctx context.Context, request *Request, emit func(Piece) error) (Usage, error) {
-	g := &generation{module: m, request: request, emit: emit}
+	g := &generation{module: m, request: request, fingerprint: request.fingerprint(), emit: emit}
 	if snapshot := m.snapshots.Snapshot(); snapshot != nil {
 		m.budget.Earn(snapshot.Policy.RetryBudget)
 	}
@@ -92,8 +99,12 @@
 	refusals, continuations := 0, 0
 	settleBy := time.Now().Add(settleTime)
 	for {
+		if err := g.quarantined(); err != nil {
+			return err
+		}
 		err := g.dispatch(ctx)
 		if err == nil {
+			g.module.guard.Completed(g.fingerprint)
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -114,6 +125,7 @@
 			g.excludeOwners = append(g.excludeOwners, g.ownerID)
 		case lost(err):
 			continuations++
+			g.noteEnding(err)
 			if continuations > maxContinuations {
 				return g.broken(err)
 			}
@@ -245,7 +257,7 @@
 	}
 	g.attempt++
 	g.streamID = fmt.Sprintf("%s.%d", g.request.ID, g.attempt)
-	g.ownerID, g.runner, g.nextEvent = chosen, "", 0
+	g.ownerID, g.runner, g.nextEvent, g.firstEvent = chosen, "", 0, time.Time{}
 	state := g.module.owner(chosen)
 	state.inFlight.Add(1)
 	defer state.inFlight.Add(-1)
@@ -393,6 +405,9 @@
 		return result.New(result.RunnerLost, "event %d came when %d was next", event.Index, g.nextEvent)
 	}
 	g.nextEvent++
+	if g.firstEvent.IsZero() {
+		g.firstEvent = time.Now()
+	}
 	if event.PromptTokens > 0 {
 		g.usage = Usage{PromptTokens: int(event.PromptTokens), CompletionTokens: g.tokens}
 	}
--- a/modules/serving/router/router.go
+++ b/modules/serving/router/router.go
@@ -20,12 +20,14 @@
 	"cobaltramp.example/cobaltramp/internal/health"
 	"cobaltramp.example/cobaltramp/internal/kernel"
 	"cobaltramp.example/cobaltramp/internal/ownership"
+	"cobaltramp.example/cobaltramp/internal/quarantine"
 	"cobaltramp.example/cobaltramp/internal/retry"
 	"cobaltramp.example/cobaltramp/internal/rpc"
 	"cobaltramp.example/cobaltramp/internal/scheduling/framework"
 	"cobaltramp.example/cobaltramp/internal/scheduling/plugins"
 	"cobaltramp.example/cobaltramp/internal/settings"
 	"cobaltramp.example/cobaltramp/internal/spread"
+	"cobaltramp.example/cobaltramp/modules/serving/crashes"
 	"cobaltramp.example/cobaltramp/modules/serving/owner"
 )
 
@@ -34,7 +36,7 @@
 
 func init() {
 	kernel.Register(kernel.Info{
-		Name: ModuleName, Needs: []string{owner.ModuleName},
+		Name: ModuleName, Needs: []string{owner.ModuleName, crashes.ModuleName},
 		New: func() kernel.Module { return &Module{} },
 	})
 }
@@ -65,6 +67,7 @@
 	pool      *rpc.Pool
 	scheduler *framework.Scheduler
 	budget    *retry.Budget
+	guard     quarantine.Guard
 	metrics   *metrics
 
 	owners sync.Map // node id → *ownerState
@@ -91,7 +94,7 @@
 	if err := ctx.Fill(
 		kernel.Into(&m.settings), kernel.Into(&m.views), kernel.Into(&m.tables),
 		kernel.Into(&m.snapshots), kernel.Into(&m.local), kernel.Into(&m.pool),
-		kernel.Into(&server), kernel.Into(&registry),
+		kernel.Into(&server), kernel.Into(&registry), kernel.Into(&m.guard),
 	); err != nil {
 		return trace.Wrap(err)
 	}
--- a/modules/standard/standard.go
+++ b/modules/standard/standard.go
@@ -20,6 +20,7 @@
 	_ "cobaltramp.example/cobaltramp/modules/platform/httpsd"
 	_ "cobaltramp.example/cobaltramp/modules/roles/links"
 	_ "cobaltramp.example/cobaltramp/modules/roles/metrics"
+	_ "cobaltramp.example/cobaltramp/modules/serving/crashes"
 	_ "cobaltramp.example/cobaltramp/modules/serving/owner"
 	_ "cobaltramp.example/cobaltramp/modules/serving/router"
 	_ "cobaltramp.example/cobaltramp/platform"
