cobaltramp quarantine: lists the requests that are held, and lifts a hold on all nodes

Tried by TestCrashingRequestsReachFewRunners with the real binary: three holds listed, lifted at one edge, and the request reaches a runner again from the other edge.

--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -29,16 +29,17 @@
 type commands struct {
 	Output string `short:"o" long:"output" choice:"text" choice:"json" default:"text" description:"how results are printed"`
 
-	Node     nodeCommand     `command:"node" description:"run a node"`
-	Edge     edgeCommand     `command:"edge" description:"run an edge of a platform deployment"`
-	Storage  storageCommand  `command:"storage" description:"run a storage node of a platform deployment"`
-	Settings settingsCommand `command:"settings" description:"check a settings file without starting a node"`
-	Bundle   bundleCommands  `command:"bundle" description:"make, sign, submit, roll and watch bundles"`
-	Job      jobCommands     `command:"job" description:"submit, follow, cancel and read batch jobs"`
-	Status   statusCommand   `command:"status" description:"show the nodes of the fleet, or one node in detail"`
-	Tenant   tenantCommand   `command:"tenant" description:"tell what came of a tenant's requests and its limit from log files"`
-	Explain  explainCommand  `command:"explain" description:"tell the story of a request, item or job from log files"`
-	Version  versionCommand  `command:"version" description:"print the version"`
+	Node       nodeCommand       `command:"node" description:"run a node"`
+	Edge       edgeCommand       `command:"edge" description:"run an edge of a platform deployment"`
+	Storage    storageCommand    `command:"storage" description:"run a storage node of a platform deployment"`
+	Settings   settingsCommand   `command:"settings" description:"check a settings file without starting a node"`
+	Bundle     bundleCommands    `command:"bundle" description:"make, sign, submit, roll and watch bundles"`
+	Job        jobCommands       `command:"job" description:"submit, follow, cancel and read batch jobs"`
+	Status     statusCommand     `command:"status" description:"show the nodes of the fleet, or one node in detail"`
+	Quarantine quarantineCommand `command:"quarantine" description:"list the requests that are held away from runners because they crash them, or lift a hold"`
+	Tenant     tenantCommand     `command:"tenant" description:"tell what came of a tenant's requests and its limit from log files"`
+	Explain    explainCommand    `command:"explain" description:"tell the story of a request, item or job from log files"`
+	Version    versionCommand    `command:"version" description:"print the version"`
 }
 
 // printer prints results as text or JSON.
--- a/lab/platformday/crashing_test.go
+++ b/lab/platformday/crashing_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -103,7 +105,42 @@
 			t.Errorf("%s: %d runners ended under one request, allowed are %d", phase, count, standin.CrashesAllowed)
 		}
 	}
+	d.liftByHand(t, bodyOf("repeatable"))
 	if t.Failed() {
 		t.Log(Logs(folder))
 	}
 }
+
+// liftByHand lists the holds as an operator does, and lifts them one by one at one
+// edge; the request is then sent to runners again, by the other edge too.
+func (d *Day) liftByHand(t *testing.T, body []byte) {
+	t.Helper()
+	var held []struct {
+		Fingerprint string `json:"fingerprint"`
+	}
+	list := func(arguments ...string) {
+		arguments = append([]string{"--output", "json", "quarantine", "--cluster", "day", "--node", d.nodes[0].peers}, arguments...)
+		printed, err := exec.Command(d.Program, arguments...).Output()
+		if err != nil {
+			t.Fatalf("%v: %v", arguments, err)
+		}
+		if err := json.Unmarshal(printed, &held); err != nil {
+			t.Fatalf("%s: %v", printed, err)
+		}
+	}
+	list()
+	if len(held) != 3 {
+		t.Fatalf("%d requests are held, not 3", len(held))
+	}
+	for _, one := range slices.Clone(held) {
+		list("--lift", one.Fingerprint)
+	}
+	if len(held) != 0 {
+		t.Fatalf("%d requests are still held", len(held))
+	}
+	before := d.ledger.Crashes(body)
+	d.await(t, "the request sent again", func(look int) bool {
+		d.at(1).Request(standin.EventsPrefix+"x", fmt.Sprint("lifted-", look), body)
+		return d.ledger.Crashes(body) > before
+	})
+}
--- a/lab/platformday/platformday.go
+++ b/lab/platformday/platformday.go
@@ -202,7 +202,7 @@
 	if role == "edge" {
 		address := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
 		s.Listen.Callers, s.Listen.Readiness, s.Listen.Peers = address(ports[1]), address(ports[2]), address(ports[3])
-		p.callers, p.readiness = s.Listen.Callers, s.Listen.Readiness
+		p.callers, p.readiness, p.peers = s.Listen.Callers, s.Listen.Readiness, s.Listen.Peers
 		*seeds = append(*seeds, s.Listen.Peers)
 	} else {
 		s.DataFolder = filepath.Join(d.Folder, name+"-data")
--- a/lab/platformday/process.go
+++ b/lab/platformday/process.go
@@ -13,7 +13,9 @@
 type process struct {
 	name, role, settings string
 	callers, readiness   string
-	data                 string
+	// peers is where other nodes and operators reach an edge.
+	peers string
+	data  string
 	// ready is what the node last said of itself; the day's mutex covers it.
 	ready bool
 
