Who was refused and comes back when told is known by the time it states, and not refused again

Cause: a caller counted as new while it had nine tenths of its route's time-out left. One told to come back within a tenth of it, or on a route whose time-out is shorter than callers wait, was refused again; it does not come a third time. Change: what callers of a route state when they come first is learnt; a refused one is told to stay away long enough to be told from those. Test: TestWhoComesBackIsNotRefusedAgain fails with the rule before.

--- a/internal/online/online.go
+++ b/internal/online/online.go
@@ -38,6 +38,8 @@
 	Received time.Time
 	// Deadline is when the caller or the route's time-out ends it.
 	Deadline time.Time
+	// Stated is how long the caller said that it will wait; 0 if it did not say.
+	Stated time.Duration
 	// ResumeAfter is the last event the caller has; negative to start anew.
 	ResumeAfter int64
 	// Prompt is what is known of the prompt.
@@ -79,6 +81,7 @@
 	Quarantine quarantine.Guard
 	listWait   time.Duration
 	planners   planners
+	stated     statedTimes
 	requests   *prometheus.CounterVec
 	attempts   *prometheus.CounterVec
 	first      prometheus.Histogram
@@ -117,6 +120,8 @@
 	request *Request
 	// fingerprint is of the request's content.
 	fingerprint quarantine.Fingerprint
+	// usualStated is how long callers of the route usually say that they will wait.
+	usualStated time.Duration
 	responder   Responder
 	tried       map[string]bool
 	runs        int
@@ -148,6 +153,7 @@
 	defer cancel()
 	s := &serving{
 		Forwarder: f, request: request, fingerprint: request.fingerprint(), responder: responder, tried: map[string]bool{}, last: max(0, request.ResumeAfter),
+		usualStated: f.stated.note(request.Route.Name, request.Stated, request.Received),
 	}
 	err := s.serve(ctx)
 	s.admission.Return()
--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -19,13 +19,13 @@
 	// safeShare of its target is when a first event must be expected at the latest
 	// for a request to be sent: what is expected is the median of what comes.
 	safeShare = 0.7
-	// firstTryShare of its route's time-out is what a caller has left, at the
-	// least, who comes for the first time.
-	firstTryShare = 0.9
 	// waitShare of the time that is left is what callers wait at the most before
 	// they come back.
 	waitShare = 0.3
-	// leastWait is the shortest time that a refused caller is told.
+	// returnShare of what callers usually state is the shortest time that a refused
+	// one is told: less, and it could not be told from one that comes first.
+	returnShare = 1.5 * (1 - firstTryShare)
+	// leastWait is the shortest time that a refused caller is told in any case.
 	leastWait = 50 * time.Millisecond
 )
 
@@ -35,8 +35,9 @@
 	byService map[string]*retryafter.Planner
 }
 
-// refused records that a service had no room, and draws when to come back.
-func (p *planners) refused(service string, now time.Time, bound time.Duration) time.Duration {
+// refused records that a service had no room, and draws when to come back, within
+// bounds.
+func (p *planners) refused(service string, now time.Time, least, most time.Duration) time.Duration {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.byService == nil {
@@ -48,7 +49,7 @@
 		p.byService[service] = planner
 	}
 	planner.NoteFull(now)
-	return max(leastWait, planner.When(now, rand.Float64(), bound))
+	return max(leastWait, least, planner.When(now, rand.Float64(), most))
 }
 
 // noRoom refuses a request that would be late at the best runner, if its caller
@@ -63,14 +64,8 @@
 	if safe <= 0 || late <= 0 {
 		return nil
 	}
-	wait := s.planners.refused(service, now, time.Duration(waitShare*float64(s.request.Deadline.Sub(now))))
+	least := time.Duration(returnShare * float64(s.usualStated))
+	wait := s.planners.refused(service, now, least, time.Duration(waitShare*float64(s.request.Deadline.Sub(now))))
 	return result.New(result.Saturated, "all runners of service %s are full: the first event is expected in %d ms, allowed are %d ms", service,
 		choice.First.Milliseconds(), safe.Milliseconds()).After(wait)
 }
-
-// firstTry reports whether the caller has so much time left that it has not come
-// before.
-func (s *serving) firstTry() bool {
-	timeout := s.request.Route.Timeout
-	return timeout > 0 && s.request.Deadline.Sub(s.request.Received) >= time.Duration(firstTryShare*float64(timeout))
-}
--- a/internal/online/room_test.go
+++ b/internal/online/room_test.go
@@ -31,7 +31,7 @@
 	route := routeOf(catalog.Streaming, true, 2)
 	route.Target, route.Timeout = 300*time.Millisecond, 5*time.Second
 	now := time.Now()
-	return &Request{ID: "id", Route: route, Received: now, Deadline: now.Add(held), ResumeAfter: -1}
+	return &Request{ID: "id", Route: route, Received: now, Deadline: now.Add(held), Stated: held, ResumeAfter: -1}
 }
 
 // A request that would be late at every runner is refused at once as not run,
@@ -55,7 +55,9 @@
 		held     time.Duration
 	}{{0, 5 * time.Second}, {5, 3500 * time.Millisecond}} {
 		runners := &fakeRunners{}
-		is.NoErr(crowdedForwarder(runners, c.requests).Serve(context.Background(), targetedRequest(c.held), &recorder{}))
+		forwarder := crowdedForwarder(runners, c.requests)
+		forwarder.stated.note("x", 5*time.Second, time.Now()) // what others have stated
+		is.NoErr(forwarder.Serve(context.Background(), targetedRequest(c.held), &recorder{}))
 		is.Equal(runners.runs, 1)
 	}
 }
@@ -72,3 +74,35 @@
 	is.NoErr(forwarder.Serve(context.Background(), targetedRequest(5*time.Second), &recorder{}))
 	is.Equal(runners.runs, 1)
 }
+
+// Who was refused and comes back when it was told to, is not refused again,
+// whatever the route's time-out is, and however soon that was.
+func TestWhoComesBackIsNotRefusedAgain(t *testing.T) {
+	for _, timeout := range []time.Duration{time.Second, 5 * time.Second, time.Minute} {
+		is := is.New(t)
+		for range 50 {
+			runners := &fakeRunners{}
+			forwarder := crowdedForwarder(runners, 5)
+			request := targetedRequest(4 * time.Second)
+			request.Route.Timeout, request.Deadline = timeout, request.Received.Add(min(timeout, request.Stated))
+			err := forwarder.Serve(context.Background(), request, &recorder{})
+			is.True(result.Is(err, result.Saturated))
+			again := targetedRequest(4*time.Second - result.From(err).RetryAfter)
+			again.Route.Timeout = timeout
+			is.NoErr(forwarder.Serve(context.Background(), again, &recorder{}))
+			is.Equal(runners.runs, 1)
+		}
+	}
+}
+
+// What callers usually state is the longest of the last turns, by route.
+func TestStatedTimesAreLearnt(t *testing.T) {
+	is := is.New(t)
+	var stated statedTimes
+	now := time.Now()
+	is.Equal(stated.note("a", 4*time.Second, now), 4*time.Second)
+	is.Equal(stated.note("a", time.Second, now), 4*time.Second)
+	is.Equal(stated.note("b", time.Second, now), time.Second)
+	is.Equal(stated.note("a", time.Second, now.Add(statedTurn+1)), 4*time.Second)
+	is.Equal(stated.note("a", time.Second, now.Add(2*statedTurn+3)), time.Second) // callers have changed
+}
