--- a/internal/online/room.go
+++ b/internal/online/room.go
@@ -14,11 +14,18 @@
 // one that can, if all runners are full. It is refused at once, as not run, and
 // told when to come back. Who has come back already is not refused again: it
 // would not come a third time.
+//
+// A caller that is refused and comes back is late, so none is refused that may be in
+// time: the room has to be gone first. While it is gone requests are refused sooner,
+// or those that are sent wait just as long as is allowed and half of them are late.
 
 const (
-	// safeShare of its target is when a first event must be expected at the latest
-	// for a request to be sent: what is expected is the median of what comes.
-	safeShare = 0.7
+	// fullShare of its target is when the first event of a request must be expected
+	// to find that there is no room, and roomShare when it must be expected at the
+	// latest while there is none: what is expected is the median of what comes
+	// (docs/POLICY.md, round 21).
+	fullShare = 1.0
+	roomShare = 0.7
 	// waitShare of the time that is left is what callers wait at the most before
 	// they come back.
 	waitShare = 0.3
@@ -35,11 +42,8 @@
 	byService map[string]*retryafter.Planner
 }
 
-// refused records that a service had no room, and draws when to come back, within
-// bounds.
-func (p *planners) refused(service string, now time.Time, least, most time.Duration) time.Duration {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
+// of returns the planner of a service. The mutex is held.
+func (p *planners) of(service string) *retryafter.Planner {
 	if p.byService == nil {
 		p.byService = map[string]*retryafter.Planner{}
 	}
@@ -48,6 +52,22 @@
 		planner = retryafter.NewPlanner()
 		p.byService[service] = planner
 	}
+	return planner
+}
+
+// full reports whether requests of a service find no room at present.
+func (p *planners) full(service string, now time.Time) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.of(service).Full(now)
+}
+
+// refused records that a service had no room, and draws when to come back, within
+// bounds.
+func (p *planners) refused(service string, now time.Time, least, most time.Duration) time.Duration {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	planner := p.of(service)
 	planner.NoteFull(now)
 	return max(leastWait, least, planner.When(now, rand.Float64(), most))
 }
@@ -59,13 +79,16 @@
 		return nil
 	}
 	now := time.Now()
-	safe := time.Duration(safeShare * float64(s.request.Route.Target))
-	late := now.Sub(s.request.Received) + choice.First - safe
-	if safe <= 0 || late <= 0 {
+	share := fullShare
+	if s.planners.full(service, now) {
+		share = roomShare
+	}
+	allowed := time.Duration(share * float64(s.request.Route.Target))
+	if allowed <= 0 || now.Sub(s.request.Received)+choice.First <= allowed {
 		return nil
 	}
 	least := time.Duration(returnShare * float64(s.usualStated))
 	wait := s.planners.refused(service, now, least, time.Duration(waitShare*float64(s.request.Deadline.Sub(now))))
 	return result.New(result.Saturated, "all runners of service %s are full: the first event is expected in %d ms, allowed are %d ms", service,
-		choice.First.Milliseconds(), safe.Milliseconds()).After(wait)
+		choice.First.Milliseconds(), allowed.Milliseconds()).After(wait)
 }
--- a/internal/online/room_test.go
+++ b/internal/online/room_test.go
@@ -10,6 +10,7 @@
 
 	"cobaltramp.example/cobaltramp/internal/catalog"
 	"cobaltramp.example/cobaltramp/internal/result"
+	"cobaltramp.example/cobaltramp/internal/retryafter"
 	"cobaltramp.example/cobaltramp/internal/runnerset"
 )
 
@@ -106,3 +107,22 @@
 	is.Equal(stated.note("a", time.Second, now.Add(statedTurn+1)), 4*time.Second)
 	is.Equal(stated.note("a", time.Second, now.Add(2*statedTurn+3)), time.Second) // callers have changed
 }
+
+// A first event that is expected within the target is waited for while there is
+// room; once there is none, what is expected late in the target is refused, until
+// requests find room again.
+func TestRefusedSoonerWhileThereIsNoRoom(t *testing.T) {
+	is := is.New(t)
+	forwarder := crowdedForwarder(&fakeRunners{}, 0)
+	request := targetedRequest(5 * time.Second)
+	s := &serving{Forwarder: forwarder, request: request, usualStated: request.Stated}
+	expected := func(share float64) error {
+		return s.noRoom("s", runnerset.Choice{First: time.Duration(share * float64(request.Route.Target))})
+	}
+	is.NoErr(expected((fullShare + roomShare) / 2))
+	is.True(expected(fullShare+0.1) != nil)
+	is.True(expected((fullShare+roomShare)/2) != nil)
+	is.NoErr(expected(roomShare / 2))
+	forwarder.planners.byService["s"] = retryafter.NewPlanner() // calm again
+	is.NoErr(expected((fullShare + roomShare) / 2))
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -130,10 +130,10 @@
 func (t *Table) Ended(fingerprint Fingerprint, runner string, own bool, now time.Time) Verdict {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if _, laid := t.explained[runner]; laid {
+	known := t.suspects[fingerprint]
+	if _, laid := t.explained[runner]; laid && !known.mayBeCause() {
 		return Verdict{}
 	}
-	known := t.suspects[fingerprint]
 	if known == nil {
 		t.makeRoom()
 		known = &suspect{endings: map[string]time.Time{}}
@@ -155,14 +155,22 @@
 	return Verdict{Fresh: true, Hold: &hold, Own: known.own}
 }
 
-// explain lays the ends of runners to the request that is held for them: the others
-// that were there did not cause them. The mutex is held.
+// mayBeCause reports whether one more end would hold the request: it was at about as
+// many of the runners that ended as the one that is held for them, and which of the
+// two caused them can't be told.
+func (s *suspect) mayBeCause() bool { return s != nil && len(s.endings) >= EndingsToHold-1 }
+
+// explain lays the ends of runners to the request that is held for them: others that
+// were at few of these did not cause them. The mutex is held.
 func (t *Table) explain(endings map[string]time.Time, now time.Time) {
 	maps.DeleteFunc(t.explained, func(_ string, at time.Time) bool { return now.Sub(at) > endingLife })
 	for runner := range endings {
 		t.explained[runner] = now
 	}
 	for fingerprint, other := range t.suspects {
+		if other.mayBeCause() {
+			continue
+		}
 		maps.DeleteFunc(other.endings, func(runner string, _ time.Time) bool {
 			_, laid := t.explained[runner]
 			return laid
--- a/internal/retryafter/retryafter.go
+++ b/internal/retryafter/retryafter.go
@@ -43,6 +43,9 @@
 	p.last = now
 }
 
+// Full reports whether requests find no room at present.
+func (p *Planner) Full(now time.Time) bool { return !p.last.IsZero() && now.Sub(p.last) <= calmTime }
+
 // learn takes the time without room that has ended.
 func (p *Planner) learn() {
 	if p.began.IsZero() {
--- a/internal/retryafter/retryafter_test.go
+++ b/internal/retryafter/retryafter_test.go
@@ -69,3 +69,14 @@
 	is.True(p.When(now, 1, bound) <= bound)
 	is.True(p.When(now, 1, bound)-p.When(now, 0, bound) >= 500*time.Millisecond)
 }
+
+// A service is full from a request that found no room until none has for a while.
+func TestFull(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(100, 0)
+	p := NewPlanner()
+	is.True(!p.Full(now))
+	p.NoteFull(now)
+	is.True(p.Full(now.Add(calmTime)))
+	is.True(!p.Full(now.Add(calmTime + 1)))
+}
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -54,10 +54,25 @@
 type Ledger struct {
 	mutex sync.Mutex
 	runs  map[string][]*Run
+	// ended are the runners that have ended: what one had written last may be lost.
+	ended map[string]bool
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{runs: map[string][]*Run{}} }
+func NewLedger() *Ledger { return &Ledger{runs: map[string][]*Run{}, ended: map[string]bool{}} }
+
+// Ended reports whether a runner has ended.
+func (l *Ledger) Ended(runner string) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.ended[runner]
+}
+
+func (l *Ledger) noteEnded(runner string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.ended[runner] = true
+}
 
 func (l *Ledger) begin(id string, run *Run) {
 	l.mutex.Lock()
@@ -184,6 +199,7 @@
 // that falls silent.
 func (r *Runner) Crash() {
 	r.ended.Store(true)
+	r.Ledger.noteEnded(r.ID)
 	_ = r.server.Close()
 }
 
