Quarantine: an ending copies no table

A rack whose runners end brings hundreds of endings a second to each node; each copied all suspects (4,096 at the most). Readers look suspects up in a concurrent map now, and only holds, which are rare, are copied. No decision changes; tests green, also with the race detector.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -70,8 +70,7 @@
 	Own bool
 }
 
-// Table is what one node knows. It is safe for concurrent use; Held and Suspected
-// read a snapshot.
+// Table is what one node knows. It is safe for concurrent use.
 //
 // Invariants: a hold is replaced only by one that was decided later; a runner's end
 // counts against no request once another one was held for it.
@@ -82,13 +81,10 @@
 	// explained are the runners whose end was laid to a request that is held, by
 	// when that was.
 	explained map[string]time.Time
-	snapshot  atomic.Pointer[snapshot]
-}
-
-// snapshot is never changed.
-type snapshot struct {
-	suspects map[Fingerprint]bool
-	holds    map[Fingerprint]Hold
+	// held is a copy of holds that is never changed, suspected are the keys of
+	// suspects: the path of a request reads these without the mutex.
+	held      atomic.Pointer[map[Fingerprint]Hold]
+	suspected sync.Map
 }
 
 // NewTable returns an empty table.
@@ -98,18 +94,16 @@
 	return t
 }
 
-// publish makes a snapshot. The mutex is held, or nobody else has the table.
+// publish copies the holds for readers. The mutex is held, or nobody else has the
+// table.
 func (t *Table) publish() {
-	next := &snapshot{suspects: make(map[Fingerprint]bool, len(t.suspects)), holds: maps.Clone(t.holds)}
-	for fingerprint := range t.suspects {
-		next.suspects[fingerprint] = true
-	}
-	t.snapshot.Store(next)
+	holds := maps.Clone(t.holds)
+	t.held.Store(&holds)
 }
 
 // Held reports whether a request is held, and for how much longer.
 func (t *Table) Held(fingerprint Fingerprint, now time.Time) (time.Duration, bool) {
-	hold, known := t.snapshot.Load().holds[fingerprint]
+	hold, known := (*t.held.Load())[fingerprint]
 	if !known {
 		return 0, false
 	}
@@ -120,9 +114,11 @@
 // Suspected reports whether anything is counted against a request, or it is held:
 // if it completes, that is to be told (Absolve).
 func (t *Table) Suspected(fingerprint Fingerprint) bool {
-	current := t.snapshot.Load()
-	_, held := current.holds[fingerprint]
-	return held || current.suspects[fingerprint]
+	if _, suspected := t.suspected.Load(fingerprint); suspected {
+		return true
+	}
+	_, held := (*t.held.Load())[fingerprint]
+	return held
 }
 
 // Ended records that a runner ended while it ran a request; own says that this
@@ -138,6 +134,7 @@
 		t.makeRoom()
 		known = &suspect{endings: map[string]time.Time{}}
 		t.suspects[fingerprint] = known
+		t.suspected.Store(fingerprint, true)
 	}
 	maps.DeleteFunc(known.endings, func(_ string, at time.Time) bool { return now.Sub(at) > endingLife })
 	if _, told := known.endings[runner]; told {
@@ -145,12 +142,12 @@
 	}
 	known.endings[runner], known.last = now, now
 	known.own = known.own || own
-	defer t.publish()
 	if len(known.endings) < EndingsToHold || t.holds[fingerprint].Until > now.UnixMilli() {
 		return Verdict{Fresh: true}
 	}
 	hold := t.nextHold(fingerprint, now)
 	t.put(hold)
+	t.publish()
 	t.explain(known.endings, now)
 	return Verdict{Fresh: true, Hold: &hold, Own: known.own}
 }
@@ -176,7 +173,7 @@
 			return laid
 		})
 		if len(other.endings) == 0 {
-			delete(t.suspects, fingerprint)
+			t.forget(fingerprint)
 		}
 	}
 }
@@ -204,7 +201,13 @@
 			oldest, at = fingerprint, known.last
 		}
 	}
-	delete(t.suspects, oldest)
+	t.forget(oldest)
+}
+
+// forget drops a suspect. The mutex is held.
+func (t *Table) forget(fingerprint Fingerprint) {
+	delete(t.suspects, fingerprint)
+	t.suspected.Delete(fingerprint)
 }
 
 // put takes a hold, and drops the one decided first if there are too many. The
@@ -241,8 +244,7 @@
 func (t *Table) Absolve(fingerprint Fingerprint, now time.Time) *Hold {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	defer t.publish()
-	delete(t.suspects, fingerprint)
+	t.forget(fingerprint)
 	return t.lift(fingerprint, now)
 }
 
@@ -250,7 +252,6 @@
 func (t *Table) Lift(fingerprint Fingerprint, now time.Time) *Hold {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	defer t.publish()
 	return t.lift(fingerprint, now)
 }
 
@@ -261,6 +262,7 @@
 	}
 	lifted := Hold{Fingerprint: fingerprint, Decided: max(now.UnixMilli(), known.Decided+1)}
 	t.put(lifted)
+	t.publish()
 	return &lifted
 }
 
@@ -268,7 +270,7 @@
 // still hold somewhere, the latest decided first.
 func (t *Table) Holds(now time.Time) []Hold {
 	var list []Hold
-	for _, hold := range t.snapshot.Load().holds {
+	for _, hold := range *t.held.Load() {
 		if hold.Until > now.UnixMilli() || hold.Until == 0 && hold.Decided > now.Add(-longestHold).UnixMilli() {
 			list = append(list, hold)
 		}
@@ -281,13 +283,14 @@
 
 // Counts returns how many requests are suspected, and how many are held.
 func (t *Table) Counts(now time.Time) (suspected, held int) {
-	current := t.snapshot.Load()
-	for _, hold := range current.holds {
+	for _, hold := range *t.held.Load() {
 		if hold.Until > now.UnixMilli() {
 			held++
 		}
 	}
-	return len(current.suspects), held
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.suspects), held
 }
 
 // blameTime is how long after its first event a run may still be what ended its
