A closed database ends no process that still reads it; a silent stand-in store can be closed

Change: reads of documents and of the room hold the database open or fail. Test: logstore.TestClosedDatabase (panics before).

--- a/internal/logstore/db.go
+++ b/internal/logstore/db.go
@@ -260,6 +260,17 @@
 	return trace.Wrap(d.pebble.Close())
 }
 
+// use keeps the database open until it is released; the error says that it is closed.
+// A node that stops, or whose start has failed, closes it while others still read.
+func (d *DB) use() (release func(), err error) {
+	d.closing.RLock()
+	if d.closed {
+		d.closing.RUnlock()
+		return nil, trace.ConnectionProblem(nil, "the database is closed")
+	}
+	return d.closing.RUnlock, nil
+}
+
 // HasRoom reports whether more than the reserve is free under the data folder.
 func (d *DB) HasRoom() bool {
 	usage, err := d.fs.GetDiskUsage(d.folder)
@@ -288,8 +299,16 @@
 	return full - min(full, d.Used())
 }
 
-// Used returns how many bytes the database takes of the disk.
-func (d *DB) Used() uint64 { return d.pebble.Metrics().DiskSpaceUsage() }
+// Used returns how many bytes the database takes of the disk; all of them once it is
+// closed, so that nothing is accepted.
+func (d *DB) Used() uint64 {
+	release, err := d.use()
+	if err != nil {
+		return math.MaxUint64
+	}
+	defer release()
+	return d.pebble.Metrics().DiskSpaceUsage()
+}
 
 // Metrics returns pebble's metrics.
 func (d *DB) Metrics() *pebble.Metrics { return d.pebble.Metrics() }
--- a/internal/logstore/documents.go
+++ b/internal/logstore/documents.go
@@ -26,11 +26,11 @@
 // SaveDocuments keeps what is known of the platform's store: all of it, or what
 // has changed. It is durable when it returns.
 func (d *DB) SaveDocuments(whole bool, values []platform.Value, gone []string, revision int64) error {
-	d.closing.RLock()
-	defer d.closing.RUnlock()
-	if d.closed {
-		return trace.ConnectionProblem(nil, "the database is closed")
+	release, err := d.use()
+	if err != nil {
+		return err
 	}
+	defer release()
 	batch := d.pebble.NewBatch()
 	defer func() { _ = batch.Close() }()
 	if whole {
@@ -58,6 +58,11 @@
 // LoadDocuments returns what was kept, and the revision it is of; negative if
 // nothing was.
 func (d *DB) LoadDocuments() ([]platform.Value, int64, error) {
+	release, err := d.use()
+	if err != nil {
+		return nil, -1, err
+	}
+	defer release()
 	text, err := (&Shard{db: d.pebble}).get(documentKey(revisionKind, ""))
 	if err != nil || len(text) != revisionSize {
 		return nil, -1, err
--- a/internal/logstore/documents_test.go
+++ b/internal/logstore/documents_test.go
@@ -88,3 +88,18 @@
 	is.Equal(revision, int64(3))
 	is.Equal(len(values), 1)
 }
+
+// A database that was closed, as by a node that stops while it starts, answers with
+// errors and takes nothing: no goroutine that still reads ends the process.
+func TestClosedDatabase(t *testing.T) {
+	is := is.New(t)
+	db, err := Open(t.TempDir(), Limits{Disk: 100 << 20})
+	is.NoErr(err)
+	is.True(db.Fits(10))
+	is.NoErr(db.Close())
+	_, revision, err := db.LoadDocuments()
+	is.True(err != nil)
+	is.Equal(revision, int64(-1))
+	is.True(db.SaveDocuments(false, nil, nil, 1) != nil)
+	is.True(!db.Fits(10))
+}
--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -7,6 +7,7 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -233,6 +234,8 @@
 		s.mutex.Unlock()
 		switch {
 		case fault.Silent:
+			// The end of a connection is noticed only once its request has been read.
+			_, _ = io.Copy(io.Discard, request.Body)
 			<-request.Context().Done()
 			return
 		case fault.Busy:
--- /dev/null
+++ b/lab/standin/store_test.go
@@ -0,0 +1,31 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// A silent store lets go of a call whose caller leaves, so that it can be closed;
+// also of one that brought a body.
+func TestSilentStoreCloses(t *testing.T) {
+	is := is.New(t)
+	store := NewStore()
+	store.SetFault(StoreFault{Silent: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+store.Address()+"/-/kv-txn", strings.NewReader("{}"))
+	is.NoErr(err)
+	done := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(request) //nolint:bodyclose // there is never an answer
+		done <- err
+	}()
+	for store.Calls("txn") == 0 {
+	}
+	cancel()
+	is.True(<-done != nil)
+	store.Close()
+}
