--- a/lab/platformday/crashing_test.go
+++ b/lab/platformday/crashing_test.go
@@ -101,6 +101,7 @@
 		d.sendAgain(t, phase.name+" again", phase.target, bodyOf(phase.name), 4)
 	}
 	for _, phase := range []string{"repeatable", "once", "item"} {
+		t.Logf("%s: %d runners ended", phase, d.ledger.Crashes(bodyOf(phase)))
 		if count := d.ledger.Crashes(bodyOf(phase)); count == 0 || count > standin.CrashesAllowed {
 			t.Errorf("%s: %d runners ended under one request, allowed are %d", phase, count, standin.CrashesAllowed)
 		}
