--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -30,8 +30,10 @@
 func TestHeldAfterEnoughRunners(t *testing.T) {
 	is := is.New(t)
 	table := NewTable()
-	for range 5 { // one runner counts once, however often it is told
-		is.True(table.Ended(1, "r0", true, start).Hold == nil)
+	for told := range 5 { // one runner counts once, however often it is told, and is told on once
+		verdict := table.Ended(1, "r0", true, start)
+		is.True(verdict.Hold == nil)
+		is.Equal(verdict.Fresh, told == 0)
 	}
 	for number := 1; number < EndingsToHold-1; number++ {
 		is.True(table.Ended(1, fmt.Sprint("r", number), true, start).Hold == nil)
