--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -157,8 +157,8 @@
 // disturb plays series until the context ends.
 func (s *soak) disturb(ctx context.Context, random *rand.Rand) {
 	series := []func(ctx context.Context, random *rand.Rand){
-		s.stopEdges, s.stopEdges, s.hangUp, s.stopInARow, s.killWhileStopping, s.freeze, s.stopStorage, s.killStorageTwice, s.wipe,
-		s.changeConfig, s.changeConfig, s.troubleStore, s.crashRunners, s.drainRunners,
+		s.stopEdges, s.stopEdges, s.hangUp, s.hangUp, s.stopInARow, s.killWhileStopping, s.freeze, s.stopStorage, s.killStorageTwice, s.wipe,
+		s.changeConfig, s.changeConfig, s.troubleStore, s.crashRunners, s.drainRunners, s.loseAnswers,
 	}
 	for ctx.Err() == nil {
 		series[random.IntN(len(series))](ctx, random)
@@ -258,10 +258,19 @@
 		}
 		if random.IntN(2) == 0 {
 			s.stop(p)
+			return
+		}
+		// Nobody else asks the node to stop meanwhile: if it stopped, it would be by itself.
+		select {
+		case <-ctx.Done():
+		case <-time.After(stopsWithin):
 		}
 	})
 }
 
+// stopsWithin is longer than a node takes to stop that has nothing to do.
+const stopsWithin = 4 * time.Second
+
 // stopInARow asks a node to stop several times, with SIGHUP between.
 func (s *soak) stopInARow(ctx context.Context, random *rand.Rand) {
 	s.with("edge", random, func(p *process) {
@@ -356,6 +365,24 @@
 	}
 }
 
+// lostShare of its answers are lost by a runner that has run the requests.
+const lostShare = 0.3
+
+// loseAnswers makes some runners lose answers for a while.
+func (s *soak) loseAnswers(ctx context.Context, random *rand.Rand) {
+	s.mutex.Lock()
+	chosen := []*standin.Runner{s.runners[random.IntN(len(s.runners))], s.runners[len(s.runners)-1]}
+	s.mutex.Unlock()
+	for _, runner := range chosen {
+		s.say("runner %s loses answers", runner.ID)
+		runner.SetFault(standin.RunnerFault{LoseAnswer: lostShare})
+	}
+	wait(ctx, random, 3*time.Second)
+	for _, runner := range chosen {
+		runner.SetFault(standin.RunnerFault{})
+	}
+}
+
 // drainTime is how long a runner serves on after it has said that it leaves.
 const drainTime = 3 * time.Second
 
