--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -72,8 +72,9 @@
 
 // Table is what one node knows. It is safe for concurrent use.
 //
-// Invariants: a hold is replaced only by one that was decided later; a runner's end
-// counts against no request once another one was held for it.
+// Invariants: a hold is replaced only by one that was decided later; once a request
+// is held, the ends that it is held for count against no other but one that was at
+// about as many of these runners (mayBeCause).
 type Table struct {
 	mutex    sync.Mutex
 	suspects map[Fingerprint]*suspect
