--- a/lab/platformday/platformday.go
+++ b/lab/platformday/platformday.go
@@ -168,14 +168,19 @@
 	return fmt.Sprintf("127.%d.%d.%d", 64+d.net/256, d.net%256, 1+number)
 }
 
-// freePort finds a port that is free now at an address.
-func freePort(address string) (int, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(address, "0"))
-	if err != nil {
-		return 0, err
+// freePorts finds ports that are free now at an address, each another one: all are
+// taken before any is let go.
+func freePorts(address string, count int) ([]int, error) {
+	var ports []int
+	for range count {
+		listener, err := net.Listen("tcp", net.JoinHostPort(address, "0"))
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().(*net.TCPAddr).Port, nil
+	return ports, nil
 }
 
 func (d *Day) startNodes() error {
@@ -202,13 +207,9 @@
 // prepare writes a node's settings.
 func (d *Day) prepare(role string, number int, seeds *[]string) (*process, error) {
 	own := d.addressOf(number)
-	ports := make([]int, 5)
-	for i := range ports {
-		port, err := freePort(own)
-		if err != nil {
-			return nil, err
-		}
-		ports[i] = port
+	ports, err := freePorts(own, 5)
+	if err != nil {
+		return nil, err
 	}
 	name := fmt.Sprintf("%s-%d", role, number)
 	p := &process{name: name, role: role, settings: filepath.Join(d.Folder, name+".yaml")}
