--- a/internal/configuration/settings/role.go
+++ b/internal/configuration/settings/role.go
@@ -54,6 +54,22 @@
 	// Bounds holds the time limits and tolerances that the deployment guarantees
 	// to callers and operators.
 	Bounds RoleBounds `yaml:"bounds"`
+	// Routing switches optional ways of cooperation between nodes on.
+	Routing RoleRouting `yaml:"routing"`
+}
+
+// RoleRouting switches optional ways of cooperation between nodes on. All are off by
+// default.
+type RoleRouting struct {
+	// ForwardThroughPeers makes a node call a storage node through a peer while it has
+	// no direct connection to the storage node.
+	ForwardThroughPeers bool `yaml:"forward_through_peers"`
+	// BalanceZones makes an edge send requests to the runners of another zone while the
+	// runners of its own zone have no room.
+	BalanceZones bool `yaml:"balance_zones"`
+	// FairTenantShares makes an edge refuse requests of tenants with more than their fair
+	// share of the slots first, while a service is full.
+	FairTenantShares bool `yaml:"fair_tenant_shares"`
 }
 
 // RoleListen gives a node's listening addresses, each as IP:port.
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -47,8 +47,14 @@
 	MaySend func() bool
 }
 
-// Load is a runner's report of its running and waiting requests.
-type Load struct{ Running, Waiting int }
+// Load is a runner's report of its load.
+type Load struct {
+	// Running and Waiting are the numbers of requests at the runner.
+	Running, Waiting int
+	// Contention is how long work takes at the runner at the moment, relative to the usual
+	// time: 1 is as usual, 2 is twice as long. It is 0 if the runner does not report it.
+	Contention float64
+}
 
 // Response is the response to a call. The receiver must close Body.
 type Response struct {
--- a/internal/serving/runnerset/record.go
+++ b/internal/serving/runnerset/record.go
@@ -18,6 +18,9 @@
 	// ColdUntil is when the runner reaches full speed; a time in the past if it already
 	// has.
 	ColdUntil time.Time
+	// StartedAt is when the runner's process started, in Unix milliseconds by its own
+	// clock; 0 if not stated. It distinguishes the starts of a runner that keeps its ID.
+	StartedAt int64
 }
 
 // sameRunner reports whether two records with the same ID differ only in fields that may
