--- a/internal/app/role/role.go
+++ b/internal/app/role/role.go
@@ -31,8 +31,9 @@
 )
 
 const (
-	// memoryLimitFraction is the fraction of the machine's memory that is the Go runtime's
-	// memory limit. The rest is for sockets and for files that the database maps.
+	// memoryLimitFraction is the part of the machine's memory that the Go runtime may use
+	// before it collects garbage more often. Socket buffers and the files that the database
+	// maps use the rest.
 	memoryLimitFraction = 0.35
 	// exitReserve is the part of the stop time that remains for ending the process after the
 	// modules are drained.
--- a/internal/batch/queuestore/replicas.go
+++ b/internal/batch/queuestore/replicas.go
@@ -9,7 +9,8 @@
 // sendReplica sends a message to another replica. It drops the message if the disk of the
 // other replica is unknown, and messages may also be lost on the way. All messages use the
 // same connection class, so that a heartbeat does not overtake earlier entries.
-// Acknowledgments of entries also report the free space of this node's disk.
+// Acknowledgments of entries also report the free space of this node's disk, plus one, since
+// 0 stands for unknown in the message.
 func (n *StorageNode) sendReplica(message *wirev1.ReplicaMessage) {
 	record, known := n.Directory.Disk(message.To)
 	if !known {
--- a/internal/transport/tlskeys/tlskeys.go
+++ b/internal/transport/tlskeys/tlskeys.go
@@ -18,7 +18,7 @@
 
 // Pair is a certificate and its private key, which are reloaded when their files change.
 // If a file is missing or the changed files cannot be loaded, the previous pair stays in
-// use. Only a failed load is logged.
+// use. Each reload and each failed reload is logged.
 type Pair struct {
 	certificate, key string
 
--- a/lab/standin/jobs.go
+++ b/lab/standin/jobs.go
@@ -12,16 +12,19 @@
 	"time"
 )
 
-// Job is a batch job, as its client sees it.
+// Job is a batch job that a BatchClient has submitted.
 type Job struct {
-	ID    string
+	ID string
+	// Items holds the IDs of the items in the order of submission.
 	Items []string
 	// Results holds the results that were read, by position.
-	Results  []itemResult
+	Results []itemResult
+	// Accepted is set once a node has accepted the job.
 	Accepted bool
-	Ended    bool
 }
 
+// itemResult is the result of an item: state is "completed" or "dead_lettered", and text is
+// the data of all events, joined by line feeds.
 type itemResult struct{ id, state, text string }
 
 // BatchClient submits jobs, reads them from any node, and verifies that the position
@@ -108,14 +111,14 @@
 func (b *BatchClient) Read(ctx context.Context, job *Job, since int) {
 	status, text := b.call(ctx, http.MethodGet, fmt.Sprintf("/-/lots/%s?since_rev=%d", job.ID, since), "", nil)
 	if status == http.StatusNotFound {
-		b.Tally.RecordViolation("job %s: 404 after it was taken", job.ID)
+		b.Tally.RecordViolation("job %s: 404 after it was accepted", job.ID)
 	}
 	if status != http.StatusOK {
 		return
 	}
 	var results wireResults
 	if json.Unmarshal(text, &results) != nil || results.Total != len(job.Items) || results.Next != since+len(results.Results) {
-		b.Tally.RecordViolation("job %s: an answer that does not add up: %s", job.ID, text)
+		b.Tally.RecordViolation("job %s: inconsistent numbers in the response: %s", job.ID, text)
 		return
 	}
 	for i, item := range results.Results {
@@ -127,13 +130,13 @@
 func (b *BatchClient) recordResult(job *Job, position int, result itemResult) {
 	if position < len(job.Results) {
 		if job.Results[position] != result {
-			b.Tally.RecordViolation("job %s position %d: %v was %v", job.ID, position, result, job.Results[position])
+			b.Tally.RecordViolation("job %s: the result at position %d changed to %v from %v", job.ID, position, result, job.Results[position])
 		}
 		return
 	}
 	for _, previous := range job.Results {
 		if previous.id == result.id {
-			b.Tally.RecordViolation("job %s: item %s stands twice", job.ID, result.id)
+			b.Tally.RecordViolation("job %s: two results for item %s", job.ID, result.id)
 		}
 	}
 	var texts []string
@@ -141,7 +144,7 @@
 		texts = append(texts, EventData(result.id, number))
 	}
 	if result.state == "completed" && result.text != strings.Join(texts, "\n") {
-		b.Tally.RecordViolation("job %s item %s: the text is not its whole output: %q", job.ID, result.id, result.text)
+		b.Tally.RecordViolation("job %s: the completed item %s lacks a part of its output: %q", job.ID, result.id, result.text)
 	}
 	job.Results = append(job.Results, result)
 	b.Tally.increment(&b.Tally.ItemsDone)
