Lab: runners of unequal speed that report a contention that varies

Cause: the runners of the new deployments differ in speed and report, as the fourth figure of the load header, how long work takes there at present. The lab's runner had one speed and three figures.

--- a/lab/cli/platformday.go
+++ b/lab/cli/platformday.go
@@ -19,6 +19,7 @@
 	Seed      uint64        `long:"seed" default:"1" description:"draws requests and the order of the faults"`
 	Length    time.Duration `long:"length" default:"20s" description:"how long callers send"`
 	PerSecond int           `long:"per-second" default:"40" description:"requests a second of each kind"`
+	Unequal   bool          `long:"unequal-runners" description:"runners that differ in speed and report a contention that varies"`
 }
 
 // Execute implements flags.Commander.
@@ -28,7 +29,8 @@
 		return err
 	}
 	tally, err := platformday.Run(context.Background(), platformday.Options{
-		Program: program, Folder: folder, Seed: c.Seed, Length: c.Length, PerSecond: c.PerSecond, Progress: os.Stdout,
+		Program: program, Folder: folder, Seed: c.Seed, Length: c.Length, PerSecond: c.PerSecond, UnequalRunners: c.Unequal,
+		Progress: os.Stdout,
 	})
 	if err != nil {
 		return err
--- a/lab/platformday/day.go
+++ b/lab/platformday/day.go
@@ -39,6 +39,9 @@
 	// Crashes reports whether a request with the body crashes each runner that runs it;
 	// nil stands for no crashes. A new runner replaces a crashed one after a delay.
 	Crashes func(body []byte) bool
+	// UnequalRunners makes the runners differ in speed and report a contention that
+	// varies.
+	UnequalRunners bool
 }
 
 // Day is a running deployment with its emulated store and runners.
--- a/lab/platformday/runners.go
+++ b/lab/platformday/runners.go
@@ -7,12 +7,29 @@
 	"cobaltramp.example/cobaltramp/lab/standin"
 )
 
+// These describe unequal runners: unequalSpeeds different speeds with slowness in steps of
+// slownessStep, and contention in a fraction of the time.
+const (
+	unequalSpeeds     = 4
+	slownessStep      = 0.45
+	contendedFraction = 0.15
+	contentionLength  = 600 * time.Millisecond
+	contentionFactor  = 2.5
+)
+
 func (d *Day) startRunner(number, generation int) error {
-	runner, err := standin.StartRunner(standin.RunnerOptions{
+	options := standin.RunnerOptions{
 		ID: fmt.Sprintf("r%d-%d", number, generation), Service: "s", Zone: fmt.Sprintf("z%d", number%zoneCount), Address: "127.0.0.1:0",
 		Slots: 8, QueueLimit: 32, EventInterval: 15 * time.Millisecond, Store: d.store, Ledger: d.ledger,
 		Crashes: d.Crashes, OnCrash: func(crashed *standin.Runner) { d.replaceRunner(crashed, number, generation) },
-	})
+	}
+	if d.UnequalRunners {
+		options.Slowness = 1 + float64(number%unequalSpeeds)*slownessStep
+		options.Contention = standin.ContentionBursts{
+			Seed: d.Seed, ID: options.ID, Fraction: contendedFraction, Length: contentionLength, Factor: contentionFactor,
+		}.At
+	}
+	runner, err := standin.StartRunner(options)
 	if err != nil {
 		return err
 	}
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -22,8 +21,14 @@
 	Slots         int
 	QueueLimit    int
 	EventInterval time.Duration
-	Store         *Store
-	Ledger        *Ledger
+	// Slowness multiplies EventInterval; 0 counts as 1.
+	Slowness float64
+	// Contention returns the contention at a time after the start of the runner, which
+	// multiplies EventInterval and is reported in the load header. Without it, the header
+	// has three figures.
+	Contention func(sinceStart time.Duration) float64
+	Store      *Store
+	Ledger     *Ledger
 	// Crashes reports whether a request with the body crashes the runner at the start
 	// of its run; nil stands for no crashes. OnCrash is called once, after such a crash.
 	Crashes func(body []byte) bool
@@ -36,6 +41,7 @@
 	RunnerOptions
 	server        *http.Server
 	listener      net.Listener
+	started       time.Time
 	slots         chan struct{}
 	waiting       atomic.Int64
 	fault         atomic.Pointer[RunnerFault]
@@ -52,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{RunnerOptions: options, listener: listener, slots: make(chan struct{}, options.Slots)}
+	r := &Runner{RunnerOptions: options, listener: listener, started: time.Now(), slots: make(chan struct{}, options.Slots)}
 	r.Address = listener.Addr().String()
 	r.fault.Store(&RunnerFault{})
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: 5 * time.Second}
@@ -102,7 +108,7 @@
 func (r *Runner) serve(writer http.ResponseWriter, request *http.Request) {
 	id := request.Header.Get("Cobaltramp-Attempt-Id")
 	header := writer.Header()
-	header.Set("Cobaltramp-Instance-Load", fmt.Sprintf("%d,%d,%d", len(r.slots), r.waiting.Load(), r.Slots))
+	header.Set("Cobaltramp-Instance-Load", r.loadHeader())
 	if expected := request.Header.Get("Cobaltramp-Expect-Instance"); expected != "" && expected != r.ID {
 		header.Set("Cobaltramp-Instance-Id", r.ID)
 		header.Set("Cobaltramp-Attempt-Id", id)
--- a/lab/standin/runneranswer.go
+++ b/lab/standin/runneranswer.go
@@ -63,7 +63,7 @@
 	}
 	for number := from + 1; number <= EventCount(id); number++ {
 		select {
-		case <-time.After(r.EventInterval):
+		case <-time.After(r.eventInterval()):
 		case <-request.Context().Done():
 			return false
 		}
