runnerset: expected times include the contention that runners report

Cause: a runner whose machine is busy with other work takes a multiple of its usual time for some tenths of a second. Nodes learnt this only as slowness, after the fact, and then avoided the runner for too long. Contention multiplies the expected time to the first event (choice, refusals), batch items use contended runners last, and samples of slowness and of the latency model are divided by it. Reports that peers pass on count by their age.

--- a/internal/serving/runnerset/choice.go
+++ b/internal/serving/runnerset/choice.go
@@ -96,12 +96,14 @@
 func (r *Runner) evaluate(criteria *Criteria, now time.Time, typical float64) (Choice, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	contention := r.contention.estimate(now)
 	c := r.candidate(criteria, now)
+	c.contended = criteria.Batch != nil && contention.value >= contendedThreshold
 	if criteria.Batch != nil && !criteria.Batch.allow(&c) {
 		return Choice{}, false
 	}
 	expected := expectedFirstEvent(r.model, c.load, c.slots, r.prefixes.uncached(criteria.Prompt))
-	c.expected = time.Duration(float64(expected) * max(1, relativeSlowness(r.slowness, typical)))
+	c.expected = time.Duration(float64(expected.at(contention.value)) * max(1, relativeSlowness(r.slowness, typical)))
 	return Choice{
 		Runner: r, Load: c.load.running, Unread: c.load.unread,
 		FirstEvent: c.expected, Suspect: c.suspect(), Cost: c.cost(rand.Float64()),
--- a/internal/serving/runnerset/cost.go
+++ b/internal/serving/runnerset/cost.go
@@ -23,6 +23,9 @@
 	// nonHomeCost keeps batch items at home runners (see BatchLimits.Home) while any of
 	// them has a free slot.
 	nonHomeCost = 200 * time.Millisecond
+	// contendedCost makes batch items use a contended runner only if no other runner may
+	// get them, also if those are not home runners.
+	contendedCost = 300 * time.Millisecond
 	// unreportedCost is added for an unreported runner, which is a runner whose load
 	// other nodes do not report to this node. A slot that appears to be free may be
 	// occupied there, and then at least one preemption is necessary.
@@ -39,7 +42,7 @@
 	load  load
 	slots float64
 	// expected is the expected time to the first event, adjusted for the runner's
-	// slowness.
+	// contention and slowness.
 	expected time.Duration
 	// overdue is the result of Runner.longestOverdue: the longest wait of this node's
 	// requests whose first event is overdue; 0 if there is no such request.
@@ -49,6 +52,9 @@
 	// nonHome is set if the request is a batch item and the runner is not a home runner
 	// of this node.
 	nonHome bool
+	// contended is set if the request is a batch item and the runner's contention is at
+	// least contendedThreshold.
+	contended bool
 	// otherZone is set if the runner is in another zone than this node; bytes is the
 	// size of the request.
 	otherZone bool
@@ -73,6 +79,9 @@
 	if c.nonHome {
 		cost += nonHomeCost
 	}
+	if c.contended {
+		cost += contendedCost
+	}
 	if c.unreported {
 		cost += unreportedCost
 	}
@@ -119,10 +128,10 @@
 // the given number of uncached prompt tokens, at a runner with the given load and slots.
 // It is the sum of the engine's time to the first event, the time to preempt batch items
 // that occupy needed slots, and the wait for other requests that have to end first.
-func expectedFirstEvent(model *enginemodel.EngineModel, current load, slots float64, uncached int) time.Duration {
+func expectedFirstEvent(model *enginemodel.EngineModel, current load, slots float64, uncached int) firstEventTime {
 	expected := model.ExpectedFirstEvent(enginemodel.EngineLoad{Tokens: current.unread + float64(uncached), Running: current.running})
 	preempted, ahead := slotsToFree(current, slots)
-	return expected + time.Duration(preempted*float64(preemptionTime)) + model.ExpectedWait(ahead)
+	return firstEventTime{work: expected + model.ExpectedWait(ahead), preemption: time.Duration(preempted * float64(preemptionTime))}
 }
 
 // slotsToFree returns how many batch items have to be preempted until one more request
--- a/internal/serving/runnerset/inflight.go
+++ b/internal/serving/runnerset/inflight.go
@@ -18,7 +18,9 @@
 	unread int
 	// expected is the time to the first event that was expected when the request was
 	// sent, without regard to the runner's slowness.
-	expected time.Duration
+	expected firstEventTime
+	// contention is the one that was assumed when the request was sent.
+	contention contentionEstimate
 	// load is the estimated load of the runner when the request was sent.
 	load enginemodel.EngineLoad
 	// queued is set if the requests at the runner, including batch items, were estimated
@@ -42,7 +44,7 @@
 		set: s, runner: runner, unread: unread, sent: now, batch: batch,
 		expected: expectedFirstEvent(runner.model, estimate, runner.slots(), unread),
 		load:     enginemodel.EngineLoad{Tokens: estimate.unread + float64(unread), Running: estimate.running},
-		queued:   estimate.running+1 > runner.slots(),
+		queued:   estimate.running+1 > runner.slots(), contention: runner.contention.estimate(now),
 	}
 	_, f.ahead = slotsToFree(estimate, runner.slots())
 	runner.own.Running++
@@ -69,32 +71,49 @@
 // free, or the wait if other requests had to end first.
 func (f *InFlight) RecordFirstEvent(now time.Time) {
 	f.RecordEvent(now)
-	took := now.Sub(f.sent)
-	switch {
-	case !f.queued:
-		f.runner.model.ObserveFirstEvent(f.load, took)
-	case f.ahead > 0:
-		f.runner.model.ObserveWait(f.ahead, took-f.runner.model.ExpectedFirstEvent(f.load))
-	}
 	f.runner.mutex.Lock()
+	f.observeFirstEvent(now)
 	f.firstEvent = now
 	if f.sent.After(f.runner.newestStarted) {
 		f.runner.newestStarted = f.sent
 	}
 	f.clearUnread()
 	f.runner.ejection.end()
-	f.runner.updateSlowness(float64(took) / float64(f.expected))
 	f.runner.mutex.Unlock()
 	f.set.notifyOwnLoad(f.runner, nil)
 }
 
+// observeFirstEvent adds samples to the latency model and to the runner's slowness when
+// the first event has arrived. The model gets the times at a contention of 1, and the
+// slowness excludes contention. Otherwise contention would count twice, once as learnt
+// and once as reported. The caller holds the runner's mutex.
+func (f *InFlight) observeFirstEvent(now time.Time) {
+	applied := contentionDuring(f.contention, f.runner.contention.estimate(now))
+	usual := time.Duration(float64(now.Sub(f.sent)) / applied)
+	switch {
+	case !f.queued:
+		f.runner.model.ObserveFirstEvent(f.load, usual)
+	case f.ahead > 0:
+		f.runner.model.ObserveWait(f.ahead, usual-f.runner.model.ExpectedFirstEvent(f.load))
+	}
+	f.runner.updateSlowness(f.slownessSample(now))
+}
+
+// slownessSample returns the time since the request was sent, divided by the time that was
+// expected to its first event, at the contention that applied. The caller holds the
+// runner's mutex.
+func (f *InFlight) slownessSample(now time.Time) float64 {
+	applied := contentionDuring(f.contention, f.runner.contention.estimate(now))
+	return float64(now.Sub(f.sent)) / float64(f.expected.at(applied))
+}
+
 // RecordDelay records that the request has waited until now without a first event. The
 // wait becomes a sample of the runner's slowness if it is longer than the slowness
 // suggests.
 func (f *InFlight) RecordDelay(now time.Time) {
 	f.runner.mutex.Lock()
 	defer f.runner.mutex.Unlock()
-	if sample := float64(now.Sub(f.sent)) / float64(f.expected); sample > f.runner.slowness {
+	if sample := f.slownessSample(now); sample > f.runner.slowness {
 		f.runner.updateSlowness(sample)
 	}
 }
@@ -107,11 +126,12 @@
 	f.once.Do(func() {
 		now := time.Now()
 		f.runner.mutex.Lock()
-		if f.runner.waiting[f] && f.stalled() && firstEventFailed(now.Sub(f.sent), f.expected) {
+		if f.runner.waiting[f] && f.stalled() && firstEventFailed(now.Sub(f.sent), f.expectedWhenSent()) {
 			f.runner.ejection.fail(now)
 		}
 		if !f.firstEvent.IsZero() && !f.batch { // the wait for a slot is not part of the hold time
-			f.runner.model.ObserveHold(now.Sub(f.firstEvent) + f.runner.model.ExpectedFirstEvent(f.load))
+			held := float64(now.Sub(f.firstEvent)) / f.runner.contention.longRun(now)
+			f.runner.model.ObserveHold(time.Duration(held) + f.runner.model.ExpectedFirstEvent(f.load))
 		}
 		f.clearUnread()
 		f.runner.own.Running--
@@ -131,6 +151,10 @@
 	delete(f.runner.waiting, f)
 }
 
+// expectedWhenSent returns the expected time to the first event, at the contention that
+// was assumed when the request was sent.
+func (f *InFlight) expectedWhenSent() time.Duration { return f.expected.at(f.contention.value) }
+
 // stalled calls the function stalled for this request. The caller holds the runner's
 // mutex.
 func (f *InFlight) stalled() bool {
--- a/internal/serving/runnerset/load.go
+++ b/internal/serving/runnerset/load.go
@@ -19,6 +19,8 @@
 	// SharedParts are the leading parts of the prompt that the node has just sent; nil
 	// if the report has another cause.
 	SharedParts []PromptPart
+	// Contention is the newest contention that the runner reported to the other node.
+	Contention ContentionReport
 }
 
 type peerLoad struct {
--- a/internal/serving/runnerset/runner.go
+++ b/internal/serving/runnerset/runner.go
@@ -1,6 +1,7 @@
 package runnerset
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,7 +45,8 @@
 	newestStarted time.Time
 	// slowness is the moving average of the actual time to the first event, divided by
 	// the expected time; 0 before the first sample.
-	slowness float64
+	slowness   float64
+	contention contentionState
 }
 
 const (
@@ -101,7 +103,7 @@
 }
 
 // RecordLoad records the load that the runner reported in a response, without this node's
-// requests; nil is ignored.
+// requests, and its contention if it reported any; nil is ignored.
 func (r *Runner) RecordLoad(reported *exchange.Load, now time.Time) {
 	if reported == nil {
 		return
@@ -110,6 +112,9 @@
 	defer r.mutex.Unlock()
 	r.report = runnerReport{max(0, float64(reported.Running+reported.Waiting)-float64(r.own.Running)), now}
 	r.zoneUtilization.observe(r.report.otherRequests/r.slots(), now)
+	if reported.Contention > 0 {
+		r.contention.recordReceived(reported.Contention, now)
+	}
 }
 
 // recordPeerReport records the report of another node, peer, of its load at the runner.
@@ -121,6 +126,9 @@
 		r.peers = map[string]peerLoad{}
 	}
 	r.prefixes.touch(report.SharedParts, now)
+	if report.Contention.Value > 0 {
+		r.contention.record(report.Contention.Value, now.Add(-max(0, report.Contention.Age)))
+	}
 	if report.Running == 0 && report.Unread == 0 {
 		delete(r.peers, peer) // each choice iterates over all entries
 		return
@@ -154,7 +162,7 @@
 	longest := time.Duration(0)
 	for request := range r.waiting {
 		waited := now.Sub(request.sent)
-		if firstEventOverdue(waited, request.expected) && request.stalled() {
+		if firstEventOverdue(waited, request.expectedWhenSent()) && request.stalled() {
 			longest = max(longest, waited)
 		}
 	}
@@ -184,17 +192,23 @@
 	// report has expired.
 	Reported  float64
 	ReportAge time.Duration
+	// Contention is the contention that was assumed for the runner, and ContentionAge is
+	// the age of the newest report of it; both are 0 if the runner reports none.
+	Contention    float64
+	ContentionAge time.Duration
 	// ReceivesReports is set if other nodes report their load at the runner to this
 	// node.
 	ReceivesReports bool
 }
 
-// LogFields returns the keys and values for a log line, with numbers as integers. The key
-// "told" stands for Reported, "toldMs" for ReportAge, and "heard" for ReceivesReports.
+// LogFields returns the keys and values for a log line, with numbers as integers and the
+// contention in percent. The key "told" stands for Reported, "toldMs" for ReportAge, and
+// "heard" for ReceivesReports.
 func (s *LoadSources) LogFields() []any {
 	return []any{
 		"own", int(s.Own), "peers", int(s.Peers), "peersMs", s.OldestPeer.Milliseconds(),
 		"told", int(s.Reported), "toldMs", s.ReportAge.Milliseconds(), "heard", s.ReceivesReports,
+		"contention", int(math.Round(100 * s.Contention)), "contentionMs", s.ContentionAge.Milliseconds(),
 	}
 }
 
@@ -213,6 +227,9 @@
 	if age := now.Sub(r.report.at); age < runnerReportLifetime {
 		sources.Reported, sources.ReportAge = r.report.otherRequests, age
 	}
+	if contention := r.contention.estimate(now); contention.reported {
+		sources.Contention, sources.ContentionAge = contention.value, r.contention.age(now)
+	}
 	return sources
 }
 
