loadshare: reports of requests include the runner's contention with its age

Cause: a node sees the contention of a runner only in its own responses, a few a second. No additional notices are sent. What a peer reported is not passed on, so that no report gains lifetime by the transfer.

--- a/internal/serving/loadshare/loadshare.go
+++ b/internal/serving/loadshare/loadshare.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -100,7 +101,7 @@
 func (r *Reporter) reportChange(runner *runnerset.Runner, shared []runnerset.PromptPart) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	report := encodeUse(runner)
+	report := encodeUse(runner, time.Now())
 	for _, part := range shared { // edges only: storage nodes schedule items by other parts
 		report.Prompt = append(report.Prompt, &wirev1.PromptPart{Id: part.ID, Tokens: uint32(part.Tokens)})
 	}
@@ -118,15 +119,31 @@
 	r.batcher.Trigger()
 }
 
-// encodeUse encodes this node's current use of a runner.
-func encodeUse(runner *runnerset.Runner) *wirev1.RunnerUse {
-	use := runner.OwnLoad()
+// encodeUse encodes this node's current use of a runner, and the contention that the runner
+// has reported to this node.
+func encodeUse(runner *runnerset.Runner, now time.Time) *wirev1.RunnerUse {
+	use, contention := runner.OwnLoad(), runner.OwnContention(now)
 	return &wirev1.RunnerUse{
 		Runner: runner.ID, Running: uint32(max(0, use.Running)), Batch: uint32(max(0, use.Batch)),
-		UnreadTokens: uint32(max(0, use.Unread)),
+		UnreadTokens:      uint32(max(0, use.Unread)),
+		ContentionPercent: uint32(math.Round(100 * contention.Value)), ContentionAgeMs: uint32(contention.Age.Milliseconds()),
 	}
 }
 
+// decodeUse decodes a peer's report of its use of a runner.
+func decodeUse(use *wirev1.RunnerUse) runnerset.PeerReport {
+	report := runnerset.PeerReport{
+		NodeLoad: runnerset.NodeLoad{Running: int(use.Running), Batch: int(use.Batch), Unread: int(use.UnreadTokens)},
+		Contention: runnerset.ContentionReport{
+			Value: float64(use.ContentionPercent) / 100, Age: time.Duration(use.ContentionAgeMs) * time.Millisecond,
+		},
+	}
+	for _, part := range use.Prompt {
+		report.SharedParts = append(report.SharedParts, runnerset.PromptPart{ID: part.Id, Tokens: int(part.Tokens)})
+	}
+	return report
+}
+
 func (r *Reporter) send(kind string, addresses []string, uses *wirev1.RunnerUses) {
 	if len(addresses) == 0 {
 		return
@@ -155,9 +172,9 @@
 func (r *Reporter) flush() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	byAddress := batch{}
+	now, byAddress := time.Now(), batch{}
 	for runner := range r.pending {
-		byAddress.add(r.audiences.addresses(r.audiences.of(runner).storage), encodeUse(runner))
+		byAddress.add(r.audiences.addresses(r.audiences.of(runner).storage), encodeUse(runner, now))
 	}
 	clear(r.pending)
 	r.sendBatch("disks", byAddress)
@@ -172,7 +189,7 @@
 		if now.Sub(at) < repeatInterval {
 			continue
 		}
-		use, receivers := encodeUse(runner), r.audiences.of(runner)
+		use, receivers := encodeUse(runner, now), r.audiences.of(runner)
 		byAddress.add(r.audiences.addresses(receivers.edges), use)
 		byAddress.add(r.audiences.addresses(receivers.storage), use)
 	}
@@ -229,11 +246,6 @@
 	r.recordIncarnation(from, uses.Incarnation)
 	now := time.Now()
 	for _, use := range uses.Uses {
-		var shared []runnerset.PromptPart
-		for _, part := range use.Prompt {
-			shared = append(shared, runnerset.PromptPart{ID: part.Id, Tokens: int(part.Tokens)})
-		}
-		load := runnerset.NodeLoad{Running: int(use.Running), Batch: int(use.Batch), Unread: int(use.UnreadTokens)}
-		r.runners.RecordPeerReport(from, use.Runner, runnerset.PeerReport{NodeLoad: load, SharedParts: shared}, now)
+		r.runners.RecordPeerReport(from, use.Runner, decodeUse(use), now)
 	}
 }
