--- a/internal/serving/runnerset/contention.go
+++ b/internal/serving/runnerset/contention.go
@@ -143,7 +143,8 @@
 type firstEventTime struct {
 	// work is the time at the usual speed of the service's runners; contention multiplies
 	// it. This includes the wait for other requests to end, and the network, of which the
-	// time is assumed to be small.
+	// time is assumed to be small. The contention is assumed to last until the first
+	// event, which overestimates long waits.
 	work time.Duration
 	// preemption is the time to preempt batch items, which is mostly messages between
 	// nodes; contention does not change it.
--- a/internal/serving/runnerset/contention_test.go
+++ b/internal/serving/runnerset/contention_test.go
@@ -80,6 +80,19 @@
 	is.True(reported)
 }
 
+// The contention during a request is that of the more recent reports, and only the part of
+// the expected time that is work grows with it.
+func TestContentionDuringRequest(t *testing.T) {
+	is := is.New(t)
+	average, fresh := contentionEstimate{value: 1.2}, contentionEstimate{value: 2.5, weight: 1}
+	is.Equal(contentionDuring(average, fresh), 2.5)
+	is.Equal(contentionDuring(fresh, average), 2.5)
+	is.Equal(contentionDuring(average, average), 1.2)
+	is.Equal(contentionDuring(fresh, contentionEstimate{value: 1, weight: 1}), 1.75)
+	expected := firstEventTime{work: 100 * time.Millisecond, preemption: preemptionTime}
+	is.Equal(expected.at(2), 200*time.Millisecond+preemptionTime)
+}
+
 // The average is over time: many reports during a short contention, and the same report
 // from many peers, count no more than few do.
 func TestContentionAverageIsOverTime(t *testing.T) {
