runnerset: a test shows that the latency model learns times without contention

Cause: deliberate breaks of the two divisions by the contention left all tests green. Change: a test of the time to the first event and of the hold time.

--- a/internal/serving/runnerset/contention_test.go
+++ b/internal/serving/runnerset/contention_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"cobaltramp.example/cobaltramp/internal/serving/enginemodel"
 	"cobaltramp.example/cobaltramp/internal/serving/exchange"
 )
 
@@ -144,7 +145,7 @@
 }
 
 // A runner that is often contended, and one of the same speed that never is, get the same
-// slowness; the latency model learns the times without contention.
+// slowness.
 func TestContentionIsNotLearntAsSlowness(t *testing.T) {
 	is := is.New(t)
 	random := rand.New(rand.NewPCG(1, 2))
@@ -185,6 +186,22 @@
 	is.True(near(sums["slow"]/sums["calm"], 2, 0.2))
 	average := s.byID["contended"].contention.average
 	is.True(average > 1.4 && average < 2.1) // contended half of the time
-	learnt := s.byID["calm"].model.ExpectedFirstEvent(s.Begin(s.byID["calm"], prompt, true, now).load)
-	is.True(learnt > usual && learnt < 2*usual) // between the two speeds, near their mean of 4/3
+}
+
+// The latency model learns the times without contention: the time to the first event from
+// the contention at that time, and the hold time from the average.
+func TestModelLearnsTimesWithoutContention(t *testing.T) {
+	is := is.New(t)
+	const usual, hold = 50 * time.Millisecond, time.Second
+	s := setOf(record("a", "z"))
+	a, prompt := s.byID["a"], Prompt{Tokens: 100}
+	for range 500 {
+		a.contention = contentionState{average: 2, newest: contentionSample{value: 3, at: time.Now()}}
+		inFlight := s.Begin(a, prompt, false, a.contention.newest.at)
+		inFlight.RecordFirstEvent(inFlight.sent.Add(3 * usual))
+		inFlight.firstEvent = time.Now().Add(-2 * hold)
+		inFlight.End()
+	}
+	is.True(near(float64(a.model.ExpectedFirstEvent(enginemodel.EngineLoad{Tokens: 100})), float64(usual), float64(usual)/2))
+	is.True(near(float64(a.model.ExpectedWait(1)), float64(hold+usual), float64(hold)/10))
 }
