Calls to storage nodes are forwarded through peers while there is no direct path

Change: package forwarding with the caller, the forwarder and forwarded notices; queueclient calls through an interface; nodes exchange the storage nodes that they reach; the modules connect these parts if routing.forward_through_peers is true. loadshare sends equal notices of a batch once for all their receivers.

--- a/internal/batch/queueclient/queueclient.go
+++ b/internal/batch/queueclient/queueclient.go
@@ -4,7 +4,8 @@
 //
 // The client remembers the last known leader of each shard and the nodes that were
 // recently unresponsive. The members of a shard come from queuestore's layout and their
-// addresses from package peers; package rpc sends the calls.
+// addresses from package peers; package rpc sends the calls, or package forwarding, which
+// sends them through peers while there is no direct path to a member.
 package queueclient
 
 import (
@@ -22,11 +23,17 @@
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
+// CallSender calls other nodes. *rpc.Pool and *forwarding.Caller implement it.
+type CallSender interface {
+	// Call returns an error with code PeerUnreachable if the request was not sent.
+	Call(ctx context.Context, address string, class rpc.Class, method wirev1.Method, request, reply proto.Message) error
+}
+
 // ShardClient calls queue shards. It is safe for concurrent use.
 type ShardClient struct {
 	Directory *peers.Directory
 	Layouts   *queuestore.Layouts
-	Pool      *rpc.Pool
+	Sender    CallSender
 
 	mutex        sync.Mutex
 	leaders      map[uint32]string    // address of the last known leader, by shard
@@ -34,8 +41,8 @@
 }
 
 // New returns a client without any known leaders.
-func New(directory *peers.Directory, layouts *queuestore.Layouts, pool *rpc.Pool) *ShardClient {
-	return &ShardClient{Directory: directory, Layouts: layouts, Pool: pool, leaders: map[uint32]string{}, unresponsive: map[string]time.Time{}}
+func New(directory *peers.Directory, layouts *queuestore.Layouts, sender CallSender) *ShardClient {
+	return &ShardClient{Directory: directory, Layouts: layouts, Sender: sender, leaders: map[uint32]string{}, unresponsive: map[string]time.Time{}}
 }
 
 const (
@@ -220,7 +227,7 @@
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout+wait)
 	defer cancel()
 	attemptReply := reply.ProtoReflect().New().Interface()
-	err := c.Pool.Call(ctx, address, rpc.ClassOnline, method, request, attemptReply)
+	err := c.Sender.Call(ctx, address, rpc.ClassOnline, method, request, attemptReply)
 	notExecuted := result.Is(err, result.NotLeader) || result.Is(err, result.PeerUnreachable) ||
 		result.Is(err, result.StoreUnavailable) || result.Is(err, result.NotReady)
 	return callResult{address: address, reply: attemptReply, err: err, outcomeUnknown: err != nil && !notExecuted}
--- /dev/null
+++ b/internal/cluster/forwarding/call.go
@@ -0,0 +1,340 @@
+package forwarding
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/result"
+	"cobaltramp.example/cobaltramp/internal/transport/rpc"
+)
+
+// legOutcome is the outcome of a call on one path.
+type legOutcome uint8
+
+const (
+	// outcomeAnswered means that the target answered with a reply or an error.
+	outcomeAnswered legOutcome = iota
+	// outcomeNotSent means that the request was not sent to the target and will not be sent.
+	outcomeNotSent
+	// outcomeUnknown means that the target may have executed the request.
+	outcomeUnknown
+)
+
+var outcomeLabels = map[legOutcome]string{outcomeAnswered: "answered", outcomeNotSent: "not_delivered", outcomeUnknown: "unknown"}
+
+// legResult is the end of a call on one path.
+type legResult struct {
+	forwarder string // empty for the direct path
+	outcome   legOutcome
+	// forwarderUnreachable reports that nothing was sent to the forwarder.
+	forwarderUnreachable bool
+	reply                []byte
+	err                  error
+}
+
+// call is one call of a Caller. It is used by a single goroutine.
+type call struct {
+	caller  *Caller
+	target  *wirev1.NodeRecord
+	class   rpc.Class
+	method  wirev1.Method
+	payload []byte
+	// wait is how long the target may wait before it answers.
+	wait time.Duration
+
+	paths      callPaths
+	results    chan legResult
+	directSent time.Time
+	// used holds the forwarders that were used, and startedAt when those in flight started.
+	used      map[string]bool
+	startedAt map[string]time.Time
+	// stopDirect ends the call on the direct path, which otherwise ends with the context of
+	// the call. detachDirect keeps it in flight after that.
+	stopDirect   context.CancelFunc
+	detachDirect func() bool
+	lastErr      error
+}
+
+func newCall(caller *Caller, target *wirev1.NodeRecord, class rpc.Class, method wirev1.Method, payload []byte) *call {
+	return &call{
+		caller: caller, target: target, class: class, method: method, payload: payload,
+		paths: callPaths{repeatable: repeatable(method)}, results: make(chan legResult, 1+maxForwarders),
+	}
+}
+
+// run performs the call until a path answers, no path is left, or the context ends.
+func (c *call) run(ctx context.Context) ([]byte, error) {
+	ctx, cancelForwarders := context.WithCancel(ctx)
+	defer cancelForwarders()
+	now := time.Now()
+	view := c.caller.view(c.target.Address, now)
+	c.paths.directBroken, c.paths.directAllowed = view.broken, view.directAllowed
+	hedge := newHedgeTimer(c.hedgeDelay(ctx, now, view.suspect))
+	defer hedge.stop()
+	for {
+		switch c.paths.next(hedge.due) {
+		case stepDirect:
+			c.startDirect(ctx)
+			hedge.restart()
+		case stepForward:
+			if c.startForwarder(ctx) {
+				hedge.restart()
+			}
+		case stepGiveUp:
+			return nil, c.failure()
+		case stepWait:
+			select {
+			case latest := <-c.results:
+				if c.handle(latest) {
+					return c.answer(ctx, latest)
+				}
+			case <-hedge.timer.C:
+				hedge.fired(time.Now())
+			case <-ctx.Done():
+				return c.ended(ctx)
+			}
+		}
+	}
+}
+
+func (c *call) hedgeDelay(ctx context.Context, now time.Time, suspect bool) time.Duration {
+	deadline, bounded := ctx.Deadline()
+	if !bounded {
+		return c.wait + maxHedgeDelay
+	}
+	return hedgeDelay(c.method, deadline.Sub(now), c.wait, suspect)
+}
+
+// startDirect sends the call on the direct path.
+func (c *call) startDirect(ctx context.Context) {
+	c.directSent = time.Now()
+	c.caller.recordTry(c.target.Address, c.directSent)
+	var legContext context.Context
+	if deadline, bounded := ctx.Deadline(); bounded {
+		legContext, c.stopDirect = context.WithDeadline(c.caller.context, deadline)
+	} else {
+		legContext, c.stopDirect = context.WithCancel(c.caller.context)
+	}
+	stop := c.stopDirect
+	c.detachDirect = context.AfterFunc(ctx, stop)
+	c.paths.direct = legInFlight
+	started := c.caller.running.Go(func() {
+		defer stop()
+		c.results <- c.caller.callDirectly(legContext, c.target.Address, c.class, c.method, c.payload)
+	})
+	if !started {
+		stop()
+		c.results <- legResult{outcome: outcomeNotSent, err: errStopping}
+	}
+}
+
+// errStopping is returned for calls after Close.
+var errStopping = result.New(result.PeerUnreachable, "the node is stopping")
+
+// callDirectly sends a call on the direct path and records the outcome.
+func (c *Caller) callDirectly(ctx context.Context, address string, class rpc.Class, method wirev1.Method, payload []byte) legResult {
+	reply, sent, err := c.transport.CallEncoded(ctx, address, class, method, payload)
+	direct := legResult{reply: reply, err: err, outcome: outcomeUnknown}
+	switch {
+	case !sent:
+		direct.outcome = outcomeNotSent
+	case isAnswer(err):
+		direct.outcome = outcomeAnswered
+	}
+	if sent || ctx.Err() == nil {
+		c.recordDirect(address, direct.outcome == outcomeAnswered, sent, time.Now())
+	}
+	return direct
+}
+
+// isAnswer reports whether the error of a call that was sent is the node's answer.
+func isAnswer(err error) bool {
+	var refusal *result.Error
+	return err == nil || errors.As(err, &refusal)
+}
+
+// startForwarder sends the call through a forwarder. It returns false if none is usable.
+func (c *call) startForwarder(ctx context.Context) bool {
+	now := time.Now()
+	forwarder := c.caller.choose(c.target, c.used, now)
+	if forwarder == "" {
+		c.paths.noForwarder = true
+		return false
+	}
+	if c.used == nil {
+		c.used, c.startedAt = map[string]bool{}, map[string]time.Time{}
+	}
+	c.used[forwarder], c.startedAt[forwarder] = true, now
+	c.paths.forwarders++
+	c.paths.inFlight++
+	started := c.caller.running.Go(func() { c.results <- c.callThrough(ctx, forwarder) })
+	if !started {
+		c.results <- legResult{forwarder: forwarder, outcome: outcomeNotSent, err: errStopping}
+	}
+	return true
+}
+
+// callThrough sends the call through a forwarder.
+func (c *call) callThrough(ctx context.Context, forwarder string) legResult {
+	forwarded := legResult{forwarder: forwarder, outcome: outcomeUnknown}
+	request, err := proto.Marshal(&wirev1.ForwardRequest{Address: c.target.Address, Method: c.method, Class: uint32(c.class), Request: c.payload})
+	if err != nil {
+		forwarded.outcome, forwarded.err = outcomeNotSent, err
+		return forwarded
+	}
+	encoded, sent, err := c.caller.transport.CallEncoded(ctx, forwarder, c.class, wirev1.Method_METHOD_FORWARD, request)
+	if err != nil {
+		// A node that does not forward calls rejects the request before any work.
+		if !sent || result.Is(err, result.InvalidRequest) {
+			forwarded.outcome = outcomeNotSent
+		}
+		forwarded.forwarderUnreachable, forwarded.err = !sent, err
+		return forwarded
+	}
+	var reply wirev1.ForwardReply
+	if err := proto.Unmarshal(encoded, &reply); err != nil {
+		forwarded.err = err
+		return forwarded
+	}
+	forwarded.reply, forwarded.err = reply.Reply, statusError(reply.Status)
+	forwarded.outcome = outcomeAnswered
+	if !reply.Delivered {
+		forwarded.outcome = outcomeNotSent
+	}
+	return forwarded
+}
+
+func statusError(status *wirev1.Status) error {
+	if status.GetCode() == 0 {
+		return nil
+	}
+	refusal := result.New(result.Code(status.Code), "%s", status.Message)
+	return refusal.WithRetryAfter(time.Duration(status.RetryAfterMs) * time.Millisecond)
+}
+
+var directStates = map[legOutcome]legState{outcomeAnswered: legAnswered, outcomeNotSent: legNotSent, outcomeUnknown: legUnknown}
+
+// handle records the end of a path. It reports whether the target answered.
+func (c *call) handle(latest legResult) bool {
+	answered := latest.outcome == outcomeAnswered
+	if latest.err != nil && !answered {
+		c.lastErr = latest.err
+	}
+	if latest.forwarder == "" {
+		c.paths.direct = directStates[latest.outcome]
+		return answered
+	}
+	c.paths.inFlight--
+	delete(c.startedAt, latest.forwarder)
+	c.paths.forwarderUnknown = c.paths.forwarderUnknown || latest.outcome == outcomeUnknown
+	c.caller.calls.WithLabelValues(c.method.String(), outcomeLabels[latest.outcome]).Inc()
+	now := time.Now()
+	c.caller.recordForwarder(c.target.Address, latest, now)
+	if answered && c.paths.direct != legUnused {
+		c.caller.recordBypassed(c.target, latest.forwarder, c.directSent, now)
+	}
+	return answered
+}
+
+// lateAnswerTime is how long an unanswered direct call goes on after a forwarder has
+// answered. A late direct answer shows that the direct path works.
+const lateAnswerTime = time.Second
+
+// answer returns the target's answer. A refusal on one path is no proof that the request is
+// not executed on another path.
+func (c *call) answer(ctx context.Context, latest legResult) ([]byte, error) {
+	switch {
+	case c.paths.direct == legInFlight && c.detachDirect():
+		time.AfterFunc(lateAnswerTime, c.stopDirect)
+	case c.detachDirect != nil:
+		c.detachDirect() // nothing is left to end
+	}
+	if latest.forwarder != "" {
+		traceForwarder(ctx, latest.forwarder)
+	}
+	c.recordUnanswered()
+	if latest.err == nil {
+		return latest.reply, nil
+	}
+	refused := result.CodeOf(latest.err).Entry().Ran == result.RanNo
+	if refused && c.paths.unanswered() {
+		return nil, result.New(result.CommitUnknown, "refused on one path, unanswered on another: %v", latest.err)
+	}
+	return nil, latest.err
+}
+
+// recordUnanswered records the forwarders that did not answer within the hedging delay.
+func (c *call) recordUnanswered() {
+	now := time.Now()
+	for forwarder, started := range c.startedAt {
+		if now.Sub(started) >= minHedgeDelay+c.wait {
+			c.caller.recordForwarder(c.target.Address, legResult{forwarder: forwarder, outcome: outcomeUnknown}, now)
+		}
+	}
+}
+
+// failure returns the error of a call that no path has answered.
+func (c *call) failure() error {
+	if c.paths.forwarders > 0 {
+		c.caller.recordNoForwarder(c.target.Address, time.Now())
+	}
+	switch {
+	case !c.paths.outcomeUnknown():
+		return result.New(result.PeerUnreachable, "node %s was reached neither directly nor through a peer; last error: %v", c.target.Address, c.lastErr)
+	case c.paths.forwarders == 0:
+		return c.lastErr
+	default:
+		return result.New(result.CommitUnknown, "node %s did not answer, directly or through a peer; last error: %v", c.target.Address, c.lastErr)
+	}
+}
+
+// ended returns the outcome of a call whose context has ended. If only the direct path was
+// used, its end tells whether the request was sent.
+func (c *call) ended(ctx context.Context) ([]byte, error) {
+	c.recordUnanswered()
+	if c.paths.forwarders > 0 {
+		return nil, result.New(result.CommitUnknown, "node %s did not answer in time, directly or through a peer", c.target.Address)
+	}
+	latest := <-c.results
+	if c.handle(latest) {
+		return c.answer(ctx, latest)
+	}
+	return nil, latest.err
+}
+
+// recordForwarder records the outcome of a call through a forwarder.
+func (c *Caller) recordForwarder(target string, latest legResult, now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	peer := c.peer(latest.forwarder)
+	switch {
+	case latest.outcome == outcomeAnswered:
+		peer.forwardedAt[target] = now
+		delete(peer.unreachableUntil, target)
+		c.path(target).forwarded()
+	case latest.forwarderUnreachable:
+		peer.unusableUntil = now.Add(unreachableLifetime)
+	case latest.outcome == outcomeUnknown:
+		peer.unreachableUntil[target] = now.Add(unreachableLifetime)
+		delete(peer.forwardedAt, target)
+	case result.Is(latest.err, result.InvalidRequest):
+		peer.unusableUntil = now.Add(unsupportedLifetime)
+	case result.Is(latest.err, result.Saturated):
+		peer.unusableUntil = now.Add(busyLifetime)
+	default:
+		peer.unreachableUntil[target] = now.Add(unreachableLifetime)
+		delete(peer.forwardedAt, target)
+	}
+}
+
+// recordNoForwarder records that a call found no forwarder that could reach the target.
+func (c *Caller) recordNoForwarder(target string, now time.Time) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.path(target).forwardingFailed(now, rand.Float64())
+}
--- /dev/null
+++ b/internal/cluster/forwarding/decision.go
@@ -0,0 +1,220 @@
+package forwarding
+
+import (
+	"time"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+)
+
+const (
+	// minHedgeDelay and maxHedgeDelay bound the time after which an unanswered call is also
+	// sent on another path.
+	minHedgeDelay = 25 * time.Millisecond
+	maxHedgeDelay = 150 * time.Millisecond
+	// allotmentHedgeFraction and hedgeFraction are the fractions of a call's remaining time
+	// after which it is also sent on another path. Requests wait for an allotment for a
+	// small part of its call's time, and its messages are small.
+	allotmentHedgeFraction = 12
+	hedgeFraction          = 8
+	// maxForwarders is the number of forwarders that a call may use, and
+	// maxConcurrentForwarders the number that it may use at the same time.
+	maxForwarders           = 3
+	maxConcurrentForwarders = 2
+)
+
+// forwardable reports whether calls of a method may be forwarded.
+func forwardable(method wirev1.Method) bool {
+	return repeatable(method) || method == wirev1.Method_METHOD_QUEUE_SUBMIT
+}
+
+// repeatable reports whether a call of a method may be executed twice, so that it may be
+// sent on several paths.
+func repeatable(method wirev1.Method) bool {
+	switch method {
+	case wirev1.Method_METHOD_ALLOTMENT, wirev1.Method_METHOD_QUEUE_READ, wirev1.Method_METHOD_QUEUE_ITEM, wirev1.Method_METHOD_QUEUE_END:
+		return true
+	default:
+		return false
+	}
+}
+
+// hedgeDelay returns the time after which a call is also sent on another path. remaining is
+// the time until the call's deadline, wait the time that the target may wait before it
+// answers. suspect reports that the direct path to another node is broken.
+func hedgeDelay(method wirev1.Method, remaining, wait time.Duration, suspect bool) time.Duration {
+	if suspect {
+		return wait + minHedgeDelay
+	}
+	fraction := time.Duration(hedgeFraction)
+	if method == wirev1.Method_METHOD_ALLOTMENT {
+		fraction = allotmentHedgeFraction
+	}
+	return wait + min(max((remaining-wait)/fraction, minHedgeDelay), maxHedgeDelay)
+}
+
+// legState is the state of a call on the direct path.
+type legState uint8
+
+const (
+	legUnused legState = iota
+	legInFlight
+	// legNotSent means that the request was not sent and will not be sent.
+	legNotSent
+	// legUnknown means that the target may have executed the request.
+	legUnknown
+	legAnswered
+)
+
+// step is what a call does next.
+type step uint8
+
+const (
+	stepWait step = iota
+	stepDirect
+	stepForward
+	stepGiveUp
+)
+
+// callPaths is the state of one unanswered call on all its paths.
+type callPaths struct {
+	// repeatable reports that the call may be sent on several paths.
+	repeatable bool
+	// directBroken reports that the direct path was known to be broken when the call
+	// started, and directAllowed that it may be used nevertheless as a last resort.
+	directBroken, directAllowed bool
+	direct                      legState
+	// forwarders counts the forwarders used, and inFlight those that have not answered.
+	forwarders, inFlight int
+	// forwarderUnknown reports that a forwarder was lost after the call was sent to it.
+	forwarderUnknown bool
+	// noForwarder reports that there is no other usable forwarder.
+	noForwarder bool
+}
+
+// next returns what the call does next. hedgeDue reports that the hedging delay has passed
+// since the call was last sent.
+func (p *callPaths) next(hedgeDue bool) step {
+	switch {
+	case p.direct == legUnused && !p.directBroken:
+		return stepDirect
+	case p.mayForward(hedgeDue):
+		return stepForward
+	case p.waiting():
+		return stepWait
+	case p.direct == legUnused && p.directAllowed && p.repeatable:
+		return stepDirect
+	default:
+		return stepGiveUp
+	}
+}
+
+// mayForward reports whether the call may be sent through another forwarder now.
+func (p *callPaths) mayForward(hedgeDue bool) bool {
+	switch {
+	case p.noForwarder, p.forwarders >= maxForwarders, p.inFlight >= maxConcurrentForwarders:
+		return false
+	case !p.repeatable:
+		return !p.waiting() && !p.outcomeUnknown()
+	default:
+		return hedgeDue || !p.waiting()
+	}
+}
+
+// waiting reports whether a path may still answer.
+func (p *callPaths) waiting() bool { return p.direct == legInFlight || p.inFlight > 0 }
+
+// outcomeUnknown reports whether the target may have executed the request on a path that has
+// ended without an answer.
+func (p *callPaths) outcomeUnknown() bool { return p.direct == legUnknown || p.forwarderUnknown }
+
+// unanswered reports whether the target may execute the request, or may have executed it, on
+// a path without an answer.
+func (p *callPaths) unanswered() bool { return p.waiting() || p.outcomeUnknown() }
+
+const (
+	// minProbeDelay and maxProbeDelay bound the time between two tries of a broken path.
+	minProbeDelay = 500 * time.Millisecond
+	maxProbeDelay = 4 * time.Second
+	// probeJitter is the largest fraction by which the time is extended at random.
+	probeJitter = 0.25
+	// directRetryDelay is the minimum time between two tries of a broken path while no
+	// forwarder is usable.
+	directRetryDelay = 150 * time.Millisecond
+	// failureLifetime is how long a failure to reach a node counts.
+	failureLifetime = 500 * time.Millisecond
+	// minForwardPause and maxForwardPause bound the time in which calls to a node are not
+	// forwarded after no forwarder could reach it.
+	minForwardPause = 200 * time.Millisecond
+	maxForwardPause = 2 * time.Second
+)
+
+// directPath is what this node knows about its direct path to another node.
+type directPath struct {
+	broken      bool
+	brokenSince time.Time
+	// nextProbe is when the broken path is tried next, and probeDelay the current delay.
+	nextProbe  time.Time
+	probeDelay time.Duration
+	probing    bool
+	// lastTry is the time of the last call or probe, lastAnswer that of the last answer, and
+	// lastFailure that of the last request that could not be sent.
+	lastTry, lastAnswer, lastFailure time.Time
+	// pausedUntil is the time until which calls to the node are not forwarded, and pause the
+	// length of that pause.
+	pausedUntil time.Time
+	pause       time.Duration
+}
+
+// answered records a direct answer. It reports whether the path was broken until now.
+func (d *directPath) answered(now time.Time) (restored bool) {
+	restored = d.broken
+	d.broken, d.probeDelay = false, 0
+	d.lastAnswer, d.lastFailure = now, time.Time{}
+	return restored
+}
+
+// bypassed records that a forwarder answered a call that was sent on the direct path at the
+// given time without an answer. It reports whether the path becomes broken.
+func (d *directPath) bypassed(sent, now time.Time, random float64) bool {
+	if d.broken || d.lastAnswer.After(sent) {
+		return false // a direct answer has arrived meanwhile
+	}
+	d.broken, d.brokenSince = true, now
+	d.probeDelay = minProbeDelay
+	d.nextProbe = now.Add(extend(d.probeDelay, random))
+	return true
+}
+
+// startProbe reports whether the broken path has to be tried now, and records the try.
+func (d *directPath) startProbe(now time.Time) bool {
+	if !d.broken || d.probing || now.Before(d.nextProbe) {
+		return false
+	}
+	d.probing, d.lastTry = true, now
+	return true
+}
+
+// probeFailed records a try without an answer.
+func (d *directPath) probeFailed(now time.Time, random float64) {
+	d.probeDelay = min(max(2*d.probeDelay, minProbeDelay), maxProbeDelay)
+	d.nextProbe = now.Add(extend(d.probeDelay, random))
+}
+
+// unreachable reports whether the node could not be reached recently.
+func (d *directPath) unreachable(now time.Time) bool {
+	return d.broken || !d.lastFailure.IsZero() && now.Sub(d.lastFailure) < failureLifetime
+}
+
+// forwardingFailed records that no forwarder could reach the node.
+func (d *directPath) forwardingFailed(now time.Time, random float64) {
+	d.pause = min(max(2*d.pause, minForwardPause), maxForwardPause)
+	d.pausedUntil = now.Add(extend(d.pause, random))
+}
+
+// forwarded records an answer through a forwarder.
+func (d *directPath) forwarded() { d.pause, d.pausedUntil = 0, time.Time{} }
+
+// extend adds jitter to a delay; random is from 0 to 1.
+func extend(delay time.Duration, random float64) time.Duration {
+	return delay + time.Duration(probeJitter*random*float64(delay))
+}
--- a/internal/cluster/peers/sync.go
+++ b/internal/cluster/peers/sync.go
@@ -38,6 +38,8 @@
 	Seeds     []string // configured addresses to call even if the nodes there are not known
 	// Watched returns the nodes with disks to probe in a large fleet; nil means none.
 	Watched func() []*wirev1.NodeRecord
+	// Reachability exchanges the reachable nodes with disks; nil if they are not exchanged.
+	Reachability Reachability
 
 	partners partners
 	// timeout is the timeout of a call; zero means callTimeout.
@@ -99,6 +101,7 @@
 	case request.NodesDigest != s.Directory.Digest():
 		reply.PartDigests = s.Directory.PartDigests()
 	}
+	s.exchangeReachable(&request, reply)
 	s.Documents.FillReply(&request, reply)
 	return stream.Send(reply)
 }
@@ -249,6 +252,7 @@
 	ctx, cancel := context.WithTimeout(ctx, cmp.Or(s.timeout, callTimeout))
 	defer cancel()
 	request.Self, request.Large = s.Directory.Self(), s.Directory.Large()
+	s.fillReachable(request)
 	s.Documents.FillRequest(request)
 	reply := &wirev1.PeerStateReply{}
 	if err := s.Pool.Call(ctx, address, rpc.ClassControl, wirev1.Method_METHOD_PEER_STATE, request, reply); err != nil {
@@ -259,7 +263,9 @@
 		s.Directory.MarkLarge()
 	}
 	s.Directory.PutAll(reply.Nodes, address)
-	s.Directory.RecordContactAt(address, time.Now())
+	now := time.Now()
+	s.Directory.RecordContactAt(address, now)
+	s.recordReachable(address, reply.ReachableDisks, now)
 	s.Documents.ApplyReply(reply, address)
 	return reply
 }
--- a/internal/serving/loadshare/loadshare.go
+++ b/internal/serving/loadshare/loadshare.go
@@ -19,7 +19,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -191,12 +193,28 @@
 	}
 }
 
+// sendBatch sends the notices of a batch. Receivers of the same reports get one notice, so
+// that the sender encodes, or forwards, it once.
 func (r *Reporter) sendBatch(kind string, byAddress batch) {
-	for address, uses := range byAddress {
-		r.send(kind, []string{address}, uses)
+	for _, group := range byAddress.groups() {
+		r.send(kind, group, byAddress[group[0]])
 	}
 }
 
+// groups returns the addresses whose notices contain the same reports.
+func (b batch) groups() [][]string {
+	byRunners := map[string][]string{}
+	for address, uses := range b {
+		var runners strings.Builder
+		for _, use := range uses.Uses { // a batch has one report for each runner
+			runners.WriteString(use.Runner)
+			runners.WriteByte(0)
+		}
+		byRunners[runners.String()] = append(byRunners[runners.String()], address)
+	}
+	return slices.Collect(maps.Values(byRunners))
+}
+
 // PeerLost drops the reports of a peer whose connections have ended.
 func (r *Reporter) PeerLost(peer string) { r.dropReports(peer, "connections ended") }
 
--- a/internal/transport/rpc/clientlink.go
+++ b/internal/transport/rpc/clientlink.go
@@ -54,11 +54,7 @@
 	}
 }
 
-func (l *clientLink) open(ctx context.Context, method wirev1.Method, request proto.Message) (*ClientStream, error) {
-	payload, err := proto.Marshal(request)
-	if err != nil {
-		return nil, trace.Wrap(err, "encoding request")
-	}
+func (l *clientLink) open(ctx context.Context, method wirev1.Method, payload []byte) (*ClientStream, error) {
 	stream := &ClientStream{owner: l, id: l.lastID.Add(1), ready: make(chan struct{}, 1)}
 	if err := l.add(stream); err != nil {
 		return nil, err
--- a/internal/transport/rpc/clientstream.go
+++ b/internal/transport/rpc/clientstream.go
@@ -59,20 +59,11 @@
 // fails if the message or the status at the end of the stream cannot be decoded. After
 // Close, the end of the stream is not received, so Receive may wait for the context.
 func (s *ClientStream) Receive(ctx context.Context, message proto.Message) error {
-	for {
-		payload, err := s.pop()
-		if err != nil {
-			return err
-		}
-		if payload != nil {
-			return trace.Wrap(proto.Unmarshal(payload, message))
-		}
-		select {
-		case <-s.ready:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	payload, err := s.receiveEncoded(ctx)
+	if err != nil {
+		return err
 	}
+	return trace.Wrap(proto.Unmarshal(payload, message))
 }
 
 func (s *ClientStream) pop() ([]byte, error) {
--- a/internal/transport/rpc/pool.go
+++ b/internal/transport/rpc/pool.go
@@ -115,12 +115,25 @@
 // request was queued and the request was not delivered. The error has the code
 // PeerUnreachable unless the request cannot be encoded.
 func (p *Pool) Open(ctx context.Context, address string, class Class, method wirev1.Method, request proto.Message) (*ClientStream, error) {
+	payload, err := proto.Marshal(request)
+	if err != nil {
+		return nil, trace.Wrap(err, "encoding request")
+	}
+	return p.openEncoded(ctx, address, class, method, payload)
+}
+
+// openEncoded is Open for an encoded request. A request whose context ends before there is
+// a link is not sent.
+func (p *Pool) openEncoded(ctx context.Context, address string, class Class, method wirev1.Method, payload []byte) (*ClientStream, error) {
 	for {
 		l, err := p.link(ctx, address, class)
+		if err == nil {
+			err = ctx.Err()
+		}
 		if err != nil {
 			return nil, result.New(result.PeerUnreachable, "node %s: %v", address, err)
 		}
-		stream, err := l.open(ctx, method, request)
+		stream, err := l.open(ctx, method, payload)
 		if errors.Is(err, errIdleClosed) {
 			continue // the link was closed as idle after it was looked up; dial a new link
 		}
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -6,7 +6,9 @@
 //     changes of the store to other nodes;
 //   - the reporter, which exchanges reports with other nodes about the requests that each
 //     node runs at runners;
-//   - the quarantine of requests that crash runners.
+//   - the quarantine of requests that crash runners;
+//   - if the settings enable it, the caller that reaches storage nodes through peers while
+//     there is no direct path to them, and the forwarder that does so for peers.
 //
 // The platform's adapter provides the client of the store and the prober of runners. Only
 // storage nodes with a data folder keep a mirror of the store's changes for other nodes.
@@ -24,8 +26,10 @@
 	"cobaltramp.example/cobaltramp/internal/app/role"
 	"cobaltramp.example/cobaltramp/internal/app/tasks"
 	"cobaltramp.example/cobaltramp/internal/batch/queuestore"
+	"cobaltramp.example/cobaltramp/internal/cluster/forwarding"
 	"cobaltramp.example/cobaltramp/internal/cluster/informer"
 	"cobaltramp.example/cobaltramp/internal/cluster/listwatch"
+	"cobaltramp.example/cobaltramp/internal/cluster/notify"
 	"cobaltramp.example/cobaltramp/internal/cluster/peers"
 	"cobaltramp.example/cobaltramp/internal/cluster/relay"
 	"cobaltramp.example/cobaltramp/internal/cluster/subset"
@@ -59,13 +63,15 @@
 )
 
 // Module provides the informer with its store contact, catalogs, runners and queue layouts,
-// the directory of nodes, and the quarantine coordinator.
+// the directory of nodes, the quarantine coordinator, and, if the settings enable it, the
+// caller that reaches storage nodes through peers (*forwarding.Caller).
 type Module struct {
 	informer   *informer.Informer
 	syncer     *peers.Syncer
 	reporter   *loadshare.Reporter
 	quarantine *quarantine.Coordinator
 	holdWriter *quarantine.HoldWriter
+	caller     *forwarding.Caller // nil if calls are not forwarded
 	running    tasks.Group
 }
 
@@ -106,7 +112,17 @@
 	server.Handle(wirev1.Method_METHOD_FOLLOW, source.Serve)
 	m.informer.RegisterMetrics(registry, source)
 	server.Handle(wirev1.Method_METHOD_PEER_STATE, m.syncer.Serve)
-	m.reporter = loadshare.New(directory, m.informer.Runners, pool, registry)
+	var notices notify.NoticeSender = pool
+	if loaded.Routing.ForwardThroughPeers {
+		m.caller = forwarding.NewCaller(directory, pool, registry)
+		m.syncer.Reachability = m.caller
+		notices = m.caller
+		ctx.Provide(m.caller)
+	}
+	m.reporter = loadshare.New(directory, m.informer.Runners, notices, registry)
+	if m.caller != nil {
+		forwarding.NewForwarder(m.caller, m.reporter.ReceiveNotice, registry).Handle(server)
+	}
 	server.HandleNotice(wirev1.Method_METHOD_RUNNER_USE, m.reporter.ReceiveNotice)
 	server.OnPeerLost(m.reporter.PeerLost)
 	m.holdWriter = quarantine.NewHoldWriter(store)
@@ -131,4 +147,9 @@
 }
 
 // Cleanup implements kernel.Cleaner.
-func (m *Module) Cleanup() { m.running.Wait() }
+func (m *Module) Cleanup() {
+	if m.caller != nil {
+		m.caller.Close()
+	}
+	m.running.Wait()
+}
