Tests of forwarded calls; log lines and explain name the peers that forwarded a call

Change: tests of decisions, limits, notices, faults, a mix of versions and of a tenant's limit; the hedging delay follows the usual time of direct answers, so that a slow fleet does not send calls twice; package forwardtrace passes the forwarders to the lines of jobs, requests and refusals, and explain prints them.

--- a/internal/app/explain/explain.go
+++ b/internal/app/explain/explain.go
@@ -88,6 +88,8 @@
 	Decisive *Line
 	// Missing describes the lines that a complete log would contain.
 	Missing []string
+	// Forwarded describes the lines whose calls to storage nodes were forwarded by peers.
+	Forwarded []string
 }
 
 // TimelineOf builds the timeline of the request, item or job with the given id.
@@ -107,9 +109,24 @@
 	})
 	timeline.findDecisive()
 	timeline.findMissing()
+	timeline.findForwarded()
 	return timeline
 }
 
+// fieldForwardedBy is the key of the addresses of the peers that forwarded the calls for a
+// line; it is empty if the storage nodes were called directly.
+const fieldForwardedBy = "forwardedBy"
+
+// findForwarded describes the lines whose calls were forwarded.
+func (t *Timeline) findForwarded() {
+	for _, line := range t.Lines {
+		if peers := line.Fields[fieldForwardedBy]; peers != "" {
+			t.Forwarded = append(t.Forwarded, fmt.Sprintf("%s at %s: %s had no direct path to a storage node and called it through %s",
+				line.Message, line.Stamp, line.Source, peers))
+		}
+	}
+}
+
 // Log messages from which Timeline determines the final outcome and the missing lines.
 const (
 	messageAttempt        = "attempt"
@@ -181,6 +198,9 @@
 	if t.Decisive != nil {
 		fmt.Fprintf(writer, "made certain by (*): %s at %s%s\n", t.Decisive.Message, t.Decisive.Source, t.Decisive.formatFields())
 	}
+	for _, forwarded := range t.Forwarded {
+		fmt.Fprintf(writer, "forwarded: %s\n", forwarded)
+	}
 	for _, missing := range t.Missing {
 		fmt.Fprintf(writer, "missing: %s\n", missing)
 	}
--- a/internal/app/explain/explain_test.go
+++ b/internal/app/explain/explain_test.go
@@ -38,3 +38,23 @@
 	is.Equal(len(TimelineOf("j1", lines).Lines), 1)
 	is.Equal(len(TimelineOf("unknown", lines).Missing), 1)
 }
+
+const forwardedLog = `
+  1.1 edge-a-1 I0714 10:16:30.585365    8426 jobs.go:79] "job submission ended" job="t/j1" known=false forwardedBy="10.0.0.7:7720" err=null
+  1.2 edge-a-1 I0714 10:16:30.599100    8426 jobs.go:185] "job read" job="t/j1" found=true forwardedBy="" err=null
+  1.3 edge-a-1 I0714 10:16:30.600000    8426 serving.go:160] "request ended" id="x1" outcome="served" forwardedBy="10.0.0.7:7720,10.0.0.8:7720"
+`
+
+// The timeline names the peers that forwarded the calls of a job or a request.
+func TestTimelineOfForwardedCalls(t *testing.T) {
+	is := is.New(t)
+	lines, err := Parse("file", strings.NewReader(forwardedLog))
+	is.NoErr(err)
+	timeline := TimelineOf("j1", lines)
+	is.Equal(len(timeline.Lines), 2)
+	is.Equal(len(timeline.Forwarded), 1)
+	var text strings.Builder
+	timeline.Print(&text)
+	is.True(strings.Contains(text.String(), "forwarded: job submission ended at 10:16:30.585365: edge-a-1 had no direct path to a storage node and called it through 10.0.0.7:7720"))
+	is.Equal(len(TimelineOf("x1", lines).Forwarded), 1)
+}
--- a/internal/cluster/forwarding/call.go
+++ b/internal/cluster/forwarding/call.go
@@ -10,6 +10,7 @@
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/app/result"
+	"cobaltramp.example/cobaltramp/internal/cluster/forwardtrace"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
@@ -58,6 +59,8 @@
 	stopDirect   context.CancelFunc
 	detachDirect func() bool
 	lastErr      error
+	// busy reports that a forwarder was at its limits.
+	busy bool
 }
 
 func newCall(caller *Caller, target *wirev1.NodeRecord, class rpc.Class, method wirev1.Method, payload []byte) *call {
@@ -74,16 +77,20 @@
 	now := time.Now()
 	view := c.caller.view(c.target.Address, now)
 	c.paths.directBroken, c.paths.directAllowed = view.broken, view.directAllowed
-	hedge := newHedgeTimer(c.hedgeDelay(ctx, now, view.suspect))
+	delay := c.hedgeDelay(ctx, now, view.usualAnswer)
+	hedge := newHedgeTimer()
 	defer hedge.stop()
 	for {
 		switch c.paths.next(hedge.due) {
 		case stepDirect:
 			c.startDirect(ctx)
-			hedge.restart()
+			hedge.start(delay)
+			if view.suspect {
+				hedge.start(c.wait + minHedgeDelay)
+			}
 		case stepForward:
 			if c.startForwarder(ctx) {
-				hedge.restart()
+				hedge.start(delay)
 			}
 		case stepGiveUp:
 			return nil, c.failure()
@@ -102,12 +109,12 @@
 	}
 }
 
-func (c *call) hedgeDelay(ctx context.Context, now time.Time, suspect bool) time.Duration {
+func (c *call) hedgeDelay(ctx context.Context, now time.Time, usual time.Duration) time.Duration {
 	deadline, bounded := ctx.Deadline()
 	if !bounded {
 		return c.wait + maxHedgeDelay
 	}
-	return hedgeDelay(c.method, deadline.Sub(now), c.wait, suspect)
+	return hedgeDelay(c.method, deadline.Sub(now), c.wait, usual)
 }
 
 // startDirect sends the call on the direct path.
@@ -138,6 +145,7 @@
 
 // callDirectly sends a call on the direct path and records the outcome.
 func (c *Caller) callDirectly(ctx context.Context, address string, class rpc.Class, method wirev1.Method, payload []byte) legResult {
+	started := time.Now()
 	reply, sent, err := c.transport.CallEncoded(ctx, address, class, method, payload)
 	direct := legResult{reply: reply, err: err, outcome: outcomeUnknown}
 	switch {
@@ -149,6 +157,9 @@
 	if sent || ctx.Err() == nil {
 		c.recordDirect(address, direct.outcome == outcomeAnswered, sent, time.Now())
 	}
+	if direct.outcome == outcomeAnswered && method == wirev1.Method_METHOD_ALLOTMENT {
+		c.recordAnswerTime(address, time.Since(started))
+	}
 	return direct
 }
 
@@ -230,6 +241,7 @@
 		return answered
 	}
 	c.paths.inFlight--
+	c.busy = c.busy || latest.outcome == outcomeNotSent && result.Is(latest.err, result.Saturated)
 	delete(c.startedAt, latest.forwarder)
 	c.paths.forwarderUnknown = c.paths.forwarderUnknown || latest.outcome == outcomeUnknown
 	c.caller.calls.WithLabelValues(c.method.String(), outcomeLabels[latest.outcome]).Inc()
@@ -255,7 +267,7 @@
 		c.detachDirect() // nothing is left to end
 	}
 	if latest.forwarder != "" {
-		traceForwarder(ctx, latest.forwarder)
+		forwardtrace.Record(ctx, latest.forwarder)
 	}
 	c.recordUnanswered()
 	if latest.err == nil {
@@ -280,7 +292,7 @@
 
 // failure returns the error of a call that no path has answered.
 func (c *call) failure() error {
-	if c.paths.forwarders > 0 {
+	if c.paths.forwarders > 0 && !c.busy {
 		c.caller.recordNoForwarder(c.target.Address, time.Now())
 	}
 	switch {
--- a/internal/cluster/forwarding/caller.go
+++ b/internal/cluster/forwarding/caller.go
@@ -176,7 +176,9 @@
 // pathView is the state of the direct path at the start of a call.
 type pathView struct {
 	broken, directAllowed bool
-	// suspect reports that the path to this or to another node is broken.
+	usualAnswer           time.Duration
+	// suspect reports that paths to other nodes are broken and that this path was not used
+	// recently.
 	suspect bool
 }
 
@@ -187,7 +189,12 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	path := c.path(address)
-	view := pathView{broken: path.broken, directAllowed: !path.broken || now.Sub(path.lastTry) >= directRetryDelay}
+	view := pathView{
+		broken: path.broken, directAllowed: !path.broken || now.Sub(path.lastTry) >= directRetryDelay, usualAnswer: path.usualAnswer,
+	}
+	if now.Sub(path.lastAnswer) < answerLifetime {
+		return view
+	}
 	for _, other := range c.paths {
 		view.suspect = view.suspect || other.broken
 	}
@@ -212,6 +219,13 @@
 	}
 }
 
+// recordAnswerTime records the time until a direct answer to a request for an allotment.
+func (c *Caller) recordAnswerTime(address string, taken time.Duration) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.path(address).answeredWithin(taken)
+}
+
 // recordTry records that a call is sent on the direct path.
 func (c *Caller) recordTry(address string, now time.Time) {
 	c.mutex.Lock()
@@ -273,8 +287,12 @@
 	return chooseForwarder(choice{target: target, self: self, nodes: nodes, used: used, peers: c.peers, now: now, random: rand.IntN})
 }
 
-// ReachableDisks implements peers.Reachability.
+// ReachableDisks implements peers.Reachability. Nodes with disks are not used as forwarders,
+// so they report nothing.
 func (c *Caller) ReachableDisks(now time.Time) []string {
+	if c.directory.Self().DiskId != "" {
+		return nil
+	}
 	var nodes []string
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/cluster/forwarding/decision.go
+++ b/internal/cluster/forwarding/decision.go
@@ -16,6 +16,11 @@
 	// small part of its call's time, and its messages are small.
 	allotmentHedgeFraction = 12
 	hedgeFraction          = 8
+	// usualAnswerFactor is the multiple of the usual answer time that a call waits at least,
+	// so that a slow fleet does not send its calls twice.
+	usualAnswerFactor = 4
+	// answerTimeWeight is the weight of a new sample in the usual answer time.
+	answerTimeWeight = 8
 	// maxForwarders is the number of forwarders that a call may use, and
 	// maxConcurrentForwarders the number that it may use at the same time.
 	maxForwarders           = 3
@@ -40,16 +45,14 @@
 
 // hedgeDelay returns the time after which a call is also sent on another path. remaining is
 // the time until the call's deadline, wait the time that the target may wait before it
-// answers. suspect reports that the direct path to another node is broken.
-func hedgeDelay(method wirev1.Method, remaining, wait time.Duration, suspect bool) time.Duration {
-	if suspect {
-		return wait + minHedgeDelay
-	}
+// answers, and usual the usual time until a direct answer; 0 if it is unknown.
+func hedgeDelay(method wirev1.Method, remaining, wait, usual time.Duration) time.Duration {
 	fraction := time.Duration(hedgeFraction)
 	if method == wirev1.Method_METHOD_ALLOTMENT {
 		fraction = allotmentHedgeFraction
 	}
-	return wait + min(max((remaining-wait)/fraction, minHedgeDelay), maxHedgeDelay)
+	delay := max((remaining-wait)/fraction, usualAnswerFactor*usual, minHedgeDelay)
+	return wait + min(delay, maxHedgeDelay)
 }
 
 // legState is the state of a call on the direct path.
@@ -140,8 +143,10 @@
 	// directRetryDelay is the minimum time between two tries of a broken path while no
 	// forwarder is usable.
 	directRetryDelay = 150 * time.Millisecond
-	// failureLifetime is how long a failure to reach a node counts.
+	// failureLifetime is how long a failure to reach a node counts, and answerLifetime how
+	// long a direct answer shows that the path works although paths to other nodes are broken.
 	failureLifetime = 500 * time.Millisecond
+	answerLifetime  = 500 * time.Millisecond
 	// minForwardPause and maxForwardPause bound the time in which calls to a node are not
 	// forwarded after no forwarder could reach it.
 	minForwardPause = 200 * time.Millisecond
@@ -163,6 +168,17 @@
 	// length of that pause.
 	pausedUntil time.Time
 	pause       time.Duration
+	// usualAnswer is the moving average of the time until a direct answer to a request for an
+	// allotment, whose messages are small; 0 if there was none.
+	usualAnswer time.Duration
+}
+
+// answeredWithin records the time until a direct answer to a request for an allotment.
+func (d *directPath) answeredWithin(taken time.Duration) {
+	if d.usualAnswer == 0 {
+		d.usualAnswer = taken
+	}
+	d.usualAnswer += (taken - d.usualAnswer) / answerTimeWeight
 }
 
 // answered records a direct answer. It reports whether the path was broken until now.
--- /dev/null
+++ b/internal/cluster/forwarding/faults_test.go
@@ -0,0 +1,244 @@
+package forwarding
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/eventually"
+	"cobaltramp.example/cobaltramp/internal/app/result"
+	"cobaltramp.example/cobaltramp/internal/transport/rpc"
+)
+
+var faultNames = map[fault]string{faultRefused: "refused", faultSilent: "silent", faultRepliesLost: "replies lost"}
+
+// A node without a direct path is answered through peers. Once the path is known to be
+// broken, no call waits for it, and it is used again after it works again.
+func TestBrokenPathIsBypassedUntilItWorks(t *testing.T) {
+	for kind, name := range faultNames {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startFleet(t, 4, 1, 0, answering())
+			asker, disk := f.edges[0], f.disks[0]
+			f.cut(kind, asker)
+			is.NoErr(asker.read(disk, patience))
+			is.True(asker.Broken(disk.address, time.Now()))
+			before := asker.transport.count(disk.address)
+			for range 20 {
+				is.NoErr(asker.read(disk, patience))
+				is.NoErr(asker.submit(disk, patience))
+			}
+			is.Equal(asker.transport.count(disk.address), before) // only probes use the broken path
+			f.cut(faultNone, asker)
+			eventually.Require(t, "the direct path is restored", func() bool {
+				is.NoErr(asker.read(disk, patience))
+				return !asker.Broken(disk.address, time.Now())
+			}, func() any { return asker.transport.count(disk.address) })
+		})
+	}
+}
+
+// A direct answer that arrives after the answer of a forwarder shows that the path works.
+func TestLateDirectAnswerRestoresPath(t *testing.T) {
+	is := is.New(t)
+	var reads atomic.Int64
+	serve := answering()
+	serve[wirev1.Method_METHOD_QUEUE_READ] = func(ctx context.Context, stream *rpc.ServerStream) error {
+		if reads.Add(1) == 1 {
+			time.Sleep(4 * maxHedgeDelay)
+		}
+		return stream.Send(&wirev1.QueueReadReply{})
+	}
+	f := startFleet(t, 2, 1, 0, serve)
+	is.NoErr(f.edges[0].read(f.disks[0], patience))
+	eventually.Require(t, "the path works", func() bool { return !f.edges[0].Broken(f.disks[0].address, time.Now()) }, func() any { return reads.Load() })
+}
+
+// A job is not sent on a second path while it may arrive on the first one.
+func TestUnansweredJobIsNotForwarded(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 3, 1, 0, answering())
+	f.cut(faultRepliesLost, f.edges[0])
+	err := f.edges[0].submit(f.disks[0], callTime)
+	is.True(err != nil)
+	is.True(result.CodeOf(err).Entry().Ran != result.RanNo) // it has been executed
+	is.Equal(f.edges[1].forwarded("answered")+f.edges[2].forwarded("answered"), 0)
+}
+
+// A forwarder that is partitioned from the target too is passed over.
+func TestPartitionedForwardersArePassedOver(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 4, 1, 0, answering())
+	f.cut(faultRefused, f.edges[0], f.edges[1], f.edges[2])
+	for range 10 {
+		is.NoErr(f.edges[0].read(f.disks[0], patience))
+		is.NoErr(f.edges[0].submit(f.disks[0], patience))
+	}
+	is.Equal(f.edges[1].forwarded("answered")+f.edges[2].forwarded("answered"), 0) // forwarded once only
+}
+
+// If no peer reaches the target, the error says that the request was not executed, and it was
+// not.
+func TestWithoutUsablePeerNothingRuns(t *testing.T) {
+	is := is.New(t)
+	var executed atomic.Int64
+	serve := map[wirev1.Method]rpc.StreamHandler{}
+	for method := range answering() {
+		serve[method] = func(context.Context, *rpc.ServerStream) error { executed.Add(1); return nil }
+	}
+	f := startFleet(t, 6, 1, 0, serve)
+	f.cut(faultRefused, f.edges...)
+	for range 20 {
+		for _, err := range []error{f.edges[0].read(f.disks[0], patience), f.edges[0].submit(f.disks[0], patience)} {
+			is.Equal(result.CodeOf(err), result.PeerUnreachable)
+		}
+	}
+	is.Equal(executed.Load(), int64(0))
+}
+
+// A forwarder may be lost after it has delivered the request: a job is then in doubt, and a
+// repeatable call is answered by the next forwarder.
+func TestForwarderLostAfterDelivery(t *testing.T) {
+	is := is.New(t)
+	var executed atomic.Int64
+	serve := answering()
+	serve[wirev1.Method_METHOD_QUEUE_SUBMIT] = func(context.Context, *rpc.ServerStream) error {
+		executed.Add(1)
+		return nil
+	}
+	f := startFleet(t, 2, 1, 0, serve)
+	asker, lost := f.edges[0], f.edges[1]
+	f.cut(faultRefused, asker)
+	lost.transport.set(faultRepliesLost, f.disks[0].address)
+	failed := make(chan error, 1)
+	go func() { failed <- asker.submit(f.disks[0], patience) }()
+	eventually.Require(t, "the job is delivered", func() bool { return executed.Load() == 1 }, func() any { return executed.Load() })
+	go lost.server.Close()
+	is.Equal(result.CodeOf(<-failed), result.CommitUnknown)
+	is.Equal(executed.Load(), int64(1))
+}
+
+func TestReadOutlivesForwarder(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 3, 1, 0, answering())
+	f.cut(faultRefused, f.edges[0])
+	f.edges[1].transport.set(faultRepliesLost, f.disks[0].address)
+	for range 5 {
+		is.NoErr(f.edges[0].read(f.disks[0], patience))
+	}
+	is.Equal(f.edges[1].forwarded("answered"), 0)
+}
+
+// Nodes of the previous version do not forward calls; the others are found among them.
+func TestNodesOfPreviousVersion(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 4, 1, 3, answering())
+	f.cut(faultRefused, f.edges[0])
+	is.NoErr(f.edges[0].read(f.disks[0], patience))
+	is.NoErr(f.edges[0].submit(f.disks[0], patience))
+
+	f = startFleet(t, 3, 1, 3, answering())
+	f.cut(faultRefused, f.edges[0])
+	is.Equal(result.CodeOf(f.edges[0].submit(f.disks[0], patience)), result.PeerUnreachable)
+}
+
+// While a third of a fleet asks the others, each of them stays within its limits, and each
+// call ends with an answer, as not sent, or as unknown.
+func TestForwardersStayWithinLimits(t *testing.T) {
+	is := is.New(t)
+	serve := answering()
+	serve[wirev1.Method_METHOD_QUEUE_READ] = func(_ context.Context, stream *rpc.ServerStream) error {
+		time.Sleep(20 * time.Millisecond)
+		return stream.Send(&wirev1.QueueReadReply{})
+	}
+	f := startFleet(t, 9, 2, 0, serve)
+	askers, forwarders := f.edges[:3], f.edges[3:]
+	f.cut(faultRefused, askers...)
+	var answered, failed atomic.Int64
+	var group sync.WaitGroup
+	for _, asker := range askers {
+		for worker := range 60 {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				for range 5 {
+					switch err := asker.read(f.disks[worker%2], patience); result.CodeOf(err) {
+					case result.OK:
+						answered.Add(1)
+					case result.PeerUnreachable, result.CommitUnknown:
+						failed.Add(1)
+					default:
+						t.Errorf("call ended with %v", err)
+					}
+				}
+			}()
+		}
+	}
+	group.Wait()
+	t.Logf("%d answered, %d failed", answered.Load(), failed.Load())
+	is.True(answered.Load() > 0)
+	for _, forwarder := range forwarders {
+		is.True(forwarder.transport.mostInFlight <= maxForwardedCalls)
+		is.Equal(forwarder.forwarder.limits.calls, 0)
+		is.Equal(forwarder.forwarder.limits.bytes, 0)
+	}
+}
+
+// Paths that break and heal while many calls are in progress cause neither a lost call nor a
+// job that runs although its caller is told that it does not.
+func TestConcurrentCallsWhilePathsChange(t *testing.T) {
+	var mutex sync.Mutex
+	executed := map[string]bool{}
+	serve := answering()
+	serve[wirev1.Method_METHOD_QUEUE_SUBMIT] = func(_ context.Context, stream *rpc.ServerStream) error {
+		var request wirev1.QueueSubmitRequest
+		if err := stream.DecodeRequest(&request); err != nil {
+			return err
+		}
+		mutex.Lock()
+		executed[request.Job.Id] = true
+		mutex.Unlock()
+		return stream.Send(&wirev1.QueueSubmitReply{})
+	}
+	f := startFleet(t, 5, 2, 0, serve)
+	var notRun []string
+	var group sync.WaitGroup
+	const shortTime = callTime / 2
+	for worker := range 24 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			asker := f.edges[worker%len(f.edges)]
+			for number := range 8 {
+				asker.transport.set(fault(rand.IntN(4)), f.disks[worker%2].address)
+				_ = asker.read(f.disks[0], shortTime)
+				job := fmt.Sprintf("%d-%d", worker, number)
+				ctx, cancel := context.WithTimeout(context.Background(), shortTime)
+				err := asker.Call(ctx, f.disks[1].address, rpc.ClassOnline, wirev1.Method_METHOD_QUEUE_SUBMIT,
+					&wirev1.QueueSubmitRequest{Job: &wirev1.QueueJob{Id: job}}, &wirev1.QueueSubmitReply{})
+				cancel()
+				if result.CodeOf(err) == result.PeerUnreachable {
+					mutex.Lock()
+					notRun = append(notRun, job)
+					mutex.Unlock()
+				}
+			}
+		}()
+	}
+	group.Wait()
+	mutex.Lock()
+	defer mutex.Unlock()
+	t.Logf("%d jobs executed, %d reported as not sent", len(executed), len(notRun))
+	for _, job := range notRun {
+		if executed[job] {
+			t.Errorf("job %s was executed and reported as not sent", job)
+		}
+	}
+}
--- a/internal/cluster/forwarding/hedge.go
+++ b/internal/cluster/forwarding/hedge.go
@@ -12,23 +12,24 @@
 
 // hedgeTimer reports when a call has been unanswered for the hedging delay.
 type hedgeTimer struct {
-	timer    *time.Timer
-	delay    time.Duration
+	timer    *time.Timer // not running at first
 	at       time.Time
 	extended bool
 	due      bool
 }
 
-func newHedgeTimer(delay time.Duration) *hedgeTimer {
-	return &hedgeTimer{timer: time.NewTimer(delay), delay: delay, at: time.Now().Add(delay)}
+func newHedgeTimer() *hedgeTimer {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return &hedgeTimer{timer: timer}
 }
 
 func (h *hedgeTimer) stop() { h.timer.Stop() }
 
-// restart starts the delay again after the call was sent on a path.
-func (h *hedgeTimer) restart() {
-	h.at, h.due, h.extended = time.Now().Add(h.delay), false, false
-	h.timer.Reset(h.delay)
+// start starts the delay after the call was sent on a path.
+func (h *hedgeTimer) start(delay time.Duration) {
+	h.at, h.due, h.extended = time.Now().Add(delay), false, false
+	h.timer.Reset(delay)
 }
 
 // fired handles the end of the delay.
--- a/internal/cluster/forwarding/trace.go
+++ b/internal/cluster/forwardtrace/forwardtrace.go
@@ -1,4 +1,7 @@
-package forwarding
+// Package forwardtrace records which peers forwarded the calls that were made for one request
+// or job, for its log line. Package forwarding records them; package platform and package
+// admission log them. Edges use it.
+package forwardtrace
 
 import (
 	"context"
@@ -14,8 +17,8 @@
 
 type traceKey struct{}
 
-// WithTrace returns a context whose calls are recorded in the trace.
-func WithTrace(ctx context.Context) (context.Context, *Trace) {
+// With returns a context whose calls are recorded in the trace.
+func With(ctx context.Context) (context.Context, *Trace) {
 	trace := &Trace{}
 	return context.WithValue(ctx, traceKey{}, trace), trace
 }
@@ -31,8 +34,8 @@
 // maxTraced bounds the forwarders in a trace.
 const maxTraced = 4
 
-// traceForwarder records a forwarder in the trace of the context, if there is one.
-func traceForwarder(ctx context.Context, forwarder string) {
+// Record records the address of a forwarder in the trace of the context, if there is one.
+func Record(ctx context.Context, forwarder string) {
 	trace, found := ctx.Value(traceKey{}).(*Trace)
 	if !found {
 		return
--- a/internal/cluster/peers/sync_test.go
+++ b/internal/cluster/peers/sync_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -122,3 +123,49 @@
 	_, known := prober.Directory.Disk("new")
 	is.True(known)
 }
+
+// recordedReachability is a Reachability that reports its own IDs and records those received.
+type recordedReachability struct {
+	mutex    sync.Mutex
+	own      []string
+	received map[string][]string // by address
+}
+
+func (r *recordedReachability) ReachableDisks(time.Time) []string { return r.own }
+
+func (r *recordedReachability) RecordReachable(address string, nodes []string, _ time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.received[address] = nodes
+}
+
+// Two nodes learn from one call which storage nodes the other reaches. A node that does not
+// exchange them sends none.
+func TestReachableDisksAreExchanged(t *testing.T) {
+	is := is.New(t)
+	a, b, previous := startPeer(t, "a", "", 1), startPeer(t, "b", "", 1), startPeer(t, "c", "", 1)
+	reachable := map[*testPeer]*recordedReachability{}
+	for peer, own := range map[*testPeer][]string{a: {"storage-1"}, b: {"storage-2", "storage-3"}} {
+		reachable[peer] = &recordedReachability{own: own, received: map[string][]string{}}
+		peer.Reachability = reachable[peer]
+	}
+	a.syncWith(context.Background(), b.address)
+	a.syncWith(context.Background(), previous.address)
+	previous.syncWith(context.Background(), a.address)
+	is.Equal(reachable[a].received, map[string][]string{b.address: {"storage-2", "storage-3"}})
+	is.Equal(reachable[b].received, map[string][]string{a.address: {"storage-1"}})
+}
+
+// Only nodes with disks are found by DiskAt.
+func TestDiskAt(t *testing.T) {
+	is := is.New(t)
+	directory := NewDirectory(&wirev1.NodeRecord{NodeId: "a", Address: "a:1"})
+	directory.Put(&wirev1.NodeRecord{NodeId: "s", Address: "s:1", DiskId: "d", Incarnation: 1})
+	record, found := directory.DiskAt("s:1")
+	is.True(found)
+	is.Equal(record.NodeId, "s")
+	for _, address := range []string{"a:1", "unknown:1"} {
+		_, found = directory.DiskAt(address)
+		is.True(!found)
+	}
+}
--- a/internal/serving/admission/controller.go
+++ b/internal/serving/admission/controller.go
@@ -99,6 +99,8 @@
 type creditResult struct {
 	credit allotment.Credit
 	err    error
+	// forwardedBy holds the addresses of the forwarders through which the keeper was called.
+	forwardedBy string
 }
 
 // New returns the controller for one process of a node. The function limit looks up the
@@ -126,6 +128,17 @@
 	allowance *allowance
 	limit     allotment.RateLimit
 	credit    allotment.Credit
+	// forwardedBy is as in creditResult.
+	forwardedBy string
+}
+
+// ForwardedBy returns the addresses of the peers through which the keeper was called for this
+// request; empty if the keeper was called directly or not at all.
+func (a *Admission) ForwardedBy() string {
+	if a == nil {
+		return ""
+	}
+	return a.forwardedBy
 }
 
 // Valid reports whether the request may still be sent; callers check it immediately before
@@ -163,7 +176,8 @@
 	admission := &Admission{now: c.now, allowance: c.allowance(tenant.Name), limit: limit}
 	credit, results, err := c.acquire(admission.allowance, tenant.Name, limit)
 	if err == nil && results != nil {
-		credit, err = awaitCredit(ctx, results, maxWait)
+		received := awaitCredit(ctx, results, maxWait)
+		credit, admission.forwardedBy, err = received.credit, received.forwardedBy, received.err
 	}
 	if result.Is(err, result.NotReady) {
 		credit, err = admission.allowance.acquireSpareOr(err, c.now())
@@ -174,7 +188,7 @@
 	case err == nil:
 		c.outcomes.WithLabelValues(outcomeShare).Inc()
 	default:
-		c.logRefusal(id, tenant, admission.allowance, err)
+		c.logRefusal(id, tenant, admission, err)
 		return nil, err
 	}
 	admission.credit = credit
@@ -225,23 +239,24 @@
 	return allotment.Credit{}, refusal
 }
 
-// awaitCredit waits for the result of one request. It returns the error of an unavailable
+// awaitCredit waits for the result of one request. The result has the error of an unavailable
 // keeper if maxWait passes or the context ends first.
-func awaitCredit(ctx context.Context, results <-chan creditResult, maxWait time.Duration) (allotment.Credit, error) {
+func awaitCredit(ctx context.Context, results <-chan creditResult, maxWait time.Duration) creditResult {
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	select {
 	case received := <-results:
-		return received.credit, received.err
+		return received
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return allotment.Credit{}, keeperUnavailable()
+	return creditResult{err: keeperUnavailable()}
 }
 
 // logRefusal logs and counts a request that is not admitted, with this node's view of the
 // tenant.
-func (c *Controller) logRefusal(id string, tenant *catalog.Tenant, a *allowance, err error) {
+func (c *Controller) logRefusal(id string, tenant *catalog.Tenant, refused *Admission, err error) {
+	a := refused.allowance
 	outcome := outcomeNoResponse
 	if result.Is(err, result.TenantRate) {
 		outcome = outcomeRefused
@@ -255,7 +270,8 @@
 	a.mutex.Unlock()
 	klog.InfoS("request not admitted", "id", id, "tenant", tenant.Name, "outcome", outcome,
 		"rate", tenant.RatePerSecond, "burst", tenant.Burst, "share", share, "credit", level, "demandHere", demand,
-		"shareAgeMs", age.Milliseconds(), "retryAfterMs", result.FromError(err).RetryAfter.Milliseconds())
+		"shareAgeMs", age.Milliseconds(), "retryAfterMs", result.FromError(err).RetryAfter.Milliseconds(),
+		"forwardedBy", refused.forwardedBy)
 }
 
 // allowance returns the node's allowance of a tenant, and creates it if missing.
--- a/internal/serving/admission/questions.go
+++ b/internal/serving/admission/questions.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/cluster/forwardtrace"
 	"cobaltramp.example/cobaltramp/internal/serving/allotment"
 )
 
@@ -33,23 +34,27 @@
 			refuseAll(waiting)
 			continue
 		}
-		reply, err := c.requestCreditsOnce(tenant, len(waiting))
+		reply, forwardedBy, err := c.requestCreditsOnce(tenant, len(waiting))
 		a.mutex.Lock()
 		if err != nil {
 			c.refuseAfterFailure(tenant, sent, waiting, err)
 		} else {
-			c.distribute(a, tenant, limit, sent, waiting, reply)
+			c.distribute(a, tenant, limit, sent, waiting, reply, forwardedBy)
 		}
 		a.mutex.Unlock()
 	}
 }
 
-func (c *Controller) requestCreditsOnce(tenant string, count int) (*wirev1.AllotmentReply, error) {
+// requestCreditsOnce calls a keeper. It also returns the addresses of the forwarders through
+// which the keeper was called.
+func (c *Controller) requestCreditsOnce(tenant string, count int) (*wirev1.AllotmentReply, string, error) {
 	ctx, cancel := context.WithTimeout(c.requestContext, creditRequestTimeout)
 	defer cancel()
-	return c.keepers.Allot(ctx, tenant, &wirev1.AllotmentRequest{
+	ctx, forwarded := forwardtrace.With(ctx)
+	reply, err := c.keepers.Allot(ctx, tenant, &wirev1.AllotmentRequest{
 		Node: c.holderID.Node, Incarnation: c.holderID.Incarnation, Number: c.requestNumber.Add(1), Tenant: tenant, Credits: uint32(count),
 	})
+	return reply, forwarded.String(), err
 }
 
 // refuseAfterFailure refuses the waiting requests after a failed call to their keeper, and
@@ -67,6 +72,7 @@
 // holds the allowance's mutex.
 func (c *Controller) distribute(
 	a *allowance, tenant string, limit allotment.RateLimit, sent time.Time, waiting []chan creditResult, reply *wirev1.AllotmentReply,
+	forwardedBy string,
 ) {
 	now := c.now()
 	a.AddPoolCredits(sent, int(reply.Credits))
@@ -77,9 +83,9 @@
 	for _, results := range waiting {
 		credit, ok := a.AcquireCredit(now, limit)
 		if ok {
-			results <- creditResult{credit: credit}
+			results <- creditResult{credit: credit, forwardedBy: forwardedBy}
 		} else {
-			results <- creditResult{err: overLimit(tenant, limit, wait)}
+			results <- creditResult{err: overLimit(tenant, limit, wait), forwardedBy: forwardedBy}
 		}
 	}
 }
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -161,5 +161,5 @@
 		"tenant", s.request.tenantName(), "catalog", s.request.Version, "outcome", outcome,
 		"runs", s.history.runs, "notRun", s.history.notRun, "events", s.lastEvent,
 		"firstMs", s.firstEventAfter.Milliseconds(), "ms", time.Since(s.request.Received).Milliseconds(),
-		"cause", s.lastCause)
+		"cause", s.lastCause, "forwardedBy", s.admission.ForwardedBy())
 }
