--- a/internal/cluster/forwarding/call.go
+++ b/internal/cluster/forwarding/call.go
@@ -58,7 +58,10 @@
 	// the call. detachDirect keeps it in flight after that.
 	stopDirect   context.CancelFunc
 	detachDirect func() bool
-	lastErr      error
+	// forwardContext is the context of the calls through forwarders; nil before the first.
+	forwardContext context.Context
+	stopForwarders context.CancelFunc
+	lastErr        error
 	// busy reports that a forwarder was at its limits.
 	busy bool
 }
@@ -72,8 +75,7 @@
 
 // run performs the call until a path answers, no path is left, or the context ends.
 func (c *call) run(ctx context.Context) ([]byte, error) {
-	ctx, cancelForwarders := context.WithCancel(ctx)
-	defer cancelForwarders()
+	defer c.end()
 	now := time.Now()
 	view := c.caller.view(c.target.Address, now)
 	c.paths.directBroken, c.paths.directAllowed = view.broken, view.directAllowed
@@ -109,6 +111,16 @@
 	}
 }
 
+// end ends the calls through forwarders, and the direct call unless it was detached.
+func (c *call) end() {
+	if c.stopForwarders != nil {
+		c.stopForwarders()
+	}
+	if c.stopDirect != nil && c.detachDirect() {
+		c.stopDirect()
+	}
+}
+
 func (c *call) hedgeDelay(ctx context.Context, now time.Time, usual time.Duration) time.Duration {
 	deadline, bounded := ctx.Deadline()
 	if !bounded {
@@ -179,11 +191,12 @@
 	}
 	if c.used == nil {
 		c.used, c.startedAt = map[string]bool{}, map[string]time.Time{}
+		c.forwardContext, c.stopForwarders = context.WithCancel(ctx)
 	}
 	c.used[forwarder], c.startedAt[forwarder] = true, now
 	c.paths.forwarders++
 	c.paths.inFlight++
-	started := c.caller.running.Go(func() { c.results <- c.callThrough(ctx, forwarder) })
+	started := c.caller.running.Go(func() { c.results <- c.callThrough(c.forwardContext, forwarder) })
 	if !started {
 		c.results <- legResult{forwarder: forwarder, outcome: outcomeNotSent, err: errStopping}
 	}
@@ -260,11 +273,8 @@
 // answer returns the target's answer. A refusal on one path is no proof that the request is
 // not executed on another path.
 func (c *call) answer(ctx context.Context, latest legResult) ([]byte, error) {
-	switch {
-	case c.paths.direct == legInFlight && c.detachDirect():
+	if c.paths.direct == legInFlight && c.detachDirect() {
 		time.AfterFunc(lateAnswerTime, c.stopDirect)
-	case c.detachDirect != nil:
-		c.detachDirect() // nothing is left to end
 	}
 	if latest.forwarder != "" {
 		forwardtrace.Record(ctx, latest.forwarder)
--- a/internal/cluster/forwarding/fleet_test.go
+++ b/internal/cluster/forwarding/fleet_test.go
@@ -137,7 +137,7 @@
 
 // startFleet starts nodes. serve handles the calls of the storage nodes; the first old
 // edges do not forward calls, as nodes of the previous version.
-func startFleet(t *testing.T, edges, disks, old int, serve map[wirev1.Method]rpc.StreamHandler) *fleet {
+func startFleet(t testing.TB, edges, disks, old int, serve map[wirev1.Method]rpc.StreamHandler) *fleet {
 	t.Helper()
 	f := &fleet{}
 	for i := range edges + disks {
@@ -162,7 +162,7 @@
 	return f
 }
 
-func (f *fleet) start(t *testing.T, node *member, forwards bool, serve map[wirev1.Method]rpc.StreamHandler) {
+func (f *fleet) start(t testing.TB, node *member, forwards bool, serve map[wirev1.Method]rpc.StreamHandler) {
 	directory := peers.NewDirectory(node.record)
 	for _, other := range append(append([]*member(nil), f.edges...), f.disks...) {
 		directory.Put(other.record)
--- a/lab/platformday/nodes.go
+++ b/lab/platformday/nodes.go
@@ -75,6 +75,8 @@
 		Listen: settings.RoleListen{MetricsPort: ports[4]}, FirstStart: true, DiskLosses: 1,
 		Store:   settings.RoleStore{Address: d.store.Address()},
 		Machine: settings.RoleMachine{MemoryMegabytes: 256}, Bounds: settings.RoleBounds{StopSeconds: 8, DrainMilliseconds: 2000},
+		// Half of the nodes forward calls, as during an update from a version that does not.
+		Routing: settings.RoleRouting{ForwardThroughPeers: number%2 == 0},
 	}
 	if role == "edge" {
 		address := func(port int) string { return fmt.Sprintf("%s:%d", nodeAddress, port) }
