Paths to other nodes are probed when a first path breaks; waiting reads find a broken path sooner

Cause: a node that loses all storage nodes at once waited for the hedging delay of each of them, and a read that waits for results at the leader waited for its whole wait before it tried another path. Tests wait longer for connections, so that a busy machine causes no failure.

--- a/internal/cluster/forwarding/call.go
+++ b/internal/cluster/forwarding/call.go
@@ -86,12 +86,16 @@
 		switch c.paths.next(hedge.due) {
 		case stepDirect:
 			c.startDirect(ctx)
-			hedge.start(delay)
 			if view.suspect {
-				hedge.start(c.wait + minHedgeDelay)
+				hedge.start(minHedgeDelay)
+			} else {
+				hedge.start(c.wait + delay)
 			}
 		case stepForward:
-			if c.startForwarder(ctx) {
+			started, trusted := c.startForwarder(ctx)
+			if started && trusted {
+				hedge.start(c.wait + delay)
+			} else if started {
 				hedge.start(delay)
 			}
 		case stepGiveUp:
@@ -124,9 +128,9 @@
 func (c *call) hedgeDelay(ctx context.Context, now time.Time, usual time.Duration) time.Duration {
 	deadline, bounded := ctx.Deadline()
 	if !bounded {
-		return c.wait + maxHedgeDelay
+		return maxHedgeDelay
 	}
-	return hedgeDelay(c.method, deadline.Sub(now), c.wait, usual)
+	return hedgeDelay(c.method, deadline.Sub(now)-c.wait, usual)
 }
 
 // startDirect sends the call on the direct path.
@@ -181,13 +185,14 @@
 	return err == nil || errors.As(err, &refusal)
 }
 
-// startForwarder sends the call through a forwarder. It returns false if none is usable.
-func (c *call) startForwarder(ctx context.Context) bool {
+// startForwarder sends the call through a forwarder. started is false if none is usable;
+// trusted reports that the forwarder reached the target recently.
+func (c *call) startForwarder(ctx context.Context) (started, trusted bool) {
 	now := time.Now()
-	forwarder := c.caller.choose(c.target, c.used, now)
+	forwarder, trusted := c.caller.choose(c.target, c.used, now)
 	if forwarder == "" {
 		c.paths.noForwarder = true
-		return false
+		return false, false
 	}
 	if c.used == nil {
 		c.used, c.startedAt = map[string]bool{}, map[string]time.Time{}
@@ -196,11 +201,10 @@
 	c.used[forwarder], c.startedAt[forwarder] = true, now
 	c.paths.forwarders++
 	c.paths.inFlight++
-	started := c.caller.running.Go(func() { c.results <- c.callThrough(c.forwardContext, forwarder) })
-	if !started {
+	if !c.caller.running.Go(func() { c.results <- c.callThrough(c.forwardContext, forwarder) }) {
 		c.results <- legResult{forwarder: forwarder, outcome: outcomeNotSent, err: errStopping}
 	}
-	return true
+	return true, trusted
 }
 
 // callThrough sends the call through a forwarder.
--- a/internal/cluster/forwarding/caller.go
+++ b/internal/cluster/forwarding/caller.go
@@ -57,6 +57,8 @@
 	// forwarders; both by address.
 	paths map[string]*directPath
 	peers map[string]*peerState
+	// firstBroken is when a path became broken while no other path was broken.
+	firstBroken time.Time
 }
 
 // NewCaller returns a caller. Close has to be called after use.
@@ -177,8 +179,8 @@
 type pathView struct {
 	broken, directAllowed bool
 	usualAnswer           time.Duration
-	// suspect reports that paths to other nodes are broken and that this path was not used
-	// recently.
+	// suspect reports that paths to other nodes are broken, and that this path has not been
+	// answered since the first of them.
 	suspect bool
 }
 
@@ -192,15 +194,20 @@
 	view := pathView{
 		broken: path.broken, directAllowed: !path.broken || now.Sub(path.lastTry) >= directRetryDelay, usualAnswer: path.usualAnswer,
 	}
-	if now.Sub(path.lastAnswer) < answerLifetime {
-		return view
-	}
-	for _, other := range c.paths {
-		view.suspect = view.suspect || other.broken
-	}
+	view.suspect = c.anyBroken() && path.lastAnswer.Before(c.firstBroken)
 	return view
 }
 
+// anyBroken reports whether a direct path is broken. The caller holds the mutex.
+func (c *Caller) anyBroken() bool {
+	for _, path := range c.paths {
+		if path.broken {
+			return true
+		}
+	}
+	return false
+}
+
 // recordDirect records the outcome of a direct call that was sent, or tried, at the given time.
 func (c *Caller) recordDirect(address string, answered, sent bool, now time.Time) {
 	c.mutex.Lock()
@@ -237,11 +244,19 @@
 // direct path at the given time.
 func (c *Caller) recordBypassed(target *wirev1.NodeRecord, forwarder string, sent, now time.Time) {
 	c.mutex.Lock()
+	first := !c.anyBroken()
 	broken := c.path(target.Address).bypassed(sent, now, rand.Float64())
+	if broken && first {
+		c.firstBroken = now
+	}
 	c.mutex.Unlock()
-	if broken {
-		klog.InfoS("direct path to node broken; calls are forwarded through peers", "node", target.NodeId,
-			"address", target.Address, "forwarder", forwarder, "directMs", now.Sub(sent).Milliseconds())
+	if !broken {
+		return
+	}
+	klog.InfoS("direct path to node broken; calls are forwarded through peers", "node", target.NodeId,
+		"address", target.Address, "forwarder", forwarder, "directMs", now.Sub(sent).Milliseconds())
+	if first {
+		c.probeOthers(now)
 	}
 }
 
@@ -260,6 +275,28 @@
 	}
 }
 
+// maxProbedPaths bounds the paths that are probed after a path has become broken.
+const maxProbedPaths = 32
+
+// probeOthers probes the paths to other nodes with disks that are not known to be broken,
+// since a node often loses several paths at once. Calls do not wait long on a path that has
+// not answered since.
+func (c *Caller) probeOthers(now time.Time) {
+	disks := c.directory.Disks()
+	for _, disk := range disks[:min(len(disks), maxProbedPaths)] {
+		c.mutex.Lock()
+		path := c.path(disk.Address)
+		probed := !path.broken && !path.probing
+		if probed {
+			path.probing, path.lastTry = true, now
+		}
+		c.mutex.Unlock()
+		if probed {
+			c.running.Go(func() { c.probe(disk.Address) })
+		}
+	}
+}
+
 func (c *Caller) probe(address string) {
 	ctx, cancel := context.WithTimeout(c.context, probeTimeout)
 	defer cancel()
@@ -277,14 +314,16 @@
 }
 
 // choose returns the address of a forwarder for a call to the target, or "" if none is usable.
-func (c *Caller) choose(target *wirev1.NodeRecord, used map[string]bool, now time.Time) string {
+// trusted reports that the forwarder reached the target recently.
+func (c *Caller) choose(target *wirev1.NodeRecord, used map[string]bool, now time.Time) (forwarder string, trusted bool) {
 	nodes, self := c.directory.Records(), c.directory.Self()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if now.Before(c.path(target.Address).pausedUntil) {
-		return ""
+		return "", false
 	}
-	return chooseForwarder(choice{target: target, self: self, nodes: nodes, used: used, peers: c.peers, now: now, random: rand.IntN})
+	forwarder = chooseForwarder(choice{target: target, self: self, nodes: nodes, used: used, peers: c.peers, now: now, random: rand.IntN})
+	return forwarder, c.peers[forwarder].reaches(target, now)
 }
 
 // ReachableDisks implements peers.Reachability. Nodes with disks are not used as forwarders,
--- a/internal/cluster/forwarding/decision.go
+++ b/internal/cluster/forwarding/decision.go
@@ -44,15 +44,15 @@
 }
 
 // hedgeDelay returns the time after which a call is also sent on another path. remaining is
-// the time until the call's deadline, wait the time that the target may wait before it
-// answers, and usual the usual time until a direct answer; 0 if it is unknown.
-func hedgeDelay(method wirev1.Method, remaining, wait, usual time.Duration) time.Duration {
+// the time until the call's deadline, and usual the usual time until a direct answer; 0 if it
+// is unknown. The time that the target may wait before it answers is not included in either,
+// nor in the result.
+func hedgeDelay(method wirev1.Method, remaining, usual time.Duration) time.Duration {
 	fraction := time.Duration(hedgeFraction)
 	if method == wirev1.Method_METHOD_ALLOTMENT {
 		fraction = allotmentHedgeFraction
 	}
-	delay := max((remaining-wait)/fraction, usualAnswerFactor*usual, minHedgeDelay)
-	return wait + min(delay, maxHedgeDelay)
+	return min(max(remaining/fraction, usualAnswerFactor*usual, minHedgeDelay), maxHedgeDelay)
 }
 
 // legState is the state of a call on the direct path.
@@ -143,10 +143,8 @@
 	// directRetryDelay is the minimum time between two tries of a broken path while no
 	// forwarder is usable.
 	directRetryDelay = 150 * time.Millisecond
-	// failureLifetime is how long a failure to reach a node counts, and answerLifetime how
-	// long a direct answer shows that the path works although paths to other nodes are broken.
+	// failureLifetime is how long a failure to reach a node counts.
 	failureLifetime = 500 * time.Millisecond
-	answerLifetime  = 500 * time.Millisecond
 	// minForwardPause and maxForwardPause bound the time in which calls to a node are not
 	// forwarded after no forwarder could reach it.
 	minForwardPause = 200 * time.Millisecond
@@ -212,6 +210,9 @@
 
 // probeFailed records a try without an answer.
 func (d *directPath) probeFailed(now time.Time, random float64) {
+	if !d.broken {
+		return // only the answer of a forwarder shows that the path is broken, not the node
+	}
 	d.probeDelay = min(max(2*d.probeDelay, minProbeDelay), maxProbeDelay)
 	d.nextProbe = now.Add(extend(d.probeDelay, random))
 }
--- a/internal/cluster/forwarding/fleet_test.go
+++ b/internal/cluster/forwarding/fleet_test.go
@@ -57,6 +57,12 @@
 	return t.calls[address]
 }
 
+func (t *faultyTransport) most() int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.mostInFlight
+}
+
 func (t *faultyTransport) fault(address string) fault {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -172,6 +178,7 @@
 	node.Caller = NewCaller(directory, node.transport, node.registry)
 	receive := func(from string, payload []byte) { node.notices <- from + ": " + string(payload) }
 	node.forwarder = NewForwarder(node.Caller, receive, node.registry)
+	node.forwarder.connectTimeout = patience // long enough on a busy machine
 	node.server = rpc.NewServer(node.record.NodeId, "c", &rpc.Counters{})
 	if forwards {
 		node.forwarder.Handle(node.server)
--- a/internal/cluster/forwarding/forwarder.go
+++ b/internal/cluster/forwarding/forwarder.go
@@ -17,6 +17,8 @@
 // Forwarder serves calls and notices of peers that have no direct path to a node.
 type Forwarder struct {
 	caller *Caller
+	// connectTimeout has its default value except in tests.
+	connectTimeout time.Duration
 	// receive handles a notice that another node has sent through a forwarder.
 	receive  rpc.NoticeHandler
 	outcomes *prometheus.CounterVec
@@ -41,7 +43,7 @@
 // handles the reports of requests at runners that arrive through other forwarders.
 func NewForwarder(caller *Caller, receive rpc.NoticeHandler, registry prometheus.Registerer) *Forwarder {
 	f := &Forwarder{
-		caller: caller, receive: receive, limits: newLimits(), connecting: map[string]chan struct{}{},
+		caller: caller, connectTimeout: connectTimeout, receive: receive, limits: newLimits(), connecting: map[string]chan struct{}{},
 		notices: rate.NewLimiter(passedNoticesPerSecond, passedNoticesPerSecond),
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cobaltramp_forwarding_total", Help: "Calls and notices of peers to forward, by outcome.",
@@ -165,13 +167,13 @@
 const dialTime = 2 * time.Second
 
 // connect waits until there is a connection to the target. It returns false if there is none
-// within connectTimeout.
+// within f.connectTimeout.
 func (f *Forwarder) connect(ctx context.Context, address string, class rpc.Class) bool {
 	dialled, dialling := f.startDial(address, class)
 	if !dialling {
 		return false
 	}
-	timer := time.NewTimer(connectTimeout)
+	timer := time.NewTimer(f.connectTimeout)
 	defer timer.Stop()
 	select {
 	case <-dialled:
--- a/internal/cluster/forwarding/notices.go
+++ b/internal/cluster/forwarding/notices.go
@@ -71,7 +71,7 @@
 	if !found {
 		return
 	}
-	forwarder := c.choose(target, nil, now)
+	forwarder, _ := c.choose(target, nil, now)
 	if forwarder == "" {
 		return
 	}
