--- a/internal/cluster/forwarding/call.go
+++ b/internal/cluster/forwarding/call.go
@@ -323,6 +323,9 @@
 // used, its end tells whether the request was sent.
 func (c *call) ended(ctx context.Context) ([]byte, error) {
 	c.recordUnanswered()
+	if c.paths.forwarders > 1 && !c.busy {
+		c.caller.recordNoForwarder(c.target.Address, time.Now())
+	}
 	if c.paths.forwarders > 0 {
 		return nil, result.New(result.CommitUnknown, "node %s did not answer in time, directly or through a peer", c.target.Address)
 	}
--- a/internal/cluster/forwarding/faults_test.go
+++ b/internal/cluster/forwarding/faults_test.go
@@ -14,6 +14,7 @@
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/app/eventually"
 	"cobaltramp.example/cobaltramp/internal/app/result"
+	"cobaltramp.example/cobaltramp/internal/cluster/forwardtrace"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
@@ -278,3 +279,45 @@
 	is.NoErr(f.edges[0].Call(ctx, f.disks[0].address, rpc.ClassOnline, wirev1.Method_METHOD_QUEUE_READ, request, &wirev1.QueueReadReply{}))
 	is.Equal(reads.Load(), int64(1))
 }
+
+// The trace of a call names the peer that forwarded it, and is empty for a direct call.
+func TestTraceNamesForwarder(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 2, 1, 0, answering())
+	read := func() string {
+		ctx, trace := forwardtrace.With(context.Background())
+		is.NoErr(f.edges[0].Call(ctx, f.disks[0].address, rpc.ClassOnline, wirev1.Method_METHOD_QUEUE_READ, &wirev1.QueueReadRequest{}, &wirev1.QueueReadReply{}))
+		return trace.String()
+	}
+	is.Equal(read(), "")
+	f.cut(faultRefused, f.edges[0])
+	is.Equal(read(), f.edges[1].address)
+}
+
+// The target's refusals arrive unchanged, and show that the forwarder reaches it.
+func TestRefusalsAreForwarded(t *testing.T) {
+	is := is.New(t)
+	serve := answering()
+	serve[wirev1.Method_METHOD_QUEUE_READ] = func(context.Context, *rpc.ServerStream) error {
+		return result.New(result.NotLeader, "led by another node").WithRetryAfter(time.Second)
+	}
+	f := startFleet(t, 2, 1, 0, serve)
+	f.cut(faultRefused, f.edges[0])
+	err := f.edges[0].read(f.disks[0], patience)
+	is.Equal(result.FromError(err), result.New(result.NotLeader, "led by another node").WithRetryAfter(time.Second))
+	is.True(f.edges[0].Broken(f.disks[0].address, time.Now()))
+}
+
+// A refusal that arrives through a forwarder is no proof that the direct call, which may still
+// arrive, is not executed.
+func TestRefusalBesideUnansweredCallIsUnknown(t *testing.T) {
+	is := is.New(t)
+	serve := answering()
+	serve[wirev1.Method_METHOD_QUEUE_READ] = func(context.Context, *rpc.ServerStream) error {
+		return result.New(result.NotLeader, "led by another node")
+	}
+	f := startFleet(t, 2, 1, 0, serve)
+	f.cut(faultSilent, f.edges[0])
+	is.Equal(result.CodeOf(f.edges[0].read(f.disks[0], patience)), result.CommitUnknown)
+	is.Equal(result.CodeOf(f.edges[0].read(f.disks[0], patience)), result.NotLeader) // sent on one path only
+}
--- a/internal/cluster/forwarding/notices.go
+++ b/internal/cluster/forwarding/notices.go
@@ -13,7 +13,7 @@
 const (
 	// noticesPerSecond and noticeBurst limit the notices that a node sends through forwarders.
 	noticesPerSecond = 20
-	noticeBurst      = 4
+	noticeBurst      = 2
 	// passedNoticesPerSecond limits the notices that a node passes on for peers.
 	passedNoticesPerSecond = 200
 	// maxNoticeTargets bounds the receivers of one notice.
@@ -47,6 +47,9 @@
 func (c *Caller) splitBroken(addresses []string, now time.Time) (direct, broken []string) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	if !c.anyBroken() {
+		return addresses, nil
+	}
 	for i, address := range addresses {
 		path := c.paths[address]
 		switch {
--- a/internal/serving/loadshare/loadshare.go
+++ b/internal/serving/loadshare/loadshare.go
@@ -21,6 +21,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -203,16 +204,20 @@
 
 // groups returns the addresses whose notices contain the same reports.
 func (b batch) groups() [][]string {
-	byRunners := map[string][]string{}
+	numbers := map[*wirev1.RunnerUse]int{}
+	byReports := map[string][]string{}
 	for address, uses := range b {
-		var runners strings.Builder
-		for _, use := range uses.Uses { // a batch has one report for each runner
-			runners.WriteString(use.Runner)
-			runners.WriteByte(0)
+		var reports strings.Builder
+		for _, use := range uses.Uses {
+			if _, found := numbers[use]; !found {
+				numbers[use] = len(numbers)
+			}
+			reports.WriteString(strconv.Itoa(numbers[use]))
+			reports.WriteByte(',')
 		}
-		byRunners[runners.String()] = append(byRunners[runners.String()], address)
+		byReports[reports.String()] = append(byReports[reports.String()], address)
 	}
-	return slices.Collect(maps.Values(byRunners))
+	return slices.Collect(maps.Values(byReports))
 }
 
 // PeerLost drops the reports of a peer whose connections have ended.
--- a/internal/serving/loadshare/loadshare_test.go
+++ b/internal/serving/loadshare/loadshare_test.go
@@ -389,3 +389,33 @@
 		}
 	}
 }
+
+// Receivers of the same reports are in one group, and all others get only their own reports.
+func TestBatchGroupsEqualNotices(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		byAddress := batch{}
+		for range rapid.IntRange(0, 5).Draw(t, "reports") {
+			use := &wirev1.RunnerUse{Runner: rapid.SampledFrom([]string{"r1", "r2"}).Draw(t, "runner")} // an id may occur twice
+			byAddress.add(rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"a", "b", "c", "d"}), 0, 4, rapid.ID[string]).Draw(t, "receivers"), use)
+		}
+		grouped := 0
+		var earlier []*wirev1.RunnerUses
+		for _, group := range byAddress.groups() {
+			grouped += len(group)
+			for _, address := range group {
+				if !slices.Equal(byAddress[address].Uses, byAddress[group[0]].Uses) {
+					t.Fatalf("%v are in one group", group)
+				}
+			}
+			for _, other := range earlier {
+				if slices.Equal(other.Uses, byAddress[group[0]].Uses) {
+					t.Fatal("two groups have the same reports")
+				}
+			}
+			earlier = append(earlier, byAddress[group[0]])
+		}
+		if grouped != len(byAddress) {
+			t.Fatalf("%d of %d receivers", grouped, len(byAddress))
+		}
+	})
+}
