The hedging delay follows the usual direct answers of all short calls

Cause: a deployment without tenants requests no allotments, so its calls had no usual answer time. Change: each direct answer with a small reply to a call that does not wait is a sample.

--- a/internal/cluster/forwarding/call.go
+++ b/internal/cluster/forwarding/call.go
@@ -161,7 +161,6 @@
 
 // callDirectly sends a call on the direct path and records the outcome.
 func (c *Caller) callDirectly(ctx context.Context, address string, class rpc.Class, method wirev1.Method, payload []byte) legResult {
-	started := time.Now()
 	reply, sent, err := c.transport.CallEncoded(ctx, address, class, method, payload)
 	direct := legResult{reply: reply, err: err, outcome: outcomeUnknown}
 	switch {
@@ -173,9 +172,6 @@
 	if sent || ctx.Err() == nil {
 		c.recordDirect(address, direct.outcome == outcomeAnswered, sent, time.Now())
 	}
-	if direct.outcome == outcomeAnswered && method == wirev1.Method_METHOD_ALLOTMENT {
-		c.recordAnswerTime(address, time.Since(started))
-	}
 	return direct
 }
 
@@ -255,6 +251,9 @@
 	}
 	if latest.forwarder == "" {
 		c.paths.direct = directStates[latest.outcome]
+		if answered && c.wait == 0 && len(latest.reply) <= usualReplyBytes {
+			c.caller.recordAnswerTime(c.target.Address, time.Since(c.directSent))
+		}
 		return answered
 	}
 	c.paths.inFlight--
--- a/internal/cluster/forwarding/caller.go
+++ b/internal/cluster/forwarding/caller.go
@@ -226,7 +226,7 @@
 	}
 }
 
-// recordAnswerTime records the time until a direct answer to a request for an allotment.
+// recordAnswerTime records the time until a direct answer with a small reply.
 func (c *Caller) recordAnswerTime(address string, taken time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/cluster/forwarding/decision.go
+++ b/internal/cluster/forwarding/decision.go
@@ -19,8 +19,10 @@
 	// usualAnswerFactor is the multiple of the usual answer time that a call waits at least,
 	// so that a slow fleet does not send its calls twice.
 	usualAnswerFactor = 4
-	// answerTimeWeight is the weight of a new sample in the usual answer time.
+	// answerTimeWeight is the inverse of the weight of a new sample in the usual answer time,
+	// and usualReplyBytes the size up to which a reply is a sample.
 	answerTimeWeight = 8
+	usualReplyBytes  = 16 << 10
 	// maxForwarders is the number of forwarders that a call may use, and
 	// maxConcurrentForwarders the number that it may use at the same time.
 	maxForwarders           = 3
@@ -166,12 +168,12 @@
 	// length of that pause.
 	pausedUntil time.Time
 	pause       time.Duration
-	// usualAnswer is the moving average of the time until a direct answer to a request for an
-	// allotment, whose messages are small; 0 if there was none.
+	// usualAnswer is the moving average of the time until a direct answer with a small reply
+	// to a request at which the node did not wait; 0 if there was none.
 	usualAnswer time.Duration
 }
 
-// answeredWithin records the time until a direct answer to a request for an allotment.
+// answeredWithin records the time until a direct answer with a small reply.
 func (d *directPath) answeredWithin(taken time.Duration) {
 	if d.usualAnswer == 0 {
 		d.usualAnswer = taken
