--- a/internal/serving/loadshare/loadshare.go
+++ b/internal/serving/loadshare/loadshare.go
@@ -19,8 +19,11 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -208,12 +211,32 @@
 	}
 }
 
+// sendBatch sends the notices of a batch. Receivers of the same reports get one notice, so
+// that the sender encodes, or forwards, it once.
 func (r *Reporter) sendBatch(kind string, byAddress batch) {
-	for address, uses := range byAddress {
-		r.send(kind, []string{address}, uses)
+	for _, group := range byAddress.groups() {
+		r.send(kind, group, byAddress[group[0]])
 	}
 }
 
+// groups returns the addresses whose notices contain the same reports.
+func (b batch) groups() [][]string {
+	numbers := map[*wirev1.RunnerUse]int{}
+	byReports := map[string][]string{}
+	for address, uses := range b {
+		var reports strings.Builder
+		for _, use := range uses.Uses {
+			if _, found := numbers[use]; !found {
+				numbers[use] = len(numbers)
+			}
+			reports.WriteString(strconv.Itoa(numbers[use]))
+			reports.WriteByte(',')
+		}
+		byReports[reports.String()] = append(byReports[reports.String()], address)
+	}
+	return slices.Collect(maps.Values(byReports))
+}
+
 // PeerLost drops the reports of a peer whose connections have ended.
 func (r *Reporter) PeerLost(peer string) { r.dropReports(peer, "connections ended") }
 
