--- /dev/null
+++ b/internal/serving/zoneload/senders.go
@@ -0,0 +1,103 @@
+package zoneload
+
+import (
+	"cmp"
+	"slices"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/cluster/ownership"
+)
+
+// sendersPerEdge is the number of storage nodes that send digests to an edge.
+const sendersPerEdge = 2
+
+// Directory holds the records of the nodes.
+type Directory interface {
+	Self() *wirev1.NodeRecord
+	Records() []*wirev1.NodeRecord
+	// Disks returns the records of the nodes with a disk.
+	Disks() []*wirev1.NodeRecord
+	// Unresponsive reports whether a call to a node has failed since the last contact.
+	Unresponsive(node string) bool
+}
+
+// SendersOf returns the records of the storage nodes that send digests to an edge, in the
+// order of their rendezvous weight for the edge. They are in the edge's zone if it has a
+// live storage node, otherwise in the edge's region if possible. Nodes whose directories
+// differ may compute different senders; an edge then has more or fewer senders for a time.
+func SendersOf(directory Directory, edge *wirev1.NodeRecord) []*wirev1.NodeRecord {
+	return topSenders(senderCandidates(directory, edge.Zone, edge.Region), edge.NodeId)
+}
+
+// senderCandidates returns the storage nodes among which the senders for the edges of a
+// zone are chosen. Unresponsive nodes are candidates only if there is no other node: an
+// edge that is partitioned from all storage nodes keeps its senders.
+func senderCandidates(directory Directory, zone, region string) []*wirev1.NodeRecord {
+	disks := directory.Disks()
+	live := slices.DeleteFunc(slices.Clone(disks), func(record *wirev1.NodeRecord) bool {
+		return record.Leaving || directory.Unresponsive(record.NodeId)
+	})
+	for _, list := range [][]*wirev1.NodeRecord{live, disks} {
+		var inZone, inRegion []*wirev1.NodeRecord
+		for _, record := range list {
+			if record.Zone == zone {
+				inZone = append(inZone, record)
+			}
+			if record.Region == region {
+				inRegion = append(inRegion, record)
+			}
+		}
+		for _, candidates := range [][]*wirev1.NodeRecord{inZone, inRegion, list} {
+			if len(candidates) > 0 {
+				return candidates
+			}
+		}
+	}
+	return nil
+}
+
+// topSenders returns the sendersPerEdge candidates with the highest weight for an edge.
+func topSenders(candidates []*wirev1.NodeRecord, edge string) []*wirev1.NodeRecord {
+	ranked := slices.Clone(candidates)
+	slices.SortFunc(ranked, func(a, b *wirev1.NodeRecord) int {
+		return cmp.Or(cmp.Compare(ownership.NodeWeight(edge, b.NodeId), ownership.NodeWeight(edge, a.NodeId)), cmp.Compare(a.NodeId, b.NodeId))
+	})
+	return ranked[:min(sendersPerEdge, len(ranked))]
+}
+
+// receivers are the addresses of the edges of one zone to which this node sends digests.
+type receivers struct {
+	zone      string
+	addresses []string
+}
+
+// receiversOf returns the edges to which this node sends digests, grouped by zone and
+// ordered by its name.
+func receiversOf(directory Directory) []receivers {
+	self := directory.Self().NodeId
+	edges := map[string][]*wirev1.NodeRecord{}
+	for _, record := range directory.Records() {
+		if record.DiskId == "" {
+			edges[record.Zone] = append(edges[record.Zone], record)
+		}
+	}
+	var all []receivers
+	for zone, records := range edges {
+		candidates := senderCandidates(directory, zone, records[0].Region)
+		if !slices.ContainsFunc(candidates, func(record *wirev1.NodeRecord) bool { return record.NodeId == self }) {
+			continue
+		}
+		group := receivers{zone: zone}
+		for _, edge := range records {
+			isSelf := func(sender *wirev1.NodeRecord) bool { return sender.NodeId == self }
+			if slices.ContainsFunc(topSenders(candidates, edge.NodeId), isSelf) {
+				group.addresses = append(group.addresses, edge.Address)
+			}
+		}
+		if len(group.addresses) > 0 {
+			all = append(all, group)
+		}
+	}
+	slices.SortFunc(all, func(a, b receivers) int { return cmp.Compare(a.zone, b.zone) })
+	return all
+}
