Runners of a target zone: choice among the runners that a digest names

Change: Criteria.Target names a zone and its runners with free slots. A request goes there only if its first event would be late at the best runner, at a lower cost, and at a runner with a free slot. Without a target, the choice is as before.

--- a/internal/serving/runnerset/choice.go
+++ b/internal/serving/runnerset/choice.go
@@ -20,6 +20,9 @@
 	// Batch limits the choice for a batch item: if no runner is within the limits, none
 	// is chosen. It is nil for an online request.
 	Batch *BatchLimits
+	// Target is the zone to which an online request is to be sent if its first event
+	// would be late in this node's zone; nil if there is none.
+	Target *TargetZone
 }
 
 // Choice is a chosen runner, with the estimates that led to it.
@@ -42,12 +45,28 @@
 	Sources LoadSources
 	// Candidates is the number of runners whose costs were compared.
 	Candidates int
+	// namedLoad is the load of a runner that TargetZone.Free names; nil for another
+	// runner.
+	namedLoad *load
 }
 
 // Pick returns the runner with the lowest cost (see candidate.cost), or a choice without
 // a runner if none may be used. If no listed runner of the service accepts work, an
-// online request may go to a recently removed runner.
+// online request may go to a recently removed runner. A request with a target zone goes
+// there under the conditions of TargetZone.
 func (s *Set) Pick(criteria *Criteria, now time.Time) Choice {
+	choice := s.pick(criteria, now)
+	if criteria.Target == nil || criteria.Target.inTime(&choice) {
+		return choice
+	}
+	if target := s.pickInTarget(criteria, now); target.Runner != nil && (choice.Runner == nil || target.Cost < choice.Cost) {
+		return target
+	}
+	return choice
+}
+
+// pick implements Pick without regard to the target zone.
+func (s *Set) pick(criteria *Criteria, now time.Time) Choice {
 	choice := s.pickAmong(criteria, now, (*Runner).AcceptsWork)
 	if choice.Runner == nil && criteria.Batch == nil && !slices.ContainsFunc(s.Service(criteria.Service), (*Runner).AcceptsWork) {
 		choice = s.pickAmong(criteria, now, (*Runner).RecentlyRemoved)
@@ -96,7 +115,12 @@
 func (r *Runner) evaluate(criteria *Criteria, now time.Time, typical float64) (Choice, bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	c := r.candidate(criteria, now)
+	return r.evaluateCandidate(r.candidate(criteria, now), criteria, typical)
+}
+
+// evaluateCandidate implements evaluate for the state of the runner. The caller holds the
+// mutex.
+func (r *Runner) evaluateCandidate(c candidate, criteria *Criteria, typical float64) (Choice, bool) {
 	if criteria.Batch != nil && !criteria.Batch.allow(&c) {
 		return Choice{}, false
 	}
--- a/internal/serving/runnerset/inflight.go
+++ b/internal/serving/runnerset/inflight.go
@@ -35,9 +35,23 @@
 // Begin counts a request that is about to be sent, and records that its prompt will be in
 // the runner's prefix cache. The caller must call End.
 func (s *Set) Begin(runner *Runner, prompt Prompt, batch bool, now time.Time) *InFlight {
+	return s.begin(runner, prompt, batch, nil, now)
+}
+
+// BeginChosen does the same as Begin for an online request and its choice. The times that
+// are learnt from the request refer to the load that led to the choice.
+func (s *Set) BeginChosen(choice *Choice, prompt Prompt, now time.Time) *InFlight {
+	return s.begin(choice.Runner, prompt, false, choice.namedLoad, now)
+}
+
+// begin implements Begin. known is the load of the runner; nil if it is to be estimated.
+func (s *Set) begin(runner *Runner, prompt Prompt, batch bool, known *load, now time.Time) *InFlight {
 	runner.mutex.Lock()
 	unread := runner.prefixes.uncached(prompt)
 	estimate := runner.estimate(now)
+	if known != nil {
+		estimate = *known
+	}
 	f := &InFlight{
 		set: s, runner: runner, unread: unread, sent: now, batch: batch,
 		expected: expectedFirstEvent(runner.model, estimate, runner.slots(), unread),
--- a/internal/serving/runnerset/load.go
+++ b/internal/serving/runnerset/load.go
@@ -13,6 +13,9 @@
 	Unread int
 }
 
+// online returns the number of requests that are not batch items.
+func (l *NodeLoad) online() int { return l.Running - l.Batch }
+
 // PeerReport is another node's report of its load at a runner.
 type PeerReport struct {
 	NodeLoad
--- a/internal/serving/runnerset/reports.go
+++ b/internal/serving/runnerset/reports.go
@@ -27,6 +27,16 @@
 // recorded a report.
 func (s *Set) OnPeerLoad(changed func(runner *Runner)) { s.onPeerLoad.Store(&changed) }
 
+// OnPeerReport sets the callback that RecordPeerReport calls with the reporting node, the
+// runner, and the number of online requests that the node has started there since its
+// last report.
+func (s *Set) OnPeerReport(reported func(peer string, runner *Runner, started int)) {
+	s.onPeerReport.Store(&reported)
+}
+
+// ReceivesReports reports whether other nodes report their load at a runner to this node.
+func (s *Set) ReceivesReports(runner *Runner) bool { return s.receivesReports(runner) }
+
 // notifyOwnLoad calls the callback of OnOwnLoad. The caller does not hold the runner's
 // mutex.
 func (s *Set) notifyOwnLoad(runner *Runner, shared []PromptPart) {
@@ -44,7 +54,10 @@
 	if known == nil {
 		return
 	}
-	known.recordPeerReport(peer, report, now)
+	started := known.recordPeerReport(peer, report, now)
+	if reported := s.onPeerReport.Load(); reported != nil {
+		(*reported)(peer, known, started)
+	}
 	if changed := s.onPeerLoad.Load(); changed != nil {
 		(*changed)(known)
 	}
--- a/internal/serving/runnerset/runner.go
+++ b/internal/serving/runnerset/runner.go
@@ -68,6 +68,13 @@
 // may be sent to it.
 func (r *Runner) AcceptsWork() bool { return !r.notAccepting.Load() }
 
+// Listed reports whether the runner is listed; a leaving runner is.
+func (r *Runner) Listed() bool {
+	r.set.mutex.Lock()
+	defer r.set.mutex.Unlock()
+	return r.set.byID[r.ID] == r
+}
+
 // RecentlyRemoved reports whether the runner was removed from the list while it accepted
 // work, less than removedRunnerGrace ago.
 func (r *Runner) RecentlyRemoved() bool {
@@ -75,6 +82,9 @@
 	return removed > 0 && time.Since(processStart)-time.Duration(removed) < removedRunnerGrace
 }
 
+// SlotCount returns the runner's number of slots, or assumedSlots if it is not stated.
+func (r *Runner) SlotCount() int { return int(r.slots()) }
+
 // slots returns the runner's number of slots, or assumedSlots if it is not stated.
 func (r *Runner) slots() float64 {
 	if r.Slots == 0 {
@@ -113,19 +123,23 @@
 }
 
 // recordPeerReport records the report of another node, peer, of its load at the runner.
-// It replaces the previous report of that node; a report without requests removes it.
-func (r *Runner) recordPeerReport(peer string, report PeerReport, now time.Time) {
+// It replaces the previous report of that node; a report without requests removes it. It
+// returns the increase of the node's online requests.
+func (r *Runner) recordPeerReport(peer string, report PeerReport, now time.Time) int {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	previous := r.peers[peer]
+	started := max(0, report.online()-previous.online())
 	if r.peers == nil {
 		r.peers = map[string]peerLoad{}
 	}
 	r.prefixes.touch(report.SharedParts, now)
 	if report.Running == 0 && report.Unread == 0 {
 		delete(r.peers, peer) // each choice iterates over all entries
-		return
+		return started
 	}
 	r.peers[peer] = peerLoad{report.NodeLoad, now}
+	return started
 }
 
 // forgetPeer drops the report of another node, and returns whether there was a report.
--- a/internal/serving/runnerset/runnerset.go
+++ b/internal/serving/runnerset/runnerset.go
@@ -49,6 +49,7 @@
 	reporting        atomic.Pointer[func(runner *Runner) bool]
 	onOwnLoad        atomic.Pointer[func(runner *Runner, shared []PromptPart)]
 	onPeerLoad       atomic.Pointer[func(runner *Runner)]
+	onPeerReport     atomic.Pointer[func(peer string, runner *Runner, started int)]
 	// totals are the rounded numbers of all runners, whether this node lists them or
 	// not; nil until the first Select.
 	totals atomic.Pointer[subset.Totals]
