Digests of the load of zones, and the shares that edges send to other zones

Change: storage nodes send digests of the load of all zones to edges; edges compute from them with which probability a request is sent to another zone, by water-filling on the expected time to the first event. Only with routing.balance_zones, and only for services whose runners report contention.

--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -34,7 +34,7 @@
 func (s *activeRequest) send(ctx context.Context, choice runnerset.Choice) (bool, error) {
 	runner := choice.Runner
 	started := time.Now()
-	inFlight := s.Runners.Begin(runner, s.request.Prompt, false, started)
+	inFlight := s.Runners.BeginChosen(&choice, s.request.Prompt, started)
 	defer inFlight.End()
 	defer s.beginTrial(runner)()
 	attemptContext, cancel := context.WithCancelCause(ctx)
@@ -157,7 +157,7 @@
 	klog.InfoS("attempt", slices.Concat(
 		[]any{
 			"id", s.request.ID, "fingerprint", s.fingerprint,
-			"runner", choice.Runner.ID, "zone", choice.Runner.Zone, "load", int(choice.Load),
+			"runner", choice.Runner.ID, "zone", choice.Runner.Zone, "crossing", s.crossingPercent(), "load", int(choice.Load),
 		},
 		choice.Sources.LogFields(),
 		[]any{
--- a/internal/serving/online/online.go
+++ b/internal/serving/online/online.go
@@ -37,6 +37,9 @@
 	Admission *admission.Controller
 	// Quarantine tracks the requests that crash runners; nil disables the quarantine.
 	Quarantine quarantine.Guard
+	// Zones decides which requests are sent to another zone; nil keeps all requests in
+	// this node's zone while it has runners.
+	Zones ZoneBalancer
 	// listWait is how long a request without attempts waits for a usable runner to be
 	// listed.
 	listWait       time.Duration
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -46,6 +46,9 @@
 	// firstEventAfter is the time from the arrival of the request to the first event, or
 	// to the response if it is not a stream; 0 before.
 	firstEventAfter time.Duration
+	// crossing is the probability with which requests of the service were sent to other
+	// zones when the zone was drawn; 0 if none was drawn.
+	crossing float64
 	// lastCause is the cause of the last failure, for the log.
 	lastCause string
 	// current is the latest attempt; nil before the first.
@@ -84,6 +87,7 @@
 	criteria := &runnerset.Criteria{
 		Service: service, Zone: s.Zone, Prompt: s.request.Prompt, Bytes: len(s.request.Body), Excluded: s.tried,
 	}
+	s.drawZone(criteria)
 	until := time.Now().Add(s.listWait)
 	for {
 		changed := s.Runners.Changed()
--- a/internal/serving/zoneload/senders.go
+++ b/internal/serving/zoneload/senders.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/cluster/ownership"
@@ -19,6 +20,8 @@
 	Disks() []*wirev1.NodeRecord
 	// Unresponsive reports whether a call to a node has failed since the last contact.
 	Unresponsive(node string) bool
+	// InContactWithin reports whether a node was in contact within a duration before now.
+	InContactWithin(node string, now time.Time, within time.Duration) bool
 }
 
 // SendersOf returns the records of the storage nodes that send digests to an edge, in the
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -6,6 +6,7 @@
 //     changes of the store to other nodes;
 //   - the reporter, which exchanges reports with other nodes about the requests that each
 //     node runs at runners;
+//   - the publisher or the receiver of the load of zones, if zones are balanced;
 //   - the quarantine of requests that crash runners.
 //
 // The platform's adapter provides the client of the store and the prober of runners. Only
@@ -34,6 +35,7 @@
 	"cobaltramp.example/cobaltramp/internal/serving/loadshare"
 	"cobaltramp.example/cobaltramp/internal/serving/quarantine"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
+	"cobaltramp.example/cobaltramp/internal/serving/zoneload"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 	"cobaltramp.example/cobaltramp/modules/roles/links"
 )
@@ -64,6 +66,7 @@
 	informer   *informer.Informer
 	syncer     *peers.Syncer
 	reporter   *loadshare.Reporter
+	publisher  *zoneload.Publisher // nil on edges, and if zones are not balanced
 	quarantine *quarantine.Coordinator
 	holdWriter *quarantine.HoldWriter
 	running    tasks.Group
@@ -109,6 +112,7 @@
 	m.reporter = loadshare.New(directory, m.informer.Runners, pool, registry)
 	server.HandleNotice(wirev1.Method_METHOD_RUNNER_USE, m.reporter.ReceiveNotice)
 	server.OnPeerLost(m.reporter.PeerLost)
+	m.provisionZoneLoad(ctx, &zoneLoadInputs{settings: loaded, directory: directory, runners: m.informer.Runners, pool: pool, server: server, registry: registry})
 	m.holdWriter = quarantine.NewHoldWriter(store)
 	m.quarantine = quarantine.NewCoordinator(directory, pool, prober, m.holdWriter, registry)
 	m.informer.Quarantine = m.quarantine
@@ -124,7 +128,11 @@
 
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
-	for _, run := range []func(context.Context){m.informer.Run, m.syncer.Run, m.reporter.Run, m.quarantine.Run, m.holdWriter.Run} {
+	runs := []func(context.Context){m.informer.Run, m.syncer.Run, m.reporter.Run, m.quarantine.Run, m.holdWriter.Run}
+	if m.publisher != nil {
+		runs = append(runs, m.publisher.Run)
+	}
+	for _, run := range runs {
 		m.running.Go(func() { run(ctx) })
 	}
 	return nil
