--- a/internal/serving/zoneload/arrivals.go
+++ b/internal/serving/zoneload/arrivals.go
@@ -10,8 +10,8 @@
 const (
 	// arrivalSmoothing is the time constant of the moving average of arrivals.
 	arrivalSmoothing = 500 * time.Millisecond
-	// arrivalUnit is the unit to which arrivals a second are rounded in digests.
-	arrivalUnit = 0.1
+	// arrivalParts is the number of parts of 1 to which arrivals a second are rounded.
+	arrivalParts = 10
 )
 
 // arrivals estimates the online requests a second of each service that the edges of each
@@ -51,7 +51,7 @@
 	for key, current := range a.rates {
 		current.perSecond += weight * (float64(current.pending)/elapsed.Seconds() - current.perSecond)
 		current.pending = 0
-		if current.perSecond < arrivalUnit/2 {
+		if math.Round(arrivalParts*current.perSecond) == 0 {
 			delete(a.rates, key)
 		}
 	}
@@ -60,7 +60,7 @@
 // perSecond returns the rounded average.
 func (a *arrivals) perSecond(key subset.ServiceZone) float64 {
 	if current := a.rates[key]; current != nil {
-		return math.Round(current.perSecond/arrivalUnit) * arrivalUnit
+		return math.Round(arrivalParts*current.perSecond) / arrivalParts
 	}
 	return 0
 }
