--- a/internal/serving/zoneload/senders.go
+++ b/internal/serving/zoneload/senders.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -29,7 +30,12 @@
 // live storage node, otherwise in the edge's region if possible. Nodes whose directories
 // differ may compute different senders; an edge then has more or fewer senders for a time.
 func SendersOf(directory Directory, edge *wirev1.NodeRecord) []*wirev1.NodeRecord {
-	return topSenders(senderCandidates(directory, edge.Zone, edge.Region), edge.NodeId)
+	candidates := slices.Clone(senderCandidates(directory, edge.Zone, edge.Region))
+	slices.SortFunc(candidates, func(a, b *wirev1.NodeRecord) int {
+		weightA, weightB := ownership.NodeWeight(edge.NodeId, a.NodeId), ownership.NodeWeight(edge.NodeId, b.NodeId)
+		return cmp.Or(cmp.Compare(weightB, weightA), cmp.Compare(a.NodeId, b.NodeId))
+	})
+	return candidates[:min(sendersPerEdge, len(candidates))]
 }
 
 // senderCandidates returns the storage nodes among which the senders for the edges of a
@@ -59,15 +65,6 @@
 	return nil
 }
 
-// topSenders returns the sendersPerEdge candidates with the highest weight for an edge.
-func topSenders(candidates []*wirev1.NodeRecord, edge string) []*wirev1.NodeRecord {
-	ranked := slices.Clone(candidates)
-	slices.SortFunc(ranked, func(a, b *wirev1.NodeRecord) int {
-		return cmp.Or(cmp.Compare(ownership.NodeWeight(edge, b.NodeId), ownership.NodeWeight(edge, a.NodeId)), cmp.Compare(a.NodeId, b.NodeId))
-	})
-	return ranked[:min(sendersPerEdge, len(ranked))]
-}
-
 // receivers are the addresses of the edges of one zone to which this node sends digests.
 type receivers struct {
 	zone      string
@@ -78,29 +75,16 @@
 // ordered by its name.
 func receiversOf(directory Directory) []receivers {
 	self := directory.Self().NodeId
-	edges := map[string][]*wirev1.NodeRecord{}
+	isSelf := func(sender *wirev1.NodeRecord) bool { return sender.NodeId == self }
+	byZone := map[string][]string{}
 	for _, record := range directory.Records() {
-		if record.DiskId == "" {
-			edges[record.Zone] = append(edges[record.Zone], record)
+		if record.DiskId == "" && slices.ContainsFunc(SendersOf(directory, record), isSelf) {
+			byZone[record.Zone] = append(byZone[record.Zone], record.Address)
 		}
 	}
 	var all []receivers
-	for zone, records := range edges {
-		candidates := senderCandidates(directory, zone, records[0].Region)
-		if !slices.ContainsFunc(candidates, func(record *wirev1.NodeRecord) bool { return record.NodeId == self }) {
-			continue
-		}
-		group := receivers{zone: zone}
-		for _, edge := range records {
-			isSelf := func(sender *wirev1.NodeRecord) bool { return sender.NodeId == self }
-			if slices.ContainsFunc(topSenders(candidates, edge.NodeId), isSelf) {
-				group.addresses = append(group.addresses, edge.Address)
-			}
-		}
-		if len(group.addresses) > 0 {
-			all = append(all, group)
-		}
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		all = append(all, receivers{zone: zone, addresses: byZone[zone]})
 	}
-	slices.SortFunc(all, func(a, b receivers) int { return cmp.Compare(a.zone, b.zone) })
 	return all
 }
