--- a/internal/serving/zoneload/digest.go
+++ b/internal/serving/zoneload/digest.go
@@ -31,12 +31,11 @@
 	free                        []freeRunner
 }
 
-// freeRunner is a runner with slots that online requests do not use.
+// freeRunner is a runner with slots that online requests do not use. Some of them may be
+// used by batch items.
 type freeRunner struct {
-	id    string
-	slots int
-	// items is the number of batch items in these slots.
-	items int
+	id           string
+	slots, empty int
 }
 
 // sumService computes the sums of each zone over the runners of a service.
@@ -78,7 +77,7 @@
 	z.running += counts.Running
 	z.batch += counts.Batch
 	if free := slots - int(counts.Running-counts.Batch); free > 0 {
-		z.free = append(z.free, freeRunner{id: runner.ID, slots: free, items: int(counts.Batch)})
+		z.free = append(z.free, freeRunner{id: runner.ID, slots: free, empty: max(0, slots-int(counts.Running))})
 	}
 }
 
@@ -98,7 +97,9 @@
 	return float64(z.accepting) / float64(z.reported)
 }
 
-// row encodes the sums. withFree adds the runners with the most free slots.
+// row encodes the sums. withFree adds the runners with the most empty slots, then those
+// with the most slots that preemption can free: an edge in another zone does not know the
+// nodes that have to preempt, and these learn of its request later.
 func (z *zoneSums) row(service string, arrivals float64, withFree bool) *wirev1.ServiceZoneLoad {
 	row := &wirev1.ServiceZoneLoad{
 		Service: service, Zone: z.zone, Runners: uint32(z.accepting), Slots: uint32(z.slots),
@@ -112,7 +113,7 @@
 		return row
 	}
 	slices.SortFunc(z.free, func(a, b freeRunner) int {
-		return cmp.Or(cmp.Compare(b.slots, a.slots), cmp.Compare(a.items, b.items), cmp.Compare(a.id, b.id))
+		return cmp.Or(cmp.Compare(b.empty, a.empty), cmp.Compare(b.slots, a.slots), cmp.Compare(a.id, b.id))
 	})
 	for _, free := range z.free[:min(maxFreeRunners, len(z.free))] {
 		row.Free = append(row.Free, &wirev1.FreeRunner{Runner: free.id, FreeSlots: uint32(free.slots)})
