Fair shares of the slots among tenants: division, counts, reports, sums and refusals

Cause: while a service is full, the order of arrival alone determines which requests are served, so a tenant with many times its usual rate takes slots from all others.

Change: package fairshare divides the slots of a service in a zone by weighted max-min fairness; edges count and report their requests by tenant, storage nodes sum the reports by zone, and edges refuse requests of tenants over their share first. Enabled by routing.fair_tenant_shares. The digests that carry the sums are not connected yet (modules/roles/cluster/fairshares.go), so there is no effect.

--- a/internal/app/explain/explain.go
+++ b/internal/app/explain/explain.go
@@ -158,7 +158,7 @@
 		t.Missing = append(t.Missing, "any line with this id: the process that took it was killed, its lines were dropped, or it came nowhere")
 	case has[messageAttempt] && !has[messageRequestEnded]:
 		t.Missing = append(t.Missing, "the end of the request: the edge was stopped or killed before it")
-	case has[messageRequestEnded] && !has[messageAttempt] && !has[messageNotAdmitted]:
+	case has[messageRequestEnded] && !has[messageAttempt] && !has[messageNotAdmitted] && t.overShare() == nil:
 		t.Missing = append(t.Missing, "an attempt: no runner was found to try")
 	case has[messageJobSubmitted] && !has[messageSubmissionReceived]:
 		t.Missing = append(t.Missing, "the storage node that answered the submission")
@@ -181,6 +181,9 @@
 	if t.Decisive != nil {
 		fmt.Fprintf(writer, "made certain by (*): %s at %s%s\n", t.Decisive.Message, t.Decisive.Source, t.Decisive.formatFields())
 	}
+	if line := t.overShare(); line != nil {
+		fmt.Fprintf(writer, "not run: %s\n", line.formatOverShare())
+	}
 	for _, missing := range t.Missing {
 		fmt.Fprintf(writer, "missing: %s\n", missing)
 	}
--- a/internal/app/explain/tenant.go
+++ b/internal/app/explain/tenant.go
@@ -17,6 +17,9 @@
 	// is the last line of the keeper of the tenant's limit about credits that it refused.
 	// They are nil if there is no such line.
 	Refusal, Keeper *Line
+	// OverShare is the end of the last request that was refused because the tenant was over
+	// its share of the slots; nil if there is none.
+	OverShare *Line
 }
 
 // messageCreditsRefused is logged by the keeper of a tenant's limit when it grants a node
@@ -34,6 +37,9 @@
 		switch line.Message {
 		case messageRequestEnded:
 			summary.count(line.Source, line.Fields["outcome"])
+			if line.refusedOverShare() {
+				summary.OverShare = line
+			}
 		case messageNotAdmitted:
 			summary.Refusal = line
 		case messageCreditsRefused:
@@ -66,6 +72,9 @@
 	if s.Keeper != nil {
 		fmt.Fprintf(writer, "its keeper then, %s %s:%s\n", s.Keeper.Stamp, s.Keeper.Source, s.Keeper.formatFields())
 	}
+	if s.OverShare != nil {
+		fmt.Fprintf(writer, "last refusal for its share at %s %s: %s\n", s.OverShare.Stamp, s.OverShare.Source, s.OverShare.formatOverShare())
+	}
 	if s.Refusal == nil && s.Keeper == nil {
 		fmt.Fprintln(writer, "none was refused for its limit in these lines")
 	}
--- /dev/null
+++ b/internal/serving/fairshare/standing_test.go
@@ -0,0 +1,61 @@
+package fairshare
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func TestStandingExamples(t *testing.T) {
+	const duration = 1500 * time.Millisecond
+	for _, test := range []struct {
+		name  string
+		load  Load
+		share float64
+		state State
+	}{
+		{"idle", Load{}, 1, Under},
+		{"usual rate", Load{InFlight: 6, ArrivalsPerSecond: 4}, 8, Under},
+		{"seven times the usual rate", Load{InFlight: 20, ArrivalsPerSecond: 28}, 8, Over},
+		{"held at the share by refusals", Load{InFlight: 8, ArrivalsPerSecond: 28}, 8, Over},
+		{"after the burst", Load{InFlight: 20, ArrivalsPerSecond: 4}, 8, At},
+		{"at the start of the burst", Load{InFlight: 3, ArrivalsPerSecond: 28}, 8, At},
+		{"many short requests in few slots", Load{InFlight: 2, ArrivalsPerSecond: 28}, 8, At},
+		{"two requests of a small tenant at once", Load{InFlight: 2, ArrivalsPerSecond: 4}, 1, At},
+		{"one request of a small tenant", Load{InFlight: 1, ArrivalsPerSecond: 2}, 0.4, Under},
+		{"no share", Load{InFlight: 3, ArrivalsPerSecond: 10}, 0, Over},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(standingOf(test.load, test.share, duration, false).State, test.state)
+		})
+	}
+}
+
+// Only a tenant that wants and occupies slots beyond its means is restricted, and never more
+// than by the requests that its share has no room for.
+func TestStandingProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		load := Load{
+			InFlight:          float64(rapid.IntRange(0, 500).Draw(t, "in flight")),
+			ArrivalsPerSecond: rapid.Float64Range(0, 500).Draw(t, "arrivals"),
+		}
+		share := rapid.Float64Range(0, 100).Draw(t, "share")
+		duration := time.Duration(rapid.IntRange(int(minDuration), int(maxDuration)).Draw(t, "duration"))
+		standing := standingOf(load, share, duration, rapid.Bool().Draw(t, "was over"))
+		if standing.Within < 0 || standing.Within > 1 || standing.State != Over && standing.Within != 1 {
+			t.Fatalf("the share has room for %v of the requests", standing.Within)
+		}
+		if standing.State == Over && load.wanted(duration) <= share {
+			t.Fatal("over the share with arrivals that fit into it")
+		}
+		if standing.State == Under && load.InFlight > max(1, share) {
+			t.Fatal("under the share with more requests in flight")
+		}
+		if standing.State == Over && standing.Within == 0 && load.InFlight < share {
+			t.Fatal("all requests are refused while the share is not used")
+		}
+	})
+}
--- a/internal/serving/online/online.go
+++ b/internal/serving/online/online.go
@@ -8,10 +8,11 @@
 // rate limit, quarantine for requests that crash runners, and exchange for the
 // transport.
 //
-// Two files hold the rules, which use no I/O and get the time from their callers:
-// retry.go (whether a request is retried, and which error its caller gets) and the type
+// Three files hold the rules, which use no I/O and get the time from their callers:
+// retry.go (whether a request is retried, and which error its caller gets), the type
 // refusalInputs in refusal.go (whether a request is refused because all runners are
-// full). The other files apply the rules.
+// full), and the type overShareInputs in fairness.go (whether it is refused because its
+// tenant is over its share). The other files apply the rules.
 package online
 
 import (
@@ -22,6 +23,7 @@
 
 	"cobaltramp.example/cobaltramp/internal/serving/admission"
 	"cobaltramp.example/cobaltramp/internal/serving/exchange"
+	"cobaltramp.example/cobaltramp/internal/serving/fairshare"
 	"cobaltramp.example/cobaltramp/internal/serving/quarantine"
 	"cobaltramp.example/cobaltramp/internal/serving/retryafter"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
@@ -37,14 +39,19 @@
 	Admission *admission.Controller
 	// Quarantine tracks the requests that crash runners; nil disables the quarantine.
 	Quarantine quarantine.Guard
+	// FairShares divides the slots among tenants while a service is full; nil disables it.
+	FairShares *fairshare.Shares
 	// listWait is how long a request without attempts waits for a usable runner to be
 	// listed.
-	listWait       time.Duration
-	planners       planners
-	callerTimeouts retryafter.CallerTimeouts
-	requests       *prometheus.CounterVec
-	attempts       *prometheus.CounterVec
-	firstEvent     prometheus.Histogram
+	listWait time.Duration
+	planners planners
+	// overSharePlanners schedules the retries of callers whose tenant is over its share.
+	// These refusals don't make the service count as full for other tenants.
+	overSharePlanners planners
+	callerTimeouts    retryafter.CallerTimeouts
+	requests          *prometheus.CounterVec
+	attempts          *prometheus.CounterVec
+	firstEvent        prometheus.Histogram
 }
 
 // New returns a forwarder and registers its metrics.
@@ -72,6 +79,7 @@
 func (f *Forwarder) Serve(ctx context.Context, request *CallerRequest, responder Responder) error {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	defer f.FairShares.Begin(request.Route.ServiceFor(request.ID), request.tenantName(), request.Route.Priority)()
 	s := &activeRequest{
 		Forwarder: f, request: request, fingerprint: request.fingerprint(), responder: responder,
 		tried: map[string]bool{}, lastEvent: max(0, request.ResumeAfter),
--- a/internal/serving/online/refusal.go
+++ b/internal/serving/online/refusal.go
@@ -33,6 +33,9 @@
 	firstAttempt bool
 	// full is set if a request of the service was refused recently.
 	full bool
+	// protected is set if the tenant is under its share of the slots while another tenant
+	// is over its own; see fairshare.Verdict.
+	protected bool
 	// target is the route's target for the time to the first event; 0 if it has none.
 	target time.Duration
 	// waited is the time since the request arrived, and expected is the expected time
@@ -51,23 +54,31 @@
 
 // refused reports whether the request is refused. A route without a target refuses none.
 func (r *refusalInputs) refused() bool {
-	if r.sent || r.suspect || !r.firstAttempt {
+	if r.sent || r.suspect || !r.firstAttempt || r.protected {
 		return false
 	}
 	allowed := r.allowed()
 	return allowed > 0 && r.waited+r.expected > allowed
 }
 
-// refuseIfFull returns an error with a retry delay if the request is to be refused (see
-// refusalInputs). choice is the best runner.
-func (s *activeRequest) refuseIfFull(service string, choice runnerset.Choice) error {
-	now := time.Now()
-	inputs := refusalInputs{
+// refusalInputs returns the inputs to the decision whether the request is refused. choice is
+// the best runner.
+func (s *activeRequest) refusalInputs(service string, choice runnerset.Choice, now time.Time) refusalInputs {
+	return refusalInputs{
 		sent: s.history.mayHaveRun(), suspect: choice.Suspect,
 		firstAttempt: retryafter.IsFirstAttempt(s.request.StatedTimeout, s.usualTimeout),
 		full:         s.planners.full(service, now), target: s.request.Route.Target,
-		waited: now.Sub(s.request.Received), expected: choice.FirstEvent,
+		protected: s.verdict != nil && s.verdict.Protected(),
+		waited:    now.Sub(s.request.Received), expected: choice.FirstEvent,
 	}
+}
+
+// refuseIfFull returns an error with a retry delay if the request is to be refused (see
+// refusalInputs). choice is the best runner.
+func (s *activeRequest) refuseIfFull(service string, choice runnerset.Choice) error {
+	now := time.Now()
+	s.updateVerdict(service, now)
+	inputs := s.refusalInputs(service, choice, now)
 	if !inputs.refused() {
 		return nil
 	}
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -9,6 +9,7 @@
 
 	"cobaltramp.example/cobaltramp/internal/app/result"
 	"cobaltramp.example/cobaltramp/internal/serving/admission"
+	"cobaltramp.example/cobaltramp/internal/serving/fairshare"
 	"cobaltramp.example/cobaltramp/internal/serving/quarantine"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
 )
@@ -46,6 +47,8 @@
 	// firstEventAfter is the time from the arrival of the request to the first event, or
 	// to the response if it is not a stream; 0 before.
 	firstEventAfter time.Duration
+	// verdict is how the tenant's requests compare to its share of the slots; nil if unknown.
+	verdict *fairshare.Verdict
 	// lastCause is the cause of the last failure, for the log.
 	lastCause string
 	// current is the latest attempt; nil before the first.
@@ -65,6 +68,9 @@
 		if err := s.admit(ctx); err != nil {
 			return s.cutIfStarted(err)
 		}
+		if err := s.refuseIfOverShare(choice.Runner.Service, choice); err != nil {
+			return s.cutIfStarted(err)
+		}
 		again, err := s.send(ctx, choice)
 		if !again {
 			return s.cutIfStarted(err)
@@ -157,9 +163,9 @@
 		}
 	}
 	s.requests.WithLabelValues(outcome).Inc()
-	klog.InfoS("request ended", "id", s.request.ID, "fingerprint", s.fingerprint, "route", s.request.Route.Name,
+	klog.InfoS("request ended", append([]any{"id", s.request.ID, "fingerprint", s.fingerprint, "route", s.request.Route.Name,
 		"tenant", s.request.tenantName(), "catalog", s.request.Version, "outcome", outcome,
 		"runs", s.history.runs, "notRun", s.history.notRun, "events", s.lastEvent,
 		"firstMs", s.firstEventAfter.Milliseconds(), "ms", time.Since(s.request.Received).Milliseconds(),
-		"cause", s.lastCause)
+		"cause", s.lastCause}, s.shareLogFields()...)...)
 }
--- a/internal/serving/runnerset/choice.go
+++ b/internal/serving/runnerset/choice.go
@@ -44,6 +44,9 @@
 	Candidates int
 }
 
+// HasFreeSlot reports whether the chosen runner is estimated to have a free slot.
+func (c *Choice) HasFreeSlot() bool { return c.Load+1 <= c.Runner.slots() }
+
 // Pick returns the runner with the lowest cost (see candidate.cost), or a choice without
 // a runner if none may be used. If no listed runner of the service accepts work, an
 // online request may go to a recently removed runner.
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -6,7 +6,8 @@
 //     changes of the store to other nodes;
 //   - the reporter, which exchanges reports with other nodes about the requests that each
 //     node runs at runners;
-//   - the quarantine of requests that crash runners.
+//   - the quarantine of requests that crash runners;
+//   - the counts of requests by tenant, if fair shares of the slots are enabled.
 //
 // The platform's adapter provides the client of the store and the prober of runners. Only
 // storage nodes with a data folder keep a mirror of the store's changes for other nodes.
@@ -66,6 +67,7 @@
 	reporter   *loadshare.Reporter
 	quarantine *quarantine.Coordinator
 	holdWriter *quarantine.HoldWriter
+	fairShares fairShares
 	running    tasks.Group
 }
 
@@ -108,7 +110,15 @@
 	server.Handle(wirev1.Method_METHOD_PEER_STATE, m.syncer.Serve)
 	m.reporter = loadshare.New(directory, m.informer.Runners, pool, registry)
 	server.HandleNotice(wirev1.Method_METHOD_RUNNER_USE, m.reporter.ReceiveNotice)
-	server.OnPeerLost(m.reporter.PeerLost)
+	if loaded.Routing.FairTenantShares {
+		m.fairShares.provision(ctx, fairShareInputs{
+			settings: loaded, directory: directory, catalogs: m.informer.Catalogs, pool: pool, server: server, registry: registry,
+		})
+	}
+	server.OnPeerLost(func(peer string) {
+		m.reporter.PeerLost(peer)
+		m.fairShares.peerLost(peer)
+	})
 	m.holdWriter = quarantine.NewHoldWriter(store)
 	m.quarantine = quarantine.NewCoordinator(directory, pool, prober, m.holdWriter, registry)
 	m.informer.Quarantine = m.quarantine
@@ -124,7 +134,7 @@
 
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
-	for _, run := range []func(context.Context){m.informer.Run, m.syncer.Run, m.reporter.Run, m.quarantine.Run, m.holdWriter.Run} {
+	for _, run := range []func(context.Context){m.informer.Run, m.syncer.Run, m.reporter.Run, m.quarantine.Run, m.holdWriter.Run, m.fairShares.run} {
 		m.running.Go(func() { run(ctx) })
 	}
 	return nil
--- /dev/null
+++ b/modules/roles/cluster/fairshares.go
@@ -0,0 +1,91 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/kernel"
+	"cobaltramp.example/cobaltramp/internal/app/tasks"
+	"cobaltramp.example/cobaltramp/internal/cluster/peers"
+	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
+	"cobaltramp.example/cobaltramp/internal/configuration/settings"
+	"cobaltramp.example/cobaltramp/internal/serving/fairshare"
+	"cobaltramp.example/cobaltramp/internal/transport/rpc"
+)
+
+// fairShares runs the fair division of slots among tenants on one node: an edge counts and
+// reports its requests, a storage node sums the reports. The zero value does nothing.
+type fairShares struct {
+	// shares and reporter are set on edges, sums on storage nodes.
+	shares   *fairshare.Shares
+	reporter *fairshare.Reporter
+	sums     *fairshare.Sums
+	// tenants returns the tenants' load in a zone for the digests that a storage node sends;
+	// nil on edges.
+	tenants func(zone string, now time.Time) []*wirev1.TenantLoad
+}
+
+// fairShareInputs are what fairShares needs of the node.
+type fairShareInputs struct {
+	settings  *settings.Role
+	directory *peers.Directory
+	catalogs  *catalog.Holder
+	pool      *rpc.Pool
+	server    *rpc.Server
+	registry  prometheus.Registerer
+}
+
+// provision sets up the part of an edge or of a storage node. On an edge it provides the
+// *fairshare.Shares.
+func (f *fairShares) provision(ctx *kernel.Context, inputs fairShareInputs) {
+	// CONNECT (part C): digests is the Receiver of zoneload, and zoneload's Publisher gets
+	// Tenants = f.tenants on storage nodes. The Publisher and the Receiver have to run if
+	// balance_zones or fair_tenant_shares is set. recipients may become the addresses of
+	// zoneload.SendersOf only if that returns the same nodes for all edges of a zone: each
+	// of them sums the reports of the whole zone.
+	var digests fairshare.DigestSource = noDigests{}
+	recipients := func() []string {
+		return fairshare.Recipients(inputs.directory.Records(), inputs.settings.Zone)
+	}
+
+	if inputs.settings.DataFolder != "" {
+		f.sums = fairshare.NewSums(inputs.directory)
+		f.tenants = f.sums.Tenants
+		inputs.server.HandleNotice(wirev1.Method_METHOD_TENANT_DEMAND, f.sums.ReceiveNotice)
+		return
+	}
+	counter := fairshare.NewCounter(time.Now())
+	incarnation := func() uint64 { return inputs.directory.Self().Incarnation }
+	f.reporter = fairshare.NewReporter(counter, recipients, inputs.pool, incarnation, inputs.registry)
+	f.shares = fairshare.NewShares(inputs.settings.Zone, counter, digests, fairshare.WeightIn(inputs.catalogs), inputs.registry)
+	ctx.Provide(f.shares)
+}
+
+// peerLost drops the report of an edge whose connections have ended.
+func (f *fairShares) peerLost(peer string) {
+	if f.sums != nil {
+		f.sums.PeerLost(peer)
+	}
+}
+
+// run reports this node's requests and follows the digests until the context ends.
+func (f *fairShares) run(ctx context.Context) {
+	if f.reporter == nil {
+		return
+	}
+	var running tasks.Group
+	running.Go(func() { f.reporter.Run(ctx) })
+	running.Go(func() { f.shares.Run(ctx) })
+	running.Wait()
+}
+
+// noDigests is the source of digests on a node that receives none.
+type noDigests struct{}
+
+// Newest implements fairshare.DigestSource.
+func (noDigests) Newest(time.Time) (*wirev1.ZoneLoadDigest, time.Duration, bool) {
+	return nil, 0, false
+}
