Fair shares: steadier control of a tenant over its share

Cause: in a model of a zone in which all tenants exceed the slots, the requests of a tenant with 20 times its rate alternated between 0 and 60 in flight with a share of 9.6, and took 23 on average, since the tenant stopped counting as over its share as soon as few were left.

--- a/internal/serving/fairshare/shares.go
+++ b/internal/serving/fairshare/shares.go
@@ -101,8 +101,8 @@
 // RecordRefusal counts a request that is refused because its tenant is over its share.
 func (s *Shares) RecordRefusal() { s.refusals.Inc() }
 
-// Verdict returns the verdict on a tenant's requests of a service. It returns false if there
-// is none: the request has no tenant, or there is no current digest of the service.
+// Verdict returns the verdict on a tenant's request, which Begin has counted. It returns false
+// if there is none: the request has no tenant, or there is no current digest of the service.
 func (s *Shares) Verdict(service, tenant string, priority int, now time.Time) (Verdict, bool) {
 	if s == nil || tenant == "" {
 		return Verdict{}, false
@@ -112,7 +112,7 @@
 		return Verdict{}, false
 	}
 	key := keyOf(service, tenant, priority)
-	standing := view.standing(key, s.counter.inFlight(key))
+	standing := view.standing(key, s.counter.inFlight(key)-1) // the request itself is counted
 	return Verdict{Standing: standing, AnyOver: len(view.over) > 0, Full: view.full}, true
 }
 
--- a/internal/serving/fairshare/shares_test.go
+++ b/internal/serving/fairshare/shares_test.go
@@ -77,6 +77,19 @@
 	is.True(!known)
 }
 
+// Tenants that are not listed are not protected while they want more than their shares
+// together, and are not restricted, since nothing is known of the single tenant.
+func TestUnlistedTenantsOverTheirShares(t *testing.T) {
+	is := is.New(t)
+	rest := tenantLoad("", 60, 60)
+	rest.Tenants = 3
+	shares := sharesOf(&fixedDigest{digest: digestOf(40, tenantLoad("big", 35, 70), rest), receivedAt: start})
+	verdict, known := shares.Verdict("s", "unlisted", 0, start)
+	is.True(known && verdict.AnyOver)
+	is.Equal(verdict.State, At)
+	is.True(!verdict.Protected())
+}
+
 // Without a digest that is young enough, or with one of a node of the previous version, there
 // is no verdict.
 func TestNoVerdictWithoutDigest(t *testing.T) {
--- a/internal/serving/fairshare/view.go
+++ b/internal/serving/fairshare/view.go
@@ -153,8 +153,9 @@
 	return over
 }
 
-// standing returns the standing of a tenant. ownInFlight is the number of its requests on this
-// node. They are part of the zone's, but the number is newer, and counts alone if it is higher.
+// standing returns the standing of a tenant with a new request. ownInFlight is the number of its
+// other requests on this node. They are part of the zone's, but the number is newer, and counts
+// alone if it is higher.
 func (v *serviceView) standing(key tenantKey, ownInFlight int) Standing {
 	load, listed := v.loads[key]
 	load.InFlight = max(load.InFlight, float64(ownInFlight))
