--- a/internal/serving/zoneload/publisher.go
+++ b/internal/serving/zoneload/publisher.go
@@ -118,17 +118,37 @@
 	if p.receiversAt.IsZero() || now.Sub(p.receiversAt) >= receiversInterval {
 		p.updateReceivers(now)
 	}
-	loads := p.loads(now)
+	tenants := p.tenantsByZone(now)
+	loads := p.loads(now, servicesOf(tenants))
 	if now.Sub(p.started) < reportLifetime {
 		return
 	}
 	for _, group := range p.receivers {
-		digest := &wirev1.ZoneLoadDigest{Loads: loads}
-		if p.Tenants != nil {
-			digest.Tenants = p.Tenants(group.zone, now)
+		p.sendIfDue(group, &wirev1.ZoneLoadDigest{Loads: loads, Tenants: tenants[group.zone]}, now)
+	}
+}
+
+// tenantsByZone returns the largest tenants in the zones of the receivers.
+func (p *Publisher) tenantsByZone(now time.Time) map[string][]*wirev1.TenantLoad {
+	tenants := map[string][]*wirev1.TenantLoad{}
+	if p.Tenants == nil {
+		return tenants
+	}
+	for _, group := range p.receivers {
+		tenants[group.zone] = p.Tenants(group.zone, now)
+	}
+	return tenants
+}
+
+// servicesOf returns the services that tenants use.
+func servicesOf(tenantsByZone map[string][]*wirev1.TenantLoad) map[string]bool {
+	services := map[string]bool{}
+	for _, tenants := range tenantsByZone {
+		for _, tenant := range tenants {
+			services[tenant.Service] = true
 		}
-		p.sendIfDue(group, digest, now)
 	}
+	return services
 }
 
 // sendIfDue sends a digest if it has changed or was last sent unchangedInterval ago. An
@@ -171,8 +191,8 @@
 
 // loads returns the loads of all services in the known zones, within the limits of a
 // digest: the services and the zones with the most runners. Services whose runners do not
-// report contention are left out unless tenants are reported, since only these need them.
-func (p *Publisher) loads(now time.Time) []*wirev1.ServiceZoneLoad {
+// report contention are left out unless tenants use them, since nothing else needs them.
+func (p *Publisher) loads(now time.Time, usedByTenants map[string]bool) []*wirev1.ServiceZoneLoad {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.arrivals.update(now.Sub(p.updatedAt))
@@ -182,7 +202,7 @@
 	for _, service := range largestServices(p.runners.Counts().ByService) {
 		zones := sumService(p.runners, service, p.Contention, now)
 		balanced := slices.ContainsFunc(zones, (*zoneSums).reportsContention)
-		if !balanced && p.Tenants == nil {
+		if !balanced && !usedByTenants[service] {
 			continue
 		}
 		zones = slices.DeleteFunc(zones, func(sums *zoneSums) bool { return !known[sums.zone] })
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -9,7 +9,8 @@
 //   - the publisher or the receiver of the load of zones, if zones are balanced;
 //   - the quarantine of requests that crash runners;
 //   - if the settings enable it, the caller that reaches storage nodes through peers while
-//     there is no direct path to them, and the forwarder that does so for peers.
+//     there is no direct path to them, and the forwarder that does so for peers;
+//   - the counts of requests by tenant, if fair shares of the slots are enabled.
 //
 // The platform's adapter provides the client of the store and the prober of runners. Only
 // storage nodes with a data folder keep a mirror of the store's changes for other nodes.
@@ -75,6 +76,7 @@
 	quarantine *quarantine.Coordinator
 	holdWriter *quarantine.HoldWriter
 	caller     *forwarding.Caller // nil if calls are not forwarded
+	fairShares fairShares
 	running    tasks.Group
 }
 
@@ -127,8 +129,19 @@
 		forwarding.NewForwarder(m.caller, m.reporter.ReceiveNotice, registry).Handle(server)
 	}
 	server.HandleNotice(wirev1.Method_METHOD_RUNNER_USE, m.reporter.ReceiveNotice)
-	server.OnPeerLost(m.reporter.PeerLost)
-	m.provisionZoneLoad(ctx, &zoneLoadInputs{settings: loaded, directory: directory, runners: m.informer.Runners, pool: pool, server: server, registry: registry})
+	receiver := m.provisionZoneLoad(ctx, &zoneLoadInputs{settings: loaded, directory: directory, runners: m.informer.Runners, pool: pool, server: server, registry: registry})
+	if loaded.Routing.FairTenantShares {
+		m.fairShares.provision(ctx, fairShareInputs{
+			settings: loaded, directory: directory, catalogs: m.informer.Catalogs, pool: pool, server: server, registry: registry, digests: receiver,
+		})
+	}
+	if m.publisher != nil {
+		m.publisher.Tenants = m.fairShares.tenants
+	}
+	server.OnPeerLost(func(peer string) {
+		m.reporter.PeerLost(peer)
+		m.fairShares.peerLost(peer)
+	})
 	m.holdWriter = quarantine.NewHoldWriter(store)
 	m.quarantine = quarantine.NewCoordinator(directory, pool, prober, m.holdWriter, registry)
 	m.informer.Quarantine = m.quarantine
@@ -144,7 +157,7 @@
 
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
-	runs := []func(context.Context){m.informer.Run, m.syncer.Run, m.reporter.Run, m.quarantine.Run, m.holdWriter.Run}
+	runs := []func(context.Context){m.informer.Run, m.syncer.Run, m.reporter.Run, m.quarantine.Run, m.holdWriter.Run, m.fairShares.run}
 	if m.publisher != nil {
 		runs = append(runs, m.publisher.Run)
 	}
--- a/modules/roles/cluster/zones.go
+++ b/modules/roles/cluster/zones.go
@@ -23,19 +23,26 @@
 }
 
 // provisionZoneLoad creates the publisher of digests on a storage node, or the receiver on
-// an edge, and provides it to other modules. It does nothing unless zones are balanced.
-func (m *Module) provisionZoneLoad(ctx *kernel.Context, inputs *zoneLoadInputs) {
-	if !inputs.settings.Routing.BalanceZones {
-		return
+// an edge, and provides it to other modules. It does nothing unless zones are balanced or
+// tenants have fair shares. It returns the receiver, or nil on a storage node.
+func (m *Module) provisionZoneLoad(ctx *kernel.Context, inputs *zoneLoadInputs) *zoneload.Receiver {
+	routing := inputs.settings.Routing
+	if !routing.BalanceZones && !routing.FairTenantShares {
+		return nil
 	}
 	if inputs.settings.DataFolder != "" {
 		m.publisher = zoneload.NewPublisher(inputs.directory, inputs.runners, inputs.pool, inputs.registry)
-		m.publisher.Contention = (*runnerset.Runner).Contention
+		if routing.BalanceZones {
+			m.publisher.Contention = (*runnerset.Runner).Contention
+		}
 		ctx.Provide(m.publisher)
-		return
+		return nil
 	}
 	receiver := zoneload.NewReceiver(inputs.settings.Zone, inputs.registry)
-	receiver.Balance(inputs.runners.Latency)
+	if routing.BalanceZones {
+		receiver.Balance(inputs.runners.Latency)
+	}
 	inputs.server.HandleNotice(wirev1.Method_METHOD_ZONE_LOAD, receiver.ReceiveNotice)
 	ctx.Provide(receiver)
+	return receiver
 }
