Tests of what a forwarder refuses

Cause: removing the check for a broken direct path, or for the kind of call, was noticed by no test. Change: tests that such calls are refused without a call to any node. Without the first check the test still passes, since the check after the dial refuses too.

--- a/internal/cluster/forwarding/faults_test.go
+++ b/internal/cluster/forwarding/faults_test.go
@@ -321,3 +321,41 @@
 	is.Equal(result.CodeOf(f.edges[0].read(f.disks[0], patience)), result.CommitUnknown)
 	is.Equal(result.CodeOf(f.edges[0].read(f.disks[0], patience)), result.NotLeader) // sent on one path only
 }
+
+// A forwarder whose own direct path is broken refuses at once: it neither uses this path nor
+// another forwarder.
+func TestForwarderWithBrokenPathRefuses(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 3, 1, 0, answering())
+	disk, forwarder := f.disks[0], f.edges[1]
+	f.cut(faultRefused, forwarder)
+	is.NoErr(forwarder.read(disk, patience))
+	is.True(forwarder.Broken(disk.address, time.Now()))
+	before, others := forwarder.transport.count(disk.address), f.edges[0].forwarded("answered")+f.edges[2].forwarded("answered")
+	reply, err := forwarder.forwarder.forward(context.Background(), "edge-00", &wirev1.ForwardRequest{Address: disk.address, Method: wirev1.Method_METHOD_QUEUE_READ, Class: uint32(rpc.ClassOnline)})
+	is.NoErr(err)
+	is.True(!reply.Delivered)
+	is.Equal(result.Code(reply.Status.Code), result.PeerUnreachable)
+	is.Equal(forwarder.forwarded("unreachable"), 1)
+	is.Equal(forwarder.transport.count(disk.address), before)
+	is.Equal(f.edges[0].forwarded("answered")+f.edges[2].forwarded("answered"), others)
+}
+
+// A forwarder calls only nodes with disks, and only the methods of queue shards.
+func TestForwarderRefusesOtherCalls(t *testing.T) {
+	is := is.New(t)
+	f := startFleet(t, 2, 1, 0, answering())
+	for _, request := range []*wirev1.ForwardRequest{
+		{Address: f.disks[0].address, Method: wirev1.Method_METHOD_PEER_STATE},
+		{Address: f.disks[0].address, Method: wirev1.Method_METHOD_FORWARD},
+		{Address: f.disks[0].address, Method: wirev1.Method_METHOD_QUEUE_READ, Class: 99},
+		{Address: f.edges[0].address, Method: wirev1.Method_METHOD_QUEUE_READ},
+		{Address: "127.0.0.1:1", Method: wirev1.Method_METHOD_QUEUE_READ},
+	} {
+		reply, err := f.edges[1].forwarder.forward(context.Background(), "edge-00", request)
+		is.NoErr(err)
+		is.True(!reply.Delivered)
+	}
+	is.Equal(f.edges[1].forwarded("invalid"), 5)
+	is.Equal(f.edges[1].transport.most(), 0)
+}
