--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -6,9 +6,11 @@
 //     changes of the store to other nodes;
 //   - the reporter, which exchanges reports with other nodes about the requests that each
 //     node runs at runners;
+//   - the publisher or the receiver of the load of zones, if zones are balanced;
 //   - the quarantine of requests that crash runners;
 //   - if the settings enable it, the caller that reaches storage nodes through peers while
-//     there is no direct path to them, and the forwarder that does so for peers.
+//     there is no direct path to them, and the forwarder that does so for peers;
+//   - the counts of requests by tenant, if fair shares of the slots are enabled.
 //
 // The platform's adapter provides the client of the store and the prober of runners. Only
 // storage nodes with a data folder keep a mirror of the store's changes for other nodes.
@@ -38,6 +40,7 @@
 	"cobaltramp.example/cobaltramp/internal/serving/loadshare"
 	"cobaltramp.example/cobaltramp/internal/serving/quarantine"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
+	"cobaltramp.example/cobaltramp/internal/serving/zoneload"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 	"cobaltramp.example/cobaltramp/modules/roles/links"
 )
@@ -69,9 +72,11 @@
 	informer   *informer.Informer
 	syncer     *peers.Syncer
 	reporter   *loadshare.Reporter
+	publisher  *zoneload.Publisher // nil on edges, and if zones are not balanced
 	quarantine *quarantine.Coordinator
 	holdWriter *quarantine.HoldWriter
 	caller     *forwarding.Caller // nil if calls are not forwarded
+	fairShares fairShares
 	running    tasks.Group
 }
 
@@ -124,7 +129,19 @@
 		forwarding.NewForwarder(m.caller, m.reporter.ReceiveNotice, registry).Handle(server)
 	}
 	server.HandleNotice(wirev1.Method_METHOD_RUNNER_USE, m.reporter.ReceiveNotice)
-	server.OnPeerLost(m.reporter.PeerLost)
+	receiver := m.provisionZoneLoad(ctx, &zoneLoadInputs{settings: loaded, directory: directory, runners: m.informer.Runners, pool: pool, server: server, registry: registry})
+	if loaded.Routing.FairTenantShares {
+		m.fairShares.provision(ctx, fairShareInputs{
+			settings: loaded, directory: directory, catalogs: m.informer.Catalogs, pool: pool, server: server, registry: registry, digests: receiver,
+		})
+	}
+	if m.publisher != nil {
+		m.publisher.Tenants = m.fairShares.tenants
+	}
+	server.OnPeerLost(func(peer string) {
+		m.reporter.PeerLost(peer)
+		m.fairShares.peerLost(peer)
+	})
 	m.holdWriter = quarantine.NewHoldWriter(store)
 	m.quarantine = quarantine.NewCoordinator(directory, pool, prober, m.holdWriter, registry)
 	m.informer.Quarantine = m.quarantine
@@ -140,7 +157,11 @@
 
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
-	for _, run := range []func(context.Context){m.informer.Run, m.syncer.Run, m.reporter.Run, m.quarantine.Run, m.holdWriter.Run} {
+	runs := []func(context.Context){m.informer.Run, m.syncer.Run, m.reporter.Run, m.quarantine.Run, m.holdWriter.Run, m.fairShares.run}
+	if m.publisher != nil {
+		runs = append(runs, m.publisher.Run)
+	}
+	for _, run := range runs {
 		m.running.Go(func() { run(ctx) })
 	}
 	return nil
