Runners that answer with errors at once no longer attract requests and items

Cause: an error response that is relayed to the caller counted as a first event after a few milliseconds, and an item's error response did not count against the runner at all. Ruled out: counting each error of an item, which may be the item's fault, against the runner. Change: a server error counts as a failure of the runner; errors of different items in succession do; an item avoids for a while the runners that reported a failure of it.

--- a/internal/batch/queue/table.go
+++ b/internal/batch/queue/table.go
@@ -30,8 +30,10 @@
 	// with a dead result, which has no output (see Expired).
 	Due       time.Time
 	ExpiresAt time.Time
-	// Failures counts the runs in which the runner reported a failure.
-	Failures int
+	// Failures counts the runs in which the runner reported a failure. FailedRunners holds
+	// the times of the last such runs by the ID of the runner; it is not in the log.
+	Failures      int
+	FailedRunners map[string]time.Time
 	// NotBefore is the earliest time of the next run; zero means at once.
 	NotBefore time.Time
 	// ExpectedTokens is the submitter's estimate of the output tokens; 0 if there is none.
@@ -196,6 +198,18 @@
 	}
 }
 
+// RecordFailedRunner records that a runner reported a failure of an item.
+func (t *ItemTable) RecordFailedRunner(key ItemKey, runner string, now time.Time) {
+	entry := t.entries[key]
+	if entry == nil {
+		return
+	}
+	if entry.FailedRunners == nil {
+		entry.FailedRunners = map[string]time.Time{}
+	}
+	entry.FailedRunners[runner] = now
+}
+
 // Expired returns the items whose ExpiresAt has passed, also those that are running. An item
 // whose ExpiresAt is not after Due never expires.
 func (t *ItemTable) Expired(now time.Time) []*ItemEntry {
--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -84,6 +84,9 @@
 	// missingRouteGrace is how long a configuration without the item's route must have
 	// been active before the item fails for good.
 	missingRouteGrace = 4 * time.Second
+	// failedRunnerPenalty is how long an item is not sent again to a runner that reported a
+	// failure of the item.
+	failedRunnerPenalty = 3 * time.Second
 	// maxQuarantineWait is the longest wait before a quarantined item is checked again,
 	// because the quarantine may end early.
 	maxQuarantineWait = 5 * time.Second
@@ -137,7 +140,7 @@
 		defer untrack()
 		outcome := itemRun.run(ctx)
 		itemRun.inFlight.End()
-		outcome.Attempts = itemRun.route.Attempts
+		outcome.Attempts, outcome.Runner = itemRun.route.Attempts, itemRun.runner.ID
 		outcome.Events, outcome.Duration = itemRun.output.LastEventID-itemRun.work.Output.LastEventID, time.Since(itemRun.startedAt)
 		itemRun.logEnd(choice, catalogVersion, outcome.Reason)
 		done(outcome)
@@ -185,10 +188,15 @@
 	return prompt
 }
 
-// pick selects a runner for an item. It leaves out the runners that are paused and those
-// that the quarantine excludes.
+// pick selects a runner for an item. It leaves out the runners that are paused, those that
+// recently reported a failure of the item, and those that the quarantine excludes.
 func (e *ItemExecutor) pick(route *catalog.Route, work *queuestore.Work, fingerprint quarantine.Fingerprint, now time.Time) runnerset.Choice {
 	excluded := e.paused(now)
+	for runner, at := range work.FailedRunners {
+		if now.Sub(at) < failedRunnerPenalty {
+			excluded[runner] = true
+		}
+	}
 	if e.Quarantine != nil {
 		maps.Copy(excluded, e.Quarantine.RunnersToAvoid(fingerprint))
 	}
--- /dev/null
+++ b/internal/batch/queuerun/failing_test.go
@@ -0,0 +1,58 @@
+package queuerun
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cobaltramp.example/cobaltramp/internal/batch/queue"
+	"cobaltramp.example/cobaltramp/internal/batch/queuestore"
+	"cobaltramp.example/cobaltramp/internal/serving/exchange"
+	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
+)
+
+// A runner that answers every item with an error at once has free slots all the time. It
+// must not attract the items of a shard until they have used up their attempts.
+func TestFailingRunnerDoesNotAttractItems(t *testing.T) {
+	is := is.New(t)
+	failures := 0
+	client := &scriptedClient{respond: func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
+		if call.RunnerID == "failing" {
+			failures++
+			return responds(500, true, "")(ctx, call)
+		}
+		return responds(200, true, twoEvents)(ctx, call)
+	}}
+	executor := newExecutor(t, client)
+	executor.Runners.Replace([]runnerset.Record{
+		{ID: "failing", Service: "s", Zone: "z", Slots: 4}, {ID: "sound", Service: "s", Zone: "z", Slots: 4},
+	}, 2, time.Now())
+	const items = 40
+	for number := range items {
+		work := workOf(queue.ItemOutput{})
+		work.Item.Body = fmt.Append(nil, "body ", number)
+		outcome := runOnce(t, executor, work)
+		if !outcome.Failed {
+			continue
+		}
+		is.Equal(outcome.Runner, "failing")
+		work.FailedRunners = map[string]time.Time{outcome.Runner: time.Now()}
+		is.True(runOnce(t, executor, work).Done) // not at the same runner again
+	}
+	is.True(failures <= 2) // the second error ejects the runner for longer than the test takes
+}
+
+// An item goes to the runner that reported a failure of the item again once the penalty has
+// passed, since it may be the only one.
+func TestFailedRunnerIsUsedAgain(t *testing.T) {
+	is := is.New(t)
+	executor := newExecutor(t, &scriptedClient{respond: responds(200, true, twoEvents)})
+	work := workOf(queue.ItemOutput{})
+	work.FailedRunners = map[string]time.Time{"r1": time.Now()}
+	is.True(!executor.TryStart(context.Background(), work, func(queuestore.Outcome) { t.Error("it was run") }))
+	work.FailedRunners["r1"] = time.Now().Add(-failedRunnerPenalty)
+	is.True(runOnce(t, executor, work).Done)
+}
--- a/internal/batch/queuerun/outcome.go
+++ b/internal/batch/queuerun/outcome.go
@@ -50,8 +50,11 @@
 func (r *run) errorStatusOutcome(response *exchange.Response) queuestore.Outcome {
 	outcome, runnerFailed := statusOutcome(response.Status, response.FromRunner)
 	outcome.Output = r.output
-	if runnerFailed {
+	switch {
+	case runnerFailed:
 		r.runner.RecordFailure(time.Now())
+	case outcome.Failed:
+		r.runner.RecordItemError(r.fingerprint.String(), time.Now())
 	}
 	return outcome
 }
--- a/internal/batch/queuestore/node.go
+++ b/internal/batch/queuestore/node.go
@@ -52,8 +52,10 @@
 	// Slack is the estimated time between the end of the run and the item's due time. It
 	// is negative if the item is expected to be late.
 	Slack time.Duration
-	// Failures is the number of earlier runs that failed.
-	Failures int
+	// Failures is the number of earlier runs that failed, and FailedRunners holds the times
+	// of the last failures by the ID of the runner. The map must not be changed.
+	Failures      int
+	FailedRunners map[string]time.Time
 	// Save records the output produced so far, so that a later run can continue from it.
 	// It may block, and must not be called before TryStart returns.
 	Save func(output queue.ItemOutput)
@@ -72,6 +74,8 @@
 	// Failed is set.
 	Failed   bool
 	Attempts int
+	// Runner is the ID of the runner of the run; empty if there was no run.
+	Runner string
 	// Output is the output so far; the next run continues from it.
 	Output queue.ItemOutput
 	// RetryDelay is the time to wait before the next run, if there is one.
--- a/internal/batch/queuestore/runs.go
+++ b/internal/batch/queuestore/runs.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -66,7 +67,7 @@
 	}
 	ctx, cancel := context.WithCancel(l.context)
 	key := entry.Key
-	work := &Work{Key: key, Host: record.Host, Route: record.Route, Tenant: record.Tenant, Item: item, Output: entry.Output, Due: entry.Due, Slack: l.table.Slack(entry, time.Now()), Failures: entry.Failures}
+	work := &Work{Key: key, Host: record.Host, Route: record.Route, Tenant: record.Tenant, Item: item, Output: entry.Output, Due: entry.Due, Slack: l.table.Slack(entry, time.Now()), Failures: entry.Failures, FailedRunners: maps.Clone(entry.FailedRunners)}
 	work.Save = func(output queue.ItemOutput) {
 		// If the run has ended, its outcome contains the complete progress.
 		_ = s.RunInLoop(ctx, func() { s.recordProgress(l, key, item.Id, output) })
@@ -118,6 +119,9 @@
 		l.table.Observe(l.table.Entry(key), outcome.Events, outcome.Duration)
 	}
 	final := outcome.Done || outcome.Dead || outcome.Failed && work.Failures+1 >= outcome.Attempts
+	if outcome.Failed {
+		l.table.RecordFailedRunner(key, outcome.Runner, time.Now())
+	}
 	if !final {
 		s.recordProgress(l, key, work.Item.Id, outcome.Output)
 		l.table.Requeue(key, outcome.Output, outcome.Failed, time.Now().Add(outcome.RetryDelay))
--- a/internal/serving/online/answer.go
+++ b/internal/serving/online/answer.go
@@ -49,7 +49,7 @@
 		s.current.runner.RecordFailure(time.Now())
 		return s.handleInterruption(ctx, err)
 	}
-	s.recordFirstEvent()
+	s.recordWholeResponse(response.Status)
 	length := response.Length
 	if len(body) < maxBufferedBytes {
 		length = int64(len(body))
@@ -87,6 +87,17 @@
 	}
 }
 
+// recordWholeResponse records a response that is not a stream. A server error counts as a
+// failure of the runner: it often comes sooner than a first event, so that the runner would
+// appear fast and idle, and attract requests.
+func (s *activeRequest) recordWholeResponse(status int) {
+	if isRunnerFailure(status) {
+		s.current.runner.RecordFailure(time.Now())
+		return
+	}
+	s.recordFirstEvent()
+}
+
 // recordFirstEvent records that the runner of this attempt has sent its first event, or a
 // response that is not a stream. Only the first call for a request observes the metric.
 func (s *activeRequest) recordFirstEvent() {
--- a/internal/serving/online/retry.go
+++ b/internal/serving/online/retry.go
@@ -47,10 +47,15 @@
 func (h *history) mayTryAnother() bool { return h.notRun < maxNotRun }
 
 // mayReplace reports whether another runner is tried instead of relaying a response with
-// this status. The status must be a server error other than 504, which means that the
-// deadline has passed, and the route must allow one more run.
+// this status, which must be a failure of the runner. The route must allow one more run.
 func (h *history) mayReplace(route *catalog.Route, status int) bool {
-	return status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout && h.mayRunAgain(route)
+	return isRunnerFailure(status) && h.mayRunAgain(route)
+}
+
+// isRunnerFailure reports whether a status is a failure of the runner: a server error other
+// than 504, which means that the deadline has passed.
+func isRunnerFailure(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusGatewayTimeout
 }
 
 // mayContinue reports whether the request is retried at another runner after its
--- a/internal/serving/runnerset/ejection.go
+++ b/internal/serving/runnerset/ejection.go
@@ -26,6 +26,9 @@
 type ejection struct {
 	consecutiveFailures int
 	until               time.Time
+	// failedItem identifies the item of the last error response to a batch item since the
+	// last first event; empty if there was none.
+	failedItem string
 }
 
 // fail records a failure at the given time.
@@ -35,6 +38,16 @@
 	e.until = now.Add(min(length, maxEjection))
 }
 
+// failItem records an error response to a batch item at the given time. The error may be the
+// fault of the item, so that only errors of different items in succession count as failures
+// of the runner.
+func (e *ejection) failItem(item string, now time.Time) {
+	if e.failedItem != "" && e.failedItem != item {
+		e.fail(now)
+	}
+	e.failedItem = item
+}
+
 // end ends the ejection and resets the count of failures.
 func (e *ejection) end() { *e = ejection{} }
 
--- a/internal/serving/runnerset/rules_test.go
+++ b/internal/serving/runnerset/rules_test.go
@@ -98,3 +98,20 @@
 		is.Equal(ahead, test.ahead)
 	}
 }
+
+// Error responses to one item, which may be the item's fault, eject no runner. Error responses
+// to different items in succession do, unless a first event comes between them.
+func TestErrorsOfDifferentItemsEject(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var e ejection
+	for range 3 {
+		e.failItem("a", now)
+	}
+	is.True(!e.active(now))
+	e.failItem("b", now)
+	is.True(e.active(now))
+	e.end()
+	e.failItem("a", now)
+	is.True(!e.active(now))
+}
--- a/internal/serving/runnerset/runner.go
+++ b/internal/serving/runnerset/runner.go
@@ -112,6 +112,14 @@
 	r.ejection.fail(now)
 }
 
+// RecordItemError records that the runner responded to a batch item with an error; item
+// identifies the item's content.
+func (r *Runner) RecordItemError(item string, now time.Time) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.ejection.failItem(item, now)
+}
+
 // RecordLoad records the load that the runner reported in a response, without this node's
 // requests, and its contention if it reported any; nil is ignored.
 func (r *Runner) RecordLoad(reported *exchange.Load, now time.Time) {
