Runner starts under one id are told apart by their start time

Cause: a runner may restart under its id.

Change: another stated start replaces the Runner; reports state the start and count for it only; endings are counted by start; a run that broke while the address accepted connections counts if the list shows another start within a second; audiences are cached by id, service and zone.

--- a/internal/batch/queuerun/run.go
+++ b/internal/batch/queuerun/run.go
@@ -147,7 +147,7 @@
 // the runner has ended.
 func (r *run) recordBrokenRun() {
 	if r.executor.Quarantine != nil && quarantine.IsSuspectRun(r.firstEvent, time.Now()) {
-		r.executor.Quarantine.RecordBrokenRun(r.work.Item.Id, r.fingerprint, r.runner.ID, r.runner.Address)
+		r.executor.Quarantine.RecordBrokenRun(r.work.Item.Id, r.fingerprint, r.runner.StartID(), r.runner.Address)
 	}
 }
 
--- a/internal/serving/loadshare/loadshare.go
+++ b/internal/serving/loadshare/loadshare.go
@@ -48,6 +48,8 @@
 	directory VersionedDirectory
 	audiences audiences
 	notices   *prometheus.CounterVec
+	// otherStart counts received reports about another start of a runner than the listed one.
+	otherStart prometheus.Counter
 
 	// mutex is held while a report is built and sent, so that reports leave in the order of
 	// the changes.
@@ -80,12 +82,15 @@
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cobaltramp_runner_use_notices_total", Help: "Notices of what this node has at runners, by receivers.",
 		}, []string{"to"}),
+		otherStart: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cobaltramp_runner_use_other_start_total", Help: "Dropped reports of peers about another start of a runner than the listed one.",
+		}),
 	}
 	r.batcher = notify.NewBatcher(notify.Schedule{
 		Delay: coalesceInterval, Flush: func(context.Context) { r.flush() },
 		RepeatInterval: repeatInterval, Repeat: r.repeat,
 	})
-	registry.MustRegister(r.notices)
+	registry.MustRegister(r.notices, r.otherStart)
 	runners.OnOwnLoad(r.reportChange)
 	runners.SetReporting(r.receivesReports)
 	return r
@@ -123,7 +128,7 @@
 	use := runner.OwnLoad()
 	return &wirev1.RunnerUse{
 		Runner: runner.ID, Running: uint32(max(0, use.Running)), Batch: uint32(max(0, use.Batch)),
-		UnreadTokens: uint32(max(0, use.Unread)),
+		UnreadTokens: uint32(max(0, use.Unread)), RunnerStartedUnixMs: runner.StartedAt,
 	}
 }
 
@@ -234,6 +239,9 @@
 			shared = append(shared, runnerset.PromptPart{ID: part.Id, Tokens: int(part.Tokens)})
 		}
 		load := runnerset.NodeLoad{Running: int(use.Running), Batch: int(use.Batch), Unread: int(use.UnreadTokens)}
-		r.runners.RecordPeerReport(from, use.Runner, runnerset.PeerReport{NodeLoad: load, SharedParts: shared}, now)
+		report := runnerset.PeerReport{NodeLoad: load, SharedParts: shared, StartedAt: use.RunnerStartedUnixMs}
+		if !r.runners.RecordPeerReport(from, use.Runner, report, now) {
+			r.otherStart.Inc()
+		}
 	}
 }
--- a/internal/serving/loadshare/rankings.go
+++ b/internal/serving/loadshare/rankings.go
@@ -37,10 +37,14 @@
 
 // rankings caches the ranking for each runner.
 type rankings struct {
-	sync.Map // runner id to *ranking
+	sync.Map // rankingKey to *ranking
 	count    atomic.Int64
 }
 
+// rankingKey contains what a ranking depends on. A runner may restart under its id in another
+// zone or for another service.
+type rankingKey struct{ runner, service, zone string }
+
 // maxStaleRankings limits the cache of rankings, some 200 bytes each: it is cleared when it
 // contains maxStaleRankings more than twice the number of current runners.
 const maxStaleRankings = 1024
@@ -112,11 +116,12 @@
 
 // ranking returns the ranking for a runner from the cache, or computes and caches it.
 func (t *audienceTable) ranking(runner *runnerset.Runner) *ranking {
-	if cached, found := t.byRunner.Load(runner.ID); found {
+	key := rankingKey{runner.ID, runner.Service, runner.Zone}
+	if cached, found := t.byRunner.Load(key); found {
 		return cached.(*ranking)
 	}
 	next := t.nodes.rank(runner)
-	if _, existed := t.byRunner.Swap(runner.ID, next); !existed {
+	if _, existed := t.byRunner.Swap(key, next); !existed {
 		t.byRunner.count.Add(1)
 	}
 	return next
--- a/internal/serving/online/crashes.go
+++ b/internal/serving/online/crashes.go
@@ -38,7 +38,7 @@
 	if s.Quarantine == nil || endedHere || !quarantine.IsSuspectRun(s.current.firstEvent, time.Now()) {
 		return
 	}
-	s.Quarantine.RecordBrokenRun(s.request.ID, s.fingerprint, s.current.runner.ID, s.current.runner.Address)
+	s.Quarantine.RecordBrokenRun(s.request.ID, s.fingerprint, s.current.runner.StartID(), s.current.runner.Address)
 }
 
 // recordCompletion reports to the quarantine that a runner has completed the request.
--- a/internal/serving/online/online_test.go
+++ b/internal/serving/online/online_test.go
@@ -251,6 +251,28 @@
 	is.Equal(result.CodeOf(err).Entry().Ran, result.RanNo)
 }
 
+// A request that chose a runner which is then replaced by another start under the same ID
+// is withdrawn before its first byte: the new start was not chosen.
+func TestRequestForEarlierStartIsWithdrawn(t *testing.T) {
+	is := is.New(t)
+	set := runnerset.New()
+	list := func(startedAt int64) {
+		set.Replace([]runnerset.Record{{ID: "r", Service: "s", Slots: 1, StartedAt: startedAt}}, startedAt, time.Now())
+	}
+	list(1)
+	client := clientFunc(func(_ context.Context, call *exchange.Call) (*exchange.Response, error) {
+		is.True(call.MaySend())
+		list(2)
+		is.True(!call.MaySend())
+		return nil, &exchange.NotRunError{Reason: exchange.ReasonWithdrawn, Cause: errors.New("withdrawn")}
+	})
+	now := time.Now()
+	request := &CallerRequest{ID: "id", Route: routeOf(catalog.Once, false, 1), Received: now, Deadline: now.Add(time.Minute), ResumeAfter: -1}
+	err := New("z", set, client, prometheus.NewRegistry()).Serve(context.Background(), request, &recorder{})
+	is.True(err != nil)
+	is.Equal(result.CodeOf(err).Entry().Ran, result.RanNo)
+}
+
 type clientFunc func(ctx context.Context, call *exchange.Call) (*exchange.Response, error)
 
 func (f clientFunc) Do(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
--- a/internal/serving/quarantine/coordinator.go
+++ b/internal/serving/quarantine/coordinator.go
@@ -27,8 +27,9 @@
 	Held(fingerprint Fingerprint) (time.Duration, bool)
 	// RecordBrokenRun records that the run of a request broke without having been ended
 	// by this node. The run counts against the request if the runner has ended. The
-	// first argument is the request's id, for logs.
-	RecordBrokenRun(request string, fingerprint Fingerprint, runner, address string)
+	// first argument is the request's id, for logs; start identifies the start of the
+	// runner (runnerset.Record.StartID).
+	RecordBrokenRun(request string, fingerprint Fingerprint, start, address string)
 	// RecordCompletion records that a runner has completed a request.
 	RecordCompletion(fingerprint Fingerprint)
 	// RunnersToAvoid returns the ids of the runners to which a request should not be
@@ -51,6 +52,7 @@
 type Coordinator struct {
 	*CrashDetector
 	table     *SuspectTable
+	restarts  *restartLog
 	directory notify.NodeDirectory
 	sender    notify.NoticeSender
 	store     HoldStore
@@ -81,7 +83,7 @@
 	directory notify.NodeDirectory, sender notify.NoticeSender, prober Prober, store HoldStore, registry prometheus.Registerer,
 ) *Coordinator {
 	c := &Coordinator{
-		CrashDetector: NewCrashDetector(prober), table: NewSuspectTable(), directory: directory, sender: sender, store: store,
+		CrashDetector: NewCrashDetector(prober), table: NewSuspectTable(), restarts: newRestartLog(), directory: directory, sender: sender, store: store,
 		attempts: map[string]map[Fingerprint]int{},
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cobaltramp_quarantine_events_total",
@@ -120,12 +122,22 @@
 }
 
 // RecordBrokenRun implements Guard. It probes the runner, unless a recent result is
-// cached, and so may block for up to probeTimeout.
-func (c *Coordinator) RecordBrokenRun(request string, fingerprint Fingerprint, runner, address string) {
-	if !c.HasEnded(runner, address) {
-		return
+// cached, and so may block for up to probeTimeout. If the runner's address accepts
+// connections, the run counts only if the list shows a later start of the runner soon
+// (RecordRestart).
+func (c *Coordinator) RecordBrokenRun(request string, fingerprint Fingerprint, start, address string) {
+	run := brokenRun{request: request, fingerprint: fingerprint, at: time.Now()}
+	if c.HasEnded(start, address) || c.restarts.recordBreak(start, run) {
+		c.recordEnding(request, fingerprint, start)
+	}
+}
+
+// RecordRestart records that the list of runners shows a later start of a runner in place
+// of the given one. Runs that broke there shortly before then count as ended with it.
+func (c *Coordinator) RecordRestart(start string) {
+	for _, run := range c.restarts.recordRestart(start, time.Now()) {
+		c.recordEnding(run.request, run.fingerprint, start)
 	}
-	c.recordEnding(request, fingerprint, runner)
 }
 
 func (c *Coordinator) recordEnding(request string, fingerprint Fingerprint, runner string) {
--- a/internal/serving/runnerset/load.go
+++ b/internal/serving/runnerset/load.go
@@ -19,6 +19,9 @@
 	// SharedParts are the leading parts of the prompt that the node has just sent; nil
 	// if the report has another cause.
 	SharedParts []PromptPart
+	// StartedAt is the start of the runner that the report is about, as in
+	// Record.StartedAt; 0 if not stated.
+	StartedAt int64
 }
 
 type peerLoad struct {
--- a/internal/serving/runnerset/record.go
+++ b/internal/serving/runnerset/record.go
@@ -1,9 +1,13 @@
 package runnerset
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
-// Record is a runner as listed by the platform. Each start of a runner creates a new
-// record with a new ID. A Runner keeps the record with which it was first listed.
+// Record is a runner as listed by the platform. A runner that starts again is listed with
+// a new ID, or with the same ID and another StartedAt. A Runner keeps the record with
+// which it was first listed.
 type Record struct {
 	ID      string
 	Service string
@@ -23,10 +27,21 @@
 	StartedAt int64
 }
 
-// sameRunner reports whether two records with the same ID differ only in fields that may
-// change during a runner's lifetime: Leaving and ColdUntil.
-func (r Record) sameRunner(other Record) bool {
-	return r.Address == other.Address && r.Service == other.Service && r.Zone == other.Zone && r.Slots == other.Slots
+// sameRunner reports whether next, a later record with the same ID, differs from r only in
+// fields that may change during a runner's lifetime: Leaving, ColdUntil, and whether
+// StartedAt is stated.
+func (r Record) sameRunner(next Record) bool {
+	sameStart := next.StartedAt == 0 || next.StartedAt == r.StartedAt
+	return sameStart && r.Address == next.Address && r.Service == next.Service && r.Zone == next.Zone && r.Slots == next.Slots
+}
+
+// StartID identifies one start of the runner. It is the ID alone if the start is not
+// stated.
+func (r *Record) StartID() string {
+	if r.StartedAt == 0 {
+		return r.ID
+	}
+	return r.ID + "@" + strconv.FormatInt(r.StartedAt, 10)
 }
 
 // PromptPart is a part of a prompt; parts with equal IDs have equal text.
--- a/internal/serving/runnerset/reports.go
+++ b/internal/serving/runnerset/reports.go
@@ -27,6 +27,22 @@
 // recorded a report.
 func (s *Set) OnPeerLoad(changed func(runner *Runner)) { s.onPeerLoad.Store(&changed) }
 
+// OnRestart sets the callback for a listed runner that another start under the same ID
+// replaces. It is called with the earlier start while the list is locked, so it must not
+// call methods of the set.
+func (s *Set) OnRestart(restarted func(earlier *Runner)) { s.onRestart.Store(&restarted) }
+
+// notifyRestart calls the callback of OnRestart if next states another start than the known
+// runner, which may be nil. The caller holds the mutex.
+func (s *Set) notifyRestart(known *Runner, next Record) {
+	if known == nil || known.StartedAt == 0 || next.StartedAt == 0 || known.StartedAt == next.StartedAt {
+		return
+	}
+	if restarted := s.onRestart.Load(); restarted != nil {
+		(*restarted)(known)
+	}
+}
+
 // notifyOwnLoad calls the callback of OnOwnLoad. The caller does not hold the runner's
 // mutex.
 func (s *Set) notifyOwnLoad(runner *Runner, shared []PromptPart) {
@@ -36,18 +52,23 @@
 }
 
 // RecordPeerReport records the report of another node, peer, of its load at the runner
-// with the given ID. A report about an unlisted runner is ignored.
-func (s *Set) RecordPeerReport(peer, runner string, report PeerReport, now time.Time) {
+// with the given ID. It ignores a report about an unlisted runner, and returns false for
+// a report about another start of the runner than the listed one.
+func (s *Set) RecordPeerReport(peer, runner string, report PeerReport, now time.Time) bool {
 	s.mutex.Lock()
 	known := s.byID[runner]
 	s.mutex.Unlock()
 	if known == nil {
-		return
+		return true
+	}
+	if known.StartedAt != 0 && report.StartedAt != 0 && known.StartedAt != report.StartedAt {
+		return false // in flight while the runner restarted, or ahead of the list
 	}
 	known.recordPeerReport(peer, report, now)
 	if changed := s.onPeerLoad.Load(); changed != nil {
 		(*changed)(known)
 	}
+	return true
 }
 
 // ForgetPeer drops all reports of another node, and returns the number of listed runners
--- a/internal/serving/runnerset/runnerset.go
+++ b/internal/serving/runnerset/runnerset.go
@@ -49,6 +49,7 @@
 	reporting        atomic.Pointer[func(runner *Runner) bool]
 	onOwnLoad        atomic.Pointer[func(runner *Runner, shared []PromptPart)]
 	onPeerLoad       atomic.Pointer[func(runner *Runner)]
+	onRestart        atomic.Pointer[func(earlier *Runner)]
 	// totals are the rounded numbers of all runners, whether this node lists them or
 	// not; nil until the first Select.
 	totals atomic.Pointer[subset.Totals]
@@ -185,6 +186,8 @@
 	if known != nil {
 		known.notAccepting.Store(true)
 	}
+	s.endGraceOfEarlierStart(record)
+	s.notifyRestart(known, record)
 	next := &Runner{
 		Record: record, set: s, model: s.modelOf(record.Service),
 		zoneUtilization: s.zoneUtilizationOf(subset.ServiceZone{Service: record.Service, Zone: record.Zone}),
@@ -194,6 +197,16 @@
 	s.byID[record.ID] = next
 }
 
+// endGraceOfEarlierStart prevents requests that chose a recently removed runner from being
+// sent to another start of it. The caller holds the mutex.
+func (s *Set) endGraceOfEarlierStart(record Record) {
+	for _, runner := range s.recentlyRemoved {
+		if runner.ID == record.ID && !runner.sameRunner(record) {
+			runner.removed.Store(0)
+		}
+	}
+}
+
 // zoneUtilizationOf returns the utilization of a service in a zone, and creates it if
 // missing. The caller holds the mutex.
 func (s *Set) zoneUtilizationOf(zone subset.ServiceZone) *zoneUtilization {
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -24,6 +24,9 @@
 	EventInterval time.Duration
 	Store         *Store
 	Ledger        *Ledger
+	// StartedAt is the start time that the runner's entry states, in Unix milliseconds; 0
+	// if it states none.
+	StartedAt int64
 	// Crashes reports whether a request with the body crashes the runner at the start
 	// of its run; nil stands for no crashes. OnCrash is called once, after such a crash.
 	Crashes func(body []byte) bool
@@ -66,10 +69,14 @@
 // publish writes the entry of the runner to the store.
 func (r *Runner) publish(state string) {
 	r.entryRevision++
-	r.Store.Put("servers/"+r.ID, map[string]any{
+	entry := map[string]any{
 		"service": r.Service, "addr": r.Address, "zone": r.Zone, "version": "v1", "slots": r.Slots, "state": state,
 		"cold_left_ms": 0, "seq": r.entryRevision,
-	})
+	}
+	if r.StartedAt > 0 {
+		entry["born"] = r.StartedAt
+	}
+	r.Store.Put("servers/"+r.ID, entry)
 }
 
 // SetFault sets the injected fault.
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -112,6 +112,7 @@
 	m.holdWriter = quarantine.NewHoldWriter(store)
 	m.quarantine = quarantine.NewCoordinator(directory, pool, prober, m.holdWriter, registry)
 	m.informer.Quarantine = m.quarantine
+	m.informer.Runners.OnRestart(func(earlier *runnerset.Runner) { m.quarantine.RecordRestart(earlier.StartID()) })
 	server.HandleNotice(wirev1.Method_METHOD_QUARANTINE, m.quarantine.ReceiveNotice)
 	server.Handle(wirev1.Method_METHOD_QUARANTINE_ADMIN, m.quarantine.ServeAdmin)
 	for _, service := range []any{
