Relays: runners' entries that become unreadable or move between zones

Cause: a mirror kept an unreadable entry in its index of runners, so that totals counted it and a selection could contain an empty value after its deletion. A follower of a selection was not told of an entry that moved out of its subset, as a runner that restarts under its id in another zone does.

Change: the mirror removes an unreadable entry from the index, and records at which revision the placement of an entry changed. Followers at an older revision get a deletion if the entry is not in their subset any more.

--- a/internal/cluster/relay/changelog.go
+++ b/internal/cluster/relay/changelog.go
@@ -40,6 +40,7 @@
 			surplus--
 			m.compactedRevision = max(m.compactedRevision, entry.revision)
 			delete(m.tombstones, entry.key)
+			delete(m.relocated, entry.key)
 		case m.isLatest(entry):
 			kept = append(kept, entry)
 		}
--- a/internal/cluster/relay/mirror.go
+++ b/internal/cluster/relay/mirror.go
@@ -49,6 +49,10 @@
 	// unsorted is true if the log has to be sorted before it is read.
 	unsorted   bool
 	tombstones map[string]tombstone
+	// relocated holds the last revision at which the service or zone of an entry changed,
+	// or whether it is a runner's entry, by key. A follower at an older revision may hold
+	// the entry although it is not in its subset any more.
+	relocated map[string]int64
 	// compactedRevision is the newest revision whose tombstones have been removed. A
 	// follower at an older revision needs the complete contents.
 	compactedRevision int64
@@ -64,8 +68,13 @@
 
 // tombstone records that a value was deleted.
 type tombstone struct {
-	revision    int64
-	runnerID    string // empty if the value was not a runner's entry
+	revision int64
+	placement
+}
+
+// placement determines which followers of a selection hold a value.
+type placement struct {
+	runnerID    string // empty if the value is not a runner's entry, or is unreadable
 	serviceZone subset.ServiceZone
 }
 
@@ -77,7 +86,7 @@
 	}
 	return &Mirror{
 		classify: classify, revision: -1, runners: subset.NewIndex[string](), tombstones: map[string]tombstone{},
-		changed: make(chan struct{}),
+		relocated: map[string]int64{}, changed: make(chan struct{}),
 	}
 }
 
@@ -93,6 +102,7 @@
 	if m.values == nil || m.partial {
 		m.values, m.runners = map[string]ports.Value{}, subset.NewIndex[string]()
 		m.log, m.tombstones, m.compactedRevision = nil, map[string]tombstone{}, revision
+		m.relocated = map[string]int64{}
 	}
 	listed := make(map[string]bool, len(values))
 	values = slices.Clone(values)
@@ -164,15 +174,35 @@
 // pages of a list are not read from one snapshot, so a list may contain values that later
 // changes repeat. The mutex is held.
 func (m *Mirror) put(value ports.Value) {
-	if held, known := m.values[value.Key]; known && held.Revision >= value.Revision {
+	held, known := m.values[value.Key]
+	if known && held.Revision >= value.Revision {
 		return
 	}
+	deleted, isDeleted := m.tombstones[value.Key]
+	previous, next := deleted.placement, m.placementOf(value)
+	if known {
+		previous = m.placementOf(held)
+	}
+	if (known || isDeleted) && previous != next {
+		m.relocated[value.Key] = value.Revision
+	}
 	m.values[value.Key] = value
 	delete(m.tombstones, value.Key)
 	m.appendLog(value.Revision, value.Key)
-	if id, serviceZone, isRunner := m.classify(value); isRunner {
-		m.runners.Put(subset.ListedRunner[string]{ID: id, ServiceZone: serviceZone, Value: value.Key})
+	if next.runnerID != "" {
+		m.runners.Put(subset.ListedRunner[string]{ID: next.runnerID, ServiceZone: next.serviceZone, Value: value.Key})
+	} else if previous.runnerID != "" {
+		m.runners.Remove(previous.runnerID) // the entry has become unreadable
+	}
+}
+
+// placementOf returns the placement of a value.
+func (m *Mirror) placementOf(value ports.Value) placement {
+	id, serviceZone, isRunner := m.classify(value)
+	if !isRunner {
+		return placement{}
 	}
+	return placement{id, serviceZone}
 }
 
 // remove deletes a value and records a tombstone of the given revision. It does nothing
@@ -183,10 +213,9 @@
 	if !held || value.Revision > revision {
 		return
 	}
-	deleted := tombstone{revision: revision}
-	if id, serviceZone, isRunner := m.classify(value); isRunner {
-		deleted.runnerID, deleted.serviceZone = id, serviceZone
-		m.runners.Remove(id)
+	deleted := tombstone{revision, m.placementOf(value)}
+	if deleted.runnerID != "" {
+		m.runners.Remove(deleted.runnerID)
 	}
 	delete(m.values, key)
 	m.tombstones[key] = deleted
--- a/internal/cluster/relay/update.go
+++ b/internal/cluster/relay/update.go
@@ -115,8 +115,9 @@
 }
 
 // eventsAfter returns the last change of each key after a revision, in ascending order of
-// revision. It leaves out changes that are newer than the mirror's revision, and runners
-// that are not in the current subset; nil stands for all runners. The mutex is held.
+// revision. It leaves out changes that are newer than the mirror's revision. Of the runners
+// that are not in the current subset, it returns only deletions of those that a follower at
+// the revision may hold; a nil subset stands for all runners. The mutex is held.
 func (m *Mirror) eventsAfter(revision int64, current *subset.Subset) []ports.WatchEvent {
 	from := sort.Search(len(m.log), func(i int) bool { return m.log[i].revision > revision })
 	var events []ports.WatchEvent
@@ -124,13 +125,16 @@
 		if !m.isLatest(entry) || entry.revision > m.revision {
 			continue
 		}
-		if value, held := m.values[entry.key]; held {
-			if id, serviceZone, isRunner := m.classify(value); current == nil || !isRunner || current.Contains(serviceZone, subset.PositionOf(id)) {
-				events = append(events, ports.WatchEvent{Value: value})
-			}
-			continue
+		value, held := m.values[entry.key]
+		place := m.tombstones[entry.key].placement
+		if held {
+			place = m.placementOf(value)
 		}
-		if deleted := m.tombstones[entry.key]; current == nil || deleted.runnerID == "" || current.Contains(deleted.serviceZone, subset.PositionOf(deleted.runnerID)) {
+		selected := current == nil || place.runnerID == "" || current.Contains(place.serviceZone, subset.PositionOf(place.runnerID))
+		switch {
+		case held && selected:
+			events = append(events, ports.WatchEvent{Value: value})
+		case selected || m.relocated[entry.key] > revision:
 			events = append(events, ports.WatchEvent{Value: ports.Value{Key: entry.key, Revision: entry.revision}, Deleted: true})
 		}
 	}
