--- a/internal/cluster/informer/metrics.go
+++ b/internal/cluster/informer/metrics.go
@@ -21,6 +21,9 @@
 		gauge("cobaltramp_runners_total", "Runners that there are, rounded down to a power of two by zone; 0 if not told.", func() float64 {
 			return float64(i.Runners.Total())
 		}),
+		gauge("cobaltramp_runner_entries_unreadable", "Runners' entries that can't be decoded; they name no runners.", func() float64 {
+			return float64(i.runners.unreadableCount())
+		}),
 		gauge("cobaltramp_runner_draw_factor", "By how much more runners are wanted than usual, for want of room.", func() float64 {
 			return float64(i.runners.wideningFactor())
 		}),
--- a/internal/cluster/informer/runners.go
+++ b/internal/cluster/informer/runners.go
@@ -33,9 +33,10 @@
 	selector *subset.Selector[runnerset.Record]
 	// selectedByRelay is true while a relay picks the subset.
 	selectedByRelay bool
-	// storedEntries holds the readable entries that the cache received, in their encoded
-	// form, by key.
+	// storedEntries holds the entries that the cache received, in their encoded form, by
+	// key. It includes unreadable ones, so that peers get the same entries as this node.
 	storedEntries map[string][]byte
+	unreadable    unreadableEntries
 	// revision is the revision of the last list, selection or change of an entry; 0 before
 	// the first.
 	revision int64
@@ -44,19 +45,27 @@
 var _ relay.SelectiveSink = (*runnerCache)(nil)
 
 func newRunnerCache(schema *Schema, set *runnerset.Set, interest subset.Interest) *runnerCache {
-	return &runnerCache{schema: schema, set: set, interest: interest, storedEntries: map[string][]byte{}}
+	return &runnerCache{schema: schema, set: set, interest: interest, storedEntries: map[string][]byte{}, unreadable: unreadableEntries{}}
 }
 
-// parse returns the entries that can be decoded, and their stored form by key.
-func (c *runnerCache) parse(values []ports.Value, now time.Time) ([]subset.ListedRunner[runnerset.Record], map[string][]byte) {
-	entries, raw := make([]subset.ListedRunner[runnerset.Record], 0, len(values)), make(map[string][]byte, len(values))
+// store replaces the stored entries, and returns those that can be decoded. The mutex is
+// held.
+func (c *runnerCache) store(values []ports.Value, now time.Time) []subset.ListedRunner[runnerset.Record] {
+	entries := make([]subset.ListedRunner[runnerset.Record], 0, len(values))
+	c.storedEntries = make(map[string][]byte, len(values))
+	previous := c.unreadable
+	c.unreadable = unreadableEntries{}
 	for _, value := range values {
-		if record, ok := c.schema.parseRunner(value, now); ok {
-			entries = append(entries, listedRunner(record))
-			raw[value.Key] = value.Value
+		c.storedEntries[value.Key] = value.Value
+		record, err := c.schema.parseRunner(value, now)
+		if err != nil {
+			c.unreadable.add(value, err, previous)
+			continue
 		}
+		entries = append(entries, listedRunner(record))
 	}
-	return entries, raw
+	previous.removeMissing(c.unreadable)
+	return entries
 }
 
 func listedRunner(record runnerset.Record) subset.ListedRunner[runnerset.Record] {
@@ -86,20 +95,31 @@
 	if revision < c.revision {
 		return
 	}
-	values := selection.Values
-	for key, value := range c.storedEntries {
-		if held := (ports.Value{Key: key, Value: value}); c.selectedByRelay && selection.Retains(held, c.schema.Classify) {
-			values = append(values, held)
-		}
-	}
-	var entries []subset.ListedRunner[runnerset.Record]
-	entries, c.storedEntries = c.parse(values, now)
+	entries := c.store(append(c.retainedEntries(selection), selection.Values...), now)
 	c.selectedByRelay, c.revision = true, revision
 	if c.set.Select(runnerRecords(entries), selection.Totals, revision, now) {
 		klog.InfoS("runner selection from a relay applied", "runners", len(entries), "of", sumTotals(selection.Totals), "revision", revision)
 	}
 }
 
+// retainedEntries returns the held entries that a selection retains. Relays send unreadable
+// entries to all followers, as changes and not in selections. The mutex is held.
+func (c *runnerCache) retainedEntries(selection relay.Selection) []ports.Value {
+	selected := make(map[string]bool, len(selection.Values))
+	for _, value := range selection.Values {
+		selected[value.Key] = true
+	}
+	var retained []ports.Value
+	for key, value := range c.storedEntries {
+		held := ports.Value{Key: key, Value: value}
+		_, isUnreadable := c.unreadable[key]
+		if !selected[key] && (isUnreadable || c.selectedByRelay && selection.Retains(held, c.schema.Classify)) {
+			retained = append(retained, held)
+		}
+	}
+	return retained
+}
+
 // sumTotals returns the sum of the rounded numbers of runners (see subset.Totals).
 func sumTotals(totals subset.Totals) int {
 	sum := 0
@@ -127,8 +147,7 @@
 	if revision < c.revision {
 		return
 	}
-	var entries []subset.ListedRunner[runnerset.Record]
-	entries, c.storedEntries = c.parse(values, now)
+	entries := c.store(values, now)
 	c.selectedByRelay, c.revision = false, revision
 	c.applyChange(c.allRunnersSelector().Reset(entries), revision, source, now)
 }
@@ -151,7 +170,7 @@
 const maxLoggedRunners = 8
 
 // Apply implements relay.Sink. It ignores events that are all no newer than the cache's
-// revision. If a changed entry is unreadable, the previous entry stays.
+// revision. An entry that becomes unreadable is handled as deleted.
 func (c *runnerCache) Apply(events []ports.WatchEvent, _ int64) {
 	now := time.Now()
 	c.mutex.Lock()
@@ -168,13 +187,19 @@
 		id := strings.TrimPrefix(event.Value.Key, c.schema.RunnersPrefix)
 		if event.Deleted {
 			delete(c.storedEntries, event.Value.Key)
+			c.unreadable.remove(event.Value.Key)
 			removed = append(removed, id)
 			continue
 		}
-		if record, ok := c.schema.parseRunner(event.Value, now); ok {
-			c.storedEntries[event.Value.Key] = event.Value.Value
-			put = append(put, listedRunner(record))
+		c.storedEntries[event.Value.Key] = event.Value.Value
+		record, err := c.schema.parseRunner(event.Value, now)
+		if err != nil {
+			c.unreadable.add(event.Value, err, c.unreadable)
+			removed = append(removed, id)
+			continue
 		}
+		c.unreadable.remove(event.Value.Key)
+		put = append(put, listedRunner(record))
 	}
 	c.revision = revision
 	if c.selectedByRelay {
@@ -219,7 +244,7 @@
 	for _, entry := range change.Put {
 		record := entry.Value
 		klog.InfoS("runner changed", "runner", record.ID, "address", record.Address, "service", record.Service,
-			"leaving", record.Leaving, "revision", revision)
+			"leaving", record.Leaving, "startedAt", record.StartedAt, "revision", revision)
 	}
 }
 
--- a/internal/cluster/informer/schema.go
+++ b/internal/cluster/informer/schema.go
@@ -4,8 +4,6 @@
 	"strings"
 	"time"
 
-	"k8s.io/klog/v2"
-
 	"cobaltramp.example/cobaltramp/internal/cluster/ports"
 	"cobaltramp.example/cobaltramp/internal/cluster/subset"
 	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
@@ -31,7 +29,8 @@
 	// ParseConfig decodes a configuration. It returns an error if the configuration is
 	// invalid.
 	ParseConfig func(document []byte) (*catalog.Catalog, error)
-	// ParseRunner decodes the entry of the runner with the given id, read at now.
+	// ParseRunner decodes the entry of the runner with the given id, read at now. It
+	// returns an error if the entry names no usable runner.
 	ParseRunner func(id string, entry []byte, now time.Time) (runnerset.Record, error)
 	// EncodeRetirement and DecodeRetirement convert the report of a retirement's
 	// progress; done is true if the retirement is complete. readable is false if the report
@@ -48,14 +47,10 @@
 	nodesPrefix   = productPrefix + "nodes/"
 )
 
-// parseRunner decodes a runner's entry. If the entry is unreadable, it logs the error and
-// returns false.
-func (s *Schema) parseRunner(value ports.Value, now time.Time) (runnerset.Record, bool) {
-	record, err := s.ParseRunner(strings.TrimPrefix(value.Key, s.RunnersPrefix), value.Value, now)
-	if err != nil {
-		klog.ErrorS(err, "runner's entry is unreadable", "key", value.Key)
-	}
-	return record, err == nil
+// parseRunner decodes a runner's entry. It returns an error if the entry is unreadable; the
+// entry then names no runner.
+func (s *Schema) parseRunner(value ports.Value, now time.Time) (runnerset.Record, error) {
+	return s.ParseRunner(strings.TrimPrefix(value.Key, s.RunnersPrefix), value.Value, now)
 }
 
 // Classify implements relay.Classifier. isRunner is false if the value is under another
@@ -64,6 +59,6 @@
 	if !strings.HasPrefix(value.Key, s.RunnersPrefix) {
 		return "", subset.ServiceZone{}, false
 	}
-	record, readable := s.parseRunner(value, time.Time{})
-	return record.ID, subset.ServiceZone{Service: record.Service, Zone: record.Zone}, readable
+	record, err := s.parseRunner(value, time.Time{})
+	return record.ID, subset.ServiceZone{Service: record.Service, Zone: record.Zone}, err == nil
 }
--- /dev/null
+++ b/internal/cluster/informer/unreadable.go
@@ -0,0 +1,48 @@
+package informer
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"k8s.io/klog/v2"
+
+	"cobaltramp.example/cobaltramp/internal/cluster/ports"
+)
+
+// unreadableEntries holds a hash of each runner's entry that can't be decoded, by key.
+type unreadableEntries map[string]uint64
+
+// add records an unreadable entry. It logs the entry and returns true unless previous, the
+// entries that were unreadable before, contains the same entry: lists repeat it.
+func (u unreadableEntries) add(value ports.Value, err error, previous unreadableEntries) bool {
+	hash := xxhash.Sum64(value.Value)
+	known, found := previous[value.Key]
+	u[value.Key] = hash
+	if found && known == hash {
+		return false
+	}
+	klog.ErrorS(err, "runner's entry is unreadable", "key", value.Key, "revision", value.Revision)
+	return true
+}
+
+// remove records that an entry is readable or deleted.
+func (u unreadableEntries) remove(key string) {
+	if _, found := u[key]; found {
+		delete(u, key)
+		klog.InfoS("runner's entry is no longer unreadable", "key", key)
+	}
+}
+
+// removeMissing removes the entries that next does not contain.
+func (u unreadableEntries) removeMissing(next unreadableEntries) {
+	for key := range u {
+		if _, found := next[key]; !found {
+			u.remove(key)
+		}
+	}
+}
+
+// unreadableCount returns the number of stored entries that can't be decoded.
+func (c *runnerCache) unreadableCount() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.unreadable)
+}
