Choice of a runner: a surcharge for want of memory

Cause: a runner preempts its newest request, and processes its prompt again, if the tokens of its requests exceed its memory. The choice of a runner did not regard the memory.

Change: where runners state their start, a runner at which this node's requests, the unread prompts that other nodes report and the new request exceed kv_capacity costs the expected wait until a request ends, and the prompt once more. The expected output is the caller's hint, else the mean of ended streams of the service. Reports do not carry the tokens of other nodes' requests, so the estimate is a lower bound.

--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -172,10 +172,10 @@
 	return quarantine.FingerprintOf(quarantine.RequestContent{Tenant: work.Tenant, Method: http.MethodPost, Host: work.Host, URI: work.Item.Path, Body: work.Item.Body})
 }
 
-// promptOf returns the number of tokens of an item's prompt, and all parts of the prompt but
+// promptOf returns the number of tokens of an item's prompt and output, and all parts of the prompt but
 // the last as the parts that other prompts may share.
 func promptOf(item *wirev1.QueueItem) runnerset.Prompt {
-	prompt := runnerset.Prompt{}
+	prompt := runnerset.Prompt{Output: int(item.OutputTokens)}
 	for i, part := range item.Prompt {
 		prompt.Tokens += int(part.Tokens)
 		if i < len(item.Prompt)-1 {
--- a/internal/serving/runnerset/choice.go
+++ b/internal/serving/runnerset/choice.go
@@ -102,6 +102,7 @@
 	}
 	expected := expectedFirstEvent(r.model, c.load, c.slots, r.prefixes.uncached(criteria.Prompt))
 	c.expected = time.Duration(float64(expected) * max(1, relativeSlowness(r.slowness, typical)))
+	c.memoryWait = r.memoryWait(criteria, c.load)
 	return Choice{
 		Runner: r, Load: c.load.running, Unread: c.load.unread,
 		FirstEvent: c.expected, Suspect: c.suspect(), Cost: c.cost(rand.Float64()),
--- a/internal/serving/runnerset/cost.go
+++ b/internal/serving/runnerset/cost.go
@@ -56,6 +56,9 @@
 	// unreported is set if other nodes do not report their load at the runner to this
 	// node.
 	unreported bool
+	// memoryWait is the result of Runner.memoryWait: the expected delay for want of
+	// memory.
+	memoryWait time.Duration
 	// cold is set while the runner has not reached its full speed.
 	cold bool
 }
@@ -66,7 +69,7 @@
 func (c *candidate) cost(random float64) time.Duration {
 	// A new request is expected to wait at least as long as the requests that are
 	// already overdue there.
-	cost := max(c.expected, c.overdue)
+	cost := max(c.expected, c.overdue) + c.memoryWait
 	if c.otherZone {
 		cost += otherZoneCost + time.Duration(c.bytes)*otherZoneByteCost
 	}
--- a/internal/serving/runnerset/inflight.go
+++ b/internal/serving/runnerset/inflight.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltramp.example/cobaltramp/internal/serving/enginemodel"
@@ -16,6 +17,10 @@
 	// unread is the number of prompt tokens of the request that the runner has yet to
 	// process; 0 once the first event has arrived or the request has ended.
 	unread int
+	// tokens is the memory that the request needs; see Set.memoryTokens.
+	tokens int
+	// events is the number of events that have arrived.
+	events atomic.Int64
 	// expected is the time to the first event that was expected when the request was
 	// sent, without regard to the runner's slowness.
 	expected time.Duration
@@ -43,10 +48,12 @@
 		expected: expectedFirstEvent(runner.model, estimate, runner.slots(), unread),
 		load:     enginemodel.EngineLoad{Tokens: estimate.unread + float64(unread), Running: estimate.running},
 		queued:   estimate.running+1 > runner.slots(),
+		tokens:   s.memoryTokens(runner.Service, prompt, batch),
 	}
 	_, f.ahead = slotsToFree(estimate, runner.slots())
 	runner.own.Running++
 	runner.own.Unread += unread
+	runner.ownTokens += f.tokens
 	if runner.waiting == nil {
 		runner.waiting = map[*InFlight]bool{}
 	}
@@ -61,7 +68,10 @@
 }
 
 // RecordEvent records the arrival of an event, which may be the first or a later one.
-func (f *InFlight) RecordEvent(now time.Time) { f.runner.lastEvent.Store(int64(now.Sub(processStart))) }
+func (f *InFlight) RecordEvent(now time.Time) {
+	f.runner.lastEvent.Store(int64(now.Sub(processStart)))
+	f.events.Add(1)
+}
 
 // RecordFirstEvent records the arrival of the first event, or of the response if it is
 // not a stream. It adds a sample to the runner's slowness and ends the runner's ejection.
@@ -114,6 +124,8 @@
 			f.runner.model.ObserveHold(now.Sub(f.firstEvent) + f.runner.model.ExpectedFirstEvent(f.load))
 		}
 		f.clearUnread()
+		f.set.outputs.observe(outputKind{f.runner.Service, f.batch}, f.events.Load())
+		f.runner.ownTokens -= f.tokens
 		f.runner.own.Running--
 		if f.batch {
 			f.runner.own.Batch--
--- a/internal/serving/runnerset/record.go
+++ b/internal/serving/runnerset/record.go
@@ -54,6 +54,8 @@
 type Prompt struct {
 	// Tokens is the number of tokens of the whole prompt; 0 if unknown.
 	Tokens int
+	// Output is the expected number of output tokens; 0 if unknown.
+	Output int
 	// SharedParts are the leading parts of the prompt, in their order, which the prompts
 	// of other requests may share. They need not cover the whole prompt.
 	SharedParts []PromptPart
--- a/internal/serving/runnerset/runner.go
+++ b/internal/serving/runnerset/runner.go
@@ -32,11 +32,13 @@
 	mutex sync.Mutex
 	// own is this node's load, and peers holds the last report of each other node that
 	// has requests at the runner, by the ID of the node.
-	own      NodeLoad
-	peers    map[string]peerLoad
-	report   runnerReport
-	prefixes prefixCache
-	ejection ejection
+	own    NodeLoad
+	peers  map[string]peerLoad
+	report runnerReport
+	// ownTokens is the memory that this node's requests need; see Set.memoryTokens.
+	ownTokens int
+	prefixes  prefixCache
+	ejection  ejection
 	// waiting holds this node's requests whose first event has not arrived.
 	waiting map[*InFlight]bool
 	// newestStarted is the latest send time of this node's requests whose first event
--- a/internal/serving/runnerset/runnerset.go
+++ b/internal/serving/runnerset/runnerset.go
@@ -50,6 +50,8 @@
 	onOwnLoad        atomic.Pointer[func(runner *Runner, shared []PromptPart)]
 	onPeerLoad       atomic.Pointer[func(runner *Runner)]
 	onRestart        atomic.Pointer[func(earlier *Runner)]
+	memory           atomic.Pointer[func(service string) int]
+	outputs          outputMeans
 	// totals are the rounded numbers of all runners, whether this node lists them or
 	// not; nil until the first Select.
 	totals atomic.Pointer[subset.Totals]
@@ -72,6 +74,7 @@
 	s := &Set{
 		byID: map[string]*Runner{}, models: map[string]*enginemodel.EngineModel{}, changed: make(chan struct{}),
 		zoneUtilizations: map[subset.ServiceZone]*zoneUtilization{}, refreshes: map[string]*utilizationRefresh{},
+		outputs: outputMeans{means: map[outputKind]float64{}},
 	}
 	s.snapshot.Store(&snapshot{services: map[string][]*Runner{}, counts: newCounts()})
 	return s
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -112,6 +112,7 @@
 	m.holdWriter = quarantine.NewHoldWriter(store)
 	m.quarantine = quarantine.NewCoordinator(directory, pool, prober, m.holdWriter, registry)
 	m.informer.Quarantine = m.quarantine
+	m.informer.Runners.SetMemory(m.runnerMemory)
 	m.informer.Runners.OnRestart(func(earlier *runnerset.Runner) { m.quarantine.RecordRestart(earlier.StartID()) })
 	server.HandleNotice(wirev1.Method_METHOD_QUARANTINE, m.quarantine.ReceiveNotice)
 	server.Handle(wirev1.Method_METHOD_QUARANTINE_ADMIN, m.quarantine.ServeAdmin)
@@ -123,6 +124,15 @@
 	return nil
 }
 
+// runnerMemory returns the memory of a service's runners in tokens; 0 if unknown.
+func (m *Module) runnerMemory(service string) int {
+	current := m.informer.Catalogs.Current()
+	if current == nil || current.Services[service] == nil {
+		return 0
+	}
+	return current.Services[service].CacheTokens
+}
+
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
 	for _, run := range []func(context.Context){m.informer.Run, m.syncer.Run, m.reporter.Run, m.quarantine.Run, m.holdWriter.Run} {
