--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -19,8 +19,8 @@
 	runner   *runnerset.Runner
 	inFlight *runnerset.InFlight
 	// idleTimer cancels the attempt if the route allows the request to be repeated. It
-	// runs for the idle timeout from the start of the attempt, and starts again at each
-	// event of a stream.
+	// runs for the idle timeout from the start of the attempt, and starts again after each
+	// event of a stream has been written to the caller.
 	idleTimer *time.Timer
 	// firstEvent is when the first event, or the response if it is not a stream,
 	// arrived; zero before.
