--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -49,8 +49,8 @@
 	tasks tasks.Group
 
 	mutex sync.Mutex // guards runs and pauses
-	// runs holds the runs in progress by runner ID; the value is true for a preempted
-	// run.
+	// runs holds the runs in progress by runnerset.Record.StartID; the value is true for a
+	// preempted run.
 	runs map[string]map[*run]bool
 	// pauses holds the times until which runners get no items after a preemption, by
 	// runner ID.
--- a/internal/batch/queuerun/preemption.go
+++ b/internal/batch/queuerun/preemption.go
@@ -56,11 +56,11 @@
 	defer e.mutex.Unlock()
 	preempted := 0
 	for ; needed > preempted; preempted++ {
-		chosen := e.cheapestRun(runner.ID, now)
+		chosen := e.cheapestRun(runner.StartID(), now)
 		if chosen == nil {
 			break
 		}
-		e.runs[runner.ID][chosen] = true
+		e.runs[runner.StartID()][chosen] = true
 		chosen.cancel(errPreempted)
 	}
 	if preempted > 0 {
@@ -69,11 +69,11 @@
 	}
 }
 
-// cheapestRun returns the run at a runner with the lowest preemption cost among those that
+// cheapestRun returns the run at a start of a runner with the lowest preemption cost among those that
 // are not preempted yet, or nil if there is none. The caller holds the mutex.
-func (e *ItemExecutor) cheapestRun(runner string, now time.Time) *run {
+func (e *ItemExecutor) cheapestRun(start string, now time.Time) *run {
 	var chosen *run
-	for candidate, preempted := range e.runs[runner] {
+	for candidate, preempted := range e.runs[start] {
 		if !preempted && (chosen == nil || candidate.preemptionCost(now) < chosen.preemptionCost(now)) {
 			chosen = candidate
 		}
@@ -88,18 +88,18 @@
 func (e *ItemExecutor) register(r *run) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.runs[r.runner.ID] == nil {
-		e.runs[r.runner.ID] = map[*run]bool{}
+	if e.runs[r.runner.StartID()] == nil {
+		e.runs[r.runner.StartID()] = map[*run]bool{}
 	}
-	e.runs[r.runner.ID][r] = false
+	e.runs[r.runner.StartID()][r] = false
 }
 
 func (e *ItemExecutor) unregister(r *run) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	delete(e.runs[r.runner.ID], r)
-	if len(e.runs[r.runner.ID]) == 0 {
-		delete(e.runs, r.runner.ID)
+	delete(e.runs[r.runner.StartID()], r)
+	if len(e.runs[r.runner.StartID()]) == 0 {
+		delete(e.runs, r.runner.StartID())
 	}
 }
 
@@ -107,7 +107,7 @@
 func (e *ItemExecutor) wasPreempted(r *run) bool {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	return e.runs[r.runner.ID][r]
+	return e.runs[r.runner.StartID()][r]
 }
 
 // paused returns the IDs of the runners that get no items after a preemption, and deletes
--- a/internal/batch/queuerun/preemption_test.go
+++ b/internal/batch/queuerun/preemption_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"cobaltramp.example/cobaltramp/internal/batch/queuestore"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
 )
 
@@ -39,3 +40,22 @@
 	}
 	is.New(t).True(slices.IsSorted(costs))
 }
+
+// A run at an earlier start of a runner frees no slot of the later one, so it must not be
+// preempted in place of a run there.
+func TestRunsAtEarlierStartAreNotPreempted(t *testing.T) {
+	is := is.New(t)
+	executor := newExecutor(t, &scriptedClient{})
+	runAt := func(startedAt int64) *run {
+		runner := &runnerset.Runner{Record: runnerset.Record{ID: "r1", StartedAt: startedAt}}
+		r := &run{runner: runner, work: &queuestore.Work{}}
+		executor.register(r)
+		return r
+	}
+	earlier, later := runAt(1000), runAt(2000)
+	is.True(executor.cheapestRun("r1@2000", time.Now()) == later)
+	executor.unregister(later)
+	is.True(executor.cheapestRun("r1@2000", time.Now()) == nil)
+	executor.unregister(earlier)
+	is.Equal(len(executor.runs), 0)
+}
--- a/internal/serving/online/crashes_test.go
+++ b/internal/serving/online/crashes_test.go
@@ -132,3 +132,13 @@
 	s.reportBrokenRun(context.Background()) // the request had run for too long to be suspect
 	is.Equal(len(g.broke), 1)
 }
+
+// A broken run is reported with the start of the runner that executed it: a runner that
+// restarts under its ID ends once for each start.
+func TestBrokenRunIsReportedByStart(t *testing.T) {
+	is := is.New(t)
+	g, runner := &guard{}, &runnerset.Runner{Record: runnerset.Record{ID: "r", StartedAt: 5}}
+	s := &activeRequest{Forwarder: &Forwarder{Quarantine: g}, request: &CallerRequest{}, current: &attempt{runner: runner}}
+	s.reportBrokenRun(context.Background())
+	is.Equal(g.broke, []string{"r@5"})
+}
