Relays: followers do not keep values that a list of their source skipped

A follower that had the value from another source kept it, as a runner that does not exist any more.

Change: a mirror records the gaps of its lists. It sends the complete contents to followers in a gap, and to followers behind a gap that may have a second source.

--- a/internal/cluster/relay/mirror.go
+++ b/internal/cluster/relay/mirror.go
@@ -56,7 +56,9 @@
 	// compactedRevision is the newest revision whose tombstones have been removed. A
 	// follower at an older revision needs the complete contents.
 	compactedRevision int64
-	changed           chan struct{} // closed and replaced by each change
+	// gaps are the revisions that lists have skipped.
+	gaps    []revisionGap
+	changed chan struct{} // closed and replaced by each change
 }
 
 // logEntry records that a key changed at a revision. It is outdated once the key has
@@ -102,7 +104,9 @@
 	if m.values == nil || m.partial {
 		m.values, m.runners = map[string]ports.Value{}, subset.NewIndex[string]()
 		m.log, m.tombstones, m.compactedRevision = nil, map[string]tombstone{}, revision
-		m.relocated = map[string]int64{}
+		m.relocated, m.gaps = map[string]int64{}, nil
+	} else {
+		m.addGap(m.revision, revision)
 	}
 	listed := make(map[string]bool, len(values))
 	values = slices.Clone(values)
--- a/internal/cluster/relay/update.go
+++ b/internal/cluster/relay/update.go
@@ -42,7 +42,7 @@
 		return nil, m.changed
 	}
 	update := &Update{Revision: m.revision}
-	if revision < m.compactedRevision {
+	if m.needsWhole(revision, view) {
 		update.Whole = true
 		update.Values = m.fullValues(view)
 		if view != nil {
