Disk cache: a selection of the same revision as cached contents is cached

ResetToSelection passes the contents and then the selection to the mirror; Persist may save in between, and did not save again at the same revision, so that a restarted node would take its selection for the complete store.

Change: Persist saves again when the mirror begins or ends a selection. The test waits until the cache holds the selection; what it requires of the restored contents is unchanged. A new test shows the order without a race.

--- a/internal/cluster/relay/diskcache.go
+++ b/internal/cluster/relay/diskcache.go
@@ -88,11 +88,16 @@
 // Persist writes the contents of a mirror to the cache until the context ends. After a
 // failed write it tries again when the mirror has changed.
 func Persist(ctx context.Context, cache DiskCache, mirror *Mirror) {
-	saved := int64(-1)
+	saved, savedPartial := int64(-1), false
 	for ctx.Err() == nil {
 		update, changed := mirror.After(saved, nil)
-		if update != nil && saveUpdate(cache, update, mirror.selectionDocument()) {
-			saved = update.Revision
+		selection := mirror.selectionDocument()
+		partial := selection.Value != nil
+		if update == nil && saved >= 0 && partial != savedPartial {
+			update = &Update{Revision: saved} // a selection may follow contents of the same revision
+		}
+		if update != nil && saveUpdate(cache, update, selection) {
+			saved, savedPartial = update.Revision, partial
 		}
 		pause.For(ctx, persistInterval)
 		select {
--- a/internal/cluster/relay/diskcache_test.go
+++ b/internal/cluster/relay/diskcache_test.go
@@ -49,6 +49,14 @@
 
 func (k *memoryCache) Fits(int) bool { return true }
 
+// holdsSelection reports whether the cache holds a selection of the runners.
+func (k *memoryCache) holdsSelection() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	_, found := k.values[selectionKey]
+	return found
+}
+
 func (k *memoryCache) savedRevision() int64 {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
@@ -69,7 +77,7 @@
 	totals := subset.Totals{{Service: "s", Zone: "z1"}: 2048}
 	config := ports.Value{Key: "config", Revision: 3}
 	merger.ResetToSelection([]ports.Value{config}, Selection{Values: []ports.Value{{Key: runnerKey(1), Revision: 4}}, Totals: totals}, 4)
-	eventually.Require(t, "the selection is cached", func() bool { return cache.savedRevision() == 4 })
+	eventually.Require(t, "the selection is cached", func() bool { return cache.savedRevision() == 4 && cache.holdsSelection() })
 
 	node := &recordingSink{values: map[string]int64{}}
 	restored := NewMerger(node)
@@ -89,6 +97,23 @@
 	is.Equal(len(node.values), 3)
 }
 
+// A selection of the same revision as contents that are already cached is cached too.
+// Otherwise a restarted node would serve its selection as the complete store.
+func TestSelectionAfterCachedContentsIsCached(t *testing.T) {
+	cache := &memoryCache{revision: -1}
+	mirror := NewMirror(classifyTest)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go Persist(ctx, cache, mirror)
+	mirror.Reset([]ports.Value{{Key: runnerKey(1), Revision: 4}}, 4)
+	eventually.Require(t, "the contents are cached", func() bool { return cache.savedRevision() == 4 })
+	mirror.Select(Selection{Values: []ports.Value{{Key: runnerKey(1), Revision: 4}}}, 4)
+	eventually.Require(t, "the selection is cached", cache.holdsSelection)
+	restored := NewMirror(classifyTest)
+	Restore(cache, classifyTest, NewMerger(restored))
+	is.New(t).True(restored.Partial())
+}
+
 // While the store does not answer, a node sends its own selection with the total numbers
 // of runners to an empty node, and refuses any other follower, which would lose runners
 // by it.
