--- a/internal/serving/loadshare/loadshare.go
+++ b/internal/serving/loadshare/loadshare.go
@@ -52,6 +52,8 @@
 	directory VersionedDirectory
 	audiences audiences
 	notices   *prometheus.CounterVec
+	// otherStart counts received reports about another start of a runner than the listed one.
+	otherStart prometheus.Counter
 
 	// mutex is held while a report is built and sent, so that reports leave in the order of
 	// the changes.
@@ -84,12 +86,15 @@
 		notices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cobaltramp_runner_use_notices_total", Help: "Notices of what this node has at runners, by receivers.",
 		}, []string{"to"}),
+		otherStart: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cobaltramp_runner_use_other_start_total", Help: "Dropped reports of peers about another start of a runner than the listed one.",
+		}),
 	}
 	r.batcher = notify.NewBatcher(notify.Schedule{
 		Delay: coalesceInterval, Flush: func(context.Context) { r.flush() },
 		RepeatInterval: repeatInterval, Repeat: r.repeat,
 	})
-	registry.MustRegister(r.notices)
+	registry.MustRegister(r.notices, r.otherStart)
 	runners.OnOwnLoad(r.reportChange)
 	runners.SetReporting(r.receivesReports)
 	return r
@@ -130,6 +135,7 @@
 		Runner: runner.ID, Running: uint32(max(0, use.Running)), Batch: uint32(max(0, use.Batch)),
 		UnreadTokens:      uint32(max(0, use.Unread)),
 		ContentionPercent: uint32(math.Round(100 * contention.Value)), ContentionAgeMs: uint32(contention.Age.Milliseconds()),
+		RunnerStartedUnixMs: runner.StartedAt,
 	}
 }
 
@@ -140,6 +146,7 @@
 		Contention: runnerset.ContentionReport{
 			Value: float64(use.ContentionPercent) / 100, Age: time.Duration(use.ContentionAgeMs) * time.Millisecond,
 		},
+		StartedAt: use.RunnerStartedUnixMs,
 	}
 	for _, part := range use.Prompt {
 		report.SharedParts = append(report.SharedParts, runnerset.PromptPart{ID: part.Id, Tokens: int(part.Tokens)})
@@ -269,6 +276,8 @@
 	r.recordIncarnation(from, uses.Incarnation)
 	now := time.Now()
 	for _, use := range uses.Uses {
-		r.runners.RecordPeerReport(from, use.Runner, decodeUse(use), now)
+		if !r.runners.RecordPeerReport(from, use.Runner, decodeUse(use), now) {
+			r.otherStart.Inc()
+		}
 	}
 }
--- a/internal/serving/runnerset/choice.go
+++ b/internal/serving/runnerset/choice.go
@@ -131,6 +131,7 @@
 	}
 	expected := expectedFirstEvent(r.model, c.load, c.slots, r.prefixes.uncached(criteria.Prompt))
 	c.expected = time.Duration(float64(expected.at(contention.value)) * max(1, relativeSlowness(r.slowness, typical)))
+	c.memoryWait = r.memoryWait(criteria, c.load)
 	return Choice{
 		Runner: r, Load: c.load.running, Unread: c.load.unread,
 		FirstEvent: c.expected, Suspect: c.suspect(), Cost: c.cost(rand.Float64()),
