--- a/internal/serving/runnerset/load.go
+++ b/internal/serving/runnerset/load.go
@@ -24,6 +24,9 @@
 	SharedParts []PromptPart
 	// Contention is the newest contention that the runner reported to the other node.
 	Contention ContentionReport
+	// StartedAt is the start of the runner that the report is about, as in
+	// Record.StartedAt; 0 if not stated.
+	StartedAt int64
 }
 
 type peerLoad struct {
--- a/internal/serving/runnerset/runnerset.go
+++ b/internal/serving/runnerset/runnerset.go
@@ -50,6 +50,9 @@
 	onOwnLoad        atomic.Pointer[func(runner *Runner, shared []PromptPart)]
 	onPeerLoad       atomic.Pointer[func(runner *Runner)]
 	onPeerReport     atomic.Pointer[func(peer string, runner *Runner, started int)]
+	onRestart        atomic.Pointer[func(earlier *Runner)]
+	memory           atomic.Pointer[func(service string) int]
+	outputs          outputMeans
 	// totals are the rounded numbers of all runners, whether this node lists them or
 	// not; nil until the first Select.
 	totals atomic.Pointer[subset.Totals]
@@ -72,6 +75,7 @@
 	s := &Set{
 		byID: map[string]*Runner{}, models: map[string]*enginemodel.EngineModel{}, changed: make(chan struct{}),
 		zoneUtilizations: map[subset.ServiceZone]*zoneUtilization{}, refreshes: map[string]*utilizationRefresh{},
+		outputs: outputMeans{means: map[outputKind]float64{}},
 	}
 	s.snapshot.Store(&snapshot{services: map[string][]*Runner{}, counts: newCounts()})
 	return s
@@ -186,6 +190,8 @@
 	if known != nil {
 		known.notAccepting.Store(true)
 	}
+	s.endGraceOfEarlierStart(record)
+	s.notifyRestart(known, record)
 	next := &Runner{
 		Record: record, set: s, model: s.modelOf(record.Service),
 		zoneUtilization: s.zoneUtilizationOf(subset.ServiceZone{Service: record.Service, Zone: record.Zone}),
@@ -195,6 +201,16 @@
 	s.byID[record.ID] = next
 }
 
+// endGraceOfEarlierStart prevents requests that chose a recently removed runner from being
+// sent to another start of it. The caller holds the mutex.
+func (s *Set) endGraceOfEarlierStart(record Record) {
+	for _, runner := range s.recentlyRemoved {
+		if runner.ID == record.ID && !runner.sameRunner(record) {
+			runner.removed.Store(0)
+		}
+	}
+}
+
 // zoneUtilizationOf returns the utilization of a service in a zone, and creates it if
 // missing. The caller holds the mutex.
 func (s *Set) zoneUtilizationOf(zone subset.ServiceZone) *zoneUtilization {
