--- a/lab/platformday/day.go
+++ b/lab/platformday/day.go
@@ -42,6 +42,10 @@
 	// UnequalRunners makes the runners differ in speed and report a contention that
 	// varies.
 	UnequalRunners bool
+	// MixedVersions enables all keys of the section routing on the nodes that have the
+	// section, and gives half of the runners contention and a stated start time, as during
+	// an update of both.
+	MixedVersions bool
 }
 
 // Day is a running deployment with its emulated store and runners.
--- a/lab/platformday/nodes.go
+++ b/lab/platformday/nodes.go
@@ -75,8 +75,7 @@
 		Listen: settings.RoleListen{MetricsPort: ports[4]}, FirstStart: true, DiskLosses: 1,
 		Store:   settings.RoleStore{Address: d.store.Address()},
 		Machine: settings.RoleMachine{MemoryMegabytes: 256}, Bounds: settings.RoleBounds{StopSeconds: 8, DrainMilliseconds: 2000},
-		// Half of the nodes forward calls, as during an update from a version that does not.
-		Routing: settings.RoleRouting{ForwardThroughPeers: number%2 == 0},
+		Routing: d.routingOf(number),
 	}
 	if role == "edge" {
 		address := func(port int) string { return fmt.Sprintf("%s:%d", nodeAddress, port) }
@@ -95,6 +94,15 @@
 	return p, os.WriteFile(p.settings, text, 0o644)
 }
 
+// routingOf returns the section routing of a node. Half of the nodes have it, as during an
+// update from a version without these settings.
+func (d *Day) routingOf(number int) settings.RoleRouting {
+	if number%2 != 0 {
+		return settings.RoleRouting{}
+	}
+	return settings.RoleRouting{ForwardThroughPeers: true, BalanceZones: d.MixedVersions, FairTenantShares: d.MixedVersions}
+}
+
 func (d *Day) killAll() {
 	for _, p := range d.nodes {
 		d.signal(p, syscall.SIGKILL)
--- a/lab/platformday/runners.go
+++ b/lab/platformday/runners.go
@@ -7,8 +7,9 @@
 	"cobaltramp.example/cobaltramp/lab/standin"
 )
 
-// These describe unequal runners: unequalSpeeds different speeds with slowness in steps of
-// slownessStep, and contention in a fraction of the time.
+// Unequal runners have unequalSpeeds different speeds, with slowness in steps of
+// slownessStep. Contention multiplies the time of work by contentionFactor in
+// contendedFraction of all periods of contentionLength.
 const (
 	unequalSpeeds     = 4
 	slownessStep      = 0.45
@@ -25,6 +26,12 @@
 	}
 	if d.UnequalRunners {
 		options.Slowness = 1 + float64(number%unequalSpeeds)*slownessStep
+	}
+	updated := d.MixedVersions && number/zoneCount%2 == 0
+	if updated {
+		options.StartedAt = time.Now().UnixMilli()
+	}
+	if d.UnequalRunners || updated {
 		options.Contention = standin.ContentionBursts{
 			Seed: d.Seed, ID: options.ID, Fraction: contendedFraction, Length: contentionLength, Factor: contentionFactor,
 		}.At
--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -17,7 +17,7 @@
 // random disruptions: signals to nodes, restarts, and changes of the configuration, the
 // store and the runners. The seed determines the random choices.
 
-// SoakOptions configures a soak. Soak overwrites Crashes.
+// SoakOptions configures a soak. Soak overwrites Crashes and MixedVersions.
 type SoakOptions struct {
 	Options
 	// Kept is the number of clients with a persistent connection.
@@ -63,6 +63,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	options.Crashes = func(body []byte) bool { return bytes.Equal(body, crashBody) }
+	options.MixedVersions = true
 	d, err := open(ctx, options.Options)
 	if err != nil {
 		return nil, trace.Wrap(err)
