Errors of batch items eject at most a quarter of a service's runners

Errors of two different items in succession eject a runner. A job of many items that fail everywhere therefore ejected all runners of a service for batch items, for up to 6 s at a time, and the items of other jobs waited. Test: TestItemErrorsEjectFewRunners failed before the change (3 of 3 runners ejected).

--- a/internal/serving/runnerset/ejection.go
+++ b/internal/serving/runnerset/ejection.go
@@ -15,6 +15,10 @@
 	// failure of the runner.
 	overdueFactor = 4
 	failedFactor  = 8
+	// minRunnersPerItemEjection is the number of runners of a service for each that may be
+	// ejected for errors of batch items. Otherwise many items that fail everywhere would
+	// eject all runners of the service.
+	minRunnersPerItemEjection = 4
 )
 
 // ejection is the outlier ejection of one runner. The first failure ejects the runner
--- a/internal/serving/runnerset/runner.go
+++ b/internal/serving/runnerset/runner.go
@@ -115,13 +115,40 @@
 }
 
 // RecordItemError records that the runner responded to a batch item with an error; item
-// identifies the item's content.
+// identifies the item's content. It has no effect if too many other runners are ejected.
 func (r *Runner) RecordItemError(item string, now time.Time) {
+	if !r.set.mayEjectForItems(r, now) {
+		return
+	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.ejection.failItem(item, now)
 }
 
+// mayEjectForItems reports whether the runner may be ejected for errors of batch items: it
+// already is, or few enough other runners of its service are ejected. One runner always may
+// be. The caller does not hold the mutex of a runner.
+func (s *Set) mayEjectForItems(runner *Runner, now time.Time) bool {
+	if runner.ejected(now) {
+		return true
+	}
+	list := s.Service(runner.Service)
+	ejected := 0
+	for _, other := range list {
+		if other.ejected(now) {
+			ejected++
+		}
+	}
+	return ejected < max(1, len(list)/minRunnersPerItemEjection)
+}
+
+// ejected reports whether the runner is ejected at the given time.
+func (r *Runner) ejected(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.ejection.active(now)
+}
+
 // RecordLoad records the load that the runner reported in a response, without this node's
 // requests, and its contention if it reported any; nil is ignored.
 func (r *Runner) RecordLoad(reported *exchange.Load, now time.Time) {
