The quarantine learns of a restart after the removal of the earlier start

A list that shows first the removal of a runner and then its next start under the same id did not report the restart, so that runs which broke with the earlier start did not count. Test: TestRestartAfterRemovalIsReported failed before the change.

--- a/internal/serving/runnerset/reports.go
+++ b/internal/serving/runnerset/reports.go
@@ -37,8 +37,8 @@
 // ReceivesReports reports whether other nodes report their load at a runner to this node.
 func (s *Set) ReceivesReports(runner *Runner) bool { return s.receivesReports(runner) }
 
-// OnRestart sets the callback for a listed runner that another start under the same ID
-// replaces. It is called with the earlier start while the list is locked, so it must not
+// OnRestart sets the callback for a listed or recently removed runner that another start
+// under the same ID replaces. It is called with the earlier start while the list is locked, so it must not
 // call methods of the set.
 func (s *Set) OnRestart(restarted func(earlier *Runner)) { s.onRestart.Store(&restarted) }
 
--- a/internal/serving/runnerset/restart_test.go
+++ b/internal/serving/runnerset/restart_test.go
@@ -111,6 +111,24 @@
 	is.True(!earlier.RecentlyRemoved())
 }
 
+// The quarantine must also learn of a restart if the list shows the removal of the earlier
+// start first. A repaired entry of the same start is no restart.
+func TestRestartAfterRemovalIsReported(t *testing.T) {
+	for _, test := range []struct {
+		next int64
+		want []string
+	}{{2000, []string{"a@1000"}}, {1000, nil}} {
+		is := is.New(t)
+		s := setOf(started(1000))
+		var ended []string
+		s.OnRestart(func(earlier *Runner) { ended = append(ended, earlier.StartID()) })
+		s.ApplyChanges(nil, []string{"a"}, 2, time.Now())
+		s.ApplyChanges([]Record{started(test.next)}, nil, 3, time.Now())
+		s.ApplyChanges([]Record{started(test.next)}, nil, 4, time.Now())
+		is.Equal(ended, test.want)
+	}
+}
+
 // Reports of an earlier start may arrive after the list of the later one, and reports of
 // a later start before its list.
 func TestReportsCountForTheirStartOnly(t *testing.T) {
--- a/internal/serving/runnerset/runnerset.go
+++ b/internal/serving/runnerset/runnerset.go
@@ -190,8 +190,8 @@
 	if known != nil {
 		known.notAccepting.Store(true)
 	}
-	s.endGraceOfEarlierStart(record)
 	s.notifyRestart(known, record)
+	s.endGraceOfEarlierStart(record)
 	next := &Runner{
 		Record: record, set: s, model: s.modelOf(record.Service),
 		zoneUtilization: s.zoneUtilizationOf(subset.ServiceZone{Service: record.Service, Zone: record.Zone}),
@@ -202,11 +202,13 @@
 }
 
 // endGraceOfEarlierStart prevents requests that chose a recently removed runner from being
-// sent to another start of it. The caller holds the mutex.
+// sent to another start of it, and calls the callback of OnRestart for the removed one. The
+// caller holds the mutex.
 func (s *Set) endGraceOfEarlierStart(record Record) {
 	for _, runner := range s.recentlyRemoved {
-		if runner.ID == record.ID && !runner.sameRunner(record) {
+		if runner.ID == record.ID && runner.RecentlyRemoved() && !runner.sameRunner(record) {
 			runner.removed.Store(0)
+			s.notifyRestart(runner, record)
 		}
 	}
 }
