--- a/internal/serving/quarantine/coordinator.go
+++ b/internal/serving/quarantine/coordinator.go
@@ -122,9 +122,9 @@
 }
 
 // RecordBrokenRun implements Guard. It probes the runner, unless a recent result is
-// cached, and so may block for up to probeTimeout. If the runner's address accepts
-// connections, the run counts only if the list shows a later start of the runner soon
-// (RecordRestart).
+// cached, and so may block for up to probeTimeout. If the probe does not show that the
+// runner has ended, the run counts only if the list shows a later start of the runner
+// within restartConfirmTime (RecordRestart).
 func (c *Coordinator) RecordBrokenRun(request string, fingerprint Fingerprint, start, address string) {
 	run := brokenRun{request: request, fingerprint: fingerprint, at: time.Now()}
 	if c.HasEnded(start, address) || c.restarts.recordBreak(start, run) {
@@ -140,16 +140,16 @@
 	}
 }
 
-func (c *Coordinator) recordEnding(request string, fingerprint Fingerprint, runner string) {
-	outcome := c.table.RecordEnding(fingerprint, runner, true, time.Now())
-	klog.InfoS("runner ended while running a request", "id", request, "fingerprint", fingerprint, "runner", runner,
+func (c *Coordinator) recordEnding(request string, fingerprint Fingerprint, start string) {
+	outcome := c.table.RecordEnding(fingerprint, start, true, time.Now())
+	klog.InfoS("runner ended while running a request", "id", request, "fingerprint", fingerprint, "runner", start,
 		"counted", outcome.Counted, "held", outcome.Hold != nil)
 	if !outcome.Counted {
 		return
 	}
 	c.events.WithLabelValues(eventEnding).Inc()
 	c.addToNotice(func(notice *wirev1.QuarantineNotice) {
-		notice.Endings = append(notice.Endings, &wirev1.RunnerEnding{Fingerprint: uint64(fingerprint), Runner: runner})
+		notice.Endings = append(notice.Endings, &wirev1.RunnerEnding{Fingerprint: uint64(fingerprint), Runner: start})
 	})
 	if outcome.Hold != nil {
 		c.distributeHold(*outcome.Hold, "runners ended")
--- a/internal/serving/quarantine/decision.go
+++ b/internal/serving/quarantine/decision.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// EndingsToHold is the number of different runners that have to end while running
-	// a request before the request is held. Fewer endings do not identify the cause,
+	// EndingsToHold is the number of different starts of runners that have to end while
+	// running a request before the request is held. Fewer endings do not identify the cause,
 	// since a runner runs several requests, and requests that broke together may be
 	// retried together.
 	EndingsToHold = 3
--- a/internal/serving/quarantine/restart.go
+++ b/internal/serving/quarantine/restart.go
@@ -7,8 +7,8 @@
 
 const (
 	// restartConfirmTime is how long after a broken run the list may show that the runner
-	// has started again, so that the run counts as ended with the runner. A runner that is
-	// down for longer than a probe takes is found by the probe.
+	// has started again, so that the run counts as ended with the runner. The probe detects
+	// a runner that is down for longer.
 	restartConfirmTime = time.Second
 	// maxRestartEntries is the maximum number of starts in each map of a restartLog. At
 	// the maximum the map is emptied.
@@ -18,7 +18,7 @@
 	maxBrokenRuns = 16
 )
 
-// brokenRun is a run that broke while the runner's address accepted connections.
+// brokenRun is a run that broke and whose runner, by the probe, may not have ended.
 type brokenRun struct {
 	request     string
 	fingerprint Fingerprint
--- a/internal/serving/quarantine/witness.go
+++ b/internal/serving/quarantine/witness.go
@@ -33,9 +33,9 @@
 // concurrent use.
 type CrashDetector struct {
 	prober  Prober
-	probes  singleflight.Group // by runner
+	probes  singleflight.Group // by start of a runner
 	mutex   sync.Mutex
-	results map[string]probeResult
+	results map[string]probeResult // by start of a runner
 }
 
 // probeResult is the result of the probe of a runner, and the time of the probe.
@@ -51,37 +51,37 @@
 
 // HasEnded reports whether the runner of a broken request has ended, according to a
 // probe of its address or to a result of the last probeResultTTL. It returns false if
-// the probe is inconclusive.
-func (d *CrashDetector) HasEnded(runner, address string) bool {
+// the probe is inconclusive. start identifies the start of the runner.
+func (d *CrashDetector) HasEnded(start, address string) bool {
 	// The function below returns no error.
-	ended, _, _ := d.probes.Do(runner, func() (any, error) {
-		if refused, known := d.cachedResult(runner); known {
+	ended, _, _ := d.probes.Do(start, func() (any, error) {
+		if refused, known := d.cachedResult(start); known {
 			return refused, nil
 		}
 		// All waiting requests share the probe, so it does not use a request's context.
 		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
 		refused := d.prober.ConnectionRefused(ctx, address)
-		d.cacheResult(runner, refused)
+		d.cacheResult(start, refused)
 		return refused, nil
 	})
 	return ended.(bool)
 }
 
-// cachedResult returns the cached result for a runner; valid is false if there is none
+// cachedResult returns the cached result for a start of a runner; valid is false if there is none
 // or it is older than probeResultTTL.
-func (d *CrashDetector) cachedResult(runner string) (ended, valid bool) {
+func (d *CrashDetector) cachedResult(start string) (ended, valid bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	cached, valid := d.results[runner]
+	cached, valid := d.results[start]
 	return cached.ended, valid && time.Since(cached.at) < probeResultTTL
 }
 
-func (d *CrashDetector) cacheResult(runner string, ended bool) {
+func (d *CrashDetector) cacheResult(start string, ended bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if len(d.results) >= maxProbeResults {
 		clear(d.results)
 	}
-	d.results[runner] = probeResult{ended, time.Now()}
+	d.results[start] = probeResult{ended, time.Now()}
 }
--- a/internal/serving/runnerset/choice.go
+++ b/internal/serving/runnerset/choice.go
@@ -20,8 +20,8 @@
 	// Batch limits the choice for a batch item: if no runner is within the limits, none
 	// is chosen. It is nil for an online request.
 	Batch *BatchLimits
-	// Target is the zone to which an online request is to be sent if its first event
-	// would be late in this node's zone; nil if there is none.
+	// Target is the zone to which an online request is to be sent under the conditions of
+	// TargetZone; nil if there is none.
 	Target *TargetZone
 }
 
@@ -43,10 +43,11 @@
 	Unread float64
 	// Sources are the requests and reports from which Load was estimated.
 	Sources LoadSources
-	// Candidates is the number of runners whose costs were compared.
+	// Candidates is the number of runners whose costs were compared, or the length of
+	// TargetZone.Free if the runner was chosen from it.
 	Candidates int
-	// namedLoad is the load of a runner that TargetZone.Free names; nil for another
-	// runner.
+	// namedLoad is the load by the digest if the runner was chosen from TargetZone.Free;
+	// nil otherwise.
 	namedLoad *load
 }
 
--- a/internal/serving/runnerset/contention.go
+++ b/internal/serving/runnerset/contention.go
@@ -24,8 +24,8 @@
 	// Reports are clamped to minContention and maxContention.
 	minContention = 0.5
 	maxContention = 10.0
-	// contendedThreshold is the contention from which a runner gets a batch item only if
-	// no other runner may get it.
+	// contendedThreshold is the contention from which contendedCost is added for batch
+	// items.
 	contendedThreshold = 1.5
 )
 
@@ -47,8 +47,8 @@
 // belongs to a runner that does not report any.
 type contentionState struct {
 	// newest is the newest report that the node knows, and received the newest one that
-	// the runner sent to this node. Only the latter is passed on to peers: a report that
-	// nodes pass to and fro would lose the transfer time from its age each time, and
+	// the runner sent to this node. Only the latter is passed on to peers: the age of a
+	// report excludes its transfer time, so a report that nodes passed on repeatedly would
 	// never expire.
 	newest, received contentionSample
 	// average is the moving average of all known reports over time; 0 before the first.
@@ -81,9 +81,9 @@
 		return
 	}
 	value = clampContention(value)
-	// Each report weighs as much as the time since the previous one. The average is then
-	// over time, and not over requests, of which a contended runner gets fewer; and the
-	// same report from several peers counts about once.
+	// The weight of a report is proportional to the time since the previous one. Otherwise
+	// the average would be too low, since a contended runner gets fewer requests and so
+	// sends fewer reports, and a report from several peers would count several times.
 	weight := float64(at.Sub(c.newest.at)) / float64(contentionAverageTime)
 	if c.average == 0 || at.Sub(c.newest.at) > contentionAverageLifetime {
 		c.average, weight = 1, maxContentionWeight
--- a/internal/serving/runnerset/cost.go
+++ b/internal/serving/runnerset/cost.go
@@ -23,8 +23,8 @@
 	// nonHomeCost keeps batch items at home runners (see BatchLimits.Home) while any of
 	// them has a free slot.
 	nonHomeCost = 200 * time.Millisecond
-	// contendedCost makes batch items use a contended runner only if no other runner may
-	// get them, also if those are not home runners.
+	// contendedCost is higher than nonHomeCost, so that batch items prefer a non-home runner
+	// to a contended home runner.
 	contendedCost = 300 * time.Millisecond
 	// unreportedCost is added for an unreported runner, which is a runner whose load
 	// other nodes do not report to this node. A slot that appears to be free may be
--- a/internal/serving/runnerset/memory.go
+++ b/internal/serving/runnerset/memory.go
@@ -32,7 +32,8 @@
 	batch   bool
 }
 
-// observe adds the number of events in a response.
+// observe adds the number of events in a response. Responses that broke off count too, so
+// that the mean is rather too low.
 func (m *outputMeans) observe(kind outputKind, events int64) {
 	if events < minOutputEvents {
 		return
--- a/internal/serving/runnerset/record.go
+++ b/internal/serving/runnerset/record.go
@@ -28,8 +28,8 @@
 }
 
 // sameRunner reports whether next, a later record with the same ID, differs from r only in
-// fields that may change during a runner's lifetime: Leaving, ColdUntil, and whether
-// StartedAt is stated.
+// ways that are possible during a runner's lifetime: in Leaving and ColdUntil, and in that
+// it no longer states StartedAt.
 func (r Record) sameRunner(next Record) bool {
 	sameStart := next.StartedAt == 0 || next.StartedAt == r.StartedAt
 	return sameStart && r.Address == next.Address && r.Service == next.Service && r.Zone == next.Zone && r.Slots == next.Slots
--- a/internal/serving/runnerset/runnerset.go
+++ b/internal/serving/runnerset/runnerset.go
@@ -10,8 +10,9 @@
 // engines. Readers of the list use an atomically swapped snapshot.
 //
 // These files hold the rules, without I/O or clock: load.go (load estimates),
-// neighbourhood.go (utilization of runners without reports), ejection.go (outlier
-// ejection), and cost.go (comparison of runners). The other files hold the state.
+// neighbourhood.go (utilization of runners without reports), contention.go (reports of
+// contention), ejection.go (outlier ejection), and cost.go (comparison of runners). The
+// other files hold the state.
 package runnerset
 
 import (
