--- a/modules/roles/cluster/fairshares_test.go
+++ b/modules/roles/cluster/fairshares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/eventually"
 	"cobaltramp.example/cobaltramp/internal/app/kernel"
 	"cobaltramp.example/cobaltramp/internal/cluster/peers"
 	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
@@ -60,16 +62,18 @@
 		close(ended)
 	}()
 	shares.Begin("s", "t", 0)
-	awaitTenants(storage, 1)
+	awaitTenants(t, storage, 1)
 	cancel()
 	<-ended
 	storage.run(ctx) // does nothing on a storage node
-	awaitTenants(storage, 0)
+	awaitTenants(t, storage, 0)
 }
 
 // awaitTenants waits until a storage node has requests of this number of tenants.
-func awaitTenants(storage *fairShares, count int) {
-	for len(storage.tenants("z", time.Now())) != count {
-		time.Sleep(10 * time.Millisecond)
-	}
+func awaitTenants(t *testing.T, storage *fairShares, count int) {
+	t.Helper()
+	seen := func() any { return storage.tenants("z", time.Now()) }
+	eventually.Require(t, fmt.Sprintf("requests of %d tenants at the storage node", count), func() bool {
+		return len(storage.tenants("z", time.Now())) == count
+	}, seen)
 }
