--- a/internal/serving/fairshare/division.go
+++ b/internal/serving/fairshare/division.go
@@ -31,10 +31,20 @@
 // it from a claim of the same or a higher priority that has no more slots for each unit of
 // weight.
 type Division struct {
-	slots float64
-	// levels holds, for each priority, the slots that a claim may get for each unit of
-	// weight; infinite if all claims of the priority are satisfied.
-	levels map[uint32]float64
+	// priorities holds the priorities with claims, the highest first.
+	priorities []priorityDivision
+	// left is the number of slots that the claims of all priorities leave.
+	left float64
+}
+
+// priorityDivision is the division of slots among the claims of one priority.
+type priorityDivision struct {
+	priority uint32
+	// available is the number of slots that higher priorities leave.
+	available float64
+	// level is the number of slots that a claim may get for each unit of weight; infinite
+	// if all claims are satisfied.
+	level float64
 }
 
 // Divide divides slots among claims. Claims of a lower priority get the slots that those of
@@ -44,16 +54,18 @@
 	for _, claim := range claims {
 		byPriority[claim.Priority] = append(byPriority[claim.Priority], claim)
 	}
-	division := Division{slots: slots, levels: map[uint32]float64{}}
+	division := Division{left: slots}
 	for _, priority := range slices.Sorted(maps.Keys(byPriority)) {
-		level, left := divideAmongEquals(slots, byPriority[priority])
-		division.levels[priority], slots = level, left
+		available := division.left
+		level, left := divideAmongEquals(available, byPriority[priority])
+		division.priorities = append(division.priorities, priorityDivision{priority, available, level})
+		division.left = left
 	}
 	return division
 }
 
 // divideAmongEquals divides slots among claims of one priority. It returns the level of the
-// division (see Division) and the slots that are left. It satisfies the claims in the order
+// division (see priorityDivision) and the slots that are left. It satisfies the claims in the order
 // of their demand for each unit of weight, until one wants more than the level that is left
 // for all remaining claims.
 func divideAmongEquals(slots float64, claims []Claim) (level, left float64) {
@@ -75,12 +87,18 @@
 	return math.Inf(1), left
 }
 
-// Share returns the number of slots that a claim with this priority and weight may get.
+// Share returns the number of slots that a claim with this priority and weight may get. A
+// priority without claims may get what higher ones leave.
 func (d *Division) Share(priority uint32, weight float64) float64 {
-	level, found := d.levels[priority]
-	if !found {
-		return d.slots
+	for _, p := range d.priorities {
+		if p.priority < priority {
+			continue
+		}
+		if p.priority > priority {
+			return p.available
+		}
+		claim := Claim{Weight: weight}
+		return min(p.available, p.level*claim.weight())
 	}
-	claim := Claim{Weight: weight}
-	return min(d.slots, level*claim.weight())
+	return d.left
 }
--- a/internal/serving/fairshare/division_test.go
+++ b/internal/serving/fairshare/division_test.go
@@ -84,6 +84,21 @@
 	})
 }
 
+// A priority gets only what higher ones leave, also if its claims are satisfied, or if it has
+// no claim yet, so that its first requests do not count as under their share.
+func TestShareOfLowerPriority(t *testing.T) {
+	is := is.New(t)
+	division := Divide(30, []Claim{{0, 1, 18}, {2, 1, 4}})
+	is.Equal(division.Share(0, 1), 30.0)
+	is.Equal(division.Share(1, 1), 12.0)
+	is.Equal(division.Share(2, 1), 12.0)
+	is.Equal(division.Share(3, 1), 8.0)
+	full := Divide(30, []Claim{{1, 1, 40}})
+	is.Equal(full.Share(0, 1), 30.0)
+	is.Equal(full.Share(2, 1), 0.0)
+}
+
+// Divisions that are easy to verify by hand.
 func TestDivisionExamples(t *testing.T) {
 	for _, test := range []struct {
 		name   string
