Fair shares: edges report to all storage nodes that send digests to their zone

In a zone with more than four storage nodes, or with none, an edge's senders of digests were often not among the recipients of the reports. Their digests lacked tenants, so that fair shares applied only at times or never. The senders of a zone are now limited to four nodes, which also receive the reports.

--- a/internal/serving/fairshare/report_test.go
+++ b/internal/serving/fairshare/report_test.go
@@ -85,24 +85,3 @@
 		}
 	})
 }
-
-// All edges of a zone report to the same storage nodes, which are in the zone if it has any.
-func TestRecipients(t *testing.T) {
-	is := is.New(t)
-	var records []*wirev1.NodeRecord
-	for i := range 12 {
-		records = append(records, &wirev1.NodeRecord{
-			NodeId: fmt.Sprint("n", i), Address: fmt.Sprint("a", i), Zone: fmt.Sprint("z", i%2), DiskId: fmt.Sprint("d", i),
-		})
-	}
-	records = append(records, &wirev1.NodeRecord{NodeId: "edge", Address: "edge", Zone: "z0"})
-	records[0].Leaving = true
-	near := Recipients(records, "z0")
-	is.Equal(len(near), maxRecipients)
-	for _, address := range near {
-		is.True(address != "edge" && address != "a0")
-		is.True((address[len(address)-1]-'0')%2 == 0)
-	}
-	is.Equal(len(Recipients(records, "another")), maxOtherRecipients)
-	is.Equal(len(Recipients(nil, "z0")), 0)
-}
--- a/internal/serving/zoneload/senders.go
+++ b/internal/serving/zoneload/senders.go
@@ -10,8 +10,13 @@
 	"cobaltramp.example/cobaltramp/internal/cluster/ownership"
 )
 
-// sendersPerEdge is the number of storage nodes that send digests to an edge.
-const sendersPerEdge = 2
+const (
+	// sendersPerEdge is the number of storage nodes that send digests to an edge.
+	sendersPerEdge = 2
+	// sendersPerZone is the largest number of storage nodes of a zone that send digests to
+	// its edges. With fair shares, each of them receives the reports of all these edges.
+	sendersPerZone = 4
+)
 
 // Directory holds the records of the nodes.
 type Directory interface {
@@ -25,17 +30,36 @@
 	InContactWithin(node string, now time.Time, within time.Duration) bool
 }
 
-// SendersOf returns the records of the storage nodes that send digests to an edge, in the
-// order of their rendezvous weight for the edge. They are in the edge's zone if it has a
-// live storage node, otherwise in the edge's region if possible. Nodes whose directories
-// differ may compute different senders; an edge then has more or fewer senders for a time.
+// SendersOf returns the records of the storage nodes that send digests to an edge: those of
+// ZoneSenders with the highest rendezvous weight for the edge, in the order of their weight.
+// Nodes whose directories differ may compute different senders; an edge then has more or
+// fewer senders for a time.
 func SendersOf(directory Directory, edge *wirev1.NodeRecord) []*wirev1.NodeRecord {
-	candidates := slices.Clone(senderCandidates(directory, edge.Zone, edge.Region))
-	slices.SortFunc(candidates, func(a, b *wirev1.NodeRecord) int {
-		weightA, weightB := ownership.NodeWeight(edge.NodeId, a.NodeId), ownership.NodeWeight(edge.NodeId, b.NodeId)
+	return withHighestWeight(ZoneSenders(directory, edge.Zone, edge.Region), edge.NodeId, sendersPerEdge)
+}
+
+// ZoneSenders returns the records of the storage nodes that send digests to the edges of a
+// zone. They are up to sendersPerZone nodes of the zone if it has a live storage node.
+// Otherwise they are the same sendersPerEdge nodes for all its edges, in the zone's region
+// if possible.
+func ZoneSenders(directory Directory, zone, region string) []*wirev1.NodeRecord {
+	candidates := senderCandidates(directory, zone, region)
+	limit := sendersPerZone
+	if len(candidates) > 0 && candidates[0].Zone != zone {
+		limit = sendersPerEdge
+	}
+	return withHighestWeight(candidates, zone, limit)
+}
+
+// withHighestWeight returns the records of the nodes with the highest rendezvous weights for
+// a key, in the order of their weight.
+func withHighestWeight(records []*wirev1.NodeRecord, key string, limit int) []*wirev1.NodeRecord {
+	sorted := slices.Clone(records)
+	slices.SortFunc(sorted, func(a, b *wirev1.NodeRecord) int {
+		weightA, weightB := ownership.NodeWeight(key, a.NodeId), ownership.NodeWeight(key, b.NodeId)
 		return cmp.Or(cmp.Compare(weightB, weightA), cmp.Compare(a.NodeId, b.NodeId))
 	})
-	return candidates[:min(sendersPerEdge, len(candidates))]
+	return sorted[:min(limit, len(sorted))]
 }
 
 // senderCandidates returns the storage nodes among which the senders for the edges of a
--- a/internal/serving/zoneload/senders_test.go
+++ b/internal/serving/zoneload/senders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -89,6 +90,36 @@
 	is.Equal(len(SendersOf(directoryOf("edge-a-0", testRecords(map[string]int{"a": 1}, nil)), edge)), 0)
 }
 
+// The senders of a zone's edges are a limited number of storage nodes of the zone, without
+// leaving ones. The edges of a zone without storage nodes all have the same senders.
+func TestSendersOfZone(t *testing.T) {
+	is := is.New(t)
+	records := testRecords(map[string]int{"a": 1}, map[string]int{"a": 2, "b": 6})
+	recordOf("disk-a-0", records).Leaving = true
+	is.Equal(ZoneSenders(directoryOf("edge-a-0", records), "a", "r"), []*wirev1.NodeRecord{recordOf("disk-a-1", records)})
+
+	records = testRecords(map[string]int{"a": 20}, map[string]int{"a": 6, "b": 6})
+	directory := directoryOf("edge-a-0", records)
+	near := ZoneSenders(directory, "a", "r")
+	is.Equal(zonesOf(near), []string{"a", "a", "a", "a"})
+	for i := range 20 {
+		for _, sender := range SendersOf(directory, recordOf(fmt.Sprint("edge-a-", i), records)) {
+			is.True(slices.Contains(near, sender))
+		}
+	}
+	is.Equal(len(ZoneSenders(directory, "another", "r")), sendersPerEdge)
+	is.Equal(len(ZoneSenders(directoryOf("edge-a-0", testRecords(map[string]int{"a": 1}, nil)), "a", "r")), 0)
+
+	records = testRecords(map[string]int{"a": 20}, map[string]int{"b": 6})
+	directory = directoryOf("edge-a-0", records)
+	far := ZoneSenders(directory, "a", "r")
+	for i := range 20 {
+		for _, sender := range SendersOf(directory, recordOf(fmt.Sprint("edge-a-", i), records)) {
+			is.True(slices.Contains(far, sender))
+		}
+	}
+}
+
 // Storage nodes and edges with the same records agree on the senders of each edge.
 func TestNodesAgreeOnSenders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/modules/roles/cluster/fairshares.go
+++ b/modules/roles/cluster/fairshares.go
@@ -13,6 +13,7 @@
 	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
 	"cobaltramp.example/cobaltramp/internal/configuration/settings"
 	"cobaltramp.example/cobaltramp/internal/serving/fairshare"
+	"cobaltramp.example/cobaltramp/internal/serving/zoneload"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
@@ -43,11 +44,6 @@
 // provision sets up the part of an edge or of a storage node. On an edge it provides the
 // *fairshare.Shares.
 func (f *fairShares) provision(ctx *kernel.Context, inputs fairShareInputs) {
-	// All edges of a zone report to the same nodes, since each of them sums the reports of
-	// the whole zone.
-	recipients := func() []string {
-		return fairshare.Recipients(inputs.directory.Records(), inputs.settings.Zone)
-	}
 	if inputs.settings.DataFolder != "" {
 		f.sums = fairshare.NewSums(inputs.directory)
 		f.tenants = f.sums.Tenants
@@ -55,12 +51,24 @@
 		return
 	}
 	counter := fairshare.NewCounter(time.Now())
+	recipients := func() []string { return reportRecipients(inputs.directory) }
 	incarnation := func() uint64 { return inputs.directory.Self().Incarnation }
 	f.reporter = fairshare.NewReporter(counter, recipients, inputs.pool, incarnation, inputs.registry)
 	f.shares = fairshare.NewShares(inputs.settings.Zone, counter, inputs.digests, fairshare.WeightIn(inputs.catalogs), inputs.registry)
 	ctx.Provide(f.shares)
 }
 
+// reportRecipients returns the addresses of the storage nodes to which this edge reports: all
+// nodes that send digests to edges of its zone, since each sums the reports of the whole zone.
+func reportRecipients(directory *peers.Directory) []string {
+	self := directory.Self()
+	var addresses []string
+	for _, record := range zoneload.ZoneSenders(directory, self.Zone, self.Region) {
+		addresses = append(addresses, record.Address)
+	}
+	return addresses
+}
+
 // peerLost drops the report of an edge whose connections have ended.
 func (f *fairShares) peerLost(peer string) {
 	if f.sums != nil {
--- a/modules/roles/cluster/fairshares_test.go
+++ b/modules/roles/cluster/fairshares_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -77,3 +78,31 @@
 		return len(storage.tenants("z", time.Now())) == count
 	}, seen)
 }
+
+// Each storage node that sends digests to an edge receives the reports of all edges of its
+// zone. Otherwise its digests would lack tenants, and shares would apply only at times.
+func TestSendersOfDigestsReceiveReports(t *testing.T) {
+	for _, disks := range []map[string]int{{"a": 3, "b": 3}, {"a": 9, "b": 3}, {"b": 3, "c": 6}} {
+		var records []*wirev1.NodeRecord
+		for zone, count := range disks {
+			for i := range count {
+				name := fmt.Sprint("disk-", zone, i)
+				records = append(records, &wirev1.NodeRecord{NodeId: name, Address: name, Zone: zone, Region: "r", DiskId: name})
+			}
+		}
+		for i := range 20 {
+			name := fmt.Sprint("edge-", i)
+			records = append(records, &wirev1.NodeRecord{NodeId: name, Address: name, Zone: "a", Region: "r"})
+		}
+		for _, edge := range records[len(records)-20:] {
+			directory := peers.NewDirectory(edge)
+			directory.PutAll(records, "")
+			recipients := reportRecipients(directory)
+			for _, sender := range zoneload.SendersOf(directory, edge) {
+				if !slices.Contains(recipients, sender.Address) {
+					t.Errorf("disks %v: %s sends digests to %s and is not among the recipients %v", disks, sender.NodeId, edge.NodeId, recipients)
+				}
+			}
+		}
+	}
+}
