--- a/internal/serving/zoneload/hold.go
+++ b/internal/serving/zoneload/hold.go
@@ -29,7 +29,7 @@
 	// the number of requests that ended; both with falling weight.
 	busy, ended float64
 	// at, zones, online and inSlots describe the last digest: its time, the number of its
-	// zones, and the sums of their online requests with and without those that wait for a
+	// zones with valid figures, and the sums of their online requests with and without those that wait for a
 	// slot.
 	at              time.Time
 	zones           int
@@ -37,26 +37,27 @@
 }
 
 // observe adds a digest. The time since the last digest does not count if digests were
-// missing or zones have appeared or disappeared since.
+// missing or the number of valid zones has changed since.
 func (h *holdEstimate) observe(zones []ZoneLoad, now time.Time) {
-	online, inSlots, arrivals := 0.0, 0.0, 0.0
+	valid, online, inSlots, arrivals := 0, 0.0, 0.0, 0.0
 	for i := range zones {
 		zone := &zones[i]
 		if !zone.valid() {
 			continue
 		}
+		valid++
 		online += zone.online()
 		inSlots += min(zone.online(), zone.Slots)
 		arrivals += zone.Arrivals
 	}
 	elapsed := now.Sub(h.at)
-	if len(zones) == h.zones && elapsed > 0 && elapsed < digestLifetime {
+	if valid == h.zones && elapsed > 0 && elapsed < digestLifetime {
 		keep := math.Exp(-elapsed.Seconds() / holdWindow.Seconds())
 		h.busy = keep*h.busy + (h.inSlots+inSlots)/2*elapsed.Seconds()
 		h.ended = keep*h.ended + arrivals*elapsed.Seconds() - (online - h.online)
 		h.covered += elapsed
 	}
-	h.at, h.zones, h.online, h.inSlots = now, len(zones), online, inSlots
+	h.at, h.zones, h.online, h.inSlots = now, valid, online, inSlots
 }
 
 // value returns the estimate, and false if there were too few digests or requests.
--- a/internal/serving/zoneload/hold_test.go
+++ b/internal/serving/zoneload/hold_test.go
@@ -45,6 +45,26 @@
 	})
 }
 
+// A digest with invalid figures of a zone does not change the estimate: the zone's requests
+// have not ended.
+func TestHoldIgnoresInvalidZones(t *testing.T) {
+	is := is.New(t)
+	estimate, now := &holdEstimate{}, time.Now()
+	steady := []ZoneLoad{zoneOf("a", 80), zoneOf("b", 80)}
+	invalid := []ZoneLoad{zoneOf("a", 80), zoneOf("b", math.NaN())}
+	for i := range 100 {
+		loads := steady
+		if i%10 == 9 {
+			loads = invalid
+		}
+		now = now.Add(digestInterval)
+		estimate.observe(loads, now)
+	}
+	value, known := estimate.value()
+	is.True(known)
+	is.True(math.Abs(value.Seconds()-1) < 0.01)
+}
+
 // There is no estimate before minHoldTime, and times without digests do not count.
 func TestHoldIsUnknownWithoutDigests(t *testing.T) {
 	is := is.New(t)
