--- a/internal/serving/zoneload/digest.go
+++ b/internal/serving/zoneload/digest.go
@@ -81,6 +81,10 @@
 	}
 }
 
+// unreported reports whether the zone has runners that accept work, and no other node reports
+// its load at any of them to this node: they would appear idle.
+func (z *zoneSums) unreported() bool { return z.accepting > 0 && z.reported == 0 }
+
 // reportsContention reports whether a runner of the zone reports contention.
 func (z *zoneSums) reportsContention() bool { return z.contentionSlots > 0 }
 
--- a/internal/serving/zoneload/publisher.go
+++ b/internal/serving/zoneload/publisher.go
@@ -205,7 +205,7 @@
 		if !balanced && !usedByTenants[service] {
 			continue
 		}
-		zones = slices.DeleteFunc(zones, func(sums *zoneSums) bool { return !known[sums.zone] })
+		zones = slices.DeleteFunc(zones, func(sums *zoneSums) bool { return !known[sums.zone] || sums.unreported() })
 		slices.SortFunc(zones, func(a, b *zoneSums) int {
 			return cmp.Or(cmp.Compare(b.listed, a.listed), cmp.Compare(a.zone, b.zone))
 		})
--- a/internal/serving/zoneload/publisher_test.go
+++ b/internal/serving/zoneload/publisher_test.go
@@ -170,6 +170,33 @@
 	})
 }
 
+// A zone is left out if the load of none of its runners is reported to this node, since they
+// would appear idle. A zone whose runners all leave is not: its edges need other zones.
+func TestZoneWithoutReportedRunnersIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		records := testRecords(map[string]int{"a": 1, "b": 1, "c": 1}, map[string]int{"a": 1})
+		runners := append(append(testRunners("a", 1), testRunners("b", 2)...), testRunners("c", 3)...)
+		for i := range runners {
+			runners[i].Leaving = runners[i].Zone == "c"
+		}
+		p := startPublisher(t, records, runners)
+		p.runners.SetReporting(func(runner *runnerset.Runner) bool { return runner.Zone == "a" })
+		for range 4 {
+			for _, zone := range []string{"a", "b", "c"} {
+				p.runners.RecordPeerReport("edge-"+zone+"-0", "runner-a-0", runnerset.PeerReport{NodeLoad: runnerset.NodeLoad{Running: 2}}, time.Now())
+			}
+			time.Sleep(time.Second)
+		}
+		digests := p.box.take("edge-a-0:1")
+		var zones []string
+		for _, load := range digests[len(digests)-1].Loads {
+			zones = append(zones, load.Zone)
+		}
+		is.Equal(zones, []string{"c", "a"})
+	})
+}
+
 // Services whose runners do not report contention are left out, and an empty digest is not
 // sent.
 func TestNoDigestsWithoutContention(t *testing.T) {
