--- a/internal/serving/online/online_test.go
+++ b/internal/serving/online/online_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -314,26 +315,28 @@
 // A runner that answers with errors at once must not appear fast and idle, although its
 // errors are relayed to the callers of requests that may not run twice.
 func TestRunnerThatAnswersWithErrorsIsEjected(t *testing.T) {
-	is := is.New(t)
-	failures := 0
-	client := clientFunc(func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
-		next := outcomeServes
-		if call.RunnerID == "r0" {
-			failures++
-			next = outcomeFails
+	synctest.Test(t, func(t *testing.T) { // the ejection does not end during the test
+		is := is.New(t)
+		failures := 0
+		client := clientFunc(func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
+			next := outcomeServes
+			if call.RunnerID == "r0" {
+				failures++
+				next = outcomeFails
+			}
+			return (&fakeRunners{outcomes: []outcome{next}}).Do(ctx, call)
+		})
+		set := runnerset.New()
+		set.Replace([]runnerset.Record{{ID: "r0", Service: "s", Slots: 4}, {ID: "r1", Service: "s", Slots: 4}}, 1, time.Now())
+		forwarder := New("z", set, client, prometheus.NewRegistry())
+		for range 40 {
+			now := time.Now()
+			request := &CallerRequest{
+				ID: "id", Method: http.MethodPost, URI: "/x", Route: routeOf(catalog.Streaming, false, 1),
+				Received: now, Deadline: now.Add(30 * time.Second), ResumeAfter: -1,
+			}
+			is.NoErr(forwarder.Serve(context.Background(), request, &recorder{}))
 		}
-		return (&fakeRunners{outcomes: []outcome{next}}).Do(ctx, call)
+		is.True(failures <= 1)
 	})
-	set := runnerset.New()
-	set.Replace([]runnerset.Record{{ID: "r0", Service: "s", Slots: 4}, {ID: "r1", Service: "s", Slots: 4}}, 1, time.Now())
-	forwarder := New("z", set, client, prometheus.NewRegistry())
-	for range 40 {
-		now := time.Now()
-		request := &CallerRequest{
-			ID: "id", Method: http.MethodPost, URI: "/x", Route: routeOf(catalog.Streaming, false, 1),
-			Received: now, Deadline: now.Add(30 * time.Second), ResumeAfter: -1,
-		}
-		is.NoErr(forwarder.Serve(context.Background(), request, &recorder{}))
-	}
-	is.True(failures <= 1) // the ejection is longer than the test takes
 }
