--- a/internal/configuration/settings/role.go
+++ b/internal/configuration/settings/role.go
@@ -59,7 +59,8 @@
 }
 
 // RoleRouting switches optional ways of cooperation between nodes on. All are off by
-// default.
+// default. BalanceZones and FairTenantShares take effect only if edges and storage nodes
+// enable them.
 type RoleRouting struct {
 	// ForwardThroughPeers makes a node call a storage node through a peer while it has
 	// no direct connection to the storage node.
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -6,7 +6,8 @@
 //     changes of the store to other nodes;
 //   - the reporter, which exchanges reports with other nodes about the requests that each
 //     node runs at runners;
-//   - the publisher or the receiver of the load of zones, if zones are balanced;
+//   - the publisher (storage nodes) or the receiver (edges) of the load of zones, if zones are
+//     balanced or fair shares of the slots are enabled;
 //   - the quarantine of requests that crash runners;
 //   - if the settings enable it, the caller that reaches storage nodes through peers while
 //     there is no direct path to them, and the forwarder that does so for peers;
@@ -66,13 +67,15 @@
 )
 
 // Module provides the informer with its store contact, catalogs, runners and queue layouts,
-// the directory of nodes, the quarantine coordinator, and, if the settings enable it, the
-// caller that reaches storage nodes through peers (*forwarding.Caller).
+// the directory of nodes, and the quarantine coordinator. If the settings enable them, it also
+// provides the caller that reaches storage nodes through peers (*forwarding.Caller) and, on
+// edges, the receiver of the load of zones (*zoneload.Receiver) and the shares of tenants
+// (*fairshare.Shares).
 type Module struct {
 	informer   *informer.Informer
 	syncer     *peers.Syncer
 	reporter   *loadshare.Reporter
-	publisher  *zoneload.Publisher // nil on edges, and if zones are not balanced
+	publisher  *zoneload.Publisher // nil on edges, and if neither zones are balanced nor tenants have fair shares
 	quarantine *quarantine.Coordinator
 	holdWriter *quarantine.HoldWriter
 	caller     *forwarding.Caller // nil if calls are not forwarded
@@ -129,7 +132,9 @@
 		forwarding.NewForwarder(m.caller, m.reporter.ReceiveNotice, registry).Handle(server)
 	}
 	server.HandleNotice(wirev1.Method_METHOD_RUNNER_USE, m.reporter.ReceiveNotice)
-	receiver := m.provisionZoneLoad(ctx, &zoneLoadInputs{settings: loaded, directory: directory, runners: m.informer.Runners, pool: pool, server: server, registry: registry})
+	receiver := m.provisionZoneLoad(ctx, &zoneLoadInputs{
+		settings: loaded, directory: directory, runners: m.informer.Runners, pool: pool, server: server, registry: registry,
+	})
 	if loaded.Routing.FairTenantShares {
 		m.fairShares.provision(ctx, fairShareInputs{
 			settings: loaded, directory: directory, catalogs: m.informer.Catalogs, pool: pool, server: server, registry: registry, digests: receiver,
--- a/modules/roles/cluster/zones.go
+++ b/modules/roles/cluster/zones.go
@@ -23,8 +23,8 @@
 }
 
 // provisionZoneLoad creates the publisher of digests on a storage node, or the receiver on
-// an edge, and provides it to other modules. It does nothing unless zones are balanced or
-// tenants have fair shares. It returns the receiver, or nil on a storage node.
+// an edge, which it provides to other modules and returns. It does nothing, and returns nil,
+// unless zones are balanced or tenants have fair shares.
 func (m *Module) provisionZoneLoad(ctx *kernel.Context, inputs *zoneLoadInputs) *zoneload.Receiver {
 	routing := inputs.settings.Routing
 	if !routing.BalanceZones && !routing.FairTenantShares {
@@ -35,7 +35,6 @@
 		if routing.BalanceZones {
 			m.publisher.Contention = (*runnerset.Runner).Contention
 		}
-		ctx.Provide(m.publisher)
 		return nil
 	}
 	receiver := zoneload.NewReceiver(inputs.settings.Zone, inputs.registry)
