--- a/internal/serving/fairshare/counter_test.go
+++ b/internal/serving/fairshare/counter_test.go
@@ -54,6 +54,7 @@
 	is.Equal(counter.inFlight(keyOf("s", "", 0)), 2*maxCounted)
 }
 
+// No end of a request is lost while reports are made and idle tenants are dropped.
 func TestCounterIsSafeForConcurrentUse(t *testing.T) {
 	is := is.New(t)
 	counter := NewCounter(start)
--- a/internal/serving/fairshare/shares.go
+++ b/internal/serving/fairshare/shares.go
@@ -58,8 +58,8 @@
 	// digest is the digest that views are made of.
 	digest *wirev1.ZoneLoadDigest
 	views  map[string]*serviceView // by service
-	// overAt holds the tenants over their share that were logged, with the time at which
-	// they were last seen to be.
+	// overAt holds the tenants over their share that were logged, with the time of the last
+	// digest by which they were.
 	overAt map[tenantKey]time.Time
 }
 
@@ -147,8 +147,8 @@
 	s.logReturns(now)
 }
 
-// refresh makes the views of the newest digest, if they are of another one. The caller holds
-// the mutex.
+// refresh replaces the views if there is a newer digest, or if theirs has expired. The caller
+// holds the mutex.
 func (s *Shares) refresh(now time.Time) {
 	digest, age, usable := s.digests.Newest(now)
 	if !usable || age >= digestLifetime {
@@ -214,5 +214,5 @@
 	}
 }
 
-// rounded returns a number of slots with one decimal place, for the log.
-func rounded(slots float64) float64 { return float64(int(slots*10+0.5)) / 10 }
+// rounded returns a value that is not negative with one decimal place, for the log.
+func rounded(value float64) float64 { return float64(int(value*10+0.5)) / 10 }
--- a/internal/serving/fairshare/stale_test.go
+++ b/internal/serving/fairshare/stale_test.go
@@ -26,12 +26,13 @@
 	// use, beside that of the reports in it.
 	usualLength = 1450 * time.Millisecond
 	usualDelay  = 300 * time.Millisecond
-	// zoneQueue is the number of requests beside those in the slots with which a new request
-	// is late; zoneRefused is the number with which today's rule refuses a request.
+	// zoneQueue is the number of waiting requests from which a new request is late, and
+	// zoneRefused the number from which it is refused because the service is full.
 	zoneQueue, zoneRefused = 24, 14
 )
 
-// zone runs counters, reports, sums and verdicts against requests that all take as long.
+// zone runs the counters, reports, sums and verdicts of a zone whose requests all take equally
+// long.
 type zone struct {
 	// length is how long requests take, and delay the age of the digest.
 	length, delay time.Duration
@@ -128,7 +129,8 @@
 	}
 }
 
-// outcomes counts the requests of a group of tenants.
+// outcomes counts the requests of a group of tenants; overShare are those refused because
+// their tenant is over its share.
 type outcomes struct{ arrived, onTime, overShare int }
 
 // arrive decides about a request as an edge does, with the queue as the expected time.
@@ -243,7 +245,7 @@
 	return mean, fraction(counted.onTime, counted.arrived)
 }
 
-// A tenant that ends its burst is free within a second.
+// A tenant is no longer restricted a second after the end of its burst.
 func TestEndOfBurst(t *testing.T) {
 	is := is.New(t)
 	for _, burst := range []time.Duration{800 * time.Millisecond, 2800 * time.Millisecond, 10 * time.Second} {
--- a/internal/serving/fairshare/standing.go
+++ b/internal/serving/fairshare/standing.go
@@ -25,11 +25,11 @@
 	controlPeriod = time.Second
 	// chanceArrivals is the number of arrivals in a window that do not count as a burst.
 	chanceArrivals = 2
-	// toleranceOver is the part of the tolerance that still applies to a tenant over its
-	// share, so that chance does not end a restriction that is needed.
+	// toleranceOver is the part of the tolerance that applies to a tenant that was over its
+	// share before, so that chance does not end a restriction that is needed.
 	toleranceOver = 0.5
-	// usedPartBefore is the part of its share that a tenant has to use before it counts as
-	// over its share, and usedPartOver the part while it does.
+	// usedPartBefore is the part of its share that a tenant has to use to become over its
+	// share, and usedPartOver the part that it has to use to remain so.
 	usedPartBefore = 0.5
 	usedPartOver   = 0.125
 	// controlledPart limits controlPeriod to a part of the duration of requests, so that the
@@ -71,7 +71,7 @@
 // because requests in flight are reduced by the refusals themselves, and because a tenant
 // whose burst has ended must not be restricted until its last request ends. The requests in
 // flight count because a tenant with short requests occupies fewer slots than its arrivals
-// suggest. wasOver is set if the tenant was over its share before.
+// suggest. wasOver is true if the tenant was over its share before.
 func standingOf(load Load, share float64, duration time.Duration, wasOver bool) Standing {
 	standing := Standing{Share: share, Use: load.InFlight, Within: 1, State: At}
 	wanted := load.wanted(duration)
--- a/internal/serving/fairshare/standing_test.go
+++ b/internal/serving/fairshare/standing_test.go
@@ -8,6 +8,8 @@
 	"pgregory.net/rapid"
 )
 
+// A tenant is over its share by its arrivals and its requests in flight together; neither
+// alone restricts it.
 func TestStandingExamples(t *testing.T) {
 	const duration = 1500 * time.Millisecond
 	for _, test := range []struct {
@@ -70,8 +72,8 @@
 	}
 }
 
-// Only a tenant that wants and occupies slots beyond its means is restricted, and never more
-// than by the requests that its share has no room for.
+// Only a tenant whose arrivals would occupy more than its share is restricted, and not all of
+// its requests are refused while it uses less than its share.
 func TestStandingProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		load := Load{
--- a/internal/serving/fairshare/sums_test.go
+++ b/internal/serving/fairshare/sums_test.go
@@ -33,6 +33,8 @@
 	return total
 }
 
+// Only reports of the zone's edges count, and one that cannot be decoded does not replace the
+// edge's last one.
 func TestReportsAreSummedByZone(t *testing.T) {
 	is := is.New(t)
 	sums := NewSums(edges{})
--- a/internal/serving/online/fairness.go
+++ b/internal/serving/online/fairness.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// overShareTarget is the share of the target within which a first event must be expected
-	// if the request exceeds its tenant's share of the slots.
+	// overShareTarget is the fraction of the target within which a first event must be
+	// expected if the request exceeds its tenant's share of the slots.
 	overShareTarget = 0.35
-	// protectedRetryFactor is how many times its share a tenant may want while the retries of
-	// its callers are not refused.
+	// protectedRetryFactor is the largest fairshare.Standing.Factor of a tenant with which
+	// retries of its callers are not refused.
 	protectedRetryFactor = 2
 	// causeOverShare is the cause of a refusal in the log.
 	causeOverShare = "over its share of the slots"
@@ -31,7 +31,8 @@
 	verdict fairshare.Verdict
 	// freeSlot is set if the best runner has a free slot.
 	freeSlot bool
-	// random, from 0 to 1, draws the requests that the share has room for.
+	// random is a random number from 0 to 1. Requests for which it is below verdict.Within
+	// have room in the share.
 	random float64
 }
 
@@ -41,7 +42,7 @@
 	return o.full || o.verdict.Full || o.waited+o.expected > o.allowed()
 }
 
-// refused reports whether the request is refused.
+// refused reports whether the request is refused. A route without a target refuses none.
 func (o *overShareInputs) refused() bool {
 	switch {
 	case o.verdict.State != fairshare.Over || o.sent || o.suspect || o.freeSlot || o.target <= 0:
@@ -54,7 +55,7 @@
 	return o.waited+o.expected > time.Duration(overShareTarget*float64(o.target))
 }
 
-// updateVerdict looks up how the tenant's requests compare to its share.
+// updateVerdict sets verdict by the newest digest.
 func (s *activeRequest) updateVerdict(service string, now time.Time) {
 	verdict, known := s.FairShares.Verdict(service, s.request.tenantName(), s.request.Route.Priority, now)
 	if known {
--- a/internal/serving/online/fairness_test.go
+++ b/internal/serving/online/fairness_test.go
@@ -19,10 +19,11 @@
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
 )
 
-// fairDigest is a digest with a tenant "small" under its share, and a tenant "big" so far over
-// its own that none of its requests has room.
+// fairDigest is a source of the digest bigAndSmall.
 type fairDigest struct{}
 
+// bigAndSmall has a tenant "small" under its share, and a tenant "big" so far over its own that
+// none of its requests has room.
 var bigAndSmall = &wirev1.ZoneLoadDigest{
 	Loads: []*wirev1.ServiceZoneLoad{{Service: "s", Zone: "z", Slots: 100, Running: 605, ArrivalsPerSecond: 305}},
 	Tenants: []*wirev1.TenantLoad{
@@ -35,8 +36,8 @@
 	return bigAndSmall, 0, true
 }
 
-// busyForwarder has full runners and fair shares. It returns also a target for requests at
-// which their first event is expected at half of the target.
+// busyForwarder returns a forwarder with full runners and fair shares, and a target of which
+// half passes until the expected first event of a request.
 func busyForwarder(runners *fakeRunners) (*Forwarder, time.Duration) {
 	forwarder := fullForwarder(runners, 5)
 	weight := func(string) float64 { return 1 }
@@ -100,6 +101,7 @@
 	})
 }
 
+// Each condition of a refusal for the tenant's share is necessary.
 func TestOverShareRules(t *testing.T) {
 	const target = time.Second
 	over := fairshare.Verdict{Standing: fairshare.Standing{State: fairshare.Over, Factor: 2, Within: 0.25}, AnyOver: true, Full: true}
--- a/internal/serving/online/online.go
+++ b/internal/serving/online/online.go
@@ -39,10 +39,10 @@
 	Admission *admission.Controller
 	// Quarantine tracks the requests that crash runners; nil disables the quarantine.
 	Quarantine quarantine.Guard
-	// Zones decides which requests are sent to another zone; nil keeps all requests in
-	// this node's zone while it has runners.
+	// Zones draws the requests that may be sent to another zone; nil draws none.
 	Zones ZoneBalancer
-	// FairShares divides the slots among tenants while a service is full; nil disables it.
+	// FairShares compares tenants' requests to their shares of the slots; nil disables
+	// refusals of tenants over their share.
 	FairShares *fairshare.Shares
 	// listWait is how long a request without attempts waits for a usable runner to be
 	// listed.
--- a/internal/serving/zoneload/crossing.go
+++ b/internal/serving/zoneload/crossing.go
@@ -11,7 +11,7 @@
 	// wrong digest has a small effect.
 	maxStep = 0.25
 	// fadeStart is the age of a digest from which its probabilities fall, linearly to 0 at
-	// digestLifetime. Two digests may be lost before.
+	// digestLifetime. It is the time in which a sender sends two changed digests.
 	fadeStart = 400 * time.Millisecond
 )
 
@@ -19,7 +19,7 @@
 // are sent to other zones. It is not changed after it is stored.
 type crossing struct {
 	targets []target
-	// at is when the digest was received from which the targets were computed.
+	// at is the time of receipt of the digest from which the targets were computed.
 	at time.Time
 	// own is the load of the edge's zone in this digest.
 	own ZoneLoad
@@ -40,7 +40,7 @@
 	return max(0, float64(digestLifetime-age)/float64(digestLifetime-fadeStart))
 }
 
-// next returns the state after a digest whose plan is given. Each probability moves
+// next returns the state after a digest, without own. planned is the plan for the digest. Each probability moves
 // towards its planned value by at most maxStep. The probability of a zone without a row in
 // the digest is 0 at once. The sum of the probabilities is at most 1.
 func (c *crossing) next(rows []serviceRow, planned []Share, now time.Time) *crossing {
--- a/internal/serving/zoneload/crossing_test.go
+++ b/internal/serving/zoneload/crossing_test.go
@@ -82,9 +82,9 @@
 // has free slots for, apart from the random variation of draws.
 func TestManyEdgesDoNotOverloadAnEmptyZone(t *testing.T) {
 	is := is.New(t)
-	const edges, seconds = 100, 20
+	const edges, arrivals, seconds = 100, 400, 20
 	empty := zoneOf("b", 0)
-	zones := []ZoneLoad{zoneOf("a", 400), empty, zoneOf("c", 90)}
+	zones := []ZoneLoad{zoneOf("a", arrivals), empty, zoneOf("c", 90)}
 	planned := Plan(zones, testModel, "a")
 	now := time.Now()
 	var state *crossing
@@ -93,7 +93,7 @@
 	}
 	random := rand.New(rand.NewPCG(1, 2))
 	sent := map[string]float64{}
-	for range edges * 400 / edges * seconds {
+	for range edges * (arrivals / edges) * seconds {
 		if drawn := state.draw(random.Float64(), now); drawn != nil {
 			sent[drawn.Zone]++
 		}
--- a/internal/serving/zoneload/digest.go
+++ b/internal/serving/zoneload/digest.go
@@ -10,9 +10,9 @@
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
 )
 
-// freeFrom is the utilization by online requests of a zone from which the digest names
-// runners with free slots; below, no zone sends requests to another.
-const freeFrom = 0.5
+// namingUtilization is the share of a zone's slots that online requests have to use before
+// digests name runners with free slots. With less, no zone needs another.
+const namingUtilization = 0.5
 
 // RunnerContention returns how long work takes at a runner relative to the usual time, and
 // whether the runner reports it.
@@ -26,15 +26,17 @@
 	listed, accepting, reported int
 	slots                       int
 	running, batch              float64
-	// contention is the sum of the contentions, weighted by contentionSlots.
+	// contention is the sum of the contentions of the runners that report it, weighted by
+	// their slots, and contentionSlots the sum of these slots.
 	contention, contentionSlots float64
 	free                        []freeRunner
 }
 
-// freeRunner is a runner with slots that online requests do not use. Some of them may be
-// used by batch items.
+// freeRunner is a runner with slots that online requests do not use.
 type freeRunner struct {
-	id           string
+	id string
+	// slots is the number of slots without online requests, and empty the number of those
+	// without batch items.
 	slots, empty int
 }
 
@@ -88,9 +90,9 @@
 // reportsContention reports whether a runner of the zone reports contention.
 func (z *zoneSums) reportsContention() bool { return z.contentionSlots > 0 }
 
-// filling reports whether online requests use a large part of the slots.
+// filling reports whether online requests use at least namingUtilization of the slots.
 func (z *zoneSums) filling() bool {
-	return (z.running-z.batch)*z.scale() >= freeFrom*float64(z.slots)
+	return (z.running-z.batch)*z.scale() >= namingUtilization*float64(z.slots)
 }
 
 // scale returns the factor from the requests at reported runners to those at all runners.
--- a/internal/serving/zoneload/hold.go
+++ b/internal/serving/zoneload/hold.go
@@ -26,7 +26,7 @@
 	// covered is the time for which there were digests.
 	covered time.Duration
 	// busy is the sum of the times for which slots were occupied, in seconds, and ended
-	// the number of requests that ended; both with falling weight.
+	// the number of requests that ended; earlier digests have less weight in both.
 	busy, ended float64
 	// at, zones, online and inSlots describe the last digest: its time, the number of its
 	// zones with valid figures, and the sums of their online requests with and without those that wait for a
--- a/internal/serving/zoneload/log.go
+++ b/internal/serving/zoneload/log.go
@@ -8,20 +8,21 @@
 	"k8s.io/klog/v2"
 )
 
-// sending is the time at which requests of a service were last sent to other zones, and the
-// load of the service in this zone since then.
-type sending struct {
+// sendingState describes a service of which requests are sent to other zones.
+type sendingState struct {
+	// last is the time of the last digest with which requests were sent.
 	last time.Time
-	own  ZoneLoad
+	// own is the load of the service in this zone by the newest digest.
+	own ZoneLoad
 }
 
-// logStart logs when requests of a service begin to be sent to other zones. The caller
-// holds the mutex.
-func (r *Receiver) logStart(service string, state *crossing, now time.Time) {
+// recordSending updates the state of a service for the log, and logs when its requests begin
+// to be sent to other zones. The caller holds the mutex.
+func (r *Receiver) recordSending(service string, state *crossing, now time.Time) {
 	total := state.total(now)
 	known, started := r.sending[service]
 	if total > 0 {
-		r.sending[service] = sending{now, state.own}
+		r.sending[service] = sendingState{now, state.own}
 	} else if started {
 		known.own = state.own
 		r.sending[service] = known
--- a/internal/serving/zoneload/plan.go
+++ b/internal/serving/zoneload/plan.go
@@ -84,17 +84,16 @@
 	return shares
 }
 
-// forecast is the state of a zone at the end of the horizon if no requests cross. Loads and
-// flows are numbers of online requests, and requests a second.
+// forecast is the state of a zone at the end of the horizon if no requests cross.
 type forecast struct {
 	load  ZoneLoad
 	model Model
 	// slowdown is the contention relative to the mean of all zones.
 	slowdown float64
-	// online is the number of online requests.
+	// online is the number of online requests that run or wait.
 	online float64
 	// excess is the load that exceeds the slots, and room the load that the zone can take
-	// from others. One of them is 0.
+	// from others, in online requests a second. One of them is 0.
 	excess, room float64
 	// expected is the expected time to the first event, in seconds.
 	expected float64
@@ -129,7 +128,7 @@
 	return true
 }
 
-// online returns the number of online requests.
+// online returns the number of online requests that run or wait.
 func (z *ZoneLoad) online() float64 { return max(0, z.Running-z.Batch) }
 
 // meanContention returns the mean contention of the zones that report it, weighted by their
@@ -148,7 +147,7 @@
 	return sum / slots
 }
 
-// compute sets the fields that depend on the load. Requests end at the rate at which full
+// compute sets online, excess, room and expected. Requests end at the rate at which full
 // slots become free. A decrease of the load is not counted as room before it has happened.
 func (f *forecast) compute() {
 	horizon := planHorizon.Seconds()
--- a/internal/serving/zoneload/publisher.go
+++ b/internal/serving/zoneload/publisher.go
@@ -48,7 +48,7 @@
 	// mutex guards the fields below.
 	mutex    sync.Mutex
 	arrivals arrivals
-	// heard is when an edge of each zone last reported its requests.
+	// heard is when the last report of an edge of each zone arrived.
 	heard map[string]time.Time
 	// edgeZones holds the zone of each edge, by its ID.
 	edgeZones map[string]string
@@ -57,7 +57,7 @@
 	started, updatedAt, receiversAt time.Time
 	receivers                       []receivers
 	sequence                        uint64
-	// sent holds the last digest to each zone.
+	// sent holds the last digest to the edges of each zone.
 	sent map[string]sentDigest
 }
 
--- a/internal/serving/zoneload/receiver.go
+++ b/internal/serving/zoneload/receiver.go
@@ -27,13 +27,13 @@
 	// holds estimates the time for which requests of each balanced service occupy a slot.
 	holds map[string]*holdEstimate
 	// sending holds the services of which requests are sent to other zones, for the log.
-	sending map[string]sending
+	sending map[string]sendingState
 }
 
 // NewReceiver returns a receiver for an edge in a zone, and registers its metrics. It
 // receives digests, and keeps all requests in the zone.
 func NewReceiver(zone string, registry prometheus.Registerer) *Receiver {
-	r := &Receiver{zone: zone, holds: map[string]*holdEstimate{}, sending: map[string]sending{}}
+	r := &Receiver{zone: zone, holds: map[string]*holdEstimate{}, sending: map[string]sendingState{}}
 	r.services.Store(&map[string]*crossing{})
 	registry.MustRegister(&collector{r})
 	return r
@@ -79,7 +79,7 @@
 		state := previous[service].next(rows, r.plan(service, loadsOf(rows), now), now)
 		state.own = ownLoad(rows, r.zone)
 		next[service] = state
-		r.logStart(service, state, now)
+		r.recordSending(service, state, now)
 	}
 	r.services.Store(&next)
 	r.logEnd(now)
@@ -106,7 +106,7 @@
 
 // Target is the zone that was drawn for a request.
 type Target struct {
-	// Zone is empty if the request stays in the zone.
+	// Zone is empty if the request stays in the edge's zone.
 	Zone string
 	// Free are runners of the zone with free slots.
 	Free []runnerset.FreeRunner
--- a/internal/serving/zoneload/rows.go
+++ b/internal/serving/zoneload/rows.go
@@ -77,7 +77,6 @@
 	return ZoneLoad{Zone: zone}
 }
 
-// loadsOf returns the loads of the rows.
 func loadsOf(rows []serviceRow) []ZoneLoad {
 	loads := make([]ZoneLoad, len(rows))
 	for i := range rows {
