--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -120,29 +120,11 @@
 	server.Handle(wirev1.Method_METHOD_FOLLOW, source.Serve)
 	m.informer.RegisterMetrics(registry, source)
 	server.Handle(wirev1.Method_METHOD_PEER_STATE, m.syncer.Serve)
-	var notices notify.NoticeSender = pool
-	if loaded.Routing.ForwardThroughPeers {
-		m.caller = forwarding.NewCaller(directory, pool, registry)
-		m.syncer.Reachability = m.caller
-		notices = m.caller
-		ctx.Provide(m.caller)
-	}
-	m.reporter = loadshare.New(directory, m.informer.Runners, notices, registry)
-	if m.caller != nil {
-		forwarding.NewForwarder(m.caller, m.reporter.ReceiveNotice, registry).Handle(server)
-	}
-	server.HandleNotice(wirev1.Method_METHOD_RUNNER_USE, m.reporter.ReceiveNotice)
-	receiver := m.provisionZoneLoad(ctx, &zoneLoadInputs{
-		settings: loaded, directory: directory, runners: m.informer.Runners, pool: pool, server: server, registry: registry,
-	})
-	if loaded.Routing.FairTenantShares {
-		m.fairShares.provision(ctx, fairShareInputs{
-			settings: loaded, directory: directory, catalogs: m.informer.Catalogs, pool: pool, server: server, registry: registry, digests: receiver,
-		})
-	}
-	if m.publisher != nil {
-		m.publisher.Tenants = m.fairShares.tenants
+	node := &nodeParts{
+		settings: loaded, directory: directory, runners: m.informer.Runners, catalogs: m.informer.Catalogs, pool: pool, server: server, registry: registry,
 	}
+	m.provisionReports(ctx, node)
+	m.provisionRouting(ctx, node)
 	server.OnPeerLost(func(peer string) {
 		m.reporter.PeerLost(peer)
 		m.fairShares.peerLost(peer)
@@ -162,6 +144,23 @@
 	return nil
 }
 
+// provisionReports sets up the reports of requests at runners, and the caller and the forwarder
+// of calls through peers if the settings enable them.
+func (m *Module) provisionReports(ctx *kernel.Context, node *nodeParts) {
+	var notices notify.NoticeSender = node.pool
+	if node.settings.Routing.ForwardThroughPeers {
+		m.caller = forwarding.NewCaller(node.directory, node.pool, node.registry)
+		m.syncer.Reachability = m.caller
+		notices = m.caller
+		ctx.Provide(m.caller)
+	}
+	m.reporter = loadshare.New(node.directory, node.runners, notices, node.registry)
+	if m.caller != nil {
+		forwarding.NewForwarder(m.caller, m.reporter.ReceiveNotice, node.registry).Handle(node.server)
+	}
+	node.server.HandleNotice(wirev1.Method_METHOD_RUNNER_USE, m.reporter.ReceiveNotice)
+}
+
 // runnerMemory returns the memory of a service's runners in tokens; 0 if unknown.
 func (m *Module) runnerMemory(service string) int {
 	current := m.informer.Catalogs.Current()
--- a/modules/roles/cluster/fairshares.go
+++ b/modules/roles/cluster/fairshares.go
@@ -4,17 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/app/kernel"
 	"cobaltramp.example/cobaltramp/internal/app/tasks"
 	"cobaltramp.example/cobaltramp/internal/cluster/peers"
-	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
-	"cobaltramp.example/cobaltramp/internal/configuration/settings"
 	"cobaltramp.example/cobaltramp/internal/serving/fairshare"
 	"cobaltramp.example/cobaltramp/internal/serving/zoneload"
-	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
 // fairShares runs the fair division of slots among tenants on one node: an edge counts and
@@ -29,32 +24,20 @@
 	tenants func(zone string, now time.Time) []*wirev1.TenantLoad
 }
 
-// fairShareInputs are what fairShares needs of the node.
-type fairShareInputs struct {
-	settings  *settings.Role
-	directory *peers.Directory
-	catalogs  *catalog.Holder
-	pool      *rpc.Pool
-	server    *rpc.Server
-	registry  prometheus.Registerer
-	// digests are the digests that an edge receives; unused on a storage node.
-	digests fairshare.DigestSource
-}
-
 // provision sets up the part of an edge or of a storage node. On an edge it provides the
-// *fairshare.Shares.
-func (f *fairShares) provision(ctx *kernel.Context, inputs fairShareInputs) {
-	if inputs.settings.DataFolder != "" {
-		f.sums = fairshare.NewSums(inputs.directory)
+// *fairshare.Shares. digests are the digests that an edge receives; unused on a storage node.
+func (f *fairShares) provision(ctx *kernel.Context, node *nodeParts, digests fairshare.DigestSource) {
+	if node.settings.DataFolder != "" {
+		f.sums = fairshare.NewSums(node.directory)
 		f.tenants = f.sums.Tenants
-		inputs.server.HandleNotice(wirev1.Method_METHOD_TENANT_DEMAND, f.sums.ReceiveNotice)
+		node.server.HandleNotice(wirev1.Method_METHOD_TENANT_DEMAND, f.sums.ReceiveNotice)
 		return
 	}
 	counter := fairshare.NewCounter(time.Now())
-	recipients := func() []string { return reportRecipients(inputs.directory) }
-	incarnation := func() uint64 { return inputs.directory.Self().Incarnation }
-	f.reporter = fairshare.NewReporter(counter, recipients, inputs.pool, incarnation, inputs.registry)
-	f.shares = fairshare.NewShares(inputs.settings.Zone, counter, inputs.digests, fairshare.WeightIn(inputs.catalogs), inputs.registry)
+	recipients := func() []string { return reportRecipients(node.directory) }
+	incarnation := func() uint64 { return node.directory.Self().Incarnation }
+	f.reporter = fairshare.NewReporter(counter, recipients, node.pool, incarnation, node.registry)
+	f.shares = fairshare.NewShares(node.settings.Zone, counter, digests, fairshare.WeightIn(node.catalogs), node.registry)
 	ctx.Provide(f.shares)
 }
 
--- a/modules/roles/cluster/fairshares_test.go
+++ b/modules/roles/cluster/fairshares_test.go
@@ -32,10 +32,11 @@
 		NodeId: name, Address: listener.Addr().String(), Zone: "z", DiskId: disk, Incarnation: 1,
 	})
 	node, provided := &fairShares{}, &kernel.Context{}
-	node.provision(provided, fairShareInputs{
+	parts := &nodeParts{
 		settings: &settings.Role{Node: name, Zone: "z", DataFolder: disk}, directory: directory, catalogs: catalog.NewHolder(),
-		pool: pool, server: server, registry: prometheus.NewRegistry(), digests: zoneload.NewReceiver("z", prometheus.NewRegistry()),
-	})
+		pool: pool, server: server, registry: prometheus.NewRegistry(),
+	}
+	node.provision(provided, parts, zoneload.NewReceiver("z", prometheus.NewRegistry()))
 	server.OnPeerLost(node.peerLost)
 	go func() { _ = server.Serve(listener, nil) }()
 	t.Cleanup(func() {
