--- a/internal/serving/fairshare/standing.go
+++ b/internal/serving/fairshare/standing.go
@@ -35,7 +35,7 @@
 	// controlledPart limits controlPeriod to a part of the duration of requests, so that the
 	// requests in flight always count, and errors of the estimated duration matter less.
 	controlledPart = 0.8
-	// maxFactor limits Standing.Factor where the share is near 0.
+	// maxFactor limits Standing.Factor for shares near 0.
 	maxFactor = 100
 )
 
--- a/internal/serving/zoneload/level.go
+++ b/internal/serving/zoneload/level.go
@@ -18,7 +18,7 @@
 // accept. With a rising level, zones accept more, and fewer zones gain by sending.
 func findLevel(forecasts []forecast) waterLevel {
 	// No zone accepts requests at the first low level.
-	level := waterLevel{low: -noRunnersTime, inflows: make([]float64, len(forecasts))}
+	level := waterLevel{low: -noRunnersTime.Seconds(), inflows: make([]float64, len(forecasts))}
 	for i := range forecasts {
 		level.high = max(level.high, forecasts[i].expected)
 	}
--- a/internal/serving/zoneload/plan.go
+++ b/internal/serving/zoneload/plan.go
@@ -20,9 +20,8 @@
 	inflowSteps = 20
 )
 
-// noRunnersTime is the expected time to the first event in a zone without runners, in
-// seconds.
-const noRunnersTime = 60.0
+// noRunnersTime is the expected time to the first event in a zone without runners.
+const noRunnersTime = time.Minute
 
 // ZoneLoad is the load of one service in one zone.
 type ZoneLoad struct {
@@ -165,7 +164,7 @@
 func (f *forecast) expectedTime(inflow float64) float64 {
 	slots := f.load.Slots
 	if slots == 0 || f.load.Runners == 0 {
-		return noRunnersTime
+		return noRunnersTime.Seconds()
 	}
 	online := f.online + inflow*planHorizon.Seconds()
 	running := min(online+f.load.Batch, slots)
