--- a/internal/serving/fairshare/division.go
+++ b/internal/serving/fairshare/division.go
@@ -65,9 +65,9 @@
 }
 
 // divideAmongEquals divides slots among claims of one priority. It returns the level of the
-// division (see priorityDivision) and the slots that are left. It satisfies the claims in the order
-// of their demand for each unit of weight, until one wants more than the level that is left
-// for all remaining claims.
+// division (see priorityDivision) and the slots that are left. It satisfies the claims in the
+// order of their demand for each unit of weight, until one wants more than the level that is
+// left for all remaining claims.
 func divideAmongEquals(slots float64, claims []Claim) (level, left float64) {
 	slices.SortFunc(claims, func(a, b Claim) int {
 		return cmp.Or(cmp.Compare(a.level(), b.level()), cmp.Compare(a.weight(), b.weight()))
--- a/internal/serving/zoneload/crossing.go
+++ b/internal/serving/zoneload/crossing.go
@@ -40,9 +40,9 @@
 	return max(0, float64(digestLifetime-age)/float64(digestLifetime-fadeStart))
 }
 
-// next returns the state after a digest, without own. planned is the plan for the digest. Each probability moves
-// towards its planned value by at most maxStep. The probability of a zone without a row in
-// the digest is 0 at once. The sum of the probabilities is at most 1.
+// next returns the state after a digest, except for own. planned is the plan for the digest.
+// Each probability moves towards its planned value by at most maxStep. The probability of a
+// zone without a row in the digest is 0 at once. The sum of the probabilities is at most 1.
 func (c *crossing) next(rows []serviceRow, planned []Share, now time.Time) *crossing {
 	result := &crossing{at: now}
 	sum := 0.0
--- a/internal/serving/zoneload/crossing_test.go
+++ b/internal/serving/zoneload/crossing_test.go
@@ -82,7 +82,7 @@
 // has free slots for, apart from the random variation of draws.
 func TestManyEdgesDoNotOverloadAnEmptyZone(t *testing.T) {
 	is := is.New(t)
-	const edges, arrivals, seconds = 100, 400, 20
+	const arrivals, seconds = 400, 20
 	empty := zoneOf("b", 0)
 	zones := []ZoneLoad{zoneOf("a", arrivals), empty, zoneOf("c", 90)}
 	planned := Plan(zones, testModel, "a")
@@ -93,7 +93,7 @@
 	}
 	random := rand.New(rand.NewPCG(1, 2))
 	sent := map[string]float64{}
-	for range edges * (arrivals / edges) * seconds {
+	for range arrivals * seconds { // the draws of all edges, which have the same state
 		if drawn := state.draw(random.Float64(), now); drawn != nil {
 			sent[drawn.Zone]++
 		}
--- a/internal/serving/zoneload/hold.go
+++ b/internal/serving/zoneload/hold.go
@@ -26,11 +26,11 @@
 	// covered is the time for which there were digests.
 	covered time.Duration
 	// busy is the sum of the times for which slots were occupied, in seconds, and ended
-	// the number of requests that ended; earlier digests have less weight in both.
+	// the number of requests that ended. Earlier digests have less weight in both.
 	busy, ended float64
 	// at, zones, online and inSlots describe the last digest: its time, the number of its
-	// zones with valid figures, and the sums of their online requests with and without those that wait for a
-	// slot.
+	// zones with valid figures, and the sums of their online requests with and without
+	// those that wait for a slot.
 	at              time.Time
 	zones           int
 	online, inSlots float64
