--- a/modules/roles/cluster/fairshares.go
+++ b/modules/roles/cluster/fairshares.go
@@ -4,16 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/app/kernel"
 	"cobaltramp.example/cobaltramp/internal/app/tasks"
 	"cobaltramp.example/cobaltramp/internal/cluster/peers"
-	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
-	"cobaltramp.example/cobaltramp/internal/configuration/settings"
 	"cobaltramp.example/cobaltramp/internal/serving/fairshare"
-	"cobaltramp.example/cobaltramp/internal/transport/rpc"
+	"cobaltramp.example/cobaltramp/internal/serving/zoneload"
 )
 
 // fairShares runs the fair division of slots among tenants on one node: an edge counts and
@@ -28,39 +24,34 @@
 	tenants func(zone string, now time.Time) []*wirev1.TenantLoad
 }
 
-// fairShareInputs are what fairShares needs of the node.
-type fairShareInputs struct {
-	settings  *settings.Role
-	directory *peers.Directory
-	catalogs  *catalog.Holder
-	pool      *rpc.Pool
-	server    *rpc.Server
-	registry  prometheus.Registerer
-	// digests are the digests that an edge receives; unused on a storage node.
-	digests fairshare.DigestSource
-}
-
 // provision sets up the part of an edge or of a storage node. On an edge it provides the
-// *fairshare.Shares.
-func (f *fairShares) provision(ctx *kernel.Context, inputs fairShareInputs) {
-	// All edges of a zone report to the same nodes, since each of them sums the reports of
-	// the whole zone.
-	recipients := func() []string {
-		return fairshare.Recipients(inputs.directory.Records(), inputs.settings.Zone)
-	}
-	if inputs.settings.DataFolder != "" {
-		f.sums = fairshare.NewSums(inputs.directory)
+// *fairshare.Shares. digests are the digests that an edge receives; unused on a storage node.
+func (f *fairShares) provision(ctx *kernel.Context, node *nodeParts, digests fairshare.DigestSource) {
+	if node.settings.DataFolder != "" {
+		f.sums = fairshare.NewSums(node.directory)
 		f.tenants = f.sums.Tenants
-		inputs.server.HandleNotice(wirev1.Method_METHOD_TENANT_DEMAND, f.sums.ReceiveNotice)
+		node.server.HandleNotice(wirev1.Method_METHOD_TENANT_DEMAND, f.sums.ReceiveNotice)
 		return
 	}
 	counter := fairshare.NewCounter(time.Now())
-	incarnation := func() uint64 { return inputs.directory.Self().Incarnation }
-	f.reporter = fairshare.NewReporter(counter, recipients, inputs.pool, incarnation, inputs.registry)
-	f.shares = fairshare.NewShares(inputs.settings.Zone, counter, inputs.digests, fairshare.WeightIn(inputs.catalogs), inputs.registry)
+	recipients := func() []string { return reportRecipients(node.directory) }
+	incarnation := func() uint64 { return node.directory.Self().Incarnation }
+	f.reporter = fairshare.NewReporter(counter, recipients, node.pool, incarnation, node.registry)
+	f.shares = fairshare.NewShares(node.settings.Zone, counter, digests, fairshare.WeightIn(node.catalogs), node.registry)
 	ctx.Provide(f.shares)
 }
 
+// reportRecipients returns the addresses of the storage nodes to which this edge reports: all
+// nodes that send digests to edges of its zone, since each sums the reports of the whole zone.
+func reportRecipients(directory *peers.Directory) []string {
+	self := directory.Self()
+	var addresses []string
+	for _, record := range zoneload.ZoneSenders(directory, self.Zone, self.Region) {
+		addresses = append(addresses, record.Address)
+	}
+	return addresses
+}
+
 // peerLost drops the report of an edge whose connections have ended.
 func (f *fairShares) peerLost(peer string) {
 	if f.sums != nil {
