Forwarding: reports pass over an unreachable node, one pause for concurrent failures, no state of departed nodes

- A notice for several nodes goes through a forwarder for any of them.
Before, no report was forwarded while forwarding to the first node was paused.
- Calls that fail at the same time lengthen the pause of forwarding once.
- A broken path to a node that has left the directory no longer keeps the other paths from being probed when one of them breaks.

--- a/internal/cluster/forwarding/caller.go
+++ b/internal/cluster/forwarding/caller.go
@@ -244,6 +244,7 @@
 // direct path at the given time.
 func (c *Caller) recordBypassed(target *wirev1.NodeRecord, forwarder string, sent, now time.Time) {
 	c.mutex.Lock()
+	c.dropDeparted() // a broken path to a departed node must not count as the first one
 	first := !c.anyBroken()
 	broken := c.path(target.Address).bypassed(sent, now, rand.Float64())
 	if broken && first {
--- a/internal/cluster/forwarding/decision.go
+++ b/internal/cluster/forwarding/decision.go
@@ -224,8 +224,12 @@
 	return d.broken || !d.lastFailure.IsZero() && now.Sub(d.lastFailure) < failureLifetime
 }
 
-// forwardingFailed records that no forwarder could reach the node.
+// forwardingFailed records that no forwarder could reach the node. Further failures during
+// the pause, of calls that started before it, do not extend the pause.
 func (d *directPath) forwardingFailed(now time.Time, random float64) {
+	if now.Before(d.pausedUntil) {
+		return
+	}
 	d.pause = min(max(2*d.pause, minForwardPause), maxForwardPause)
 	d.pausedUntil = now.Add(extend(d.pause, random))
 }
--- a/internal/cluster/forwarding/decision_test.go
+++ b/internal/cluster/forwarding/decision_test.go
@@ -151,6 +151,19 @@
 	is.True(!start.Before(path.pausedUntil))
 }
 
+// Calls that fail at the same time lengthen the pause once. Otherwise a short failure under
+// many concurrent calls would stop forwarding for the longest pause.
+func TestConcurrentFailuresLengthenPauseOnce(t *testing.T) {
+	is := is.New(t)
+	path := &directPath{}
+	for range 20 {
+		path.forwardingFailed(start, 0)
+	}
+	is.Equal(path.pausedUntil, start.Add(minForwardPause))
+	path.forwardingFailed(path.pausedUntil, 0)
+	is.Equal(path.pausedUntil, start.Add(3*minForwardPause))
+}
+
 // A late timer is extended once, since an answer may be waiting while the process stalls.
 func TestStallExtendsHedgingDelayOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/cluster/forwarding/notices.go
+++ b/internal/cluster/forwarding/notices.go
@@ -70,11 +70,7 @@
 
 // forwardNotice sends a notice for several nodes through one forwarder.
 func (c *Caller) forwardNotice(addresses []string, class rpc.Class, method wirev1.Method, message proto.Message, now time.Time) {
-	target, found := c.directory.DiskAt(addresses[0])
-	if !found {
-		return
-	}
-	forwarder, _ := c.choose(target, nil, now)
+	forwarder := c.noticeForwarder(addresses, now)
 	if forwarder == "" {
 		return
 	}
@@ -87,6 +83,21 @@
 	c.transport.NotifyAll([]string{forwarder}, class, wirev1.Method_METHOD_FORWARD_NOTICE, notice)
 }
 
+// noticeForwarder returns the address of a forwarder for the first node for which one is
+// usable, or "" if there is none.
+func (c *Caller) noticeForwarder(addresses []string, now time.Time) string {
+	for _, address := range addresses {
+		target, found := c.directory.DiskAt(address)
+		if !found {
+			continue
+		}
+		if forwarder, _ := c.choose(target, nil, now); forwarder != "" {
+			return forwarder
+		}
+	}
+	return ""
+}
+
 // ReceiveNotice handles a notice that a peer wants to have passed on, or that a forwarder has
 // passed on to this node. A notice without addresses is never passed on.
 func (f *Forwarder) ReceiveNotice(from string, payload []byte) {
--- a/internal/cluster/forwarding/notices_test.go
+++ b/internal/cluster/forwarding/notices_test.go
@@ -77,6 +77,31 @@
 	is.True(len(transport.sent)-before < 1000) // the rate is limited
 }
 
+// A node that no forwarder reaches must not keep the reports from the other nodes.
+func TestReportsPassOverNodeThatNoForwarderReaches(t *testing.T) {
+	is := is.New(t)
+	caller, transport := recordingCaller(t, "storage-1:1", "storage-3:1")
+	caller.recordNoForwarder("storage-1:1", time.Now())
+	caller.NotifyAll([]string{"storage-1:1", "storage-3:1"}, rpc.ClassControl, wirev1.Method_METHOD_RUNNER_USE, uses)
+	is.Equal(len(transport.sent), 1)
+	is.Equal(transport.sent[0].addresses, []string{"edge-1:1"})
+}
+
+// The broken path to a node that has left the directory must not keep the paths to the other
+// nodes from being probed when one of them breaks.
+func TestBrokenPathToDepartedNodeIsForgotten(t *testing.T) {
+	is := is.New(t)
+	caller, _ := recordingCaller(t, "departed-1:1")
+	caller.view("storage-1:1", time.Now())
+	caller.view("storage-2:1", time.Now())
+	caller.paths["departed-1:1"] = &directPath{broken: true} // the node has left after the last new path
+	target, _ := caller.directory.DiskAt("storage-1:1")
+	now := time.Now()
+	caller.recordBypassed(target, "edge-1:1", now, now)
+	is.True(!caller.Broken("departed-1:1", now))
+	is.Equal(caller.firstBroken, now)
+}
+
 // Without a broken path, the notice is passed on as it is.
 func TestReportsToReachedNodesAreUnchanged(t *testing.T) {
 	is := is.New(t)
