--- a/internal/cluster/forwarding/faults_test.go
+++ b/internal/cluster/forwarding/faults_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/app/eventually"
@@ -341,6 +342,37 @@
 	is.Equal(f.edges[0].forwarded("answered")+f.edges[2].forwarded("answered"), others)
 }
 
+// blockingConnections is a Transport whose dials end with their context.
+type blockingConnections struct {
+	Transport
+	dialled chan rpc.Class
+}
+
+func (b *blockingConnections) Connect(ctx context.Context, _ string, class rpc.Class) error {
+	b.dialled <- class
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// A dial in progress for one class of traffic does not count for another, which would then be
+// called without a connection and without the limit on the time for it.
+func TestClassesAreDialledSeparately(t *testing.T) {
+	is := is.New(t)
+	caller, _ := recordingCaller(t)
+	transport := &blockingConnections{dialled: make(chan rpc.Class, 8)}
+	caller.transport = transport
+	forwarder := NewForwarder(caller, nil, prometheus.NewRegistry())
+	for _, class := range []rpc.Class{rpc.ClassOnline, rpc.ClassBulk} {
+		_, dialling := forwarder.startDial("storage-1:1", class)
+		is.True(dialling)
+		_, dialling = forwarder.startDial("storage-1:1", class) // waits for the same dial
+		is.True(dialling)
+	}
+	caller.Close()
+	is.Equal(len(transport.dialled), 2)
+	is.Equal(len(forwarder.connecting), 0)
+}
+
 // A forwarder calls only nodes with disks, and only the methods of queue shards.
 func TestForwarderRefusesOtherCalls(t *testing.T) {
 	is := is.New(t)
--- a/internal/cluster/forwarding/forwarder.go
+++ b/internal/cluster/forwarding/forwarder.go
@@ -26,8 +26,14 @@
 
 	mutex  sync.Mutex
 	limits *limits
-	// connecting holds the dials in progress, by address.
-	connecting map[string]chan struct{}
+	// connecting holds the dials in progress.
+	connecting map[connection]chan struct{}
+}
+
+// connection identifies the connection to a node for a class of traffic.
+type connection struct {
+	address string
+	class   rpc.Class
 }
 
 // Values of the outcome label of calls that were not sent.
@@ -43,7 +49,7 @@
 // handles the reports of requests at runners that arrive through other forwarders.
 func NewForwarder(caller *Caller, receive rpc.NoticeHandler, registry prometheus.Registerer) *Forwarder {
 	f := &Forwarder{
-		caller: caller, connectTimeout: connectTimeout, receive: receive, limits: newLimits(), connecting: map[string]chan struct{}{},
+		caller: caller, connectTimeout: connectTimeout, receive: receive, limits: newLimits(), connecting: map[connection]chan struct{}{},
 		notices: rate.NewLimiter(passedNoticesPerSecond, passedNoticesPerSecond),
 		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cobaltramp_forwarding_total", Help: "Calls and notices of peers to forward, by outcome.",
@@ -163,8 +169,8 @@
 // that the asking node soon tries another forwarder.
 const connectTimeout = 150 * time.Millisecond
 
-// dialTime bounds a dial, which goes on after the calls that wait for it have given up.
-const dialTime = 2 * time.Second
+// dialTimeout bounds a dial, which goes on after the calls that wait for it have given up.
+const dialTimeout = 2 * time.Second
 
 // connect waits until there is a connection to the target. It returns false if there is none
 // within f.connectTimeout.
@@ -190,27 +196,28 @@
 func (f *Forwarder) startDial(address string, class rpc.Class) (<-chan struct{}, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	if dialled := f.connecting[address]; dialled != nil {
+	target := connection{address, class}
+	if dialled := f.connecting[target]; dialled != nil {
 		return dialled, true
 	}
 	dialled := make(chan struct{})
-	if !f.caller.running.Go(func() { f.dial(address, class, dialled) }) {
+	if !f.caller.running.Go(func() { f.dial(target, dialled) }) {
 		return nil, false
 	}
-	f.connecting[address] = dialled
+	f.connecting[target] = dialled
 	return dialled, true
 }
 
-func (f *Forwarder) dial(address string, class rpc.Class, dialled chan struct{}) {
-	ctx, cancel := context.WithTimeout(f.caller.context, dialTime)
+func (f *Forwarder) dial(target connection, dialled chan struct{}) {
+	ctx, cancel := context.WithTimeout(f.caller.context, dialTimeout)
 	defer cancel()
-	err := f.caller.transport.Connect(ctx, address, class)
+	err := f.caller.transport.Connect(ctx, target.address, target.class)
 	if err != nil {
-		f.caller.recordDirect(address, false, false, time.Now())
+		f.caller.recordDirect(target.address, false, false, time.Now())
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	delete(f.connecting, address)
+	delete(f.connecting, target)
 	close(dialled)
 }
 
