--- a/internal/cluster/forwarding/call.go
+++ b/internal/cluster/forwarding/call.go
@@ -14,24 +14,24 @@
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
-// legOutcome is the outcome of a call on one path.
-type legOutcome uint8
+// pathOutcome is the outcome of a call on one path.
+type pathOutcome uint8
 
 const (
 	// outcomeAnswered means that the target answered with a reply or an error.
-	outcomeAnswered legOutcome = iota
+	outcomeAnswered pathOutcome = iota
 	// outcomeNotSent means that the request was not sent to the target and will not be sent.
 	outcomeNotSent
 	// outcomeUnknown means that the target may have executed the request.
 	outcomeUnknown
 )
 
-var outcomeLabels = map[legOutcome]string{outcomeAnswered: "answered", outcomeNotSent: "not_delivered", outcomeUnknown: "unknown"}
+var outcomeLabels = map[pathOutcome]string{outcomeAnswered: "answered", outcomeNotSent: "not_delivered", outcomeUnknown: "unknown"}
 
-// legResult is the end of a call on one path.
-type legResult struct {
+// pathResult is the end of a call on one path.
+type pathResult struct {
 	forwarder string // empty for the direct path
-	outcome   legOutcome
+	outcome   pathOutcome
 	// forwarderUnreachable reports that nothing was sent to the forwarder.
 	forwarderUnreachable bool
 	reply                []byte
@@ -49,37 +49,38 @@
 	wait time.Duration
 
 	paths      callPaths
-	results    chan legResult
+	results    chan pathResult
 	directSent time.Time
 	// used holds the forwarders that were used, and startedAt when those in flight started.
 	used      map[string]bool
 	startedAt map[string]time.Time
 	// stopDirect ends the call on the direct path, which otherwise ends with the context of
-	// the call. detachDirect keeps it in flight after that.
+	// the call. detachDirect separates it from that context; it returns false if it was
+	// separated before, or if the context has ended.
 	stopDirect   context.CancelFunc
 	detachDirect func() bool
 	// forwardContext is the context of the calls through forwarders; nil before the first.
 	forwardContext context.Context
 	stopForwarders context.CancelFunc
 	lastErr        error
-	// busy reports that a forwarder was at its limits.
+	// busy reports that a forwarder refused the call because of its limits.
 	busy bool
 }
 
 func newCall(caller *Caller, target *wirev1.NodeRecord, class rpc.Class, method wirev1.Method, payload []byte) *call {
 	return &call{
 		caller: caller, target: target, class: class, method: method, payload: payload,
-		paths: callPaths{repeatable: repeatable(method)}, results: make(chan legResult, 1+maxForwarders),
+		paths: callPaths{repeatable: repeatable(method)}, results: make(chan pathResult, 1+maxForwarders),
 	}
 }
 
 // run performs the call until a path answers, no path is left, or the context ends.
 func (c *call) run(ctx context.Context) ([]byte, error) {
-	defer c.end()
+	defer c.release()
 	now := time.Now()
 	view := c.caller.view(c.target.Address, now)
 	c.paths.directBroken, c.paths.directAllowed = view.broken, view.directAllowed
-	delay := c.hedgeDelay(ctx, now, view.usualAnswer)
+	delay := c.hedgeDelay(ctx, now, view.usualAnswerTime)
 	hedge := newHedgeTimer()
 	defer hedge.stop()
 	for {
@@ -109,14 +110,14 @@
 			case <-hedge.timer.C:
 				hedge.fired(time.Now())
 			case <-ctx.Done():
-				return c.ended(ctx)
+				return c.contextEnded(ctx)
 			}
 		}
 	}
 }
 
-// end ends the calls through forwarders, and the direct call unless it was detached.
-func (c *call) end() {
+// release ends the calls through forwarders, and the direct call unless it was detached.
+func (c *call) release() {
 	if c.stopForwarders != nil {
 		c.stopForwarders()
 	}
@@ -125,6 +126,7 @@
 	}
 }
 
+// hedgeDelay returns the hedging delay for the time that the call has left.
 func (c *call) hedgeDelay(ctx context.Context, now time.Time, usual time.Duration) time.Duration {
 	deadline, bounded := ctx.Deadline()
 	if !bounded {
@@ -137,22 +139,22 @@
 func (c *call) startDirect(ctx context.Context) {
 	c.directSent = time.Now()
 	c.caller.recordTry(c.target.Address, c.directSent)
-	var legContext context.Context
+	var directContext context.Context
 	if deadline, bounded := ctx.Deadline(); bounded {
-		legContext, c.stopDirect = context.WithDeadline(c.caller.context, deadline)
+		directContext, c.stopDirect = context.WithDeadline(c.caller.context, deadline)
 	} else {
-		legContext, c.stopDirect = context.WithCancel(c.caller.context)
+		directContext, c.stopDirect = context.WithCancel(c.caller.context)
 	}
 	stop := c.stopDirect
 	c.detachDirect = context.AfterFunc(ctx, stop)
-	c.paths.direct = legInFlight
+	c.paths.direct = directInFlight
 	started := c.caller.running.Go(func() {
 		defer stop()
-		c.results <- c.caller.callDirectly(legContext, c.target.Address, c.class, c.method, c.payload)
+		c.results <- c.caller.callDirectly(directContext, c.target.Address, c.class, c.method, c.payload)
 	})
 	if !started {
 		stop()
-		c.results <- legResult{outcome: outcomeNotSent, err: errStopping}
+		c.results <- pathResult{outcome: outcomeNotSent, err: errStopping}
 	}
 }
 
@@ -160,16 +162,16 @@
 var errStopping = result.New(result.PeerUnreachable, "the node is stopping")
 
 // callDirectly sends a call on the direct path and records the outcome.
-func (c *Caller) callDirectly(ctx context.Context, address string, class rpc.Class, method wirev1.Method, payload []byte) legResult {
+func (c *Caller) callDirectly(ctx context.Context, address string, class rpc.Class, method wirev1.Method, payload []byte) pathResult {
 	reply, sent, err := c.transport.CallEncoded(ctx, address, class, method, payload)
-	direct := legResult{reply: reply, err: err, outcome: outcomeUnknown}
+	direct := pathResult{reply: reply, err: err, outcome: outcomeUnknown}
 	switch {
 	case !sent:
 		direct.outcome = outcomeNotSent
 	case isAnswer(err):
 		direct.outcome = outcomeAnswered
 	}
-	if sent || ctx.Err() == nil {
+	if sent || ctx.Err() == nil { // a call that ended before it could be sent says nothing about the path
 		c.recordDirect(address, direct.outcome == outcomeAnswered, sent, time.Now())
 	}
 	return direct
@@ -181,8 +183,8 @@
 	return err == nil || errors.As(err, &refusal)
 }
 
-// startForwarder sends the call through a forwarder. started is false if none is usable;
-// trusted reports that the forwarder reached the target recently.
+// startForwarder sends the call through a forwarder. started is false if no forwarder is
+// usable; trusted reports that the forwarder reached the target recently.
 func (c *call) startForwarder(ctx context.Context) (started, trusted bool) {
 	now := time.Now()
 	forwarder, trusted := c.caller.choose(c.target, c.used, now)
@@ -198,14 +200,14 @@
 	c.paths.forwarders++
 	c.paths.inFlight++
 	if !c.caller.running.Go(func() { c.results <- c.callThrough(c.forwardContext, forwarder) }) {
-		c.results <- legResult{forwarder: forwarder, outcome: outcomeNotSent, err: errStopping}
+		c.results <- pathResult{forwarder: forwarder, outcome: outcomeNotSent, err: errStopping}
 	}
 	return true, trusted
 }
 
 // callThrough sends the call through a forwarder.
-func (c *call) callThrough(ctx context.Context, forwarder string) legResult {
-	forwarded := legResult{forwarder: forwarder, outcome: outcomeUnknown}
+func (c *call) callThrough(ctx context.Context, forwarder string) pathResult {
+	forwarded := pathResult{forwarder: forwarder, outcome: outcomeUnknown}
 	request, err := proto.Marshal(&wirev1.ForwardRequest{Address: c.target.Address, Method: c.method, Class: uint32(c.class), Request: c.payload})
 	if err != nil {
 		forwarded.outcome, forwarded.err = outcomeNotSent, err
@@ -213,7 +215,7 @@
 	}
 	encoded, sent, err := c.caller.transport.CallEncoded(ctx, forwarder, c.class, wirev1.Method_METHOD_FORWARD, request)
 	if err != nil {
-		// A node that does not forward calls rejects the request before any work.
+		// A node that does not forward calls rejects the request without sending it.
 		if !sent || result.Is(err, result.InvalidRequest) {
 			forwarded.outcome = outcomeNotSent
 		}
@@ -241,17 +243,17 @@
 	return refusal.WithRetryAfter(time.Duration(status.RetryAfterMs) * time.Millisecond)
 }
 
-var directStates = map[legOutcome]legState{outcomeAnswered: legAnswered, outcomeNotSent: legNotSent, outcomeUnknown: legUnknown}
+var directStates = map[pathOutcome]directState{outcomeAnswered: directAnswered, outcomeNotSent: directNotSent, outcomeUnknown: directUnknown}
 
 // handle records the end of a path. It reports whether the target answered.
-func (c *call) handle(latest legResult) bool {
+func (c *call) handle(latest pathResult) bool {
 	answered := latest.outcome == outcomeAnswered
 	if latest.err != nil && !answered {
 		c.lastErr = latest.err
 	}
 	if latest.forwarder == "" {
 		c.paths.direct = directStates[latest.outcome]
-		if answered && c.wait == 0 && len(latest.reply) <= usualReplyBytes {
+		if answered && c.wait == 0 && len(latest.reply) <= maxTimedReplyBytes {
 			c.caller.recordAnswerTime(c.target.Address, time.Since(c.directSent))
 		}
 		return answered
@@ -263,7 +265,7 @@
 	c.caller.calls.WithLabelValues(c.method.String(), outcomeLabels[latest.outcome]).Inc()
 	now := time.Now()
 	c.caller.recordForwarder(c.target.Address, latest, now)
-	if answered && c.paths.direct != legUnused {
+	if answered && c.paths.direct != directUnused {
 		c.caller.recordBypassed(c.target, latest.forwarder, c.directSent, now)
 	}
 	return answered
@@ -275,8 +277,8 @@
 
 // answer returns the target's answer. A refusal on one path is no proof that the request is
 // not executed on another path.
-func (c *call) answer(ctx context.Context, latest legResult) ([]byte, error) {
-	if c.paths.direct == legInFlight && c.detachDirect() {
+func (c *call) answer(ctx context.Context, latest pathResult) ([]byte, error) {
+	if c.paths.direct == directInFlight && c.detachDirect() {
 		time.AfterFunc(lateAnswerTime, c.stopDirect)
 	}
 	if latest.forwarder != "" {
@@ -298,7 +300,7 @@
 	now := time.Now()
 	for forwarder, started := range c.startedAt {
 		if now.Sub(started) >= minHedgeDelay+c.wait {
-			c.caller.recordForwarder(c.target.Address, legResult{forwarder: forwarder, outcome: outcomeUnknown}, now)
+			c.caller.recordForwarder(c.target.Address, pathResult{forwarder: forwarder, outcome: outcomeUnknown}, now)
 		}
 	}
 }
@@ -309,7 +311,7 @@
 		c.caller.recordNoForwarder(c.target.Address, time.Now())
 	}
 	switch {
-	case !c.paths.outcomeUnknown():
+	case !c.paths.maybeExecuted():
 		return result.New(result.PeerUnreachable, "node %s was reached neither directly nor through a peer; last error: %v", c.target.Address, c.lastErr)
 	case c.paths.forwarders == 0:
 		return c.lastErr
@@ -318,9 +320,9 @@
 	}
 }
 
-// ended returns the outcome of a call whose context has ended. If only the direct path was
+// contextEnded returns the outcome of a call whose context has ended. If only the direct path was
 // used, its end tells whether the request was sent.
-func (c *call) ended(ctx context.Context) ([]byte, error) {
+func (c *call) contextEnded(ctx context.Context) ([]byte, error) {
 	c.recordUnanswered()
 	if c.paths.forwarders > 1 && !c.busy {
 		c.caller.recordNoForwarder(c.target.Address, time.Now())
@@ -336,7 +338,7 @@
 }
 
 // recordForwarder records the outcome of a call through a forwarder.
-func (c *Caller) recordForwarder(target string, latest legResult, now time.Time) {
+func (c *Caller) recordForwarder(target string, latest pathResult, now time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	peer := c.peer(latest.forwarder)
@@ -344,7 +346,7 @@
 	case latest.outcome == outcomeAnswered:
 		peer.forwardedAt[target] = now
 		delete(peer.unreachableUntil, target)
-		c.path(target).forwarded()
+		c.path(target).forwardingSucceeded()
 	case latest.forwarderUnreachable:
 		peer.unusableUntil = now.Add(unreachableLifetime)
 	case latest.outcome == outcomeUnknown:
--- a/internal/cluster/forwarding/caller.go
+++ b/internal/cluster/forwarding/caller.go
@@ -16,7 +16,7 @@
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
-// Directory returns the records of the known nodes.
+// Directory holds the records of the known nodes. *peers.Directory implements it.
 type Directory interface {
 	Self() *wirev1.NodeRecord
 	Records() []*wirev1.NodeRecord
@@ -178,21 +178,21 @@
 // pathView is the state of the direct path at the start of a call.
 type pathView struct {
 	broken, directAllowed bool
-	usualAnswer           time.Duration
+	usualAnswerTime       time.Duration
 	// suspect reports that paths to other nodes are broken, and that this path has not been
 	// answered since the first of them.
 	suspect bool
 }
 
-// view returns the state of the direct path to a node, and tries the path if it is broken
-// and the next try is due.
+// view returns the state of the direct path to a node. It starts a probe if the path is broken
+// and the next probe is due.
 func (c *Caller) view(address string, now time.Time) pathView {
 	c.probeIfDue(address, now)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	path := c.path(address)
 	view := pathView{
-		broken: path.broken, directAllowed: !path.broken || now.Sub(path.lastTry) >= directRetryDelay, usualAnswer: path.usualAnswer,
+		broken: path.broken, directAllowed: !path.broken || now.Sub(path.lastTry) >= directRetryDelay, usualAnswerTime: path.usualAnswerTime,
 	}
 	view.suspect = c.anyBroken() && path.lastAnswer.Before(c.firstBroken)
 	return view
@@ -208,7 +208,7 @@
 	return false
 }
 
-// recordDirect records the outcome of a direct call that was sent, or tried, at the given time.
+// recordDirect records the outcome of a direct call that ended at the given time.
 func (c *Caller) recordDirect(address string, answered, sent bool, now time.Time) {
 	c.mutex.Lock()
 	path := c.path(address)
@@ -230,7 +230,7 @@
 func (c *Caller) recordAnswerTime(address string, taken time.Duration) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.path(address).answeredWithin(taken)
+	c.path(address).recordAnswerTime(taken)
 }
 
 // recordTry records that a call is sent on the direct path.
--- a/internal/cluster/forwarding/credits_test.go
+++ b/internal/cluster/forwarding/credits_test.go
@@ -90,7 +90,7 @@
 			go func() {
 				defer askers.Done()
 				for time.Since(started) < 2500*time.Millisecond {
-					if _, err := controller.Admit(ctx, "id", tenant, patience); err == nil {
+					if _, err := controller.Admit(ctx, "id", tenant, longTimeout); err == nil {
 						admitted[i].Add(1)
 					}
 					time.Sleep(5 * time.Millisecond)
--- a/internal/cluster/forwarding/decision.go
+++ b/internal/cluster/forwarding/decision.go
@@ -11,18 +11,18 @@
 	// sent on another path.
 	minHedgeDelay = 25 * time.Millisecond
 	maxHedgeDelay = 150 * time.Millisecond
-	// allotmentHedgeFraction and hedgeFraction are the fractions of a call's remaining time
-	// after which it is also sent on another path. Requests wait for an allotment for a
+	// A call's remaining time is divided by allotmentHedgeDivisor or hedgeDivisor to get the
+	// time after which it is also sent on another path. Requests wait for an allotment for a
 	// small part of its call's time, and its messages are small.
-	allotmentHedgeFraction = 12
-	hedgeFraction          = 8
-	// usualAnswerFactor is the multiple of the usual answer time that a call waits at least,
-	// so that a slow fleet does not send its calls twice.
-	usualAnswerFactor = 4
-	// answerTimeWeight is the inverse of the weight of a new sample in the usual answer time,
-	// and usualReplyBytes the size up to which a reply is a sample.
-	answerTimeWeight = 8
-	usualReplyBytes  = 16 << 10
+	allotmentHedgeDivisor = 12
+	hedgeDivisor          = 8
+	// hedgeAnswerTimeFactor is the multiple of the usual answer time for which a call waits
+	// at least, so that a slow fleet does not send its calls twice.
+	hedgeAnswerTimeFactor = 4
+	// answerTimeDivisor is the inverse of the weight of a new sample in the usual answer
+	// time. Replies of more than maxTimedReplyBytes are no samples.
+	answerTimeDivisor  = 8
+	maxTimedReplyBytes = 16 << 10
 	// maxForwarders is the number of forwarders that a call may use, and
 	// maxConcurrentForwarders the number that it may use at the same time.
 	maxForwarders           = 3
@@ -50,27 +50,27 @@
 // is unknown. The time that the target may wait before it answers is not included in either,
 // nor in the result.
 func hedgeDelay(method wirev1.Method, remaining, usual time.Duration) time.Duration {
-	fraction := time.Duration(hedgeFraction)
+	divisor := time.Duration(hedgeDivisor)
 	if method == wirev1.Method_METHOD_ALLOTMENT {
-		fraction = allotmentHedgeFraction
+		divisor = allotmentHedgeDivisor
 	}
-	return min(max(remaining/fraction, usualAnswerFactor*usual, minHedgeDelay), maxHedgeDelay)
+	return min(max(remaining/divisor, hedgeAnswerTimeFactor*usual, minHedgeDelay), maxHedgeDelay)
 }
 
-// legState is the state of a call on the direct path.
-type legState uint8
+// directState is the state of one call on the direct path.
+type directState uint8
 
 const (
-	legUnused legState = iota
-	legInFlight
-	// legNotSent means that the request was not sent and will not be sent.
-	legNotSent
-	// legUnknown means that the target may have executed the request.
-	legUnknown
-	legAnswered
+	directUnused directState = iota
+	directInFlight
+	// directNotSent means that the request was not sent and will not be sent.
+	directNotSent
+	// directUnknown means that the target may have executed the request.
+	directUnknown
+	directAnswered
 )
 
-// step is what a call does next.
+// step is the next action of a call.
 type step uint8
 
 const (
@@ -87,10 +87,10 @@
 	// directBroken reports that the direct path was known to be broken when the call
 	// started, and directAllowed that it may be used nevertheless as a last resort.
 	directBroken, directAllowed bool
-	direct                      legState
+	direct                      directState
 	// forwarders counts the forwarders used, and inFlight those that have not answered.
 	forwarders, inFlight int
-	// forwarderUnknown reports that a forwarder was lost after the call was sent to it.
+	// forwarderUnknown reports that a call through a forwarder ended with an unknown outcome.
 	forwarderUnknown bool
 	// noForwarder reports that there is no other usable forwarder.
 	noForwarder bool
@@ -100,13 +100,13 @@
 // since the call was last sent.
 func (p *callPaths) next(hedgeDue bool) step {
 	switch {
-	case p.direct == legUnused && !p.directBroken:
+	case p.direct == directUnused && !p.directBroken:
 		return stepDirect
 	case p.mayForward(hedgeDue):
 		return stepForward
 	case p.waiting():
 		return stepWait
-	case p.direct == legUnused && p.directAllowed && p.repeatable:
+	case p.direct == directUnused && p.directAllowed && p.repeatable:
 		return stepDirect
 	default:
 		return stepGiveUp
@@ -119,22 +119,22 @@
 	case p.noForwarder, p.forwarders >= maxForwarders, p.inFlight >= maxConcurrentForwarders:
 		return false
 	case !p.repeatable:
-		return !p.waiting() && !p.outcomeUnknown()
+		return !p.waiting() && !p.maybeExecuted()
 	default:
 		return hedgeDue || !p.waiting()
 	}
 }
 
 // waiting reports whether a path may still answer.
-func (p *callPaths) waiting() bool { return p.direct == legInFlight || p.inFlight > 0 }
+func (p *callPaths) waiting() bool { return p.direct == directInFlight || p.inFlight > 0 }
 
-// outcomeUnknown reports whether the target may have executed the request on a path that has
+// maybeExecuted reports whether the target may have executed the request on a path that has
 // ended without an answer.
-func (p *callPaths) outcomeUnknown() bool { return p.direct == legUnknown || p.forwarderUnknown }
+func (p *callPaths) maybeExecuted() bool { return p.direct == directUnknown || p.forwarderUnknown }
 
 // unanswered reports whether the target may execute the request, or may have executed it, on
 // a path without an answer.
-func (p *callPaths) unanswered() bool { return p.waiting() || p.outcomeUnknown() }
+func (p *callPaths) unanswered() bool { return p.waiting() || p.maybeExecuted() }
 
 const (
 	// minProbeDelay and maxProbeDelay bound the time between two tries of a broken path.
@@ -142,10 +142,11 @@
 	maxProbeDelay = 4 * time.Second
 	// probeJitter is the largest fraction by which the time is extended at random.
 	probeJitter = 0.25
-	// directRetryDelay is the minimum time between two tries of a broken path while no
-	// forwarder is usable.
+	// directRetryDelay is the minimum time between two tries of a broken path by calls for
+	// which no forwarder is usable.
 	directRetryDelay = 150 * time.Millisecond
-	// failureLifetime is how long a failure to reach a node counts.
+	// failureLifetime is how long a node counts as unreachable after a request could not be
+	// sent to it.
 	failureLifetime = 500 * time.Millisecond
 	// minForwardPause and maxForwardPause bound the time in which calls to a node are not
 	// forwarded after no forwarder could reach it.
@@ -168,17 +169,17 @@
 	// length of that pause.
 	pausedUntil time.Time
 	pause       time.Duration
-	// usualAnswer is the moving average of the time until a direct answer with a small reply
+	// usualAnswerTime is the moving average of the time until a direct answer with a small reply
 	// to a request at which the node did not wait; 0 if there was none.
-	usualAnswer time.Duration
+	usualAnswerTime time.Duration
 }
 
-// answeredWithin records the time until a direct answer with a small reply.
-func (d *directPath) answeredWithin(taken time.Duration) {
-	if d.usualAnswer == 0 {
-		d.usualAnswer = taken
+// recordAnswerTime records the time until a direct answer with a small reply.
+func (d *directPath) recordAnswerTime(taken time.Duration) {
+	if d.usualAnswerTime == 0 {
+		d.usualAnswerTime = taken
 	}
-	d.usualAnswer += (taken - d.usualAnswer) / answerTimeWeight
+	d.usualAnswerTime += (taken - d.usualAnswerTime) / answerTimeDivisor
 }
 
 // answered records a direct answer. It reports whether the path was broken until now.
@@ -190,10 +191,10 @@
 }
 
 // bypassed records that a forwarder answered a call that was sent on the direct path at the
-// given time without an answer. It reports whether the path becomes broken.
+// given time and not answered there. It reports whether the path becomes broken.
 func (d *directPath) bypassed(sent, now time.Time, random float64) bool {
 	if d.broken || d.lastAnswer.After(sent) {
-		return false // a direct answer has arrived meanwhile
+		return false // a direct answer has arrived since the call was sent
 	}
 	d.broken, d.brokenSince = true, now
 	d.probeDelay = minProbeDelay
@@ -234,8 +235,8 @@
 	d.pausedUntil = now.Add(extend(d.pause, random))
 }
 
-// forwarded records an answer through a forwarder.
-func (d *directPath) forwarded() { d.pause, d.pausedUntil = 0, time.Time{} }
+// forwardingSucceeded records an answer through a forwarder.
+func (d *directPath) forwardingSucceeded() { d.pause, d.pausedUntil = 0, time.Time{} }
 
 // extend adds jitter to a delay; random is from 0 to 1.
 func extend(delay time.Duration, random float64) time.Duration {
--- a/internal/cluster/forwarding/decision_test.go
+++ b/internal/cluster/forwarding/decision_test.go
@@ -29,6 +29,7 @@
 	}
 }
 
+// A call with much or little time left is neither sent twice at once nor left waiting for long.
 func TestHedgeDelayIsBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		method := rapid.SampledFrom(repeatableMethods).Draw(t, "method")
@@ -49,9 +50,9 @@
 	is := is.New(t)
 	path := &directPath{}
 	for range 50 {
-		path.answeredWithin(30 * time.Millisecond)
+		path.recordAnswerTime(30 * time.Millisecond)
 	}
-	is.Equal(hedgeDelay(wirev1.Method_METHOD_ALLOTMENT, 600*time.Millisecond, path.usualAnswer), 120*time.Millisecond)
+	is.Equal(hedgeDelay(wirev1.Method_METHOD_ALLOTMENT, 600*time.Millisecond, path.usualAnswerTime), 120*time.Millisecond)
 }
 
 // A call ends, uses a bounded number of forwarders, and is repeated only if it may be.
@@ -71,14 +72,14 @@
 				if !p.repeatable && (p.waiting() || maybeExecuted) {
 					t.Fatal("sent on a second path")
 				}
-				if p.direct == legUnused && !p.directBroken {
-					p.direct = legInFlight
+				if p.direct == directUnused && !p.directBroken {
+					p.direct = directInFlight
 				} else if p.mayForward(true) && rapid.IntRange(0, 4).Draw(t, "usable") > 0 {
 					p.forwarders, p.inFlight = p.forwarders+1, p.inFlight+1
 				} else if p.mayForward(true) {
 					p.noForwarder = true
 				} else {
-					p.direct = legInFlight
+					p.direct = directInFlight
 				}
 				if p.forwarders > maxForwarders || p.inFlight > maxConcurrentForwarders {
 					t.Fatalf("%d forwarders, %d in flight", p.forwarders, p.inFlight)
@@ -87,16 +88,16 @@
 				unknown := rapid.Bool().Draw(t, "unknown")
 				maybeExecuted = maybeExecuted || unknown
 				switch {
-				case p.inFlight > 0 && (p.direct != legInFlight || rapid.Bool().Draw(t, "forwarder ends")):
+				case p.inFlight > 0 && (p.direct != directInFlight || rapid.Bool().Draw(t, "forwarder ends")):
 					p.inFlight--
 					p.forwarderUnknown = p.forwarderUnknown || unknown
 				case unknown:
-					p.direct = legUnknown
+					p.direct = directUnknown
 				default:
-					p.direct = legNotSent
+					p.direct = directNotSent
 				}
 			case stepGiveUp:
-				if p.waiting() || p.outcomeUnknown() != maybeExecuted {
+				if p.waiting() || p.maybeExecuted() != maybeExecuted {
 					t.Fatalf("ended with %+v, may be executed: %v", p, maybeExecuted)
 				}
 				return
@@ -147,7 +148,7 @@
 		path.forwardingFailed(start, 1)
 		is.True(path.pausedUntil.Sub(start) <= maxForwardPause*5/4)
 	}
-	path.forwarded()
+	path.forwardingSucceeded()
 	is.True(!start.Before(path.pausedUntil))
 }
 
--- a/internal/cluster/forwarding/faults_test.go
+++ b/internal/cluster/forwarding/faults_test.go
@@ -30,17 +30,17 @@
 			f := startFleet(t, 4, 1, 0, answering())
 			asker, disk := f.edges[0], f.disks[0]
 			f.cut(kind, asker)
-			is.NoErr(asker.read(disk, patience))
+			is.NoErr(asker.read(disk, longTimeout))
 			is.True(asker.Broken(disk.address, time.Now()))
 			before := asker.transport.count(disk.address)
 			for range 20 {
-				is.NoErr(asker.read(disk, patience))
-				is.NoErr(asker.submit(disk, patience))
+				is.NoErr(asker.read(disk, longTimeout))
+				is.NoErr(asker.submit(disk, longTimeout))
 			}
 			is.Equal(asker.transport.count(disk.address), before) // only probes use the broken path
 			f.cut(faultNone, asker)
 			eventually.Require(t, "the direct path is restored", func() bool {
-				is.NoErr(asker.read(disk, patience))
+				is.NoErr(asker.read(disk, longTimeout))
 				return !asker.Broken(disk.address, time.Now())
 			}, func() any { return asker.transport.count(disk.address) })
 		})
@@ -59,7 +59,7 @@
 		return stream.Send(&wirev1.QueueReadReply{})
 	}
 	f := startFleet(t, 2, 1, 0, serve)
-	is.NoErr(f.edges[0].read(f.disks[0], patience))
+	is.NoErr(f.edges[0].read(f.disks[0], longTimeout))
 	eventually.Require(t, "the path works", func() bool { return !f.edges[0].Broken(f.disks[0].address, time.Now()) }, func() any { return reads.Load() })
 }
 
@@ -68,20 +68,21 @@
 	is := is.New(t)
 	f := startFleet(t, 3, 1, 0, answering())
 	f.cut(faultRepliesLost, f.edges[0])
-	err := f.edges[0].submit(f.disks[0], callTime)
+	err := f.edges[0].submit(f.disks[0], callTimeout)
 	is.True(err != nil)
 	is.True(result.CodeOf(err).Entry().Ran != result.RanNo) // it has been executed
 	is.Equal(f.edges[1].forwarded("answered")+f.edges[2].forwarded("answered"), 0)
 }
 
-// A forwarder that is partitioned from the target too is passed over.
+// A forwarder that is partitioned from the target too must not end the call: the next one is
+// used.
 func TestPartitionedForwardersArePassedOver(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, 4, 1, 0, answering())
 	f.cut(faultRefused, f.edges[0], f.edges[1], f.edges[2])
 	for range 10 {
-		is.NoErr(f.edges[0].read(f.disks[0], patience))
-		is.NoErr(f.edges[0].submit(f.disks[0], patience))
+		is.NoErr(f.edges[0].read(f.disks[0], longTimeout))
+		is.NoErr(f.edges[0].submit(f.disks[0], longTimeout))
 	}
 	is.Equal(f.edges[1].forwarded("answered")+f.edges[2].forwarded("answered"), 0) // forwarded once only
 }
@@ -98,7 +99,7 @@
 	f := startFleet(t, 6, 1, 0, serve)
 	f.cut(faultRefused, f.edges...)
 	for range 20 {
-		for _, err := range []error{f.edges[0].read(f.disks[0], patience), f.edges[0].submit(f.disks[0], patience)} {
+		for _, err := range []error{f.edges[0].read(f.disks[0], longTimeout), f.edges[0].submit(f.disks[0], longTimeout)} {
 			is.Equal(result.CodeOf(err), result.PeerUnreachable)
 		}
 	}
@@ -120,20 +121,21 @@
 	f.cut(faultRefused, asker)
 	lost.transport.set(faultRepliesLost, f.disks[0].address)
 	failed := make(chan error, 1)
-	go func() { failed <- asker.submit(f.disks[0], patience) }()
+	go func() { failed <- asker.submit(f.disks[0], longTimeout) }()
 	eventually.Require(t, "the job is delivered", func() bool { return executed.Load() == 1 }, func() any { return executed.Load() })
 	go lost.server.Close()
 	is.Equal(result.CodeOf(<-failed), result.CommitUnknown)
 	is.Equal(executed.Load(), int64(1))
 }
 
-func TestReadOutlivesForwarder(t *testing.T) {
+// A read that may be repeated is answered by another forwarder if the first one gets no reply.
+func TestReadIsRepeatedThroughNextForwarder(t *testing.T) {
 	is := is.New(t)
 	f := startFleet(t, 3, 1, 0, answering())
 	f.cut(faultRefused, f.edges[0])
 	f.edges[1].transport.set(faultRepliesLost, f.disks[0].address)
 	for range 5 {
-		is.NoErr(f.edges[0].read(f.disks[0], patience))
+		is.NoErr(f.edges[0].read(f.disks[0], longTimeout))
 	}
 	is.Equal(f.edges[1].forwarded("answered"), 0)
 }
@@ -143,12 +145,12 @@
 	is := is.New(t)
 	f := startFleet(t, 4, 1, 3, answering())
 	f.cut(faultRefused, f.edges[0])
-	is.NoErr(f.edges[0].read(f.disks[0], patience))
-	is.NoErr(f.edges[0].submit(f.disks[0], patience))
+	is.NoErr(f.edges[0].read(f.disks[0], longTimeout))
+	is.NoErr(f.edges[0].submit(f.disks[0], longTimeout))
 
 	f = startFleet(t, 3, 1, 3, answering())
 	f.cut(faultRefused, f.edges[0])
-	is.Equal(result.CodeOf(f.edges[0].submit(f.disks[0], patience)), result.PeerUnreachable)
+	is.Equal(result.CodeOf(f.edges[0].submit(f.disks[0], longTimeout)), result.PeerUnreachable)
 }
 
 // While a third of a fleet asks the others, each of them stays within its limits, and each
@@ -171,7 +173,7 @@
 			go func() {
 				defer group.Done()
 				for range 5 {
-					switch err := asker.read(f.disks[worker%2], patience); result.CodeOf(err) {
+					switch err := asker.read(f.disks[worker%2], longTimeout); result.CodeOf(err) {
 					case result.OK:
 						answered.Add(1)
 					case result.PeerUnreachable, result.CommitUnknown:
@@ -216,7 +218,7 @@
 	f := startFleet(t, 5, 2, 0, serve)
 	var notRun []string
 	var group sync.WaitGroup
-	const shortTime = callTime / 2
+	const shortTimeout = callTimeout / 2
 	for worker := range 24 {
 		group.Add(1)
 		go func() {
@@ -224,9 +226,9 @@
 			asker := f.edges[worker%len(f.edges)]
 			for number := range 8 {
 				asker.transport.set(fault(rand.IntN(4)), f.disks[worker%2].address)
-				_ = asker.read(f.disks[0], shortTime)
+				_ = asker.read(f.disks[0], shortTimeout)
 				job := fmt.Sprintf("%d-%d", worker, number)
-				ctx, cancel := context.WithTimeout(context.Background(), shortTime)
+				ctx, cancel := context.WithTimeout(context.Background(), shortTimeout)
 				err := asker.Call(ctx, f.disks[1].address, rpc.ClassOnline, wirev1.Method_METHOD_QUEUE_SUBMIT,
 					&wirev1.QueueSubmitRequest{Job: &wirev1.QueueJob{Id: job}}, &wirev1.QueueSubmitReply{})
 				cancel()
@@ -256,7 +258,7 @@
 	f := startFleet(t, 3, 3, 0, answering())
 	asker := f.edges[0]
 	asker.transport.set(faultRefused, f.disks[0].address, f.disks[1].address)
-	is.NoErr(asker.read(f.disks[0], patience))
+	is.NoErr(asker.read(f.disks[0], longTimeout))
 	suspect := func(disk *member) bool { return asker.view(disk.address, time.Now()).suspect }
 	eventually.Require(t, "the path that works is trusted", func() bool { return !suspect(f.disks[2]) }, func() any { return suspect(f.disks[2]) })
 	is.True(suspect(f.disks[1]))
@@ -274,9 +276,9 @@
 		return stream.Send(&wirev1.QueueReadReply{})
 	}
 	f := startFleet(t, 2, 1, 0, serve)
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), longTimeout)
 	defer cancel()
-	request := &wirev1.QueueReadRequest{JobId: "j", WaitMs: uint32(patience.Milliseconds())}
+	request := &wirev1.QueueReadRequest{JobId: "j", WaitMs: uint32(longTimeout.Milliseconds())}
 	is.NoErr(f.edges[0].Call(ctx, f.disks[0].address, rpc.ClassOnline, wirev1.Method_METHOD_QUEUE_READ, request, &wirev1.QueueReadReply{}))
 	is.Equal(reads.Load(), int64(1))
 }
@@ -304,7 +306,7 @@
 	}
 	f := startFleet(t, 2, 1, 0, serve)
 	f.cut(faultRefused, f.edges[0])
-	err := f.edges[0].read(f.disks[0], patience)
+	err := f.edges[0].read(f.disks[0], longTimeout)
 	is.Equal(result.FromError(err), result.New(result.NotLeader, "led by another node").WithRetryAfter(time.Second))
 	is.True(f.edges[0].Broken(f.disks[0].address, time.Now()))
 }
@@ -319,8 +321,8 @@
 	}
 	f := startFleet(t, 2, 1, 0, serve)
 	f.cut(faultSilent, f.edges[0])
-	is.Equal(result.CodeOf(f.edges[0].read(f.disks[0], patience)), result.CommitUnknown)
-	is.Equal(result.CodeOf(f.edges[0].read(f.disks[0], patience)), result.NotLeader) // sent on one path only
+	is.Equal(result.CodeOf(f.edges[0].read(f.disks[0], longTimeout)), result.CommitUnknown)
+	is.Equal(result.CodeOf(f.edges[0].read(f.disks[0], longTimeout)), result.NotLeader) // sent on one path only
 }
 
 // A forwarder whose own direct path is broken refuses at once: it neither uses this path nor
@@ -330,7 +332,7 @@
 	f := startFleet(t, 3, 1, 0, answering())
 	disk, forwarder := f.disks[0], f.edges[1]
 	f.cut(faultRefused, forwarder)
-	is.NoErr(forwarder.read(disk, patience))
+	is.NoErr(forwarder.read(disk, longTimeout))
 	is.True(forwarder.Broken(disk.address, time.Now()))
 	before, others := forwarder.transport.count(disk.address), f.edges[0].forwarded("answered")+f.edges[2].forwarded("answered")
 	reply, err := forwarder.forwarder.forward(context.Background(), "edge-00", &wirev1.ForwardRequest{Address: disk.address, Method: wirev1.Method_METHOD_QUEUE_READ, Class: uint32(rpc.ClassOnline)})
--- a/internal/cluster/forwarding/fleet_test.go
+++ b/internal/cluster/forwarding/fleet_test.go
@@ -178,7 +178,7 @@
 	node.Caller = NewCaller(directory, node.transport, node.registry)
 	receive := func(from string, payload []byte) { node.notices <- from + ": " + string(payload) }
 	node.forwarder = NewForwarder(node.Caller, receive, node.registry)
-	node.forwarder.connectTimeout = patience // long enough on a busy machine
+	node.forwarder.connectTimeout = longTimeout // long enough on a busy machine
 	node.server = rpc.NewServer(node.record.NodeId, "c", &rpc.Counters{})
 	if forwards {
 		node.forwarder.Handle(node.server)
@@ -242,10 +242,10 @@
 }
 
 const (
-	// callTime is the time of calls that may end by their deadline.
-	callTime = 500 * time.Millisecond
-	// patience bounds calls that are expected to end by themselves.
-	patience = 30 * time.Second
+	// callTimeout is the timeout of calls that may end by their deadline.
+	callTimeout = 500 * time.Millisecond
+	// longTimeout is the timeout of calls that have to end before it.
+	longTimeout = 30 * time.Second
 )
 
 // While nothing is broken, calls are sent on the direct path only.
@@ -253,8 +253,8 @@
 	is := is.New(t)
 	f := startFleet(t, 3, 2, 0, answering())
 	for range 50 {
-		is.NoErr(f.edges[0].read(f.disks[0], patience))
-		is.NoErr(f.edges[0].submit(f.disks[1], patience))
+		is.NoErr(f.edges[0].read(f.disks[0], longTimeout))
+		is.NoErr(f.edges[0].submit(f.disks[1], longTimeout))
 	}
 	is.Equal(f.edges[0].transport.count(f.disks[0].address), 50)
 	is.Equal(f.edges[1].forwarded("answered")+f.edges[2].forwarded("answered"), 0)
--- a/internal/cluster/forwarding/forwarder.go
+++ b/internal/cluster/forwarding/forwarder.go
@@ -36,13 +36,14 @@
 	class   rpc.Class
 }
 
-// Values of the outcome label of calls that were not sent.
+// Values of the outcome label of refused calls and of notices. outcomeLabels has those of the
+// calls that were sent.
 const (
-	labelBusy        = "busy"
-	labelInvalid     = "invalid"
-	labelUnreachable = "unreachable"
-	labelNotice      = "notice"
-	labelDropped     = "notice_dropped"
+	labelBusy          = "busy"
+	labelInvalid       = "invalid"
+	labelUnreachable   = "unreachable"
+	labelNoticeSent    = "notice"
+	labelNoticeDropped = "notice_dropped"
 )
 
 // NewForwarder returns a forwarder that sends calls on the caller's direct paths. receive
@@ -122,7 +123,7 @@
 }
 
 // reply returns the reply for a call that was sent, or an error if the outcome is unknown.
-func (f *Forwarder) reply(direct legResult) (*wirev1.ForwardReply, error) {
+func (f *Forwarder) reply(direct pathResult) (*wirev1.ForwardReply, error) {
 	f.outcomes.WithLabelValues(outcomeLabels[direct.outcome]).Inc()
 	switch direct.outcome {
 	case outcomeAnswered:
--- a/internal/cluster/forwarding/limits.go
+++ b/internal/cluster/forwarding/limits.go
@@ -14,11 +14,12 @@
 	// forwardedPerSecond and forwardedBurst limit the calls that a node forwards.
 	forwardedPerSecond = 200
 	forwardedBurst     = 50
-	// askerLifetime is how long a node counts as asking after its last call.
+	// askerLifetime is how long after its last call a node counts in the division of the
+	// slots.
 	askerLifetime = time.Second
 )
 
-// limits bounds the calls that this node forwards. It is not safe for concurrent use.
+// limits bounds the calls that this node forwards for the nodes that ask it, the askers. It is not safe for concurrent use.
 type limits struct {
 	rate  *rate.Limiter
 	calls int
--- a/internal/cluster/forwarding/notices.go
+++ b/internal/cluster/forwarding/notices.go
@@ -108,7 +108,7 @@
 	}
 	switch {
 	case notice.Method != wirev1.Method_METHOD_RUNNER_USE:
-		f.outcomes.WithLabelValues(labelDropped).Inc()
+		f.outcomes.WithLabelValues(labelNoticeDropped).Inc()
 	case len(notice.Addresses) == 0:
 		f.receive(notice.From, notice.Payload)
 	default:
@@ -127,10 +127,10 @@
 		}
 	}
 	if len(reached) == 0 || !f.notices.AllowN(now, 1) {
-		f.outcomes.WithLabelValues(labelDropped).Inc()
+		f.outcomes.WithLabelValues(labelNoticeDropped).Inc()
 		return
 	}
-	f.outcomes.WithLabelValues(labelNotice).Inc()
+	f.outcomes.WithLabelValues(labelNoticeSent).Inc()
 	passed := &wirev1.ForwardedNotice{Method: notice.Method, Payload: notice.Payload, From: from}
 	f.caller.transport.NotifyAll(reached, rpc.ClassControl, wirev1.Method_METHOD_FORWARD_NOTICE, passed)
 }
--- a/internal/cluster/forwarding/notices_test.go
+++ b/internal/cluster/forwarding/notices_test.go
@@ -146,7 +146,7 @@
 	f := startFleet(t, 3, 2, 0, answering())
 	f.cut(faultRefused, f.edges[0])
 	for _, disk := range f.disks {
-		is.NoErr(f.edges[0].read(disk, patience))
+		is.NoErr(f.edges[0].read(disk, longTimeout))
 		is.True(f.edges[0].Broken(disk.address, time.Now()))
 	}
 	f.edges[0].NotifyAll([]string{f.disks[0].address, f.disks[1].address}, rpc.ClassControl, wirev1.Method_METHOD_RUNNER_USE, uses)
