--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -175,8 +175,8 @@
 	return quarantine.FingerprintOf(quarantine.RequestContent{Tenant: work.Tenant, Method: http.MethodPost, Host: work.Host, URI: work.Item.Path, Body: work.Item.Body})
 }
 
-// promptOf returns the number of tokens of an item's prompt and output, and all parts of the prompt but
-// the last as the parts that other prompts may share.
+// promptOf returns the tokens of an item's prompt, its expected output tokens, and all parts
+// of the prompt but the last as the parts that other prompts may share.
 func promptOf(item *wirev1.QueueItem) runnerset.Prompt {
 	prompt := runnerset.Prompt{Output: int(item.OutputTokens)}
 	for i, part := range item.Prompt {
--- a/internal/batch/queuerun/preemption.go
+++ b/internal/batch/queuerun/preemption.go
@@ -69,8 +69,9 @@
 	}
 }
 
-// cheapestRun returns the run at a start of a runner with the lowest preemption cost among those that
-// are not preempted yet, or nil if there is none. The caller holds the mutex.
+// cheapestRun returns the run with the lowest preemption cost among those that are not
+// preempted yet at a start of a runner (runnerset.Record.StartID), or nil if there is none.
+// The caller holds the mutex.
 func (e *ItemExecutor) cheapestRun(start string, now time.Time) *run {
 	var chosen *run
 	for candidate, preempted := range e.runs[start] {
@@ -88,18 +89,20 @@
 func (e *ItemExecutor) register(r *run) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	if e.runs[r.runner.StartID()] == nil {
-		e.runs[r.runner.StartID()] = map[*run]bool{}
+	start := r.runner.StartID()
+	if e.runs[start] == nil {
+		e.runs[start] = map[*run]bool{}
 	}
-	e.runs[r.runner.StartID()][r] = false
+	e.runs[start][r] = false
 }
 
 func (e *ItemExecutor) unregister(r *run) {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	delete(e.runs[r.runner.StartID()], r)
-	if len(e.runs[r.runner.StartID()]) == 0 {
-		delete(e.runs, r.runner.StartID())
+	start := r.runner.StartID()
+	delete(e.runs[start], r)
+	if len(e.runs[start]) == 0 {
+		delete(e.runs, start)
 	}
 }
 
--- a/internal/batch/queuestore/runs.go
+++ b/internal/batch/queuestore/runs.go
@@ -67,7 +67,11 @@
 	}
 	ctx, cancel := context.WithCancel(l.context)
 	key := entry.Key
-	work := &Work{Key: key, Host: record.Host, Route: record.Route, Tenant: record.Tenant, Item: item, Output: entry.Output, Due: entry.Due, Slack: l.table.Slack(entry, time.Now()), Failures: entry.Failures, FailedRunners: maps.Clone(entry.FailedRunners)}
+	work := &Work{
+		Key: key, Host: record.Host, Route: record.Route, Tenant: record.Tenant, Item: item, Output: entry.Output,
+		Due: entry.Due, Slack: l.table.Slack(entry, time.Now()),
+		Failures: entry.Failures, FailedRunners: maps.Clone(entry.FailedRunners),
+	}
 	work.Save = func(output queue.ItemOutput) {
 		// If the run has ended, its outcome contains the complete progress.
 		_ = s.RunInLoop(ctx, func() { s.recordProgress(l, key, item.Id, output) })
--- a/internal/cluster/informer/runners.go
+++ b/internal/cluster/informer/runners.go
@@ -102,8 +102,9 @@
 	}
 }
 
-// retainedEntries returns the held entries that a selection retains. Relays send unreadable
-// entries to all followers, as changes and not in selections. The mutex is held.
+// retainedEntries returns the held entries that a selection retains. It retains all unreadable
+// entries, since selections do not contain them: relays send them to all followers as changes.
+// The mutex is held.
 func (c *runnerCache) retainedEntries(selection relay.Selection) []ports.Value {
 	selected := make(map[string]bool, len(selection.Values))
 	for _, value := range selection.Values {
--- a/internal/cluster/informer/unreadable.go
+++ b/internal/cluster/informer/unreadable.go
@@ -7,12 +7,13 @@
 	"cobaltramp.example/cobaltramp/internal/cluster/ports"
 )
 
-// unreadableEntries holds a hash of each runner's entry that can't be decoded, by key.
+// unreadableEntries holds a hash of each runner's entry that can't be decoded, by key. The
+// hash shows whether an entry has changed since it was logged.
 type unreadableEntries map[string]uint64
 
-// add records an unreadable entry. It logs the entry and returns true unless previous, the
-// entries that were unreadable before, contains the same entry: lists repeat it.
-func (u unreadableEntries) add(value ports.Value, err error, previous unreadableEntries) bool {
+// add records an unreadable entry, and logs it unless previous, the entries that were
+// unreadable before, contains it unchanged. It reports whether it logged the entry.
+func (u unreadableEntries) add(value ports.Value, err error, previous unreadableEntries) (logged bool) {
 	hash := xxhash.Sum64(value.Value)
 	known, found := previous[value.Key]
 	u[value.Key] = hash
@@ -23,7 +24,7 @@
 	return true
 }
 
-// remove records that an entry is readable or deleted.
+// remove records that an entry, if it was unreadable, is readable or deleted.
 func (u unreadableEntries) remove(key string) {
 	if _, found := u[key]; found {
 		delete(u, key)
@@ -31,7 +32,7 @@
 	}
 }
 
-// removeMissing removes the entries that next does not contain.
+// removeMissing removes the entries whose keys next does not contain.
 func (u unreadableEntries) removeMissing(next unreadableEntries) {
 	for key := range u {
 		if _, found := next[key]; !found {
--- a/internal/cluster/peers/directory.go
+++ b/internal/cluster/peers/directory.go
@@ -232,6 +232,15 @@
 	return record, known
 }
 
+// DiskAt returns the record of the node with a disk at an address, and false if no known
+// node with a disk has the address.
+func (d *Directory) DiskAt(address string) (*wirev1.NodeRecord, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	record := d.records[d.byAddress[address]]
+	return record, record != nil && record.DiskId != ""
+}
+
 // SetRetiring replaces the set of ids of the nodes whose data is being moved to other nodes.
 // The caller must not change the map afterwards.
 func (d *Directory) SetRetiring(nodes map[string]bool) {
--- a/internal/cluster/peers/reachability.go
+++ b/internal/cluster/peers/reachability.go
@@ -6,12 +6,13 @@
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 )
 
-// Reachability exchanges the nodes with disks with which nodes had direct contact.
+// Reachability knows which nodes with disks this node and its peers reach directly.
 type Reachability interface {
 	// ReachableDisks returns the IDs of the nodes with disks with which this node had direct
 	// contact recently.
 	ReachableDisks(now time.Time) []string
-	// RecordReachable records the IDs that the node at an address has sent.
+	// RecordReachable records the IDs of the nodes with disks that the peer at an address
+	// reaches.
 	RecordReachable(address string, nodes []string, now time.Time)
 }
 
@@ -35,19 +36,10 @@
 	reply.ReachableDisks = s.Reachability.ReachableDisks(now)
 }
 
-// recordReachable records the reachable disks that the node at an address has sent. Nodes
-// without any send none, nor do nodes that do not exchange them.
+// recordReachable records the reachable disks that the node at an address has sent. An empty
+// list has no meaning: nodes of the previous version send none either.
 func (s *Syncer) recordReachable(address string, nodes []string, now time.Time) {
 	if s.Reachability != nil && len(nodes) > 0 {
 		s.Reachability.RecordReachable(address, nodes, now)
 	}
 }
-
-// DiskAt returns the record of the node with a disk at an address, and false if no known
-// node with a disk has the address.
-func (d *Directory) DiskAt(address string) (*wirev1.NodeRecord, bool) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	record := d.records[d.byAddress[address]]
-	return record, record != nil && record.DiskId != ""
-}
--- a/internal/cluster/peers/sync.go
+++ b/internal/cluster/peers/sync.go
@@ -38,7 +38,8 @@
 	Seeds     []string // configured addresses to call even if the nodes there are not known
 	// Watched returns the nodes with disks to probe in a large fleet; nil means none.
 	Watched func() []*wirev1.NodeRecord
-	// Reachability exchanges the reachable nodes with disks; nil if they are not exchanged.
+	// Reachability is the source and the receiver of the reachable disks that nodes send each
+	// other with their records; nil if this node neither sends nor records them.
 	Reachability Reachability
 
 	partners partners
--- a/internal/cluster/relay/gap.go
+++ b/internal/cluster/relay/gap.go
@@ -1,16 +1,16 @@
 package relay
 
-// revisionGap is the range of revisions between the contents of a mirror and a list that
-// replaced them, without both. The mirror does not know the changes in between: a follower
-// that another source has brought to such a revision may hold values that were created and
-// deleted there. It needs the complete contents.
+// revisionGap is the range of revisions, both ends excluded, between the contents of a mirror
+// and a list that replaced them. The mirror does not know the changes in the range. A follower
+// that has received some of them from another source may hold values that were created and
+// deleted in the range, so it needs the complete contents.
 type revisionGap struct{ after, before int64 }
 
-// maxGaps is the number of gaps that a mirror keeps apart. Beyond it, the two oldest become
-// one, so that more followers than necessary receive the complete contents.
+// maxGaps bounds the gaps that a mirror keeps. Beyond it, the two oldest are merged, and more
+// followers than necessary receive the complete contents.
 const maxGaps = 8
 
-// addGap records that a list of the revision before replaces the contents at the revision
+// addGap records that a list at the revision before replaces the contents at the revision
 // after. The mutex is held.
 func (m *Mirror) addGap(after, before int64) {
 	if before <= after+1 {
--- a/internal/cluster/relay/mirror.go
+++ b/internal/cluster/relay/mirror.go
@@ -49,14 +49,13 @@
 	// unsorted is true if the log has to be sorted before it is read.
 	unsorted   bool
 	tombstones map[string]tombstone
-	// relocated holds the last revision at which the service or zone of an entry changed,
-	// or whether it is a runner's entry, by key. A follower at an older revision may hold
-	// the entry although it is not in its subset any more.
+	// relocated holds the last revision at which the placement of a value changed, by key. A
+	// follower at an older revision may hold the value although it is no longer in its subset.
 	relocated map[string]int64
 	// compactedRevision is the newest revision whose tombstones have been removed. A
 	// follower at an older revision needs the complete contents.
 	compactedRevision int64
-	// gaps are the revisions that lists have skipped.
+	// gaps are the ranges of revisions that lists have skipped, in ascending order.
 	gaps    []revisionGap
 	changed chan struct{} // closed and replaced by each change
 }
