--- a/internal/app/explain/explain.go
+++ b/internal/app/explain/explain.go
@@ -88,7 +88,7 @@
 	Decisive *Line
 	// Missing describes the lines that a complete log would contain.
 	Missing []string
-	// Forwarded describes the lines whose calls to storage nodes were forwarded by peers.
+	// Forwarded describes the lines for which answers of storage nodes arrived through peers.
 	Forwarded []string
 }
 
@@ -113,15 +113,16 @@
 	return timeline
 }
 
-// fieldForwardedBy is the key of the addresses of the peers that forwarded the calls for a
-// line; it is empty if the storage nodes were called directly.
+// fieldForwardedBy is the key of the addresses of the peers through which the answers of
+// storage nodes arrived; its value is empty if all arrived directly. A direct path may have
+// been broken, or only slower than the peer.
 const fieldForwardedBy = "forwardedBy"
 
-// findForwarded describes the lines whose calls were forwarded.
+// findForwarded sets Forwarded.
 func (t *Timeline) findForwarded() {
 	for _, line := range t.Lines {
 		if peers := line.Fields[fieldForwardedBy]; peers != "" {
-			t.Forwarded = append(t.Forwarded, fmt.Sprintf("%s at %s: %s had no direct path to a storage node and called it through %s",
+			t.Forwarded = append(t.Forwarded, fmt.Sprintf("%s at %s: %s was answered by a storage node through %s",
 				line.Message, line.Stamp, line.Source, peers))
 		}
 	}
--- a/internal/app/explain/share.go
+++ b/internal/app/explain/share.go
@@ -6,7 +6,7 @@
 // its fair share of the slots.
 const causeOverShare = "over its share of the slots"
 
-// refusedOverShare reports whether the line is the end of such a request.
+// refusedOverShare reports whether the line is the end of a request with causeOverShare.
 func (l *Line) refusedOverShare() bool {
 	return l.Message == messageRequestEnded && l.Fields["cause"] == causeOverShare
 }
