Items that avoid runners after a failure do not block the other items of their service

An item for which only runners with a recent failure of the item had free slots reported its service as full. It was tried first again and again for up to failedRunnerPenalty, and no item behind it started meanwhile.

--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -87,16 +87,20 @@
 	// failedRunnerPenalty is how long an item is not sent again to a runner that reported a
 	// failure of the item.
 	failedRunnerPenalty = 3 * time.Second
+	// avoidanceRetryDelay is the delay before the next attempt to start an item for which
+	// only runners that it has to avoid may have free slots.
+	avoidanceRetryDelay = 60 * time.Millisecond
 	// maxQuarantineWait is the longest wait before a quarantined item is checked again,
 	// because the quarantine may end early.
 	maxQuarantineWait = 5 * time.Second
 )
 
-// TryStart implements queuestore.Executor. It also returns false, without setting
-// work.FullService, if no configuration is active, if the item's route has been missing for
-// less than missingRouteGrace, or after Wait was called. It returns true and reports an
-// outcome without a run if the route is missing for longer or the item is quarantined.
-// TryStart never calls done itself, because its caller also receives the outcomes.
+// TryStart implements queuestore.Executor. It sets work.NotBefore instead of work.FullService
+// if the item has to avoid some runners. It also returns false, without setting either, if no
+// configuration is active, if the item's route has been missing for less than
+// missingRouteGrace, or after Wait was called. It returns true and reports an outcome without
+// a run if the route is missing for longer or the item is quarantined. TryStart never calls
+// done itself, because its caller also receives the outcomes.
 func (e *ItemExecutor) TryStart(ctx context.Context, work *queuestore.Work, done func(queuestore.Outcome)) bool {
 	held := e.Catalogs.Current()
 	if held == nil {
@@ -117,9 +121,14 @@
 			"heldMs", remaining.Milliseconds(), "waitMs", wait.Milliseconds())
 		return e.tasks.Go(func() { done(queuestore.Outcome{Output: work.Output, RetryDelay: wait, Reason: "quarantined"}) })
 	}
-	choice := e.pick(route, work, fingerprint, now)
+	avoided := e.runnersToAvoid(work, fingerprint, now)
+	choice := e.pick(route, work, avoided, now)
 	if choice.Runner == nil {
-		work.FullService = route.ServiceFor(work.Item.Id)
+		if len(avoided) > 0 { // other items may start at the avoided runners
+			work.NotBefore = now.Add(avoidanceRetryDelay)
+		} else {
+			work.FullService = route.ServiceFor(work.Item.Id)
+		}
 		return false
 	}
 	itemRun := &run{
@@ -188,18 +197,26 @@
 	return prompt
 }
 
-// pick selects a runner for an item. It leaves out the runners that are paused, those that
-// recently reported a failure of the item, and those that the quarantine excludes.
-func (e *ItemExecutor) pick(route *catalog.Route, work *queuestore.Work, fingerprint quarantine.Fingerprint, now time.Time) runnerset.Choice {
-	excluded := e.paused(now)
+// runnersToAvoid returns the IDs of the runners that an item has to avoid: those that recently
+// reported a failure of the item, and those that the quarantine excludes.
+func (e *ItemExecutor) runnersToAvoid(work *queuestore.Work, fingerprint quarantine.Fingerprint, now time.Time) map[string]bool {
+	avoided := map[string]bool{}
 	for runner, at := range work.FailedRunners {
 		if now.Sub(at) < failedRunnerPenalty {
-			excluded[runner] = true
+			avoided[runner] = true
 		}
 	}
 	if e.Quarantine != nil {
-		maps.Copy(excluded, e.Quarantine.RunnersToAvoid(fingerprint))
+		maps.Copy(avoided, e.Quarantine.RunnersToAvoid(fingerprint))
 	}
+	return avoided
+}
+
+// pick selects a runner for an item. It leaves out the runners that the item has to avoid and
+// those that are paused.
+func (e *ItemExecutor) pick(route *catalog.Route, work *queuestore.Work, avoided map[string]bool, now time.Time) runnerset.Choice {
+	excluded := e.paused(now)
+	maps.Copy(excluded, avoided)
 	return e.Runners.Pick(&runnerset.Criteria{
 		Service: route.ServiceFor(work.Item.Id), Zone: e.Zone, Prompt: promptOf(work.Item), Bytes: len(work.Item.Body),
 		Excluded: excluded, Batch: &runnerset.BatchLimits{MaxUnread: maxUnreadTokens, Home: e.Home, NonHomeReserve: nonHomeReserve},
--- a/internal/batch/queuerun/failing_test.go
+++ b/internal/batch/queuerun/failing_test.go
@@ -53,6 +53,21 @@
 	work := workOf(queue.ItemOutput{})
 	work.FailedRunners = map[string]time.Time{"r1": time.Now()}
 	is.True(!executor.TryStart(context.Background(), work, func(queuestore.Outcome) { t.Error("it was run") }))
+	is.Equal(work.FullService, "") // the runner has free slots for other items
+	is.True(work.NotBefore.After(time.Now()))
 	work.FailedRunners["r1"] = time.Now().Add(-failedRunnerPenalty)
 	is.True(runOnce(t, executor, work).Done)
 }
+
+// A full service is reported as full by an item whose penalties have passed, so that not every
+// item is tried.
+func TestFullServiceIsReported(t *testing.T) {
+	is := is.New(t)
+	executor := newExecutor(t, &scriptedClient{respond: responds(200, true, twoEvents)})
+	executor.Runners.Replace([]runnerset.Record{}, 2, time.Now())
+	work := workOf(queue.ItemOutput{})
+	work.FailedRunners = map[string]time.Time{"r1": time.Now().Add(-failedRunnerPenalty)}
+	is.True(!executor.TryStart(context.Background(), work, func(queuestore.Outcome) { t.Error("it was run") }))
+	is.Equal(work.FullService, "s")
+	is.True(work.NotBefore.IsZero())
+}
--- a/internal/batch/queuestore/cluster_test.go
+++ b/internal/batch/queuestore/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -235,6 +236,25 @@
 	c.waitFinished("two", 2)
 }
 
+// Items that can't start, because they avoid the runners with free slots, do not keep the
+// items behind them from starting.
+func TestItemsThatAvoidRunnersDoNotBlockOthers(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a")
+	c.executor.mutex.Lock()
+	c.executor.avoiding = map[string]bool{}
+	for number := range 2 * maxRefusalsPerTick {
+		c.executor.avoiding[fmt.Sprint("one-", number)] = true
+	}
+	c.executor.mutex.Unlock()
+	c.submit("one", 2*maxRefusalsPerTick)
+	c.submit("two", 5)
+	c.waitFinished("two", 5)
+	c.executor.mutex.Lock()
+	defer c.executor.mutex.Unlock()
+	is.True(c.executor.refused <= 2*len(c.executor.avoiding)) // not at each tick
+}
+
 // While a service has no free slot, runs are not attempted for every waiting item at each tick.
 // All items finish once the service has free slots.
 func TestFullServiceIsNotTriedForEachItem(t *testing.T) {
--- a/internal/batch/queuestore/harness_test.go
+++ b/internal/batch/queuestore/harness_test.go
@@ -115,6 +115,8 @@
 	mutex sync.Mutex
 	full  bool
 	runs  map[string]int
+	// avoiding holds the IDs of items that can't start although there are free slots.
+	avoiding map[string]bool
 	// refused is the number of refused attempts to start a run.
 	refused int
 }
@@ -127,6 +129,11 @@
 		work.FullService = "service"
 		return false
 	}
+	if e.avoiding[work.Item.Id] {
+		e.refused++
+		work.NotBefore = time.Now().Add(time.Minute)
+		return false
+	}
 	e.runs[work.Item.Id]++
 	go func() {
 		output := work.Output
--- a/internal/batch/queuestore/node.go
+++ b/internal/batch/queuestore/node.go
@@ -62,6 +62,9 @@
 	// FullService is the service that had no free slot, or "" if no service is to be
 	// avoided. TryStart sets it when it returns false.
 	FullService string
+	// NotBefore is the earliest time of the next attempt to start the item; zero means at
+	// once. TryStart sets it when it returns false for a reason that concerns only this item.
+	NotBefore time.Time
 }
 
 // Outcome is the result of a run.
@@ -92,7 +95,7 @@
 	// TryStart starts a run and returns true if a runner has a free slot for the item.
 	// It calls done once, on another goroutine, when the run has ended. If there is no
 	// free slot, TryStart returns false without calling done; it may set
-	// work.FullService. The shard's goroutine calls TryStart, which must not block.
+	// work.FullService or work.NotBefore. The shard's goroutine calls TryStart, which must not block.
 	TryStart(ctx context.Context, work *Work, done func(Outcome)) bool
 }
 
--- a/internal/batch/queuestore/runs.go
+++ b/internal/batch/queuestore/runs.go
@@ -51,7 +51,7 @@
 }
 
 // startRun tries to start a run of an item. It returns false only if no runner has a free
-// slot. If the item cannot be read, it starts no run and returns true.
+// slot for the item. If the item cannot be read, it starts no run and returns true.
 func (s *shard) startRun(entry *queue.ItemEntry) bool {
 	l := s.leader
 	view := s.Store.View()
@@ -84,6 +84,9 @@
 		if entry.Service = work.FullService; entry.Service != "" {
 			l.fullUntil[entry.Service] = time.Now().Add(fullServicePause)
 		}
+		if !work.NotBefore.IsZero() {
+			entry.NotBefore = work.NotBefore
+		}
 		return false
 	}
 	l.table.Start(key)
