--- a/internal/cluster/forwarding/caller.go
+++ b/internal/cluster/forwarding/caller.go
@@ -226,6 +226,16 @@
 	}
 }
 
+// recordConnected records that there is a connection to a node, so that earlier failures to
+// connect no longer count.
+func (c *Caller) recordConnected(address string) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if path := c.paths[address]; path != nil {
+		path.lastFailure = time.Time{}
+	}
+}
+
 // recordAnswerTime records the time until a direct answer with a small reply.
 func (c *Caller) recordAnswerTime(address string, taken time.Duration) {
 	c.mutex.Lock()
--- a/internal/cluster/forwarding/choice_test.go
+++ b/internal/cluster/forwarding/choice_test.go
@@ -1,13 +1,16 @@
 package forwarding
 
 import (
+	"context"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
 func node(id, zone, disk string) *wirev1.NodeRecord {
@@ -108,3 +111,34 @@
 	}
 	is.True(admitted <= forwardedPerSecond+forwardedBurst)
 }
+
+// slowConnections is a Transport whose dials succeed once they are released.
+type slowConnections struct {
+	Transport
+	release chan struct{}
+}
+
+func (s *slowConnections) Connect(ctx context.Context, _ string, _ rpc.Class) error {
+	select {
+	case <-s.release:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// A node that is connected later than a call waits for is reached. Otherwise calls to it would
+// be refused although there is a connection.
+func TestLateConnectionIsUsed(t *testing.T) {
+	is := is.New(t)
+	caller, _ := recordingCaller(t)
+	transport := &slowConnections{release: make(chan struct{})}
+	caller.transport = transport
+	forwarder := NewForwarder(caller, nil, prometheus.NewRegistry())
+	forwarder.connectTimeout = time.Millisecond
+	is.True(!forwarder.connect(context.Background(), "storage-1:1", rpc.ClassOnline))
+	is.True(caller.unreachable("storage-1:1", time.Now()))
+	forwarder.connectTimeout = longTimeout
+	close(transport.release)
+	is.True(forwarder.connect(context.Background(), "storage-1:1", rpc.ClassOnline))
+}
--- a/internal/cluster/forwarding/forwarder.go
+++ b/internal/cluster/forwarding/forwarder.go
@@ -212,9 +212,10 @@
 func (f *Forwarder) dial(target connection, dialled chan struct{}) {
 	ctx, cancel := context.WithTimeout(f.caller.context, dialTimeout)
 	defer cancel()
-	err := f.caller.transport.Connect(ctx, target.address, target.class)
-	if err != nil {
+	if err := f.caller.transport.Connect(ctx, target.address, target.class); err != nil {
 		f.caller.recordDirect(target.address, false, false, time.Now())
+	} else {
+		f.caller.recordConnected(target.address)
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
