Test of broken paths: reads stay within the forwarders' rate limit

The test polled with some 300 to 400 reads in half a second, so that all three forwarders refused calls for their rate limit in each run (1 to 3 refusals each), and failed if all were busy at the same time. The assertions are unchanged.

--- a/internal/cluster/forwarding/faults_test.go
+++ b/internal/cluster/forwarding/faults_test.go
@@ -40,6 +40,7 @@
 			is.Equal(asker.transport.count(disk.address), before) // only probes use the broken path
 			f.cut(faultNone, asker)
 			eventually.Require(t, "the direct path is restored", func() bool {
+				time.Sleep(2 * time.Second / forwardedPerSecond) // stays within the forwarders' rate limit
 				is.NoErr(asker.read(disk, longTimeout))
 				return !asker.Broken(disk.address, time.Now())
 			}, func() any { return asker.transport.count(disk.address) })
