--- a/internal/batch/queuestore/runs.go
+++ b/internal/batch/queuestore/runs.go
@@ -51,7 +51,7 @@
 }
 
 // startRun tries to start a run of an item. It returns false only if no runner has a free
-// slot. If the item cannot be read, it starts no run and returns true.
+// slot for the item. If the item cannot be read, it starts no run and returns true.
 func (s *shard) startRun(entry *queue.ItemEntry) bool {
 	l := s.leader
 	view := s.Store.View()
@@ -67,7 +67,11 @@
 	}
 	ctx, cancel := context.WithCancel(l.context)
 	key := entry.Key
-	work := &Work{Key: key, Host: record.Host, Route: record.Route, Tenant: record.Tenant, Item: item, Output: entry.Output, Due: entry.Due, Slack: l.table.Slack(entry, time.Now()), Failures: entry.Failures, FailedRunners: maps.Clone(entry.FailedRunners)}
+	work := &Work{
+		Key: key, Host: record.Host, Route: record.Route, Tenant: record.Tenant, Item: item, Output: entry.Output,
+		Due: entry.Due, Slack: l.table.Slack(entry, time.Now()),
+		Failures: entry.Failures, FailedRunners: maps.Clone(entry.FailedRunners),
+	}
 	work.Save = func(output queue.ItemOutput) {
 		// If the run has ended, its outcome contains the complete progress.
 		_ = s.RunInLoop(ctx, func() { s.recordProgress(l, key, item.Id, output) })
@@ -80,6 +84,9 @@
 		if entry.Service = work.FullService; entry.Service != "" {
 			l.fullUntil[entry.Service] = time.Now().Add(fullServicePause)
 		}
+		if !work.NotBefore.IsZero() {
+			entry.NotBefore = work.NotBefore
+		}
 		return false
 	}
 	l.table.Start(key)
--- a/modules/roles/cluster/fairshares_test.go
+++ b/modules/roles/cluster/fairshares_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/eventually"
 	"cobaltramp.example/cobaltramp/internal/app/kernel"
 	"cobaltramp.example/cobaltramp/internal/cluster/peers"
 	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
@@ -29,10 +32,11 @@
 		NodeId: name, Address: listener.Addr().String(), Zone: "z", DiskId: disk, Incarnation: 1,
 	})
 	node, provided := &fairShares{}, &kernel.Context{}
-	node.provision(provided, fairShareInputs{
+	parts := &nodeParts{
 		settings: &settings.Role{Node: name, Zone: "z", DataFolder: disk}, directory: directory, catalogs: catalog.NewHolder(),
-		pool: pool, server: server, registry: prometheus.NewRegistry(), digests: zoneload.NewReceiver("z", prometheus.NewRegistry()),
-	})
+		pool: pool, server: server, registry: prometheus.NewRegistry(),
+	}
+	node.provision(provided, parts, zoneload.NewReceiver("z", prometheus.NewRegistry()))
 	server.OnPeerLost(node.peerLost)
 	go func() { _ = server.Serve(listener, nil) }()
 	t.Cleanup(func() {
@@ -60,16 +64,46 @@
 		close(ended)
 	}()
 	shares.Begin("s", "t", 0)
-	awaitTenants(storage, 1)
+	awaitTenants(t, storage, 1)
 	cancel()
 	<-ended
 	storage.run(ctx) // does nothing on a storage node
-	awaitTenants(storage, 0)
+	awaitTenants(t, storage, 0)
 }
 
 // awaitTenants waits until a storage node has requests of this number of tenants.
-func awaitTenants(storage *fairShares, count int) {
-	for len(storage.tenants("z", time.Now())) != count {
-		time.Sleep(10 * time.Millisecond)
+func awaitTenants(t *testing.T, storage *fairShares, count int) {
+	t.Helper()
+	seen := func() any { return storage.tenants("z", time.Now()) }
+	eventually.Require(t, fmt.Sprintf("requests of %d tenants at the storage node", count), func() bool {
+		return len(storage.tenants("z", time.Now())) == count
+	}, seen)
+}
+
+// Each storage node that sends digests to an edge receives the reports of all edges of its
+// zone. Otherwise its digests would lack tenants, and shares would apply only at times.
+func TestSendersOfDigestsReceiveReports(t *testing.T) {
+	for _, disks := range []map[string]int{{"a": 3, "b": 3}, {"a": 9, "b": 3}, {"b": 3, "c": 6}} {
+		var records []*wirev1.NodeRecord
+		for zone, count := range disks {
+			for i := range count {
+				name := fmt.Sprint("disk-", zone, i)
+				records = append(records, &wirev1.NodeRecord{NodeId: name, Address: name, Zone: zone, Region: "r", DiskId: name})
+			}
+		}
+		for i := range 20 {
+			name := fmt.Sprint("edge-", i)
+			records = append(records, &wirev1.NodeRecord{NodeId: name, Address: name, Zone: "a", Region: "r"})
+		}
+		for _, edge := range records[len(records)-20:] {
+			directory := peers.NewDirectory(edge)
+			directory.PutAll(records, "")
+			recipients := reportRecipients(directory)
+			for _, sender := range zoneload.SendersOf(directory, edge) {
+				if !slices.Contains(recipients, sender.Address) {
+					t.Errorf("disks %v: %s sends digests to %s and is not among the recipients %v", disks, sender.NodeId, edge.NodeId, recipients)
+				}
+			}
+		}
 	}
 }
