Logs and metrics tell a deaf watch and a silent link from quiet ones

Before: a watch that delivers nothing looked the same whether or not there were changes, and a call over a silent link ended by its timeout without a trace.

No decision changes.

--- a/internal/cluster/informer/metrics.go
+++ b/internal/cluster/informer/metrics.go
@@ -36,6 +36,9 @@
 		gauge("cobaltramp_store_followers", "Nodes that this node keeps up to date with the store.", func() float64 {
 			return float64(source.Followers())
 		}),
+		gauge("cobaltramp_store_probed_revision", "Newest revision of the store that a probe has read; 0 if relays keep the node up to date.", func() float64 {
+			return float64(i.Contact.StoreRevision())
+		}),
 		gauge("cobaltramp_store_revision", "Revision of the store up to which this node knows it.", func() float64 {
 			return float64(i.storeRevision())
 		}),
--- a/internal/cluster/listwatch/contact.go
+++ b/internal/cluster/listwatch/contact.go
@@ -18,7 +18,9 @@
 type StoreContact struct {
 	renewedAt atomic.Int64 // time of the last renewal, in nanoseconds after processStart
 	lost      atomic.Bool
-	mutex     sync.Mutex
+	// storeRevision is the newest revision of the store that a probe has read.
+	storeRevision atomic.Int64
+	mutex         sync.Mutex
 	// callsContext ends at the next recordFailure, which thereby ends the waiting watch. The
 	// mutex protects callsContext and cancelCalls.
 	callsContext context.Context
@@ -49,6 +51,10 @@
 	return boottime.Since(processStart) - time.Duration(c.renewedAt.Load())
 }
 
+// StoreRevision returns the newest revision of the store that a probe has read; 0 before the
+// first probe.
+func (c *StoreContact) StoreRevision() int64 { return c.storeRevision.Load() }
+
 // Confirm records that the node is up to date with the store and in contact with it.
 func (c *StoreContact) Confirm() {
 	c.renew()
--- a/internal/cluster/listwatch/probe.go
+++ b/internal/cluster/listwatch/probe.go
@@ -25,10 +25,11 @@
 		if r.Contact.Lost() || r.usesRelay() {
 			continue // listAndWatch is retrying already, or relays keep the node up to date
 		}
-		err := r.probeOnce(ctx)
+		revision, err := r.probeOnce(ctx)
 		switch {
 		case err == nil:
 			r.Contact.renew()
+			r.checkWatch(ctx, revision)
 		case ctx.Err() == nil:
 			klog.InfoS("store does not answer a probe", "err", err)
 			r.Contact.recordFailure()
@@ -36,8 +37,25 @@
 	}
 }
 
+// deliveryTimeout is how long after a probe the watch may take to deliver the changes up to
+// the revision that the probe has read.
+const deliveryTimeout = 250 * time.Millisecond
+
+// checkWatch logs if the watch does not deliver, within deliveryTimeout, the changes up to a
+// revision of the store that a probe has read.
+func (r *Reflector) checkWatch(ctx context.Context, storeRevision int64) {
+	r.Contact.storeRevision.Store(storeRevision)
+	if storeRevision <= r.Merger.Revision() {
+		return
+	}
+	pause.For(ctx, deliveryTimeout)
+	if revision := r.Merger.Revision(); storeRevision > revision {
+		klog.InfoS("watch has not delivered the store's changes", "revision", revision, "storeRevision", storeRevision)
+	}
+}
+
 // probeOnce makes one probe with probeTimeout.
-func (r *Reflector) probeOnce(ctx context.Context) error {
+func (r *Reflector) probeOnce(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	return r.Store.Probe(ctx)
--- a/internal/transport/rpc/clientlink.go
+++ b/internal/transport/rpc/clientlink.go
@@ -55,7 +55,9 @@
 }
 
 func (l *clientLink) open(ctx context.Context, method wirev1.Method, payload []byte) (*ClientStream, error) {
-	stream := &ClientStream{owner: l, id: l.lastID.Add(1), ready: make(chan struct{}, 1)}
+	stream := &ClientStream{
+		owner: l, id: l.lastID.Add(1), ready: make(chan struct{}, 1), receivedBefore: l.link.receivedBytes.Load(),
+	}
 	if err := l.add(stream); err != nil {
 		return nil, err
 	}
--- a/internal/transport/rpc/clientstream.go
+++ b/internal/transport/rpc/clientstream.go
@@ -16,6 +16,8 @@
 	owner *clientLink
 	id    uint64
 	ready chan struct{}
+	// receivedBefore is the link's receivedBytes when the stream was opened.
+	receivedBefore uint64
 
 	mutex    sync.Mutex
 	messages [][]byte
@@ -83,5 +85,8 @@
 	if s.owner.remove(s.id) == nil {
 		return
 	}
+	if s.owner.link.receivedBytes.Load() == s.receivedBefore {
+		s.owner.link.counters.Unanswered.Add(1)
+	}
 	s.owner.link.trySend(&wirev1.Frame{Stream: s.id, Kind: wirev1.FrameKind_FRAME_KIND_CANCEL})
 }
--- a/internal/transport/rpc/counters.go
+++ b/internal/transport/rpc/counters.go
@@ -18,6 +18,9 @@
 	Dials, DialFailures        atomic.Uint64
 	// Links is the number of open links, both dialled and accepted.
 	Links atomic.Int64
+	// Unanswered counts the streams that this node closed while nothing had been received
+	// on their link since they were opened.
+	Unanswered atomic.Uint64
 
 	methods sync.Map // of *MethodCount by wirev1.Method
 }
@@ -42,16 +45,18 @@
 	Sent, Received, Dials uint64
 	BytesSent             uint64
 	BytesReceived         uint64
-	Links                 int64
-	messages              map[wirev1.Method]uint64
-	bytes                 map[wirev1.Method]uint64
+	// Unanswered counts streams; see Counters.
+	Unanswered uint64
+	Links      int64
+	messages   map[wirev1.Method]uint64
+	bytes      map[wirev1.Method]uint64
 }
 
 // Traffic returns a snapshot of the counters.
 func (c *Counters) Traffic() Traffic {
 	now := Traffic{
 		Sent: c.FramesSent.Load(), Received: c.FramesReceived.Load(), Dials: c.Dials.Load(),
-		BytesSent: c.BytesSent.Load(), BytesReceived: c.BytesReceived.Load(), Links: c.Links.Load(),
+		BytesSent: c.BytesSent.Load(), BytesReceived: c.BytesReceived.Load(), Links: c.Links.Load(), Unanswered: c.Unanswered.Load(),
 		messages: map[wirev1.Method]uint64{}, bytes: map[wirev1.Method]uint64{},
 	}
 	c.methods.Range(func(method, value any) bool {
@@ -69,7 +74,8 @@
 	delta := Traffic{
 		Sent: t.Sent - earlier.Sent, Received: t.Received - earlier.Received, Dials: t.Dials - earlier.Dials,
 		BytesSent: t.BytesSent - earlier.BytesSent, BytesReceived: t.BytesReceived - earlier.BytesReceived, Links: t.Links,
-		messages: map[wirev1.Method]uint64{}, bytes: map[wirev1.Method]uint64{},
+		Unanswered: t.Unanswered - earlier.Unanswered,
+		messages:   map[wirev1.Method]uint64{}, bytes: map[wirev1.Method]uint64{},
 	}
 	for method, count := range t.messages {
 		delta.messages[method] = count - earlier.messages[method]
--- a/internal/transport/rpc/link.go
+++ b/internal/transport/rpc/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -35,6 +36,15 @@
 	closed    chan struct{}
 	closeOnce sync.Once
 	counters  *Counters
+	// receivedBytes is the number of bytes that were read from the connection.
+	receivedBytes atomic.Uint64
+}
+
+// Read implements io.Reader. It reads from the connection and counts the bytes.
+func (l *link) Read(buffer []byte) (int, error) {
+	n, err := l.conn.Read(buffer)
+	l.receivedBytes.Add(uint64(n))
+	return n, err
 }
 
 func newLink(conn net.Conn, counters *Counters) *link {
--- a/internal/transport/rpc/pool.go
+++ b/internal/transport/rpc/pool.go
@@ -254,13 +254,14 @@
 	}
 	stopClosing := context.AfterFunc(p.context, func() { _ = conn.Close() }) // so that Pool.Close does not wait for an unresponsive peer
 	defer stopClosing()
-	reader := bufio.NewReaderSize(conn, readBufferBytes)
+	opened := newLink(conn, p.counters)
+	reader := bufio.NewReaderSize(opened, readBufferBytes)
 	if err := clientHandshake(conn, reader, p.hello, p.handshakeTimeout); err != nil {
 		p.counters.DialFailures.Add(1)
-		_ = conn.Close()
+		opened.close()
 		return nil, trace.Wrap(err, "greeting %s", address)
 	}
-	l := &clientLink{link: newLink(conn, p.counters), streams: map[uint64]*ClientStream{}}
+	l := &clientLink{link: opened, streams: map[uint64]*ClientStream{}}
 	l.touch()
 	l.stopPoolWatch = context.AfterFunc(p.context, l.link.close)
 	if !p.background.Go(l.link.writeLoop) || !p.background.Go(func() { l.readLoop(reader) }) {
--- a/internal/transport/rpc/server.go
+++ b/internal/transport/rpc/server.go
@@ -142,7 +142,7 @@
 		return
 	}
 	defer s.untrack(l)
-	reader := bufio.NewReaderSize(conn, readBufferBytes)
+	reader := bufio.NewReaderSize(l, readBufferBytes)
 	peer, err := serverHandshake(conn, reader, s.hello)
 	if err != nil {
 		return
--- a/modules/roles/links/links.go
+++ b/modules/roles/links/links.go
@@ -99,7 +99,8 @@
 		delta := current.Since(previous)
 		previous = current
 		klog.InfoS("traffic between nodes", "framesSent", delta.Sent, "framesReceived", delta.Received, "bytesSent", delta.BytesSent,
-			"bytesReceived", delta.BytesReceived, "links", delta.Links, "dials", delta.Dials, "sent", delta.ByMethod())
+			"bytesReceived", delta.BytesReceived, "links", delta.Links, "dials", delta.Dials,
+			"unanswered", delta.Unanswered, "sent", delta.ByMethod())
 	}
 }
 
