A watch that does not deliver the store's changes is replaced

Cause: the node held its watch on a connection that had gone silent. Its probe ran on another connection, succeeded, and so renewed the contact for a watch that was dead; the node's heartbeats spoke for the whole zone.

Change: a probe reads the store's revision. A probe renews the contact only for a node that holds the revision. Three refused probes end the contact, as nothing then shows whether the watch delivers.

Why it works: a change is noticed by its revision, on another connection, within 1.25 s of its acknowledgement, at no further call.

Ruled out: shorter watches (six times the calls), TCP keep-alive (something on the way may acknowledge).

--- a/internal/cluster/listwatch/contact.go
+++ b/internal/cluster/listwatch/contact.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,17 +15,18 @@
 // the store may be outdated.
 //
 // Invariant: a successful list or watch, and an up-to-date relay, renew the contact and end
-// its loss. A successful probe renews the contact but does not end its loss.
+// its loss. A probe renews the contact only if the node holds all changes up to the revision
+// that the probe has read; it does not end a loss.
 type StoreContact struct {
 	renewedAt atomic.Int64 // time of the last renewal, in nanoseconds after processStart
 	lost      atomic.Bool
 	// storeRevision is the newest revision of the store that a probe has read.
 	storeRevision atomic.Int64
 	mutex         sync.Mutex
-	// callsContext ends at the next recordFailure, which thereby ends the waiting watch. The
+	// callsContext ends at the next endCalls, which thereby ends the waiting watch. The
 	// mutex protects callsContext and cancelCalls.
 	callsContext context.Context
-	cancelCalls  context.CancelFunc
+	cancelCalls  context.CancelCauseFunc
 }
 
 // processStart is the origin of renewedAt. Its clock includes the time during which the
@@ -35,7 +37,7 @@
 // called.
 func NewStoreContact() *StoreContact {
 	contact := &StoreContact{}
-	contact.callsContext, contact.cancelCalls = context.WithCancel(context.Background())
+	contact.callsContext, contact.cancelCalls = context.WithCancelCause(context.Background())
 	contact.lost.Store(true)
 	return contact
 }
@@ -68,25 +70,32 @@
 // calls continue.
 func (c *StoreContact) markLost() { c.lost.Store(true) }
 
-// recordFailure records that a call of the store failed, and ends the contexts that
-// untilFailure returned.
+// errContactLost ends the calls that wait when another call of the store has failed.
+var errContactLost = errors.New("another call of the store has failed")
+
+// recordFailure records that a call of the store failed, and ends the waiting calls.
 func (c *StoreContact) recordFailure() {
 	c.lost.Store(true)
+	c.endCalls(errContactLost)
+}
+
+// endCalls ends the contexts that callContext returned, with the given cause.
+func (c *StoreContact) endCalls(cause error) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.cancelCalls()
-	c.callsContext, c.cancelCalls = context.WithCancel(context.Background())
+	c.cancelCalls(cause)
+	c.callsContext, c.cancelCalls = context.WithCancelCause(context.Background())
 }
 
-// untilFailure returns a child of parent that also ends at the next recordFailure.
-func (c *StoreContact) untilFailure(parent context.Context) (context.Context, context.CancelFunc) {
+// callContext returns a child of parent that also ends at the next endCalls.
+func (c *StoreContact) callContext(parent context.Context) (context.Context, context.CancelFunc) {
 	c.mutex.Lock()
 	callsContext := c.callsContext
 	c.mutex.Unlock()
-	ctx, cancel := context.WithCancel(parent)
-	detach := context.AfterFunc(callsContext, cancel)
+	ctx, cancel := context.WithCancelCause(parent)
+	detach := context.AfterFunc(callsContext, func() { cancel(context.Cause(callsContext)) })
 	return ctx, func() {
 		detach()
-		cancel()
+		cancel(nil)
 	}
 }
--- a/internal/cluster/listwatch/probe.go
+++ b/internal/cluster/listwatch/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -18,40 +19,71 @@
 
 // probe probes the store at intervals until the context ends, except while contact is lost
 // or relays keep the node up to date. A waiting watch alone can't distinguish a store that
-// does not answer from one without changes.
+// does not answer, or a connection that has gone silent, from a store without changes.
 func (r *Reflector) probe(ctx context.Context) {
+	refused := 0
 	for ctx.Err() == nil {
 		pause.For(ctx, probeInterval)
 		if r.Contact.Lost() || r.usesRelay() {
+			refused = 0
 			continue // listAndWatch is retrying already, or relays keep the node up to date
 		}
+		sent := time.Now()
 		revision, err := r.probeOnce(ctx)
 		switch {
-		case err == nil:
-			r.Contact.renew()
-			r.checkWatch(ctx, revision)
-		case ctx.Err() == nil:
+		case ctx.Err() != nil:
+		case err != nil:
 			klog.InfoS("store does not answer a probe", "err", err)
 			r.Contact.recordFailure()
+		case revision == 0:
+			refused++
+			r.checkRefusals(refused)
+		default:
+			refused = 0
+			r.checkWatch(ctx, revision, sent)
 		}
 	}
 }
 
+// maxRefusedProbes is the number of consecutive probes that the store may refuse before the
+// contact counts as lost. A refused probe tells nothing about the watch.
+const maxRefusedProbes = 3
+
+// checkRefusals records a failure after maxRefusedProbes refused probes.
+func (r *Reflector) checkRefusals(refused int) {
+	if refused < maxRefusedProbes {
+		return
+	}
+	klog.InfoS("store refuses probes", "refused", refused)
+	r.Contact.recordFailure()
+}
+
 // deliveryTimeout is how long after a probe the watch may take to deliver the changes up to
 // the revision that the probe has read.
 const deliveryTimeout = 250 * time.Millisecond
 
-// checkWatch logs if the watch does not deliver, within deliveryTimeout, the changes up to a
-// revision of the store that a probe has read.
-func (r *Reflector) checkWatch(ctx context.Context, storeRevision int64) {
+// errWatchBehind ends a watch that does not deliver the store's changes, as on a connection
+// that has gone silent.
+var errWatchBehind = errors.New("the watch has not delivered the store's changes")
+
+// checkWatch compares this node's revision with a revision of the store that a probe has read.
+// If the node holds the changes up to it, checkWatch renews the contact. If the watch has been
+// waiting since before the probe was sent and does not deliver the changes within
+// deliveryTimeout, checkWatch ends the watch.
+func (r *Reflector) checkWatch(ctx context.Context, storeRevision int64, probeSent time.Time) {
 	r.Contact.storeRevision.Store(storeRevision)
 	if storeRevision <= r.Merger.Revision() {
+		r.Contact.renew()
 		return
 	}
 	pause.For(ctx, deliveryTimeout)
-	if revision := r.Merger.Revision(); storeRevision > revision {
-		klog.InfoS("watch has not delivered the store's changes", "revision", revision, "storeRevision", storeRevision)
+	revision, waitingSince := r.Merger.Revision(), r.waitingSince.Load()
+	if storeRevision <= revision || waitingSince == nil || waitingSince.After(probeSent) {
+		return
 	}
+	klog.InfoS("watch has not delivered the store's changes; watching again", "revision", revision, "storeRevision", storeRevision,
+		"waitingMs", time.Since(*waitingSince).Milliseconds())
+	r.Contact.endCalls(errWatchBehind)
 }
 
 // probeOnce makes one probe with probeTimeout.
--- a/internal/cluster/listwatch/reflector.go
+++ b/internal/cluster/listwatch/reflector.go
@@ -13,6 +13,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -81,12 +82,19 @@
 	// watches the store itself.
 	sourceTimeout time.Duration
 
+	// waitingSince is when the waiting watch was sent; nil while no watch waits.
+	waitingSince atomic.Pointer[time.Time]
+
 	// The fields below are used only by the goroutine of listAndWatch. storeLost is true
-	// while calls fail, and needsList is true if the store has compacted its history, so
-	// that the node has to list again.
+	// while calls fail. needsList is true if the node has to list again, because the store
+	// has compacted its history or watches do not deliver changes.
 	storeLost bool
 	needsList bool
-	coalescer *coalescer
+	// failures and watchesBehind count the consecutive calls that failed, and the
+	// consecutive watches that checkWatch has ended.
+	failures      int
+	watchesBehind int
+	coalescer     *coalescer
 }
 
 // New returns the reflector of a node that starts now.
@@ -115,7 +123,7 @@
 		}
 		if r.usesRelay() {
 			r.Contact.Confirm()
-			r.storeLost = false
+			r.storeLost, r.failures = false, 0
 			pause.For(ctx, r.Relays.HeartbeatInterval())
 			continue
 		}
@@ -129,7 +137,7 @@
 			return
 		}
 		r.recordResult(err)
-		if err != nil && !errors.Is(err, ports.ErrCompacted) {
+		if err != nil && !errors.Is(err, ports.ErrCompacted) && !errors.Is(err, errWatchBehind) {
 			pause.For(ctx, r.retryDelay())
 		}
 	}
@@ -174,18 +182,22 @@
 
 func randomSourceTimeout() time.Duration { return minSourceTimeout + rand.N(sourceTimeoutJitter) }
 
-// The pause after a failed call of the store is random between minRetry and maxRetry.
+// The pause after a failed call of the store is random: up to minRetry after the first
+// failure, which may concern only one connection, and then between minRetry and maxRetry.
 // minRetry is also the interval at which a node checks whether it still waits for a relay.
 const (
 	minRetry = 100 * time.Millisecond
 	maxRetry = 600 * time.Millisecond
-	// relayedRetryFactor multiplies the pause in a fleet with relays, to reduce the load on
-	// a failing store.
+	// relayedRetryFactor multiplies the pause after further failures in a fleet with relays,
+	// to reduce the load on a failing store.
 	relayedRetryFactor = 4
 )
 
 // retryDelay returns the pause after a failed call of the store.
 func (r *Reflector) retryDelay() time.Duration {
+	if r.failures == 1 {
+		return rand.N(minRetry)
+	}
 	wait := minRetry + rand.N(maxRetry-minRetry)
 	if r.Relays != nil && r.Relays.NeedsRelays() {
 		wait *= relayedRetryFactor
@@ -197,6 +209,10 @@
 // still waits for a relay to send the contents.
 var errLargeFleet = errors.New("the fleet is large; waiting for a relay to send the store's contents")
 
+// maxWatchesBehind is the number of consecutive watches that do not deliver the store's changes
+// before the node lists the store.
+const maxWatchesBehind = 2
+
 // recordResult updates the state after a list or a watch with the given result, and logs
 // when the store begins and ceases to fail.
 func (r *Reflector) recordResult(err error) {
@@ -206,13 +222,17 @@
 		if r.storeLost {
 			klog.InfoS("requests to the store succeed again", "prefix", r.Prefix, "revision", revision)
 		}
-		r.storeLost = false
+		r.storeLost, r.failures = false, 0
 	case errors.Is(err, errLargeFleet):
 		klog.InfoS("list stopped after the first page", "reason", err.Error())
 	case errors.Is(err, ports.ErrCompacted):
 		klog.InfoS("store history compacted; listing again", "prefix", r.Prefix, "revision", revision)
 		r.needsList = true
+	case errors.Is(err, errWatchBehind):
+		r.watchesBehind++
+		r.needsList = r.watchesBehind >= maxWatchesBehind
 	default:
+		r.failures++
 		if !r.Contact.Lost() {
 			r.Contact.recordFailure()
 		}
@@ -224,23 +244,18 @@
 }
 
 // listOrWatchOnce makes one list or one watch, and passes the result to the merger. It
-// lists if the merger has no contents or holds only a selection of the runners, or if the
-// store has compacted its history. After a watch that returned changes, it pauses.
+// lists if the merger has no contents or holds only a selection of the runners, or if
+// needsList is set. After a watch that returned changes, it pauses.
 func (r *Reflector) listOrWatchOnce(ctx context.Context) error {
 	revision := r.Merger.Revision()
 	if revision < 0 || r.needsList || r.Merger.Partial() {
 		return r.listAll(ctx)
 	}
-	ctx, cancel := r.Contact.untilFailure(ctx)
-	defer cancel()
-	wait := r.WatchTimeout
-	if r.Contact.Lost() {
-		wait = time.Millisecond // the call returns soon after the store answers again
-	}
-	events, at, err := r.Store.Changes(ctx, r.Prefix, revision, wait)
+	events, at, err := r.watchOnce(ctx, revision)
 	if err != nil {
 		return err
 	}
+	r.watchesBehind = 0
 	r.Contact.Confirm()
 	r.Merger.Apply(events, at)
 	if len(events) > 0 {
@@ -249,6 +264,25 @@
 	return nil
 }
 
+// watchOnce makes one watch after a revision. It returns errWatchBehind if checkWatch has
+// ended the watch.
+func (r *Reflector) watchOnce(ctx context.Context, revision int64) ([]ports.WatchEvent, int64, error) {
+	ctx, cancel := r.Contact.callContext(ctx)
+	defer cancel()
+	wait := r.WatchTimeout
+	if r.Contact.Lost() {
+		wait = time.Millisecond // the call returns soon after the store answers again
+	}
+	sent := time.Now()
+	r.waitingSince.Store(&sent)
+	defer r.waitingSince.Store(nil)
+	events, at, err := r.Store.Changes(ctx, r.Prefix, revision, wait)
+	if err != nil && errors.Is(context.Cause(ctx), errWatchBehind) {
+		return nil, revision, errWatchBehind
+	}
+	return events, at, err
+}
+
 // largeListLength is the minimum number of values on the first page of a list from which a
 // node concludes that the fleet is large, provided that further pages follow. A full page
 // has about 500 values.
@@ -272,7 +306,7 @@
 		return err
 	}
 	r.Contact.Confirm()
-	r.needsList = false
+	r.needsList, r.watchesBehind = false, 0
 	r.Merger.Reset(values, revision)
 	return nil
 }
