Links between nodes that have gone silent are closed and replaced

What callers saw: after open links go silent, nodes that take the store's changes from others keep older ones as long as the store does not serve them, and calls over the links (job submissions, reads, elections) fail until a process restarts.

Cause: a timeout of a call told the pool nothing; no frame checked a link; and the calls themselves kept it from being closed as idle. Accepted links had no check either, so that the loss of their peer was not noticed.

Change: PING and PONG frames. An end that misses a sign of life probes the link and closes it if nothing arrives within 1.5 s after the PING was written: after 0.5 s with open streams, 1 s with notices of replicated logs, 4 s with other notices, 8 s on an accepted link; unused dialled links are not probed. Bytes count, not frames, so that a large frame on a slow network is a sign of life; a suspension of the own process counts as two checks at most. Hello states that a node replies, so links to earlier versions work as before (and are not checked). Closing a link to a suspended peer makes the next call dial, so calls no longer wait for a handshake beyond their context, while the handshake itself continues for later calls.

TestErrorSaysWhetherTheCallMayHaveRun: its fake accepted connections and never answered the handshake, so the request was never sent; the call now ends with its context and says so.

Ruled out: TCP keep-alive and TCP_USER_TIMEOUT alone (something on the way may acknowledge); counting calls that time out (a waiting read is no sign of a broken link).

--- a/internal/batch/queueclient/queueclient_test.go
+++ b/internal/batch/queueclient/queueclient_test.go
@@ -110,11 +110,20 @@
 	_, err = client.Read(ctx, &wirev1.QueueReadRequest{Host: "h"})
 	is.Equal(result.CodeOf(err).Entry().Ran, result.RanUnknown)
 
-	// An unresponsive node may have executed the request, even if no other node has.
+	// A node that received the request and does not respond may have executed it, even if no
+	// other node has.
 	ctx, cancel = context.WithTimeout(context.Background(), 300*time.Millisecond)
 	defer cancel()
-	client = clientOf(t, unresponsiveAddress(t), serveReads(t, notLeader))
+	received, testEnded := make(chan struct{}, 1), make(chan struct{})
+	unanswering := serveReads(t, func() (*wirev1.QueueReadReply, error) {
+		received <- struct{}{}
+		<-testEnded
+		return nil, result.New(result.Internal, "the test has ended")
+	})
+	t.Cleanup(func() { close(testEnded) })
+	client = clientOf(t, unanswering, serveReads(t, notLeader))
 	_, err = client.Read(ctx, &wirev1.QueueReadRequest{Host: "h"})
+	is.Equal(len(received), 1)
 	is.Equal(result.CodeOf(err).Entry().Ran, result.RanUnknown)
 }
 
--- a/internal/transport/rpc/clientlink.go
+++ b/internal/transport/rpc/clientlink.go
@@ -104,6 +104,14 @@
 	return stream
 }
 
+// checkAlive checks whether the peer responds.
+func (l *clientLink) checkAlive(now time.Time) {
+	l.mutex.Lock()
+	streams := len(l.streams) > 0
+	l.mutex.Unlock()
+	l.link.checkAlive(now, streams)
+}
+
 func (l *clientLink) find(id uint64) *ClientStream {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -119,7 +127,9 @@
 		}
 		l.link.counters.FramesReceived.Add(1)
 		l.link.counters.BytesReceived.Add(uint64(proto.Size(&frame) + lengthBytes))
-		l.handleFrame(&frame)
+		if !l.link.handleKeepalive(&frame) {
+			l.handleFrame(&frame)
+		}
 	}
 }
 
--- a/internal/transport/rpc/counters.go
+++ b/internal/transport/rpc/counters.go
@@ -21,6 +21,8 @@
 	// Unanswered counts the streams that this node closed while nothing had been received
 	// on their link since they were opened.
 	Unanswered atomic.Uint64
+	// Unresponsive counts the links that were closed because the peer did not reply.
+	Unresponsive atomic.Uint64
 
 	methods sync.Map // of *MethodCount by wirev1.Method
 }
@@ -45,11 +47,11 @@
 	Sent, Received, Dials uint64
 	BytesSent             uint64
 	BytesReceived         uint64
-	// Unanswered counts streams; see Counters.
-	Unanswered uint64
-	Links      int64
-	messages   map[wirev1.Method]uint64
-	bytes      map[wirev1.Method]uint64
+	// Unanswered counts streams, and Unresponsive links; see Counters.
+	Unanswered, Unresponsive uint64
+	Links                    int64
+	messages                 map[wirev1.Method]uint64
+	bytes                    map[wirev1.Method]uint64
 }
 
 // Traffic returns a snapshot of the counters.
@@ -57,7 +59,8 @@
 	now := Traffic{
 		Sent: c.FramesSent.Load(), Received: c.FramesReceived.Load(), Dials: c.Dials.Load(),
 		BytesSent: c.BytesSent.Load(), BytesReceived: c.BytesReceived.Load(), Links: c.Links.Load(), Unanswered: c.Unanswered.Load(),
-		messages: map[wirev1.Method]uint64{}, bytes: map[wirev1.Method]uint64{},
+		Unresponsive: c.Unresponsive.Load(),
+		messages:     map[wirev1.Method]uint64{}, bytes: map[wirev1.Method]uint64{},
 	}
 	c.methods.Range(func(method, value any) bool {
 		count := value.(*MethodCount)
@@ -74,8 +77,8 @@
 	delta := Traffic{
 		Sent: t.Sent - earlier.Sent, Received: t.Received - earlier.Received, Dials: t.Dials - earlier.Dials,
 		BytesSent: t.BytesSent - earlier.BytesSent, BytesReceived: t.BytesReceived - earlier.BytesReceived, Links: t.Links,
-		Unanswered: t.Unanswered - earlier.Unanswered,
-		messages:   map[wirev1.Method]uint64{}, bytes: map[wirev1.Method]uint64{},
+		Unanswered: t.Unanswered - earlier.Unanswered, Unresponsive: t.Unresponsive - earlier.Unresponsive,
+		messages: map[wirev1.Method]uint64{}, bytes: map[wirev1.Method]uint64{},
 	}
 	for method, count := range t.messages {
 		delta.messages[method] = count - earlier.messages[method]
--- a/internal/transport/rpc/hello.go
+++ b/internal/transport/rpc/hello.go
@@ -11,38 +11,44 @@
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 )
 
+// newHello returns the Hello of this node.
+func newHello(nodeID, cluster string) *wirev1.Hello {
+	return &wirev1.Hello{NodeId: nodeID, Cluster: cluster, Protocol: ProtocolVersion, AnswersPing: true}
+}
+
 // handshakeTimeout bounds the exchange of Hello messages on a new link.
 const handshakeTimeout = 5 * time.Second
 
 // clientHandshake sends this node's Hello on a dialled connection, reads the peer's Hello,
-// and checks that cluster and protocol version match. It does not check the peer's node ID.
-func clientHandshake(conn net.Conn, reader *bufio.Reader, own *wirev1.Hello, timeout time.Duration) error {
+// checks that cluster and protocol version match, and returns the peer's Hello. It does not
+// check the peer's node ID.
+func clientHandshake(conn net.Conn, reader *bufio.Reader, own *wirev1.Hello, timeout time.Duration) (*wirev1.Hello, error) {
 	_ = conn.SetDeadline(time.Now().Add(timeout))
 	defer func() { _ = conn.SetDeadline(time.Time{}) }()
 	if err := writeHello(conn, own); err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	peerHello, err := readHello(reader)
 	if err != nil {
-		return trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
-	return checkHello(own, peerHello)
+	return peerHello, checkHello(own, peerHello)
 }
 
 // serverHandshake reads the peer's Hello on an accepted connection, sends this
-// node's Hello, and checks that cluster and protocol version match. It returns the node ID
-// of the peer.
-func serverHandshake(conn net.Conn, reader *bufio.Reader, own *wirev1.Hello) (string, error) {
+// node's Hello, and checks that cluster and protocol version match. It returns the peer's
+// Hello.
+func serverHandshake(conn net.Conn, reader *bufio.Reader, own *wirev1.Hello) (*wirev1.Hello, error) {
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	defer func() { _ = conn.SetDeadline(time.Time{}) }()
 	peer, err := readHello(reader)
 	if err != nil {
-		return "", trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
 	if err := writeHello(conn, own); err != nil {
-		return "", trace.Wrap(err)
+		return nil, trace.Wrap(err)
 	}
-	return peer.NodeId, checkHello(own, peer)
+	return peer, checkHello(own, peer)
 }
 
 func checkHello(own, peer *wirev1.Hello) error {
--- a/internal/transport/rpc/idle.go
+++ b/internal/transport/rpc/idle.go
@@ -33,10 +33,10 @@
 // dropIfIdle drops a peer that has no open link, unless it is being dialled or its last
 // dial failed within dialBackoff. The caller holds the pool's mutex.
 func (p *Pool) dropIfIdle(key peerKey, entry *peer) {
-	if !entry.mutex.TryLock() {
+	if !entry.tryAcquire() {
 		return
 	}
-	defer entry.mutex.Unlock()
+	defer entry.release()
 	if l := entry.current.Load(); l != nil && l.alive() {
 		return // the peer was dialled after closeIdle checked its link
 	}
--- a/internal/transport/rpc/link.go
+++ b/internal/transport/rpc/link.go
@@ -38,6 +38,13 @@
 	counters  *Counters
 	// receivedBytes is the number of bytes that were read from the connection.
 	receivedBytes atomic.Uint64
+	// sentFrames is the number of frames that were queued, without those of the keepalive.
+	// writtenFrames is the number of all frames that were written.
+	sentFrames, writtenFrames atomic.Uint64
+	// peerAnswersPing is set after the handshake if the peer replies to a PING.
+	peerAnswersPing atomic.Bool
+	// keepalive is used only by checkAlive.
+	keepalive keepalive
 }
 
 // Read implements io.Reader. It reads from the connection and counts the bytes.
@@ -73,6 +80,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	l.sentFrames.Add(1)
 	if !l.queue.put(encoded) {
 		return trace.ConnectionProblem(nil, "link closed")
 	}
@@ -91,7 +99,10 @@
 
 // tryQueue queues an encoded frame unless the queue is full or closed. The link does
 // not modify the bytes, so several links may share them.
-func (l *link) tryQueue(encoded []byte) bool { return l.queue.tryPut(encoded) }
+func (l *link) tryQueue(encoded []byte) bool {
+	l.sentFrames.Add(1)
+	return l.queue.tryPut(encoded)
+}
 
 // sendMessage encodes the message into a frame of the given stream and sends the frame.
 // The message is counted for the method, also if sending fails.
@@ -130,6 +141,7 @@
 		writer.Reset(nil)
 		writerPool.Put(writer)
 	}()
+	written := uint64(0)
 	for frames := l.queue.takeAll(); frames != nil; frames = l.queue.takeAll() {
 		_ = l.conn.SetWriteDeadline(time.Now().Add(linkWriteTimeout))
 		for _, encoded := range frames {
@@ -138,7 +150,12 @@
 			}
 			l.counters.FramesSent.Add(1)
 			l.counters.BytesSent.Add(uint64(len(encoded)))
+			written++
 		}
 	}
-	return writer.Flush() == nil
+	if writer.Flush() != nil {
+		return false
+	}
+	l.writtenFrames.Add(written)
+	return true
 }
--- a/internal/transport/rpc/pool.go
+++ b/internal/transport/rpc/pool.go
@@ -5,7 +5,9 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,8 +64,9 @@
 	mutex  sync.Mutex
 	peers  map[peerKey]*peer
 	closed bool
-	// idleCheck is the timer for the next closeIdle; nil while the pool has no peers.
-	idleCheck *time.Timer
+	// idleCheck is the timer for the next closeIdle, and linkCheck the one for the next
+	// checkLinks. Both are nil while the pool has no peers.
+	idleCheck, linkCheck *time.Timer
 }
 
 type peerKey struct {
@@ -72,22 +75,47 @@
 }
 
 // peer holds the last link to one address and class: current is nil before the first
-// successful dial, and may be a closed link. The mutex serialises the dials and guards
-// dialFailedAt and dialError, which describe the last failed dial.
+// successful dial, and may be a closed link. The channel dialling holds an element while the
+// peer is dialled. Its holder may access dialFailedAt and dialError, which describe the last
+// failed dial.
 type peer struct {
-	mutex        sync.Mutex
+	dialling     chan struct{}
 	current      atomic.Pointer[clientLink]
 	dialFailedAt time.Time
 	dialError    error
 }
 
+func newPeer() *peer { return &peer{dialling: make(chan struct{}, 1)} }
+
+// acquire waits until no other caller dials the peer, or until the context ends.
+func (e *peer) acquire(ctx context.Context) error {
+	select {
+	case e.dialling <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// tryAcquire reports whether it acquired the peer, which no other caller dials.
+func (e *peer) tryAcquire() bool {
+	select {
+	case e.dialling <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+func (e *peer) release() { <-e.dialling }
+
 // NewPool returns a pool for the node nodeID of the cluster. If tlsConfig is not nil, it
 // is called for each dial, so that replaced keys are used without a restart. Links use
 // plain TCP if tlsConfig is nil or returns nil.
 func NewPool(nodeID, cluster string, tlsConfig func() *tls.Config, counters *Counters) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Pool{
-		hello:       &wirev1.Hello{NodeId: nodeID, Cluster: cluster, Protocol: ProtocolVersion},
+		hello:       newHello(nodeID, cluster),
 		tls:         tlsConfig,
 		counters:    counters,
 		peers:       map[peerKey]*peer{},
@@ -103,8 +131,10 @@
 	p.cancel()
 	p.mutex.Lock()
 	p.closed = true
-	if p.idleCheck != nil {
-		p.idleCheck.Stop()
+	for _, timer := range []*time.Timer{p.idleCheck, p.linkCheck} {
+		if timer != nil {
+			timer.Stop()
+		}
 	}
 	p.peers = map[peerKey]*peer{}
 	p.mutex.Unlock()
@@ -164,15 +194,37 @@
 	key := peerKey{address, class}
 	entry := p.peers[key]
 	if entry == nil {
-		entry = &peer{}
+		entry = newPeer()
 		p.peers[key] = entry
 	}
 	if p.idleCheck == nil {
 		p.idleCheck = time.AfterFunc(p.idleTimeout/2, p.closeIdle)
 	}
+	if p.linkCheck == nil {
+		p.linkCheck = time.AfterFunc(keepaliveInterval, p.checkLinks)
+	}
 	return entry
 }
 
+// checkLinks checks whether the peers of all links respond.
+func (p *Pool) checkLinks() {
+	p.mutex.Lock()
+	peers := slices.Collect(maps.Values(p.peers))
+	p.mutex.Unlock()
+	now := time.Now()
+	for _, entry := range peers {
+		if l := entry.current.Load(); l != nil && l.alive() {
+			l.checkAlive(now)
+		}
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.linkCheck = nil
+	if len(p.peers) > 0 && !p.closed {
+		p.linkCheck = time.AfterFunc(keepaliveInterval, p.checkLinks)
+	}
+}
+
 // CloseLinks closes the links to an address and drops its peers from the pool. It is called
 // for the addresses of members that died. A later call dials the address again.
 func (p *Pool) CloseLinks(address string) {
@@ -222,56 +274,97 @@
 	if l := entry.current.Load(); l != nil && l.alive() {
 		return l, nil
 	}
-	entry.mutex.Lock()
-	defer entry.mutex.Unlock()
+	if err := entry.acquire(ctx); err != nil {
+		return nil, err
+	}
 	if l := entry.current.Load(); l != nil && l.alive() {
+		entry.release()
 		return l, nil
 	}
 	if !p.isCurrent(key, entry) {
+		entry.release()
 		return nil, errPeerDropped
 	}
 	if time.Since(entry.dialFailedAt) < dialBackoff {
+		defer entry.release()
 		return nil, entry.dialError
 	}
-	l, err := p.dial(ctx, key.address)
-	if err != nil {
-		entry.dialFailedAt = time.Now()
-		entry.dialError = err
-		return nil, err
-	}
-	entry.current.Store(l)
-	return l, nil
+	return p.dial(ctx, key, entry)
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*clientLink, error) {
+// dial connects to the peer, which the caller has acquired, and releases it when the dial has
+// ended. The handshake continues if the context ends meanwhile: a slow peer would otherwise
+// never get a link.
+func (p *Pool) dial(ctx context.Context, key peerKey, entry *peer) (*clientLink, error) {
 	p.counters.Dials.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := p.dialConn(ctx, address)
+	conn, err := p.dialConn(ctx, key.address)
 	if err != nil {
-		p.counters.DialFailures.Add(1)
-		return nil, trace.ConnectionProblem(err, "dialling %s", address)
+		defer entry.release()
+		return nil, p.recordDialFailure(entry, trace.ConnectionProblem(err, "dialling %s", key.address))
+	}
+	ended := make(chan error, 1)
+	started := p.background.Go(func() {
+		defer entry.release()
+		l, err := p.greet(conn, key)
+		if err != nil {
+			ended <- p.recordDialFailure(entry, trace.Wrap(err, "greeting %s", key.address))
+			return
+		}
+		entry.current.Store(l)
+		ended <- nil
+	})
+	if !started {
+		_ = conn.Close()
+		entry.release()
+		return nil, errPoolClosed
+	}
+	select {
+	case err := <-ended:
+		if err != nil {
+			return nil, err
+		}
+		return entry.current.Load(), nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
+}
+
+// recordDialFailure records a failed dial of a peer that the caller has acquired, and returns
+// the error.
+func (p *Pool) recordDialFailure(entry *peer, err error) error {
+	p.counters.DialFailures.Add(1)
+	entry.dialFailedAt = time.Now()
+	entry.dialError = err
+	return err
+}
+
+// greet makes the handshake on a new connection and starts the loops of its link.
+func (p *Pool) greet(conn net.Conn, key peerKey) (*clientLink, error) {
 	stopClosing := context.AfterFunc(p.context, func() { _ = conn.Close() }) // so that Pool.Close does not wait for an unresponsive peer
 	defer stopClosing()
 	opened := newLink(conn, p.counters)
+	opened.keepalive.class = key.class
 	reader := bufio.NewReaderSize(opened, readBufferBytes)
-	if err := clientHandshake(conn, reader, p.hello, p.handshakeTimeout); err != nil {
-		p.counters.DialFailures.Add(1)
+	peerHello, err := clientHandshake(conn, reader, p.hello, p.handshakeTimeout)
+	if err != nil {
 		opened.close()
-		return nil, trace.Wrap(err, "greeting %s", address)
+		return nil, err
 	}
+	opened.peerAnswersPing.Store(peerHello.AnswersPing)
 	l := &clientLink{link: opened, streams: map[uint64]*ClientStream{}}
 	l.touch()
-	l.stopPoolWatch = context.AfterFunc(p.context, l.link.close)
-	if !p.background.Go(l.link.writeLoop) || !p.background.Go(func() { l.readLoop(reader) }) {
-		l.link.close()
+	l.stopPoolWatch = context.AfterFunc(p.context, opened.close)
+	if !p.background.Go(opened.writeLoop) || !p.background.Go(func() { l.readLoop(reader) }) {
+		opened.close()
 		return nil, errPoolClosed
 	}
 	return l, nil
 }
 
+// dialConn connects to an address within dialTimeout.
 func (p *Pool) dialConn(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
 	dialer := sockets.Dialer(dialTimeout)
 	var config *tls.Config
 	if p.tls != nil {
--- a/internal/transport/rpc/sendqueue.go
+++ b/internal/transport/rpc/sendqueue.go
@@ -8,7 +8,9 @@
 	mutex   sync.Mutex
 	notFull sync.Cond // signalled when takeAll empties the queue, or when the queue is closed
 	frames  [][]byte
-	closed  bool
+	// added is the number of frames that were added so far.
+	added  uint64
+	closed bool
 	// ready is signalled when the queue holds frames.
 	ready chan struct{}
 }
@@ -21,13 +23,19 @@
 
 // tryPut adds a frame unless the queue is full or closed.
 func (q *sendQueue) tryPut(encoded []byte) bool {
+	_, added := q.tryPutNumbered(encoded)
+	return added
+}
+
+// tryPutNumbered does the same as tryPut and returns the number of the frame, counted from 1.
+func (q *sendQueue) tryPutNumbered(encoded []byte) (uint64, bool) {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	if q.closed || len(q.frames) >= maxQueuedFrames {
-		return false
+		return 0, false
 	}
 	q.add(encoded)
-	return true
+	return q.added, true
 }
 
 // put adds a frame, and waits while the queue is full. It returns false if the queue is
@@ -48,6 +56,7 @@
 // add appends a frame. The caller holds the mutex.
 func (q *sendQueue) add(encoded []byte) {
 	q.frames = append(q.frames, encoded)
+	q.added++
 	select {
 	case q.ready <- struct{}{}:
 	default: // already signalled
--- a/internal/transport/rpc/server.go
+++ b/internal/transport/rpc/server.go
@@ -4,8 +4,11 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"maps"
 	"net"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -35,6 +38,8 @@
 	links       map[*link]struct{}
 	linksByPeer map[string]int // number of accepted links by node ID of the peer
 	closed      bool
+	// linkCheck is the timer for the next checkLinks; nil while there are no links.
+	linkCheck *time.Timer
 
 	streams tasks.Group // handlers of streams
 	loops   tasks.Group // read and write loops of links
@@ -43,7 +48,7 @@
 // NewServer returns a server for the node nodeID of the cluster.
 func NewServer(nodeID, cluster string, counters *Counters) *Server {
 	return &Server{
-		hello:          &wirev1.Hello{NodeId: nodeID, Cluster: cluster, Protocol: ProtocolVersion},
+		hello:          newHello(nodeID, cluster),
 		handlers:       map[wirev1.Method]StreamHandler{},
 		noticeHandlers: map[wirev1.Method]NoticeHandler{},
 		counters:       counters,
@@ -89,6 +94,9 @@
 func (s *Server) Close() {
 	s.mutex.Lock()
 	s.closed = true
+	if s.linkCheck != nil {
+		s.linkCheck.Stop()
+	}
 	for l := range s.links {
 		l.close()
 	}
@@ -104,9 +112,29 @@
 		return false
 	}
 	s.links[l] = struct{}{}
+	if s.linkCheck == nil {
+		s.linkCheck = time.AfterFunc(keepaliveInterval, s.checkLinks)
+	}
 	return true
 }
 
+// checkLinks checks whether the peers of all links respond.
+func (s *Server) checkLinks() {
+	s.mutex.Lock()
+	open := slices.Collect(maps.Keys(s.links))
+	s.mutex.Unlock()
+	now := time.Now()
+	for _, l := range open {
+		l.checkAlive(now, false)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.linkCheck = nil
+	if len(s.links) > 0 && !s.closed {
+		s.linkCheck = time.AfterFunc(keepaliveInterval, s.checkLinks)
+	}
+}
+
 func (s *Server) untrack(l *link) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -137,6 +165,7 @@
 
 func (s *Server) serveConn(conn net.Conn) {
 	l := newLink(conn, s.counters)
+	l.keepalive.accepted = true
 	defer l.close()
 	if !s.track(l) {
 		return
@@ -147,11 +176,12 @@
 	if err != nil {
 		return
 	}
-	s.addPeerLink(peer)
-	defer s.removePeerLink(peer)
+	l.peerAnswersPing.Store(peer.AnswersPing)
+	s.addPeerLink(peer.NodeId)
+	defer s.removePeerLink(peer.NodeId)
 	s.loops.Go(l.writeLoop)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	serving := &serverLink{server: s, link: l, peer: peer, ctx: ctx, streams: map[uint64]context.CancelFunc{}}
+	serving := &serverLink{server: s, link: l, peer: peer.NodeId, ctx: ctx, streams: map[uint64]context.CancelFunc{}}
 	serving.readLoop(reader)
 }
--- a/internal/transport/rpc/serverlink.go
+++ b/internal/transport/rpc/serverlink.go
@@ -30,7 +30,9 @@
 	for ReadFrame(reader, &frame) == nil {
 		l.server.counters.FramesReceived.Add(1)
 		l.server.counters.BytesReceived.Add(uint64(proto.Size(&frame) + lengthBytes))
-		l.handleFrame(&frame)
+		if !l.link.handleKeepalive(&frame) {
+			l.handleFrame(&frame)
+		}
 	}
 }
 
--- a/internal/transport/rpc/silent_test.go
+++ b/internal/transport/rpc/silent_test.go
@@ -1,7 +1,9 @@
 package rpc
 
 import (
+	"bufio"
 	"context"
+	"net"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/app/eventually"
+	"cobaltramp.example/cobaltramp/internal/app/result"
 	"cobaltramp.example/cobaltramp/lab/tcpproxy"
 )
 
@@ -44,3 +47,43 @@
 		eventually.Require(t, "an answer over a new link", func() bool { return answered(pool, proxy.Address()) })
 	}
 }
+
+// A call must end with its context although the peer accepts the connection and does not
+// answer the handshake, and must report that the request was not sent.
+func TestCallEndsDuringHandshake(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	pool := NewPool("client", "cluster", nil, &Counters{})
+	defer pool.Close()
+	for range 3 { // the first call dials, the next ones wait for its handshake
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		began := time.Now()
+		_, err := pool.Open(ctx, listener.Addr().String(), ClassControl, method, &wirev1.DispatchRequest{RequestId: "x"})
+		cancel()
+		is.True(result.Is(err, result.PeerUnreachable))
+		is.True(time.Since(began) < handshakeTimeout)
+	}
+}
+
+// A handshake must complete although the calls that wait for it have ended, so that a slow
+// peer gets a link.
+func TestHandshakeOutlastsCall(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = listener.Close() }()
+	pool := NewPool("client", "cluster", nil, &Counters{})
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	is.True(pool.Connect(ctx, listener.Addr().String(), ClassControl) != nil)
+	conn, err := listener.Accept()
+	is.NoErr(err)
+	defer func() { _ = conn.Close() }()
+	_, err = serverHandshake(conn, bufio.NewReader(conn), newHello("server", "cluster"))
+	is.NoErr(err)
+	is.NoErr(pool.Connect(context.Background(), listener.Addr().String(), ClassControl))
+	is.Equal(pool.counters.Dials.Load(), uint64(1))
+}
--- a/modules/roles/links/links.go
+++ b/modules/roles/links/links.go
@@ -100,7 +100,7 @@
 		previous = current
 		klog.InfoS("traffic between nodes", "framesSent", delta.Sent, "framesReceived", delta.Received, "bytesSent", delta.BytesSent,
 			"bytesReceived", delta.BytesReceived, "links", delta.Links, "dials", delta.Dials,
-			"unanswered", delta.Unanswered, "sent", delta.ByMethod())
+			"unanswered", delta.Unanswered, "unresponsive", delta.Unresponsive, "sent", delta.ByMethod())
 	}
 }
 
