Idle connections to a server that went silent are closed

What callers saw: after open connections to runners go silent, each idle connection in the pool costs one request its outcome; a request that must not run twice fails, up to 30 s after the event.

Evidence: with the change disabled, TestOneExchangeIsLostToSilentConnections loses the exchange after the first too.

Change: if the caller ends an exchange in which the server has sent nothing for a second, the idle connections that were not used since are closed; if two addresses were silent within 3 s, those to all addresses. Early cancellations and preempted items, whose events arrived a moment ago, close nothing.

Not covered: the first request at each of two runners is still lost, since the runners' protocol has no cheap sign of life.

--- a/internal/transport/httpcall/client.go
+++ b/internal/transport/httpcall/client.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"net/url"
 	"sync"
+	"time"
 
 	"github.com/valyala/fasthttp"
 )
@@ -24,6 +25,8 @@
 
 	mutex sync.Mutex
 	idle  map[string][]*conn
+	// lastSilence is the latest exchange that was ended because the server sent nothing.
+	lastSilence silence
 }
 
 // NewClient returns a client. It uses tlsConfig, which may be nil, for https URLs.
@@ -74,6 +77,9 @@
 	if err != nil {
 		stopContextWatch()
 		connection.closeAndWait()
+		if ctx.Err() != nil {
+			c.recordAbandoned(connection, time.Now())
+		}
 		return nil, classify(ctx, connection, err)
 	}
 	response.stopContextWatch = stopContextWatch
@@ -92,6 +98,7 @@
 
 func (c *Client) exchange(connection *conn, target *url.URL, request *Request) (*Response, error) {
 	connection.written.Store(0)
+	connection.exchangeBegan = time.Now()
 	if request.BeforeWrite != nil && !request.BeforeWrite() {
 		return nil, ErrWithdrawn
 	}
--- a/internal/transport/httpcall/connections.go
+++ b/internal/transport/httpcall/connections.go
@@ -37,6 +37,10 @@
 	key       string
 	written   atomic.Int64
 	idleSince time.Time
+	// exchangeBegan is when the current exchange began. receivedAt is when bytes were last
+	// received, in nanoseconds since processStart; 0 before.
+	exchangeBegan time.Time
+	receivedAt    atomic.Int64
 	// idleLimit is how long the connection may be idle and still be reused.
 	idleLimit time.Duration
 	// bodyWrite runs the goroutine that writes a long body.
@@ -49,6 +53,29 @@
 	c.bodyWrite.Wait()
 }
 
+// processStart is the time from which receivedAt is measured. The duration since then is
+// monotonic and can be stored in an atomic integer.
+var processStart = time.Now()
+
+// Read implements net.Conn and records when bytes were received.
+func (c *conn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		c.receivedAt.Store(int64(time.Since(processStart)))
+	}
+	return n, err
+}
+
+// lastReceived returns when bytes were last received in the current exchange, or its start if
+// there were none.
+func (c *conn) lastReceived() time.Time {
+	received := c.receivedAt.Load()
+	if at := processStart.Add(time.Duration(received)); received != 0 && at.After(c.exchangeBegan) {
+		return at
+	}
+	return c.exchangeBegan
+}
+
 // Write implements net.Conn and counts the bytes that were sent.
 func (c *conn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
@@ -70,7 +97,7 @@
 		return nil, err
 	}
 	connection := &conn{Conn: raw, key: key}
-	connection.reader = bufio.NewReaderSize(raw, bufferBytes)
+	connection.reader = bufio.NewReaderSize(connection, bufferBytes)
 	return connection, nil
 }
 
--- a/internal/transport/httpcall/response.go
+++ b/internal/transport/httpcall/response.go
@@ -113,6 +113,9 @@
 	connection := r.conn
 	r.conn = nil
 	contextActive := r.stopContextWatch == nil || r.stopContextWatch()
+	if !contextActive && !r.finished {
+		r.client.recordAbandoned(connection, time.Now())
+	}
 	if !contextActive || !r.finished || !r.reusable || !r.skipTrailer(connection) {
 		connection.closeAndWait()
 		return
