A watch of a plain node ends if it receives nothing for 15 s

The caller lists and watches again, as after any end of a watch. A gateway that sends no heartbeats is listed every 15 s by each watcher.

--- a/modules/platform/etcdgateway/etcdgateway.go
+++ b/modules/platform/etcdgateway/etcdgateway.go
@@ -56,6 +56,9 @@
 	maxResponseBytes = 64 << 20
 	// burstRequests is the burst size of the rate limit.
 	burstRequests = 10
+	// maxWatchSilence is how long a watch may receive nothing before it ends. Its connection
+	// may have gone silent; the caller then lists, which finds the changes that were missed.
+	maxWatchSilence = 15 * time.Second
 )
 
 // Client calls the API of one gateway.
@@ -63,6 +66,8 @@
 	baseURL string
 	http    *httpcall.Client
 	limiter *rate.Limiter
+	// watchSilence is maxWatchSilence except in tests.
+	watchSilence time.Duration
 }
 
 // NewClient returns a client of the gateway at baseURL. The client limits the rate of its
@@ -72,6 +77,8 @@
 		baseURL: strings.TrimRight(baseURL, "/"),
 		http:    httpcall.NewClient(nil),
 		limiter: rate.NewLimiter(rate.Limit(requestsPerSecond), burstRequests),
+
+		watchSilence: maxWatchSilence,
 	}
 }
 
@@ -169,7 +176,8 @@
 	}
 }
 
-// Watch implements ports.KeyValueStore.
+// Watch implements ports.KeyValueStore. It ends with an error if nothing is received for
+// maxWatchSilence.
 func (c *Client) Watch(ctx context.Context, prefix string, after int64, handle func(ports.WatchEvent)) error {
 	if err := c.limiter.Wait(ctx); err != nil {
 		return trace.Wrap(err)
@@ -179,6 +187,10 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(c.watchSilence, cancel)
+	defer silence.Stop()
 	response, err := c.http.Do(ctx, &httpcall.Request{Method: "POST", URL: c.baseURL + "/v3/watch", Body: body, Headers: jsonHeaders, FreshConnection: true})
 	if err != nil {
 		return classify(err)
@@ -190,6 +202,7 @@
 		if err := decoder.Decode(&message); err != nil {
 			return trace.Wrap(ports.ErrUnavailable, "reading the watch stream: %v", err)
 		}
+		silence.Reset(c.watchSilence)
 		if message.Result.Canceled {
 			return trace.Wrap(ports.ErrUnavailable, "watch cancelled by the gateway, compact revision %d", message.Result.CompactRevision)
 		}
