A retry after silence uses a new connection; the soak silences connections

Its runner's connection went silent; the retry, 1.5 s later, took an idle connection to another runner, which was silent too, and used up the route's two attempts.

Change: after an attempt that its idle timer has ended, the request demands new connections.

A response is not counted as truncated by a node if all attempts that its route allows ended on silent connections, as for runners that ended.

--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -45,6 +45,8 @@
 	// MaySend reports whether the call may still be sent. The client calls it right
 	// before it writes the first byte; nil permits the call.
 	MaySend func() bool
+	// NewConnection demands a connection that has not been used before.
+	NewConnection bool
 }
 
 // Load is a runner's report of its load.
--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -41,7 +41,7 @@
 	defer cancel(nil)
 	s.current = &attempt{runner: runner, inFlight: inFlight}
 	s.current.idleTimer = s.startIdleTimer(cancel, s.current)
-	defer s.current.idleTimer.Stop()
+	defer s.endIdleTimer(s.current)
 	response, err := s.Client.Do(attemptContext, s.call(runner))
 	if err != nil {
 		inFlight.RecordDelay(time.Now())
@@ -76,6 +76,14 @@
 	})
 }
 
+// endIdleTimer stops the idle timer of an attempt, and records whether it has ended the
+// attempt. Connections to other runners may have gone silent together with the one of the
+// attempt, so that the next attempts use new connections.
+func (s *activeRequest) endIdleTimer(ended *attempt) {
+	ended.idleTimer.Stop()
+	s.needsNewConnection = s.needsNewConnection || ended.idleTimedOut.Load()
+}
+
 // call returns the call of an attempt at a runner. It may be sent only while the runner
 // accepts work (or was recently removed, if it was chosen as such) and the admission is
 // valid. After a part of the response, the runner is asked to resume after the last event
@@ -92,6 +100,7 @@
 		Headers: s.request.Headers, Body: s.request.Body, Tenant: s.request.tenantName(),
 		RunnerID: runner.ID, Address: runner.Address, Service: runner.Service,
 		Remaining: time.Until(s.request.Deadline), ResumeAfter: s.request.ResumeAfter, MaySend: maySend,
+		NewConnection: s.needsNewConnection,
 	}
 	if s.history.responseStarted {
 		call.ResumeAfter = s.lastEvent
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -38,6 +38,8 @@
 	history      history
 	// tried holds the IDs of the runners of earlier attempts.
 	tried map[string]bool
+	// needsNewConnection is set after an attempt that its idle timer has ended.
+	needsNewConnection bool
 	// lastEvent is the ID of the last event that the caller has received, at first by
 	// CallerRequest.ResumeAfter; 0 if it has received none.
 	lastEvent int64
--- a/internal/transport/httpcall/client.go
+++ b/internal/transport/httpcall/client.go
@@ -26,7 +26,7 @@
 	mutex sync.Mutex
 	idle  map[string][]*conn
 	// lastSilence is the latest exchange that was ended because the server sent nothing.
-	lastSilence silence
+	lastSilence silentExchange
 }
 
 // NewClient returns a client. It uses tlsConfig, which may be nil, for https URLs.
--- a/internal/transport/httpcall/silence.go
+++ b/internal/transport/httpcall/silence.go
@@ -18,8 +18,8 @@
 	outageWindow = 3 * time.Second
 )
 
-// silence is an exchange that was ended because the server sent nothing.
-type silence struct {
+// silentExchange is an exchange that was ended because the server sent nothing.
+type silentExchange struct {
 	key   string
 	since time.Time
 	// endedAt is when the caller ended the exchange.
@@ -32,7 +32,7 @@
 // outageWindow, the idle connections to all addresses are closed that have not been used
 // since the earlier silence began.
 func (c *Client) recordAbandoned(connection *conn, now time.Time) {
-	current := silence{key: connection.key, since: connection.lastReceived(), endedAt: now}
+	current := silentExchange{key: connection.key, since: connection.lastReceived(), endedAt: now}
 	if now.Sub(current.since) < minSilence {
 		return
 	}
--- a/lab/platformday/nodeseries.go
+++ b/lab/platformday/nodeseries.go
@@ -13,6 +13,7 @@
 	disruptions := []func(ctx context.Context, random *rand.Rand){
 		s.stopEdges, s.stopEdges, s.reloadEdge, s.reloadEdge, s.stopRepeatedly, s.killWhileStopping, s.suspend, s.stopStorage, s.killStorageTwice, s.wipeDisk,
 		s.changeConfig, s.changeConfig, s.injectStoreFault, s.crashRunners, s.drainRunners, s.loseResponses,
+		s.silenceStore, s.silenceRunners, s.silenceAll,
 	}
 	for ctx.Err() == nil {
 		disruptions[random.IntN(len(disruptions))](ctx, random)
--- a/lab/platformday/platformseries.go
+++ b/lab/platformday/platformseries.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cobaltramp.example/cobaltramp/lab/standin"
@@ -31,6 +32,40 @@
 	s.store.SetFault(standin.StoreFault{})
 }
 
+// silenceStore makes about half of the open connections to the store silent, once or twice.
+func (s *soak) silenceStore(ctx context.Context, random *rand.Rand) {
+	for range 1 + random.IntN(2) {
+		count := s.store.SilenceConnections(func([]byte) bool { return random.IntN(2) == 0 })
+		s.report("%d connections to the store go silent", count)
+		sleepUpTo(ctx, random, 2*time.Second)
+	}
+}
+
+// silenceRunners makes the open connections to one to three runners silent.
+func (s *soak) silenceRunners(ctx context.Context, random *rand.Rand) {
+	for range 1 + random.IntN(3) {
+		s.mutex.Lock()
+		runner := s.runners[random.IntN(len(s.runners))]
+		s.mutex.Unlock()
+		s.report("%d connections to runner %s go silent", runner.SilenceConnections(), runner.ID)
+		sleepUpTo(ctx, random, 300*time.Millisecond)
+	}
+}
+
+// silenceAll makes all open connections to the store and to the runners silent, and then
+// changes the configuration.
+func (s *soak) silenceAll(ctx context.Context, random *rand.Rand) {
+	s.mutex.Lock()
+	runners := slices.Clone(s.runners)
+	s.mutex.Unlock()
+	count := s.store.SilenceConnections(func([]byte) bool { return true })
+	for _, runner := range runners {
+		count += runner.SilenceConnections()
+	}
+	s.report("all %d connections to the store and to runners go silent", count)
+	s.changeConfig(ctx, random)
+}
+
 // crashRunners crashes one or two runners; each is replaced after a delay.
 func (s *soak) crashRunners(ctx context.Context, random *rand.Rand) {
 	for range 1 + random.IntN(2) {
--- a/lab/standin/ledger.go
+++ b/lab/standin/ledger.go
@@ -15,6 +15,8 @@
 	// Complete is true if the runner sent the whole response. Disconnected is true if
 	// the node closed the connection before that.
 	Complete, Disconnected bool
+	// Silenced is true if the connection had gone silent by the end of the run.
+	Silenced bool
 	// Crashed is true if the runner crashed at the start of the run.
 	Crashed bool
 }
@@ -54,10 +56,21 @@
 	l.runs[id] = append(l.runs[id], run)
 }
 
-func (l *Ledger) end(run *Run, complete, disconnected bool) {
+func (l *Ledger) end(run *Run, complete, disconnected, silenced bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	run.Complete, run.Disconnected = complete, disconnected && !complete
+	run.Complete, run.Disconnected, run.Silenced = complete, disconnected && !complete, silenced
+}
+
+// silencedRuns returns how many of the runs ended on a silent connection.
+func silencedRuns(runs []Run) int {
+	count := 0
+	for _, run := range runs {
+		if run.Silenced {
+			count++
+		}
+	}
+	return count
 }
 
 // Runs returns the runs of a request in the order of their start.
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cobaltramp.example/cobaltramp/internal/app/tasks"
+	"cobaltramp.example/cobaltramp/lab/silence"
 )
 
 // RunnerOptions configures a runner.
@@ -43,7 +44,7 @@
 type Runner struct {
 	RunnerOptions
 	server        *http.Server
-	listener      net.Listener
+	listener      *silence.Listener
 	started       time.Time
 	slots         chan struct{}
 	waiting       atomic.Int64
@@ -55,18 +56,26 @@
 	entryRevision int
 }
 
+// connectionKey is the context key of the connection of a request.
+type connectionKey struct{}
+
 // StartRunner starts a runner and registers it in the store.
 func StartRunner(options RunnerOptions) (*Runner, error) {
 	listener, err := net.Listen("tcp", options.Address)
 	if err != nil {
 		return nil, err
 	}
-	r := &Runner{RunnerOptions: options, listener: listener, started: time.Now(), slots: make(chan struct{}, options.Slots)}
+	r := &Runner{RunnerOptions: options, listener: silence.Wrap(listener), started: time.Now(), slots: make(chan struct{}, options.Slots)}
 	r.Address = listener.Addr().String()
 	r.fault.Store(&RunnerFault{})
-	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: 5 * time.Second}
+	r.server = &http.Server{
+		Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: 5 * time.Second,
+		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
+			return context.WithValue(ctx, connectionKey{}, connection)
+		},
+	}
 	r.serving.Go(func() {
-		_ = r.server.Serve(listener) // always returns an error once the server is closed
+		_ = r.server.Serve(r.listener) // always returns an error once the server is closed
 	})
 	r.publish("ready")
 	return r, nil
@@ -88,6 +97,10 @@
 // SetFault sets the injected fault.
 func (r *Runner) SetFault(fault RunnerFault) { r.fault.Store(&fault) }
 
+// SilenceConnections makes all open connections silent, and returns their number. New
+// connections work.
+func (r *Runner) SilenceConnections() int { return r.listener.Silence() }
+
 // Drain sets the published state to draining; the runner serves until it is stopped.
 func (r *Runner) Drain() {
 	r.draining.Store(true)
@@ -150,7 +163,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	complete := r.respond(writer, request, id, from)
-	r.Ledger.end(run, complete, request.Context().Err() != nil && !r.ended.Load())
+	connection := request.Context().Value(connectionKey{}).(net.Conn)
+	r.Ledger.end(run, complete, request.Context().Err() != nil && !r.ended.Load(), silence.IsSilent(connection))
 }
 
 // parseOptionalInt parses a number; the empty text stands for 0.
