--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -53,6 +53,8 @@
 	claimMutex     sync.Mutex
 	claimedNodes   map[*process]bool
 	storageClaimed bool
+	// silencedAt is when connections to runners were last silenced, guarded by claimMutex.
+	silencedAt time.Time
 	configVersion  int
 	configMutex    sync.Mutex
 }
@@ -98,9 +100,32 @@
 		run(func(random *rand.Rand) { s.disrupt(soakContext, random) })
 	}
 	group.Wait()
+	s.checkConfiguration()
 	s.check(batch, crashes)
 }
 
+// configTimeout is the longest time until the last configuration is in force on all edges. It
+// includes the time for starting the edges that the last disruptions ended.
+const configTimeout = 10 * time.Second
+
+// checkConfiguration records a violation for each ready edge on which the last configuration
+// is not in force within configTimeout.
+func (s *soak) checkConfiguration() {
+	s.configMutex.Lock()
+	version := s.configVersion
+	s.configMutex.Unlock()
+	deadline := time.Now().Add(configTimeout)
+	for _, address := range s.Addresses() {
+		for !standin.ConfigInForce(address, host, version) {
+			if time.Now().After(deadline) {
+				s.tally.RecordViolation("%s does not serve configuration %d", address, version)
+				break
+			}
+			time.Sleep(maxRequestPause)
+		}
+	}
+}
+
 // check records a violation for items without a result, for a request that crashed too
 // many runners, and for repeated runs of a request that may run only once.
 func (s *soak) check(batch *standin.BatchClient, crashes bool) {
--- a/lab/standin/callers.go
+++ b/lab/standin/callers.go
@@ -30,9 +30,9 @@
 	Random     *rand.Rand
 }
 
-// requestTimeout is the timeout of a request, which the request also states as its
+// RequestTimeout is the timeout of a request, which the request also states as its
 // deadline.
-const requestTimeout = 4 * time.Second
+const RequestTimeout = 4 * time.Second
 
 // attemptHeader carries the id of an attempt at a request, or of a job.
 const attemptHeader = "Cobaltramp-Attempt-Id"
@@ -69,7 +69,7 @@
 
 // send makes one attempt and reports whether it may be retried.
 func (c *StreamClient) send(ctx context.Context, id string) bool {
-	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	ctx, cancel := context.WithTimeout(ctx, RequestTimeout)
 	defer cancel()
 	addresses := c.Endpoints.Addresses()
 	if len(addresses) == 0 {
@@ -114,7 +114,7 @@
 
 func setRequestHeaders(request *http.Request, id string) {
 	request.Header.Set(attemptHeader, id)
-	request.Header.Set("Cobaltramp-Deadline-Ms", strconv.Itoa(int(requestTimeout.Milliseconds())))
+	request.Header.Set("Cobaltramp-Deadline-Ms", strconv.Itoa(int(RequestTimeout.Milliseconds())))
 	request.Header.Set("Cobaltramp-Model", "m")
 	request.Header.Set("Cobaltramp-Token-Usage", "300,100")
 	request.Header.Set("Cobaltramp-Prompt-Prefix", "aa:100,bb:100,"+id+":100")
--- a/lab/standin/config.go
+++ b/lab/standin/config.go
@@ -1,5 +1,11 @@
 package standin
 
+import (
+	"fmt"
+	"net/http"
+	"strings"
+)
+
 // ReadyPath is the path of the readiness probe of an edge.
 const ReadyPath = "/-/readyz"
 
@@ -10,15 +16,31 @@
 	BatchPrefix  = "/batch/"
 )
 
+// versionPrefix returns the path prefix of the route that only one version of DayConfig has.
+func versionPrefix(version int) string { return fmt.Sprintf("/version-%d/", version) }
+
+// ConfigInForce reports whether the node at an address serves the route that only the given
+// version of DayConfig has. It returns false if the node does not respond.
+func ConfigInForce(address, host string, version int) bool {
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+versionPrefix(version)+"x", strings.NewReader("version"))
+	if err != nil {
+		return false
+	}
+	request.Host = host
+	setRequestHeaders(request, fmt.Sprintf("version-%d-%s", version, address))
+	status, _ := roundTrip(request)
+	return status != 0 && status != http.StatusNotFound
+}
+
 // eventsAttempts is the number of attempts of the route that may be retried.
 const eventsAttempts = 2
 
 // PutConfig writes the configuration, as an operator would.
 func (s *Store) PutConfig(config map[string]any) { s.Put("op/config", config) }
 
-// DayConfig returns a configuration of one service with three routes: a streaming
-// route that may be retried and resumed, a streaming route without retries, and a
-// batch route.
+// DayConfig returns a configuration of one service with four routes: a streaming
+// route that may be retried and resumed, a streaming route without retries, a
+// batch route, and a route that only this version has.
 func DayConfig(host string, version int) map[string]any {
 	route := func(name, prefix, kind string, extra map[string]any) map[string]any {
 		fields := map[string]any{
@@ -35,6 +57,7 @@
 			route("events", EventsPrefix, "streaming", map[string]any{"attempts": eventsAttempts, "resumable": true}),
 			route("once", OncePrefix, "streaming", map[string]any{"attempts": 1}),
 			route("batch", BatchPrefix, "batch", map[string]any{"attempts": 3, "result_target_ms": 10000, "max_wait_s": 600, "max_queued_tokens": 1000000}),
+			route("version", versionPrefix(version), "streaming", map[string]any{"attempts": 1}),
 		},
 		"services": []map[string]any{{"name": "s", "health_path": "/healthz", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity": 100000}}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
--- a/lab/standin/single.go
+++ b/lab/standin/single.go
@@ -38,7 +38,7 @@
 		request.Header.Set(attemptHeader, id)
 	}
 	request.Header.Set("Cobaltramp-Model", "m")
-	request.Header.Set("Cobaltramp-Deadline-Ms", strconv.Itoa(int(requestTimeout.Milliseconds())))
+	request.Header.Set("Cobaltramp-Deadline-Ms", strconv.Itoa(int(RequestTimeout.Milliseconds())))
 	return roundTrip(request)
 }
 
