--- a/internal/batch/queuestore/cluster_test.go
+++ b/internal/batch/queuestore/cluster_test.go
@@ -67,6 +67,22 @@
 	c.waitFinished("one", 3)
 }
 
+// Jobs are accepted and run again after all open links between the nodes, and those of callers,
+// have gone silent without an error.
+func TestJobsRunAfterLinksGoSilent(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.submit("one", 3)
+	c.waitFinished("one", 3)
+	for _, id := range []string{"two", "three"} {
+		for _, n := range c.nodes {
+			n.listener.Silence()
+		}
+		c.submit(id, 3)
+		c.waitFinished(id, 3)
+	}
+	c.waitFinished("one", 3)
+}
+
 // Hand-overs that follow each other are not fenced, because the freeze timeout starts anew for
 // each of them.
 func TestHandOversAreNotFencedEarly(t *testing.T) {
--- a/internal/batch/queuestore/harness_test.go
+++ b/internal/batch/queuestore/harness_test.go
@@ -22,6 +22,7 @@
 	"cobaltramp.example/cobaltramp/internal/cluster/ports"
 	"cobaltramp.example/cobaltramp/internal/serving/allotment"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
+	"cobaltramp.example/cobaltramp/lab/silence"
 )
 
 // testStore is an in-memory platform store that sends changes to its watchers. While it is down,
@@ -161,7 +162,7 @@
 	node     *StorageNode
 	server   *rpc.Server
 	pool     *rpc.Pool
-	listener net.Listener
+	listener *silence.Listener
 	running  bool
 }
 
@@ -217,10 +218,11 @@
 		n = &testNode{name: name, disk: slowDisk{FS: vfs.Default}, folder: filepath.Join(c.t.TempDir(), name), address: "127.0.0.1:0"}
 		c.nodes[name] = n
 	}
-	var err error
-	if n.listener, err = net.Listen("tcp", n.address); err != nil {
+	listening, err := net.Listen("tcp", n.address)
+	if err != nil {
 		c.t.Fatal(err)
 	}
+	n.listener = silence.Wrap(listening)
 	n.address = n.listener.Addr().String()
 	if n.db, err = logstore.OpenOn(&n.disk, n.folder, c.limits); err != nil {
 		c.t.Fatal(err)
