e2e: the nodes' logs of a failed run are kept; format of the soak

The traces of the two tests of the issue's second matter were never kept. TestMain writes the logs (verbosity 1) to a temporary file, which it removes if all tests pass and names otherwise. One file of the soak is formatted.

--- a/lab/e2e/harness_test.go
+++ b/lab/e2e/harness_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -31,14 +32,40 @@
 
 var tenantKey = fleet.TenantKey{Tenant: tenantName, Key: "e2e-key"}
 
-// TestMain discards the nodes' logs.
+// TestMain writes the nodes' logs to a file, and keeps the file if a test fails.
 func TestMain(m *testing.M) {
+	path, err := redirectLogs()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "the nodes' logs can't be written:", err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	klog.Flush()
+	if code == 0 {
+		_ = os.Remove(path)
+	} else {
+		fmt.Fprintln(os.Stderr, "logs of the nodes:", path)
+	}
+	os.Exit(code)
+}
+
+// redirectLogs redirects the nodes' logs to a new temporary file, and returns its path.
+func redirectLogs() (string, error) {
+	file, err := os.CreateTemp("", "cobaltramp-e2e-*.log")
+	if err != nil {
+		return "", err
+	}
+	if err := file.Close(); err != nil {
+		return "", err
+	}
 	options := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(options)
-	_ = options.Set("logtostderr", "false")
-	_ = options.Set("stderrthreshold", "FATAL")
-	_ = options.Set("log_file", os.DevNull)
-	os.Exit(m.Run())
+	for name, value := range map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL", "log_file": file.Name(), "v": "1"} {
+		if err := options.Set(name, value); err != nil {
+			return "", err
+		}
+	}
+	return file.Name(), nil
 }
 
 func topology(nodes, runners int) fleet.Topology {
--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -54,9 +54,9 @@
 	claimedNodes   map[*process]bool
 	storageClaimed bool
 	// silencedAt is when connections to runners were last silenced, guarded by claimMutex.
-	silencedAt time.Time
-	configVersion  int
-	configMutex    sync.Mutex
+	silencedAt    time.Time
+	configVersion int
+	configMutex   sync.Mutex
 }
 
 // Soak runs a soak and returns the tally of its requests and jobs, which includes the
