TestLeavingRunnerGetsNoNewWork waits until the nodes know that the runner leaves

Cause: the test, not the product. One moment without work does not prove that the nodes have learnt anything. The first request at the runner may be a short one, which ended 0.38 s after the entry had changed; nodes read the list every 0.5 s. The trace of 12 runs: in the one that failed the owner still listed the runner as ready at the idle moment, and accepted a request before its next read; in the 11 others it listed it as leaving.

The test now waits until a node lists the runner as leaving and without streams, no node lists it otherwise, and the engine is idle.

--- a/lab/e2e/faults_test.go
+++ b/lab/e2e/faults_test.go
@@ -304,10 +304,15 @@
 	recorder := withOnlineLoad(deployment, deployment.APIAddresses(), 10, func() {
 		eventually.Require(t, "the runner has work", func() bool { online, _ := leaver.Running(); return online > 0 })
 		deployment.RegisterRunner(leaver, deployment.ZoneOf(0), "leaving")
-		eventually.Require(t, "the runner is idle", func() bool { online, batch := leaver.Running(); return online+batch == 0 })
+		eventually.Require(t, "the nodes know that the runner leaves, and it is idle", func() bool {
+			online, batch := leaver.Running()
+			return deployment.LeavesIdle(callContext(t), leaver.ID) && online+batch == 0
+		})
+		accepted := leaver.Accepted()
 		time.Sleep(time.Second)
+		is.Equal(leaver.Accepted(), accepted) // no new work under load
 		online, batch := leaver.Running()
-		is.Equal(online+batch, 0) // still idle under load
+		is.Equal(online+batch, 0)
 	})
 	requireNoFailures(t, recorder)
 }
--- a/lab/engine/usage.go
+++ b/lab/engine/usage.go
@@ -45,6 +45,15 @@
 	return scheduler.usage
 }
 
+// Accepted returns the number of requests that the engine has accepted since it was last
+// started.
+func (e *Engine) Accepted() uint64 {
+	scheduler, _ := e.current()
+	scheduler.mutex.Lock()
+	defer scheduler.mutex.Unlock()
+	return scheduler.arrivals
+}
+
 // Running returns the numbers of online and batch sequences in the batch.
 func (e *Engine) Running() (online, batch int) {
 	scheduler, _ := e.current()
--- a/lab/fleet/ready.go
+++ b/lab/fleet/ready.go
@@ -12,7 +12,10 @@
 	State            string `json:"state"`
 	BundleGeneration uint64 `json:"bundle_generation"`
 	Runners          []struct {
-		State string `json:"state"`
+		ID     string `json:"id"`
+		State  string `json:"state"`
+		Online int    `json:"online"`
+		Batch  int    `json:"batch"`
 	} `json:"runners"`
 	Shards []struct {
 		Shard  uint32 `json:"shard"`
@@ -72,3 +75,29 @@
 	}
 	return ""
 }
+
+// LeavesIdle reports whether a node lists the runner with the ID as leaving and without
+// streams, and no running node lists it otherwise. Such a runner gets no new work. It returns
+// false if a node does not respond.
+func (f *Fleet) LeavesIdle(ctx context.Context, runner string) bool {
+	leaving := false
+	for _, member := range f.nodes {
+		if !member.Running() {
+			continue
+		}
+		var status nodeStatus
+		if err := f.Operator.get(ctx, member.Settings.Node.AdminAddress, "/v1/status", &status); err != nil {
+			return false
+		}
+		for _, listed := range status.Runners {
+			if listed.ID != runner {
+				continue
+			}
+			if listed.State != "leaving" || listed.Online+listed.Batch > 0 {
+				return false
+			}
+			leaving = true
+		}
+	}
+	return leaving
+}
