A response of a plain node that is not continued is logged with the reason

TestRequestsContinueAfterEngineStall (KNOWN-RED) failed with outcome_unknown, which a spent retry budget, the limit of continuations and work that must not run twice all end in, without a line.

--- a/modules/serving/router/generate.go
+++ b/modules/serving/router/generate.go
@@ -137,6 +137,7 @@
 			continuations++
 			g.recordBrokenRun(err)
 			if continuations > maxContinuations {
+				g.logBroken(err, "too many continuations")
 				return g.brokenError(err)
 			}
 			done, err := g.resume(ctx, err)
@@ -182,7 +183,12 @@
 		g.usage.CompletionTokens = g.tokens
 		return true, nil
 	}
-	if g.request.Once || !g.module.budget.TryWithdraw() {
+	if g.request.Once {
+		g.logBroken(cause, "the request must not run twice")
+		return false, g.brokenError(cause)
+	}
+	if !g.module.budget.TryWithdraw() {
+		g.logBroken(cause, "the retry budget is spent")
 		return false, g.brokenError(cause)
 	}
 	g.module.metrics.resumed.WithLabelValues("continued").Inc()
--- a/modules/serving/router/outcome.go
+++ b/modules/serving/router/outcome.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	"cobaltramp.example/cobaltramp/internal/app/result"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
@@ -83,6 +85,13 @@
 	return result.New(result.StreamBroken, "lost after %d tokens: %s", g.tokens, message)
 }
 
+// logBroken logs that a response whose stream was lost because of the cause is not continued,
+// and why.
+func (g *generation) logBroken(cause error, reason string) {
+	klog.InfoS("lost response is not continued", "id", g.request.ID, "fingerprint", g.fingerprint, "owner", g.ownerID, "runner", g.runner,
+		"attempts", g.attempt, "tokens", g.tokens, "reason", reason, "cause", cause)
+}
+
 // noOwnerError returns the error of a request for which choose found no owner.
 func (g *generation) noOwnerError() error {
 	if len(g.module.runnerTables.Table().Pools[g.request.Model.Service]) == 0 {
