--- a/internal/transport/rpc/keepalive_test.go
+++ b/internal/transport/rpc/keepalive_test.go
@@ -160,3 +160,22 @@
 		is.Equal(len(kept), 0)
 	})
 }
+
+// A link to a node of a version that does not reply to a PING must stay open, however long it
+// is silent.
+func TestLinksToEarlierVersionsAreNotProbed(t *testing.T) {
+	for _, answersPing := range []bool{false, true} {
+		is := is.New(t)
+		own, peer := net.Pipe()
+		l := newLink(own, &Counters{})
+		l.peerAnswersPing.Store(answersPing)
+		now := time.Unix(1000, 0)
+		for range 100 {
+			now = now.Add(keepaliveInterval)
+			l.checkAlive(now, true)
+		}
+		is.Equal(l.queue.added, map[bool]uint64{false: 0, true: 1}[answersPing]) // one PING, which is never written
+		l.close()
+		_ = peer.Close()
+	}
+}
