TestProbeDoesNotConfirmOutdatedNode no longer checks at the moment of the list

Cause: a fault of the test. Its clock is synthetic: the probe is sent at 6.0 s, both silent watches are ended at 6.25 s and 6.5 s, and the node then lists the store, at the same instant at which the test checks that it still holds revision 1 (5.5 s + 1 s).

Change: lists are silent too, so that the node can't be brought up to date, and the check covers five probes in place of one. It also requires that the node tried to list the store and that a probe has read the newer revision. The assertions on the contact and the revision stay.

--- a/internal/cluster/listwatch/silent_test.go
+++ b/internal/cluster/listwatch/silent_test.go
@@ -14,7 +14,7 @@
 	"cobaltramp.example/cobaltramp/internal/cluster/relay"
 )
 
-// errCallEnded is the error of a watch whose context ended.
+// errCallEnded is the error of a list or a watch whose context ended.
 var errCallEnded = errors.New("the call has ended")
 
 // fakeStore is a store at a revision that the test sets. A watch of it returns when there are
@@ -25,12 +25,18 @@
 	silentWatches atomic.Int64
 	// refusesProbes makes probes return no revision.
 	refusesProbes atomic.Bool
-	watches       atomic.Int64
-	lists         atomic.Int64
+	// silentLists makes lists return nothing until their context ends.
+	silentLists atomic.Bool
+	watches     atomic.Int64
+	lists       atomic.Int64
 }
 
-func (s *fakeStore) FirstPage(context.Context, string) (*Page, error) {
+func (s *fakeStore) FirstPage(ctx context.Context, _ string) (*Page, error) {
 	s.lists.Add(1)
+	if s.silentLists.Load() {
+		<-ctx.Done()
+		return nil, errCallEnded
+	}
 	return &Page{Revision: s.revision.Load()}, nil
 }
 
@@ -114,17 +120,21 @@
 	})
 }
 
-// A probe must not renew the contact of a node whose watch has gone silent, since the node may
-// hold revoked keys.
+// A probe must not renew the contact of a node that has not received the store's changes,
+// since the node may hold revoked keys.
 func TestProbeDoesNotConfirmOutdatedNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		store := &fakeStore{}
 		store.silentWatches.Store(1 << 20)
 		reflector := runReflector(t, store)
+		store.silentLists.Store(true)
 		before := reflector.Contact.renewedAt.Load()
 		store.revision.Store(2)
-		time.Sleep(probeInterval)
+		const probes = 5
+		time.Sleep(probes * probeInterval)
+		is.Equal(store.lists.Load(), int64(2)) // the node tried to list the store
+		is.Equal(reflector.Contact.StoreRevision(), int64(2))
 		is.Equal(reflector.Merger.Revision(), int64(1))
 		is.Equal(reflector.Contact.renewedAt.Load(), before)
 	})
