Wrapped errors are logged with their message, on one line

What operators saw: a record with an error of package trace, for example "requests to the store started failing", "stream from relay source ended" or "lost response is not continued", had err=< followed by ten lines of stack trace, and no message: the store's status, the silent source or the engine's error were not in the log.

Cause: trace.TraceErr embeds its stack trace and thereby has a method String, which klog prefers to Error.

Change: package textlog makes klog write through a sink that replaces errors by their messages and joins their lines. The command line, the roles and the logs of the e2e tests use it; they configured klog in three places before, and joined an error's lines in a fourth.

--- a/internal/app/cli/cli.go
+++ b/internal/app/cli/cli.go
@@ -5,15 +5,13 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"os"
-	"strings"
 
 	"github.com/gravitational/trace"
 	"github.com/jessevdk/go-flags"
-	"k8s.io/klog/v2"
 
+	"cobaltramp.example/cobaltramp/internal/app/textlog"
 	"cobaltramp.example/cobaltramp/internal/app/version"
 )
 
@@ -99,16 +97,13 @@
 		fmt.Fprintln(os.Stderr, "cobaltramp:", usage.Message)
 		return exitUsage
 	}
-	fmt.Fprintln(os.Stderr, "cobaltramp:", oneLine(err))
+	fmt.Fprintln(os.Stderr, "cobaltramp:", textlog.OneLine(err))
 	if _, unknown := err.(outcomeUnknownError); unknown {
 		return exitUnknown
 	}
 	return exitFailed
 }
 
-// oneLine joins the lines of an error's message, which are its context and its cause.
-func oneLine(err error) string { return strings.ReplaceAll(trace.UserMessage(err), "\n\t", ": ") }
-
 type versionCommand struct{}
 
 type versionBody struct {
@@ -119,23 +114,3 @@
 func (versionCommand) Execute([]string) error {
 	return output.print(versionBody{version.Version}, func() { fmt.Println("cobaltramp", version.Version) })
 }
-
-// logToStandardError makes klog write to standard error with the given verbosity.
-func logToStandardError(verbosity int) {
-	options := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(options)
-	setKlogOption(options, "logtostderr", "true")
-	setKlogVerbosity(options, verbosity)
-}
-
-func setKlogVerbosity(options *flag.FlagSet, verbosity int) {
-	setKlogOption(options, "v", fmt.Sprint(verbosity))
-}
-
-// setKlogOption sets an option of klog. It panics on an error, which can only be a defect
-// because names and values are constants of this package.
-func setKlogOption(options *flag.FlagSet, name, value string) {
-	if err := options.Set(name, value); err != nil {
-		panic(err)
-	}
-}
--- a/internal/app/cli/node.go
+++ b/internal/app/cli/node.go
@@ -12,6 +12,7 @@
 
 	"cobaltramp.example/cobaltramp/internal/app/node"
 	"cobaltramp.example/cobaltramp/internal/app/tasks"
+	"cobaltramp.example/cobaltramp/internal/app/textlog"
 	"cobaltramp.example/cobaltramp/internal/configuration/settings"
 )
 
@@ -52,7 +53,7 @@
 // Execute implements flags.Commander. It runs the node until SIGINT or SIGTERM, which starts
 // a graceful stop. A second signal ends the process at once.
 func (n *nodeCommand) Execute([]string) error {
-	logToStandardError(n.Verbosity)
+	textlog.SetOutput(os.Stderr, n.Verbosity)
 	loaded, err := n.load()
 	if err != nil {
 		return err
--- a/internal/app/cli/role.go
+++ b/internal/app/cli/role.go
@@ -1,13 +1,13 @@
 package cli
 
 import (
-	"flag"
 	"os"
 
 	"k8s.io/klog/v2"
 
 	"cobaltramp.example/cobaltramp/internal/app/asynclog"
 	"cobaltramp.example/cobaltramp/internal/app/role"
+	"cobaltramp.example/cobaltramp/internal/app/textlog"
 )
 
 type roleOptions struct {
@@ -28,7 +28,7 @@
 func (o *roleOptions) run(name string) error {
 	writer := asynclog.New(os.Stdout)
 	defer writer.Close()
-	logToWriter(writer, o.Verbosity)
+	textlog.SetOutput(writer, o.Verbosity)
 	err := role.Run(name, o.Settings)
 	if err != nil {
 		klog.ErrorS(err, "ended", "role", name)
@@ -36,14 +36,3 @@
 	klog.Flush()
 	return err
 }
-
-// logToWriter makes klog write to a writer with the given verbosity.
-func logToWriter(writer *asynclog.Writer, verbosity int) {
-	options := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(options)
-	for name, value := range map[string]string{"logtostderr": "false", "alsologtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true", "skip_headers": "false"} {
-		setKlogOption(options, name, value)
-	}
-	setKlogVerbosity(options, verbosity)
-	klog.SetOutput(writer)
-}
--- a/lab/e2e/harness_test.go
+++ b/lab/e2e/harness_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"os"
 	"testing"
@@ -13,8 +12,8 @@
 	"github.com/matryer/is"
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
-	"k8s.io/klog/v2"
 
+	"cobaltramp.example/cobaltramp/internal/app/textlog"
 	"cobaltramp.example/cobaltramp/lab/engine"
 	"cobaltramp.example/cobaltramp/lab/fleet"
 	"cobaltramp.example/cobaltramp/lab/load"
@@ -40,7 +39,6 @@
 		os.Exit(1)
 	}
 	code := m.Run()
-	klog.Flush()
 	if code == 0 {
 		_ = os.Remove(path)
 	} else {
@@ -55,16 +53,7 @@
 	if err != nil {
 		return "", err
 	}
-	if err := file.Close(); err != nil {
-		return "", err
-	}
-	options := flag.NewFlagSet("klog", flag.ContinueOnError)
-	klog.InitFlags(options)
-	for name, value := range map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL", "log_file": file.Name(), "v": "1"} {
-		if err := options.Set(name, value); err != nil {
-			return "", err
-		}
-	}
+	textlog.SetOutput(file, 1)
 	return file.Name(), nil
 }
 
