A new node's retry budget is full

Cause: all requests that a node sends to a stalled engine until the first of them times out are lost together, and each continuation takes one retry. The budget, a token bucket for 100 retries, started with 10 and gains one for ten requests.

Change: the bucket starts full, which is its state after some traffic.

--- a/internal/serving/retry/budget.go
+++ b/internal/serving/retry/budget.go
@@ -1,17 +1,14 @@
 // Package retry limits retries to a fraction of first attempts, so that retries do not
 // overload a failing fleet (a retry budget, see "Handling Overload" in the SRE book). The
 // router of a plain node keeps one budget for all its requests; the bundle's policy sets the
-// fraction. A small initial amount is available in addition.
+// fraction. Retries accumulate up to a maximum, so that all streams of a lost runner can be
+// continued at once; a new budget starts with this maximum.
 package retry
 
 import "sync"
 
-const (
-	// initialRetries allows retries before the first attempts have added any.
-	initialRetries = 10
-	// maxRetries limits the retries that accumulate while few requests fail.
-	maxRetries = 100
-)
+// maxRetries limits the retries that accumulate while few requests fail.
+const maxRetries = 100
 
 // Budget is a retry budget. It is safe for concurrent use.
 type Budget struct {
@@ -20,8 +17,9 @@
 	retries float64
 }
 
-// NewBudget returns a budget with initialRetries.
-func NewBudget() *Budget { return &Budget{retries: initialRetries} }
+// NewBudget returns a budget with maxRetries, since the first runner may be lost before first
+// attempts have added many retries.
+func NewBudget() *Budget { return &Budget{retries: maxRetries} }
 
 // Deposit adds a fraction of a retry, up to maxRetries in all. The router calls it for each
 // first attempt.
