--- a/internal/app/explain/explain.go
+++ b/internal/app/explain/explain.go
@@ -68,8 +68,9 @@
 	return line, true
 }
 
-// idFields are the keys of the fields that identify a request, an item or a job.
-var idFields = []string{"id", "item", "job"}
+// idFields are the keys of the fields that identify a request, an item or a job, or the attempt
+// that a request resumes.
+var idFields = []string{"id", "item", "job", "resumes"}
 
 func (l *Line) refersTo(id string) bool {
 	for _, field := range idFields {
--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -166,12 +166,12 @@
 	klog.InfoS("attempt", slices.Concat(
 		[]any{
 			"id", s.request.ID, "fingerprint", s.fingerprint,
-			"runner", choice.Runner.ID, "zone", choice.Runner.Zone, "crossing", s.crossingPercent(), "load", int(choice.Load),
+			"runner", choice.Runner.ID, "version", choice.Runner.Version, "zone", choice.Runner.Zone, "crossing", s.crossingPercent(), "load", int(choice.Load),
 		},
 		choice.Sources.LogFields(),
 		[]any{
 			"unread", int(choice.Unread), "costMs", choice.Cost.Milliseconds(), "candidates", choice.Candidates,
-			"list", revision, "listAgeMs", time.Since(since).Milliseconds(),
+			"list", revision, "listAgeMs", time.Since(since).Milliseconds(), "resumes", s.request.Resumes, "after", s.lastEvent,
 			"ms", time.Since(started).Milliseconds(), "again", again, "outcome", outcome,
 		},
 	)...)
--- a/internal/serving/online/request.go
+++ b/internal/serving/online/request.go
@@ -33,6 +33,9 @@
 	// ResumeAfter is the ID of the last event that the caller has received; negative to
 	// start from the beginning.
 	ResumeAfter int64
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream
+	// that this request resumes; empty if the caller names none.
+	Resumes string
 	// Prompt describes the request's prompt; zero if the caller does not describe it.
 	Prompt runnerset.Prompt
 }
--- a/internal/serving/runnerset/record.go
+++ b/internal/serving/runnerset/record.go
@@ -13,6 +13,8 @@
 	Service string
 	Address string
 	Zone    string
+	// Version is the version of the runner's software; empty if not stated.
+	Version string
 	// Slots is the number of requests that the runner processes concurrently; 0 if not
 	// stated.
 	Slots int
