--- a/lab/platformday/day.go
+++ b/lab/platformday/day.go
@@ -42,6 +42,9 @@
 	// UnequalRunners makes the runners differ in speed and report a contention that
 	// varies.
 	UnequalRunners bool
+	// SoftwareVersions is the number of software versions of the runners, which serve side by
+	// side; 0 counts as 1.
+	SoftwareVersions int
 	// MixedVersions enables all keys of the section routing on the nodes that have the
 	// section, and gives half of the runners contention and a stated start time, as during
 	// an update of both.
--- a/lab/platformday/runners.go
+++ b/lab/platformday/runners.go
@@ -20,7 +20,8 @@
 
 func (d *Day) startRunner(number, generation int) error {
 	options := standin.RunnerOptions{
-		ID: fmt.Sprintf("r%d-%d", number, generation), Service: "s", Zone: fmt.Sprintf("z%d", number%zoneCount), Address: "127.0.0.1:0",
+		Version: d.versionOf(number, generation),
+		ID:      fmt.Sprintf("r%d-%d", number, generation), Service: "s", Zone: fmt.Sprintf("z%d", number%zoneCount), Address: "127.0.0.1:0",
 		Slots: 8, QueueLimit: 32, EventInterval: 15 * time.Millisecond, Store: d.store, Ledger: d.ledger,
 		Crashes: d.Crashes, OnCrash: func(crashed *standin.Runner) { d.replaceRunner(crashed, number, generation) },
 	}
@@ -46,6 +47,12 @@
 	return nil
 }
 
+// versionOf returns the software version of a runner. With several versions, a runner that
+// replaces another has the next one.
+func (d *Day) versionOf(number, generation int) string {
+	return fmt.Sprint("v", 1+(number/zoneCount+generation)%max(1, d.SoftwareVersions))
+}
+
 // runnerRestartDelay is the time between the crash of a runner and the start of its
 // replacement.
 const runnerRestartDelay = time.Second
--- a/lab/standin/ledger.go
+++ b/lab/standin/ledger.go
@@ -2,21 +2,30 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
+	"slices"
 	"sync"
 )
 
 // Run is one run of a request at a runner.
 type Run struct {
 	Runner string
-	Body   [sha256.Size]byte
-	Path   string
+	// Version is the version of the runner's software.
+	Version string
+	Body    [sha256.Size]byte
+	Path    string
 	// LastEventID is the event after which the run resumed; 0 for a run from the start.
 	LastEventID int64
+	// Sent is the number of the last event that the runner sent; 0 if it sent none.
+	Sent int64
 	// Complete is true if the runner sent the whole response. Disconnected is true if
 	// the node closed the connection before that.
 	Complete, Disconnected bool
 	// Silenced is true if the connection had gone silent by the end of the run.
 	Silenced bool
+	// resumesForCaller is true if the caller resumed a stream with the request, so that the
+	// output before is of another request.
+	resumesForCaller bool
 	// Crashed is true if the runner crashed at the start of the run.
 	Crashed bool
 }
@@ -62,6 +71,29 @@
 	run.Complete, run.Disconnected, run.Silenced = complete, disconnected && !complete, silenced
 }
 
+func (l *Ledger) recordSent(run *Run, number int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	run.Sent = number
+}
+
+// MixedRuns describes the runs that resumed the output of an earlier run of the same request,
+// although no earlier run of a runner of the same software version had come so far.
+func (l *Ledger) MixedRuns() []string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var mixed []string
+	for id, runs := range l.runs {
+		for number, run := range runs {
+			continues := func(earlier *Run) bool { return earlier.Version == run.Version && earlier.Sent >= run.LastEventID }
+			if run.LastEventID > 0 && !run.resumesForCaller && !slices.ContainsFunc(runs[:number], continues) {
+				mixed = append(mixed, fmt.Sprintf("request %s: the run at %s (%s) resumed after event %d, which no run of that version had sent", id, run.Runner, run.Version, run.LastEventID))
+			}
+		}
+	}
+	return mixed
+}
+
 // Runs returns the runs of a request in the order of their start.
 func (l *Ledger) Runs(id string) []Run {
 	l.mutex.Lock()
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"io"
@@ -30,6 +31,8 @@
 	Contention func(sinceStart time.Duration) float64
 	Store      *Store
 	Ledger     *Ledger
+	// Version is the version of the runner's software; empty counts as "v1".
+	Version string
 	// StartedAt is the start time that the runner's entry states, in Unix milliseconds; 0
 	// if it states none.
 	StartedAt int64
@@ -65,6 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
+	options.Version = cmp.Or(options.Version, "v1")
 	r := &Runner{RunnerOptions: options, listener: silence.Wrap(listener), started: time.Now(), slots: make(chan struct{}, options.Slots)}
 	r.Address = listener.Addr().String()
 	r.fault.Store(&RunnerFault{})
@@ -85,7 +89,7 @@
 func (r *Runner) publish(state string) {
 	r.entryRevision++
 	entry := map[string]any{
-		"service": r.Service, "addr": r.Address, "zone": r.Zone, "version": "v1", "slots": r.Slots, "state": state,
+		"service": r.Service, "addr": r.Address, "zone": r.Zone, "version": r.Version, "slots": r.Slots, "state": state,
 		"cold_left_ms": 0, "seq": r.entryRevision,
 	}
 	if r.StartedAt > 0 {
@@ -152,7 +156,7 @@
 		r.respondNotExecuted(writer, id, http.StatusBadRequest)
 		return
 	}
-	run := &Run{Runner: r.ID, Body: sha256.Sum256(body), Path: request.URL.RequestURI(), LastEventID: from}
+	run := &Run{Runner: r.ID, Version: r.Version, Body: sha256.Sum256(body), Path: request.URL.RequestURI(), LastEventID: from, resumesForCaller: request.Header.Get(resumesHeader) != ""}
 	run.Crashed = r.Crashes != nil && r.Crashes(body)
 	r.Ledger.begin(id, run)
 	if run.Crashed {
@@ -162,7 +166,7 @@
 		}
 		panic(http.ErrAbortHandler)
 	}
-	complete := r.respond(writer, request, id, from)
+	complete := r.respond(writer, request, id, run)
 	connection := request.Context().Value(connectionKey{}).(net.Conn)
 	r.Ledger.end(run, complete, request.Context().Err() != nil && !r.ended.Load(), silence.IsSilent(connection))
 }
--- a/lab/standin/runneranswer.go
+++ b/lab/standin/runneranswer.go
@@ -47,8 +47,34 @@
 	_ = http.NewResponseController(writer).Flush()
 }
 
+// runnerEvents are the events of a response.
+type runnerEvents struct {
+	count int64
+	// content determines the data of the events.
+	content string
+	// version is written into each event; empty if the events name no version.
+	version string
+}
+
+// eventsOf returns the events of the response to a request.
+func (r *Runner) eventsOf(request *http.Request, id string) runnerEvents {
+	if stream := request.Header.Get(streamHeader); stream != "" {
+		return runnerEvents{count: streamEvents, content: stream, version: r.Version}
+	}
+	return runnerEvents{count: EventCount(id), content: id}
+}
+
+// text returns an event.
+func (e runnerEvents) text(number int64) string {
+	version := ""
+	if e.version != "" {
+		version = "event: " + e.version + "\n"
+	}
+	return fmt.Sprintf("id: %d\n%sdata: %s\n\n", number, version, EventData(e.content, number))
+}
+
 // respond sends the response to a request, and reports whether it sent all of it.
-func (r *Runner) respond(writer http.ResponseWriter, request *http.Request, id string, from int64) bool {
+func (r *Runner) respond(writer http.ResponseWriter, request *http.Request, id string, run *Run) bool {
 	fault := *r.fault.Load()
 	header := writer.Header()
 	header.Set("Cobaltramp-Attempt-Id", id)
@@ -61,7 +87,8 @@
 		writer.WriteHeader(http.StatusInternalServerError)
 		return true
 	}
-	for number := from + 1; number <= EventCount(id); number++ {
+	from, events := run.LastEventID, r.eventsOf(request, id)
+	for number := from + 1; number <= events.count; number++ {
 		select {
 		case <-time.After(r.eventInterval()):
 		case <-request.Context().Done():
@@ -71,7 +98,8 @@
 			writeAndFlush(writer, fmt.Sprintf("id: %d\nda", number))
 			panic(http.ErrAbortHandler)
 		}
-		writeAndFlush(writer, fmt.Sprintf("id: %d\ndata: %s\n\n", number, EventData(id, number)))
+		r.Ledger.recordSent(run, number)
+		writeAndFlush(writer, events.text(number))
 	}
 	if affects(id, "extra", fault.ExtraResponse) {
 		r.respondAgain(writer, id)
