A broken stream goes on only at the software version that began it

Callers got one stream with events of two software versions: a retry after the first event chose any runner of the service. The edge now remembers the version of the runner that wrote the caller's events, and the choice is limited to it. If no runner of the version is left, the stream is cut at once. A version whose last runners have just begun to leave (0.8 s, as with removed runners; they serve on for longer) can still continue its streams.

An entry whose version is no text names no runner; a runner that states none has a version of its own, since it may differ from any other. Another version under the same id is another start of the runner.

Fixtures of the online tests state a version; their checks are unchanged.

--- a/internal/cluster/informer/runners.go
+++ b/internal/cluster/informer/runners.go
@@ -245,7 +245,7 @@
 	for _, entry := range change.Put {
 		record := entry.Value
 		klog.InfoS("runner changed", "runner", record.ID, "address", record.Address, "service", record.Service,
-			"version", record.Version, "leaving", record.Leaving, "startedAt", record.StartedAt, "revision", revision)
+			"version", record.SoftwareVersion(), "leaving", record.Leaving, "startedAt", record.StartedAt, "revision", revision)
 	}
 }
 
--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -91,7 +91,7 @@
 func (s *activeRequest) call(runner *runnerset.Runner) *exchange.Call {
 	usable := runner.AcceptsWork
 	if !runner.AcceptsWork() {
-		usable = runner.RecentlyRemoved
+		usable = runner.RecentlyWithdrawn
 	}
 	admitted := s.admission
 	maySend := func() bool { return usable() && admitted.Valid() }
@@ -166,7 +166,7 @@
 	klog.InfoS("attempt", slices.Concat(
 		[]any{
 			"id", s.request.ID, "fingerprint", s.fingerprint,
-			"runner", choice.Runner.ID, "version", choice.Runner.Version, "zone", choice.Runner.Zone, "crossing", s.crossingPercent(), "load", int(choice.Load),
+			"runner", choice.Runner.ID, "version", choice.Runner.SoftwareVersion(), "zone", choice.Runner.Zone, "crossing", s.crossingPercent(), "load", int(choice.Load),
 		},
 		choice.Sources.LogFields(),
 		[]any{
--- a/internal/serving/online/crashes_test.go
+++ b/internal/serving/online/crashes_test.go
@@ -45,7 +45,7 @@
 	set := runnerset.New()
 	var records []runnerset.Record
 	for _, id := range []string{"r0", "r1", "r2", "r3"} {
-		records = append(records, runnerset.Record{ID: id, Service: "s", Slots: 4})
+		records = append(records, runnerset.Record{ID: id, Service: "s", Version: "v1", Slots: 4})
 	}
 	set.Replace(records, 1, time.Now())
 	forwarder := New("z", set, client, prometheus.NewRegistry())
--- a/internal/serving/online/online_test.go
+++ b/internal/serving/online/online_test.go
@@ -133,7 +133,7 @@
 	set := runnerset.New()
 	var records []runnerset.Record
 	for i := range runners {
-		records = append(records, runnerset.Record{ID: fmt.Sprintf("r%d", i), Service: "s", Slots: 4})
+		records = append(records, runnerset.Record{ID: fmt.Sprintf("r%d", i), Service: "s", Version: "v1", Slots: 4})
 	}
 	set.Replace(records, 1, time.Now())
 	forwarder := New("z", set, client, prometheus.NewRegistry())
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -43,6 +43,9 @@
 	// lastEvent is the ID of the last event that the caller has received, at first by
 	// CallerRequest.ResumeAfter; 0 if it has received none.
 	lastEvent int64
+	// softwareVersion is the version of the runner that wrote the events which the caller has
+	// received; empty if it has received none.
+	softwareVersion string
 	// admission permits the next run; nil if it was used by a run, not yet granted, or
 	// is not needed.
 	admission *admission.Admission
@@ -93,7 +96,7 @@
 func (s *activeRequest) chooseRunner(ctx context.Context) (runnerset.Choice, error) {
 	service := s.request.Route.ServiceFor(s.request.ID)
 	criteria := &runnerset.Criteria{
-		Service: service, Zone: s.Zone, Prompt: s.request.Prompt, Bytes: len(s.request.Body), Excluded: s.tried,
+		Service: service, SoftwareVersion: s.softwareVersion, Zone: s.Zone, Prompt: s.request.Prompt, Bytes: len(s.request.Body), Excluded: s.tried,
 	}
 	s.drawZone(criteria)
 	until := time.Now().Add(s.listWait)
--- a/internal/serving/runnerset/choice.go
+++ b/internal/serving/runnerset/choice.go
@@ -9,6 +9,9 @@
 // Criteria are the requirements of a request on the choice of its runner.
 type Criteria struct {
 	Service string
+	// SoftwareVersion limits the choice to runners of this version, because the request
+	// resumes output of this version; empty if there is none.
+	SoftwareVersion string
 	// Zone is the zone of this node.
 	Zone   string
 	Prompt Prompt
@@ -55,8 +58,9 @@
 func (c *Choice) HasFreeSlot() bool { return c.Load+1 <= c.Runner.slots() }
 
 // Pick returns the runner with the lowest cost (see candidate.cost), or a choice without
-// a runner if none may be used. If no listed runner of the service accepts work, an
-// online request may go to a recently removed runner. A request with a target zone goes
+// a runner if none may be used. If no listed runner of the service (and of the software
+// version, if one is required) accepts work, an online request may go to a runner of
+// Criteria.lastResort. A request with a target zone goes
 // there under the conditions of TargetZone.
 func (s *Set) Pick(criteria *Criteria, now time.Time) Choice {
 	choice := s.pick(criteria, now)
@@ -72,8 +76,8 @@
 // pick implements Pick without regard to the target zone.
 func (s *Set) pick(criteria *Criteria, now time.Time) Choice {
 	choice := s.pickAmong(criteria, now, (*Runner).AcceptsWork)
-	if choice.Runner == nil && criteria.Batch == nil && !slices.ContainsFunc(s.Service(criteria.Service), (*Runner).AcceptsWork) {
-		choice = s.pickAmong(criteria, now, (*Runner).RecentlyRemoved)
+	if choice.Runner == nil && criteria.Batch == nil && !s.anyAcceptsWork(criteria) {
+		choice = s.pickAmong(criteria, now, criteria.lastResort())
 	}
 	if choice.Runner == nil || choice.Load+1 > choice.Runner.slots() {
 		s.fullChoices.Add(1)
@@ -81,6 +85,29 @@
 	return choice
 }
 
+// anyAcceptsWork reports whether a runner of the service accepts work, among those of the
+// software version if one is given.
+func (s *Set) anyAcceptsWork(criteria *Criteria) bool {
+	return slices.ContainsFunc(s.Service(criteria.Service), func(runner *Runner) bool {
+		return runner.AcceptsWork() && criteria.allowsVersion(runner)
+	})
+}
+
+// allowsVersion reports whether the software version of a runner is as required.
+func (c *Criteria) allowsVersion(runner *Runner) bool {
+	return c.SoftwareVersion == "" || c.SoftwareVersion == runner.SoftwareVersion()
+}
+
+// lastResort returns which runners may get an online request if none that accepts work is
+// suitable. A stream that can go on at one software version only may also be sent to a runner
+// that has just begun to leave.
+func (c *Criteria) lastResort() func(*Runner) bool {
+	if c.SoftwareVersion == "" {
+		return (*Runner).RecentlyRemoved
+	}
+	return (*Runner).RecentlyWithdrawn
+}
+
 // pickAmong returns the runner with the lowest cost among the runners of the service for
 // which usable returns true.
 func (s *Set) pickAmong(criteria *Criteria, now time.Time, usable func(*Runner) bool) Choice {
@@ -90,7 +117,7 @@
 	anyReported := s.refreshZoneUtilizations(list, now)
 	candidates := 0
 	for _, runner := range list {
-		if !usable(runner) || criteria.Excluded[runner.ID] {
+		if !usable(runner) || criteria.Excluded[runner.ID] || !criteria.allowsVersion(runner) {
 			continue
 		}
 		// Batch items are preempted when other nodes report online requests, so they go
--- a/internal/serving/runnerset/record.go
+++ b/internal/serving/runnerset/record.go
@@ -34,9 +34,21 @@
 // it no longer states StartedAt.
 func (r Record) sameRunner(next Record) bool {
 	sameStart := next.StartedAt == 0 || next.StartedAt == r.StartedAt
-	return sameStart && r.Address == next.Address && r.Service == next.Service && r.Zone == next.Zone && r.Slots == next.Slots
+	return sameStart && r.Version == next.Version && r.Address == next.Address && r.Service == next.Service && r.Zone == next.Zone && r.Slots == next.Slots
 }
 
+// SoftwareVersion identifies the version of the runner's software. A runner that states none
+// has a version of its own, since its version may differ from that of any other runner.
+func (r *Record) SoftwareVersion() string {
+	if r.Version == "" {
+		return unstatedVersion + r.StartID()
+	}
+	return r.Version
+}
+
+// unstatedVersion begins the version of a runner that states none.
+const unstatedVersion = "unstated "
+
 // StartID identifies one start of the runner. It is the ID alone if the start is not
 // stated.
 func (r *Record) StartID() string {
--- a/internal/serving/runnerset/runner.go
+++ b/internal/serving/runnerset/runner.go
@@ -26,6 +26,9 @@
 	// removed is when the runner was removed from the list while it accepted work, in
 	// nanoseconds since processStart; 0 if that has not happened.
 	removed atomic.Int64
+	// leaving is when the runner, while it accepted work, was first listed as leaving, in
+	// nanoseconds since processStart; 0 if that has not happened.
+	leaving atomic.Int64
 	// lastEvent is when this node last received an event of any request from the runner,
 	// in nanoseconds since processStart; 0 if it has received none.
 	lastEvent atomic.Int64
@@ -81,9 +84,18 @@
 
 // RecentlyRemoved reports whether the runner was removed from the list while it accepted
 // work, less than removedRunnerGrace ago.
-func (r *Runner) RecentlyRemoved() bool {
-	removed := r.removed.Load()
-	return removed > 0 && time.Since(processStart)-time.Duration(removed) < removedRunnerGrace
+func (r *Runner) RecentlyRemoved() bool { return withinGrace(r.removed.Load()) }
+
+// RecentlyWithdrawn reports whether the runner accepted work until it was removed from the
+// list, or listed as leaving, less than removedRunnerGrace ago.
+func (r *Runner) RecentlyWithdrawn() bool {
+	return r.RecentlyRemoved() || withinGrace(r.leaving.Load())
+}
+
+// withinGrace reports whether a time, in nanoseconds since processStart, is less than
+// removedRunnerGrace ago; 0 stands for no time.
+func withinGrace(at int64) bool {
+	return at > 0 && time.Since(processStart)-time.Duration(at) < removedRunnerGrace
 }
 
 // SlotCount returns the runner's number of slots, or assumedSlots if it is not stated.
--- a/internal/serving/runnerset/runnerset.go
+++ b/internal/serving/runnerset/runnerset.go
@@ -185,6 +185,9 @@
 func (s *Set) put(record Record) {
 	known := s.byID[record.ID]
 	if known != nil && known.sameRunner(record) {
+		if record.Leaving && known.AcceptsWork() {
+			known.leaving.Store(int64(time.Since(processStart)))
+		}
 		known.notAccepting.Store(record.Leaving)
 		return
 	}
--- a/internal/serving/runnerset/target.go
+++ b/internal/serving/runnerset/target.go
@@ -66,7 +66,7 @@
 
 // usableTarget reports whether the runner may get a request for the target zone.
 func (r *Runner) usableTarget(criteria *Criteria) bool {
-	return r.Zone == criteria.Target.Zone && r.AcceptsWork() && !criteria.Excluded[r.ID]
+	return r.Zone == criteria.Target.Zone && r.AcceptsWork() && !criteria.Excluded[r.ID] && criteria.allowsVersion(r)
 }
 
 // evaluateNamed returns the choice of a runner at which free slots are known.
