Streams that callers resume go on at the version that began them

What callers saw: a stream that they resumed at another node went on at a runner of another software version, on a split route even at another service. Cause: a node knew nothing of an attempt at another node, and chose a runner by cost.

A node that begins a stream sends a record of its service and version to two storage nodes in different zones, chosen by a hash of the stream, at the same time as the request to the runner, and passes on the first event once one of them has confirmed it (100 ms at most). It sends none while all runners of the service have had one version for as long as a caller may come back. The node at which the stream is resumed asks the same storage nodes, and accepts three proofs: a record; one version in the whole window by the lists of the nodes that kept contact with the store; or no record at any holder while only one version is established. Otherwise the caller gets 503, not run, at once (stream_not_resumed); also if no runner of the version is left.

--- a/internal/app/result/result.go
+++ b/internal/app/result/result.go
@@ -67,6 +67,7 @@
 	NotReady          Code = 1208
 	EngineRefused     Code = 1209
 	Quarantined       Code = 1210
+	StreamNotResumed  Code = 1211
 
 	OutcomeUnknown   Code = 1301
 	EngineFailed     Code = 1302
@@ -134,6 +135,7 @@
 	{NotReady, "not_ready", 503, RanNo, true, "The node has no bundle in force yet: see the platform's health."},
 	{EngineRefused, "engine_refused", 503, RanNo, true, "The engine refused before running; see its own logs."},
 	{Quarantined, "quarantined", 503, RanNo, true, "Runners ended under this very request (path, caller and body): see their logs; `cobaltramp quarantine` lists and lifts holds."},
+	{StreamNotResumed, "stream_not_resumed", 503, RanNo, true, "A caller's stream could not go on: its software version is unknown, or no runner of it is left; `explain` shows where it began and who knew it."},
 	{OutcomeUnknown, "outcome_unknown", 502, RanUnknown, false, "The runner was lost after dispatch; resend only repeatable work."},
 	{EngineFailed, "engine_failed", 502, RanYes, false, "The engine reported a failure while running; see its logs."},
 	{StreamBroken, "stream_broken", 502, RanUnknown, false, "An answer could not be continued after a lost runner."},
--- a/internal/cluster/peers/directory.go
+++ b/internal/cluster/peers/directory.go
@@ -125,7 +125,7 @@
 func clone(record *wirev1.NodeRecord) *wirev1.NodeRecord {
 	return &wirev1.NodeRecord{
 		NodeId: record.NodeId, Address: record.Address, Zone: record.Zone, Region: record.Region,
-		DiskId: record.DiskId, Incarnation: record.Incarnation, Leaving: record.Leaving,
+		DiskId: record.DiskId, Incarnation: record.Incarnation, Leaving: record.Leaving, RecordsStreamOrigins: record.RecordsStreamOrigins,
 	}
 }
 
--- a/internal/configuration/catalog/route.go
+++ b/internal/configuration/catalog/route.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strings"
 	"time"
 )
@@ -70,6 +71,11 @@
 	return r.Kind == Repeatable || r.Kind == Batch || r.Kind == Streaming && r.Resumable
 }
 
+// HasService reports whether a service shares the route's requests.
+func (r *Route) HasService(name string) bool {
+	return slices.ContainsFunc(r.Services, func(weighted WeightedService) bool { return weighted.Service == name })
+}
+
 // ServiceFor selects the service of a request by weight. The choice depends only on
 // the route's name, its services with their weights, and the request ID. A route
 // with one service always selects that service; with several services whose weights
--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -42,6 +42,7 @@
 	s.current = &attempt{runner: runner, inFlight: inFlight}
 	s.current.idleTimer = s.startIdleTimer(cancel, s.current)
 	defer s.endIdleTimer(s.current)
+	s.recordOrigin(runner)
 	response, err := s.Client.Do(attemptContext, s.call(runner))
 	if err != nil {
 		inFlight.RecordDelay(time.Now())
--- a/internal/serving/online/online.go
+++ b/internal/serving/online/online.go
@@ -44,6 +44,9 @@
 	// FairShares compares tenants' requests to their shares of the slots; nil disables
 	// refusals of tenants over their share.
 	FairShares *fairshare.Shares
+	// Origins knows at which software version the streams of callers began; nil resumes a
+	// caller's stream at any version.
+	Origins StreamOrigins
 	// listWait is how long a request without attempts waits for a usable runner to be
 	// listed.
 	listWait time.Duration
@@ -85,7 +88,8 @@
 	defer f.FairShares.Begin(request.Route.ServiceFor(request.ID), request.tenantName(), request.Route.Priority)()
 	s := &activeRequest{
 		Forwarder: f, request: request, fingerprint: request.fingerprint(), responder: responder,
-		tried: map[string]bool{}, lastEvent: max(0, request.ResumeAfter),
+		service: request.Route.ServiceFor(request.ID),
+		tried:   map[string]bool{}, lastEvent: max(0, request.ResumeAfter),
 		usualTimeout: f.callerTimeouts.Record(request.Route.Name, request.StatedTimeout, request.Received),
 	}
 	err := s.serve(ctx)
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -36,6 +36,10 @@
 	usualTimeout time.Duration
 	responder    Responder
 	history      history
+	// service is the service that serves the request.
+	service string
+	// recorded is the last record of the origin of a stream that this request begins.
+	recorded streamRecord
 	// tried holds the IDs of the runners of earlier attempts.
 	tried map[string]bool
 	// needsNewConnection is set after an attempt that its idle timer has ended.
@@ -65,6 +69,9 @@
 
 // serve makes attempts until one of them ends the request.
 func (s *activeRequest) serve(ctx context.Context) error {
+	if err := s.resolveOrigin(ctx); err != nil {
+		return err
+	}
 	for {
 		if err := s.checkQuarantine(); err != nil {
 			return s.cutIfStarted(err)
@@ -94,9 +101,8 @@
 // attempt, it waits for up to listWait until a usable runner is listed. It returns an
 // error if no runner is left or the request is refused because all runners are full.
 func (s *activeRequest) chooseRunner(ctx context.Context) (runnerset.Choice, error) {
-	service := s.request.Route.ServiceFor(s.request.ID)
 	criteria := &runnerset.Criteria{
-		Service: service, SoftwareVersion: s.softwareVersion, Zone: s.Zone, Prompt: s.request.Prompt, Bytes: len(s.request.Body), Excluded: s.tried,
+		Service: s.service, SoftwareVersion: s.softwareVersion, Zone: s.Zone, Prompt: s.request.Prompt, Bytes: len(s.request.Body), Excluded: s.tried,
 	}
 	s.drawZone(criteria)
 	until := time.Now().Add(s.listWait)
@@ -104,11 +110,14 @@
 		changed := s.Runners.Changed()
 		choice := s.pickRunner(criteria)
 		if choice.Runner != nil {
-			return choice, s.refuseIfFull(service, choice)
+			return choice, s.refuseIfFull(s.service, choice)
+		}
+		if s.versionGone() {
+			return choice, s.history.noRunnerError(result.StreamNotResumed, "no runner of software version %q of service %s is left", s.softwareVersion, s.service)
 		}
 		wait := time.Until(until)
 		if wait <= 0 || s.history.notRun > 0 || s.history.mayHaveRun() {
-			return choice, s.history.noRunnerError(result.NoRunner, "no runner of service %s is left to try", service)
+			return choice, s.history.noRunnerError(result.NoRunner, "no runner of service %s is left to try", s.service)
 		}
 		timer := time.NewTimer(wait)
 		select {
--- a/internal/serving/online/versions_test.go
+++ b/internal/serving/online/versions_test.go
@@ -10,8 +10,10 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cobaltramp.example/cobaltramp/internal/app/result"
 	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
+	"cobaltramp.example/cobaltramp/internal/serving/streamorigin"
 )
 
 // versionedRunners returns a set of runners with the given software versions; the index in the
@@ -60,3 +62,93 @@
 	is.NoErr(err)
 	is.Equal(caller.body.String(), wholeStream())
 }
+
+// knownOrigins resolves every stream to the same origin, or fails.
+type knownOrigins struct {
+	origin   streamorigin.Origin
+	err      error
+	resolved []streamorigin.Resumption
+	recorded []streamorigin.Record
+}
+
+func (k *knownOrigins) Record(_ streamorigin.Stream, record streamorigin.Record) *streamorigin.Recording {
+	k.recorded = append(k.recorded, record)
+	return nil
+}
+
+func (k *knownOrigins) Resolve(_ context.Context, resumption *streamorigin.Resumption) (streamorigin.Origin, error) {
+	k.resolved = append(k.resolved, *resumption)
+	return k.origin, k.err
+}
+
+// resumeStream serves a request that resumes a stream after its second event, on a route that is
+// split between two services.
+func resumeStream(set *runnerset.Set, origins StreamOrigins, runners *fakeRunners, resumes string) (*recorder, error) {
+	route := routeOf(catalog.Streaming, true, 3)
+	route.Services = append(route.Services, catalog.WeightedService{Service: "other", Weight: 1})
+	now := time.Now()
+	request := &CallerRequest{
+		ID: "later", Method: http.MethodPost, URI: "/x", Route: route, Received: now, Deadline: now.Add(30 * time.Second), ResumeAfter: 2, Resumes: resumes,
+	}
+	caller := &recorder{}
+	forwarder := New("z", set, runners, prometheus.NewRegistry())
+	forwarder.Origins = origins
+	return caller, forwarder.Serve(context.Background(), request, caller)
+}
+
+// A stream that a caller resumes must go on at the service and software version that began it,
+// also on a route whose service for the id of the new attempt is another.
+func TestResumedStreamStaysAtItsOrigin(t *testing.T) {
+	is := is.New(t)
+	set := versionedRunners("v1", "v2", "v1", "v2")
+	set.ApplyChanges([]runnerset.Record{{ID: "x", Service: "other", Version: "v2", Slots: 4}}, nil, 2, time.Now())
+	origins := &knownOrigins{origin: streamorigin.Origin{Service: "s", SoftwareVersion: "v2"}}
+	for range 10 {
+		runners := &fakeRunners{}
+		_, err := resumeStream(set, origins, runners, "first")
+		is.NoErr(err)
+		is.Equal(runners.resumes, []int64{2})
+		is.True(runners.runners[0] == "r1" || runners.runners[0] == "r3")
+	}
+	is.Equal(origins.resolved[0].Attempt, "first")
+	is.Equal(len(origins.recorded), 0) // the stream has its record
+}
+
+// A stream that can't be resumed is refused at once, as not run, and not after the wait for a
+// runner or at the deadline.
+func TestStreamThatCannotGoOnIsRefusedAtOnce(t *testing.T) {
+	unknown := result.New(result.StreamNotResumed, "unknown")
+	for name, origins := range map[string]*knownOrigins{
+		"unknown origin":             {err: unknown},
+		"no runner of the version":   {origin: streamorigin.Origin{Service: "s", SoftwareVersion: "v3"}},
+		"the route lost the service": {origin: streamorigin.Origin{Service: "gone", SoftwareVersion: "v1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			runners := &fakeRunners{}
+			started := time.Now()
+			_, err := resumeStream(versionedRunners("v1", "v2"), origins, runners, "first")
+			is.Equal(result.CodeOf(err), result.StreamNotResumed)
+			is.Equal(result.CodeOf(err).Entry().Ran, result.RanNo)
+			is.True(time.Since(started) < maxListWait/2)
+			is.Equal(runners.runs, 0)
+		})
+	}
+}
+
+// A new stream is recorded once for each version at which it may begin, before the runner gets it.
+func TestNewStreamIsRecordedForEachVersion(t *testing.T) {
+	is := is.New(t)
+	origins := &knownOrigins{}
+	now := time.Now()
+	request := &CallerRequest{
+		ID: "id", Method: http.MethodPost, URI: "/x", Route: routeOf(catalog.Streaming, true, 3), Received: now, Deadline: now.Add(30 * time.Second), ResumeAfter: -1,
+	}
+	forwarder := New("z", versionedRunners("v1", "v2"), &fakeRunners{outcomes: []outcome{outcomeUnresponsive, outcomeServes}}, prometheus.NewRegistry())
+	forwarder.Origins = origins
+	is.NoErr(forwarder.Serve(context.Background(), request, &recorder{}))
+	is.Equal(len(origins.recorded), 2)
+	is.True(origins.recorded[0].Origin != origins.recorded[1].Origin)
+	is.Equal(origins.recorded[1].Sequence, uint32(2))
+	is.Equal(len(origins.resolved), 0)
+}
--- a/internal/serving/runnerset/runnerset.go
+++ b/internal/serving/runnerset/runnerset.go
@@ -11,8 +11,8 @@
 //
 // These files hold the rules, without I/O or clock: load.go (load estimates),
 // neighbourhood.go (utilization of runners without reports), contention.go (reports of
-// contention), ejection.go (outlier ejection), and cost.go (comparison of runners). The
-// other files hold the state.
+// contention), ejection.go (outlier ejection), versions.go (history of the software versions),
+// and cost.go (comparison of runners). The other files hold the state.
 package runnerset
 
 import (
@@ -56,7 +56,8 @@
 	outputs          outputMeans
 	// totals are the rounded numbers of all runners, whether this node lists them or
 	// not; nil until the first Select.
-	totals atomic.Pointer[subset.Totals]
+	totals   atomic.Pointer[subset.Totals]
+	versions *VersionHistory
 	// fullChoices counts choices that found no free slot; see DrainFullChoices.
 	fullChoices atomic.Int64
 }
@@ -76,7 +77,7 @@
 	s := &Set{
 		byID: map[string]*Runner{}, models: map[string]*enginemodel.EngineModel{}, changed: make(chan struct{}),
 		zoneUtilizations: map[subset.ServiceZone]*zoneUtilization{}, refreshes: map[string]*utilizationRefresh{},
-		outputs: outputMeans{means: map[outputKind]float64{}},
+		outputs: outputMeans{means: map[outputKind]float64{}}, versions: newVersionHistory(),
 	}
 	s.snapshot.Store(&snapshot{services: map[string][]*Runner{}, counts: newCounts()})
 	return s
@@ -280,6 +281,7 @@
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
 	s.snapshot.Store(next)
+	s.versions.record(s.byID, s.totals.Load(), now)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- /dev/null
+++ b/internal/serving/streamorigin/resolve.go
@@ -0,0 +1,137 @@
+package streamorigin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/result"
+	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
+	"cobaltramp.example/cobaltramp/internal/transport/rpc"
+)
+
+const (
+	// recordGrace is how long the answers of the other holders are awaited after the first
+	// record, since one of them may have a newer record.
+	recordGrace = 30 * time.Millisecond
+	// retryDelay is the delay after which a caller may try again to resume a stream.
+	retryDelay = 250 * time.Millisecond
+)
+
+// Resumption is a request of a caller that resumes a stream.
+type Resumption struct {
+	// ID is the ID of the request, and Attempt is the caller's attempt that brought the first
+	// event; empty if the caller names none.
+	ID, Attempt string
+	// Content is the hash of the request (see KeyOf).
+	Content uint64
+	// Service is the service of the stream if its origin is not recorded.
+	Service string
+	// Window is the result of WindowOf.
+	Window time.Duration
+}
+
+// Resolve returns where the stream began. It asks the holders of its record, and blocks for at
+// most callTimeout. It returns an error with the code StreamNotResumed if the origin is unknown.
+func (t *Tracker) Resolve(ctx context.Context, resumption *Resumption) (Origin, error) {
+	started := time.Now()
+	key := KeyOf(resumption.Content, resumption.Attempt)
+	known := evidence{own: t.answer(key, resumption.Service, resumption.Window), allRecord: t.allRecordOrigins()}
+	if known.own.record == nil {
+		t.askHolders(ctx, key, resumption, &known)
+	}
+	if resumption.Attempt == "" {
+		known.asked = 0 // that nobody has a record proves nothing
+	}
+	concluded := known.conclude(resumption.Service)
+	t.resumptions.WithLabelValues(string(concluded.proof)).Inc()
+	klog.InfoS("origin of a resumed stream", "id", resumption.ID, "resumes", resumption.Attempt, "service", concluded.origin.Service,
+		"version", concluded.origin.SoftwareVersion, "proof", concluded.proof, "source", concluded.source,
+		"asked", known.asked, "answered", len(known.holders), "versions", strings.Join(known.own.versions.Seen, ","),
+		"versionsKnown", known.own.versions.Known, "ms", time.Since(started).Milliseconds())
+	if concluded.proof == ProofNone {
+		return Origin{}, result.New(result.StreamNotResumed, "the software version that began the stream is unknown").WithRetryAfter(retryDelay)
+	}
+	return concluded.origin, nil
+}
+
+// answer returns what this node knows about a stream.
+func (t *Tracker) answer(key Key, service string, window time.Duration) answer {
+	now := time.Now()
+	own := answer{
+		node: t.directory.Self().NodeId, complete: t.table.Complete(window, now),
+		versions: t.versions.Knowledge(service, window, now),
+	}
+	if record, found := t.table.Find(key, now); found {
+		own.record = &record
+	}
+	return own
+}
+
+// allRecordOrigins reports whether all known nodes record the origins of their streams.
+func (t *Tracker) allRecordOrigins() bool {
+	return !slices.ContainsFunc(t.directory.Records(), func(node *wirev1.NodeRecord) bool { return !node.RecordsStreamOrigins })
+}
+
+// askHolders asks all holders for the record at the same time, and adds their answers. It returns
+// when all have answered or failed, or recordGrace after the first record.
+func (t *Tracker) askHolders(ctx context.Context, key Key, resumption *Resumption, known *evidence) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	holders := holdersOf(t.directory.Disks(), key)
+	known.asked = len(holders)
+	answers := make(chan *answer, len(holders))
+	for _, holder := range holders {
+		t.sending.Go(func() { answers <- t.ask(ctx, holder, key, resumption) })
+	}
+	var grace <-chan time.Time // nil: not before there is a record
+	for range holders {
+		select {
+		case received := <-answers:
+			if received == nil {
+				continue
+			}
+			known.holders = append(known.holders, *received)
+			if received.record != nil && grace == nil {
+				grace = time.After(recordGrace)
+			}
+		case <-grace:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ask asks one holder; the answer is nil if the call fails.
+func (t *Tracker) ask(ctx context.Context, holder *wirev1.NodeRecord, key Key, resumption *Resumption) *answer {
+	query := &wirev1.StreamOriginQuery{Key: uint64(key), Service: resumption.Service, WindowMs: uint32(resumption.Window.Milliseconds())}
+	var reply wirev1.StreamOriginReply
+	err := t.caller.Call(ctx, holder.Address, rpc.ClassControl, wirev1.Method_METHOD_STREAM_ORIGIN_FIND, query, &reply)
+	if err != nil {
+		klog.InfoS("holder of a stream's origin did not answer", "id", resumption.ID, "node", holder.NodeId, "err", err)
+		return nil
+	}
+	return decodeAnswer(holder.NodeId, &reply)
+}
+
+func decodeAnswer(node string, reply *wirev1.StreamOriginReply) *answer {
+	decoded := &answer{node: node, complete: reply.Complete}
+	if reply.Versions != nil {
+		decoded.versions = runnerset.VersionKnowledge{
+			Known: reply.Versions.Known, Seen: reply.Versions.Seen, Established: reply.Versions.Established,
+		}
+	}
+	if reply.Record != nil {
+		decoded.record = decodeRecord(reply.Record)
+	}
+	return decoded
+}
+
+func decodeRecord(encoded *wirev1.StreamOriginRecord) *Record {
+	return &Record{Origin{encoded.Service, encoded.SoftwareVersion}, encoded.Sequence}
+}
--- /dev/null
+++ b/internal/serving/streamorigin/serve.go
@@ -0,0 +1,46 @@
+package streamorigin
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/result"
+	"cobaltramp.example/cobaltramp/internal/transport/rpc"
+)
+
+// ServeRecord holds the record of another node's stream, and confirms it. It fails with StoreFull
+// if there is no room.
+func (t *Tracker) ServeRecord(_ context.Context, stream *rpc.ServerStream) error {
+	var message wirev1.StreamOriginRecord
+	if err := stream.DecodeRequest(&message); err != nil {
+		return err
+	}
+	lifetime := time.Duration(message.LifetimeMs) * time.Millisecond
+	if err := t.table.Put(Key(message.Key), *decodeRecord(&message), lifetime, time.Now()); err != nil {
+		t.refused.Inc()
+		klog.InfoS("record of a stream's origin refused", "held", t.table.Len(), "err", err)
+		return result.New(result.StoreFull, "%v", err)
+	}
+	return stream.Send(&wirev1.StreamOriginRecordReply{})
+}
+
+// ServeFind answers with what this node knows about a stream.
+func (t *Tracker) ServeFind(_ context.Context, stream *rpc.ServerStream) error {
+	var query wirev1.StreamOriginQuery
+	if err := stream.DecodeRequest(&query); err != nil {
+		return err
+	}
+	window := min(time.Duration(query.WindowMs)*time.Millisecond, MaxWindow)
+	known := t.answer(Key(query.Key), query.Service, window)
+	reply := &wirev1.StreamOriginReply{
+		Complete: known.complete,
+		Versions: &wirev1.SoftwareVersions{Known: known.versions.Known, Seen: known.versions.Seen, Established: known.versions.Established},
+	}
+	if known.record != nil {
+		reply.Record = encodeRecord(Key(query.Key), known.record, 0)
+	}
+	return stream.Send(reply)
+}
--- /dev/null
+++ b/internal/serving/streamorigin/tracker_test.go
@@ -0,0 +1,166 @@
+package streamorigin
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/result"
+	"cobaltramp.example/cobaltramp/internal/cluster/peers"
+	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
+	"cobaltramp.example/cobaltramp/internal/transport/rpc"
+)
+
+// testNode is a node with a tracker that listens on a free port.
+type testNode struct {
+	*Tracker
+	directory *peers.Directory
+	runners   *runnerset.Set
+	stop      func()
+}
+
+func startNode(t *testing.T, name, disk string) *testNode {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	pool, server := rpc.NewPool(name, "c", nil, &rpc.Counters{}), rpc.NewServer(name, "c", &rpc.Counters{})
+	node := &testNode{runners: runnerset.New(), directory: peers.NewDirectory(&wirev1.NodeRecord{
+		NodeId: name, Address: listener.Addr().String(), Zone: name, DiskId: disk, Incarnation: 1, RecordsStreamOrigins: true,
+	})}
+	node.Tracker = New(node.directory, pool, node.runners.Versions(), prometheus.NewRegistry())
+	server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_RECORD, node.ServeRecord)
+	server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_FIND, node.ServeFind)
+	go func() { _ = server.Serve(listener, nil) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		node.Run(ctx)
+	}()
+	stopped := false
+	node.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		<-ended
+		_ = listener.Close()
+		pool.Close()
+		server.Close()
+	}
+	t.Cleanup(node.stop)
+	return node
+}
+
+// startFleet starts two edges and three storage nodes that know each other, whose lists have
+// runners of two versions.
+func startFleet(t *testing.T) (edges, disks []*testNode) {
+	t.Helper()
+	for _, name := range []string{"a", "b"} {
+		edges = append(edges, startNode(t, "edge-"+name, ""))
+	}
+	for _, name := range []string{"a", "b", "c"} {
+		disks = append(disks, startNode(t, "disk-"+name, "disk-"+name))
+	}
+	all := append(append([]*testNode{}, edges...), disks...)
+	for _, node := range all {
+		for _, other := range all {
+			node.directory.Put(other.directory.Self())
+		}
+		node.runners.Replace([]runnerset.Record{{ID: "a", Service: "s", Version: "v1"}, {ID: "b", Service: "s", Version: "v2"}}, 1, time.Now())
+	}
+	return edges, disks
+}
+
+const testContent = 7
+
+// begin records a stream at an edge and waits for the confirmation.
+func begin(node *testNode, attempt, version string, sequence uint32) {
+	stream := Stream{Key: KeyOf(testContent, attempt), ID: attempt, Window: minWindow}
+	node.Record(stream, Record{Origin{"s", version}, sequence}).Await(context.Background())
+}
+
+func resolve(node *testNode, attempt string, content uint64) (Origin, error) {
+	return node.Resolve(context.Background(), &Resumption{ID: "later", Attempt: attempt, Content: content, Service: "s", Window: minWindow})
+}
+
+// A stream that began at a node which has ended since is resumed at its version by another node,
+// also if one of the holders is down; the attempt of another request tells nothing.
+func TestOriginIsKnownAfterTheLossOfItsNode(t *testing.T) {
+	is := is.New(t)
+	edges, disks := startFleet(t)
+	begin(edges[0], "first", "v2", 1)
+	begin(edges[0], "second", "v2", 1)
+	begin(edges[0], "second", "v1", 2) // a retry before the first event
+	edges[0].stop()
+	origin, err := resolve(edges[1], "first", testContent)
+	is.NoErr(err)
+	is.Equal(origin, Origin{"s", "v2"})
+	disks[0].stop()
+	for attempt, version := range map[string]string{"first": "v2", "second": "v1"} {
+		origin, err = resolve(edges[1], attempt, testContent)
+		is.NoErr(err)
+		is.Equal(origin, Origin{"s", version})
+	}
+	for _, unknown := range []string{"", "third"} {
+		_, err = resolve(edges[1], unknown, testContent)
+		is.Equal(result.CodeOf(err), result.StreamNotResumed)
+	}
+	_, err = resolve(edges[1], "first", testContent+1)
+	is.Equal(result.CodeOf(err), result.StreamNotResumed)
+	is.True(result.FromError(err).RetryAfter > 0)
+}
+
+// The node that began a stream knows its version without the storage nodes.
+func TestOwnStreamsNeedNoHolder(t *testing.T) {
+	is := is.New(t)
+	edges, disks := startFleet(t)
+	for _, disk := range disks {
+		disk.stop()
+	}
+	started := time.Now()
+	begin(edges[0], "first", "v2", 1) // returns without a confirmation
+	is.True(time.Since(started) < callTimeout)
+	origin, err := resolve(edges[0], "first", testContent)
+	is.NoErr(err)
+	is.Equal(origin, Origin{"s", "v2"})
+	_, err = resolve(edges[1], "first", testContent)
+	is.Equal(result.CodeOf(err), result.StreamNotResumed)
+}
+
+// If a preferred holder refuses a record, the remaining holder gets it.
+func TestRefusedRecordGoesToAnotherHolder(t *testing.T) {
+	is := is.New(t)
+	edges, disks := startFleet(t)
+	preferred := holdersOf(edges[0].directory.Disks(), KeyOf(testContent, "first"))[:copies]
+	for _, disk := range disks {
+		for _, holder := range preferred {
+			if disk.directory.Self().NodeId == holder.NodeId {
+				disk.table.limit = 0
+			}
+		}
+	}
+	begin(edges[0], "first", "v1", 1)
+	edges[0].stop()
+	origin, err := resolve(edges[1], "first", testContent)
+	is.NoErr(err)
+	is.Equal(origin, Origin{"s", "v1"})
+}
+
+// No record is sent while all runners have had one version for the whole window.
+func TestSoleVersionNeedsNoRecord(t *testing.T) {
+	is := is.New(t)
+	node := startNode(t, "edge", "")
+	node.runners.Replace([]runnerset.Record{{ID: "a", Service: "s", Version: "v1"}}, 1, time.Now().Add(-minWindow))
+	stream := Stream{Key: KeyOf(testContent, "first"), Window: minWindow}
+	is.True(node.Record(stream, Record{Origin{"s", "v1"}, 1}) == nil)
+	origin, err := resolve(node, "first", testContent)
+	is.NoErr(err)
+	is.Equal(origin, Origin{"s", "v1"})
+}
--- a/lab/platformday/streamversions_test.go
+++ b/lab/platformday/streamversions_test.go
@@ -102,6 +102,7 @@
 
 func testStreamsGoOn(t *testing.T, softwareVersions int) {
 	t.Helper()
+	t.Parallel() // most of the time is spent waiting
 	folder := t.TempDir()
 	d, err := open(t.Context(), Options{
 		Program: build(t, folder), Folder: folder, Seed: 1, Progress: os.Stderr, Edges: 5, Storages: 3, Runners: 8, SoftwareVersions: softwareVersions,
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -9,6 +9,7 @@
 //   - the publisher (storage nodes) or the receiver (edges) of the load of zones, if zones are
 //     balanced or fair shares of the slots are enabled;
 //   - the quarantine of requests that crash runners;
+//   - the records of the software versions at which streams began;
 //   - if the settings enable it, the caller that reaches storage nodes through peers while
 //     there is no direct path to them, and the forwarder that does so for peers;
 //   - the counts of requests by tenant, if fair shares of the slots are enabled.
@@ -41,6 +42,7 @@
 	"cobaltramp.example/cobaltramp/internal/serving/loadshare"
 	"cobaltramp.example/cobaltramp/internal/serving/quarantine"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
+	"cobaltramp.example/cobaltramp/internal/serving/streamorigin"
 	"cobaltramp.example/cobaltramp/internal/serving/zoneload"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 	"cobaltramp.example/cobaltramp/modules/roles/links"
@@ -67,7 +69,7 @@
 )
 
 // Module provides the informer with its store contact, catalogs, runners and queue layouts,
-// the directory of nodes, and the quarantine coordinator. If the settings enable them, it also
+// the directory of nodes, the quarantine coordinator, and the tracker of streams' origins. If the settings enable them, it also
 // provides the caller that reaches storage nodes through peers (*forwarding.Caller) and, on
 // edges, the receiver of the load of zones (*zoneload.Receiver) and the shares of tenants
 // (*fairshare.Shares).
@@ -79,6 +81,7 @@
 	quarantine *quarantine.Coordinator
 	holdWriter *quarantine.HoldWriter
 	caller     *forwarding.Caller // nil if calls are not forwarded
+	origins    *streamorigin.Tracker
 	fairShares fairShares
 	running    tasks.Group
 }
@@ -101,7 +104,7 @@
 	}
 	directory := peers.NewDirectory(&wirev1.NodeRecord{
 		NodeId: loaded.Node, Address: loaded.PeerAddress(), Zone: loaded.Zone, Region: loaded.Region,
-		Incarnation: uint64(time.Now().UnixMilli()),
+		Incarnation: uint64(time.Now().UnixMilli()), RecordsStreamOrigins: true,
 	})
 	m.informer = informer.New(informer.Options{
 		Schema: schema, Store: store, WatchTimeout: listwatch.WatchTimeoutWithin(loaded.Store.HistoryRetention()), Contact: listwatch.NewStoreContact(),
@@ -125,6 +128,7 @@
 	}
 	m.provisionReports(ctx, node)
 	m.provisionRouting(ctx, node)
+	m.provisionOrigins(node)
 	server.OnPeerLost(func(peer string) {
 		m.reporter.PeerLost(peer)
 		m.fairShares.peerLost(peer)
@@ -137,7 +141,7 @@
 	server.HandleNotice(wirev1.Method_METHOD_QUARANTINE, m.quarantine.ReceiveNotice)
 	server.Handle(wirev1.Method_METHOD_QUARANTINE_ADMIN, m.quarantine.ServeAdmin)
 	for _, service := range []any{
-		m.informer, m.informer.Contact, m.informer.Catalogs, m.informer.Runners, m.informer.Layouts, directory, m.quarantine,
+		m.informer, m.informer.Contact, m.informer.Catalogs, m.informer.Runners, m.informer.Layouts, directory, m.quarantine, m.origins,
 	} {
 		ctx.Provide(service)
 	}
@@ -161,6 +165,15 @@
 	node.server.HandleNotice(wirev1.Method_METHOD_RUNNER_USE, m.reporter.ReceiveNotice)
 }
 
+// provisionOrigins sets up the records of the software versions at which streams began.
+func (m *Module) provisionOrigins(node *nodeParts) {
+	versions := node.runners.Versions()
+	versions.SetContactAge(m.informer.Contact.Age)
+	m.origins = streamorigin.New(node.directory, node.pool, versions, node.registry)
+	node.server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_RECORD, m.origins.ServeRecord)
+	node.server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_FIND, m.origins.ServeFind)
+}
+
 // runnerMemory returns the memory of a service's runners in tokens; 0 if unknown.
 func (m *Module) runnerMemory(service string) int {
 	current := m.informer.Catalogs.Current()
@@ -172,7 +185,7 @@
 
 // Start implements kernel.Starter.
 func (m *Module) Start(ctx context.Context) error {
-	runs := []func(context.Context){m.informer.Run, m.syncer.Run, m.reporter.Run, m.quarantine.Run, m.holdWriter.Run, m.fairShares.run}
+	runs := []func(context.Context){m.informer.Run, m.syncer.Run, m.reporter.Run, m.quarantine.Run, m.holdWriter.Run, m.fairShares.run, m.origins.Run}
 	if m.publisher != nil {
 		runs = append(runs, m.publisher.Run)
 	}
