--- a/internal/serving/online/versions_test.go
+++ b/internal/serving/online/versions_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -12,6 +14,7 @@
 
 	"cobaltramp.example/cobaltramp/internal/app/result"
 	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
+	"cobaltramp.example/cobaltramp/internal/serving/exchange"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
 	"cobaltramp.example/cobaltramp/internal/serving/streamorigin"
 )
@@ -152,3 +155,44 @@
 	is.Equal(origins.recorded[1].Sequence, uint32(2))
 	is.Equal(len(origins.resolved), 0)
 }
+
+// A stream that pauses must not be cut while no other runner of its software version could go on with
+// it: the runner may only be slow.
+func TestSlowStreamIsNotCutWithoutAnAlternative(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		client := clientFunc(func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
+			response, err := (&fakeRunners{}).Do(ctx, call)
+			response.Body = &pausingStream{ReadCloser: response.Body, ctx: ctx, pause: 2 * minIdleTime}
+			return response, err
+		})
+		now := time.Now()
+		route := routeOf(catalog.Streaming, true, 2)
+		route.Target = 100 * time.Millisecond
+		request := &CallerRequest{ID: "id", Method: http.MethodPost, URI: "/x", Route: route, Received: now, Deadline: now.Add(30 * time.Second), ResumeAfter: -1}
+		caller := &recorder{}
+		err := New("z", versionedRunners("v1", "v2"), client, prometheus.NewRegistry()).Serve(context.Background(), request, caller)
+		is.NoErr(err)
+		is.Equal(caller.body.String(), wholeStream())
+	})
+}
+
+// pausingStream pauses before its third read.
+type pausingStream struct {
+	io.ReadCloser
+	ctx   context.Context
+	pause time.Duration
+	reads int
+}
+
+func (p *pausingStream) Read(buffer []byte) (int, error) {
+	p.reads++
+	if p.reads == 3 {
+		select {
+		case <-time.After(p.pause):
+		case <-p.ctx.Done():
+			return 0, p.ctx.Err()
+		}
+	}
+	return p.ReadCloser.Read(buffer)
+}
