The output of an item is of one software version

What callers saw: the result of an item held events of several software versions, since a run went on after the saved output at any runner. Cause: neither the saved output nor the run named a version. Progress of another version is saved only once it is longer than anything that the log may hold, so that no part is ever appended to another version's.

The soak draws one to three software versions, has callers that resume their streams, and checks both from what callers and runners saw. TestSavedOutputIsOfOneSoftwareVersion fails without either guard.

--- a/internal/batch/queue/progress.go
+++ b/internal/batch/queue/progress.go
@@ -38,11 +38,17 @@
 	return trace.Wrap(err, "reading progress")
 }
 
-// Progress returns the saved output of an unfinished item. Only Text and Last, the ID of
-// the last event, are set. Last is 0 if nothing is saved.
+// Progress returns the saved output of an unfinished item. Only Text, Last, the ID of
+// the last event, and SoftwareVersion are set. Last is 0 if nothing is saved, and
+// SoftwareVersion is empty unless all parts have the same.
 func Progress(reader StateReader, job string, number uint32) (*wirev1.QueueResult, error) {
 	saved := &wirev1.QueueResult{}
 	err := scanProgress(reader, job, number, func(_ []byte, part *wirev1.QueueResult) {
+		if saved.Last == 0 {
+			saved.SoftwareVersion = part.SoftwareVersion
+		} else if saved.SoftwareVersion != part.SoftwareVersion {
+			saved.SoftwareVersion = ""
+		}
 		if saved.Last > 0 {
 			saved.Text = append(append(saved.Text, '\n'), part.Text...)
 		} else {
@@ -67,7 +73,7 @@
 			return false, err
 		}
 	}
-	row := &wirev1.QueueResult{ItemId: part.ItemId, From: part.From, Last: part.Last, Text: part.Text}
+	row := &wirev1.QueueResult{ItemId: part.ItemId, From: part.From, Last: part.Last, Text: part.Text, SoftwareVersion: part.SoftwareVersion}
 	return true, save(store, progressKey(part.JobId, part.Item, part.Last), row)
 }
 
--- a/internal/batch/queue/saves.go
+++ b/internal/batch/queue/saves.go
@@ -24,7 +24,7 @@
 }
 
 // Add adds the whole output of an item so far, unless the batch contains a longer output
-// of the item.
+// of the item by the same software version.
 func (s *ProgressBatch) Add(key ItemKey, item string, output ItemOutput, now time.Time) {
 	if s.byKey == nil {
 		s.byKey = map[ItemKey]pendingOutput{}
@@ -32,7 +32,7 @@
 	if len(s.byKey) == 0 {
 		s.since = now
 	}
-	if collected, found := s.byKey[key]; !found || output.LastEventID >= collected.output.LastEventID {
+	if collected, found := s.byKey[key]; !found || output.LastEventID >= collected.output.LastEventID || output.SoftwareVersion != collected.output.SoftwareVersion {
 		s.byKey[key] = pendingOutput{item, output}
 	}
 }
@@ -61,14 +61,18 @@
 }
 
 // unsaved returns the part of an output that is neither in the log nor proposed, and marks
-// the part as proposed. It returns nil if there is none or the item is finished.
+// the part as proposed. It returns nil if there is none, the item is finished, or the output
+// may not be saved.
 func (s *pendingOutput) unsaved(table *ItemTable, key ItemKey) *wirev1.QueueResult {
-	if table.Entry(key) == nil {
+	if !table.MaySave(key, s.output) {
 		return nil
 	}
 	from, text := table.Unsaved(key, s.output)
 	if from == s.output.LastEventID {
 		return nil
 	}
-	return &wirev1.QueueResult{JobId: key.Job, Item: key.Number, ItemId: s.item, From: from, Last: s.output.LastEventID, Text: text}
+	return &wirev1.QueueResult{
+		JobId: key.Job, Item: key.Number, ItemId: s.item, From: from, Last: s.output.LastEventID, Text: text,
+		SoftwareVersion: s.output.SoftwareVersion,
+	}
 }
--- a/internal/batch/queue/saves_test.go
+++ b/internal/batch/queue/saves_test.go
@@ -105,3 +105,65 @@
 	batch.Add(ItemKey{"j", 0}, "i", ItemOutput{LastEventID: 1, Text: []byte("a")}, now)
 	is.Equal(batch.Flush(table, now.Add(time.Second)).Results[0].Last, int64(2))
 }
+
+// Whatever runs an item has, at whatever versions, and whether or not their saves reach the log: the
+// saved output is a beginning of the output of one version, and names it.
+func TestSavedOutputIsOfOneSoftwareVersion(t *testing.T) {
+	textOf := func(version string, last int64) string {
+		output := ItemOutput{}
+		for id := int64(1); id <= last; id++ {
+			output.Append(id, fmt.Append(nil, version, "-", id))
+		}
+		return string(output.Text)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		store := memoryStore{}
+		table := waitingTable(1, now)
+		key := ItemKey{"j", 0}
+		var batch ProgressBatch
+		output := ItemOutput{SoftwareVersion: "v1"}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(2 * saveBatchDelay)
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0: // another run begins from the start
+				output = ItemOutput{SoftwareVersion: rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version")}
+			case 1: // another leader
+				saved, err := Progress(store, "j", 0)
+				if err != nil {
+					t.Fatal(err)
+				}
+				table, batch = waitingTable(1, now), ProgressBatch{}
+				output = ItemOutput{LastEventID: saved.Last, Text: saved.Text, SoftwareVersion: saved.SoftwareVersion}
+				if saved.Last > 0 {
+					table.Restore(key, output)
+				} else {
+					output.SoftwareVersion = "v1"
+				}
+			case 2:
+				table.ResetSaved(key)
+			default:
+				for range rapid.IntRange(1, 4).Draw(t, "events") {
+					output.Append(output.LastEventID+1, fmt.Append(nil, output.SoftwareVersion, "-", output.LastEventID+1))
+				}
+				batch.Add(key, "i0", ItemOutput{output.LastEventID, append([]byte(nil), output.Text...), output.SoftwareVersion}, now)
+			}
+			due := batch.Flush(table, now.Add(saveBatchDelay))
+			if due == nil || rapid.IntRange(0, 3).Draw(t, "lost") == 0 {
+				continue
+			}
+			for _, part := range due.Results {
+				if _, err := appendProgress(store, part); err != nil {
+					t.Fatal(err)
+				}
+			}
+			saved, err := Progress(store, "j", 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if string(saved.Text) != textOf(saved.SoftwareVersion, saved.Last) {
+				t.Fatalf("version %q up to event %d: saved %q", saved.SoftwareVersion, saved.Last, saved.Text)
+			}
+		}
+	})
+}
--- a/internal/batch/queue/table.go
+++ b/internal/batch/queue/table.go
@@ -46,7 +46,9 @@
 	Output ItemOutput
 	// saved is the end of the output that is in the log or proposed to it; zero if there
 	// is none.
-	saved   outputOffset
+	saved outputOffset
+	// saves is what may be in the log.
+	saves   savedOutputs
 	running bool
 	order   uint64 // order of addition to the table
 	rank    rank   // as of the last call of Ready
@@ -58,6 +60,9 @@
 	LastEventID int64
 	// Text is the data of the events up to LastEventID, joined by line feeds.
 	Text []byte
+	// SoftwareVersion is the version of the runners that wrote the text (see
+	// runnerset.Record); empty if unknown. Only a runner of this version can continue it.
+	SoftwareVersion string
 }
 
 // Append appends the data of the next event.
@@ -224,28 +229,74 @@
 
 // outputOffset is a position in an item's output, after an event.
 type outputOffset struct {
-	lastEventID int64
-	bytes       int
+	lastEventID     int64
+	bytes           int
+	softwareVersion string
+}
+
+func (o *ItemOutput) end() outputOffset {
+	return outputOffset{o.LastEventID, len(o.Text), o.SoftwareVersion}
+}
+
+// isContinuedBy reports whether an output begins with the output up to the offset.
+func (o outputOffset) isContinuedBy(output *ItemOutput) bool {
+	return o.lastEventID > 0 && o.lastEventID <= output.LastEventID && o.bytes <= len(output.Text) && o.softwareVersion == output.SoftwareVersion
+}
+
+// savedOutputs are the outputs of an item that may be in the log.
+type savedOutputs struct {
+	// softwareVersion is the version of the last output, and longest the ID of the last event
+	// of any output.
+	softwareVersion string
+	longest         int64
+	// longestOther is the ID of the last event of any output of another version.
+	longestOther int64
+}
+
+// add adds an output that was proposed to the log or read from it.
+func (s *savedOutputs) add(output *ItemOutput) {
+	s.longestOther = s.otherThan(output.SoftwareVersion)
+	s.softwareVersion = output.SoftwareVersion
+	s.longest = max(s.longest, output.LastEventID)
+}
+
+// otherThan returns the ID of the last event of the outputs of other versions.
+func (s *savedOutputs) otherThan(softwareVersion string) int64 {
+	if softwareVersion != s.softwareVersion {
+		return s.longest
+	}
+	return s.longestOther
 }
 
 // Restore sets an item's output to the output that is saved in the state.
 func (t *ItemTable) Restore(key ItemKey, output ItemOutput) {
 	if entry := t.entries[key]; entry != nil {
 		entry.Output = output
-		entry.saved = outputOffset{output.LastEventID, len(output.Text)}
+		entry.saved = output.end()
+		entry.saves.add(&output)
 	}
 }
 
+// MaySave reports whether an output may be saved as progress. It may not while the log may hold
+// an output of another software version that is at least as long: that one would not be replaced,
+// and the next part would be appended to it.
+func (t *ItemTable) MaySave(key ItemKey, output ItemOutput) bool {
+	entry := t.entries[key]
+	return entry != nil && output.LastEventID > entry.saves.otherThan(output.SoftwareVersion)
+}
+
 // Unsaved returns the part of an item's output that is neither in the log nor proposed: the
 // ID of the event before the part, and the text of the part. It returns 0 and the whole
-// output if nothing is saved, if the output is shorter than the saved output, or if the
+// output if nothing is saved, if the output does not continue the saved output, or if the
 // table does not contain the item. It marks the output as proposed.
 func (t *ItemTable) Unsaved(key ItemKey, output ItemOutput) (from int64, text []byte) {
 	entry := t.entries[key]
-	if entry == nil || entry.saved.lastEventID == 0 || entry.saved.lastEventID > output.LastEventID || entry.saved.bytes > len(output.Text) {
-		if entry != nil {
-			entry.saved = outputOffset{output.LastEventID, len(output.Text)}
-		}
+	if entry == nil {
+		return 0, output.Text
+	}
+	entry.saves.add(&output)
+	if !entry.saved.isContinuedBy(&output) {
+		entry.saved = output.end()
 		return 0, output.Text
 	}
 	from = entry.saved.lastEventID
@@ -253,7 +304,7 @@
 	if len(text) > 0 && text[0] == '\n' {
 		text = text[1:]
 	}
-	entry.saved = outputOffset{output.LastEventID, len(output.Text)}
+	entry.saved = output.end()
 	return from, text
 }
 
--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -131,10 +131,12 @@
 		}
 		return false
 	}
+	startAgainUnlessContinued(work, choice.Runner)
 	itemRun := &run{
 		executor: e, work: work, fingerprint: fingerprint, route: route, runner: choice.Runner,
 		startedAt: now, output: work.Output, savedRound: saveRound(now),
 	}
+	itemRun.output.SoftwareVersion = choice.Runner.SoftwareVersion()
 	return e.start(ctx, itemRun, &choice, held.Version, done)
 }
 
@@ -212,13 +214,16 @@
 	return avoided
 }
 
-// pick selects a runner for an item. It leaves out the runners that the item has to avoid and
-// those that are paused.
+// pick selects a runner for an item, which must have the software version that can continue the
+// item's output, unless the item is to start again. It leaves out the runners that the item has to
+// avoid and those that are paused.
 func (e *ItemExecutor) pick(route *catalog.Route, work *queuestore.Work, avoided map[string]bool, now time.Time) runnerset.Choice {
 	excluded := e.paused(now)
 	maps.Copy(excluded, avoided)
+	service := route.ServiceFor(work.Item.Id)
 	return e.Runners.Pick(&runnerset.Criteria{
-		Service: route.ServiceFor(work.Item.Id), Zone: e.Zone, Prompt: promptOf(work.Item), Bytes: len(work.Item.Body),
+		Service: service, SoftwareVersion: e.versionToContinue(service, work),
+		Zone: e.Zone, Prompt: promptOf(work.Item), Bytes: len(work.Item.Body),
 		Excluded: excluded, Batch: &runnerset.BatchLimits{MaxUnread: maxUnreadTokens, Home: e.Home, NonHomeReserve: nonHomeReserve},
 	}, now)
 }
--- a/internal/batch/queuerun/run.go
+++ b/internal/batch/queuerun/run.go
@@ -138,7 +138,8 @@
 // save saves a copy of the output in a task, without blocking the run. It saves nothing
 // after the executor's Wait was called.
 func (r *run) save() {
-	output := queue.ItemOutput{LastEventID: r.output.LastEventID, Text: append([]byte(nil), r.output.Text...)}
+	output := r.output
+	output.Text = append([]byte(nil), r.output.Text...)
 	r.executor.tasks.Go(func() { r.work.Save(output) })
 }
 
--- a/internal/batch/queuestore/leader.go
+++ b/internal/batch/queuestore/leader.go
@@ -161,7 +161,9 @@
 			if err != nil {
 				failed = err
 			} else if saved.Last > 0 {
-				l.table.Restore(queue.ItemKey{Job: record.Id, Number: uint32(number)}, queue.ItemOutput{LastEventID: saved.Last, Text: saved.Text})
+				l.table.Restore(queue.ItemKey{Job: record.Id, Number: uint32(number)}, queue.ItemOutput{
+					LastEventID: saved.Last, Text: saved.Text, SoftwareVersion: saved.SoftwareVersion,
+				})
 			}
 		}
 	})
--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -17,7 +17,7 @@
 // random disruptions: signals to nodes, restarts, and changes of the configuration, the
 // store and the runners. The seed determines the random choices.
 
-// SoakOptions configures a soak. Soak overwrites Crashes and MixedVersions.
+// SoakOptions configures a soak. Soak overwrites Crashes, MixedVersions and SoftwareVersions.
 type SoakOptions struct {
 	Options
 	// Kept is the number of clients with a persistent connection.
@@ -37,6 +37,9 @@
 	stopTimeout = 9 * time.Second
 	// crashShare is the fraction of soaks with a request that crashes runners.
 	crashShare = 0.5
+	// resumingShare is the number of clients with a persistent connection for each client that
+	// resumes its streams.
+	resumingShare = 4
 	// crashInterval is the time between two sends of that request.
 	crashInterval = 400 * time.Millisecond
 )
@@ -66,6 +69,7 @@
 	defer cancel()
 	options.Crashes = func(body []byte) bool { return bytes.Equal(body, crashBody) }
 	options.MixedVersions = true
+	options.SoftwareVersions = softwareVersionsOf(options.Seed)
 	d, err := open(ctx, options.Options)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -76,6 +80,10 @@
 	return d.tally, nil
 }
 
+// softwareVersionsOf returns the number of software versions of the runners in a soak: one in a third
+// of the soaks, otherwise two or three.
+func softwareVersionsOf(seed uint64) int { return 1 + int(seed%3) }
+
 // execute runs clients and disruptions until the soak ends, and then verifies the results.
 func (s *soak) execute(ctx context.Context) {
 	random := rand.New(rand.NewPCG(s.Seed, 2))
@@ -90,6 +98,10 @@
 	for number := range s.options.Kept {
 		run(func(random *rand.Rand) { s.runPersistentClient(soakContext, number, random) })
 	}
+	streams := &standin.StreamTally{}
+	for number := range max(1, s.options.Kept/resumingShare) {
+		run(func(random *rand.Rand) { s.runResumingClient(soakContext, number, streams, random) })
+	}
 	batch := &standin.BatchClient{Endpoints: s, Ledger: s.ledger, Tally: s.tally, Host: host, Prefix: standin.BatchPrefix, Random: fork()}
 	run(func(*rand.Rand) { s.batch(ctx, batch) })
 	crashes := random.Float64() < crashShare
@@ -102,6 +114,15 @@
 	group.Wait()
 	s.checkConfiguration()
 	s.check(batch, crashes)
+	s.checkStreams(streams)
+}
+
+// checkStreams records a violation for each stream and item with output of several software versions.
+func (s *soak) checkStreams(streams *standin.StreamTally) {
+	for _, mixed := range append(streams.Mixed, s.ledger.MixedRuns()...) {
+		s.tally.RecordViolation("%s", mixed)
+	}
+	s.report("resumed streams, %d software versions: %s", s.SoftwareVersions, streams.Summary())
 }
 
 // configTimeout is the longest time until the last configuration is in force on all edges. It
--- a/lab/platformday/soakcallers.go
+++ b/lab/platformday/soakcallers.go
@@ -23,6 +23,12 @@
 	client.Run(ctx, fmt.Sprintf("kept%d", number))
 }
 
+// runResumingClient runs a client that resumes its streams at other nodes until the context ends.
+func (s *soak) runResumingClient(ctx context.Context, number int, streams *standin.StreamTally, random *rand.Rand) {
+	client := &standin.ResumingClient{Endpoints: s, Tally: s.tally, Streams: streams, Host: host, Prefix: standin.EventsPrefix, Random: random}
+	client.Run(ctx, fmt.Sprintf("resumed%d", number))
+}
+
 // nodeDisrupted reports whether the node at an address was killed, suspended or resumed
 // after a point in time, or within the second before it. It returns true for an unknown
 // address.
