A stream that a caller resumes is not refused because its runners are full

Such a stream can go to the runners of one software version only, and its caller already has a part of it. Whether it counted as a caller's first attempt depended on the stated timeout alone.

--- a/internal/serving/online/refusal.go
+++ b/internal/serving/online/refusal.go
@@ -23,13 +23,14 @@
 //
 // A request is never refused if it may have run already, if its expected time is
 // unreliable because its best runner is suspect, or if it appears to be a retry, since
-// callers retry only once.
+// callers retry only once, or resumes a stream.
 type refusalInputs struct {
 	// sent is set if a runner may have worked on the request.
 	sent bool
 	// suspect is runnerset.Choice.Suspect.
 	suspect bool
-	// firstAttempt is set unless the request appears to be a retry by the caller.
+	// firstAttempt is set unless the request appears to be a retry by the caller, or resumes a
+	// stream, which can go to the runners of one software version only.
 	firstAttempt bool
 	// full is set if a request of the service was refused recently.
 	full bool
@@ -66,7 +67,7 @@
 func (s *activeRequest) refusalInputs(service string, choice runnerset.Choice, now time.Time) refusalInputs {
 	return refusalInputs{
 		sent: s.history.mayHaveRun(), suspect: choice.Suspect,
-		firstAttempt: retryafter.IsFirstAttempt(s.request.StatedTimeout, s.usualTimeout),
+		firstAttempt: !s.resumes() && retryafter.IsFirstAttempt(s.request.StatedTimeout, s.usualTimeout),
 		full:         s.planners.full(service, now), target: s.request.Route.Target,
 		protected: s.verdict != nil && s.verdict.Protected(),
 		waited:    now.Sub(s.request.Received), expected: choice.FirstEvent,
--- a/internal/serving/online/versions_test.go
+++ b/internal/serving/online/versions_test.go
@@ -196,3 +196,25 @@
 	}
 	return p.ReadCloser.Read(buffer)
 }
+
+// A stream that a caller resumes has precedence over new streams on the runners of its software
+// version: it is not refused because they are full.
+func TestResumedStreamIsNotRefusedAtFullRunners(t *testing.T) {
+	is := is.New(t)
+	set := versionedRunners("v1")
+	for range 40 {
+		set.Begin(set.Service("s")[0], runnerset.Prompt{}, false, time.Now())
+	}
+	origins := &knownOrigins{origin: streamorigin.Origin{Service: "s", SoftwareVersion: "v1"}}
+	route := routeOf(catalog.Streaming, true, 3)
+	route.Target = time.Nanosecond
+	now := time.Now()
+	request := CallerRequest{
+		ID: "id", Method: http.MethodPost, URI: "/x", Route: route, Received: now, Deadline: now.Add(30 * time.Second), StatedTimeout: 30 * time.Second, ResumeAfter: -1,
+	}
+	forwarder := New("z", set, &fakeRunners{}, prometheus.NewRegistry())
+	forwarder.Origins = origins
+	is.Equal(result.CodeOf(forwarder.Serve(context.Background(), &request, &recorder{})), result.Saturated)
+	request.ResumeAfter = 2
+	is.NoErr(forwarder.Serve(context.Background(), &request, &recorder{}))
+}
