A node with a disk knows the software versions of the time before it lost power

Nodes with a disk now save the versions that they lately listed with their copy of the store, and continue their history after a restart if they receive every change since. For the same reason a node knows the versions of an outage as soon as it is in contact again.

--- a/internal/cluster/informer/informer.go
+++ b/internal/cluster/informer/informer.go
@@ -140,8 +140,8 @@
 	})
 	var running tasks.Group
 	if i.Mirror != nil && i.DiskCache != nil {
-		relay.Restore(i.DiskCache, i.Schema.Classify, merger)
-		running.Go(func() { relay.Persist(ctx, i.DiskCache, i.Mirror) })
+		relay.Restore(i.DiskCache, i.Schema.Classify, merger, i.versionsDocument())
+		running.Go(func() { relay.Persist(ctx, i.DiskCache, i.Mirror, i.versionsDocument()) })
 	}
 	if i.Pool != nil {
 		follower := i.newFollower(merger)
--- a/internal/cluster/informer/runners.go
+++ b/internal/cluster/informer/runners.go
@@ -81,8 +81,9 @@
 	return records
 }
 
-// Reset implements relay.Sink.
+// Reset implements relay.Sink. The changes before the new contents are not received.
 func (c *runnerCache) Reset(values []ports.Value, revision int64) {
+	c.set.Versions().RecordGap(time.Now())
 	c.replace(values, revision, "store")
 }
 
@@ -95,6 +96,9 @@
 	if revision < c.revision {
 		return
 	}
+	if revision > c.revision {
+		c.set.Versions().RecordGap(now)
+	}
 	entries := c.store(append(c.retainedEntries(selection), selection.Values...), now)
 	c.selectedByRelay, c.revision = true, revision
 	if c.set.Select(runnerRecords(entries), selection.Totals, revision, now) {
@@ -140,7 +144,8 @@
 }
 
 // replace replaces the entries of all runners, unless the given revision is older than the
-// cache's. source names the origin of the entries for the log.
+// cache's. source names the origin of the entries for the log. The changes before the list of a peer
+// are received later (see noteVersions).
 func (c *runnerCache) replace(values []ports.Value, revision int64, source string) {
 	now := time.Now()
 	c.mutex.Lock()
@@ -176,6 +181,7 @@
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.noteVersions(events, now)
 	// The revision of the entries rises only with a change of an entry, not with changes
 	// of other keys.
 	revision := maxRevision(events)
--- a/internal/cluster/relay/diskcache.go
+++ b/internal/cluster/relay/diskcache.go
@@ -35,21 +35,40 @@
 // runners by service and zone.
 const selectionKey = "kept/selection"
 
-// Restore passes the cached documents to a merger. If the cache holds a selection of the
+// ExtraDocument is a document of this node that is saved together with the store's, under a key
+// that the store does not have. Each saved revision includes its state at that revision or later.
+type ExtraDocument struct {
+	Key string
+	// Encode returns the present value, and Restore receives the saved one after the other
+	// documents.
+	Encode  func() []byte
+	Restore func(value []byte)
+}
+
+// Restore passes the cached documents to a merger, and then the extra document to its receiver. If the cache holds a selection of the
 // runners, the merger receives them as a selection, otherwise as the complete contents of
 // the store. If the cache is empty or unreadable, the merger receives nothing.
-func Restore(cache DiskCache, classify Classifier, merger *Merger) {
+func Restore(cache DiskCache, classify Classifier, merger *Merger, extra ExtraDocument) {
 	cached, revision, err := cache.LoadDocuments()
 	klog.InfoS("disk cache read", "documents", len(cached), "revision", revision, "err", err)
 	if err != nil || revision < 0 {
 		return
 	}
+	extraAt := slices.IndexFunc(cached, func(value ports.Value) bool { return value.Key == extra.Key })
+	var extraValue []byte
+	if extraAt >= 0 {
+		extraValue = cached[extraAt].Value
+		cached = slices.Delete(cached, extraAt, extraAt+1)
+	}
 	values, selection := splitSelection(cached, classify)
 	if selection == nil {
 		merger.Reset(values, revision)
-		return
+	} else {
+		merger.ResetToSelection(values, *selection, revision)
+	}
+	if extraAt >= 0 {
+		extra.Restore(extraValue)
 	}
-	merger.ResetToSelection(values, *selection, revision)
 }
 
 // splitSelection separates the selected runners from the other cached documents. The
@@ -85,9 +104,9 @@
 	return totalsFromReply(reply)
 }
 
-// Persist writes the contents of a mirror to the cache until the context ends. After a
-// failed write it tries again when the mirror has changed.
-func Persist(ctx context.Context, cache DiskCache, mirror *Mirror) {
+// Persist writes the contents of a mirror and the extra document to the cache until the context
+// ends. After a failed write it tries again when the mirror has changed.
+func Persist(ctx context.Context, cache DiskCache, mirror *Mirror, extra ExtraDocument) {
 	saved, savedPartial := int64(-1), false
 	for ctx.Err() == nil {
 		update, changed := mirror.After(saved, nil)
@@ -96,7 +115,7 @@
 		if update == nil && saved >= 0 && partial != savedPartial {
 			update = &Update{Revision: saved} // a selection may follow contents of the same revision
 		}
-		if update != nil && saveUpdate(cache, update, selection) {
+		if update != nil && saveUpdate(cache, update, selection, ports.Value{Key: extra.Key, Value: extra.Encode()}) {
 			saved, savedPartial = update.Revision, partial
 		}
 		pause.For(ctx, persistInterval)
@@ -124,10 +143,10 @@
 	return document
 }
 
-// saveUpdate writes an update and the selection document to the cache. If the selection
+// saveUpdate writes an update, the extra document and the selection document to the cache. If the selection
 // document has no value, it deletes that document from the cache. It returns false if the
 // disk lacks room or the write failed.
-func saveUpdate(cache DiskCache, update *Update, selection ports.Value) bool {
+func saveUpdate(cache DiskCache, update *Update, selection, extra ports.Value) bool {
 	values := slices.Clone(update.Values)
 	var deletedKeys []string
 	for _, event := range update.Events {
@@ -138,6 +157,7 @@
 	if !update.Whole {
 		values = latestValues(update.Events)
 	}
+	values = append(values, extra)
 	if selection.Value != nil {
 		values = append(values, selection)
 	} else {
--- a/internal/cluster/relay/diskcache_test.go
+++ b/internal/cluster/relay/diskcache_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"sync"
 	"testing"
@@ -63,6 +64,28 @@
 	return k.revision
 }
 
+// extraTest is a document that has no meaning to the tests.
+var extraTest = ExtraDocument{Key: "kept/test", Encode: func() []byte { return []byte("extra") }, Restore: func([]byte) {}}
+
+// The extra document is restored after the store's contents, to its receiver only.
+func TestExtraDocumentIsRestored(t *testing.T) {
+	is := is.New(t)
+	cache := &memoryCache{revision: -1}
+	mirror := NewMirror(classifyTest)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go Persist(ctx, cache, mirror, extraTest)
+	mirror.Reset([]ports.Value{{Key: "config", Revision: 4}}, 4)
+	eventually.Require(t, "the contents are cached", func() bool { return cache.savedRevision() == 4 })
+	node := &recordingSink{values: map[string]int64{}}
+	restored := ""
+	extra := extraTest
+	extra.Restore = func(value []byte) { restored = fmt.Sprint(string(value), " after ", len(node.values)) }
+	Restore(cache, classifyTest, NewMerger(node), extra)
+	is.Equal(node.values, map[string]int64{"config": 4})
+	is.Equal(restored, "extra after 1")
+}
+
 // A restored selection is still a selection with the total numbers of runners, so that a
 // node does not serve it as the complete store. Complete contents are restored as
 // complete.
@@ -73,7 +96,7 @@
 	merger := NewMerger(mirror)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go Persist(ctx, cache, mirror)
+	go Persist(ctx, cache, mirror, extraTest)
 	totals := subset.Totals{{Service: "s", Zone: "z1"}: 2048}
 	config := ports.Value{Key: "config", Revision: 3}
 	merger.ResetToSelection([]ports.Value{config}, Selection{Values: []ports.Value{{Key: runnerKey(1), Revision: 4}}, Totals: totals}, 4)
@@ -81,18 +104,18 @@
 
 	node := &recordingSink{values: map[string]int64{}}
 	restored := NewMerger(node)
-	Restore(cache, classifyTest, restored)
+	Restore(cache, classifyTest, restored, extraTest)
 	is.True(restored.Partial())
 	is.True(node.partial)
 	is.Equal(node.values, map[string]int64{"config": 3, runnerKey(1): 4})
 	other := NewMirror(classifyTest)
-	Restore(cache, classifyTest, NewMerger(other))
+	Restore(cache, classifyTest, NewMerger(other), extraTest)
 	is.True(other.Partial())
 	is.Equal(other.totals, totals)
 
 	merger.Reset([]ports.Value{config, {Key: runnerKey(1), Revision: 4}, {Key: runnerKey(2), Revision: 5}}, 5)
 	eventually.Require(t, "the complete contents are cached", func() bool { return cache.savedRevision() == 5 })
-	Restore(cache, classifyTest, restored)
+	Restore(cache, classifyTest, restored, extraTest)
 	is.True(!restored.Partial())
 	is.Equal(len(node.values), 3)
 }
@@ -104,13 +127,13 @@
 	mirror := NewMirror(classifyTest)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go Persist(ctx, cache, mirror)
+	go Persist(ctx, cache, mirror, extraTest)
 	mirror.Reset([]ports.Value{{Key: runnerKey(1), Revision: 4}}, 4)
 	eventually.Require(t, "the contents are cached", func() bool { return cache.savedRevision() == 4 })
 	mirror.Select(Selection{Values: []ports.Value{{Key: runnerKey(1), Revision: 4}}}, 4)
 	eventually.Require(t, "the selection is cached", cache.holdsSelection)
 	restored := NewMirror(classifyTest)
-	Restore(cache, classifyTest, NewMerger(restored))
+	Restore(cache, classifyTest, NewMerger(restored), extraTest)
 	is.New(t).True(restored.Partial())
 }
 
--- a/internal/serving/runnerset/versions.go
+++ b/internal/serving/runnerset/versions.go
@@ -1,6 +1,7 @@
 package runnerset
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -31,9 +32,18 @@
 	// contactAge returns the time since the last contact with the store; nil stands for an
 	// uninterrupted contact.
 	contactAge func() time.Duration
+	// connected reports whether the node is in contact with the store; nil stands for a contact
+	// that is never lost.
+	connected func() bool
 	// since is when the history began; zero before the first list.
-	since    time.Time
-	services map[string]*serviceVersions
+	since time.Time
+	// gaplessSince is since when this node has received every change of the list, at once or
+	// later; zero if that includes the changes in an earlier run of this node.
+	gaplessSince time.Time
+	// connectedAt is when the contact with the store was first seen after its last loss; zero
+	// if it is lost.
+	connectedAt time.Time
+	services    map[string]*serviceVersions
 	// sole is a copy for readers on the path of requests: the time since which all runners of
 	// a service have had the same version. It lacks the services with several versions.
 	sole atomic.Pointer[map[string]time.Time]
@@ -63,9 +73,77 @@
 // Versions returns the history of the runners' software versions.
 func (s *Set) Versions() *VersionHistory { return s.versions }
 
-// SetContactAge sets the function that returns the time since the last contact with the store.
-// It must be called before the first list.
-func (h *VersionHistory) SetContactAge(contactAge func() time.Duration) { h.contactAge = contactAge }
+// StoreContact is the contact with the store; see listwatch.StoreContact.
+type StoreContact interface {
+	Age() time.Duration
+	Lost() bool
+}
+
+// SetContact sets the contact with the store. It must be called before the first list.
+func (h *VersionHistory) SetContact(contact StoreContact) {
+	h.contactAge = contact.Age
+	h.connected = func() bool { return !contact.Lost() }
+}
+
+// Recent returns the versions of each service that were listed lately, for Restore.
+func (h *VersionHistory) Recent() map[string][]string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	recent := map[string][]string{}
+	for name, service := range h.services {
+		recent[name] = slices.Sorted(maps.Keys(service.spans))
+	}
+	return recent
+}
+
+// Restore continues the history of an earlier run with the versions that it had listed lately. It is
+// called after the list of that run was restored.
+func (h *VersionHistory) Restore(recent map[string][]string, now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for name, versions := range recent {
+		for _, version := range versions {
+			h.noteListed(name, version, now)
+		}
+	}
+	h.gaplessSince = time.Time{}
+	h.publishSole()
+}
+
+// RecordGap records that changes of the list may have been skipped.
+func (h *VersionHistory) RecordGap(now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.gaplessSince = now
+}
+
+// NoteListed adds the version of a runner that was listed for a moment.
+func (h *VersionHistory) NoteListed(record *Record, now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.noteListed(record.Service, record.SoftwareVersion(), now)
+}
+
+// noteListed adds a version that was listed until now at the latest. The mutex is held.
+func (h *VersionHistory) noteListed(service, version string, now time.Time) {
+	span := h.spanOf(service, version, now)
+	span.last = latest(span.last, now)
+}
+
+// catchUpTime is how long after the contact with the store is back its changes have surely arrived.
+const catchUpTime = 100 * time.Millisecond
+
+// upToDate reports whether the changes of the list up to now have arrived. The mutex is held.
+func (h *VersionHistory) upToDate(now time.Time) bool {
+	if h.connected == nil || !h.connected() || h.contactAge() > maxContactAge {
+		h.connectedAt = time.Time{}
+		return false
+	}
+	if h.connectedAt.IsZero() {
+		h.connectedAt = now
+	}
+	return now.Sub(h.connectedAt) >= catchUpTime
+}
 
 // Refresh checks the contact with the store, and forgets versions that were not listed for
 // MaxVersionWindow. It is called several times a second.
@@ -73,6 +151,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.checkContact(now)
+	h.upToDate(now)
 	for name, service := range h.services {
 		for version, span := range service.spans {
 			if !span.listed && now.Sub(span.last) > MaxVersionWindow {
@@ -125,18 +204,23 @@
 
 // addListed marks the version of a listed runner as listed. The mutex is held.
 func (h *VersionHistory) addListed(runner *Runner, now time.Time) {
-	service := h.services[runner.Service]
+	span := h.spanOf(runner.Service, runner.SoftwareVersion(), now)
+	span.last, span.listed = now, true
+}
+
+// spanOf returns the span of a version, and creates it if necessary. The mutex is held.
+func (h *VersionHistory) spanOf(name, version string, now time.Time) *versionSpan {
+	service := h.services[name]
 	if service == nil {
 		service = &serviceVersions{spans: map[string]*versionSpan{}}
-		h.services[runner.Service] = service
+		h.services[name] = service
 	}
-	version := runner.SoftwareVersion()
 	span := service.spans[version]
 	if span == nil {
-		span = &versionSpan{first: now}
+		span = &versionSpan{first: now, last: now}
 		service.spans[version] = span
 	}
-	span.last, span.listed = now, true
+	return span
 }
 
 // serviceTotals sums the rounded numbers of runners by service.
@@ -192,12 +276,12 @@
 
 // VersionKnowledge is what a node knows about the versions of a service in a window.
 type VersionKnowledge struct {
-	// Known is set if the node knew all runners of the service during the whole window.
+	// Known is set if the node knows all versions that were listed in the window.
 	Known bool
 	// Seen are the versions that were listed in the window, in alphabetical order.
 	Seen []string
 	// Established are the versions among them that other nodes may have listed before the
-	// window began.
+	// window began; empty if this node was not in contact with the store during the window.
 	Established []string
 }
 
@@ -212,13 +296,14 @@
 	if versions == nil {
 		return VersionKnowledge{}
 	}
-	known := VersionKnowledge{Known: !h.since.After(start) && !versions.partialAt.After(start)}
+	inContact := !h.since.After(start)
+	known := VersionKnowledge{Known: (inContact || !h.gaplessSince.After(start) && h.upToDate(now)) && !versions.partialAt.After(start)}
 	for version, span := range versions.spans {
 		if !span.listed && span.last.Before(start) {
 			continue
 		}
 		known.Seen = append(known.Seen, version)
-		if !span.first.After(start.Add(versionSlack)) {
+		if inContact && !span.first.After(start.Add(versionSlack)) {
 			known.Established = append(known.Established, version)
 		}
 	}
--- a/internal/serving/runnerset/versions_test.go
+++ b/internal/serving/runnerset/versions_test.go
@@ -36,17 +36,17 @@
 func TestHistoryBeginsAnewAfterLossOfContact(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
-	age := time.Duration(0)
+	contact := &fakeContact{lost: true} // so that only the time of the contact counts
 	s := New()
-	s.Versions().SetContactAge(func() time.Duration { return age })
+	s.Versions().SetContact(contact)
 	s.Replace([]Record{versioned("a", "v1")}, 1, now)
 	later := now.Add(testWindow)
 	is.Equal(s.Versions().Knowledge("s", testWindow, later), VersionKnowledge{Known: true, Seen: []string{"v1"}, Established: []string{"v1"}})
-	age = maxContactAge + 1
+	contact.age = maxContactAge + 1
 	s.Versions().Refresh(later)
 	is.True(!s.Versions().SoleFor("s", testWindow, later))
 	is.True(!s.Versions().Knowledge("s", testWindow, later).Known)
-	age = 0
+	contact.age = 0
 	is.True(!s.Versions().Knowledge("s", testWindow, later.Add(testWindow-1)).Known)
 	is.True(s.Versions().Knowledge("s", testWindow, later.Add(testWindow)).Known)
 }
@@ -97,7 +97,7 @@
 		for version, known := range spans {
 			if known.last.IsZero() || !known.last.Before(from) {
 				seen[version] = true
-				if !known.first.After(from.Add(versionSlack)) {
+				if !start.After(from) && !known.first.After(from.Add(versionSlack)) {
 					established[version] = true
 				}
 			}
@@ -127,3 +127,40 @@
 	s.Versions().Refresh(now.Add(MaxVersionWindow + 1))
 	is.Equal(len(s.Versions().services), 0)
 }
+
+// fakeContact is a contact with the store.
+type fakeContact struct {
+	age  time.Duration
+	lost bool
+}
+
+func (c *fakeContact) Age() time.Duration { return c.age }
+func (c *fakeContact) Lost() bool         { return c.lost }
+
+// A node that received every change knows the versions of an outage once it is in contact again, and
+// one that restored its history those of its earlier run; after a gap neither does.
+func TestVersionsAreKnownWithoutAGap(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	contact := &fakeContact{lost: true, age: time.Hour}
+	s := New()
+	s.Versions().SetContact(contact)
+	s.Replace([]Record{versioned("a", "v1")}, 1, now)
+	known := func(at time.Time) VersionKnowledge { return s.Versions().Knowledge("s", testWindow, at) }
+	s.Versions().Restore(map[string][]string{"s": {"v0"}}, now)
+	is.True(!known(now).Known)
+	contact.lost, contact.age = false, 0
+	is.True(!known(now).Known) // the changes may not have arrived yet
+	at := now.Add(catchUpTime)
+	is.Equal(known(at), VersionKnowledge{Known: true, Seen: []string{"v0", "v1"}})
+	s.Versions().NoteListed(&Record{ID: "b", Service: "s", Version: "v2"}, at)
+	is.Equal(known(at).Seen, []string{"v0", "v1", "v2"})
+	is.Equal(s.Versions().Recent(), map[string][]string{"s": {"v0", "v1", "v2"}})
+	contact.lost = true
+	is.True(!known(at).Known)
+	contact.lost = false
+	is.True(!known(at).Known)
+	is.True(known(at.Add(catchUpTime)).Known)
+	s.Versions().RecordGap(at)
+	is.True(!known(at.Add(catchUpTime)).Known)
+}
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -168,7 +168,7 @@
 // provisionOrigins sets up the records of the software versions at which streams began.
 func (m *Module) provisionOrigins(node *nodeParts) {
 	versions := node.runners.Versions()
-	versions.SetContactAge(m.informer.Contact.Age)
+	versions.SetContact(m.informer.Contact)
 	m.origins = streamorigin.New(node.directory, node.pool, versions, node.registry)
 	node.server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_RECORD, m.origins.ServeRecord)
 	node.server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_FIND, m.origins.ServeFind)
