--- a/lab/platformday/streamversions_test.go
+++ b/lab/platformday/streamversions_test.go
@@ -20,6 +20,8 @@
 	streamsBefore = 1200 * time.Millisecond
 	// disruptionLength is the time from a disruption to its end.
 	disruptionLength = 3 * time.Second
+	// listingTime is longer than a change of the list of runners takes to reach the nodes.
+	listingTime = 150 * time.Millisecond
 	// minResumed is the number of resumed streams from which their share is compared.
 	minResumed = 12
 )
@@ -55,6 +57,32 @@
 	}
 }
 
+// crashRunners crashes runners that did not end before. Each comes back with another version.
+func (d *Day) crashRunners(numbers ...int) {
+	for _, number := range numbers {
+		if runner := d.runner(number); runner.ClaimEnd() {
+			runner.Crash()
+			runner.OnCrash(runner)
+		}
+	}
+}
+
+// drainReplaced makes runners leave that did not end before. Each is replaced by one of another
+// version.
+func (d *Day) drainReplaced(numbers ...int) {
+	for _, number := range numbers {
+		runner := d.runner(number)
+		if !runner.ClaimEnd() {
+			continue
+		}
+		runner.Drain()
+		d.runAfter(drainTime, func() {
+			runner.Stop()
+			runner.OnCrash(runner)
+		})
+	}
+}
+
 func isEdge(p *process, _ int) bool { return p.role == "edge" }
 
 // threeEdges matches three of five edges.
@@ -80,15 +108,14 @@
 		}
 	}},
 	{name: "runners crash", begin: func(d *Day) func() {
-		for _, number := range []int{0, 2} { // one of each version
-			runner := d.runner(number)
-			if runner.ClaimEnd() {
-				runner.Crash()
-				runner.OnCrash(runner)
-			}
-		}
+		d.crashRunners(0, 2) // one of each version
 		return func() {}
 	}},
+	{name: "60% of the edges are killed after runners of one version began to leave", begin: func(d *Day) func() {
+		d.drainReplaced(1, 5)
+		time.Sleep(listingTime)
+		return killNodes(threeEdges)(d)
+	}},
 	{name: "all nodes are killed and started", allNodes: true, begin: restartNodes(func(*process, int) bool { return true })},
 }
 
