A node that has just started is not ended by SIGHUP

What is left is the time until the program's runtime has started. TestHangupBeforeSettingsAreReadDoesNotEndTheNode fails without the change.

--- a/cmd/cobaltramp/main.go
+++ b/cmd/cobaltramp/main.go
@@ -6,7 +6,8 @@
 	"os"
 
 	"cobaltramp.example/cobaltramp/internal/app/cli"
-	_ "cobaltramp.example/cobaltramp/modules/standard" // registers the modules
+	_ "cobaltramp.example/cobaltramp/internal/app/hangup" // before the settings are read, SIGHUP has no effect
+	_ "cobaltramp.example/cobaltramp/modules/standard"    // registers the modules
 )
 
 func main() { os.Exit(cli.Main(os.Args[1:])) }
