A stream whose connection went silent may return to its runner

An attempt that the idle timer has ended may now be repeated at the same runner, on a new connection, if no other runner of the version is left. This replaces the exception of (no end by the idle timer without an alternative), which did not see that the listed runner had crashed and left a silent stream waiting; its test goes with it. TestStreamOnSilentConnectionGoesOnAtItsRunner fails without the change.

--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -25,9 +25,6 @@
 	// firstEvent is when the first event, or the response if it is not a stream,
 	// arrived; zero before.
 	firstEvent time.Time
-	// versionFixed is set once the caller has an event of the stream, which can then go on at
-	// the software version of the runner only.
-	versionFixed atomic.Bool
 	// idleTimedOut is set if idleTimer has ended the attempt.
 	idleTimedOut atomic.Bool
 }
@@ -43,7 +40,6 @@
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s.current = &attempt{runner: runner, inFlight: inFlight}
-	s.current.versionFixed.Store(s.softwareVersion != "")
 	s.current.idleTimer = s.startIdleTimer(cancel, s.current)
 	defer s.endIdleTimer(s.current)
 	s.recordOrigin(runner)
@@ -71,15 +67,13 @@
 	s.admission = nil
 }
 
-// startIdleTimer returns a running timer for attempt.idleTimer. It does not end an attempt whose
-// stream could not go on elsewhere: the runner may only be slow.
+// startIdleTimer returns a running timer for attempt.idleTimer.
 func (s *activeRequest) startIdleTimer(cancel context.CancelCauseFunc, current *attempt) *time.Timer {
 	return time.AfterFunc(idleTimeout(s.request.Route.Target), func() {
-		if !s.request.Route.MayRepeat() || current.versionFixed.Load() && !s.Runners.HasAlternative(current.runner) {
-			return
+		if s.request.Route.MayRepeat() {
+			current.idleTimedOut.Store(true)
+			cancel(exchange.ErrUnresponsive)
 		}
-		current.idleTimedOut.Store(true)
-		cancel(exchange.ErrUnresponsive)
 	})
 }
 
@@ -88,7 +82,10 @@
 // attempt, so that the next attempts use new connections.
 func (s *activeRequest) endIdleTimer(ended *attempt) {
 	ended.idleTimer.Stop()
-	s.needsNewConnection = s.needsNewConnection || ended.idleTimedOut.Load()
+	if ended.idleTimedOut.Load() {
+		s.needsNewConnection = true
+		s.silentRunner = ended.runner.ID
+	}
 }
 
 // call returns the call of an attempt at a runner. It may be sent only while the runner
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -44,6 +44,9 @@
 	tried map[string]bool
 	// needsNewConnection is set after an attempt that its idle timer has ended.
 	needsNewConnection bool
+	// silentRunner is the ID of the runner of the last attempt that its idle timer has ended;
+	// empty if there is none, or if the runner was permitted again.
+	silentRunner string
 	// lastEvent is the ID of the last event that the caller has received, at first by
 	// CallerRequest.ResumeAfter; 0 if it has received none.
 	lastEvent int64
@@ -109,6 +112,9 @@
 	for {
 		changed := s.Runners.Changed()
 		choice := s.pickRunner(criteria)
+		if choice.Runner == nil && s.permitSilentRunner() {
+			choice = s.pickRunner(criteria)
+		}
 		if choice.Runner != nil {
 			return choice, s.refuseIfFull(s.service, choice)
 		}
@@ -132,6 +138,18 @@
 	}
 }
 
+// permitSilentRunner permits one more attempt at the runner that was silent, and reports whether there
+// is one. Only the connection may have been silent, and a stream that has begun can go on at few other
+// runners.
+func (s *activeRequest) permitSilentRunner() bool {
+	if s.softwareVersion == "" || s.silentRunner == "" {
+		return false
+	}
+	delete(s.tried, s.silentRunner)
+	s.silentRunner = ""
+	return true
+}
+
 // admit acquires the admission for an attempt, unless an earlier attempt that did not run
 // has left an admission that is still valid.
 func (s *activeRequest) admit(ctx context.Context) error {
--- a/internal/serving/online/stream.go
+++ b/internal/serving/online/stream.go
@@ -44,7 +44,6 @@
 		if !s.history.responseStarted {
 			s.history.responseStarted = true
 			s.softwareVersion = s.current.runner.SoftwareVersion()
-			s.current.versionFixed.Store(true)
 			s.recorded.recording.Await(ctx)
 			s.responder.Head(response.Status, response.Headers, -1)
 		}
--- a/internal/serving/online/versions_test.go
+++ b/internal/serving/online/versions_test.go
@@ -156,45 +156,53 @@
 	is.Equal(len(origins.resolved), 0)
 }
 
-// A stream that pauses must not be cut while no other runner of its software version could go on with
-// it: the runner may only be slow.
-func TestSlowStreamIsNotCutWithoutAnAlternative(t *testing.T) {
+// A stream whose connection goes silent must not be cut while its runner, the last one of its software
+// version, can be reached on a new connection.
+func TestStreamOnSilentConnectionGoesOnAtItsRunner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
+		var calls []exchange.Call
 		client := clientFunc(func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
+			calls = append(calls, *call)
+			if call.RunnerID == "r1" { // crashed, and still listed
+				return nil, &exchange.NotRunError{Reason: exchange.ReasonDial, Cause: errors.New("refused")}
+			}
 			response, err := (&fakeRunners{}).Do(ctx, call)
-			response.Body = &pausingStream{ReadCloser: response.Body, ctx: ctx, pause: 2 * minIdleTime}
+			if call.ResumeAfter < 0 {
+				response.Body = &silentStream{ReadCloser: response.Body, ctx: ctx}
+			}
 			return response, err
 		})
 		now := time.Now()
-		route := routeOf(catalog.Streaming, true, 2)
-		route.Target = 100 * time.Millisecond
-		request := &CallerRequest{ID: "id", Method: http.MethodPost, URI: "/x", Route: route, Received: now, Deadline: now.Add(30 * time.Second), ResumeAfter: -1}
+		request := &CallerRequest{
+			ID: "id", Method: http.MethodPost, URI: "/x", Route: routeOf(catalog.Streaming, true, 2), Received: now, Deadline: now.Add(time.Hour), ResumeAfter: -1,
+		}
 		caller := &recorder{}
-		err := New("z", versionedRunners("v1", "v2"), client, prometheus.NewRegistry()).Serve(context.Background(), request, caller)
-		is.NoErr(err)
+		set := versionedRunners("v1", "v1", "v2")
+		set.Service("s")[1].RecordFailure(now)
+		is.NoErr(New("z", set, client, prometheus.NewRegistry()).Serve(context.Background(), request, caller))
 		is.Equal(caller.body.String(), wholeStream())
+		last := calls[len(calls)-1]
+		is.Equal(last.RunnerID, calls[0].RunnerID)
+		is.True(last.NewConnection)
+		is.Equal(last.ResumeAfter, int64(2))
 	})
 }
 
-// pausingStream pauses before its third read.
-type pausingStream struct {
+// silentStream blocks at its third read until the request is abandoned.
+type silentStream struct {
 	io.ReadCloser
 	ctx   context.Context
-	pause time.Duration
 	reads int
 }
 
-func (p *pausingStream) Read(buffer []byte) (int, error) {
-	p.reads++
-	if p.reads == 3 {
-		select {
-		case <-time.After(p.pause):
-		case <-p.ctx.Done():
-			return 0, p.ctx.Err()
-		}
+func (s *silentStream) Read(buffer []byte) (int, error) {
+	s.reads++
+	if s.reads > 2 {
+		<-s.ctx.Done()
+		return 0, s.ctx.Err()
 	}
-	return p.ReadCloser.Read(buffer)
+	return s.ReadCloser.Read(buffer)
 }
 
 // A stream that a caller resumes has precedence over new streams on the runners of its software
--- a/internal/serving/runnerset/choice.go
+++ b/internal/serving/runnerset/choice.go
@@ -93,15 +93,6 @@
 	})
 }
 
-// HasAlternative reports whether another runner of the same service and software version accepts
-// work.
-func (s *Set) HasAlternative(runner *Runner) bool {
-	version := runner.SoftwareVersion()
-	return slices.ContainsFunc(s.Service(runner.Service), func(other *Runner) bool {
-		return other != runner && other.AcceptsWork() && other.SoftwareVersion() == version
-	})
-}
-
 // allowsVersion reports whether the software version of a runner is as required.
 func (c *Criteria) allowsVersion(runner *Runner) bool {
 	return c.SoftwareVersion == "" || c.SoftwareVersion == runner.SoftwareVersion()
