--- a/internal/batch/queue/order.go
+++ b/internal/batch/queue/order.go
@@ -21,7 +21,9 @@
 
 // rankOf returns the rank of an item. An item is started if it has output from earlier
 // runs. The slack is the spare time before the due time if the item ran from now on, and
-// remaining is the estimated time that the run would take.
+// remaining is the estimated time that the run would take. Started items that can be in time come
+// first, so that what was started is finished. What can't be in time, or has so little slack that an
+// interruption would make it late, comes last: its run would only take a slot from another item.
 func rankOf(started bool, slack, remaining time.Duration) rank {
 	switch {
 	case started && slack >= 0:
--- a/internal/batch/replica/idle.go
+++ b/internal/batch/replica/idle.go
@@ -12,7 +12,8 @@
 // Safety does not depend on these times.
 
 // idleFactor is the factor by which the heartbeat and election times of an idle shard are
-// longer. It must be small enough for a lost member to be noticed and replaced in time.
+// longer. It must be small enough for a lost member to be noticed and replaced in time: heartbeats of
+// 80 ms come every 640 ms.
 const idleFactor = 8
 
 // idleScaled returns a time, multiplied by idleFactor if the shard is idle.
--- a/internal/cluster/ownership/ownership.go
+++ b/internal/cluster/ownership/ownership.go
@@ -5,7 +5,8 @@
 // package is stateless.
 //
 // Ownership is only a hint: while views of the fleet differ, two nodes may consider
-// themselves the owner of the same runner.
+// themselves the owner of the same runner. That costs efficiency and breaks no promise, because
+// promises rest on the engines' stream ids, the epochs of logs, and claims.
 //
 // The plain node assigns runners with this package. The edge and the storage node use its
 // weights and rankings.
--- a/internal/cluster/relay/tree.go
+++ b/internal/cluster/relay/tree.go
@@ -12,9 +12,12 @@
 )
 
 const (
-	// fanOut is the approximate number of followers of a relay in a large fleet.
+	// fanOut is the approximate number of followers of a relay in a large fleet. When all of
+	// them start at once, the relay sends each some 50 KB, about 3 MB in all. With two hops
+	// of it, a zone may have some 4,000 nodes.
 	fanOut = 64
-	// minRelays is the minimum number of relays of a zone, including the node at level 0.
+	// minRelays is the minimum number of relays of a zone, including the node at level 0, so
+	// that the followers of a relay that is lost have another one without a wait.
 	minRelays = 3
 	// leafLevel is the level of the nodes that have no followers.
 	leafLevel = 2
--- a/internal/cluster/subset/subset.go
+++ b/internal/cluster/subset/subset.go
@@ -39,8 +39,9 @@
 
 // FullListLimit is the largest number of runners of a service that are all in every subset.
 // It is compared with the sum of the rounded totals of the service, so it may apply to almost
-// twice as many runners. It limits the memory for known runners and the time to choose a
-// runner.
+// twice as many runners. It limits the memory for known runners, about a kilobyte for each, and the
+// time to choose a runner: 0.2 ms of a core among 512 runners, 4.5 ms among 10,000 (BenchmarkPick in
+// package runnerset).
 const FullListLimit = 512
 
 // Interest describes the subset of runners that a node wants. The zero value selects all
@@ -56,7 +57,8 @@
 }
 
 // Default values of Interest.Near and Interest.Far. An edge looks for a free slot for one
-// request at a time, a node with a disk for up to 200 items of a job at once.
+// request at a time, a node with a disk for up to 200 items of a job at once. Of the best of 64
+// runners, nearly all have a free slot as long as one runner in ten has.
 const (
 	minNearEdge = 64
 	minNearDisk = 256
--- a/internal/cluster/subset/widening.go
+++ b/internal/cluster/subset/widening.go
@@ -4,7 +4,8 @@
 
 const (
 	// maxFactor limits the growth of a subset, and with it the memory for known runners
-	// and the time to choose a runner.
+	// and the time to choose a runner: eight times as many runners are some 500 for an edge
+	// and 2,000 for a node with a disk, which takes 1.5 ms of a core to choose among them.
 	maxFactor = 8
 	// shrinkAfter is the time after which the factor is halved if no request lacked a free
 	// slot meanwhile. It is longer than the usual pause between load peaks.
--- a/internal/serving/loadshare/audience.go
+++ b/internal/serving/loadshare/audience.go
@@ -18,8 +18,8 @@
 	minStorageNodes       = 12
 	maxStorageNodesForAll = 20
 	// runnersPerEdge and runnersPerStorageNode are the minimum numbers of runners of a
-	// service about which a node receives reports, on average over the nodes. A node needs
-	// enough such runners to choose among.
+	// service about which a node receives reports, on average over the nodes. A node chooses
+	// best among the runners that it receives reports of.
 	runnersPerEdge        = 6
 	runnersPerStorageNode = 24
 )
--- a/internal/transport/httpcall/client.go
+++ b/internal/transport/httpcall/client.go
@@ -1,7 +1,9 @@
 // Package httpcall is an HTTP/1.1 client for requests that must run at most once. It
 // never retries, and its errors tell whether any byte of the request was sent.
 //
-// The client uses the request and response codecs of fasthttp on its own connections.
+// The client uses the request and response codecs of fasthttp on its own connections. It does not
+// use fasthttp's own client, which may send a request again when an idle connection turns out to be
+// closed: a request that must run at most once could then run twice.
 //
 // All programs use the package to call runners, services of the platform and the HTTP
 // interfaces of other programs.
