A service of which a node lists only a part proves no version, however long nothing changes

Found by reading: partialAt was set when the list changed, so that after a window without a change a node of a large fleet took its part of the runners for all. TestPartOfTheRunnersProvesNoVersion fails without the change.

--- a/internal/serving/runnerset/versions.go
+++ b/internal/serving/runnerset/versions.go
@@ -24,9 +24,10 @@
 // VersionHistory holds which software versions the listed runners of each service recently
 // had. It is safe for concurrent use.
 //
-// Nodes compare their histories to conclude at which version a stream began. A node that was
-// out of contact with the store may have missed a version, so its history begins anew when
-// the contact returns.
+// Nodes compare their histories to conclude at which version a stream began. Two things are
+// distinguished: which versions were listed (Seen), which a node knows as long as no change of
+// the list was skipped, also after an outage of the store or a restart; and when they were first
+// listed (Established), which it knows only while it is in contact with the store.
 type VersionHistory struct {
 	mutex sync.Mutex
 	// contactAge returns the time since the last contact with the store; nil stands for an
@@ -52,8 +53,9 @@
 // serviceVersions are the versions of one service.
 type serviceVersions struct {
 	spans map[string]*versionSpan
-	// partialAt is when this node last listed only a part of the service's runners; zero if
-	// it never did.
+	// partial is set while this node lists only a part of the service's runners, and partialAt
+	// is when it last was; zero if it never was.
+	partial   bool
 	partialAt time.Time
 }
 
@@ -183,8 +185,11 @@
 	for _, runner := range runners {
 		h.addListed(runner, now)
 	}
-	for name, count := range serviceTotals(totals) {
-		if service := h.services[name]; service != nil && count > subset.FullListLimit {
+	counts := serviceTotals(totals)
+	for name, service := range h.services {
+		before := service.partial
+		service.partial = counts[name] > subset.FullListLimit
+		if before || service.partial {
 			service.partialAt = now
 		}
 	}
@@ -257,7 +262,7 @@
 			since = latest(since, span.last)
 		}
 	}
-	return since, listed == 1
+	return since, listed == 1 && !s.partial
 }
 
 func latest(a, b time.Time) time.Time {
@@ -297,7 +302,7 @@
 		return VersionKnowledge{}
 	}
 	inContact := !h.since.After(start)
-	known := VersionKnowledge{Known: (inContact || !h.gaplessSince.After(start) && h.upToDate(now)) && !versions.partialAt.After(start)}
+	known := VersionKnowledge{Known: (inContact || !h.gaplessSince.After(start) && h.upToDate(now)) && !versions.partial && !versions.partialAt.After(start)}
 	for version, span := range versions.spans {
 		if !span.listed && span.last.Before(start) {
 			continue
--- a/internal/serving/runnerset/versions_test.go
+++ b/internal/serving/runnerset/versions_test.go
@@ -58,8 +58,12 @@
 	s := New()
 	totals := subset.Totals{{Service: "s", Zone: "z"}: subset.FullListLimit * 2}
 	s.Select([]Record{versioned("a", "v1")}, totals, 1, now)
-	is.True(!s.Versions().SoleFor("s", testWindow, now.Add(testWindow-1)))
-	is.True(!s.Versions().Knowledge("s", testWindow, now.Add(testWindow-1)).Known)
+	is.True(!s.Versions().SoleFor("s", testWindow, now.Add(time.Hour)))
+	is.True(!s.Versions().Knowledge("s", testWindow, now.Add(time.Hour)).Known)
+	complete := now.Add(time.Hour)
+	s.Select([]Record{versioned("a", "v1")}, subset.Totals{{Service: "s", Zone: "z"}: 1}, 2, complete)
+	is.True(!s.Versions().SoleFor("s", testWindow, complete.Add(testWindow-1)))
+	is.True(s.Versions().SoleFor("s", testWindow, complete.Add(testWindow)))
 	is.True(!s.Versions().Knowledge("unknown", testWindow, now.Add(time.Hour)).Known)
 }
 
