--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -133,7 +133,7 @@
 	}
 	startAgainUnlessContinued(work, choice.Runner)
 	itemRun := &run{
-		executor: e, work: work, fingerprint: fingerprint, route: route, runner: choice.Runner,
+		executor: e, work: work, fingerprint: fingerprint, prompt: promptOf(work.Item), route: route, runner: choice.Runner,
 		startedAt: now, output: work.Output, savedRound: saveRound(now),
 	}
 	itemRun.output.SoftwareVersion = choice.Runner.SoftwareVersion()
@@ -145,7 +145,7 @@
 func (e *ItemExecutor) start(
 	ctx context.Context, itemRun *run, choice *runnerset.Choice, catalogVersion uint64, done func(queuestore.Outcome),
 ) bool {
-	itemRun.inFlight = e.Runners.Begin(itemRun.runner, promptOf(itemRun.work.Item), true, itemRun.startedAt)
+	itemRun.inFlight = e.Runners.Begin(itemRun.runner, itemRun.prompt, true, itemRun.startedAt)
 	untrack := e.trackRun(itemRun.fingerprint, itemRun.runner)
 	started := e.tasks.Go(func() {
 		defer untrack()
--- a/internal/batch/queuerun/run.go
+++ b/internal/batch/queuerun/run.go
@@ -36,6 +36,7 @@
 	work     *queuestore.Work
 	// fingerprint identifies the item's content.
 	fingerprint quarantine.Fingerprint
+	prompt      runnerset.Prompt
 	route       *catalog.Route
 	runner      *runnerset.Runner
 	inFlight    *runnerset.InFlight // the run's share of the load at the runner
@@ -164,7 +165,7 @@
 	klog.InfoS("item run ended", slices.Concat(
 		[]any{
 			"job", r.work.Key.Job, "item", r.work.Item.Id, "fingerprint", r.fingerprint,
-			"runner", choice.Runner.ID, "load", int(choice.Load),
+			"runner", choice.Runner.ID, "load", int(choice.Load), "parts", r.prompt.PartNames(),
 		},
 		choice.Sources.LogFields(),
 		[]any{
--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -174,7 +174,7 @@
 		},
 		choice.Sources.LogFields(),
 		[]any{
-			"unread", int(choice.Unread), "costMs", choice.Cost.Milliseconds(), "candidates", choice.Candidates,
+			"unread", int(choice.Unread), "parts", s.request.Prompt.PartNames(), "costMs", choice.Cost.Milliseconds(), "candidates", choice.Candidates,
 			"list", revision, "listAgeMs", time.Since(since).Milliseconds(), "resumes", s.request.Resumes, "after", s.lastEvent,
 			"ms", time.Since(started).Milliseconds(), "again", again, "outcome", outcome,
 		},
--- a/internal/serving/runnerset/record.go
+++ b/internal/serving/runnerset/record.go
@@ -1,7 +1,9 @@
 package runnerset
 
 import (
+	"cmp"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -62,6 +64,9 @@
 type PromptPart struct {
 	ID     uint64
 	Tokens int
+	// Name is the caller's name of the part, which may be truncated, for logs; empty if
+	// unknown.
+	Name string
 }
 
 // Prompt describes a request's prompt.
@@ -74,3 +79,16 @@
 	// of other requests may share. They need not cover the whole prompt.
 	SharedParts []PromptPart
 }
+
+// maxLoggedParts is the number of parts of a prompt that a log line names.
+const maxLoggedParts = 8
+
+// PartNames returns the names of the first shared parts, for logs. A part without a name is
+// represented by its ID.
+func (p *Prompt) PartNames() string {
+	var names []string
+	for _, part := range p.SharedParts[:min(len(p.SharedParts), maxLoggedParts)] {
+		names = append(names, cmp.Or(part.Name, strconv.FormatUint(part.ID, 16)))
+	}
+	return strings.Join(names, ",")
+}
