--- /dev/null
+++ b/lab/platformday/crashingparts_test.go
@@ -0,0 +1,131 @@
+package platformday
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"cobaltramp.example/cobaltramp/internal/app/tasks"
+	"cobaltramp.example/cobaltramp/lab/standin"
+)
+
+const (
+	// deadlyPart is a part of prompts that crashes runners.
+	deadlyPart = "deadly"
+	// soundPerSecond and deadlyPerSecond are the numbers of requests per second without
+	// and with such a part.
+	soundPerSecond, deadlyPerSecond = 90, 10
+	// calmTime is the time before the first deadly request.
+	calmTime = 4 * time.Second
+	// crashingTime is the time in which deadly requests are sent.
+	crashingTime = 14 * time.Second
+	// recoverTime is the time after the ending number standin.EndingsBeforeLimit after which
+	// sound requests have to be served again, and minServedShare is how often, compared to
+	// the calm time.
+	recoverTime    = 2 * standin.LearnTime
+	minServedShare = 0.5
+	// secondParts is the number of second parts among which sound requests are divided.
+	secondParts = 7
+)
+
+func secondPart(random *rand.Rand) string { return fmt.Sprint("second", random.IntN(secondParts)) }
+
+func soundPrompt(random *rand.Rand) []string { return []string{"first", secondPart(random)} }
+
+// crashingPartCase is a test of requests with a part that crashes runners.
+type crashingPartCase struct {
+	name            string
+	prompt          func(random *rand.Rand) []string
+	parts           []string
+	endsHeadCleanly bool
+}
+
+// Few requests with a part that crashes runners may reach runners once this part can be known,
+// wherever it stands in the prompt. Sound requests with the same other parts must be served.
+func TestPartThatCrashesRunnersReachesFewOfThem(t *testing.T) {
+	program := build(t, t.TempDir())
+	tests := []crashingPartCase{
+		{name: "first", prompt: func(random *rand.Rand) []string { return []string{deadlyPart, secondPart(random)} }, parts: []string{deadlyPart}},
+		{name: "second", prompt: func(*rand.Rand) []string { return []string{"first", deadlyPart} }, parts: []string{deadlyPart}},
+		{name: "third", prompt: func(random *rand.Rand) []string { return []string{"first", secondPart(random), deadlyPart} }, parts: []string{deadlyPart}},
+		{
+			name: "second, with a clean end of the connection", endsHeadCleanly: true, parts: []string{deadlyPart},
+			prompt: func(*rand.Rand) []string { return []string{"first", deadlyPart} },
+		},
+		{
+			name: "two parts", parts: []string{deadlyPart + "0", deadlyPart + "1"},
+			prompt: func(random *rand.Rand) []string { return []string{"first", fmt.Sprint(deadlyPart, random.IntN(2))} },
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { checkCrashingPart(t, program, test) })
+	}
+}
+
+func checkCrashingPart(t *testing.T, program string, test crashingPartCase) {
+	t.Helper()
+	deadly := map[string]bool{}
+	for _, part := range test.parts {
+		deadly[part] = true
+	}
+	folder := t.TempDir()
+	d, err := open(t.Context(), Options{
+		Program: program, Folder: folder, Seed: 1, Progress: os.Stderr, Edges: 5, Runners: 10,
+		CrashesOnPart: func(part string) bool { return deadly[part] }, EndsHeadCleanly: test.endsHeadCleanly,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.close()
+	sound := &promptLoad{Day: d, perSecond: soundPerSecond, draw: soundPrompt, target: standin.EventsPrefix + "x", name: "sound"}
+	crashing := &promptLoad{Day: d, perSecond: deadlyPerSecond, draw: test.prompt, target: standin.EventsPrefix + "x", name: "crashing"}
+	ctx, stop := context.WithTimeout(t.Context(), calmTime+crashingTime)
+	defer stop()
+	began := time.Now()
+	var loads tasks.Group
+	loads.Go(func() { sound.run(ctx, rand.New(rand.NewPCG(1, 1))) })
+	loads.Go(func() {
+		time.Sleep(calmTime)
+		crashing.run(ctx, rand.New(rand.NewPCG(1, 2)))
+	})
+	loads.Wait()
+	calm, _ := sound.servedShare(began.Add(time.Second), began.Add(calmTime))
+	for _, part := range test.parts {
+		checkPartCrashes(t, d, part)
+	}
+	latest := time.Time{}
+	for _, part := range test.parts {
+		if times := d.ledger.PartCrashes(part); len(times) > 0 {
+			latest = later(latest, times[min(len(times), standin.EndingsBeforeLimit)-1])
+		}
+	}
+	after, sent := sound.servedShare(latest.Add(recoverTime), began.Add(calmTime+crashingTime))
+	t.Logf("sound requests served: %.2f before, %.2f of %d after", calm, after, sent)
+	if sent == 0 || after < minServedShare*calm {
+		t.Errorf("%.2f of %d sound requests are served, before it were %.2f", after, sent, calm)
+	}
+	if t.Failed() {
+		t.Log(logTails(folder))
+	}
+}
+
+// checkPartCrashes fails the test if too many requests with a part reached runners too late.
+func checkPartCrashes(t *testing.T, d *Day, part string) {
+	t.Helper()
+	times := d.ledger.PartCrashes(part)
+	late := standin.LaterRuns(times)
+	t.Logf("part %s: %d runs, %d of them later than %v after the ending %d", part, len(times), late, standin.LearnTime, standin.EndingsBeforeLimit)
+	if late > standin.MaxLaterRuns {
+		t.Errorf("part %s: %d runs began late, allowed are %d", part, late, standin.MaxLaterRuns)
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/lab/platformday/day.go
+++ b/lab/platformday/day.go
@@ -39,6 +39,10 @@
 	// Crashes reports whether a request with the body crashes each runner that runs it;
 	// nil stands for no crashes. A new runner replaces a crashed one after a delay.
 	Crashes func(body []byte) bool
+	// CrashesOnPart and EndsHeadCleanly are passed to the runners; see
+	// standin.RunnerOptions.
+	CrashesOnPart   func(part string) bool
+	EndsHeadCleanly bool
 	// UnequalRunners makes the runners differ in speed and report a contention that
 	// varies.
 	UnequalRunners bool
--- a/lab/platformday/runners.go
+++ b/lab/platformday/runners.go
@@ -23,7 +23,7 @@
 		Version: d.versionOf(number, generation),
 		ID:      fmt.Sprintf("r%d-%d", number, generation), Service: "s", Zone: fmt.Sprintf("z%d", number%zoneCount), Address: "127.0.0.1:0",
 		Slots: 8, QueueLimit: 32, EventInterval: 15 * time.Millisecond, Store: d.store, Ledger: d.ledger,
-		Crashes: d.Crashes, OnCrash: func(crashed *standin.Runner) { d.replaceRunner(crashed, number, generation) },
+		Crashes: d.Crashes, CrashesOnPart: d.CrashesOnPart, EndsHeadCleanly: d.EndsHeadCleanly, OnCrash: func(crashed *standin.Runner) { d.replaceRunner(crashed, number, generation) },
 	}
 	if d.UnequalRunners {
 		options.Slowness = 1 + float64(number%unequalSpeeds)*slownessStep
--- a/lab/standin/ledger.go
+++ b/lab/standin/ledger.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Run is one run of a request at a runner.
@@ -28,6 +29,10 @@
 	resumesForCaller bool
 	// Crashed is true if the runner crashed at the start of the run.
 	Crashed bool
+	// Parts are the names of the shared parts of the prompt, and BeganAt is when the runner
+	// began the run.
+	Parts   []string
+	BeganAt time.Time
 }
 
 // MaxCrashes is the largest number of runners that one request may crash: the users'
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -40,6 +41,12 @@
 	// of its run; nil stands for no crashes. OnCrash is called once, after such a crash.
 	Crashes func(body []byte) bool
 	OnCrash func(crashed *Runner)
+	// CrashesOnPart reports whether requests with a shared part of the prompt crash the
+	// runner shortly after it has sent the head of its response; nil stands for no crashes.
+	CrashesOnPart func(part string) bool
+	// EndsHeadCleanly makes such a response one that ends with its connection, without an
+	// error on the connection.
+	EndsHeadCleanly bool
 }
 
 // Runner emulates a model runner: it runs at most as many requests at once as it has
@@ -157,13 +164,16 @@
 		return
 	}
 	run := &Run{Runner: r.ID, Version: r.Version, Body: sha256.Sum256(body), Path: request.URL.RequestURI(), LastEventID: from, resumesForCaller: request.Header.Get(resumesHeader) != ""}
-	run.Crashed = r.Crashes != nil && r.Crashes(body)
+	run.Parts, run.BeganAt = sharedParts(request.Header), time.Now()
+	crashesOnPart := r.CrashesOnPart != nil && slices.ContainsFunc(run.Parts, r.CrashesOnPart)
+	run.Crashed = crashesOnPart || r.Crashes != nil && r.Crashes(body)
 	r.Ledger.begin(id, run)
+	if crashesOnPart {
+		defer r.beginResponse(writer, id)()
+		time.Sleep(crashDelay)
+	}
 	if run.Crashed {
-		if r.ClaimEnd() {
-			r.Crash()
-			r.OnCrash(r)
-		}
+		r.crashOnce()
 		panic(http.ErrAbortHandler)
 	}
 	complete := r.respond(writer, request, id, run)
@@ -171,6 +181,14 @@
 	r.Ledger.end(run, complete, request.Context().Err() != nil && !r.ended.Load(), silence.IsSilent(connection))
 }
 
+// crashOnce crashes the runner, unless it has ended already.
+func (r *Runner) crashOnce() {
+	if r.ClaimEnd() {
+		r.Crash()
+		r.OnCrash(r)
+	}
+}
+
 // parseOptionalInt parses a number; the empty text stands for 0.
 func parseOptionalInt(text string) (int64, error) {
 	if text == "" {
