--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -114,11 +114,12 @@
 		}
 		return e.tasks.Go(func() { done(queuestore.Outcome{Dead: true, Reason: "route gone"}) })
 	}
-	fingerprint := fingerprintOf(work)
-	if remaining, held := e.held(fingerprint); held {
-		wait := min(remaining, maxQuarantineWait)
-		klog.InfoS("item delayed: its fingerprint is quarantined", "job", work.Key.Job, "item", work.Item.Id, "fingerprint", fingerprint,
-			"heldMs", remaining.Milliseconds(), "waitMs", wait.Milliseconds())
+	identity := identityOf(work, route)
+	fingerprint := identity.Fingerprint
+	if refusal, held := e.held(identity); held {
+		wait := min(refusal.Remaining, maxQuarantineWait)
+		klog.InfoS("item delayed: its fingerprint is quarantined", "job", work.Key.Job, "item", work.Item.Id, "fingerprint", refusal.Fingerprint,
+			"part", refusal.Part, "heldMs", refusal.Remaining.Milliseconds(), "waitMs", wait.Milliseconds())
 		return e.tasks.Go(func() { done(queuestore.Outcome{Output: work.Output, RetryDelay: wait, Reason: "quarantined"}) })
 	}
 	avoided := e.runnersToAvoid(work, fingerprint, now)
@@ -133,7 +134,7 @@
 	}
 	startAgainUnlessContinued(work, choice.Runner)
 	itemRun := &run{
-		executor: e, work: work, fingerprint: fingerprint, prompt: promptOf(work.Item), route: route, runner: choice.Runner,
+		executor: e, work: work, identity: identity, prompt: promptOf(work.Item), route: route, runner: choice.Runner,
 		startedAt: now, output: work.Output, savedRound: saveRound(now),
 	}
 	itemRun.output.SoftwareVersion = choice.Runner.SoftwareVersion()
@@ -146,7 +147,7 @@
 	ctx context.Context, itemRun *run, choice *runnerset.Choice, catalogVersion uint64, done func(queuestore.Outcome),
 ) bool {
 	itemRun.inFlight = e.Runners.Begin(itemRun.runner, itemRun.prompt, true, itemRun.startedAt)
-	untrack := e.trackRun(itemRun.fingerprint, itemRun.runner)
+	untrack := e.trackRun(itemRun.identity.Fingerprint, itemRun.runner)
 	started := e.tasks.Go(func() {
 		defer untrack()
 		outcome := itemRun.run(ctx)
@@ -163,12 +164,12 @@
 	return started
 }
 
-// held reports whether an item is quarantined, and for how much longer.
-func (e *ItemExecutor) held(fingerprint quarantine.Fingerprint) (time.Duration, bool) {
+// held reports whether an item is quarantined, and why.
+func (e *ItemExecutor) held(identity *quarantine.Work) (quarantine.Refusal, bool) {
 	if e.Quarantine == nil {
-		return 0, false
+		return quarantine.Refusal{}, false
 	}
-	return e.Quarantine.Held(fingerprint)
+	return e.Quarantine.Held(identity)
 }
 
 // trackRun reports the start of a run to the quarantine. The caller calls end when the run
@@ -186,6 +187,16 @@
 	return quarantine.FingerprintOf(quarantine.RequestContent{Tenant: work.Tenant, Method: http.MethodPost, Host: work.Host, URI: work.Item.Path, Body: work.Item.Body})
 }
 
+// identityOf identifies an item and the shared parts of its prompt for the quarantine.
+func identityOf(work *queuestore.Work, route *catalog.Route) *quarantine.Work {
+	identity := &quarantine.Work{ID: work.Item.Id, Fingerprint: fingerprintOf(work), Service: route.ServiceFor(work.Item.Id)}
+	prompt := promptOf(work.Item)
+	for _, part := range prompt.SharedParts {
+		identity.AddPart(quarantine.NewPart(work.Tenant, part.ID, part.Name))
+	}
+	return identity
+}
+
 // promptOf returns the tokens of an item's prompt, its expected output tokens, and all parts
 // of the prompt but the last as the parts that other prompts may share.
 func promptOf(item *wirev1.QueueItem) runnerset.Prompt {
--- a/internal/batch/queuerun/outcome.go
+++ b/internal/batch/queuerun/outcome.go
@@ -54,7 +54,7 @@
 	case runnerFailed:
 		r.runner.RecordFailure(time.Now())
 	case outcome.Failed:
-		r.runner.RecordItemError(r.fingerprint.String(), time.Now())
+		r.runner.RecordItemError(r.identity.Fingerprint.String(), time.Now())
 	}
 	return outcome
 }
--- a/internal/batch/queuerun/queuerun_test.go
+++ b/internal/batch/queuerun/queuerun_test.go
@@ -192,13 +192,16 @@
 	avoid     map[string]bool
 	broken    int
 	completed int
+	ended     bool // whether runners have ended
 }
 
-func (g *fakeGuard) Held(quarantine.Fingerprint) (time.Duration, bool) { return g.held, g.held > 0 }
-func (g *fakeGuard) RecordBrokenRun(string, quarantine.Fingerprint, string, string) {
-	g.broken++
+func (g *fakeGuard) Held(*quarantine.Work) (quarantine.Refusal, bool) {
+	return quarantine.Refusal{Remaining: g.held}, g.held > 0
 }
-func (g *fakeGuard) RecordCompletion(quarantine.Fingerprint)               { g.completed++ }
+
+func (g *fakeGuard) RecordBrokenRun(*quarantine.Work, quarantine.Run)      { g.broken++ }
+func (g *fakeGuard) RecordCompletion(*quarantine.Work, quarantine.Run)     { g.completed++ }
+func (g *fakeGuard) HasEnded(_, _ string) bool                             { return g.ended }
 func (g *fakeGuard) RunnersToAvoid(quarantine.Fingerprint) map[string]bool { return g.avoid }
 func (g *fakeGuard) Begin(quarantine.Fingerprint, string) func()           { return func() {} }
 
--- a/internal/batch/queuerun/run.go
+++ b/internal/batch/queuerun/run.go
@@ -34,14 +34,14 @@
 type run struct {
 	executor *ItemExecutor
 	work     *queuestore.Work
-	// fingerprint identifies the item's content.
-	fingerprint quarantine.Fingerprint
-	prompt      runnerset.Prompt
-	route       *catalog.Route
-	runner      *runnerset.Runner
-	inFlight    *runnerset.InFlight // the run's share of the load at the runner
-	startedAt   time.Time
-	cancel      context.CancelCauseFunc
+	// identity identifies the item and the parts of its prompt for the quarantine.
+	identity  *quarantine.Work
+	prompt    runnerset.Prompt
+	route     *catalog.Route
+	runner    *runnerset.Runner
+	inFlight  *runnerset.InFlight // the run's share of the load at the runner
+	startedAt time.Time
+	cancel    context.CancelCauseFunc
 	// output is the output of this run and of earlier runs.
 	output queue.ItemOutput
 	// savedRound is the save round in which the output was last saved, or in which the
@@ -80,7 +80,7 @@
 	call := &exchange.Call{
 		ID: r.work.Item.Id, Method: http.MethodPost, URI: r.work.Item.Path, Host: r.work.Host, Body: r.work.Item.Body,
 		RunnerID: r.runner.ID, Address: r.runner.Address, Service: r.runner.Service, Tenant: r.work.Tenant,
-		ResumeAfter: -1, MaySend: r.runner.AcceptsWork,
+		ResumeAfter: -1, MaySend: r.maySend,
 	}
 	for _, header := range r.work.Item.Headers {
 		call.Headers = append(call.Headers, exchange.Header{Name: header.Name, Value: header.Value})
@@ -91,6 +91,12 @@
 	return call
 }
 
+// maySend reports whether the run may still be sent to its runner.
+func (r *run) maySend() bool {
+	_, quarantined := r.executor.held(r.identity)
+	return r.runner.AcceptsWork() && !quarantined
+}
+
 // readEvents adds events to the output until the stream ends or breaks. A stream that ends
 // makes the item done if there is any output. A stream is broken if it ends without any
 // output, if an event does not have the next ID, or if reading fails.
@@ -149,22 +155,27 @@
 // the runner has ended.
 func (r *run) recordBrokenRun() {
 	if r.executor.Quarantine != nil && quarantine.IsSuspectRun(r.firstEvent, time.Now()) {
-		r.executor.Quarantine.RecordBrokenRun(r.work.Item.Id, r.fingerprint, r.runner.StartID(), r.runner.Address)
+		r.executor.Quarantine.RecordBrokenRun(r.identity, r.quarantineRun())
 	}
 }
 
 // recordCompletion reports to the quarantine that the runner completed the item.
 func (r *run) recordCompletion() {
 	if r.executor.Quarantine != nil {
-		r.executor.Quarantine.RecordCompletion(r.fingerprint)
+		r.executor.Quarantine.RecordCompletion(r.identity, r.quarantineRun())
 	}
 }
 
+// quarantineRun describes the run to the quarantine.
+func (r *run) quarantineRun() quarantine.Run {
+	return quarantine.Run{Start: r.runner.StartID(), Address: r.runner.Address, Version: r.runner.SoftwareVersion(), Began: r.startedAt}
+}
+
 // logEnd logs the end of a run with its outcome, whether the item was completed or not.
 func (r *run) logEnd(choice *runnerset.Choice, catalogVersion uint64, outcome string) {
 	klog.InfoS("item run ended", slices.Concat(
 		[]any{
-			"job", r.work.Key.Job, "item", r.work.Item.Id, "fingerprint", r.fingerprint,
+			"job", r.work.Key.Job, "item", r.work.Item.Id, "fingerprint", r.identity.Fingerprint,
 			"runner", choice.Runner.ID, "load", int(choice.Load), "parts", r.prompt.PartNames(),
 		},
 		choice.Sources.LogFields(),
--- a/internal/serving/online/answer.go
+++ b/internal/serving/online/answer.go
@@ -60,7 +60,7 @@
 		return false, result.New(result.CallerGone, "the caller left")
 	}
 	if len(body) < maxBufferedBytes {
-		s.recordCompletion()
+		s.recordCompletion(response.Status)
 		return false, nil
 	}
 	return false, s.relayRest(ctx, response)
@@ -77,7 +77,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			s.recordCompletion()
+			s.recordCompletion(response.Status)
 			return nil
 		}
 		if err != nil {
--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -18,6 +18,8 @@
 type attempt struct {
 	runner   *runnerset.Runner
 	inFlight *runnerset.InFlight
+	// began is when the attempt began.
+	began time.Time
 	// idleTimer cancels the attempt if the route allows the request to be repeated. It
 	// runs for the idle timeout from the start of the attempt, and starts again after each
 	// event of a stream has been written to the caller.
@@ -39,7 +41,7 @@
 	defer s.beginTrial(runner)()
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.current = &attempt{runner: runner, inFlight: inFlight}
+	s.current = &attempt{runner: runner, inFlight: inFlight, began: started}
 	s.current.idleTimer = s.startIdleTimer(cancel, s.current)
 	defer s.endIdleTimer(s.current)
 	s.recordOrigin(runner)
@@ -89,8 +91,8 @@
 }
 
 // call returns the call of an attempt at a runner. It may be sent only while the runner
-// accepts work (or was recently removed, if it was chosen as such) and the admission is
-// valid. After a part of the response, the runner is asked to resume after the last event
+// accepts work (or was recently removed, if it was chosen as such), the admission is valid and
+// the request is not quarantined. After a part of the response, the runner is asked to resume after the last event
 // that was sent to the caller.
 func (s *activeRequest) call(runner *runnerset.Runner) *exchange.Call {
 	usable := runner.AcceptsWork
@@ -98,7 +100,7 @@
 		usable = runner.RecentlyWithdrawn
 	}
 	admitted := s.admission
-	maySend := func() bool { return usable() && admitted.Valid() }
+	maySend := func() bool { return usable() && admitted.Valid() && !s.quarantined() }
 	call := &exchange.Call{
 		ID: s.request.ID, Method: s.request.Method, URI: s.request.URI, Host: s.request.Host,
 		Headers: s.request.Headers, Body: s.request.Body, Tenant: s.request.tenantName(),
@@ -169,7 +171,7 @@
 	revision, since := s.Runners.Revision()
 	klog.InfoS("attempt", slices.Concat(
 		[]any{
-			"id", s.request.ID, "fingerprint", s.fingerprint,
+			"id", s.request.ID, "fingerprint", s.work.Fingerprint,
 			"runner", choice.Runner.ID, "version", choice.Runner.SoftwareVersion(), "zone", choice.Runner.Zone, "crossing", s.crossingPercent(), "load", int(choice.Load),
 		},
 		choice.Sources.LogFields(),
--- a/internal/serving/online/crashes.go
+++ b/internal/serving/online/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"time"
 
 	"cobaltramp.example/cobaltramp/internal/app/result"
@@ -18,15 +19,30 @@
 	if s.Quarantine == nil {
 		return nil
 	}
-	remaining, quarantined := s.Quarantine.Held(s.fingerprint)
+	refusal, quarantined := s.Quarantine.Held(s.work)
 	if !quarantined {
 		return nil
 	}
+	s.lastCause = refusal.String()
 	if s.history.mayHaveRun() {
-		return result.New(result.OutcomeUnknown,
-			"runners end under this request (fingerprint %v), and it is not sent to another", s.fingerprint).WithRetryAfter(remaining)
+		return result.New(result.OutcomeUnknown, "%v, and it is not sent to another", refusal).WithRetryAfter(refusal.Remaining)
 	}
-	return result.New(result.Quarantined, "runners end under this request (fingerprint %v)", s.fingerprint).WithRetryAfter(remaining)
+	return result.New(result.Quarantined, "%v", refusal).WithRetryAfter(refusal.Remaining)
+}
+
+// quarantined reports whether the request is quarantined.
+func (s *activeRequest) quarantined() bool {
+	if s.Quarantine == nil {
+		return false
+	}
+	_, quarantined := s.Quarantine.Held(s.work)
+	return quarantined
+}
+
+// run describes the current attempt to the quarantine.
+func (s *activeRequest) run() quarantine.Run {
+	runner := s.current.runner
+	return quarantine.Run{Start: runner.StartID(), Address: runner.Address, Version: runner.SoftwareVersion(), Began: s.current.began}
 }
 
 // reportBrokenRun reports an attempt that broke off to the quarantine, which counts the
@@ -38,13 +54,15 @@
 	if s.Quarantine == nil || endedHere || !quarantine.IsSuspectRun(s.current.firstEvent, time.Now()) {
 		return
 	}
-	s.Quarantine.RecordBrokenRun(s.request.ID, s.fingerprint, s.current.runner.StartID(), s.current.runner.Address)
+	s.Quarantine.RecordBrokenRun(s.work, s.run())
 }
 
-// recordCompletion reports to the quarantine that a runner has completed the request.
-func (s *activeRequest) recordCompletion() {
-	if s.Quarantine != nil {
-		s.Quarantine.RecordCompletion(s.fingerprint)
+// recordCompletion reports to the quarantine that a runner has completed the request with a
+// status. An error says nothing about the request: the runner may not have begun to respond
+// to it.
+func (s *activeRequest) recordCompletion(status int) {
+	if s.Quarantine != nil && status < http.StatusMultipleChoices {
+		s.Quarantine.RecordCompletion(s.work, s.run())
 	}
 }
 
@@ -55,7 +73,7 @@
 	if s.Quarantine == nil {
 		return s.Runners.Pick(criteria, now)
 	}
-	avoided := s.Quarantine.RunnersToAvoid(s.fingerprint)
+	avoided := s.Quarantine.RunnersToAvoid(s.work.Fingerprint)
 	if len(avoided) == 0 {
 		return s.Runners.Pick(criteria, now)
 	}
@@ -74,5 +92,5 @@
 	if s.Quarantine == nil {
 		return func() {}
 	}
-	return s.Quarantine.Begin(s.fingerprint, runner.ID)
+	return s.Quarantine.Begin(s.work.Fingerprint, runner.ID)
 }
--- a/internal/serving/online/crashes_test.go
+++ b/internal/serving/online/crashes_test.go
@@ -22,21 +22,23 @@
 	holdAfter int // number of broken runs after which a request is quarantined; 0 for never
 	broke     []string
 	completed int
+	ended     bool // whether runners have ended
 }
 
-func (g *guard) Held(fingerprint quarantine.Fingerprint) (time.Duration, bool) {
-	left, held := g.held[fingerprint]
-	return left, held
+func (g *guard) Held(work *quarantine.Work) (quarantine.Refusal, bool) {
+	left, held := g.held[work.Fingerprint]
+	return quarantine.Refusal{Fingerprint: work.Fingerprint, Remaining: left}, held
 }
 
-func (g *guard) RecordBrokenRun(_ string, fingerprint quarantine.Fingerprint, runner, _ string) {
-	g.broke = append(g.broke, runner)
+func (g *guard) RecordBrokenRun(work *quarantine.Work, run quarantine.Run) {
+	g.broke = append(g.broke, run.Start)
 	if len(g.broke) == g.holdAfter {
-		g.held = map[quarantine.Fingerprint]time.Duration{fingerprint: time.Minute}
+		g.held = map[quarantine.Fingerprint]time.Duration{work.Fingerprint: time.Minute}
 	}
 }
 
-func (g *guard) RecordCompletion(quarantine.Fingerprint)               { g.completed++ }
+func (g *guard) RecordCompletion(*quarantine.Work, quarantine.Run)     { g.completed++ }
+func (g *guard) HasEnded(_, _ string) bool                             { return g.ended }
 func (g *guard) RunnersToAvoid(quarantine.Fingerprint) map[string]bool { return g.avoid }
 func (g *guard) Begin(quarantine.Fingerprint, string) func()           { return func() {} }
 
@@ -119,7 +121,7 @@
 func TestIdleTimeoutIsNotReportedAsBrokenRun(t *testing.T) {
 	is := is.New(t)
 	g, runner := &guard{}, &runnerset.Runner{}
-	s := &activeRequest{Forwarder: &Forwarder{Quarantine: g}, request: &CallerRequest{}, current: &attempt{runner: runner}}
+	s := &activeRequest{Forwarder: &Forwarder{Quarantine: g}, request: &CallerRequest{}, work: &quarantine.Work{}, current: &attempt{runner: runner}}
 	s.reportBrokenRun(context.Background())
 	is.Equal(len(g.broke), 1)
 	s.current.idleTimedOut.Store(true)
@@ -138,7 +140,30 @@
 func TestBrokenRunIsReportedByStart(t *testing.T) {
 	is := is.New(t)
 	g, runner := &guard{}, &runnerset.Runner{Record: runnerset.Record{ID: "r", StartedAt: 5}}
-	s := &activeRequest{Forwarder: &Forwarder{Quarantine: g}, request: &CallerRequest{}, current: &attempt{runner: runner}}
+	s := &activeRequest{Forwarder: &Forwarder{Quarantine: g}, request: &CallerRequest{}, work: &quarantine.Work{}, current: &attempt{runner: runner}}
 	s.reportBrokenRun(context.Background())
 	is.Equal(g.broke, []string{"r@5"})
 }
+
+// A request with a part in its prompt that is quarantined by now is not sent, even if its
+// attempt had begun before.
+func TestQuarantineIsCheckedBeforeTheSend(t *testing.T) {
+	is := is.New(t)
+	g := &guard{}
+	request := &CallerRequest{Route: routeOf(catalog.Streaming, true, 1)}
+	s := &activeRequest{Forwarder: &Forwarder{Quarantine: g}, request: request, work: request.work()}
+	call := s.call(&runnerset.Runner{})
+	is.True(call.MaySend())
+	g.held = map[quarantine.Fingerprint]time.Duration{s.work.Fingerprint: time.Minute}
+	is.True(!call.MaySend())
+}
+
+// The work of a request has its shared parts, of its tenant, without repetitions.
+func TestWorkNamesTheSharedParts(t *testing.T) {
+	is := is.New(t)
+	request := &CallerRequest{
+		Route: routeOf(catalog.Streaming, true, 1), Tenant: &catalog.Tenant{Name: "a"},
+		Prompt: runnerset.Prompt{SharedParts: []runnerset.PromptPart{{ID: 1, Name: "x"}, {ID: 2}, {ID: 1, Name: "x"}}},
+	}
+	is.Equal(request.work().Parts, []quarantine.Part{quarantine.NewPart("a", 1, "x"), quarantine.NewPart("a", 2, "")})
+}
--- a/internal/serving/online/online.go
+++ b/internal/serving/online/online.go
@@ -87,7 +87,7 @@
 	defer cancel()
 	defer f.FairShares.Begin(request.Route.ServiceFor(request.ID), request.tenantName(), request.Route.Priority)()
 	s := &activeRequest{
-		Forwarder: f, request: request, fingerprint: request.fingerprint(), responder: responder,
+		Forwarder: f, request: request, work: request.work(), responder: responder,
 		service: request.Route.ServiceFor(request.ID),
 		tried:   map[string]bool{}, lastEvent: max(0, request.ResumeAfter),
 		usualTimeout: f.callerTimeouts.Record(request.Route.Name, request.StatedTimeout, request.Received),
--- a/internal/serving/online/origins.go
+++ b/internal/serving/online/origins.go
@@ -37,7 +37,7 @@
 		s.service = s.request.Route.ServiceFor(s.request.Resumes)
 	}
 	origin, err := s.Origins.Resolve(ctx, &streamorigin.Resumption{
-		ID: s.request.ID, Attempt: s.request.Resumes, Content: uint64(s.fingerprint), Service: s.service,
+		ID: s.request.ID, Attempt: s.request.Resumes, Content: uint64(s.work.Fingerprint), Service: s.service,
 		Window: streamorigin.WindowOf(s.request.Route.Timeout),
 	})
 	if err != nil {
@@ -63,7 +63,7 @@
 	}
 	s.recorded.record = streamorigin.Record{Origin: origin, Sequence: s.recorded.record.Sequence + 1}
 	s.recorded.recording = s.Origins.Record(streamorigin.Stream{
-		Key: streamorigin.KeyOf(uint64(s.fingerprint), s.request.ID), ID: s.request.ID,
+		Key: streamorigin.KeyOf(uint64(s.work.Fingerprint), s.request.ID), ID: s.request.ID,
 		Window: streamorigin.WindowOf(s.request.Route.Timeout),
 	}, s.recorded.record)
 }
--- a/internal/serving/online/request.go
+++ b/internal/serving/online/request.go
@@ -46,6 +46,15 @@
 	return quarantine.FingerprintOf(quarantine.RequestContent{Tenant: r.tenantName(), Method: r.Method, Host: r.Host, URI: r.URI, Body: r.Body})
 }
 
+// work identifies the request and the shared parts of its prompt for the quarantine.
+func (r *CallerRequest) work() *quarantine.Work {
+	work := &quarantine.Work{ID: r.ID, Fingerprint: r.fingerprint(), Service: r.Route.ServiceFor(r.ID)}
+	for _, part := range r.Prompt.SharedParts {
+		work.AddPart(quarantine.NewPart(r.tenantName(), part.ID, part.Name))
+	}
+	return work
+}
+
 // tenantName returns the name of the tenant; empty where there are no tenants.
 func (r *CallerRequest) tenantName() string {
 	if r.Tenant == nil {
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -29,8 +29,8 @@
 type activeRequest struct {
 	*Forwarder
 	request *CallerRequest
-	// fingerprint identifies the content of the request.
-	fingerprint quarantine.Fingerprint
+	// work identifies the request and the parts of its prompt for the quarantine.
+	work *quarantine.Work
 	// usualTimeout is the longest timeout that callers of the route have stated
 	// recently; see retryafter.CallerTimeouts.
 	usualTimeout time.Duration
@@ -199,7 +199,7 @@
 		}
 	}
 	s.requests.WithLabelValues(outcome).Inc()
-	klog.InfoS("request ended", append([]any{"id", s.request.ID, "fingerprint", s.fingerprint, "route", s.request.Route.Name,
+	klog.InfoS("request ended", append([]any{"id", s.request.ID, "fingerprint", s.work.Fingerprint, "route", s.request.Route.Name,
 		"tenant", s.request.tenantName(), "catalog", s.request.Version, "outcome", outcome,
 		"runs", s.history.runs, "notRun", s.history.notRun, "events", s.lastEvent,
 		"firstMs", s.firstEventAfter.Milliseconds(), "ms", time.Since(s.request.Received).Milliseconds(),
--- a/internal/serving/online/stream.go
+++ b/internal/serving/online/stream.go
@@ -72,7 +72,7 @@
 
 // finishStream ends a complete stream. It sends the head if the stream had no events.
 func (s *activeRequest) finishStream(response *exchange.Response) (bool, error) {
-	s.recordCompletion()
+	s.recordCompletion(response.Status)
 	if !s.history.responseStarted {
 		s.history.responseStarted = true
 		s.responder.Head(response.Status, response.Headers, 0)
--- a/internal/serving/quarantine/archive.go
+++ b/internal/serving/quarantine/archive.go
@@ -146,8 +146,8 @@
 
 // merge returns the holds of the new document, and how many of the unsaved holds the
 // stored document lacks or has in an older version. The new document contains the
-// holds that SuspectTable.Holds lists at the given time, and of these the latest
-// maxStoredHolds.
+// holds that SuspectTable.Holds lists at the given time, and of these the maxStoredHolds that
+// newestHolds selects.
 func merge(stored []Hold, unsaved map[Fingerprint]Hold, now time.Time) (merged []Hold, missing int) {
 	table := NewSuspectTable()
 	for _, hold := range stored {
@@ -158,8 +158,7 @@
 			missing++
 		}
 	}
-	merged = table.Holds(now)
-	return merged[:min(len(merged), maxStoredHolds)], missing
+	return newestHolds(table.Holds(now), maxStoredHolds), missing
 }
 
 // removeSaved removes the given holds from the unsaved holds. It retains a hold that
--- a/internal/serving/quarantine/coordinator.go
+++ b/internal/serving/quarantine/coordinator.go
@@ -22,16 +22,18 @@
 // Guard is used by senders of requests to check a request against the quarantine and
 // to report its outcome.
 type Guard interface {
-	// Held reports whether a request is held. If it is, the duration is the time until
-	// the hold expires.
-	Held(fingerprint Fingerprint) (time.Duration, bool)
-	// RecordBrokenRun records that the run of a request broke without having been ended
-	// by this node. The run counts against the request if the runner has ended. The
-	// first argument is the request's id, for logs; start identifies the start of the
-	// runner (runnerset.Record.StartID).
-	RecordBrokenRun(request string, fingerprint Fingerprint, start, address string)
-	// RecordCompletion records that a runner has completed a request.
-	RecordCompletion(fingerprint Fingerprint)
+	// Held reports whether work is held, as a whole or because of a part of its prompt. It
+	// does not block.
+	Held(work *Work) (Refusal, bool)
+	// RecordBrokenRun records that a run broke without having been ended by this node. The
+	// run counts against the work if the runner has ended.
+	RecordBrokenRun(work *Work, run Run)
+	// RecordCompletion records that a runner has completed a run: it has sent a whole
+	// successful response, and has not ended with it.
+	RecordCompletion(work *Work, run Run)
+	// HasEnded reports whether a runner, known by its start and its address, has ended. It
+	// may block for a round trip to the runner's machine.
+	HasEnded(start, address string) bool
 	// RunnersToAvoid returns the ids of the runners to which a request should not be
 	// sent. The result is empty or nil if there are none, and always nil for a request
 	// that is not suspected.
@@ -52,6 +54,7 @@
 type Coordinator struct {
 	*CrashDetector
 	table     *SuspectTable
+	parts     *PartTable
 	restarts  *restartLog
 	directory notify.NodeDirectory
 	sender    notify.NoticeSender
@@ -64,6 +67,10 @@
 	// attempts counts this node's running attempts of suspected requests, by runner
 	// and fingerprint. It has no entries with count 0.
 	attempts map[string]map[Fingerprint]int
+	// evidence contains the last completion of a part that was reported to or by other nodes.
+	evidence map[partEvidence]time.Time
+	// partDecisions calls decideParts after new endings.
+	partDecisions *notify.Batcher
 
 	events *prometheus.CounterVec
 }
@@ -83,21 +90,28 @@
 	directory notify.NodeDirectory, sender notify.NoticeSender, prober Prober, store HoldStore, registry prometheus.Registerer,
 ) *Coordinator {
 	c := &Coordinator{
-		CrashDetector: NewCrashDetector(prober), table: NewSuspectTable(), restarts: newRestartLog(), directory: directory, sender: sender, store: store,
-		attempts: map[string]map[Fingerprint]int{},
+		CrashDetector: NewCrashDetector(prober), table: NewSuspectTable(), parts: NewPartTable(), restarts: newRestartLog(), directory: directory, sender: sender, store: store,
+		attempts: map[string]map[Fingerprint]int{}, evidence: map[partEvidence]time.Time{},
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cobaltramp_quarantine_events_total",
 			Help: "Runners that ended under requests, and what came of these requests, as seen by this node.",
 		}, []string{"event"}),
 	}
 	c.batcher = notify.NewBatcher(notify.Schedule{Delay: coalesceInterval, Flush: func(context.Context) { c.flush() }})
+	c.partDecisions = notify.NewBatcher(notify.Schedule{Delay: partDecisionDelay, Flush: func(context.Context) { c.decideParts() }})
 	registry.MustRegister(c.events,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "cobaltramp_quarantine_suspects", Help: "Requests under which a runner ended lately.",
 		}, c.countSuspected),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-			Name: "cobaltramp_quarantine_holds", Help: "Requests that are not sent to runners.",
+			Name: "cobaltramp_quarantine_holds", Help: "Requests and parts of prompts that are not sent to runners.",
 		}, c.countHeld),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "cobaltramp_quarantine_suspected_parts", Help: "Parts of prompts under which runners ended since their last completion.",
+		}, c.countSuspectedParts),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "cobaltramp_quarantine_evicted_parts_total", Help: "Suspected parts of prompts that were forgotten because there were too many.",
+		}, c.countEvictedParts),
 	)
 	return c
 }
@@ -107,43 +121,61 @@
 	return float64(suspected)
 }
 
+func (c *Coordinator) countSuspectedParts() float64 {
+	suspects, _ := c.parts.Counts()
+	return float64(suspects)
+}
+
+func (c *Coordinator) countEvictedParts() float64 {
+	_, evicted := c.parts.Counts()
+	return float64(evicted)
+}
+
 func (c *Coordinator) countHeld() float64 {
 	_, held := c.table.Counts(time.Now())
 	return float64(held)
 }
 
 // Held implements Guard. It counts each positive result as a refused request.
-func (c *Coordinator) Held(fingerprint Fingerprint) (time.Duration, bool) {
-	remaining, held := c.table.Held(fingerprint, time.Now())
+func (c *Coordinator) Held(work *Work) (Refusal, bool) {
+	now := time.Now()
+	remaining, held := c.table.Held(work.Fingerprint, now)
+	refusal := Refusal{Fingerprint: work.Fingerprint, Remaining: remaining}
+	if !held {
+		refusal, held = c.heldPart(work, now)
+	}
 	if held {
 		c.events.WithLabelValues(eventRefused).Inc()
 	}
-	return remaining, held
+	return refusal, held
 }
 
 // RecordBrokenRun implements Guard. It probes the runner, unless a recent result is
 // cached, and so may block for up to probeTimeout. If the probe does not show that the
 // runner has ended, the run counts only if the list shows a later start of the runner
 // within restartConfirmTime (RecordRestart).
-func (c *Coordinator) RecordBrokenRun(request string, fingerprint Fingerprint, start, address string) {
-	run := brokenRun{request: request, fingerprint: fingerprint, at: time.Now()}
-	if c.HasEnded(start, address) || c.restarts.recordBreak(start, run) {
-		c.recordEnding(request, fingerprint, start)
+func (c *Coordinator) RecordBrokenRun(work *Work, run Run) {
+	broken := brokenRun{work: work, run: run, at: time.Now()}
+	if c.HasEnded(run.Start, run.Address) || c.restarts.recordBreak(broken) {
+		c.recordEnding(work, run)
 	}
 }
 
 // RecordRestart records that the list of runners shows a later start of a runner in place
 // of the given one. Runs that broke there shortly before then count as ended with it.
 func (c *Coordinator) RecordRestart(start string) {
-	for _, run := range c.restarts.recordRestart(start, time.Now()) {
-		c.recordEnding(run.request, run.fingerprint, start)
+	for _, broken := range c.restarts.recordRestart(start, time.Now()) {
+		c.recordEnding(broken.work, broken.run)
 	}
 }
 
-func (c *Coordinator) recordEnding(request string, fingerprint Fingerprint, start string) {
-	outcome := c.table.RecordEnding(fingerprint, start, true, time.Now())
-	klog.InfoS("runner ended while running a request", "id", request, "fingerprint", fingerprint, "runner", start,
+func (c *Coordinator) recordEnding(work *Work, run Run) {
+	now := time.Now()
+	fingerprint, start := work.Fingerprint, run.Start
+	outcome := c.table.RecordEnding(fingerprint, start, true, now)
+	klog.InfoS("runner ended while running a request", "id", work.ID, "fingerprint", fingerprint, "runner", start,
 		"counted", outcome.Counted, "held", outcome.Hold != nil)
+	c.recordPartEndings(work, run, now)
 	if !outcome.Counted {
 		return
 	}
@@ -178,14 +210,15 @@
 		event = eventLift
 	}
 	c.events.WithLabelValues(event).Inc()
-	klog.InfoS("quarantine hold changed", "event", event, "fingerprint", hold.Fingerprint,
+	klog.InfoS("quarantine hold changed", "event", event, "fingerprint", hold.Fingerprint, "part", hold.Part,
 		"until", time.UnixMilli(hold.Until).UTC(), "decided", time.UnixMilli(hold.Decided).UTC(), "source", source)
 }
 
-// RecordCompletion implements Guard. It does nothing for a request that is not
-// suspected. Otherwise it removes the request's endings, lifts its hold and reports the
-// completion to other nodes.
-func (c *Coordinator) RecordCompletion(fingerprint Fingerprint) {
+// RecordCompletion implements Guard. If the request is suspected, it removes the request's
+// endings, lifts its hold and reports the completion to other nodes.
+func (c *Coordinator) RecordCompletion(work *Work, run Run) {
+	c.recordPartCompletions(work, run, time.Now())
+	fingerprint := work.Fingerprint
 	if !c.table.Suspected(fingerprint) {
 		return
 	}
@@ -202,6 +235,7 @@
 func (c *Coordinator) Lift(fingerprint Fingerprint) bool {
 	lifted := c.table.Lift(fingerprint, time.Now())
 	if lifted != nil {
+		c.parts.Forgive(fingerprint)
 		c.distributeHold(*lifted, "operator")
 	}
 	return lifted != nil
--- a/internal/serving/quarantine/coordinator_test.go
+++ b/internal/serving/quarantine/coordinator_test.go
@@ -73,6 +73,9 @@
 
 func (k *memoryHoldStore) Save(hold Hold) { k.holds[hold.Fingerprint] = hold }
 
+// workOf returns work without parts.
+func workOf(fingerprint Fingerprint) *Work { return &Work{ID: "id", Fingerprint: fingerprint} }
+
 func newNetwork(count int) (*network, *fakeProber, *memoryHoldStore) {
 	n, prober, saved := &network{nodes: map[string]*Coordinator{}}, &fakeProber{alive: map[string]bool{}}, &memoryHoldStore{map[Fingerprint]Hold{}}
 	for number := range count {
@@ -97,14 +100,14 @@
 		together := rapid.Bool().Draw(rt, "all at once")
 		for number := range EndingsToHold {
 			at := rapid.IntRange(0, 3).Draw(rt, "node")
-			n.nodes[fmt.Sprint("n", at)].RecordBrokenRun("id", 7, fmt.Sprint("r", number), fmt.Sprint("a", number))
+			n.nodes[fmt.Sprint("n", at)].RecordBrokenRun(workOf(7), Run{Start: fmt.Sprint("r", number), Address: fmt.Sprint("a", number)})
 			if !together {
 				n.flush()
 			}
 		}
 		n.flush()
 		for name, coordinator := range n.nodes {
-			if _, held := coordinator.Held(7); !held {
+			if _, held := coordinator.Held(workOf(7)); !held {
 				rt.Fatalf("%s does not hold the request", name)
 			}
 		}
@@ -121,7 +124,7 @@
 	for number := range 3 * EndingsToHold {
 		address := fmt.Sprint("a", number)
 		prober.alive[address] = true
-		n.nodes["n0"].RecordBrokenRun("id", 7, fmt.Sprint("r", number), address)
+		n.nodes["n0"].RecordBrokenRun(workOf(7), Run{Start: fmt.Sprint("r", number), Address: address})
 	}
 	is.True(!n.nodes["n0"].table.Suspected(7))
 }
@@ -135,7 +138,7 @@
 		group.Add(1)
 		go func() {
 			defer group.Done()
-			n.nodes["n0"].RecordBrokenRun("id", Fingerprint(number), "r", "a")
+			n.nodes["n0"].RecordBrokenRun(workOf(Fingerprint(number)), Run{Start: "r", Address: "a"})
 		}()
 	}
 	group.Wait()
@@ -152,24 +155,24 @@
 		is := is.New(t)
 		n, _, saved := newNetwork(3)
 		for number := range EndingsToHold {
-			n.nodes["n0"].RecordBrokenRun("id", 7, fmt.Sprint("r", number), "a")
+			n.nodes["n0"].RecordBrokenRun(workOf(7), Run{Start: fmt.Sprint("r", number), Address: "a"})
 		}
 		n.flush()
 		n.dropsNotice = func(_, to string) bool { return to == "n2" }
 		time.Sleep(time.Millisecond) // Decided has a resolution of one millisecond
-		n.nodes["n1"].RecordCompletion(7)
+		n.nodes["n1"].RecordCompletion(workOf(7), Run{})
 		n.flush()
 		for _, name := range []string{"n0", "n1"} {
-			_, held := n.nodes[name].Held(7)
+			_, held := n.nodes[name].Held(workOf(7))
 			is.True(!held)
 		}
 		is.Equal(saved.holds[7].Until, int64(0))
 		is.True(n.nodes["n2"].Digest() != n.nodes["n1"].Digest())
 		n.nodes["n1"].ReceiveHolds(n.nodes["n2"].NewestHolds(), "n2")
-		_, held := n.nodes["n1"].Held(7)
+		_, held := n.nodes["n1"].Held(workOf(7))
 		is.True(!held)
 		n.nodes["n2"].ReceiveHolds(n.nodes["n1"].NewestHolds(), "n1")
-		_, held = n.nodes["n2"].Held(7)
+		_, held = n.nodes["n2"].Held(workOf(7))
 		is.True(!held)
 		is.Equal(n.nodes["n2"].Digest(), n.nodes["n1"].Digest())
 	})
@@ -180,11 +183,11 @@
 	is := is.New(t)
 	n, _, saved := newNetwork(2)
 	for number := range EndingsToHold {
-		n.nodes["n0"].RecordBrokenRun("id", 7, fmt.Sprint("r", number), "a")
+		n.nodes["n0"].RecordBrokenRun(workOf(7), Run{Start: fmt.Sprint("r", number), Address: "a"})
 	}
 	fromPeer := NewCoordinator(member{n, "n2"}, member{n, "n2"}, &fakeProber{}, nil, prometheus.NewRegistry())
 	fromPeer.ReceiveHolds(n.nodes["n0"].NewestHolds(), "n0")
-	_, held := fromPeer.Held(7)
+	_, held := fromPeer.Held(workOf(7))
 	is.True(held)
 	store := &fakeStore{}
 	writer := NewHoldWriter(store)
@@ -192,14 +195,14 @@
 	is.True(writer.write(context.Background()))
 	fromStore := NewCoordinator(member{n, "n3"}, member{n, "n3"}, &fakeProber{}, nil, prometheus.NewRegistry())
 	fromStore.ReceiveDocument(store.value, 1)
-	_, held = fromStore.Held(7)
+	_, held = fromStore.Held(workOf(7))
 	is.True(held)
 	is.True(fromStore.Lift(7))
 	is.True(!fromStore.Lift(7))
-	_, held = fromStore.Held(7)
+	_, held = fromStore.Held(workOf(7))
 	is.True(!held)
 	fromStore.ReceiveDocument([]byte("not a document"), 2) // is logged and ignored
-	_, held = fromStore.Held(7)
+	_, held = fromStore.Held(workOf(7))
 	is.True(!held)
 }
 
@@ -208,8 +211,8 @@
 	is := is.New(t)
 	n, _, _ := newNetwork(1)
 	coordinator := n.nodes["n0"]
-	coordinator.RecordBrokenRun("id", 1, "r0", "a")
-	coordinator.RecordBrokenRun("id", 2, "r0", "a")
+	coordinator.RecordBrokenRun(workOf(1), Run{Start: "r0", Address: "a"})
+	coordinator.RecordBrokenRun(workOf(2), Run{Start: "r0", Address: "a"})
 	is.Equal(len(coordinator.RunnersToAvoid(1)), 0)
 	endOne := coordinator.Begin(1, "r1")
 	is.Equal(coordinator.RunnersToAvoid(2), map[string]bool{"r1": true})
--- a/internal/serving/quarantine/hold.go
+++ b/internal/serving/quarantine/hold.go
@@ -1,6 +1,10 @@
 package quarantine
 
-import wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+import (
+	"slices"
+
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+)
 
 // Hold states that a request must not be sent to runners until a given time, or, if
 // Until is 0, that an earlier hold of the request was lifted. Of two holds of the same
@@ -15,6 +19,10 @@
 	// Length is the duration of the hold in milliseconds; 0 for a lifted hold. The
 	// duration of the request's next hold depends on it (nextHold).
 	Length int64 `json:"length_ms"`
+	// Part is set if the fingerprint is that of a part of prompts: the caller's name of the
+	// part, or its fingerprint. Environment is where runners ended under the part.
+	Part        string      `json:"part,omitempty"`
+	Environment Environment `json:"environment,omitzero"`
 }
 
 // supersedes reports whether a hold replaces another one of the same request.
@@ -22,13 +30,17 @@
 	if h.Decided != other.Decided {
 		return h.Decided > other.Decided
 	}
-	return h.Until > other.Until
+	if h.Until != other.Until {
+		return h.Until > other.Until
+	}
+	return h.Part != "" && other.Part == "" // a node of an earlier version drops the part
 }
 
 // Encode converts a hold to its wire form.
 func Encode(hold Hold) *wirev1.QuarantineHold {
 	return &wirev1.QuarantineHold{
 		Fingerprint: uint64(hold.Fingerprint), DecidedUnixMs: hold.Decided, UntilUnixMs: hold.Until, LengthMs: hold.Length,
+		Part: hold.Part, Service: hold.Environment.Service, Version: hold.Environment.Version,
 	}
 }
 
@@ -37,5 +49,26 @@
 	return Hold{
 		Fingerprint: Fingerprint(encoded.Fingerprint),
 		Decided:     encoded.DecidedUnixMs, Until: encoded.UntilUnixMs, Length: encoded.LengthMs,
+		Part: encoded.Part, Environment: Environment{encoded.Service, encoded.Version},
+	}
+}
+
+// newestHolds returns at most limit of the holds, which are in the order of
+// SuspectTable.Holds: the holds of parts first, and then the latest of the others. It keeps
+// the order.
+func newestHolds(holds []Hold, limit int) []Hold {
+	excess := len(holds) - limit
+	if excess <= 0 {
+		return holds
+	}
+	selected := slices.Clone(holds)
+	for _, isPart := range []bool{false, true} {
+		for i := len(selected) - 1; i >= 0 && excess > 0; i-- {
+			if selected[i].Part != "" == isPart {
+				selected = slices.Delete(selected, i, i+1)
+				excess--
+			}
+		}
 	}
+	return selected
 }
--- a/internal/serving/quarantine/notices.go
+++ b/internal/serving/quarantine/notices.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/tasks"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
@@ -28,15 +29,26 @@
 	if c.pending == nil {
 		c.pending = &wirev1.QuarantineNotice{}
 	}
-	if len(c.pending.Endings)+len(c.pending.Absolved) >= maxNoticeEntries {
+	if reportCount(c.pending) >= maxNoticeEntries {
 		return // Reports may be lost in any case.
 	}
 	add(c.pending)
 	c.batcher.Trigger()
 }
 
-// Run sends the pending notices to other nodes until the context ends.
-func (c *Coordinator) Run(ctx context.Context) { c.batcher.Run(ctx) }
+// reportCount returns the number of endings and completions in a notice.
+func reportCount(notice *wirev1.QuarantineNotice) int {
+	return len(notice.Endings) + len(notice.Absolved) + len(notice.PartEndings) + len(notice.PartCompletions)
+}
+
+// Run sends the pending notices to other nodes, and decides which parts of prompts are held,
+// until the context ends.
+func (c *Coordinator) Run(ctx context.Context) {
+	var decisions tasks.Group
+	defer decisions.Wait()
+	decisions.Go(func() { c.partDecisions.Run(ctx) })
+	c.batcher.Run(ctx)
+}
 
 // flush sends the pending notice, if there is one, to each other node.
 func (c *Coordinator) flush() {
@@ -72,6 +84,12 @@
 	for _, fingerprint := range notice.Absolved {
 		c.table.Clear(Fingerprint(fingerprint), now)
 	}
+	for _, ending := range notice.PartEndings {
+		c.receivePartEnding(ending, now)
+	}
+	for _, completion := range notice.PartCompletions {
+		c.receivePartCompletion(completion, now)
+	}
 	c.ReceiveHolds(notice.Holds, from)
 }
 
@@ -96,8 +114,15 @@
 		return
 	}
 	for _, encoded := range holds {
-		if hold := Decode(encoded); c.table.ApplyHold(hold) {
-			c.recordHold(hold, source)
-		}
+		c.applyHold(Decode(encoded), source)
+	}
+}
+
+// applyHold applies a hold from another node or from the store, unless it is known.
+func (c *Coordinator) applyHold(hold Hold, source string) {
+	if !c.table.ApplyHold(hold) {
+		return
 	}
+	c.recordHold(hold, source)
+	c.receivePartHold(hold, time.Now())
 }
--- /dev/null
+++ b/internal/serving/quarantine/parttable.go
@@ -0,0 +1,257 @@
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxPartSuspects is the maximum number of parts with endings; at the maximum, the part
+	// whose latest ending is the oldest is evicted.
+	maxPartSuspects = 1024
+	// maxPartEndings is the maximum number of endings that are kept for one part.
+	maxPartEndings = 256
+)
+
+// partSuspect is the state of a part with endings.
+type partSuspect struct {
+	part Part
+	// endings contains the time at which each ending was recorded, by the runner's start.
+	endings map[string]time.Time
+	strikes []strike
+	// lastEnding is the time at which the latest ending was recorded.
+	lastEnding time.Time
+	// local is set if this node observed an ending under the part.
+	local bool
+}
+
+// PartTable contains the parts of prompts under which runners ended, and the completions that
+// are evidence for parts. It is safe for concurrent use.
+type PartTable struct {
+	completions *completionLog
+
+	mutex    sync.Mutex
+	suspects map[Fingerprint]*partSuspect
+	// suspected contains the keys of suspects, for checks without the mutex.
+	suspected sync.Map
+	evicted   uint64
+}
+
+// NewPartTable returns an empty table.
+func NewPartTable() *PartTable {
+	return &PartTable{completions: newCompletionLog(), suspects: map[Fingerprint]*partSuspect{}}
+}
+
+// Suspected reports whether runners ended under the part since its last completion.
+func (t *PartTable) Suspected(part Fingerprint) bool {
+	_, suspected := t.suspected.Load(part)
+	return suspected
+}
+
+// Counts returns the number of parts with endings, and how many were evicted.
+func (t *PartTable) Counts() (suspects int, evicted uint64) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return len(t.suspects), t.evicted
+}
+
+// RecordEnding records that a runner ended while it ran a request with the part. It returns
+// false if the ending is already known, or if the part was completed since the run began.
+// Local states that this node observed the ending itself.
+func (t *PartTable) RecordEnding(part Part, run Run, service string, local bool, now time.Time) bool {
+	environment := Environment{service, run.Version}
+	completed, known := t.completions.last(part.Fingerprint, environment, now)
+	if known && completed.After(run.Began) {
+		return false
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	entry := t.suspects[part.Fingerprint]
+	if entry == nil {
+		t.evictOldest()
+		entry = &partSuspect{part: part, endings: map[string]time.Time{}}
+		t.suspects[part.Fingerprint] = entry
+		t.suspected.Store(part.Fingerprint, true)
+	}
+	entry.local = entry.local || local
+	if entry.part.Name == "" {
+		entry.part.Name = part.Name
+	}
+	return entry.recordEnding(run, environment, now)
+}
+
+// recordEnding implements PartTable.RecordEnding for one part.
+func (s *partSuspect) recordEnding(run Run, environment Environment, now time.Time) bool {
+	s.expire(now)
+	if _, counted := s.endings[run.Start]; counted || len(s.endings) >= maxPartEndings {
+		return false
+	}
+	s.endings[run.Start], s.lastEnding = now, now
+	if len(s.strikes) == 0 || !run.Began.Before(s.strikes[len(s.strikes)-1].at) {
+		s.strikes = append(s.strikes, strike{run.Start, now, environment})
+	}
+	return true
+}
+
+// expire removes the endings that are older than partEndingTTL.
+func (s *partSuspect) expire(now time.Time) {
+	maps.DeleteFunc(s.endings, func(_ string, at time.Time) bool { return now.Sub(at) > partEndingTTL })
+	s.strikes = slices.DeleteFunc(s.strikes, func(s strike) bool { return now.Sub(s.at) > partEndingTTL })
+}
+
+// evictOldest makes room for a part. The caller holds the mutex.
+func (t *PartTable) evictOldest() {
+	if len(t.suspects) < maxPartSuspects {
+		return
+	}
+	var oldest *partSuspect
+	for _, entry := range t.suspects {
+		if oldest == nil || entry.lastEnding.Before(oldest.lastEnding) {
+			oldest = entry
+		}
+	}
+	t.evicted++
+	t.remove(oldest.part.Fingerprint)
+}
+
+// remove removes a part. The caller holds the mutex.
+func (t *PartTable) remove(part Fingerprint) {
+	delete(t.suspects, part)
+	t.suspected.Delete(part)
+}
+
+// RecordCompletion records that a run of a request with the part was completed in the
+// environment at the given time. Earlier endings there no longer count.
+func (t *PartTable) RecordCompletion(part Fingerprint, environment Environment, at time.Time) {
+	t.completions.record(part, environment, at)
+	if !t.Suspected(part) {
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	entry := t.suspects[part]
+	if entry == nil {
+		return
+	}
+	entry.strikes = slices.DeleteFunc(entry.strikes, func(s strike) bool { return s.environment == environment && !s.at.After(at) })
+	if len(entry.strikes) == 0 {
+		t.remove(part)
+	}
+}
+
+// LastCompletion returns when the part was last completed in the environment, and whether
+// that is known.
+func (t *PartTable) LastCompletion(part Fingerprint, environment Environment, now time.Time) (time.Time, bool) {
+	return t.completions.last(part, environment, now)
+}
+
+// Decide returns the cases of the parts that have to be held now, in the order in which they
+// are held. Held reports whether a part is held already. Only a node that observed an ending
+// under a part decides to hold it: other nodes may lack evidence for the part.
+func (t *PartTable) Decide(held func(Fingerprint) bool, now time.Time) []*partCase {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	explained := map[string]bool{}
+	var open []*partSuspect
+	for fingerprint, entry := range t.suspects {
+		if held(fingerprint) {
+			markExplained(explained, entry.endings)
+		} else {
+			open = append(open, entry)
+		}
+	}
+	var decided []*partCase
+	for {
+		next := nextPartToHold(t.casesOf(open, explained, now))
+		if next == nil {
+			return decided
+		}
+		if t.suspects[next.part.Fingerprint].local {
+			decided = append(decided, next)
+		}
+		markExplained(explained, next.endings)
+		open = slices.DeleteFunc(open, func(entry *partSuspect) bool { return entry.part.Fingerprint == next.part.Fingerprint })
+	}
+}
+
+// Forgive keeps so few strikes of a part whose hold was lifted that it is held again after one
+// more strike.
+func (t *PartTable) Forgive(part Fingerprint) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if entry := t.suspects[part]; entry != nil {
+		entry.strikes = entry.strikes[:min(len(entry.strikes), strikesToHold-1)]
+	}
+}
+
+// Explained returns a held part whose endings, of which this node observed any, are all
+// explained by other held parts, and whether there is one. Of several it returns the one with
+// the fewest endings.
+func (t *PartTable) Explained(held func(Fingerprint) bool) (Fingerprint, bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	var suspects []*partSuspect
+	for fingerprint, entry := range t.suspects {
+		if held(fingerprint) {
+			suspects = append(suspects, entry)
+		}
+	}
+	slices.SortFunc(suspects, func(a, b *partSuspect) int {
+		return cmp.Or(cmp.Compare(len(a.endings), len(b.endings)), cmp.Compare(a.part.Fingerprint, b.part.Fingerprint))
+	})
+	for _, entry := range suspects {
+		var others []map[string]time.Time
+		for _, other := range suspects {
+			if other != entry {
+				others = append(others, other.endings)
+			}
+		}
+		if entry.local && explainedByOthers(entry.endings, others) {
+			return entry.part.Fingerprint, true
+		}
+	}
+	return 0, false
+}
+
+// EndingsOf returns the starts of the runners that ended under a part.
+func (t *PartTable) EndingsOf(part Fingerprint) []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	entry := t.suspects[part]
+	if entry == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(entry.endings))
+}
+
+func markExplained(explained map[string]bool, endings map[string]time.Time) {
+	for runner := range endings {
+		explained[runner] = true
+	}
+}
+
+// casesOf returns the cases of the parts that are not held. The caller holds the mutex.
+func (t *PartTable) casesOf(open []*partSuspect, explained map[string]bool, now time.Time) []*partCase {
+	cases := make([]*partCase, 0, len(open))
+	for _, entry := range open {
+		entry.expire(now)
+		if len(entry.strikes) == 0 {
+			continue
+		}
+		last := entry.strikes[len(entry.strikes)-1].environment
+		_, proven := t.completions.last(entry.part.Fingerprint, last, now)
+		found := &partCase{part: entry.part, strikes: len(entry.strikes), endings: entry.endings, proven: proven, environment: last}
+		for _, s := range entry.strikes {
+			if !explained[s.runner] {
+				found.unexplained = append(found.unexplained, s.runner)
+			}
+		}
+		if len(found.unexplained) > 0 {
+			cases = append(cases, found)
+		}
+	}
+	return cases
+}
--- a/internal/serving/quarantine/restart.go
+++ b/internal/serving/quarantine/restart.go
@@ -20,9 +20,9 @@
 
 // brokenRun is a run that broke and whose runner, by the probe, may not have ended.
 type brokenRun struct {
-	request     string
-	fingerprint Fingerprint
-	at          time.Time
+	work *Work
+	run  Run
+	at   time.Time
 }
 
 // restartLog matches broken runs with restarts of their runners. A runner that restarts
@@ -42,7 +42,8 @@
 
 // recordBreak returns true if the start that executed the run was replaced less than
 // restartConfirmTime ago. Otherwise it keeps the run for recordRestart.
-func (l *restartLog) recordBreak(start string, run brokenRun) bool {
+func (l *restartLog) recordBreak(run brokenRun) bool {
+	start := run.run.Start
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if at, found := l.replaced[start]; found && run.at.Sub(at) < restartConfirmTime {
--- a/internal/serving/quarantine/restart_test.go
+++ b/internal/serving/quarantine/restart_test.go
@@ -15,14 +15,14 @@
 	is := is.New(t)
 	n, _, _ := newNetwork(2)
 	for start := range EndingsToHold {
-		_, held := n.nodes["n1"].Held(7)
+		_, held := n.nodes["n1"].Held(workOf(7))
 		is.True(!held)
 		for range 2 { // the retry of another node breaks at the same start
-			n.nodes["n0"].RecordBrokenRun("id", 7, fmt.Sprint("r@", start), "a")
+			n.nodes["n0"].RecordBrokenRun(workOf(7), Run{Start: fmt.Sprint("r@", start), Address: "a"})
 		}
 		n.flush()
 	}
-	_, held := n.nodes["n1"].Held(7)
+	_, held := n.nodes["n1"].Held(workOf(7))
 	is.True(held)
 }
 
@@ -45,7 +45,7 @@
 				n, prober, _ := newNetwork(1)
 				prober.alive["a"] = true
 				coordinator := n.nodes["n0"]
-				reportBreak := func() { coordinator.RecordBrokenRun("id", 7, "r@1", "a") }
+				reportBreak := func() { coordinator.RecordBrokenRun(workOf(7), Run{Start: "r@1", Address: "a"}) }
 				reportRestart := func() { coordinator.RecordRestart("r@1") }
 				first, second := reportBreak, reportRestart
 				if test.listedFirst {
@@ -69,10 +69,10 @@
 	prober.alive["a"] = true
 	coordinator := n.nodes["n0"]
 	for range EndingsToHold {
-		coordinator.RecordBrokenRun("id", 7, "r@1", "a")
+		coordinator.RecordBrokenRun(workOf(7), Run{Start: "r@1", Address: "a"})
 		coordinator.RecordRestart("r@1")
 	}
-	_, held := coordinator.Held(7)
+	_, held := coordinator.Held(workOf(7))
 	is.True(!held)
 	is.True(coordinator.table.Suspected(7))
 }
@@ -85,7 +85,7 @@
 	for start := range 3 * maxRestartEntries {
 		restarts.recordRestart(fmt.Sprint("ended-", start), now)
 		for range 3 * maxBrokenRuns {
-			restarts.recordBreak(fmt.Sprint("alive-", start), brokenRun{at: now})
+			restarts.recordBreak(brokenRun{run: Run{Start: fmt.Sprint("alive-", start)}, at: now})
 		}
 		is.True(len(restarts.broken) <= maxRestartEntries && len(restarts.replaced) <= maxRestartEntries)
 		is.Equal(len(restarts.broken[fmt.Sprint("alive-", start)]), maxBrokenRuns)
--- a/internal/serving/quarantine/sync.go
+++ b/internal/serving/quarantine/sync.go
@@ -37,8 +37,7 @@
 }
 
 func (c *Coordinator) newest() []Hold {
-	holds := c.Holds()
-	return holds[:min(len(holds), maxSyncedHolds)]
+	return newestHolds(c.Holds(), maxSyncedHolds)
 }
 
 // NewestHolds returns the latest maxSyncedHolds of the active and the recently lifted
@@ -65,9 +64,7 @@
 		klog.ErrorS(err, "decoding the stored quarantine failed in part or as a whole", "revision", revision)
 	}
 	for _, hold := range holds {
-		if c.table.ApplyHold(hold) {
-			c.recordHold(hold, "store")
-		}
+		c.applyHold(hold, "store")
 	}
 }
 
--- a/internal/serving/quarantine/table.go
+++ b/internal/serving/quarantine/table.go
@@ -75,14 +75,22 @@
 // Held reports whether a request is held. If it is, the duration is the time until the
 // hold expires.
 func (t *SuspectTable) Held(fingerprint Fingerprint, now time.Time) (time.Duration, bool) {
-	hold, found := (*t.publishedHolds.Load())[fingerprint]
-	if !found {
-		return 0, false
-	}
-	remaining := time.Duration(hold.Until-now.UnixMilli()) * time.Millisecond
+	_, remaining := t.activeHold(fingerprint, now)
 	return remaining, remaining > 0
 }
 
+// activeHold returns the hold of a request or a part, and the time until it expires, which is
+// not positive if there is no active hold.
+func (t *SuspectTable) activeHold(fingerprint Fingerprint, now time.Time) (Hold, time.Duration) {
+	hold := t.holdOf(fingerprint)
+	return hold, time.Duration(hold.Until-now.UnixMilli()) * time.Millisecond
+}
+
+// holdOf returns the last hold of a request or a part; the zero Hold if there was none.
+func (t *SuspectTable) holdOf(fingerprint Fingerprint) Hold {
+	return (*t.publishedHolds.Load())[fingerprint]
+}
+
 // Suspected reports whether the table contains endings or a hold of a request, also if
 // these have expired or the hold was lifted.
 func (t *SuspectTable) Suspected(fingerprint Fingerprint) bool {
@@ -138,17 +146,44 @@
 		t.attributed[runner] = now
 	}
 	for fingerprint, other := range t.suspects {
-		if other.mayBeCause() {
+		if !other.mayBeCause() {
+			t.removeAttributed(fingerprint, other)
+		}
+	}
+}
+
+// removeAttributed removes all attributed endings of a suspect, and the suspect if none is
+// left. The caller holds the mutex.
+func (t *SuspectTable) removeAttributed(fingerprint Fingerprint, entry *suspect) {
+	maps.DeleteFunc(entry.endings, func(runner string, _ time.Time) bool {
+		_, attributed := t.attributed[runner]
+		return attributed
+	})
+	if len(entry.endings) == 0 {
+		t.removeSuspect(fingerprint)
+	}
+}
+
+// Explain attributes endings to a held part of prompts: they count against no request. It
+// lifts the holds of requests whose endings are then all explained, and returns those lifted
+// holds for which this node observed an ending.
+func (t *SuspectTable) Explain(runners []string, now time.Time) []Hold {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for _, runner := range runners {
+		t.attributed[runner] = now
+	}
+	var distributed []Hold
+	for fingerprint, entry := range t.suspects {
+		t.removeAttributed(fingerprint, entry)
+		if len(entry.endings) > 0 {
 			continue
 		}
-		maps.DeleteFunc(other.endings, func(runner string, _ time.Time) bool {
-			_, attributed := t.attributed[runner]
-			return attributed
-		})
-		if len(other.endings) == 0 {
-			t.removeSuspect(fingerprint)
+		if lifted := t.lift(fingerprint, now); lifted != nil && entry.local {
+			distributed = append(distributed, *lifted)
 		}
 	}
+	return distributed
 }
 
 // evictOldest makes room for a suspect: if there are maxSuspects, it removes the suspect
@@ -174,7 +209,8 @@
 }
 
 // putHold stores a hold. If there are then more than maxHolds, it evicts the hold that
-// was decided first, which may be the new hold. The caller holds the mutex.
+// was decided first, which may be the new hold, and the hold of a part only if there is no
+// other. The caller holds the mutex.
 func (t *SuspectTable) putHold(hold Hold) {
 	t.holds[hold.Fingerprint] = hold
 	if len(t.holds) <= maxHolds {
@@ -182,7 +218,7 @@
 	}
 	oldest := hold
 	for _, other := range t.holds {
-		if oldest.supersedes(other) {
+		if isPart, otherIsPart := oldest.Part != "", other.Part != ""; isPart && !otherIsPart || isPart == otherIsPart && oldest.supersedes(other) {
 			oldest = other
 		}
 	}
--- /dev/null
+++ b/internal/serving/quarantine/work.go
@@ -0,0 +1,99 @@
+package quarantine
+
+import (
+	"encoding/binary"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Work identifies a request, or a batch item, and the shared parts of its prompt.
+type Work struct {
+	// ID is the request's id, for logs.
+	ID string
+	// Fingerprint identifies the request's content.
+	Fingerprint Fingerprint
+	// Service is the service that is to run the request.
+	Service string
+	// Parts identifies the parts of the prompt that other requests may share, without
+	// repetitions and at most MaxParts of them.
+	Parts []Part
+}
+
+// Part is a part of the prompts of one tenant.
+type Part struct {
+	// Fingerprint identifies the part and its tenant.
+	Fingerprint Fingerprint
+	// Name is the caller's name of the part, for logs; empty if unknown.
+	Name string
+}
+
+// MaxParts is the maximum number of parts of a prompt that are tracked. Further parts are
+// ignored.
+const MaxParts = 64
+
+// partDomain starts the hashed text of a part, so that parts and requests have different
+// fingerprints.
+const partDomain = "prompt part"
+
+// NewPart returns a part of a tenant's prompts; id identifies the part's text.
+func NewPart(tenant string, id uint64, name string) Part {
+	digest := xxhash.New() // Write never returns an error.
+	for _, text := range []string{partDomain, tenant} {
+		_, _ = digest.WriteString(text)
+		_, _ = digest.Write([]byte{0})
+	}
+	_, _ = digest.Write(binary.BigEndian.AppendUint64(nil, id))
+	return Part{Fingerprint(digest.Sum64()), name}
+}
+
+// AddPart adds a part, unless the work already has it or has MaxParts parts.
+func (w *Work) AddPart(part Part) {
+	for _, present := range w.Parts {
+		if present.Fingerprint == part.Fingerprint {
+			return
+		}
+	}
+	if len(w.Parts) < MaxParts {
+		w.Parts = append(w.Parts, part)
+	}
+}
+
+// label returns the name of the part, or its fingerprint if the name is unknown.
+func (p *Part) label() string {
+	if p.Name == "" {
+		return p.Fingerprint.String()
+	}
+	return p.Name
+}
+
+// Run is one run of a request at a runner.
+type Run struct {
+	// Start identifies the start of the runner (runnerset.Record.StartID).
+	Start   string
+	Address string
+	// Version is the version of the runner's software.
+	Version string
+	// Began is when the request was sent to the runner.
+	Began time.Time
+}
+
+// Refusal says why a request must not be sent to runners.
+type Refusal struct {
+	// Fingerprint is that of the request, or of the part of its prompt that is held.
+	Fingerprint Fingerprint
+	// Part is the name of the held part; empty if the request as a whole is held.
+	Part string
+	// Remaining is the time until the hold expires.
+	Remaining time.Duration
+}
+
+// String describes what is held, for error messages.
+func (r Refusal) String() string {
+	if r.Part == "" {
+		return fmt.Sprintf("runners end under this request (fingerprint %v)", r.Fingerprint)
+	}
+	return fmt.Sprintf("runners end under requests with the part %s of its prompt (fingerprint %v)", strconv.Quote(r.Part), r.Fingerprint)
+}
--- a/modules/serving/router/crashes.go
+++ b/modules/serving/router/crashes.go
@@ -19,14 +19,14 @@
 // checkQuarantine returns an error if the request is held because it crashes engines:
 // Quarantined if no attempt has run, and otherwise the error of a broken response.
 func (g *generation) checkQuarantine() error {
-	left, held := g.module.guard.Held(g.fingerprint)
+	refusal, held := g.module.guard.Held(g.work)
 	if !held {
 		return nil
 	}
 	if g.mayHaveRun {
-		return g.brokenError(result.New(result.OutcomeUnknown, "engines end under this request (fingerprint %v)", g.fingerprint))
+		return g.brokenError(result.New(result.OutcomeUnknown, "%v", refusal))
 	}
-	return result.New(result.Quarantined, "engines end under this request (fingerprint %v)", g.fingerprint).WithRetryAfter(left)
+	return result.New(result.Quarantined, "%v", refusal).WithRetryAfter(refusal.Remaining)
 }
 
 // recordBrokenRun records that the request may have run, and counts the lost stream
@@ -39,6 +39,6 @@
 		return
 	}
 	if listed, known := g.module.runnerTables.Table().ByID[g.runner]; known {
-		g.module.guard.RecordBrokenRun(g.request.ID, g.fingerprint, g.runner, listed.Address)
+		g.module.guard.RecordBrokenRun(g.work, quarantine.Run{Start: g.runner, Address: listed.Address})
 	}
 }
--- a/modules/serving/router/generate.go
+++ b/modules/serving/router/generate.go
@@ -61,9 +61,10 @@
 type generation struct {
 	module  *Module
 	request *Request
-	// fingerprint identifies the request's content.
-	fingerprint quarantine.Fingerprint
-	emit        func(Chunk) error
+	// work identifies the request for the quarantine. Callers of this node's interface name
+	// no parts of their prompts.
+	work *quarantine.Work
+	emit func(Chunk) error
 
 	text []byte
 	// tokens is the number of emitted chunks with text. Each of them counts as one token.
@@ -96,7 +97,7 @@
 // is complete or has failed. After a failure the usage may be incomplete. An error of
 // emit ends the response.
 func (m *Module) Generate(ctx context.Context, request *Request, emit func(Chunk) error) (Usage, error) {
-	g := &generation{module: m, request: request, fingerprint: request.fingerprint(), emit: emit}
+	g := &generation{module: m, request: request, work: &quarantine.Work{ID: request.ID, Fingerprint: request.fingerprint()}, emit: emit}
 	if snapshot := m.snapshots.Snapshot(); snapshot != nil {
 		m.budget.Deposit(snapshot.Policy.RetryBudget)
 	}
@@ -114,7 +115,7 @@
 		}
 		err := g.dispatch(ctx)
 		if err == nil {
-			g.module.guard.RecordCompletion(g.fingerprint)
+			g.module.guard.RecordCompletion(g.work, quarantine.Run{Start: g.runner})
 			return nil
 		}
 		if ctx.Err() != nil {
--- a/modules/serving/router/outcome.go
+++ b/modules/serving/router/outcome.go
@@ -88,7 +88,7 @@
 // logBroken logs that a response whose stream was lost because of the cause is not continued,
 // and why.
 func (g *generation) logBroken(cause error, reason string) {
-	klog.InfoS("lost response is not continued", "id", g.request.ID, "fingerprint", g.fingerprint, "owner", g.ownerID, "runner", g.runner,
+	klog.InfoS("lost response is not continued", "id", g.request.ID, "fingerprint", g.work.Fingerprint, "owner", g.ownerID, "runner", g.runner,
 		"attempts", g.attempt, "tokens", g.tokens, "reason", reason, "cause", cause)
 }
 
