An answer that ends with its runner is no whole answer

What callers saw: a runner that dies after the head of its answer and closes its connection cleanly looked like a complete, empty stream: the caller got a 200 without content, and the request and the parts of its prompt counted as completed, so that what had ended the runner was cleared each time.

Cause: a body with neither a length nor chunks ends with its connection, and the end of the process looks the same.

The change: such a body is broken off if it has no content, or if the runner's machine refuses connections right after (the probe that the quarantine uses; none for bodies with a length or chunks). The attempt then goes on like any other that broke: online streams, whole answers, and items.

TestResponseThatEndsWithItsRunnerIsBroken and TestItemStreamThatEndsWithItsRunnerIsBroken hold the cases.

--- a/internal/batch/queuerun/queuerun_test.go
+++ b/internal/batch/queuerun/queuerun_test.go
@@ -246,6 +246,26 @@
 	}
 }
 
+// A stream that ends with its connection is broken if its runner has ended: that is no evidence
+// for the item, and its output is not taken as whole.
+func TestItemStreamThatEndsWithItsRunnerIsBroken(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		is := is.New(t)
+		respond := responds(200, true, twoEvents)
+		client := &scriptedClient{respond: func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
+			response, err := respond(ctx, call)
+			response.EndsWithConnection = true
+			return response, err
+		}}
+		executor, g := newExecutor(t, client), &fakeGuard{ended: ended}
+		executor.Quarantine = g
+		outcome := runOnce(t, executor, workOf(queue.ItemOutput{}))
+		is.Equal(outcome.Done, !ended)
+		is.Equal(g.completed == 1, !ended)
+		is.Equal(g.broken == 1, ended)
+	}
+}
+
 // An item is not started at a runner that the quarantine excludes.
 func TestQuarantineExcludesRunners(t *testing.T) {
 	is := is.New(t)
--- a/internal/batch/queuerun/run.go
+++ b/internal/batch/queuerun/run.go
@@ -105,6 +105,9 @@
 	for {
 		idleTimer.Reset(eventTimeout)
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && r.endedWithRunner(response) {
+			err = &eventstream.BrokenError{Reason: "the runner ended with its response"}
+		}
 		if errors.Is(err, io.EOF) && r.output.LastEventID > 0 {
 			r.recordCompletion()
 			return queuestore.Outcome{Done: true, Output: r.output, Reason: "completed"}
@@ -159,9 +162,10 @@
 	}
 }
 
-// recordCompletion reports to the quarantine that the runner completed the item.
+// recordCompletion reports to the quarantine that the runner completed the item. A run without
+// events is no evidence for the item: nothing was written for it.
 func (r *run) recordCompletion() {
-	if r.executor.Quarantine != nil {
+	if r.executor.Quarantine != nil && !r.firstEvent.IsZero() {
 		r.executor.Quarantine.RecordCompletion(r.identity, r.quarantineRun())
 	}
 }
@@ -171,6 +175,12 @@
 	return quarantine.Run{Start: r.runner.StartID(), Address: r.runner.Address, Version: r.runner.SoftwareVersion(), Began: r.startedAt}
 }
 
+// endedWithRunner reports whether a stream that has ended was broken off by the end of its
+// runner. A response that ends with its connection does not show that itself.
+func (r *run) endedWithRunner(response *exchange.Response) bool {
+	return response.EndsWithConnection && r.executor.Quarantine != nil && r.executor.Quarantine.HasEnded(r.runner.StartID(), r.runner.Address)
+}
+
 // logEnd logs the end of a run with its outcome, whether the item was completed or not.
 func (r *run) logEnd(choice *runnerset.Choice, catalogVersion uint64, outcome string) {
 	klog.InfoS("item run ended", slices.Concat(
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -66,6 +66,9 @@
 	Length int64
 	// Body ends with io.EOF only if the body is complete according to the protocol.
 	Body io.ReadCloser
+	// EndsWithConnection is set if the body has neither a length nor chunks. Its end then
+	// looks the same as the end of the runner's process.
+	EndsWithConnection bool
 	// Load is nil if the runner reports none.
 	Load *Load
 	// FromRunner is set if the response has the header that marks responses of the
--- a/internal/serving/online/answer.go
+++ b/internal/serving/online/answer.go
@@ -18,6 +18,10 @@
 // at another runner.
 const maxBufferedBytes = 256 << 10
 
+// errEndedWithRunner means that a response without a length or chunks ended because its runner
+// has ended.
+var errEndedWithRunner = errors.New("the runner ended with its response")
+
 // relay relays a response to the caller, or drops a server error that may be replaced. It
 // reports whether to try another runner.
 func (s *activeRequest) relay(ctx context.Context, response *exchange.Response) (bool, error) {
@@ -49,6 +53,10 @@
 		s.current.runner.RecordFailure(time.Now())
 		return s.handleInterruption(ctx, err)
 	}
+	if len(body) < maxBufferedBytes && s.endedWithRunner(response, false) {
+		s.current.runner.RecordFailure(time.Now())
+		return s.handleInterruption(ctx, errEndedWithRunner)
+	}
 	s.recordWholeResponse(response.Status)
 	length := response.Length
 	if len(body) < maxBufferedBytes {
@@ -76,6 +84,9 @@
 				return result.New(result.CallerGone, "the caller left")
 			}
 		}
+		if errors.Is(err, io.EOF) && s.endedWithRunner(response, false) {
+			err = errEndedWithRunner
+		}
 		if errors.Is(err, io.EOF) {
 			s.recordCompletion(response.Status)
 			return nil
--- a/internal/serving/online/crashes.go
+++ b/internal/serving/online/crashes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cobaltramp.example/cobaltramp/internal/app/result"
+	"cobaltramp.example/cobaltramp/internal/serving/exchange"
 	"cobaltramp.example/cobaltramp/internal/serving/quarantine"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
 )
@@ -45,6 +46,17 @@
 	return quarantine.Run{Start: runner.StartID(), Address: runner.Address, Version: runner.SoftwareVersion(), Began: s.current.began}
 }
 
+// endedWithRunner reports whether a response that has ended was broken off by the end of its
+// runner. A response that ends with its connection does not show that itself: it is broken off
+// if it has no content, or if the runner's machine says that the runner has ended.
+func (s *activeRequest) endedWithRunner(response *exchange.Response, empty bool) bool {
+	if !response.EndsWithConnection {
+		return false
+	}
+	runner := s.current.runner
+	return empty || s.Quarantine != nil && s.Quarantine.HasEnded(runner.StartID(), runner.Address)
+}
+
 // reportBrokenRun reports an attempt that broke off to the quarantine, which counts the
 // crash against the request if the runner has crashed. It does not report attempts that
 // were cancelled by the caller, the deadline or the idle timeout, nor attempts whose first
--- a/internal/serving/online/crashes_test.go
+++ b/internal/serving/online/crashes_test.go
@@ -145,6 +145,34 @@
 	is.Equal(g.broke, []string{"r@5"})
 }
 
+// A runner that dies after the head of its response may close the connection cleanly. If the
+// response has neither a length nor chunks, that looks like its end. Such a run is no evidence
+// for the request, and the request is served by another runner.
+func TestResponseThatEndsWithItsRunnerIsBroken(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		outcomes []outcome
+		ended    bool
+		broke    int
+		whole    int
+		failed   bool
+	}{
+		{"no event", []outcome{outcomeClosesEmpty, outcomeServes}, false, 1, 1, false},
+		{"all events, and the runner has ended", []outcome{outcomeCloses, outcomeServes}, true, 1, 0, false},
+		{"all events, and the runner lives", []outcome{outcomeCloses}, false, 0, 1, false},
+		{"no event, at each runner", []outcome{outcomeClosesEmpty, outcomeClosesEmpty, outcomeClosesEmpty}, true, 3, 0, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			g := &guard{ended: test.ended}
+			err := serveGuarded(g, &fakeRunners{outcomes: test.outcomes}, routeOf(catalog.Streaming, true, 3))
+			is.Equal(err != nil, test.failed)
+			is.Equal(len(g.broke), test.broke)
+			is.Equal(g.completed, test.whole)
+		})
+	}
+}
+
 // A request with a part in its prompt that is quarantined by now is not sent, even if its
 // attempt had begun before.
 func TestQuarantineIsCheckedBeforeTheSend(t *testing.T) {
--- a/internal/serving/online/online_test.go
+++ b/internal/serving/online/online_test.go
@@ -36,6 +36,10 @@
 	outcomeRefused      outcome = "refused"      // the connection is refused
 	outcomeUnresponsive outcome = "unresponsive" // the request is sent, and the connection breaks without a response
 	outcomeFails        outcome = "fails"        // the runner's own 500
+	// outcomeCloses is a complete response that ends with its connection, and outcomeClosesEmpty
+	// one without an event.
+	outcomeCloses      outcome = "closes"
+	outcomeClosesEmpty outcome = "closes empty"
 )
 
 var outcomes = []outcome{outcomeServes, outcomeBreaks, outcomeSkips, outcomeRepeats, outcomeUnmarked, outcomeFull, outcomeRefused, outcomeUnresponsive, outcomeFails}
@@ -73,7 +77,10 @@
 	case outcomeFails:
 		return &exchange.Response{Status: http.StatusInternalServerError, FromRunner: true, Length: 4, Body: io.NopCloser(strings.NewReader("fail"))}, nil
 	}
-	return &exchange.Response{Status: http.StatusOK, FromRunner: next != outcomeUnmarked, Length: -1, Body: &fakeStream{next: max(0, call.ResumeAfter) + 1, outcome: next}}, nil
+	return &exchange.Response{
+		Status: http.StatusOK, FromRunner: next != outcomeUnmarked, Length: -1, Body: &fakeStream{next: max(0, call.ResumeAfter) + 1, outcome: next},
+		EndsWithConnection: next == outcomeCloses || next == outcomeClosesEmpty,
+	}, nil
 }
 
 // fakeStream is an event stream with an optional fault.
@@ -85,7 +92,7 @@
 
 func (s *fakeStream) Read(buffer []byte) (int, error) {
 	if len(s.pending) == 0 {
-		if s.next > events {
+		if s.next > events || s.outcome == outcomeClosesEmpty {
 			return 0, io.EOF
 		}
 		if s.outcome == outcomeBreaks && s.next > 2 {
--- a/internal/serving/online/stream.go
+++ b/internal/serving/online/stream.go
@@ -25,8 +25,11 @@
 	first := true
 	for {
 		event, err := events.Next()
+		if errors.Is(err, io.EOF) && s.endedWithRunner(response, first && !s.history.responseStarted) {
+			err = errEndedWithRunner
+		}
 		if errors.Is(err, io.EOF) {
-			return s.finishStream(response)
+			return s.finishStream(response, first)
 		}
 		if err == nil && event.HasID && event.ID != s.lastEvent+1 {
 			err = &eventstream.BrokenError{Reason: "an event out of order"}
@@ -70,9 +73,12 @@
 	s.current.runner.RecordFailure(time.Now())
 }
 
-// finishStream ends a complete stream. It sends the head if the stream had no events.
-func (s *activeRequest) finishStream(response *exchange.Response) (bool, error) {
-	s.recordCompletion(response.Status)
+// finishStream ends a complete stream. It sends the head if the stream had no events. A run
+// without events, empty, is no evidence for the request: nothing was written for it.
+func (s *activeRequest) finishStream(response *exchange.Response, empty bool) (bool, error) {
+	if !empty {
+		s.recordCompletion(response.Status)
+	}
 	if !s.history.responseStarted {
 		s.history.responseStarted = true
 		s.responder.Head(response.Status, response.Headers, 0)
--- a/internal/transport/httpcall/response.go
+++ b/internal/transport/httpcall/response.go
@@ -72,6 +72,10 @@
 	return response, nil
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that it ends
+// when the server closes the connection.
+func (r *Response) EndsWithConnection() bool { return r.Header.ContentLength() < -1 }
+
 // Read reads the body. It returns io.EOF only at the end of the body, and an error if the
 // connection closes before the declared end. A body without a declared length ends when
 // the server closes the connection.
