Edges bound the connections of callers

Cause: the number of callers' connections had no bound; the setting machine.descriptors had no effect.

The change: callers' connections may use 0.4 of the descriptors and 0.2 of the memory.

--- a/internal/configuration/settings/role.go
+++ b/internal/configuration/settings/role.go
@@ -111,13 +111,34 @@
 type RoleMachine struct {
 	// MemoryMegabytes is the memory that the process may use, in MiB.
 	MemoryMegabytes int `yaml:"memory_megabytes"`
-	// Descriptors is the number of files that the process may have open. It is
-	// accepted but has no effect.
+	// Descriptors is the number of files that the process may have open; 0 means
+	// unknown.
 	Descriptors int `yaml:"descriptors"`
 	// DiskMegabytes is the size of a storage node's disk, in MiB.
 	DiskMegabytes int `yaml:"disk_megabytes"`
 }
 
+const (
+	// callerDescriptorShare is the share of the descriptors that callers' connections may
+	// use. Each request in progress needs another one for its runner.
+	callerDescriptorShare = 0.4
+	// callerMemoryShare is the share of the memory that callers' connections may use, and
+	// callerConnectionBytes the memory of one with a request in progress.
+	callerMemoryShare     = 0.2
+	callerConnectionBytes = 48 << 10
+)
+
+// CallerConnections returns the maximum number of connections of callers that the machine
+// bears; 0 if its limits are unknown.
+func (m *RoleMachine) CallerConnections() int {
+	byDescriptors := int(callerDescriptorShare * float64(m.Descriptors))
+	byMemory := int(callerMemoryShare * float64(m.MemoryMegabytes) * (1 << 20) / callerConnectionBytes)
+	if byDescriptors == 0 || byMemory == 0 {
+		return max(byDescriptors, byMemory)
+	}
+	return min(byDescriptors, byMemory)
+}
+
 // RoleBounds holds the time limits and tolerances that a deployment guarantees
 // to callers and operators.
 type RoleBounds struct {
--- a/internal/transport/nethttp/nethttp.go
+++ b/internal/transport/nethttp/nethttp.go
@@ -26,6 +26,8 @@
 	IdleTimeout time.Duration
 	// HeaderBytes bounds the size of the header of a request.
 	HeaderBytes int
+	// Connections limits the number of connections; nil means no limit.
+	Connections *ConnectionLimiter
 }
 
 // Endpoint is an HTTP server on one address.
@@ -45,6 +47,10 @@
 	e := &Endpoint{address: listener.Addr().String(), http: &http.Server{
 		Handler: handler, ReadHeaderTimeout: limits.HeaderTimeout, IdleTimeout: limits.IdleTimeout, MaxHeaderBytes: limits.HeaderBytes,
 	}}
+	if limits.Connections != nil {
+		listener = &limitedListener{listener, limits.Connections}
+		e.http.Handler, e.http.ConnContext = limits.Connections.handler(handler), connContext
+	}
 	e.running.Go(func() { e.serve(listener) })
 	return e, nil
 }
--- a/lab/platformday/day.go
+++ b/lab/platformday/day.go
@@ -39,6 +39,12 @@
 	// Crashes reports whether a request with the body crashes each runner that runs it;
 	// nil stands for no crashes. A new runner replaces a crashed one after a delay.
 	Crashes func(body []byte) bool
+	// Descriptors is the number of files that an edge may have open; 0 stands for no limit
+	// of the lab's.
+	Descriptors int
+	// Threads is the number of threads that run the code of an edge at once; 0 stands for
+	// one for each processor.
+	Threads int
 	// CrashesOnPart and EndsHeadCleanly are passed to the runners; see
 	// standin.RunnerOptions.
 	CrashesOnPart   func(part string) bool
--- a/lab/platformday/process.go
+++ b/lab/platformday/process.go
@@ -1,12 +1,15 @@
 package platformday
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // process is a node; it outlives the restarts of its operating system process.
@@ -45,6 +48,9 @@
 	}
 	command := exec.Command(d.Program, p.role, "--settings", p.settings)
 	command.Stdout, command.Stderr = log, log
+	if d.Threads > 0 && p.role == "edge" {
+		command.Env = append(os.Environ(), fmt.Sprint("GOMAXPROCS=", d.Threads))
+	}
 	d.mutex.Lock()
 	p.ready = false // until the next readiness probe
 	d.mutex.Unlock()
@@ -53,6 +59,7 @@
 		_ = log.Close()
 		return err
 	}
+	d.limitDescriptors(p, command.Process.Pid)
 	next := &incarnation{command: command, began: time.Now(), ended: make(chan struct{})}
 	p.mutex.Lock()
 	p.incarnation = next
@@ -71,6 +78,17 @@
 	return nil
 }
 
+// limitDescriptors limits the number of open files of an edge's process.
+func (d *Day) limitDescriptors(p *process, pid int) {
+	if d.Descriptors == 0 || p.role != "edge" {
+		return
+	}
+	limit := &unix.Rlimit{Cur: uint64(d.Descriptors), Max: uint64(d.Descriptors)}
+	if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, limit, nil); err != nil {
+		d.report("%s has no limit of open files: %v", p.name, err)
+	}
+}
+
 // sendSignal sends a signal to a node and returns its current incarnation.
 func (d *Day) sendSignal(p *process, signal syscall.Signal) *incarnation {
 	p.mutex.Lock()
