An edge that is short of processor time serves what it reads

Cause: the edge measured its own delays as those of the runners, and refused by them; and it read far more than it had processor time for. Ruled out: bodies of 100 KB at 300 a second, which all were served.

The change: the process measures how long it was not run (internal/app/schedlag). While that is so, no request is refused for the times that it measured.

--- a/internal/serving/online/online.go
+++ b/internal/serving/online/online.go
@@ -21,6 +21,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cobaltramp.example/cobaltramp/internal/app/schedlag"
 	"cobaltramp.example/cobaltramp/internal/serving/admission"
 	"cobaltramp.example/cobaltramp/internal/serving/exchange"
 	"cobaltramp.example/cobaltramp/internal/serving/fairshare"
@@ -47,6 +48,12 @@
 	// Origins knows at which software version the streams of callers began; nil resumes a
 	// caller's stream at any version.
 	Origins StreamOrigins
+	// SchedulingDelay measures how long this node was not run at a time; nil counts as no
+	// delays.
+	SchedulingDelay *schedlag.Monitor
+	// Overloaded reports whether this node turns new connections away because it has too
+	// little processor time; nil means never.
+	Overloaded func() bool
 	// listWait is how long a request without attempts waits for a usable runner to be
 	// listed.
 	listWait time.Duration
--- a/internal/serving/online/refusal.go
+++ b/internal/serving/online/refusal.go
@@ -15,6 +15,10 @@
 // expected.
 const fullTargetShare = 0.7
 
+// minNodeDelay is the delay of this node from which on the times that it measures say little
+// about the runners. It is far longer than the delays of a node that has processor time left.
+const minNodeDelay = 40 * time.Millisecond
+
 // refusalInputs are the inputs to the decision whether a request is refused because all
 // runners are full. A request whose first event is expected after the target would take a
 // slot from a request that can still meet its target. It is refused immediately, as not
@@ -23,7 +27,9 @@
 //
 // A request is never refused if it may have run already, if its expected time is
 // unreliable because its best runner is suspect, or if it appears to be a retry, since
-// callers retry only once, or resumes a stream.
+// callers retry only once, or resumes a stream. Nor is it if this node is short of processor
+// time: the node then measures its own delays as those of the runners. If it is short for some
+// moments only, that holds while the best runner has a free slot.
 type refusalInputs struct {
 	// sent is set if a runner may have worked on the request.
 	sent bool
@@ -39,6 +45,11 @@
 	protected bool
 	// target is the route's target for the time to the first event; 0 if it has none.
 	target time.Duration
+	// nodeDelay is how long this node recently was not run at a time, and sustainedDelay how
+	// long it was again and again. overloaded is set while the node turns new connections away.
+	// freeSlot is set if the best runner has a free slot.
+	nodeDelay, sustainedDelay time.Duration
+	overloaded, freeSlot      bool
 	// waited is the time since the request arrived, and expected is the expected time
 	// from now to its first event at the best runner.
 	waited, expected time.Duration
@@ -55,13 +66,18 @@
 
 // refused reports whether the request is refused. A route without a target refuses none.
 func (r *refusalInputs) refused() bool {
-	if r.sent || r.suspect || !r.firstAttempt || r.protected {
+	if r.sent || r.suspect || !r.firstAttempt || r.protected || r.nodeIsSlow() {
 		return false
 	}
 	allowed := r.allowed()
 	return allowed > 0 && r.waited+r.expected > allowed
 }
 
+// nodeIsSlow reports whether this node is too short of processor time to judge the runners.
+func (r *refusalInputs) nodeIsSlow() bool {
+	return r.overloaded || r.sustainedDelay >= minNodeDelay || r.nodeDelay >= minNodeDelay && r.freeSlot
+}
+
 // refusalInputs returns the inputs to the decision whether the request is refused. choice is
 // the best runner.
 func (s *activeRequest) refusalInputs(service string, choice runnerset.Choice, now time.Time) refusalInputs {
@@ -70,7 +86,9 @@
 		firstAttempt: !s.resumes() && retryafter.IsFirstAttempt(s.request.StatedTimeout, s.usualTimeout),
 		full:         s.planners.full(service, now), target: s.request.Route.Target,
 		protected: s.verdict != nil && s.verdict.Protected(),
-		waited:    now.Sub(s.request.Received), expected: choice.FirstEvent,
+		nodeDelay: s.SchedulingDelay.Recent(), sustainedDelay: s.SchedulingDelay.Sustained(),
+		overloaded: s.Overloaded != nil && s.Overloaded(), freeSlot: choice.Runner != nil && choice.HasFreeSlot(),
+		waited: now.Sub(s.request.Received), expected: choice.FirstEvent,
 	}
 }
 
--- a/internal/serving/online/refusal_test.go
+++ b/internal/serving/online/refusal_test.go
@@ -124,3 +124,21 @@
 		is.NoErr(expected((1 + fullTargetShare) / 2))
 	})
 }
+
+// A node that is short of processor time measures its own delays as those of the runners, and
+// refuses no request because of them. Without such delays it refuses as usual.
+func TestSlowNodeRefusesNoRequestForItsOwnDelays(t *testing.T) {
+	is := is.New(t)
+	late := refusalInputs{firstAttempt: true, target: 300 * time.Millisecond, expected: time.Second}
+	is.True(late.refused())
+	for _, slow := range []refusalInputs{
+		{nodeDelay: minNodeDelay, freeSlot: true}, {sustainedDelay: minNodeDelay}, {overloaded: true},
+	} {
+		inputs := late
+		inputs.nodeDelay, inputs.sustainedDelay, inputs.overloaded, inputs.freeSlot = slow.nodeDelay, slow.sustainedDelay, slow.overloaded, slow.freeSlot
+		is.True(!inputs.refused())
+	}
+	full := late
+	full.nodeDelay = minNodeDelay
+	is.True(full.refused()) // for a moment only, and the runners are full
+}
--- a/internal/transport/nethttp/limiter.go
+++ b/internal/transport/nethttp/limiter.go
@@ -28,6 +28,8 @@
 type ConnectionLimiter struct {
 	// Maximum is the maximum number of open connections; 0 means no limit.
 	Maximum int
+	// Overload admits new connections while the process is overloaded; nil admits all.
+	Overload *OverloadGate
 	// OnClose is called for each connection that is closed, and for each that is closed
 	// unread; nil ignores them.
 	OnClose func(reason CloseReason)
@@ -48,6 +50,8 @@
 	CloseIdle CloseReason = "idle"
 	// CloseUnread means that there was no room for a new connection.
 	CloseUnread CloseReason = "unread"
+	// CloseOverload means that a new connection was not admitted by the OverloadGate.
+	CloseOverload CloseReason = "overload"
 )
 
 // limitedListener is a listener whose connections a limiter admits.
@@ -63,6 +67,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if !l.limiter.Overload.Admit() {
+			l.limiter.close(raw, CloseOverload)
+			continue
+		}
 		conn, evicted := l.limiter.admit(raw, time.Now())
 		l.limiter.close(evicted, CloseIdle)
 		if conn != nil {
--- a/lab/platformday/herd_test.go
+++ b/lab/platformday/herd_test.go
@@ -83,6 +83,7 @@
 	program := build(t, t.TempDir())
 	for _, test := range []herdCase{
 		{name: "few descriptors", descriptors: 300, processor: 1, bodyBytes: 30 << 10, perSecond: 120},
+		{name: "little processor time", processor: 0.14, bodyBytes: 30 << 10, perSecond: 600},
 	} {
 		t.Run(test.name, func(t *testing.T) { checkHerd(t, program, test) })
 	}
