A held part of prompts explains only the endings under it

Cause: the endings that had led to the hold of a request counted as explained by the part, since both are attributed. Now only endings under the part are, and a request with an ending of its own keeps all of them.

--- a/internal/serving/quarantine/parts_test.go
+++ b/internal/serving/quarantine/parts_test.go
@@ -304,6 +304,30 @@
 	})
 }
 
+// A request that crashes runners itself stays held when a part is held: only endings under the
+// part are explained by it.
+func TestHeldPartReleasesNoRequestWithEndingsOfItsOwn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newPartNetwork(2)
+		cause := promptWork(7, "first")
+		n.crash(1, promptWork(100, "first", "deadly"), cause)
+		for range EndingsToHold - 1 {
+			n.crash(0, cause)
+		}
+		for number := range strikesToHold - 1 {
+			n.complete(1, promptWork(200+number, "first"))
+			n.crash(1, promptWork(300+number, "first", "deadly"))
+		}
+		n.decide()
+		is.True(n.heldEverywhere("deadly"))
+		for number := range 2 {
+			_, held := n.node(number).Held(cause)
+			is.True(held)
+		}
+	})
+}
+
 // Prompts of any length and any number of different parts use a bounded amount of memory.
 func TestPartsAreBounded(t *testing.T) {
 	is := is.New(t)
--- a/internal/serving/quarantine/table.go
+++ b/internal/serving/quarantine/table.go
@@ -146,39 +146,35 @@
 		t.attributed[runner] = now
 	}
 	for fingerprint, other := range t.suspects {
-		if !other.mayBeCause() {
-			t.removeAttributed(fingerprint, other)
+		if other.mayBeCause() {
+			continue
+		}
+		maps.DeleteFunc(other.endings, func(runner string, _ time.Time) bool {
+			_, attributed := t.attributed[runner]
+			return attributed
+		})
+		if len(other.endings) == 0 {
+			t.removeSuspect(fingerprint)
 		}
 	}
 }
 
-// removeAttributed removes all attributed endings of a suspect, and the suspect if none is
-// left. The caller holds the mutex.
-func (t *SuspectTable) removeAttributed(fingerprint Fingerprint, entry *suspect) {
-	maps.DeleteFunc(entry.endings, func(runner string, _ time.Time) bool {
-		_, attributed := t.attributed[runner]
-		return attributed
-	})
-	if len(entry.endings) == 0 {
-		t.removeSuspect(fingerprint)
-	}
-}
-
-// Explain attributes endings to a held part of prompts: they count against no request. It
-// lifts the holds of requests whose endings are then all explained, and returns those lifted
-// holds for which this node observed an ending.
+// Explain attributes endings to a held part of prompts. A request all of whose endings are
+// among them is no longer suspected, and its hold is lifted. Explain returns the lifted holds of
+// requests of which this node observed an ending.
 func (t *SuspectTable) Explain(runners []string, now time.Time) []Hold {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
+	explained := map[string]bool{}
 	for _, runner := range runners {
-		t.attributed[runner] = now
+		t.attributed[runner], explained[runner] = now, true
 	}
 	var distributed []Hold
 	for fingerprint, entry := range t.suspects {
-		t.removeAttributed(fingerprint, entry)
-		if len(entry.endings) > 0 {
+		if !entry.isExplained(explained) {
 			continue
 		}
+		t.removeSuspect(fingerprint)
 		if lifted := t.lift(fingerprint, now); lifted != nil && entry.local {
 			distributed = append(distributed, *lifted)
 		}
@@ -186,6 +182,16 @@
 	return distributed
 }
 
+// isExplained reports whether all endings of a suspect are among the given ones.
+func (s *suspect) isExplained(explained map[string]bool) bool {
+	for runner := range s.endings {
+		if !explained[runner] {
+			return false
+		}
+	}
+	return true
+}
+
 // evictOldest makes room for a suspect: if there are maxSuspects, it removes the suspect
 // whose latest ending is the oldest. The caller holds the mutex.
 func (t *SuspectTable) evictOldest() {
