Lab: parts of prompts that crash runners in the soak and in items

The soak checks from the ledger of the runners that at most three begin later than 3 s after the fifth ending.

--- a/lab/platformday/crashingparts_test.go
+++ b/lab/platformday/crashingparts_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,6 +113,50 @@
 	}
 }
 
+// Items with a part that crashes runners are kept away from runners once this part can be known,
+// and the other items of their jobs are completed. Requests of callers with the part are refused
+// from then on, also after all nodes were killed.
+func TestPartOfItemsThatCrashesRunnersReachesFewOfThem(t *testing.T) {
+	folder := t.TempDir()
+	d, err := open(t.Context(), Options{
+		Program: build(t, folder), Folder: folder, Seed: 1, Progress: os.Stderr, Runners: 8,
+		CrashesOnPart: func(part string) bool { return part == deadlyPart },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.close()
+	const jobs, itemsPerKind = 4, 5
+	var prompts [][]string
+	for range itemsPerKind {
+		prompts = append(prompts, []string{"first", "second"}, []string{"first", deadlyPart})
+	}
+	for job := range jobs {
+		d.await(t, "the acceptance of a job", func(poll int) bool { return d.client(poll % d.Edges).SubmitPrompts(fmt.Sprint("job", job), prompts) })
+	}
+	for job := range jobs {
+		d.await(t, "the completion of the sound items", func(poll int) bool {
+			return d.client(poll%d.Edges).CompletedItems(fmt.Sprint("job", job)) == itemsPerKind
+		})
+	}
+	time.Sleep(recoverTime)
+	learned := len(d.ledger.PartCrashes(deadlyPart))
+	for _, p := range d.nodes {
+		d.restart(p, syscall.SIGKILL)
+	}
+	for attempt := range sendsPerPhase {
+		d.awaitServedRequest(t, fmt.Sprint("after restart", attempt))
+		d.client(attempt%d.Edges).PromptRequest(standin.EventsPrefix+"x", fmt.Sprint("again", attempt), []string{"first", deadlyPart})
+	}
+	checkPartCrashes(t, d, deadlyPart)
+	if times := d.ledger.PartCrashes(deadlyPart); learned == 0 || len(times) > learned+standin.MaxLaterRuns {
+		t.Errorf("%d runs before all nodes were killed, and %d with those after it", learned, len(times))
+	}
+	if t.Failed() {
+		t.Log(logTails(folder))
+	}
+}
+
 // checkPartCrashes fails the test if too many requests with a part reached runners too late.
 func checkPartCrashes(t *testing.T, d *Day, part string) {
 	t.Helper()
--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -42,6 +42,12 @@
 	resumingShare = 4
 	// crashInterval is the time between two sends of that request.
 	crashInterval = 400 * time.Millisecond
+	// crashingPartShare is the fraction of soaks with a part of prompts that crashes runners,
+	// and crashingPartRate the number of requests with it per second.
+	crashingPartShare = 0.5
+	crashingPartRate  = 4
+	// crashingPart is that part, which follows the first part of the other requests.
+	crashingPart = "crashes"
 )
 
 // crashBody is the body of the request that crashes runners.
@@ -68,6 +74,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	options.Crashes = func(body []byte) bool { return bytes.Equal(body, crashBody) }
+	options.CrashesOnPart = func(part string) bool { return part == crashingPart }
+	options.EndsHeadCleanly = options.Seed%2 == 0
 	options.MixedVersions = true
 	options.SoftwareVersions = softwareVersionsOf(options.Seed)
 	d, err := open(ctx, options.Options)
@@ -108,6 +116,9 @@
 	if crashes {
 		run(func(random *rand.Rand) { s.sendCrashingRequests(soakContext, random) })
 	}
+	if random.Float64() < crashingPartShare {
+		run(func(random *rand.Rand) { s.sendCrashingPart(soakContext, random) })
+	}
 	for range s.options.Disturbers {
 		run(func(random *rand.Rand) { s.disrupt(soakContext, random) })
 	}
@@ -156,7 +167,10 @@
 	if ended := s.ledger.Crashes(crashBody); crashes && ended > standin.MaxCrashes {
 		s.tally.RecordViolation("%d runners ended under one request, allowed are %d", ended, standin.MaxCrashes)
 	}
+	if late := standin.LaterRuns(s.ledger.PartCrashes(crashingPart)); late > standin.MaxLaterRuns {
+		s.tally.RecordViolation("%d runs with a part of prompts that crashes runners began late, allowed are %d", late, standin.MaxLaterRuns)
+	}
 	once := &standin.StreamClient{Ledger: s.ledger, Tally: s.tally, Prefix: standin.OncePrefix, AtMostOnce: true}
 	once.CheckRunCounts()
-	s.report("%s; runners ended under one request: %d", s.tally.Summary(), s.ledger.Crashes(crashBody))
+	s.report("%s; runners ended under one request: %d, under one part: %d", s.tally.Summary(), s.ledger.Crashes(crashBody), len(s.ledger.PartCrashes(crashingPart)))
 }
--- a/lab/platformday/soakcallers.go
+++ b/lab/platformday/soakcallers.go
@@ -54,3 +54,12 @@
 		}
 	}
 }
+
+// sendCrashingPart sends requests with a part that crashes runners, no two alike, to random edges.
+func (s *soak) sendCrashingPart(ctx context.Context, random *rand.Rand) {
+	load := &promptLoad{
+		Day: s.Day, perSecond: crashingPartRate, target: standin.EventsPrefix + "x", name: "part",
+		draw: func(*rand.Rand) []string { return []string{"aa", crashingPart} },
+	}
+	load.run(ctx, random)
+}
--- a/lab/standin/single.go
+++ b/lab/standin/single.go
@@ -45,12 +45,32 @@
 // Submit submits a job with one item for each body, without retries.
 func (c NodeClient) Submit(job string, bodies [][]byte) (accepted bool) {
 	var items []wireItem
-	for number, body := range bodies {
+	for _, body := range bodies {
+		items = append(items, wireItem{Headers: map[string]string{}, Body: base64.StdEncoding.EncodeToString(body)})
+	}
+	return c.submit(job, items)
+}
+
+// SubmitPrompts submits a job with one item for each prompt, without retries. A prompt is a list
+// of shared parts. The items have different bodies.
+func (c NodeClient) SubmitPrompts(job string, prompts [][]string) (accepted bool) {
+	var items []wireItem
+	for number, shared := range prompts {
+		own := job + strconv.Itoa(number)
 		items = append(items, wireItem{
-			ID: job + "-i" + strconv.Itoa(number), Path: BatchPrefix + "item", Headers: map[string]string{"Cobaltramp-Model": "m"},
-			Body: base64.StdEncoding.EncodeToString(body), Tokens: 100,
+			Headers: map[string]string{promptHeader: promptOf(shared, own)}, Body: base64.StdEncoding.EncodeToString([]byte(own)),
 		})
 	}
+	return c.submit(job, items)
+}
+
+// submit completes the items of a job and submits it.
+func (c NodeClient) submit(job string, items []wireItem) (accepted bool) {
+	for number := range items {
+		item := &items[number]
+		item.ID, item.Path, item.Tokens = job+"-i"+strconv.Itoa(number), BatchPrefix+"item", 100
+		item.Headers["Cobaltramp-Model"] = "m"
+	}
 	text, err := json.Marshal(map[string]any{"items": items})
 	if err != nil {
 		return false
