A held part is tried by one request of the fleet, after 5 minutes, an hour and 12 hours

A hold of a part would last for 24 hours or until an operator lifts it. A part that was held by mistake, or whose cause is gone, now gets three trials. The node that sends one claims it in the store first; without the store there is none. The command line shows the held parts, where runners ended under them, and the next trial.

--- a/internal/app/cli/quarantine.go
+++ b/internal/app/cli/quarantine.go
@@ -12,18 +12,38 @@
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
-// quarantineCommand lists the quarantined requests, or lifts the hold of a request.
+// quarantineCommand lists the quarantined requests and parts of prompts, or lifts the hold of one.
 type quarantineCommand struct {
 	Node    string `short:"n" long:"node" env:"COBALTRAMP_PEER" required:"true" description:"address (IP:port) at which other nodes reach any node"`
 	Cluster string `long:"cluster" default:"cobaltramp" description:"name of the cluster, as in the node's settings"`
-	Lift    string `long:"lift" description:"fingerprint of the request whose hold is lifted on all nodes, as in the list and in the logs"`
+	Lift    string `long:"lift" description:"fingerprint of the request or the part of prompts whose hold is lifted on all nodes, as in the list and in the logs"`
 }
 
-// quarantineBody describes a quarantined request.
+// quarantineBody describes a quarantined request or part of prompts.
 type quarantineBody struct {
 	Fingerprint string    `json:"fingerprint"`
 	Decided     time.Time `json:"decided"`
 	Until       time.Time `json:"until"`
+	// The other fields are those of a part: its name, the service and the version of the runners
+	// that ended under it, the number of its trials, and when the next one is due.
+	Part    string     `json:"part,omitempty"`
+	Service string     `json:"service,omitempty"`
+	Version string     `json:"version,omitempty"`
+	Trials  int        `json:"trials,omitempty"`
+	TrialAt *time.Time `json:"trial_at,omitempty"`
+}
+
+// newQuarantineBody describes a hold.
+func newQuarantineBody(hold quarantine.Hold) quarantineBody {
+	body := quarantineBody{
+		Fingerprint: hold.Fingerprint.String(), Decided: time.UnixMilli(hold.Decided).UTC(), Until: time.UnixMilli(hold.Until).UTC(),
+		Part: hold.Part, Service: hold.Environment.Service, Version: hold.Environment.Version, Trials: hold.Trials,
+	}
+	if hold.TrialAt > 0 {
+		at := time.UnixMilli(hold.TrialAt).UTC()
+		body.TrialAt = &at
+	}
+	return body
 }
 
 // clientNodeID is the node id that the command line sends to nodes.
@@ -48,23 +68,38 @@
 		return trace.ConnectionProblem(err, "node %s did not answer; give the address for other nodes of a running node by --node, and its cluster by --cluster", q.Node)
 	}
 	if q.Lift != "" && !reply.Lifted {
-		return trace.NotFound("no hold of the request %s is in force at node %s", q.Lift, q.Node)
+		return trace.NotFound("no hold of %s is in force at node %s", q.Lift, q.Node)
 	}
 	bodies := make([]quarantineBody, 0, len(reply.Holds))
 	for _, encoded := range reply.Holds {
-		hold := quarantine.Decode(encoded)
-		bodies = append(bodies, quarantineBody{hold.Fingerprint.String(), time.UnixMilli(hold.Decided).UTC(), time.UnixMilli(hold.Until).UTC()})
+		bodies = append(bodies, newQuarantineBody(quarantine.Decode(encoded)))
 	}
 	return output.print(bodies, func() { printQuarantine(bodies) })
 }
 
 func printQuarantine(holds []quarantineBody) {
 	if len(holds) == 0 {
-		fmt.Println("no request is held")
+		fmt.Println("nothing is held")
 		return
 	}
-	fmt.Printf("%-18s %-22s %s\n", "FINGERPRINT", "HELD SINCE", "UNTIL")
+	fmt.Printf("%-18s %-22s %-22s %-22s %s\n", "FINGERPRINT", "HELD SINCE", "UNTIL", "NEXT TRIAL", "PART OF PROMPTS")
 	for _, hold := range holds {
-		fmt.Printf("%-18s %-22s %s\n", hold.Fingerprint, hold.Decided.Format(time.RFC3339), hold.Until.Format(time.RFC3339))
+		fmt.Printf("%-18s %-22s %-22s %-22s %s\n", hold.Fingerprint, hold.Decided.Format(time.RFC3339), hold.Until.Format(time.RFC3339), hold.nextTrial(), hold.partText())
+	}
+}
+
+// nextTrial returns when the next trial of a part is due; "-" if there is none.
+func (b *quarantineBody) nextTrial() string {
+	if b.TrialAt == nil {
+		return "-"
+	}
+	return b.TrialAt.Format(time.RFC3339)
+}
+
+// partText describes a part and where runners ended under it; "-" for a request.
+func (b *quarantineBody) partText() string {
+	if b.Part == "" {
+		return "-"
 	}
+	return fmt.Sprintf("%q (service %s, version %s)", b.Part, b.Service, b.Version)
 }
--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -204,7 +204,7 @@
 	for i, part := range item.Prompt {
 		prompt.Tokens += int(part.Tokens)
 		if i < len(item.Prompt)-1 {
-			prompt.SharedParts = append(prompt.SharedParts, runnerset.PromptPart{ID: part.Id, Tokens: int(part.Tokens)})
+			prompt.SharedParts = append(prompt.SharedParts, runnerset.PromptPart{ID: part.Id, Tokens: int(part.Tokens), Name: part.Name})
 		}
 	}
 	return prompt
--- a/internal/serving/online/request.go
+++ b/internal/serving/online/request.go
@@ -48,7 +48,7 @@
 
 // work identifies the request and the shared parts of its prompt for the quarantine.
 func (r *CallerRequest) work() *quarantine.Work {
-	work := &quarantine.Work{ID: r.ID, Fingerprint: r.fingerprint(), Service: r.Route.ServiceFor(r.ID)}
+	work := &quarantine.Work{ID: r.ID, Fingerprint: r.fingerprint(), Service: r.Route.ServiceFor(r.ID), MayTry: true}
 	for _, part := range r.Prompt.SharedParts {
 		work.AddPart(quarantine.NewPart(r.tenantName(), part.ID, part.Name))
 	}
--- a/internal/serving/quarantine/archive.go
+++ b/internal/serving/quarantine/archive.go
@@ -108,15 +108,10 @@
 // write was necessary, or the document could not be encoded; in the last case the holds
 // stay unsaved until the next call.
 func (w *HoldWriter) write(ctx context.Context) bool {
-	stored, _, err := w.store.Get(ctx, DocumentKey)
+	storedHolds, revision, err := w.read(ctx)
 	if err != nil {
-		klog.InfoS("reading the stored quarantine failed; retrying later", "err", err)
 		return false
 	}
-	storedHolds, err := parseDocument(stored.Value)
-	if err != nil && len(stored.Value) > 0 {
-		klog.ErrorS(err, "stored quarantine has unreadable content, which the next successful write removes", "revision", stored.Revision)
-	}
 	unsaved := w.unsavedHolds()
 	merged, missing := merge(storedHolds, unsaved, time.Now())
 	if missing == 0 {
@@ -128,16 +123,56 @@
 		klog.ErrorS(err, "encoding the quarantine failed", "holds", len(merged))
 		return true
 	}
-	unchanged := []ports.Condition{{Key: DocumentKey, Revision: stored.Revision}}
-	committed, err := w.store.Commit(ctx, unchanged, []ports.Put{{Key: DocumentKey, Value: text}})
-	klog.InfoS("commit of the request quarantine to the store ended", "holds", len(merged), "new", missing, "done", committed, "err", err)
-	if committed && err == nil {
+	if w.commit(ctx, revision, text, len(merged)) {
 		w.removeSaved(unsaved)
 		return true
 	}
 	return false
 }
 
+// read returns the holds of the stored document and its revision. It logs an error.
+func (w *HoldWriter) read(ctx context.Context) ([]Hold, int64, error) {
+	stored, _, err := w.store.Get(ctx, DocumentKey)
+	if err != nil {
+		klog.InfoS("reading the stored quarantine failed; retrying later", "err", err)
+		return nil, 0, err
+	}
+	holds, err := parseDocument(stored.Value)
+	if err != nil && len(stored.Value) > 0 {
+		klog.ErrorS(err, "stored quarantine has unreadable content, which the next successful write removes", "revision", stored.Revision)
+	}
+	return holds, stored.Revision, nil
+}
+
+// commit replaces the stored document if it still has the revision. It returns true only if the
+// store confirmed that.
+func (w *HoldWriter) commit(ctx context.Context, revision int64, text []byte, holds int) bool {
+	unchanged := []ports.Condition{{Key: DocumentKey, Revision: revision}}
+	committed, err := w.store.Commit(ctx, unchanged, []ports.Put{{Key: DocumentKey, Value: text}})
+	klog.InfoS("commit of the request quarantine to the store ended", "holds", holds, "done", committed, "err", err)
+	return committed && err == nil
+}
+
+// Claim implements HoldStore. It makes one attempt.
+func (w *HoldWriter) Claim(ctx context.Context, hold, next Hold) bool {
+	storedHolds, revision, err := w.read(ctx)
+	if err != nil {
+		return false
+	}
+	for _, stored := range storedHolds {
+		if stored.Fingerprint == hold.Fingerprint && stored.supersedes(hold) {
+			return false
+		}
+	}
+	merged, _ := merge(storedHolds, map[Fingerprint]Hold{next.Fingerprint: next}, time.Now())
+	text, err := json.Marshal(documentOf(merged))
+	if err != nil {
+		klog.ErrorS(err, "encoding the quarantine failed", "holds", len(merged))
+		return false
+	}
+	return w.commit(ctx, revision, text, len(merged))
+}
+
 func (w *HoldWriter) unsavedHolds() map[Fingerprint]Hold {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
--- a/internal/serving/quarantine/coordinator.go
+++ b/internal/serving/quarantine/coordinator.go
@@ -17,6 +17,9 @@
 	// Save stores a hold, which may be a lifted one (Until 0). It does not block: the
 	// hold is written later.
 	Save(hold Hold)
+	// Claim replaces a stored hold by the next one, and returns true only if it did: if the
+	// store has the hold, or an earlier one or none.
+	Claim(ctx context.Context, hold, next Hold) bool
 }
 
 // Guard is used by senders of requests to check a request against the quarantine and
@@ -69,6 +72,11 @@
 	attempts map[string]map[Fingerprint]int
 	// evidence contains the last completion of a part that was reported to or by other nodes.
 	evidence map[partEvidence]time.Time
+	// trials contains the state of trials by part, and wantedTrials the holds whose trial this
+	// node wants to claim.
+	trials       map[Fingerprint]*trialState
+	wantedTrials []Hold
+	trialClaims  *notify.Batcher
 	// partDecisions calls decideParts after new endings.
 	partDecisions *notify.Batcher
 
@@ -91,7 +99,7 @@
 ) *Coordinator {
 	c := &Coordinator{
 		CrashDetector: NewCrashDetector(prober), table: NewSuspectTable(), parts: NewPartTable(), restarts: newRestartLog(), directory: directory, sender: sender, store: store,
-		attempts: map[string]map[Fingerprint]int{}, evidence: map[partEvidence]time.Time{},
+		attempts: map[string]map[Fingerprint]int{}, evidence: map[partEvidence]time.Time{}, trials: map[Fingerprint]*trialState{},
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cobaltramp_quarantine_events_total",
 			Help: "Runners that ended under requests, and what came of these requests, as seen by this node.",
@@ -99,6 +107,7 @@
 	}
 	c.batcher = notify.NewBatcher(notify.Schedule{Delay: coalesceInterval, Flush: func(context.Context) { c.flush() }})
 	c.partDecisions = notify.NewBatcher(notify.Schedule{Delay: partDecisionDelay, Flush: func(context.Context) { c.decideParts() }})
+	c.trialClaims = notify.NewBatcher(notify.Schedule{Flush: c.claimTrials})
 	registry.MustRegister(c.events,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "cobaltramp_quarantine_suspects", Help: "Requests under which a runner ended lately.",
@@ -155,6 +164,7 @@
 // runner has ended, the run counts only if the list shows a later start of the runner
 // within restartConfirmTime (RecordRestart).
 func (c *Coordinator) RecordBrokenRun(work *Work, run Run) {
+	work.endTrial()
 	broken := brokenRun{work: work, run: run, at: time.Now()}
 	if c.HasEnded(run.Start, run.Address) || c.restarts.recordBreak(broken) {
 		c.recordEnding(work, run)
--- a/internal/serving/quarantine/coordinator_test.go
+++ b/internal/serving/quarantine/coordinator_test.go
@@ -69,15 +69,27 @@
 }
 
 // memoryHoldStore is a HoldStore in memory.
-type memoryHoldStore struct{ holds map[Fingerprint]Hold }
+type memoryHoldStore struct {
+	holds       map[Fingerprint]Hold
+	unavailable bool
+}
 
 func (k *memoryHoldStore) Save(hold Hold) { k.holds[hold.Fingerprint] = hold }
 
+func (k *memoryHoldStore) Claim(_ context.Context, hold, next Hold) bool {
+	stored := k.holds[hold.Fingerprint]
+	if k.unavailable || stored.supersedes(hold) {
+		return false
+	}
+	k.holds[hold.Fingerprint] = next
+	return true
+}
+
 // workOf returns work without parts.
 func workOf(fingerprint Fingerprint) *Work { return &Work{ID: "id", Fingerprint: fingerprint} }
 
 func newNetwork(count int) (*network, *fakeProber, *memoryHoldStore) {
-	n, prober, saved := &network{nodes: map[string]*Coordinator{}}, &fakeProber{alive: map[string]bool{}}, &memoryHoldStore{map[Fingerprint]Hold{}}
+	n, prober, saved := &network{nodes: map[string]*Coordinator{}}, &fakeProber{alive: map[string]bool{}}, &memoryHoldStore{holds: map[Fingerprint]Hold{}}
 	for number := range count {
 		name := fmt.Sprint("n", number)
 		m := member{n, name}
--- a/internal/serving/quarantine/hold.go
+++ b/internal/serving/quarantine/hold.go
@@ -23,6 +23,10 @@
 	// part, or its fingerprint. Environment is where runners ended under the part.
 	Part        string      `json:"part,omitempty"`
 	Environment Environment `json:"environment,omitzero"`
+	// TrialAt is the Unix time in milliseconds from which on one request with the part may be
+	// sent to a runner; 0 if none may be. Trials is the number of such requests so far.
+	TrialAt int64 `json:"trial_unix_ms,omitempty"`
+	Trials  int   `json:"trials,omitempty"`
 }
 
 // supersedes reports whether a hold replaces another one of the same request.
@@ -41,6 +45,7 @@
 	return &wirev1.QuarantineHold{
 		Fingerprint: uint64(hold.Fingerprint), DecidedUnixMs: hold.Decided, UntilUnixMs: hold.Until, LengthMs: hold.Length,
 		Part: hold.Part, Service: hold.Environment.Service, Version: hold.Environment.Version,
+		TrialUnixMs: hold.TrialAt, Trials: uint32(hold.Trials),
 	}
 }
 
@@ -50,6 +55,7 @@
 		Fingerprint: Fingerprint(encoded.Fingerprint),
 		Decided:     encoded.DecidedUnixMs, Until: encoded.UntilUnixMs, Length: encoded.LengthMs,
 		Part: encoded.Part, Environment: Environment{encoded.Service, encoded.Version},
+		TrialAt: encoded.TrialUnixMs, Trials: int(encoded.Trials),
 	}
 }
 
--- a/internal/serving/quarantine/notices.go
+++ b/internal/serving/quarantine/notices.go
@@ -47,6 +47,7 @@
 	var decisions tasks.Group
 	defer decisions.Wait()
 	decisions.Go(func() { c.partDecisions.Run(ctx) })
+	decisions.Go(func() { c.trialClaims.Run(ctx) })
 	c.batcher.Run(ctx)
 }
 
--- a/internal/serving/quarantine/partdecision.go
+++ b/internal/serving/quarantine/partdecision.go
@@ -144,7 +144,7 @@
 	decided := max(now.UnixMilli(), previous.Decided+1)
 	return Hold{
 		Fingerprint: c.part.Fingerprint, Decided: decided, Until: now.Add(partHoldDuration).UnixMilli(),
-		Length: partHoldDuration.Milliseconds(), Part: c.part.label(), Environment: c.environment,
+		Length: partHoldDuration.Milliseconds(), Part: c.part.label(), Environment: c.environment, TrialAt: nextTrial(0, now),
 	}
 }
 
--- a/internal/serving/quarantine/parts.go
+++ b/internal/serving/quarantine/parts.go
@@ -36,7 +36,7 @@
 func (c *Coordinator) heldPart(work *Work, now time.Time) (Refusal, bool) {
 	for i := range work.Parts {
 		hold, remaining := c.table.activeHold(work.Parts[i].Fingerprint, now)
-		if remaining <= 0 || c.provenElsewhere(&hold, work.Service, now) {
+		if remaining <= 0 || c.provenElsewhere(&hold, work.Service, now) || c.mayTry(work, &hold, now) {
 			continue
 		}
 		return Refusal{Fingerprint: hold.Fingerprint, Part: work.Parts[i].label(), Remaining: remaining}, true
--- a/internal/serving/quarantine/work.go
+++ b/internal/serving/quarantine/work.go
@@ -20,6 +20,10 @@
 	// Parts identifies the parts of the prompt that other requests may share, without
 	// repetitions and at most MaxParts of them.
 	Parts []Part
+	// MayTry permits that the work is the trial of a held part.
+	MayTry bool
+	// trial is the held part of which this work is the trial; 0 if it is none.
+	trial Fingerprint
 }
 
 // Part is a part of the prompts of one tenant.
--- a/lab/platformday/crashingparts_test.go
+++ b/lab/platformday/crashingparts_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -132,7 +134,7 @@
 		prompts = append(prompts, []string{"first", "second"}, []string{"first", deadlyPart})
 	}
 	for job := range jobs {
-		d.await(t, "the acceptance of a job", func(poll int) bool { return d.client(poll % d.Edges).SubmitPrompts(fmt.Sprint("job", job), prompts) })
+		d.await(t, "the acceptance of a job", func(poll int) bool { return d.client(poll%d.Edges).SubmitPrompts(fmt.Sprint("job", job), prompts) })
 	}
 	for job := range jobs {
 		d.await(t, "the completion of the sound items", func(poll int) bool {
@@ -148,6 +150,10 @@
 		d.awaitServedRequest(t, fmt.Sprint("after restart", attempt))
 		d.client(attempt%d.Edges).PromptRequest(standin.EventsPrefix+"x", fmt.Sprint("again", attempt), []string{"first", deadlyPart})
 	}
+	listed, err := exec.Command(d.Program, "quarantine", "--cluster", "day", "--node", d.nodes[0].peerAddress).Output()
+	if err != nil || !strings.Contains(string(listed), deadlyPart) {
+		t.Errorf("the list of the command line does not name the part: %v\n%q", err, listed)
+	}
 	checkPartCrashes(t, d, deadlyPart)
 	if times := d.ledger.PartCrashes(deadlyPart); learned == 0 || len(times) > learned+standin.MaxLaterRuns {
 		t.Errorf("%d runs before all nodes were killed, and %d with those after it", learned, len(times))
