--- a/internal/app/result/result.go
+++ b/internal/app/result/result.go
@@ -134,7 +134,7 @@
 	{DeadlineTooClose, "deadline_too_close", 504, RanNo, true, "The caller's deadline passed before dispatch."},
 	{NotReady, "not_ready", 503, RanNo, true, "The node has no bundle in force yet: see the platform's health."},
 	{EngineRefused, "engine_refused", 503, RanNo, true, "The engine refused before running; see its own logs."},
-	{Quarantined, "quarantined", 503, RanNo, true, "Runners ended under this very request (path, caller and body): see their logs; `cobaltramp quarantine` lists and lifts holds."},
+	{Quarantined, "quarantined", 503, RanNo, true, "Runners ended under this request (path, caller and body), or under requests with a part of its prompt: see their logs; `cobaltramp quarantine` lists and lifts holds."},
 	{StreamNotResumed, "stream_not_resumed", 503, RanNo, true, "A caller's stream could not go on: its software version is unknown, or no runner of it is left; `explain` shows where it began and who knew it."},
 	{OutcomeUnknown, "outcome_unknown", 502, RanUnknown, false, "The runner was lost after dispatch; resend only repeatable work."},
 	{EngineFailed, "engine_failed", 502, RanYes, false, "The engine reported a failure while running; see its logs."},
--- a/internal/serving/quarantine/doc.go
+++ b/internal/serving/quarantine/doc.go
@@ -11,6 +11,15 @@
 //     request. A hold is lifted, before or after it expires, when a runner completes the
 //     request or at an operator's request.
 //
+// Requests that are not alike may share a part of their prompts that crashes runners. Endings
+// and completions are therefore counted by part as well, and a part may be held too:
+//
+//   - A part is suspected if runners ended under it since its last completion.
+//   - A strike is an ending whose run began after the part's previous strike and after its last
+//     completion.
+//   - A trial is the one request with a held part that is sent to a runner, to see whether the
+//     part still crashes runners.
+//
 // Nodes report endings, completions and holds to each other in notices, which may be
 // lost. Holds are therefore saved in the platform's store as well.
 //
@@ -19,6 +28,8 @@
 //   - decision.go contains the rules: when a request is held and for how long, to which
 //     request an ending is attributed, and which runners a suspect avoids.
 //   - SuspectTable is the state to which the rules apply. It does no I/O.
+//   - partdecision.go contains the rules for parts, PartTable their state, and parts.go the
+//     exchange of reports on them. trial.go contains the trials.
 //   - CrashDetector distinguishes a runner that ended from a broken connection.
 //   - Coordinator exchanges notices with other nodes. It checks requests without I/O.
 //   - HoldWriter saves holds in the platform's store.
