Nodes eject a runner of which another node reports the end

TestReportedEndingEjectsTheStart, TestEndingsOfRunnersAreReported. A copy of completionKey is gone beside it.

--- a/internal/serving/quarantine/coordinator.go
+++ b/internal/serving/quarantine/coordinator.go
@@ -63,6 +63,10 @@
 	sender    notify.NoticeSender
 	store     HoldStore
 
+	// OnEnding is called for each ending of a runner that another node reports, with the start
+	// of the runner; nil ignores them. It must be set before the first notice.
+	OnEnding func(start string)
+
 	mutex sync.Mutex
 	// pending is the next notice to send; nil if there is nothing to report.
 	pending *wirev1.QuarantineNotice
@@ -71,7 +75,7 @@
 	// and fingerprint. It has no entries with count 0.
 	attempts map[string]map[Fingerprint]int
 	// evidence contains the last completion of a part that was reported to or by other nodes.
-	evidence map[partEvidence]time.Time
+	evidence map[completionKey]time.Time
 	// trials contains the state of trials by part, and wantedTrials the holds whose trial this
 	// node wants to claim.
 	trials       map[Fingerprint]*trialState
@@ -99,7 +103,7 @@
 ) *Coordinator {
 	c := &Coordinator{
 		CrashDetector: NewCrashDetector(prober), table: NewSuspectTable(), parts: NewPartTable(), restarts: newRestartLog(), directory: directory, sender: sender, store: store,
-		attempts: map[string]map[Fingerprint]int{}, evidence: map[partEvidence]time.Time{}, trials: map[Fingerprint]*trialState{},
+		attempts: map[string]map[Fingerprint]int{}, evidence: map[completionKey]time.Time{}, trials: map[Fingerprint]*trialState{},
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cobaltramp_quarantine_events_total",
 			Help: "Runners that ended under requests, and what came of these requests, as seen by this node.",
--- a/internal/serving/quarantine/coordinator_test.go
+++ b/internal/serving/quarantine/coordinator_test.go
@@ -312,3 +312,16 @@
 		}
 	})
 }
+
+// Other nodes learn once from a notice that a runner has ended, however many requests it ran.
+func TestEndingsOfRunnersAreReported(t *testing.T) {
+	is := is.New(t)
+	n, _, _ := newNetwork(2)
+	var ended []string
+	n.nodes["n1"].OnEnding = func(start string) { ended = append(ended, start) }
+	for number := range 5 {
+		n.nodes["n0"].RecordBrokenRun(workOf(Fingerprint(number)), Run{Start: "r", Address: "a"})
+	}
+	n.flush()
+	is.Equal(ended, []string{"r"})
+}
--- a/internal/serving/quarantine/notices.go
+++ b/internal/serving/quarantine/notices.go
@@ -79,6 +79,7 @@
 		return
 	}
 	now := time.Now()
+	c.reportEndings(notice.Endings)
 	for _, ending := range notice.Endings {
 		c.receiveEnding(Fingerprint(ending.Fingerprint), ending.Runner, from, now)
 	}
@@ -94,6 +95,20 @@
 	c.ReceiveHolds(notice.Holds, from)
 }
 
+// reportEndings calls OnEnding once for each runner that ended.
+func (c *Coordinator) reportEndings(endings []*wirev1.RunnerEnding) {
+	if c.OnEnding == nil {
+		return
+	}
+	reported := map[string]bool{}
+	for _, ending := range endings {
+		if !reported[ending.Runner] {
+			reported[ending.Runner] = true
+			c.OnEnding(ending.Runner)
+		}
+	}
+}
+
 // receiveEnding applies an ending that another node observed. If the ending causes a
 // hold, the node saves it only if it observed one of the other endings of the request.
 // Such a node has to save the hold: if several nodes observe endings at the same time,
--- a/internal/serving/quarantine/parts.go
+++ b/internal/serving/quarantine/parts.go
@@ -25,12 +25,6 @@
 	maxEvidenceEntries = 4096
 )
 
-// partEvidence identifies evidence for a part.
-type partEvidence struct {
-	part        Fingerprint
-	environment Environment
-}
-
 // heldPart returns the refusal of work that has a held part in its prompt. A part that is held
 // because of another service may be sent to a service where it was completed recently.
 func (c *Coordinator) heldPart(work *Work, now time.Time) (Refusal, bool) {
@@ -91,7 +85,7 @@
 func (c *Coordinator) reportCompletion(part Fingerprint, environment Environment) {
 	now := time.Now()
 	completed, known := c.parts.LastCompletion(part, environment, now)
-	if !known || !c.claimEvidence(partEvidence{part, environment}, completed) {
+	if !known || !c.claimEvidence(completionKey{part, environment}, completed) {
 		return
 	}
 	c.addToNotice(func(notice *wirev1.QuarantineNotice) {
@@ -104,7 +98,7 @@
 
 // claimEvidence records that other nodes know a completion of a part, or are told of it by the
 // caller. It returns false if they know one that is hardly older.
-func (c *Coordinator) claimEvidence(evidence partEvidence, completed time.Time) bool {
+func (c *Coordinator) claimEvidence(evidence completionKey, completed time.Time) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if told, found := c.evidence[evidence]; found && completed.Sub(told) < evidenceInterval {
@@ -121,7 +115,7 @@
 func (c *Coordinator) receivePartCompletion(completion *wirev1.PartCompletion, now time.Time) {
 	part, environment := Fingerprint(completion.Part), Environment{completion.Service, completion.Version}
 	completed := now.Add(-time.Duration(completion.AgeMs) * time.Millisecond)
-	c.claimEvidence(partEvidence{part, environment}, completed)
+	c.claimEvidence(completionKey{part, environment}, completed)
 	c.parts.RecordCompletion(part, environment, completed)
 }
 
--- a/internal/serving/runnerset/record.go
+++ b/internal/serving/runnerset/record.go
@@ -57,9 +57,12 @@
 	if r.StartedAt == 0 {
 		return r.ID
 	}
-	return r.ID + "@" + strconv.FormatInt(r.StartedAt, 10)
+	return r.ID + startSeparator + strconv.FormatInt(r.StartedAt, 10)
 }
 
+// startSeparator separates the ID and the start time in a StartID. IDs do not contain it.
+const startSeparator = "@"
+
 // PromptPart is a part of a prompt; parts with equal IDs have equal text.
 type PromptPart struct {
 	ID     uint64
--- a/internal/serving/runnerset/restart_test.go
+++ b/internal/serving/runnerset/restart_test.go
@@ -180,3 +180,17 @@
 	is.Equal(ended, []string{"a@1000", "a@2000"})
 	is.Equal((&Record{ID: "a"}).StartID(), "a")
 }
+
+// The reported ending of a runner ejects the start that has ended, and no later one.
+func TestReportedEndingEjectsTheStart(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := New()
+	s.Replace([]Record{{ID: "a", Service: "s", StartedAt: 5}, {ID: "b", Service: "s"}}, 1, now)
+	s.RecordEnding("a@4", now)
+	s.RecordEnding("unknown", now)
+	is.True(!s.byID["a"].ejected(now))
+	s.RecordEnding("a@5", now)
+	s.RecordEnding("b", now)
+	is.True(s.byID["a"].ejected(now) && s.byID["b"].ejected(now))
+}
--- a/internal/serving/runnerset/runner.go
+++ b/internal/serving/runnerset/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -126,6 +127,18 @@
 	r.ejection.fail(now)
 }
 
+// RecordEnding records that another node saw that the runner with the given start has ended
+// (Record.StartID). It counts as a failure of the runner.
+func (s *Set) RecordEnding(start string, now time.Time) {
+	id, _, _ := strings.Cut(start, startSeparator)
+	s.mutex.Lock()
+	runner := s.byID[id]
+	s.mutex.Unlock()
+	if runner != nil && runner.StartID() == start {
+		runner.RecordFailure(now)
+	}
+}
+
 // RecordItemError records that the runner responded to a batch item with an error; item
 // identifies the item's content. It has no effect if too many other runners are ejected.
 func (r *Runner) RecordItemError(item string, now time.Time) {
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -138,6 +138,7 @@
 	m.informer.Quarantine = m.quarantine
 	m.informer.Runners.SetMemory(m.runnerMemory)
 	m.informer.Runners.OnRestart(func(earlier *runnerset.Runner) { m.quarantine.RecordRestart(earlier.StartID()) })
+	m.quarantine.OnEnding = func(start string) { m.informer.Runners.RecordEnding(start, time.Now()) }
 	server.HandleNotice(wirev1.Method_METHOD_QUARANTINE, m.quarantine.ReceiveNotice)
 	server.Handle(wirev1.Method_METHOD_QUARANTINE_ADMIN, m.quarantine.ServeAdmin)
 	for _, service := range []any{
