--- a/internal/transport/nethttp/overload.go
+++ b/internal/transport/nethttp/overload.go
@@ -24,6 +24,10 @@
 	// without more new connections than usual is not relieved by turning them away: other
 	// nodes are as likely to be overloaded.
 	usualRateFactor = 1.5
+	// learnIntervals is the number of intervals after the start in which the usual rate is
+	// learnt, and no connection is turned away: a process that has just started is short of
+	// processor time, and all connections are new to it.
+	learnIntervals = 100
 	// minUsualRate is the lowest usual rate that is assumed, in connections per second.
 	minUsualRate = 5.0
 )
@@ -40,6 +44,7 @@
 	// connections per second. Only update uses them.
 	share     float64
 	usualRate float64
+	intervals int // since the start
 }
 
 const millionths = 1e6
@@ -80,17 +85,19 @@
 // update changes the share of admitted connections after an interval with the given rate of new
 // connections per second.
 func (g *OverloadGate) update(rate float64, overloaded bool) {
-	if g.usualRate == 0 {
-		g.usualRate = minUsualRate
-	}
-	if overloaded {
+	g.intervals++
+	switch {
+	case g.intervals <= learnIntervals:
+		g.share = 1
+	case overloaded:
 		g.share *= shareDecrease
-	} else {
+	default:
 		g.share = min(1, g.share+shareIncrease)
 	}
 	if usual := usualRateFactor * g.usualRate; rate > 0 {
 		g.share = max(g.share, min(1, usual/rate))
 	}
-	g.usualRate = max(minUsualRate, g.usualRate+usualRateWeight*(rate-g.usualRate))
+	weight := max(usualRateWeight, 1/float64(g.intervals))
+	g.usualRate = max(minUsualRate, g.usualRate+weight*(rate-g.usualRate))
 	g.shed.Store(uint64((1 - g.share) * millionths))
 }
--- a/internal/transport/nethttp/overload_test.go
+++ b/internal/transport/nethttp/overload_test.go
@@ -45,3 +45,18 @@
 		is.Equal(gate.share, 1.0)
 	}
 }
+
+// A process that has just started turns no connection away, whatever its delays, and learns the
+// usual rate meanwhile.
+func TestNewProcessAdmitsAll(t *testing.T) {
+	is := is.New(t)
+	gate := &OverloadGate{share: 1}
+	for range learnIntervals {
+		gate.update(100, true)
+		is.Equal(gate.share, 1.0)
+	}
+	for range 50 {
+		gate.update(140, true)
+		is.Equal(gate.share, 1.0)
+	}
+}
