--- a/internal/serving/quarantine/coordinator.go
+++ b/internal/serving/quarantine/coordinator.go
@@ -249,7 +249,7 @@
 func (c *Coordinator) Lift(fingerprint Fingerprint) bool {
 	lifted := c.table.Lift(fingerprint, time.Now())
 	if lifted != nil {
-		c.parts.Forgive(fingerprint)
+		c.parts.ReduceFailures(fingerprint)
 		c.distributeHold(*lifted, "operator")
 	}
 	return lifted != nil
--- a/internal/serving/quarantine/doc.go
+++ b/internal/serving/quarantine/doc.go
@@ -15,7 +15,7 @@
 // and completions are therefore counted by part as well, and a part may be held too:
 //
 //   - A part is suspected if runners ended under it since its last completion.
-//   - A strike is an ending whose run began after the part's previous strike and after its last
+//   - A failure is an ending whose run began after the part's previous failure and after its last
 //     completion.
 //   - A trial is the one request with a held part that is sent to a runner, to see whether the
 //     part still crashes runners.
--- a/internal/serving/quarantine/partdecision.go
+++ b/internal/serving/quarantine/partdecision.go
@@ -12,21 +12,21 @@
 //
 //   - A completed run is evidence for all parts of its prompt. Endings count only if their
 //     run began after the last completion.
-//   - Runners that are lost together say nothing about a part. An ending is a strike only if
-//     its run began after the previous strike, so that the strikes of a part are successive
+//   - Runners that are lost together say nothing about a part. An ending is a failure only if
+//     its run began after the previous failure, so that the failures of a part are successive
 //     attempts, all of which failed.
 //   - An ending is explained if a request with a held part ran at that runner as well. The
 //     hold of a part whose endings are all explained by other parts is lifted.
 
 const (
-	// strikesToHold is the number of strikes for which a part without evidence is held, and
-	// strikesToHoldProven the number for a part that was completed within completionTTL in
+	// failuresToHold is the number of failures for which a part without evidence is held, and
+	// failuresToHoldProven the number for a part that was completed within completionTTL in
 	// the same environment.
-	strikesToHold       = 3
-	strikesToHoldProven = 5
-	// strikesToHoldRival is the number of strikes for which a part is held although another
+	failuresToHold       = 3
+	failuresToHoldProven = 5
+	// failuresToHoldAmbiguous is the number of failures for which a part is held although another
 	// part explains the same endings.
-	strikesToHoldRival = 5
+	failuresToHoldAmbiguous = 5
 	// ownEndings is the number of endings that a part must have beside those of another part to
 	// explain them.
 	ownEndings = 2
@@ -37,8 +37,8 @@
 	partHoldDuration = 24 * time.Hour
 )
 
-// strike is one of the successive endings of runners under a part.
-type strike struct {
+// failure is one of the successive endings of runners under a part.
+type failure struct {
 	runner      string // its start
 	at          time.Time
 	environment Environment
@@ -47,26 +47,26 @@
 // partCase is what is known of a part when holds are decided.
 type partCase struct {
 	part Part
-	// strikes is the number of strikes, and unexplained contains the runners of those that
+	// failures is the number of failures, and unexplained contains the runners of those that
 	// no held part explains.
-	strikes     int
+	failures    int
 	unexplained []string
 	// endings contains the starts of all runners that ended under the part.
 	endings map[string]time.Time
-	// proven is set if the part was completed in the environment of the last strike.
+	// proven is set if the part was completed in the environment of the last failure.
 	proven bool
-	// environment is that of the last strike.
+	// environment is that of the last failure.
 	environment Environment
 }
 
 // mustHoldPart reports whether the endings suffice to hold the part. A part without evidence
-// whose strikes are explained but for a few is held as well: two parts that crash runners may
+// whose failures are explained but for a few is held as well: two parts that crash runners may
 // have run together.
 func (c *partCase) mustHoldPart() bool {
 	if c.proven {
-		return len(c.unexplained) >= strikesToHoldProven
+		return len(c.unexplained) >= failuresToHoldProven
 	}
-	return len(c.unexplained) >= strikesToHold || len(c.unexplained) > 0 && c.strikes >= strikesToHoldRival
+	return len(c.unexplained) >= failuresToHold || len(c.unexplained) > 0 && c.failures >= failuresToHoldAmbiguous
 }
 
 // explains reports whether a part may be the cause of all endings of another case.
@@ -121,17 +121,17 @@
 
 // nextPartToHold returns the case of the part that is held next, or nil if there is none. A
 // part is not held yet if another one without more evidence for it explains the same endings,
-// until the part has strikesToHoldRival strikes.
+// until the part has failuresToHoldAmbiguous failures.
 func nextPartToHold(cases []*partCase) *partCase {
 	slices.SortFunc(cases, compareCases)
 	for _, candidate := range cases {
 		if !candidate.mustHoldPart() {
 			continue
 		}
-		rival := slices.ContainsFunc(cases, func(other *partCase) bool {
+		ambiguous := slices.ContainsFunc(cases, func(other *partCase) bool {
 			return other != candidate && (candidate.proven || !other.proven) && other.explains(candidate)
 		})
-		if !rival || candidate.strikes >= strikesToHoldRival {
+		if !ambiguous || candidate.failures >= failuresToHoldAmbiguous {
 			return candidate
 		}
 	}
--- a/internal/serving/quarantine/parts.go
+++ b/internal/serving/quarantine/parts.go
@@ -157,7 +157,7 @@
 		if !c.table.ApplyHold(hold) {
 			continue
 		}
-		klog.InfoS("part of prompts is held", "part", hold.Part, "fingerprint", hold.Fingerprint, "strikes", decided.strikes,
+		klog.InfoS("part of prompts is held", "part", hold.Part, "fingerprint", hold.Fingerprint, "failures", decided.failures,
 			"unexplained", len(decided.unexplained), "endings", len(decided.endings), "completedBefore", decided.proven,
 			"service", decided.environment.Service, "version", decided.environment.Version, "runners", decided.unexplained)
 		c.distributeHold(hold, "runners ended")
@@ -168,7 +168,7 @@
 		if lifted == nil {
 			return
 		}
-		c.parts.Forgive(part)
+		c.parts.ReduceFailures(part)
 		c.distributeHold(*lifted, "other parts of prompts explain the endings")
 	}
 }
@@ -185,7 +185,7 @@
 // store. A node that completed a request with the part just now lifts the hold at once.
 func (c *Coordinator) receivePartHold(hold Hold, now time.Time) {
 	if hold.Until == 0 {
-		c.parts.Forgive(hold.Fingerprint)
+		c.parts.ReduceFailures(hold.Fingerprint)
 		return
 	}
 	if hold.Part == "" {
--- a/internal/serving/quarantine/parts_test.go
+++ b/internal/serving/quarantine/parts_test.go
@@ -109,7 +109,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				n := newPartNetwork(4)
-				for number := range strikesToHold {
+				for number := range failuresToHold {
 					n.complete(number, promptWork(100+number, "first", "second"))
 					parts := []string{"first", "second"}
 					parts = append(parts[:min(position, 2)], append([]string{"deadly"}, parts[min(position, 2):]...)...)
@@ -154,7 +154,7 @@
 		n := newPartNetwork(3)
 		n.complete(2, promptWork(1, "rare"))
 		time.Sleep(time.Second)
-		for number := range strikesToHoldProven - 1 {
+		for number := range failuresToHoldProven - 1 {
 			n.crash(0, promptWork(10+number, "rare"))
 		}
 		n.decide()
@@ -163,7 +163,7 @@
 		n.crash(0, promptWork(20, "rare"))
 		n.decide()
 		is.True(!n.held(0, "rare")) // it was completed between the endings
-		for number := range strikesToHoldProven {
+		for number := range failuresToHoldProven {
 			n.crash(number%3, promptWork(30+number, "rare"))
 		}
 		n.decide()
@@ -177,7 +177,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := newPartNetwork(2)
-		for number := range strikesToHoldRival - 1 {
+		for number := range failuresToHoldAmbiguous - 1 {
 			n.crash(number%2, promptWork(number, "left", "right"))
 		}
 		n.decide()
@@ -213,7 +213,7 @@
 			}
 			n.decide()
 			for cause, count := range counts {
-				if part := fmt.Sprint("deadly", cause); count >= strikesToHoldRival && !n.heldEverywhere(part) {
+				if part := fmt.Sprint("deadly", cause); count >= failuresToHoldAmbiguous && !n.heldEverywhere(part) {
 					t.Fatalf("%s is not held after %d endings", part, count)
 				}
 			}
@@ -222,7 +222,7 @@
 				seen[e.bystander]++
 			}
 			for bystander, count := range seen {
-				if count <= strikesToHold && n.held(0, fmt.Sprint("rare", bystander)) {
+				if count <= failuresToHold && n.held(0, fmt.Sprint("rare", bystander)) {
 					t.Fatalf("bystander %d is held after %d endings", bystander, count)
 				}
 			}
@@ -239,7 +239,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := newPartNetwork(3)
-		for number := range strikesToHold {
+		for number := range failuresToHold {
 			n.crash(0, promptWork(number, "part"))
 		}
 		n.decide()
@@ -267,7 +267,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := newPartNetwork(2)
-		for number := range strikesToHoldRival {
+		for number := range failuresToHoldAmbiguous {
 			n.crash(0, promptWork(number, "part"))
 		}
 		n.decide()
@@ -315,7 +315,7 @@
 		for range EndingsToHold - 1 {
 			n.crash(0, cause)
 		}
-		for number := range strikesToHold - 1 {
+		for number := range failuresToHold - 1 {
 			n.complete(1, promptWork(200+number, "first"))
 			n.crash(1, promptWork(300+number, "first", "deadly"))
 		}
--- a/internal/serving/quarantine/parttable.go
+++ b/internal/serving/quarantine/parttable.go
@@ -20,8 +20,8 @@
 type partSuspect struct {
 	part Part
 	// endings contains the time at which each ending was recorded, by the runner's start.
-	endings map[string]time.Time
-	strikes []strike
+	endings  map[string]time.Time
+	failures []failure
 	// lastEnding is the time at which the latest ending was recorded.
 	lastEnding time.Time
 	// local is set if this node observed an ending under the part.
@@ -90,8 +90,8 @@
 		return false
 	}
 	s.endings[run.Start], s.lastEnding = now, now
-	if len(s.strikes) == 0 || !run.Began.Before(s.strikes[len(s.strikes)-1].at) {
-		s.strikes = append(s.strikes, strike{run.Start, now, environment})
+	if len(s.failures) == 0 || !run.Began.Before(s.failures[len(s.failures)-1].at) {
+		s.failures = append(s.failures, failure{run.Start, now, environment})
 	}
 	return true
 }
@@ -99,7 +99,7 @@
 // expire removes the endings that are older than partEndingTTL.
 func (s *partSuspect) expire(now time.Time) {
 	maps.DeleteFunc(s.endings, func(_ string, at time.Time) bool { return now.Sub(at) > partEndingTTL })
-	s.strikes = slices.DeleteFunc(s.strikes, func(s strike) bool { return now.Sub(s.at) > partEndingTTL })
+	s.failures = slices.DeleteFunc(s.failures, func(s failure) bool { return now.Sub(s.at) > partEndingTTL })
 }
 
 // evictOldest makes room for a part. The caller holds the mutex.
@@ -136,8 +136,8 @@
 	if entry == nil {
 		return
 	}
-	entry.strikes = slices.DeleteFunc(entry.strikes, func(s strike) bool { return s.environment == environment && !s.at.After(at) })
-	if len(entry.strikes) == 0 {
+	entry.failures = slices.DeleteFunc(entry.failures, func(s failure) bool { return s.environment == environment && !s.at.After(at) })
+	if len(entry.failures) == 0 {
 		t.remove(part)
 	}
 }
@@ -177,13 +177,13 @@
 	}
 }
 
-// Forgive keeps so few strikes of a part whose hold was lifted that it is held again after one
-// more strike.
-func (t *PartTable) Forgive(part Fingerprint) {
+// ReduceFailures keeps so few failures of a part whose hold was lifted that it is held again after one
+// more failure.
+func (t *PartTable) ReduceFailures(part Fingerprint) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if entry := t.suspects[part]; entry != nil {
-		entry.strikes = entry.strikes[:min(len(entry.strikes), strikesToHold-1)]
+		entry.failures = entry.failures[:min(len(entry.failures), failuresToHold-1)]
 	}
 }
 
@@ -238,13 +238,13 @@
 	cases := make([]*partCase, 0, len(open))
 	for _, entry := range open {
 		entry.expire(now)
-		if len(entry.strikes) == 0 {
+		if len(entry.failures) == 0 {
 			continue
 		}
-		last := entry.strikes[len(entry.strikes)-1].environment
+		last := entry.failures[len(entry.failures)-1].environment
 		_, proven := t.completions.last(entry.part.Fingerprint, last, now)
-		found := &partCase{part: entry.part, strikes: len(entry.strikes), endings: entry.endings, proven: proven, environment: last}
-		for _, s := range entry.strikes {
+		found := &partCase{part: entry.part, failures: len(entry.failures), endings: entry.endings, proven: proven, environment: last}
+		for _, s := range entry.failures {
 			if !explained[s.runner] {
 				found.unexplained = append(found.unexplained, s.runner)
 			}
--- a/internal/serving/quarantine/trial_test.go
+++ b/internal/serving/quarantine/trial_test.go
@@ -22,7 +22,7 @@
 
 // holdPart lets runners end under a part until it is held.
 func (n *partNetwork) holdPart() {
-	for number := range strikesToHold {
+	for number := range failuresToHold {
 		n.crash(0, promptWork(number, "part"))
 	}
 	n.decide()
