--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -116,8 +116,9 @@
 	if crashes {
 		run(func(random *rand.Rand) { s.sendCrashingRequests(soakContext, random) })
 	}
-	if random.Float64() < crashingPartShare {
-		run(func(random *rand.Rand) { s.sendCrashingPart(soakContext, random) })
+	partRandom := rand.New(rand.NewPCG(s.Seed, 3)) // apart, so that the other series of a seed stay the same
+	if partRandom.Float64() < crashingPartShare {
+		group.Go(func() { s.sendCrashingPart(soakContext, partRandom) })
 	}
 	for range s.options.Disturbers {
 		run(func(random *rand.Rand) { s.disrupt(soakContext, random) })
