Relays decode the entry of a runner once for each change

What callers saw: in the whole fleet, nodes without current knowledge of the runners, slow starts.

Change: the mirror keeps the placement of each value beside it.

Tests of relay and informer pass.

--- a/internal/cluster/relay/mirror.go
+++ b/internal/cluster/relay/mirror.go
@@ -38,7 +38,7 @@
 	classify Classifier
 
 	mutex    sync.Mutex
-	values   map[string]ports.Value // nil before the first Reset
+	values   map[string]placedValue // nil before the first Reset
 	revision int64
 	// partial is true while the mirror holds a selection of the runners. totals then
 	// holds the rounded numbers of all runners; otherwise it is nil.
@@ -79,6 +79,16 @@
 	serviceZone subset.ServiceZone
 }
 
+// isRunner reports whether the value is the readable entry of a runner.
+func (p placement) isRunner() bool { return p.runnerID != "" }
+
+// placedValue is a value with its placement. The placement is computed once for each change,
+// because a mirror reads it for each of its followers.
+type placedValue struct {
+	ports.Value
+	placement
+}
+
 // NewMirror returns an empty mirror. If classify is nil, the mirror treats no value as a
 // runner's entry.
 func NewMirror(classify Classifier) *Mirror {
@@ -101,7 +111,7 @@
 		return
 	}
 	if m.values == nil || m.partial {
-		m.values, m.runners = map[string]ports.Value{}, subset.NewIndex[string]()
+		m.values, m.runners = map[string]placedValue{}, subset.NewIndex[string]()
 		m.log, m.tombstones, m.compactedRevision = nil, map[string]tombstone{}, revision
 		m.relocated, m.gaps = map[string]int64{}, nil
 	} else {
@@ -157,7 +167,7 @@
 		m.put(value)
 	}
 	for key, value := range m.values {
-		if id, serviceZone, isRunner := m.classify(value); isRunner && !selected[key] && !selection.retains(id, serviceZone) {
+		if value.isRunner() && !selected[key] && !selection.retains(value.runnerID, value.serviceZone) {
 			m.remove(key, revision)
 		}
 	}
@@ -184,22 +194,22 @@
 	deleted, isDeleted := m.tombstones[value.Key]
 	previous, next := deleted.placement, m.placementOf(value)
 	if known {
-		previous = m.placementOf(held)
+		previous = held.placement
 	}
 	if (known || isDeleted) && previous != next {
 		m.relocated[value.Key] = value.Revision
 	}
-	m.values[value.Key] = value
+	m.values[value.Key] = placedValue{value, next}
 	delete(m.tombstones, value.Key)
 	m.appendLog(value.Revision, value.Key)
-	if next.runnerID != "" {
+	if next.isRunner() {
 		m.runners.Put(subset.ListedRunner[string]{ID: next.runnerID, ServiceZone: next.serviceZone, Value: value.Key})
-	} else if previous.runnerID != "" {
+	} else if previous.isRunner() {
 		m.runners.Remove(previous.runnerID) // the entry has become unreadable
 	}
 }
 
-// placementOf returns the placement of a value.
+// placementOf decodes a value and returns its placement.
 func (m *Mirror) placementOf(value ports.Value) placement {
 	id, serviceZone, isRunner := m.classify(value)
 	if !isRunner {
@@ -216,8 +226,8 @@
 	if !held || value.Revision > revision {
 		return
 	}
-	deleted := tombstone{revision, m.placementOf(value)}
-	if deleted.runnerID != "" {
+	deleted := tombstone{revision, value.placement}
+	if deleted.isRunner() {
 		m.runners.Remove(deleted.runnerID)
 	}
 	delete(m.values, key)
--- a/internal/cluster/relay/update.go
+++ b/internal/cluster/relay/update.go
@@ -85,7 +85,7 @@
 	}
 	for _, entry := range m.runners.Select(current) {
 		if previous == nil || !previous.Contains(entry.ServiceZone, subset.PositionOf(entry.ID)) {
-			selection.Values = append(selection.Values, m.values[entry.Value])
+			selection.Values = append(selection.Values, m.values[entry.Value].Value)
 		}
 	}
 	return selection
@@ -95,8 +95,8 @@
 func (m *Mirror) runnerValues() []ports.Value {
 	var values []ports.Value
 	for _, value := range m.values {
-		if _, _, isRunner := m.classify(value); isRunner {
-			values = append(values, value)
+		if value.isRunner() {
+			values = append(values, value.Value)
 		}
 	}
 	return values
@@ -107,8 +107,8 @@
 func (m *Mirror) fullValues(view *FollowerView) []ports.Value {
 	var values []ports.Value
 	for _, value := range m.values {
-		if _, _, isRunner := m.classify(value); !isRunner || view == nil {
-			values = append(values, value)
+		if view == nil || !value.isRunner() {
+			values = append(values, value.Value)
 		}
 	}
 	return values
@@ -128,12 +128,12 @@
 		value, held := m.values[entry.key]
 		place := m.tombstones[entry.key].placement
 		if held {
-			place = m.placementOf(value)
+			place = value.placement
 		}
-		selected := current == nil || place.runnerID == "" || current.Contains(place.serviceZone, subset.PositionOf(place.runnerID))
+		selected := current == nil || !place.isRunner() || current.Contains(place.serviceZone, subset.PositionOf(place.runnerID))
 		switch {
 		case held && selected:
-			events = append(events, ports.WatchEvent{Value: value})
+			events = append(events, ports.WatchEvent{Value: value.Value})
 		case selected || m.relocated[entry.key] > revision:
 			events = append(events, ports.WatchEvent{Value: ports.Value{Key: entry.key, Revision: entry.revision}, Deleted: true})
 		}
