The merger alone decides which runners a node holds

What callers saw: on the whole fleet, requests at runners that had said that they leave (DRAIN): an edge that had just started could keep a peer's list of all runners and receive the changes of its own selection only, or list no runners at all. Cause: two revisions for one set of contents. The cache of runners compared the revision of a peer's list, the merger that of the relay's stream. A selection between the two was taken by one and ignored by the other.

Change: a peer's list passes the merger, which takes none while it holds a selection, and no selection that is older than the list: the stream then ends with the source behind, and is opened again. In a large fleet nodes neither send nor take lists of all runners (2 MB for each node that starts). The merger exists from New on.

Looked for elsewhere: configuration, layout and holds arrive past the merger too, but each is compared by its own revision or by its contents, and none has a kind (whole or selected) that a later change depends on.

--- a/internal/cluster/informer/documents.go
+++ b/internal/cluster/informer/documents.go
@@ -29,7 +29,8 @@
 
 // FillReply implements peers.Documents. It adds the configuration and the runners if they
 // are newer than the revisions in the request, and the layout and the quarantine's holds if
-// their digests differ from those in the request.
+// their digests differ from those in the request. In a large fleet it adds no runners: the
+// peer may have asked before it knew that, and relays send it a selection.
 func (i *Informer) FillReply(request *wirev1.PeerStateRequest, reply *wirev1.PeerStateReply) {
 	if current := i.Catalogs.Current(); current != nil && current.Version > request.CatalogVersion {
 		reply.Catalog, reply.CatalogRevision = i.Catalogs.Document()
@@ -40,7 +41,9 @@
 	if request.HoldsDigest != i.Quarantine.Digest() {
 		reply.Holds = i.Quarantine.NewestHolds()
 	}
-	reply.Runners, reply.RunnersRevision, reply.HasRunners = i.runners.newerThan(request.RunnersRevision)
+	if !i.Directory.Large() {
+		reply.Runners, reply.RunnersRevision, reply.HasRunners = i.runners.newerThan(request.RunnersRevision)
+	}
 }
 
 // ApplyReply implements peers.Documents. It records that a peer has answered this node.
@@ -53,14 +56,19 @@
 		i.Layouts.UpdateIfNewer(document.Key, document.Value, document.Revision, from)
 	}
 	i.Quarantine.ReceiveHolds(reply.Holds, from)
-	if !reply.HasRunners {
-		return
+	if reply.HasRunners && !i.Directory.Large() {
+		i.replaceRunners(reply, from)
 	}
+}
+
+// replaceRunners replaces all runners by those in a peer's reply, if the merger accepts
+// them.
+func (i *Informer) replaceRunners(reply *wirev1.PeerStateReply, from string) {
 	values := make([]ports.Value, 0, len(reply.Runners))
 	for _, entry := range reply.Runners {
 		values = append(values, ports.Value{Key: string(entry.Key), Value: entry.Value})
 	}
-	i.runners.replace(values, reply.RunnersRevision, from)
+	i.merger.ReplaceRunners(reply.RunnersRevision, func() { i.runners.replace(values, reply.RunnersRevision, from) })
 }
 
 // Empty implements peers.Documents.
--- a/internal/cluster/informer/informer.go
+++ b/internal/cluster/informer/informer.go
@@ -73,16 +73,18 @@
 	Options
 
 	runners *runnerCache
-	// follower and merger are nil before Run; follower stays nil without a Pool.
+	merger  *relay.Merger
+	// follower is nil before Run, and stays nil without a Pool.
 	follower atomic.Pointer[relay.Follower]
-	merger   atomic.Pointer[relay.Merger]
 	// peerAnswered is true if another node has answered a PeerStateRequest of this node.
 	peerAnswered atomic.Bool
 }
 
 // New returns an informer without contents.
 func New(options Options) *Informer {
-	return &Informer{Options: options, runners: newRunnerCache(options.Schema, options.Runners, options.Interest)}
+	i := &Informer{Options: options, runners: newRunnerCache(options.Schema, options.Runners, options.Interest)}
+	i.merger = relay.NewMerger((*storeSink)(i))
+	return i
 }
 
 var (
@@ -116,12 +118,7 @@
 
 // storeRevision returns the store's revision that this node has reached; it is negative
 // before the first contents arrive.
-func (i *Informer) storeRevision() int64 {
-	if merger := i.merger.Load(); merger != nil {
-		return merger.Revision()
-	}
-	return -1
-}
+func (i *Informer) storeRevision() int64 { return i.merger.Revision() }
 
 // Watched returns the nodes that this node has to probe in order to determine its level.
 func (i *Informer) Watched() []*wirev1.NodeRecord {
@@ -133,18 +130,16 @@
 
 // Run keeps the copy up to date and registers this node until the context ends.
 func (i *Informer) Run(ctx context.Context) {
-	merger := relay.NewMerger(i.sinks())
-	i.merger.Store(merger)
 	reflector := listwatch.New(listwatch.Options{
-		Store: i.Store, Prefix: allKeys, Contact: i.Contact, Merger: merger, WatchTimeout: i.WatchTimeout, Drain: i.Drain,
+		Store: i.Store, Prefix: allKeys, Contact: i.Contact, Merger: i.merger, WatchTimeout: i.WatchTimeout, Drain: i.Drain,
 	})
 	var running tasks.Group
 	if i.Mirror != nil && i.DiskCache != nil {
-		relay.Restore(i.DiskCache, i.Schema.Classify, merger, i.versionsDocument())
+		relay.Restore(i.DiskCache, i.Schema.Classify, i.merger, i.versionsDocument())
 		running.Go(func() { relay.Persist(ctx, i.DiskCache, i.Mirror, i.versionsDocument()) })
 	}
 	if i.Pool != nil {
-		follower := i.newFollower(merger)
+		follower := i.newFollower()
 		reflector.Relays, reflector.MarkLarge = follower, i.Directory.MarkLarge
 		if i.Mirror == nil { // a node with a disk may have to watch the store for its zone
 			reflector.PeerAnswered = i.peerAnswered.Load
@@ -159,22 +154,11 @@
 
 // newFollower creates and stores the follower that passes the changes from relays to the
 // merger.
-func (i *Informer) newFollower(merger *relay.Merger) *relay.Follower {
-	follower := &relay.Follower{Nodes: i.Directory, Pool: i.Pool, Merger: merger, Timing: i.Timing, Lost: i.Contact.Lost}
+func (i *Informer) newFollower() *relay.Follower {
+	follower := &relay.Follower{Nodes: i.Directory, Pool: i.Pool, Merger: i.merger, Timing: i.Timing, Lost: i.Contact.Lost}
 	if i.Interest != (subset.Interest{}) {
 		follower.Interest = i.runners.widenedInterest
 	}
 	i.follower.Store(follower)
 	return follower
 }
-
-// sinks returns the receivers of the store's contents. The mirror receives every key.
-func (i *Informer) sinks() sinksByPrefix {
-	sinks := sinksByPrefix{
-		{i.Schema.OperatorPrefix, (*operatorSink)(i)}, {i.Schema.RunnersPrefix, i.runners}, {productPrefix, (*productSink)(i)},
-	}
-	if i.Mirror != nil {
-		sinks = append(sinks, prefixSink{allKeys, i.Mirror})
-	}
-	return sinks
-}
--- a/internal/cluster/informer/peerlist_test.go
+++ b/internal/cluster/informer/peerlist_test.go
@@ -43,12 +43,10 @@
 
 // newSelectiveNode returns an informer that is not connected to anything.
 func newSelectiveNode(name string) *Informer {
-	node := New(Options{
+	return New(Options{
 		Schema: testSchema, Runners: runnerset.New(), Interest: subset.DefaultInterest(name, "z1", false),
 		Directory: peers.NewDirectory(&wirev1.NodeRecord{NodeId: name, Zone: "z1", Incarnation: 1}),
 	})
-	node.merger.Store(relay.NewMerger(sinksByPrefix{{testSchema.RunnersPrefix, node.runners}}))
-	return node
 }
 
 // changeRunner puts or deletes a runner's entry in the store.
@@ -90,7 +88,7 @@
 // openStream begins a stream from the relay to the node.
 func (e *startingEdge) openStream() {
 	e.view = &relay.FollowerView{Interest: e.node.runners.widenedInterest()}
-	e.after = e.node.merger.Load().Revision()
+	e.after = e.node.merger.Revision()
 }
 
 // receiveUpdate passes the next update of the stream to the node. It opens another stream if
@@ -101,7 +99,7 @@
 	if update == nil {
 		return false
 	}
-	merger := e.node.merger.Load()
+	merger := e.node.merger
 	switch {
 	case update.Whole:
 		merger.ResetToSelection(update.Values, *update.Selection, update.Revision)
@@ -132,7 +130,7 @@
 func (e *startingEdge) wanted() map[string]bool {
 	clean := newSelectiveNode(e.node.Directory.Self().NodeId)
 	update, _ := e.relay.After(-1, &relay.FollowerView{Interest: e.node.runners.widenedInterest()})
-	clean.merger.Load().ResetToSelection(update.Values, *update.Selection, update.Revision)
+	clean.merger.ResetToSelection(update.Values, *update.Selection, update.Revision)
 	return listedIDs(clean)
 }
 
--- a/internal/cluster/informer/routing.go
+++ b/internal/cluster/informer/routing.go
@@ -7,6 +7,35 @@
 	"cobaltramp.example/cobaltramp/internal/cluster/relay"
 )
 
+// storeSink passes the contents of the store to the owners of its parts.
+type storeSink Informer
+
+var _ relay.SelectiveSink = (*storeSink)(nil)
+
+// Reset implements relay.Sink.
+func (s *storeSink) Reset(values []ports.Value, revision int64) { s.sinks().Reset(values, revision) }
+
+// Apply implements relay.Sink.
+func (s *storeSink) Apply(events []ports.WatchEvent, revision int64) {
+	s.sinks().Apply(events, revision)
+}
+
+// Select implements relay.SelectiveSink.
+func (s *storeSink) Select(selection relay.Selection, revision int64) {
+	s.sinks().Select(selection, revision)
+}
+
+// sinks returns the owners of the parts. The mirror receives every key.
+func (s *storeSink) sinks() sinksByPrefix {
+	sinks := sinksByPrefix{
+		{s.Schema.OperatorPrefix, (*operatorSink)(s)}, {s.Schema.RunnersPrefix, s.runners}, {productPrefix, (*productSink)(s)},
+	}
+	if s.Mirror != nil {
+		sinks = append(sinks, prefixSink{allKeys, s.Mirror})
+	}
+	return sinks
+}
+
 // sinksByPrefix distributes the results of one watch to several sinks by key prefix, so
 // that a node needs only one watch. Reset calls every sink, Apply calls a sink only if a
 // change has the sink's prefix, and Select calls every selective sink.
--- a/internal/cluster/informer/runners.go
+++ b/internal/cluster/informer/runners.go
@@ -17,7 +17,8 @@
 // runnerCache passes this node's subset of the runners to the runnerset.Set. Either the
 // cache receives the entries of all runners and picks the subset itself (selectedByRelay
 // is false), or a relay picks the subset and the cache receives only its entries
-// (selectedByRelay is true).
+// (selectedByRelay is true). The relay.Merger decides which lists, selections and changes the
+// cache receives.
 //
 // Invariant: the revision never decreases.
 type runnerCache struct {
@@ -87,15 +88,12 @@
 	c.replace(values, revision, "store")
 }
 
-// Select implements relay.SelectiveSink. It ignores a selection whose revision is older
-// than the cache's, and retains entries only if it holds a selection already.
+// Select implements relay.SelectiveSink. It retains entries only if it holds a selection
+// already.
 func (c *runnerCache) Select(selection relay.Selection, revision int64) {
 	now := time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if revision < c.revision {
-		return
-	}
 	if revision > c.revision {
 		c.set.Versions().RecordGap(now)
 	}
--- a/internal/cluster/informer/runners_test.go
+++ b/internal/cluster/informer/runners_test.go
@@ -14,7 +14,9 @@
 
 // testSchema stores runners under runners/, each as a JSON record.
 var testSchema = &Schema{
-	RunnersPrefix: "runners/",
+	OperatorPrefix: "operator/",
+	RetirePrefix:   "operator/retire/",
+	RunnersPrefix:  "runners/",
 	ParseRunner: func(id string, entry []byte, _ time.Time) (record runnerset.Record, err error) {
 		err = json.Unmarshal(entry, &record)
 		record.ID = id
--- a/internal/cluster/relay/merge.go
+++ b/internal/cluster/relay/merge.go
@@ -15,18 +15,27 @@
 // kind does not know which changes a source of the other kind has sent. Reset,
 // ResetToSelection and a Select that retains none switch between the two.
 //
+// Another node's list of all runners (ReplaceRunners) is newer than the sources' contents.
+// Until a source has reached its revision, the merger ignores selections: the sink would
+// lose the list, and the merger alone decides what the sink holds.
+//
 // Invariant: the revision never decreases, and a change is passed to the sink's Apply only
 // if it is newer than the revision. Reset and Select may repeat values.
 type Merger struct {
 	mutex    sync.Mutex
 	sink     SelectiveSink
 	revision int64
+	// runnersRevision is the revision of the list that ReplaceRunners took last; -1 before
+	// the first.
+	runnersRevision int64
 	// partial is true while the merger holds a selection of the runners.
 	partial bool
 }
 
 // NewMerger returns a merger without contents; its revision is negative.
-func NewMerger(sink SelectiveSink) *Merger { return &Merger{sink: sink, revision: -1} }
+func NewMerger(sink SelectiveSink) *Merger {
+	return &Merger{sink: sink, revision: -1, runnersRevision: -1}
+}
 
 var _ Sink = (*Merger)(nil)
 
@@ -37,15 +46,33 @@
 	return m.partial
 }
 
+// ReplaceRunners calls replace, which passes another node's list of all runners to the
+// sink's owner, unless the merger holds a selection or its contents are as new as the list.
+// It reports whether it called replace.
+func (m *Merger) ReplaceRunners(revision int64, replace func()) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.partial || revision <= m.newestRunners() {
+		return false
+	}
+	replace()
+	m.runnersRevision = revision
+	return true
+}
+
+// newestRunners returns the newest revision of which the sink holds the runners. The mutex
+// is held.
+func (m *Merger) newestRunners() int64 { return max(m.revision, m.runnersRevision) }
+
 // Select applies events and then a selection of the same revision. It ignores both if the
-// merger has no contents, if the revision is older than the merger's, or if the selection
+// merger has no contents, if the sink holds newer runners, or if the selection
 // retains runners and the merger holds no selection. A selection without retained runners
 // also replaces all runners; the merger then holds a selection. Only one source may send
 // selections at a time.
 func (m *Merger) Select(selection Selection, events []ports.WatchEvent, revision int64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.revision < 0 || revision < m.revision || selection.Retained != nil && !m.partial {
+	if m.revision < 0 || revision < m.newestRunners() || selection.Retained != nil && !m.partial {
 		return
 	}
 	m.apply(events, revision)
@@ -54,11 +81,11 @@
 }
 
 // ResetToSelection replaces all contents by the given values and a selection of the
-// runners. It ignores a revision that is older than the merger's.
+// runners. It ignores them if the sink holds newer runners.
 func (m *Merger) ResetToSelection(values []ports.Value, selection Selection, revision int64) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if revision < m.revision {
+	if revision < m.newestRunners() {
 		return
 	}
 	m.sink.Reset(append(slices.Clone(values), selection.Values...), revision)
