The age of what a node knows is counted from the store, not from the last hop

What callers could see: requests at runners that had left (DRAIN), from a node whose chain of relays is behind. Cause: each hop counted missed heartbeats by itself (0.45 of the drain time), and a relay that had lost the store told so one loop and one heartbeat later; level 0 takes up to 1.8 s to notice a silent store, and a burst is coalesced for 0.2 of the drain time. On the fleet's 5 s: 1.8 + 3 x 0.75 + 0.75 + 1.0 = 5.8 s; on 2 s: 1.8 + 2 x 0.3 + 0.4 = 2.8 s. A heartbeat confirmed a source whatever it knew, also one that was behind its follower.

Change: replies of a stream carry the age of the source's contents (time since it last knew that it held all that the store held). A source counts as live only up to 0.85 of the drain time, and its followers leave it beyond that; StoreContact.Age of a node that uses relays is the age of the relay's contents, so that keys and software versions are judged by it too. Heartbeats come at most 500 ms apart (750 on 5 s); the timeout stays 0.45 of the drain time. Probes of the store are sent at a fixed rate, so that a slow store does not age contents more. Ages without a fault, by TestAgesWithoutFaultsStayWithinTheLimit: at most 2.0 of 4.25 s (drain 5 s), 2.0 of 1.7 s would fail for a tree on 2 s with heartbeats of 500 ms; it has 300 ms: 1.6 s.

Tests of internal/cluster, platform and modules pass. The wire gets one field; 0 from older nodes means as before.

--- a/internal/cluster/informer/informer.go
+++ b/internal/cluster/informer/informer.go
@@ -155,7 +155,9 @@
 // newFollower creates and stores the follower that passes the changes from relays to the
 // merger.
 func (i *Informer) newFollower() *relay.Follower {
-	follower := &relay.Follower{Nodes: i.Directory, Pool: i.Pool, Merger: i.merger, Timing: i.Timing, Lost: i.Contact.Lost}
+	follower := &relay.Follower{
+		Nodes: i.Directory, Pool: i.Pool, Merger: i.merger, Timing: i.Timing, Lost: i.Contact.Lost, Confirmed: i.Contact.RenewAsOf,
+	}
 	if i.Interest != (subset.Interest{}) {
 		follower.Interest = i.runners.widenedInterest
 	}
--- /dev/null
+++ b/internal/cluster/listwatch/age_test.go
@@ -0,0 +1,46 @@
+package listwatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"cobaltramp.example/cobaltramp/internal/cluster/relay"
+)
+
+// maxHops is the number of relays between the store and a leaf of the tree.
+const maxHops = 2
+
+// The age of a node's contents must stay within relay.FollowTiming.MaxAge while the store and all
+// relays work: each probe, each pause of the coalescer and each heartbeat may add to it. MaxAge
+// must leave a part of the drain time to the request itself.
+func TestAgesWithoutFaultsStayWithinTheLimit(t *testing.T) {
+	for _, drain := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second} {
+		timing := relay.TimingWithin(drain)
+		coalescing := newCoalescer(time.Now(), drain).burstDelay
+		quiet := probeInterval + maxHops*timing.Heartbeat
+		busy := coalescing + maxHops*timing.Heartbeat
+		if longest := max(quiet, busy); longest > timing.MaxAge {
+			t.Errorf("drain time %s: contents are up to %s old without a fault, more than %s", drain, longest, timing.MaxAge)
+		}
+		if timing.MaxAge > drain*9/10 {
+			t.Errorf("drain time %s: contents may be %s old", drain, timing.MaxAge)
+		}
+	}
+}
+
+// A node that relays keep up to date is as old as the contents of its relay, and no reply makes
+// it older than it is.
+func TestContactIsAsOldAsTheRelaysContents(t *testing.T) {
+	is := is.New(t)
+	contact := NewStoreContact()
+	contact.Confirm()
+	contact.RenewAsOf(time.Hour)
+	is.True(contact.Age() < time.Minute)
+
+	contact.renewedAt.Store(int64(-2 * time.Hour))
+	contact.RenewAsOf(time.Hour)
+	is.True(contact.Age() >= time.Hour)
+	is.True(contact.Age() < 2*time.Hour)
+}
--- a/internal/cluster/listwatch/contact.go
+++ b/internal/cluster/listwatch/contact.go
@@ -14,8 +14,9 @@
 // directly or through relays (nodes that pass on its changes), and since when the copy of
 // the store may be outdated.
 //
-// Invariant: a successful list or watch, and an up-to-date relay, renew the contact and end
-// its loss. A probe renews the contact only if the node holds all changes up to the revision
+// Invariant: a successful list or watch renews the contact and ends its loss. An up-to-date
+// relay renews it as of the time at which the relay's contents were known to be all that the
+// store held, and ends its loss. A probe renews the contact only if the node holds all changes up to the revision
 // that the probe has read; it does not end a loss.
 type StoreContact struct {
 	renewedAt atomic.Int64 // time of the last renewal, in nanoseconds after processStart
@@ -63,8 +64,23 @@
 	c.lost.Store(false)
 }
 
-// renew records that the store answered, without ending a loss of contact.
-func (c *StoreContact) renew() { c.renewedAt.Store(int64(boottime.Since(processStart))) }
+// renew records that this node holds all that the store holds, without ending a loss of
+// contact.
+func (c *StoreContact) renew() { c.RenewAsOf(0) }
+
+// RenewAsOf records that this node holds all that the store held the given time ago, without
+// ending a loss of contact.
+func (c *StoreContact) RenewAsOf(age time.Duration) {
+	at := int64(boottime.Since(processStart) - age)
+	for previous := c.renewedAt.Load(); at > previous; previous = c.renewedAt.Load() {
+		if c.renewedAt.CompareAndSwap(previous, at) {
+			return
+		}
+	}
+}
+
+// regain records that relays keep this node up to date.
+func (c *StoreContact) regain() { c.lost.Store(false) }
 
 // markLost records that neither the store nor a relay keeps this node up to date. Waiting
 // calls continue.
--- a/internal/cluster/listwatch/probe.go
+++ b/internal/cluster/listwatch/probe.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// probeInterval is the pause between two probes, and probeTimeout is the timeout of a
-	// probe. Together they limit how long a failure of the store stays undetected.
+	// probeInterval is the time from one probe to the next, and probeTimeout is the timeout of
+	// a probe. Together they limit how long a failure of the store stays undetected.
 	probeInterval = time.Second
 	probeTimeout  = 800 * time.Millisecond
 )
@@ -22,14 +22,17 @@
 // does not answer, or a connection that has gone silent, from a store without changes.
 func (r *Reflector) probe(ctx context.Context) {
 	refused := 0
+	wait := probeInterval
 	for ctx.Err() == nil {
-		pause.For(ctx, probeInterval)
+		pause.For(ctx, wait)
+		wait = probeInterval
 		if r.Contact.Lost() || r.usesRelay() {
 			refused = 0
 			continue // listAndWatch is retrying already, or relays keep the node up to date
 		}
 		sent := time.Now()
 		revision, err := r.probeOnce(ctx)
+		wait = max(probeInterval-time.Since(sent), 0) // a slow store must not age the contents more
 		switch {
 		case ctx.Err() != nil:
 		case err != nil:
--- a/internal/cluster/listwatch/reflector.go
+++ b/internal/cluster/listwatch/reflector.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		if r.usesRelay() {
-			r.Contact.Confirm()
+			r.Contact.regain()
 			r.storeLost, r.failures, r.unanswered = false, 0, 0
 			pause.For(ctx, r.Relays.HeartbeatInterval())
 			continue
--- a/internal/cluster/relay/follower.go
+++ b/internal/cluster/relay/follower.go
@@ -60,6 +60,9 @@
 	// of package listwatch does. A node that watches the store for its zone has contact
 	// only if the store itself answers. Nil means that the node always has contact.
 	Lost func() bool
+	// Confirmed is called when a live source has shown that this node's contents were all that
+	// the store held the given time ago; nil if nobody needs to know.
+	Confirmed func(age time.Duration)
 	// Timing is the timing of heartbeats; the zero value stands for TimingWithin(0).
 	Timing FollowTiming
 
--- a/internal/cluster/relay/serve.go
+++ b/internal/cluster/relay/serve.go
@@ -20,6 +20,9 @@
 	Mirror *Mirror
 	// Lost reports whether this node has lost contact with the store (see Follower.Lost).
 	Lost func() bool
+	// Age returns the time since this node last knew that it held all that the store held. Nil
+	// means that it always knows.
+	Age func() time.Duration
 	// UsesRelay reports whether this node relies on other nodes instead of watching the
 	// store. It then refuses requests of level 0, which come from nodes of a fleet that is
 	// not large and from nodes at level 0 of a large one. Nil means that it never relies
@@ -58,7 +61,7 @@
 		}
 		update, changed := s.Mirror.After(after, view)
 		reply := encodeUpdate(update)
-		reply.Lost = s.Lost()
+		reply.Lost, reply.AgeMs = s.Lost(), s.ageMilliseconds()
 		if err := stream.Send(reply); err != nil {
 			return err
 		}
@@ -71,6 +74,14 @@
 	}
 }
 
+// ageMilliseconds returns Age, rounded up to milliseconds.
+func (s *Source) ageMilliseconds() uint64 {
+	if s.Age == nil {
+		return 0
+	}
+	return uint64((s.Age() + time.Millisecond - 1) / time.Millisecond)
+}
+
 // refusalError returns the error with which this node refuses a follower, or nil if it
 // accepts the follower.
 func (s *Source) refusalError(request *wirev1.FollowRequest) error {
--- a/internal/cluster/relay/sources.go
+++ b/internal/cluster/relay/sources.go
@@ -14,6 +14,9 @@
 	// confirmedAt is when this node last received a reply that reported no lost store and
 	// left the merger with the requested contents: all runners or a selection.
 	confirmedAt time.Time
+	// currentAt is the latest time at which the contents that this node holds from the source
+	// were known to be all that the store held.
+	currentAt time.Time
 	// interest is the interest sent in the request; the zero value stands for all runners.
 	// stop ends the stream; it is nil before the stream is opened.
 	interest subset.Interest
@@ -54,10 +57,11 @@
 	return live
 }
 
-// isLive reports whether a source was confirmed within the last HeartbeatTimeout. The mutex
-// is held.
+// isLive reports whether a source was confirmed within the last HeartbeatTimeout, and its
+// contents are not older than MaxAge. The mutex is held.
 func (f *Follower) isLive(source *sourceState, now time.Time) bool {
-	return source.address != "" && now.Sub(source.confirmedAt) < f.Timing.orDefault().HeartbeatTimeout
+	timing := f.Timing.orDefault()
+	return source.address != "" && now.Sub(source.confirmedAt) < timing.HeartbeatTimeout && now.Sub(source.currentAt) <= timing.MaxAge
 }
 
 // chooseSource assigns the best candidate that no other slot uses to a slot, and returns
@@ -109,12 +113,19 @@
 	f.sources[slot] = sourceState{}
 }
 
-// confirm records that the source of a slot is up to date with the store.
-func (f *Follower) confirm(slot int) {
+// confirm records that this node holds the contents of a slot's source, which are of the given
+// age. Contents that are too old do not end an isolation.
+func (f *Follower) confirm(slot int, age time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.sources[slot].confirmedAt = time.Now()
-	f.isolation.confirm()
+	now, source := time.Now(), &f.sources[slot]
+	source.confirmedAt = now
+	if current := now.Add(-age); current.After(source.currentAt) {
+		source.currentAt = current
+	}
+	if f.isLive(source, now) {
+		f.isolation.confirm()
+	}
 }
 
 // reportLost records that a source reported that the store does not answer it.
--- a/internal/cluster/relay/stream.go
+++ b/internal/cluster/relay/stream.go
@@ -23,6 +23,10 @@
 // to open a new stream.
 var errSourceBehind = errors.New("the source's update is older than this node's contents")
 
+// errSourceOutdated ends a stream whose source has not known for MaxAge whether it holds all
+// that the store holds, though the source still sends heartbeats.
+var errSourceOutdated = errors.New("the source's contents may be outdated")
+
 // RenewInterest ends the streams that receive a selection for another interest than the
 // current one; runSlot then opens a new stream. Streams of all runners continue.
 func (f *Follower) RenewInterest() {
@@ -62,9 +66,9 @@
 }
 
 // follow receives a source's changes until the source refuses, ends the stream, sends no
-// reply within HeartbeatTimeout or reports that it has lost the store, or until this node
-// needs another request (errInterestChanged, errSourceBehind). It calls answered for each
-// reply that confirms the source as live.
+// reply within HeartbeatTimeout, reports that it has lost the store or holds outdated
+// contents, or until this node needs another request (errInterestChanged, errSourceBehind).
+// It calls answered for each reply that confirms the source as live.
 func (f *Follower) follow(parent context.Context, slot int, address string, answered func()) error {
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
@@ -100,7 +104,14 @@
 			f.reportLost()
 			return errStoreLost
 		case applied: // otherwise the source has yet to reach the revision of this node
-			f.confirm(slot)
+			age := time.Duration(reply.AgeMs) * time.Millisecond
+			f.confirm(slot, age)
+			if age > f.Timing.orDefault().MaxAge {
+				return errSourceOutdated
+			}
+			if f.Confirmed != nil {
+				f.Confirmed(age)
+			}
 			answered()
 		}
 	}
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -117,7 +117,7 @@
 		m.informer.Mirror = relay.NewMirror(schema.Classify)
 	}
 	source := &relay.Source{
-		Mirror: m.informer.Mirror, Lost: m.informer.Contact.Lost, UsesRelay: m.informer.UsesRelay,
+		Mirror: m.informer.Mirror, Lost: m.informer.Contact.Lost, Age: m.informer.Contact.Age, UsesRelay: m.informer.UsesRelay,
 		Level: m.informer.Level, Timing: m.informer.Timing,
 	}
 	server.Handle(wirev1.Method_METHOD_FOLLOW, source.Serve)
