Lines and a metric tell how old a node's list was when a request was written

Cause: for a request at a runner that had left, the line 'attempt' named the list at the end of the attempt only; the age of the list was counted from its last change.

The test of the check before the send sets the current attempt and an empty list of runners; its assertions are as before.

--- a/internal/cluster/informer/metrics.go
+++ b/internal/cluster/informer/metrics.go
@@ -39,6 +39,9 @@
 		gauge("cobaltramp_store_probed_revision", "Newest revision of the store that a probe has read; 0 if relays keep the node up to date.", func() float64 {
 			return float64(i.Contact.StoreRevision())
 		}),
+		gauge("cobaltramp_store_contents_age_seconds", "Time since this node last knew that it held all that the store held, counted from the store.", func() float64 {
+			return i.Contact.Age().Seconds()
+		}),
 		gauge("cobaltramp_store_revision", "Revision of the store up to which this node knows it.", func() float64 {
 			return float64(i.storeRevision())
 		}),
--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -29,6 +29,32 @@
 	firstEvent time.Time
 	// idleTimedOut is set if idleTimer has ended the attempt.
 	idleTimedOut atomic.Bool
+	// lastCheck is the last check before the request was written; nil before.
+	lastCheck atomic.Pointer[sendCheck]
+}
+
+// sendCheck is what was known when a request was about to be written to its runner.
+type sendCheck struct {
+	at time.Time
+	// revision is the revision of the list of runners, and contentsAge is the time since the
+	// list was known to be current.
+	revision    int64
+	contentsAge time.Duration
+}
+
+// noteCheck records the last check before the request is written.
+func (a *attempt) noteCheck(runners *runnerset.Set) {
+	revision, _ := runners.Revision()
+	a.lastCheck.Store(&sendCheck{at: time.Now(), revision: revision, contentsAge: runners.ContentsAge()})
+}
+
+// checkFields returns the last check for the log; all are -1 if the attempt ended before it.
+func (a *attempt) checkFields() []any {
+	check := a.lastCheck.Load()
+	if check == nil {
+		return []any{"writeMs", -1, "writeList", -1, "writeListAgeMs", -1}
+	}
+	return []any{"writeMs", check.at.Sub(a.began).Milliseconds(), "writeList", check.revision, "writeListAgeMs", check.contentsAge.Milliseconds()}
 }
 
 // send makes one attempt: it sends the request to a runner and relays the response. It
@@ -99,8 +125,11 @@
 	if !runner.AcceptsWork() {
 		usable = runner.RecentlyWithdrawn
 	}
-	admitted := s.admission
-	maySend := func() bool { return usable() && admitted.Valid() && !s.quarantined() }
+	admitted, current := s.admission, s.current
+	maySend := func() bool {
+		current.noteCheck(s.Runners)
+		return usable() && admitted.Valid() && !s.quarantined()
+	}
 	call := &exchange.Call{
 		ID: s.request.ID, Method: s.request.Method, URI: s.request.URI, Host: s.request.Host,
 		Headers: s.request.Headers, Body: s.request.Body, Tenant: s.request.tenantName(),
@@ -180,5 +209,6 @@
 			"list", revision, "listAgeMs", time.Since(since).Milliseconds(), "resumes", s.request.Resumes, "after", s.lastEvent,
 			"ms", time.Since(started).Milliseconds(), "again", again, "outcome", outcome,
 		},
+		s.current.checkFields(),
 	)...)
 }
--- a/internal/serving/online/crashes_test.go
+++ b/internal/serving/online/crashes_test.go
@@ -179,7 +179,7 @@
 	is := is.New(t)
 	g := &guard{}
 	request := &CallerRequest{Route: routeOf(catalog.Streaming, true, 1)}
-	s := &activeRequest{Forwarder: &Forwarder{Quarantine: g}, request: request, work: request.work()}
+	s := &activeRequest{Forwarder: &Forwarder{Quarantine: g, Runners: runnerset.New()}, request: request, work: request.work(), current: &attempt{}}
 	call := s.call(&runnerset.Runner{})
 	is.True(call.MaySend())
 	g.held = map[quarantine.Fingerprint]time.Duration{s.work.Fingerprint: time.Minute}
--- a/internal/serving/runnerset/versions.go
+++ b/internal/serving/runnerset/versions.go
@@ -87,6 +87,15 @@
 	h.connected = func() bool { return !contact.Lost() }
 }
 
+// ContentsAge returns the time since the list of runners was last known to be current; 0 if
+// no contact with the store was set.
+func (s *Set) ContentsAge() time.Duration {
+	if s.versions.contactAge == nil {
+		return 0
+	}
+	return s.versions.contactAge()
+}
+
 // Recent returns the versions of each service that were listed lately, for Restore.
 func (h *VersionHistory) Recent() map[string][]string {
 	h.mutex.Lock()
