A plain node replaces lost members while its shard can't commit

What callers saw: after two of four disks of a region were wiped together, jobs and their results were not answered any more. Cause: with four members an entry needs three of them, so the two that remain elect a leader that can't commit; a plain node let only a leader that commits plan a change of members. Storage nodes never had that condition.

Change: the option that made the difference goes.

Tests of shardhost, replica and store pass.

--- a/internal/batch/shardhost/handover.go
+++ b/internal/batch/shardhost/handover.go
@@ -26,7 +26,9 @@
 }
 
 // tickHandOver starts a hand-over if the leader's shard should have other members, or
-// advances the one in progress. It cancels a hand-over that keeps this replica frozen for
+// advances the one in progress. A leader that can't commit may start one too: it was elected by
+// an election quorum, so its log has every acknowledged entry, and sealing needs no commit.
+// tickHandOver cancels a hand-over that keeps this replica frozen for
 // too long, except while Swap is running.
 func (s *Shard[Command, Result]) tickHandOver(now time.Time) {
 	h := &s.handOver
@@ -44,8 +46,7 @@
 		s.advanceHandOver(now, h)
 		return
 	}
-	mayPlan := s.Replica.Serving() || !s.host.options.PlanWhileServing
-	if mayPlan && now.Sub(h.lastCheck) >= times.CheckInterval {
+	if now.Sub(h.lastCheck) >= times.CheckInterval {
 		h.lastCheck = now
 		s.planHandOver(now, h)
 	}
--- a/internal/batch/shardhost/host.go
+++ b/internal/batch/shardhost/host.go
@@ -62,10 +62,6 @@
 	// truncated.
 	TruncateInterval time.Duration
 	HandOver         HandOverTiming
-	// PlanWhileServing allows only a serving leader to start a change of members. Without
-	// it, any leader may start one, also a leader that cannot commit: it was elected by an
-	// election quorum, so its log has every acknowledged entry, and sealing needs no commit.
-	PlanWhileServing bool
 	// DeclineSnapshots makes a replica respond to the offer of a snapshot that it does not
 	// need. The response contains the last index of its log, and the leader continues after
 	// it. Without DeclineSnapshots, the replica ignores the offer.
--- a/modules/batch/store/replica.go
+++ b/modules/batch/store/replica.go
@@ -54,7 +54,7 @@
 	options := shardhost.HostOptions{
 		DB: m.db, Pool: m.pool, Timing: replica.DefaultTiming(), Peer: m.peer, Send: m.sendReplica,
 		SnapshotTimeout: snapshotTimeout, TruncateInterval: truncateInterval, HandOver: handOverTiming,
-		PlanWhileServing: true, LogKeys: []any{"node", m.settings.Node.ID},
+		LogKeys: []any{"node", m.settings.Node.ID},
 	}
 	return shardhost.New(ctx, options, func(s *hostedShard) shardhost.Application[*wirev1.Command, *wirev1.CommandResult] {
 		return &shardReplica{hostedShard: s, module: m}
