A hand-over ends if a member that it keeps is lost meanwhile

What callers saw: after two disks were lost together, jobs waited for a minute (20 s on storage nodes). Cause: the loss of one disk is noticed a moment before the other's; the hand-over that replaces the first keeps the second, which never catches up, until its timeout. Evidence: log of TestTwoOfFourDisksWiped, hand-overs of shards 0 to 3 started 7 to 11 s after the kill, none done 40 s later.

Change: until a shard is frozen, the leader compares the plan with the members wanted now, once in each interval, and plans anew if a current member that it keeps is not wanted any more.

--- a/internal/batch/shardhost/handover.go
+++ b/internal/batch/shardhost/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cobaltramp.example/cobaltramp/internal/batch/placement"
@@ -77,12 +78,16 @@
 	}
 }
 
-// freezeWhenReady freezes the shard once the application allows it, and ends the hand-over
-// if the shard is not frozen within CatchUpTimeout.
+// freezeWhenReady freezes the shard once the application allows it. It ends the hand-over if
+// the shard is not frozen within CatchUpTimeout, or if the application no longer wants a member
+// that the hand-over keeps.
 func (s *Shard[Command, Result]) freezeWhenReady(now time.Time, h *handOver) {
-	if now.Sub(h.startedAt) > s.host.options.HandOver.CatchUpTimeout {
-		s.Replica.SetLearners(now, nil)
-		s.endHandOver(h, "timed out")
+	switch {
+	case now.Sub(h.startedAt) > s.host.options.HandOver.CatchUpTimeout:
+		s.abandonHandOver(now, h, "timed out")
+		return
+	case s.keepsUnwantedMember(now, h):
+		s.abandonHandOver(now, h, "a kept member is lost")
 		return
 	}
 	if s.application.MaySeal(now, h.next) && s.Replica.Freeze() {
@@ -90,6 +95,27 @@
 	}
 }
 
+// keepsUnwantedMember reports whether the hand-over keeps a current member that the application
+// no longer wants, for instance because its disk was lost after the one that the hand-over
+// replaces. Such a member may never catch up.
+func (s *Shard[Command, Result]) keepsUnwantedMember(now time.Time, h *handOver) bool {
+	if now.Sub(h.lastCheck) < s.host.options.HandOver.CheckInterval {
+		return false
+	}
+	h.lastCheck = now
+	current := s.Replica.MemberSet()
+	wanted := s.application.NextMembers(now, current)
+	return slices.ContainsFunc(h.next.Members, func(member string) bool {
+		return current.Has(member) && !slices.Contains(wanted, member)
+	})
+}
+
+// abandonHandOver ends a hand-over before the shard is frozen.
+func (s *Shard[Command, Result]) abandonHandOver(now time.Time, h *handOver, outcome string) {
+	s.Replica.SetLearners(now, nil)
+	s.endHandOver(h, outcome)
+}
+
 func (s *Shard[Command, Result]) endHandOver(h *handOver, outcome string) {
 	s.application.HandOverEnded(outcome)
 	s.log("hand-over ended", "generation", h.next.Generation, "outcome", outcome)
--- a/internal/batch/shardhost/shardhost_test.go
+++ b/internal/batch/shardhost/shardhost_test.go
@@ -16,7 +16,11 @@
 )
 
 // counter is an application whose state is the number of applied commands.
-type counter struct{ NoEvents }
+type counter struct {
+	NoEvents
+	// wanted is the result of NextMembers; nil stands for the current members.
+	wanted []string
+}
 
 var counterKey = []byte("count")
 
@@ -45,7 +49,12 @@
 }
 
 // NextMembers implements MemberPolicy.
-func (*counter) NextMembers(_ time.Time, current replica.MemberSet) []string { return current.Members }
+func (c *counter) NextMembers(_ time.Time, current replica.MemberSet) []string {
+	if c.wanted != nil {
+		return c.wanted
+	}
+	return current.Members
+}
 
 // MaySeal implements MemberPolicy.
 func (*counter) MaySeal(time.Time, replica.MemberSet) bool { return false }
@@ -64,6 +73,7 @@
 
 const (
 	testFreezeTimeout = time.Minute
+	testCheckInterval = time.Second
 	// testSnapshotTimeout is so short that it has passed before a fetch starts.
 	testSnapshotTimeout = time.Nanosecond
 	// deadAddress refuses connections.
@@ -82,7 +92,7 @@
 		DB: db, Pool: pool, Timing: replica.ElectionTiming{Heartbeat: 20 * time.Millisecond, Election: 60 * time.Millisecond},
 		Peer: func(string) (Peer, bool) { return Peer{}, false }, Send: func(*wirev1.ReplicaMessage) {},
 		SnapshotTimeout: testSnapshotTimeout, TruncateInterval: 10 * time.Millisecond,
-		HandOver: HandOverTiming{CheckInterval: time.Second, CatchUpTimeout: time.Second, FreezeTimeout: testFreezeTimeout, SwapTimeout: time.Second},
+		HandOver: HandOverTiming{CheckInterval: testCheckInterval, CatchUpTimeout: 10 * testCheckInterval, FreezeTimeout: testFreezeTimeout, SwapTimeout: time.Second},
 	}, func(*Shard[*wirev1.QueueCommand, int]) Application[*wirev1.QueueCommand, int] { return &counter{} })
 	t.Cleanup(func() {
 		host.Stop()
@@ -171,6 +181,36 @@
 	}))
 }
 
+// Guards against hand-overs that wait until their timeout for a member that was lost after they
+// began, as when two disks are lost together and one is missed a moment before the other.
+func TestHandOverEndsIfAKeptMemberIsLost(t *testing.T) {
+	is := is.New(t)
+	s := startHost(t, t.TempDir()).Shard(0)
+	awaitLeader(t, s)
+	now := time.Now().Add(time.Minute)
+	is.NoErr(s.RunInLoop(t.Context(), func() {
+		application := s.application.(*counter)
+		application.wanted = []string{s.Disk, "spare"}
+		s.handOver = handOver{}
+		s.tickHandOver(now)
+		is.Equal(s.handOver.next.Members, application.wanted)
+
+		application.wanted = []string{s.Disk, "better spare"} // no reason to begin anew
+		now = now.Add(testCheckInterval)
+		s.tickHandOver(now)
+		is.Equal(s.handOver.next.Members, []string{s.Disk, "spare"})
+
+		application.wanted = []string{"spare", "other spare"} // this node's disk counts as lost
+		now = now.Add(testCheckInterval)
+		s.tickHandOver(now)
+		now = now.Add(testCheckInterval)
+		s.tickHandOver(now)
+		is.Equal(s.handOver.next.Members, application.wanted)
+		application.wanted = nil
+		s.handOver = handOver{}
+	}))
+}
+
 // Checks that a replica handles messages again after each of several failed fetches of a
 // snapshot.
 func TestFailedSnapshotFetchEndsInstallation(t *testing.T) {
