A stream's origin is recorded once a storage node is known, if none was at its begin

What callers saw: streams that began while no storage node answered yet, as in the first seconds after all nodes start, could not go on elsewhere after their edge was killed, however long they had run. Cause: the record of a stream was sent once, to the holders known then.

Change: until the stream ends, a record that no holder has confirmed is sent again every 250 ms.

--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -70,7 +70,7 @@
 	s.current = &attempt{runner: runner, inFlight: inFlight, began: started}
 	s.current.idleTimer = s.startIdleTimer(cancel, s.current)
 	defer s.endIdleTimer(s.current)
-	s.recordOrigin(runner)
+	s.recordOrigin(ctx, runner)
 	response, err := s.Client.Do(attemptContext, s.call(runner))
 	if err != nil {
 		inFlight.RecordDelay(time.Now())
--- a/internal/serving/online/origins.go
+++ b/internal/serving/online/origins.go
@@ -11,7 +11,7 @@
 
 // StreamOrigins records and resolves the origins of streams; see streamorigin.Tracker.
 type StreamOrigins interface {
-	Record(stream streamorigin.Stream, record streamorigin.Record) *streamorigin.Recording
+	Record(ctx context.Context, stream streamorigin.Stream, record streamorigin.Record) *streamorigin.Recording
 	Resolve(ctx context.Context, resumption *streamorigin.Resumption) (streamorigin.Origin, error)
 }
 
@@ -53,7 +53,7 @@
 
 // recordOrigin sends the record of the stream that the attempt at a runner may begin, if the
 // stream may be resumed. It does not wait.
-func (s *activeRequest) recordOrigin(runner *runnerset.Runner) {
+func (s *activeRequest) recordOrigin(ctx context.Context, runner *runnerset.Runner) {
 	if s.Origins == nil || s.request.Route.Kind != catalog.Streaming || !s.request.Route.Resumable || s.lastEvent > 0 {
 		return
 	}
@@ -62,7 +62,7 @@
 		return
 	}
 	s.recorded.record = streamorigin.Record{Origin: origin, Sequence: s.recorded.record.Sequence + 1}
-	s.recorded.recording = s.Origins.Record(streamorigin.Stream{
+	s.recorded.recording = s.Origins.Record(ctx, streamorigin.Stream{
 		Key: streamorigin.KeyOf(uint64(s.work.Fingerprint), s.request.ID), ID: s.request.ID,
 		Window: streamorigin.WindowOf(s.request.Route.Timeout),
 	}, s.recorded.record)
--- a/internal/serving/online/versions_test.go
+++ b/internal/serving/online/versions_test.go
@@ -74,7 +74,7 @@
 	recorded []streamorigin.Record
 }
 
-func (k *knownOrigins) Record(_ streamorigin.Stream, record streamorigin.Record) *streamorigin.Recording {
+func (k *knownOrigins) Record(_ context.Context, _ streamorigin.Stream, record streamorigin.Record) *streamorigin.Recording {
 	k.recorded = append(k.recorded, record)
 	return nil
 }
--- a/internal/serving/streamorigin/recording.go
+++ b/internal/serving/streamorigin/recording.go
@@ -13,6 +13,8 @@
 const (
 	// callTimeout is the timeout of a call to a holder.
 	callTimeout = 250 * time.Millisecond
+	// resendInterval is the pause before a record that no holder has confirmed is sent again.
+	resendInterval = 250 * time.Millisecond
 	// maxRecordWait is how long after the record was sent the first event of a stream waits
 	// for its confirmation. Events usually arrive later than the confirmation.
 	maxRecordWait = 100 * time.Millisecond
@@ -40,13 +42,15 @@
 	record  Record
 	sentAt  time.Time
 	// confirmed is closed when a holder has confirmed the record, and ended when all calls
-	// have ended.
+	// to the holders known at first have ended.
 	confirmed, ended chan struct{}
 }
 
-// Record sends the record of a stream to its holders, without waiting. It returns nil if no record
-// is needed, since all runners of the service have had the same version for the whole window.
-func (t *Tracker) Record(stream Stream, record Record) *Recording {
+// Record sends the record of a stream to its holders, without waiting. Until the context ends,
+// which is that of the stream, a record that no holder has confirmed is sent again: the holders
+// may not be known yet. Record returns nil if no record is needed, since all runners of the service
+// have had the same version for the whole window.
+func (t *Tracker) Record(ctx context.Context, stream Stream, record Record) *Recording {
 	now := time.Now()
 	if t.versions.SoleFor(record.Origin.Service, stream.Window, now) {
 		return nil
@@ -58,15 +62,39 @@
 		tracker: t, stream: stream, record: record, sentAt: now,
 		confirmed: make(chan struct{}), ended: make(chan struct{}),
 	}
-	if !t.sending.Go(recording.send) {
+	if !t.sending.Go(func() { recording.run(ctx) }) {
 		close(recording.ended)
 	}
 	return recording
 }
 
-// send calls the preferred holders, and for each call that fails a further one.
-func (r *Recording) send() {
-	defer close(r.ended)
+// run sends the record until a holder has confirmed it or the stream ends.
+func (r *Recording) run(stream context.Context) {
+	confirmed := r.send()
+	close(r.ended)
+	for !confirmed && r.waitToResend(stream) {
+		confirmed = r.send()
+	}
+}
+
+// waitToResend waits for resendInterval. It returns false if the stream or this node's calls end
+// before.
+func (r *Recording) waitToResend(stream context.Context) bool {
+	timer := time.NewTimer(resendInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-stream.Done():
+		return false
+	case <-r.tracker.sendContext.Done():
+		return false
+	}
+}
+
+// send calls the preferred holders, and for each call that fails a further one. It reports whether
+// one of them has confirmed the record.
+func (r *Recording) send() bool {
 	holders := holdersOf(r.tracker.directory.Disks(), r.stream.Key)
 	results := make(chan error, len(holders))
 	next, pending, confirmed := 0, 0, false
@@ -92,9 +120,10 @@
 				close(r.confirmed)
 			}
 		case <-r.tracker.sendContext.Done():
-			return
+			return confirmed
 		}
 	}
+	return confirmed
 }
 
 // call sends the record to one holder.
--- a/internal/serving/streamorigin/tracker_test.go
+++ b/internal/serving/streamorigin/tracker_test.go
@@ -74,18 +74,23 @@
 		for _, other := range all {
 			node.directory.Put(other.directory.Self())
 		}
-		node.runners.Replace([]runnerset.Record{{ID: "a", Service: "s", Version: "v1"}, {ID: "b", Service: "s", Version: "v2"}}, 1, time.Now())
+		node.runners.Replace(node.runnersOfTwoVersions())
 	}
 	return edges, disks
 }
 
+// runnersOfTwoVersions returns the arguments of runnerset.Set.Replace for two runners.
+func (*testNode) runnersOfTwoVersions() (records []runnerset.Record, revision int64, now time.Time) {
+	return []runnerset.Record{{ID: "a", Service: "s", Version: "v1"}, {ID: "b", Service: "s", Version: "v2"}}, 1, time.Now()
+}
+
 const testContent = 7
 
 // begin records a stream at an edge and waits until all calls have ended; on a busy machine, that is
 // later than Await returns. It reports whether a holder has confirmed the record.
 func begin(node *testNode, attempt, version string, sequence uint32) (confirmed bool) {
 	stream := Stream{Key: KeyOf(testContent, attempt), ID: attempt, Window: minWindow}
-	recording := node.Record(stream, Record{Origin{"s", version}, sequence})
+	recording := node.Record(context.Background(), stream, Record{Origin{"s", version}, sequence})
 	recording.Await(context.Background())
 	<-recording.ended
 	select {
@@ -180,7 +185,7 @@
 	node := startNode(t, "edge", "")
 	node.runners.Replace([]runnerset.Record{{ID: "a", Service: "s", Version: "v1"}}, 1, time.Now().Add(-minWindow))
 	stream := Stream{Key: KeyOf(testContent, "first"), Window: minWindow}
-	is.True(node.Record(stream, Record{Origin{"s", "v1"}, 1}) == nil)
+	is.True(node.Record(t.Context(), stream, Record{Origin{"s", "v1"}, 1}) == nil)
 	origin, err := resolve(node, "first", testContent)
 	is.NoErr(err)
 	is.Equal(origin, Origin{"s", "v1"})
