--- a/lab/platformday/nodes.go
+++ b/lab/platformday/nodes.go
@@ -84,7 +84,7 @@
 		*seeds = append(*seeds, s.Listen.Peers)
 	} else {
 		s.DataFolder = filepath.Join(d.Folder, name+"-data")
-		p.dataFolder = s.DataFolder
+		p.dataFolder, p.peerAddress = s.DataFolder, s.PeerAddress()
 	}
 	s.Seeds = *seeds
 	text, err := yaml.Marshal(s)
--- a/lab/platformday/process.go
+++ b/lab/platformday/process.go
@@ -16,7 +16,7 @@
 type process struct {
 	name, role, settings            string
 	callerAddress, readinessAddress string
-	// peerAddress is the address of an edge for other nodes and operators.
+	// peerAddress is the address of the node for other nodes; operators use that of an edge.
 	peerAddress string
 	dataFolder  string
 	// ready is the result of the last readiness probe, guarded by the mutex of the Day.
--- a/lab/platformday/readiness.go
+++ b/lab/platformday/readiness.go
@@ -1,6 +1,7 @@
 package platformday
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -70,15 +71,30 @@
 	return count
 }
 
-// awaitReady waits until all edges are ready.
+// storageNodesListen reports whether all storage nodes accept connections of other nodes.
+func (d *Day) storageNodesListen() bool {
+	for _, p := range d.nodes {
+		if p.role == "edge" {
+			continue
+		}
+		connection, err := net.DialTimeout("tcp", p.peerAddress, pollInterval)
+		if err != nil {
+			return false
+		}
+		_ = connection.Close()
+	}
+	return true
+}
+
+// awaitReady waits until all edges are ready and all storage nodes accept connections.
 func (d *Day) awaitReady() error {
 	deadline := time.Now().Add(startTimeout)
-	for d.readyCount() < d.Edges {
+	for d.readyCount() < d.Edges || !d.storageNodesListen() {
 		if time.Now().After(deadline) || d.lifetime.Err() != nil {
-			return trace.ConnectionProblem(nil, "edges are not ready after %v; see the logs in %s", startTimeout, d.Folder)
+			return trace.ConnectionProblem(nil, "nodes are not ready after %v; see the logs in %s", startTimeout, d.Folder)
 		}
 		time.Sleep(pollInterval)
 	}
-	d.report("all edges are ready")
+	d.report("all nodes are ready")
 	return nil
 }
