Tests of queues wait for a leader where they need one

Cause: TestJobsRunWithSlowLeaderDisk took a leader for granted after its wait; between two leaders there is none (a nil node, disk_test.go:81).

Change: awaitLeader returns the leader that it saw, within the 60 s of all waits. What the tests check is unchanged.

Tried and given up: a measure of the time for which a member was frozen, for TestHandOversAreNotFencedEarly; it read the same clock as the code, so that it would not have found the fault that the test is for.

--- a/internal/batch/queuestore/allotments_test.go
+++ b/internal/batch/queuestore/allotments_test.go
@@ -43,7 +43,7 @@
 		given, err := c.requestCredits(1)
 		return err == nil && given == 1
 	})
-	c.stop(c.leader())
+	c.stop(c.awaitLeader())
 	c.eventually("the next leader grants a credit", func() bool {
 		given, err := c.requestCredits(1)
 		return err == nil && given == 1
@@ -60,7 +60,7 @@
 		given, err := c.requestCredits(1)
 		return err == nil && given == 1
 	})
-	leader := c.leader()
+	leader := c.awaitLeader()
 	for name := range c.nodes {
 		if name != leader {
 			c.stop(name)
--- a/internal/batch/queuestore/cluster_test.go
+++ b/internal/batch/queuestore/cluster_test.go
@@ -126,8 +126,7 @@
 		c.eventually("node a is retired", func() bool { return c.store.isRetired("a") })
 		c.stop("a")
 		c.submit("two", 2)
-		c.eventually("a leader is elected", func() bool { return c.leader() != "" })
-		lost := c.leader()
+		lost := c.awaitLeader()
 		if !lostLeads {
 			lost = map[string]string{"b": "c", "c": "b"}[lost]
 		}
@@ -183,8 +182,7 @@
 	c.store.mutex.Lock()
 	c.store.down = true
 	c.store.mutex.Unlock()
-	c.eventually("a leader is elected", func() bool { return c.leader() != "" })
-	c.stop(c.leader())
+	c.stop(c.awaitLeader())
 	c.submit("two", 2)
 	c.waitFinished("one", 2)
 	c.waitFinished("two", 2)
@@ -222,7 +220,7 @@
 	}
 	c.submit("one", 2)
 	c.waitFinished("one", 2)
-	shard := c.nodes[c.leader()].node.shard(0)
+	shard := c.nodes[c.awaitLeader()].node.shard(0)
 	batch := make([]*wirev1.QueueCommand, 2*retainedEntries+100)
 	for i := range batch {
 		batch[i] = &wirev1.QueueCommand{Kind: &wirev1.QueueCommand_End{End: "nobody"}}
--- a/internal/batch/queuestore/disk_test.go
+++ b/internal/batch/queuestore/disk_test.go
@@ -77,7 +77,7 @@
 	is := is.New(t)
 	c := newCluster(t, "a", "b", "c")
 	c.submit("first", 1)
-	leader := c.nodes[c.leader()]
+	leader := c.nodes[c.awaitLeader()]
 	leader.disk.delay.Store(int64(60 * time.Millisecond))
 	syncsBefore := leader.disk.syncs.Load()
 	const jobs = 24
@@ -111,7 +111,7 @@
 	c := newCluster(t, "a", "b", "c")
 	c.submit("first", 2)
 	for round := range 2 {
-		hanging := c.nodes[c.leader()]
+		hanging := c.nodes[c.awaitLeader()]
 		hanging.disk.syncLock.Lock()
 		name := fmt.Sprintf("while-%d", round)
 		c.submit(name, 3)
--- a/internal/batch/queuestore/harness_test.go
+++ b/internal/batch/queuestore/harness_test.go
@@ -325,6 +325,17 @@
 	return ""
 }
 
+// awaitLeader waits until a node leads shard retirementShard, and returns its name.
+func (c *testCluster) awaitLeader() string {
+	c.t.Helper()
+	name := ""
+	c.eventually("a leader is elected", func() bool {
+		name = c.leader()
+		return name != ""
+	})
+	return name
+}
+
 const testHost = "h.example"
 
 // call sends a request to the running nodes until one accepts it or refuses it because of the
--- a/internal/batch/queuestore/spread_test.go
+++ b/internal/batch/queuestore/spread_test.go
@@ -36,7 +36,7 @@
 	is.True(len(usedShards) > 1)
 	limitReached := func() bool { return result.Is(c.trySubmit("one-too-many", 1, limit), result.TenantTokens) }
 	c.eventually("the limit is reached", limitReached)
-	ledgerNode := c.leader()
+	ledgerNode := c.awaitLeader()
 	c.wipe(ledgerNode)
 	for range 3 {
 		err := c.trySubmit("one-too-many", 1, limit)
@@ -157,8 +157,7 @@
 	for _, name := range []string{"a", "b", "c"} {
 		c.start(name)
 	}
-	c.eventually("a leader is elected", func() bool { return c.leader() != "" })
-	leader := c.nodes[c.leader()].node
+	leader := c.nodes[c.awaitLeader()].node
 	is.Equal(leader.shardCount(), 0)
 	_, err := leader.reserveLocally(context.Background(), &wirev1.QueueReserveRequest{Route: "route", Epoch: 1, Number: 1})
 	is.True(result.Is(err, result.NotReady) || result.Is(err, result.NotLeader))
--- a/internal/batch/shardhost/application.go
+++ b/internal/batch/shardhost/application.go
@@ -118,8 +118,8 @@
 	// SnapshotInstalled is called after a snapshot has replaced the state.
 	SnapshotInstalled(index uint64)
 	// HandOverEnded is called when a hand-over that this leader drives has ended. The outcome
-	// is "done", or "timed out" if the shard did not freeze within CatchUpTimeout. It is not
-	// called if the replica loses its leadership first.
+	// is "done", "timed out" if the shard did not freeze within CatchUpTimeout, or "a kept
+	// member is lost". It is not called if the replica loses its leadership first.
 	HandOverEnded(outcome string)
 	// SwapEnded and FenceEnded are called with the member set that was to be stored and the
 	// results of Swap and Fence. Any goroutine may call them.
