--- a/internal/cluster/listwatch/contact.go
+++ b/internal/cluster/listwatch/contact.go
@@ -16,8 +16,8 @@
 //
 // Invariant: a successful list or watch renews the contact and ends its loss. An up-to-date
 // relay renews it as of the time at which the relay's contents were known to be all that the
-// store held, and ends its loss. A probe renews the contact only if the node holds all changes up to the revision
-// that the probe has read; it does not end a loss.
+// store held, and ends its loss. A probe renews the contact only if the node holds all changes
+// up to the revision that the probe has read; it does not end a loss.
 type StoreContact struct {
 	renewedAt atomic.Int64 // time of the last renewal, in nanoseconds after processStart
 	lost      atomic.Bool
