--- a/internal/cluster/informer/peerlist_test.go
+++ b/internal/cluster/informer/peerlist_test.go
@@ -134,9 +134,9 @@
 	return listedIDs(clean)
 }
 
-// Guards against DRAIN in large fleets: a node that has received all runners from a peer, and
-// then a selection from a relay that was behind the peer, kept runners that had left, or
-// listed none.
+// Guards against requests to runners that have left, in large fleets: a node that had received
+// all runners from a peer, and then a selection from a relay that was behind the peer, kept
+// runners that had left, or listed none.
 func TestRelayBehindAPeersListDoesNotHideChanges(t *testing.T) {
 	for _, test := range []struct{ relayAt, listAt, relayGoesOnTo int }{
 		{600, 1010, 1030}, {1000, 2000, 2100}, {4000, 4010, 4040}, {4000, 4010, 10_000}, {9900, 9910, 10_000},
--- a/internal/cluster/relay/age_test.go
+++ b/internal/cluster/relay/age_test.go
@@ -17,7 +17,7 @@
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
-// Guards against DRAIN: a source that sends heartbeats, but has not known for long whether it
+// Guards against requests to runners that have left: a source that sends heartbeats, but has not known for long whether it
 // holds all that the store holds, must not keep its followers.
 func TestOutdatedSourceIsNotLive(t *testing.T) {
 	is := is.New(t)
@@ -35,7 +35,7 @@
 	eventually.Require(t, "the source is live once it is current", follower.HasSource)
 }
 
-// Guards against DRAIN: heartbeats of a source with outdated contents must not renew the
+// Guards against requests to runners that have left: heartbeats of a source with outdated contents must not renew the
 // contents of its follower, also if these are newer than the source's.
 func TestAgeOfContentsGrowsWithoutCurrentReplies(t *testing.T) {
 	is := is.New(t)
