--- a/lab/platformday/soak_test.go
+++ b/lab/platformday/soak_test.go
@@ -24,7 +24,7 @@
 			})
 			is.NoErr(err)
 			if len(tally.Violations) > 0 {
-				t.Fatalf("%v\n%s", tally.Violations, logTails(folder))
+				t.Fatalf("%v\n%s", tally.Violations, logsOf(tally.Violations, folder))
 			}
 			is.True(tally.Served > 0)
 			is.True(tally.JobsAccepted > 0)
--- a/lab/standin/kept.go
+++ b/lab/standin/kept.go
@@ -176,6 +176,7 @@
 		return
 	}
 	if last := runs[len(runs)-1]; (last.Complete || last.Disconnected) && !c.Ledger.Ended(last.Runner) {
-		c.Tally.RecordViolation("request %s: %s cut an answer that runner %s had not broken (whole %v) after %d bytes: %v", id, c.address, last.Runner, last.Complete, len(text), err)
+		c.Tally.RecordViolation("request %s: %s cut an answer that runner %s had not broken (whole %v) after %d bytes: %v; runs: %s",
+			id, c.address, last.Runner, last.Complete, len(text), err, describeRuns(runs))
 	}
 }
--- a/lab/standin/ledger.go
+++ b/lab/standin/ledger.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -35,6 +36,21 @@
 	BeganAt time.Time
 }
 
+// String describes a run for the message of a violation.
+func (r Run) String() string {
+	return fmt.Sprintf("%s (%s) from event %d, sent up to %d, complete %v, disconnected %v, silenced %v",
+		r.Runner, r.Version, r.LastEventID, r.Sent, r.Complete, r.Disconnected, r.Silenced)
+}
+
+// describeRuns describes the runs of a request in the order of their start.
+func describeRuns(runs []Run) string {
+	var texts []string
+	for _, run := range runs {
+		texts = append(texts, run.String())
+	}
+	return strings.Join(texts, "; ")
+}
+
 // MaxCrashes is the largest number of runners that one request may crash: the users'
 // rule allows three runners, and three more attempts.
 const MaxCrashes = 6
