A runner that leaves is used until its drain time ends, counted from the list before

A stream of a version that no other runner has was sent to a runner for 0.8 s after this node had learned that it leaves or is gone. With a list that was 1.2 s behind, at a drain time of 2 s, that is later than the runner has to serve (rule DRAIN); with a current list it is less than half of the time that there is.

Cause: the time was counted from when the node learned of the change. When the runner's leaving was stored is not known, but the node knows when its contents without it were last all that the store held (StoreContact.HeldAge): it was no earlier.

Change: a withdrawn runner may be used until 0.85 of the drain time after that. If the contact was interrupted, a leaving runner is not used and a removed one for 0.8 s, as before. A probe counts from when it was sent, not from its response (up to 0.8 s).

TestStreamOfALeavingVersionGoesOnBriefly sets the end of the use in place of its begin.

--- a/internal/cluster/informer/versions_test.go
+++ b/internal/cluster/informer/versions_test.go
@@ -14,8 +14,9 @@
 // inContact is a contact with the store that is never lost.
 type inContact struct{}
 
-func (inContact) Age() time.Duration { return 0 }
-func (inContact) Lost() bool         { return false }
+func (inContact) Age() time.Duration     { return 0 }
+func (inContact) HeldAge() time.Duration { return 0 }
+func (inContact) Lost() bool             { return false }
 
 // versionEvent returns the put or the deletion of a runner's entry.
 func versionEvent(id, version string, revision int64, deleted bool) ports.WatchEvent {
@@ -34,7 +35,7 @@
 
 	restart := func() (*Informer, *runnerCache) {
 		set := runnerset.New()
-		set.Versions().SetContact(inContact{})
+		set.SetContact(inContact{}, 0)
 		cache := newRunnerCache(testSchema, set, subset.Interest{})
 		cache.Reset([]ports.Value{versionEvent("a", "v1", 5, false).Value}, 5)
 		node := &Informer{Options: Options{Runners: set}}
--- a/internal/cluster/listwatch/age_test.go
+++ b/internal/cluster/listwatch/age_test.go
@@ -44,3 +44,28 @@
 	is.True(contact.Age() >= time.Hour)
 	is.True(contact.Age() < 2*time.Hour)
 }
+
+// While an update is applied, a change in it may be as old as the contents before it: a runner may
+// have begun to leave right after they were current.
+func TestChangeIsAsOldAsTheContentsBeforeIt(t *testing.T) {
+	is := is.New(t)
+	contact := NewStoreContact()
+	contact.heldAt.Store(int64(-time.Hour))
+	contact.Update(func() {
+		is.True(contact.HeldAge() >= time.Hour)
+		is.True(contact.Age() < time.Minute)
+		is.True(!contact.Lost())
+	})
+	is.True(contact.HeldAge() < time.Minute)
+}
+
+// A probe shows what the store held when it was sent, not when its response arrived.
+func TestProbeCountsFromWhenItWasSent(t *testing.T) {
+	is := is.New(t)
+	reflector := New(Options{Contact: NewStoreContact(), Merger: relay.NewMerger(discardSink{})})
+	reflector.Contact.renewedAt.Store(int64(-time.Hour))
+	reflector.Contact.heldAt.Store(int64(-time.Hour))
+	reflector.checkWatch(t.Context(), -1, time.Now().Add(-700*time.Millisecond))
+	is.True(reflector.Contact.Age() >= 700*time.Millisecond)
+	is.True(reflector.Contact.HeldAge() < time.Minute)
+}
--- a/internal/cluster/listwatch/contact.go
+++ b/internal/cluster/listwatch/contact.go
@@ -20,7 +20,9 @@
 // up to the revision that the probe has read; it does not end a loss.
 type StoreContact struct {
 	renewedAt atomic.Int64 // time of the last renewal, in nanoseconds after processStart
-	lost      atomic.Bool
+	// heldAt is renewedAt without the response that Update is passing on, in the same unit.
+	heldAt atomic.Int64
+	lost   atomic.Bool
 	// storeRevision is the newest revision of the store that a probe has read.
 	storeRevision atomic.Int64
 	mutex         sync.Mutex
@@ -54,26 +56,41 @@
 	return boottime.Since(processStart) - time.Duration(c.renewedAt.Load())
 }
 
+// HeldAge returns the time since the contents that this node held before the update that it is
+// applying, if any, were known to be all that the store held. A change in that update is no older.
+func (c *StoreContact) HeldAge() time.Duration {
+	return boottime.Since(processStart) - time.Duration(c.heldAt.Load())
+}
+
 // StoreRevision returns the newest revision of the store that a probe has read; 0 before the
 // first probe.
 func (c *StoreContact) StoreRevision() int64 { return c.storeRevision.Load() }
 
 // Confirm records that the node is up to date with the store and in contact with it.
-func (c *StoreContact) Confirm() {
-	c.renew()
+func (c *StoreContact) Confirm() { c.Update(func() {}) }
+
+// Update records, as Confirm does, that the store has answered with all that this node lacked,
+// and calls apply, which passes the answer on. HeldAge counts it only after that.
+func (c *StoreContact) Update(apply func()) {
+	answered := int64(boottime.Since(processStart))
+	raise(&c.renewedAt, answered)
 	c.lost.Store(false)
+	apply()
+	raise(&c.heldAt, answered)
 }
 
-// renew records that this node holds all that the store holds, without ending a loss of
-// contact.
-func (c *StoreContact) renew() { c.RenewAsOf(0) }
-
 // RenewAsOf records that this node holds all that the store held the given time ago, without
 // ending a loss of contact.
 func (c *StoreContact) RenewAsOf(age time.Duration) {
 	at := int64(boottime.Since(processStart) - age)
-	for previous := c.renewedAt.Load(); at > previous; previous = c.renewedAt.Load() {
-		if c.renewedAt.CompareAndSwap(previous, at) {
+	raise(&c.renewedAt, at)
+	raise(&c.heldAt, at)
+}
+
+// raise sets a value that is lower than next to next.
+func raise(value *atomic.Int64, next int64) {
+	for previous := value.Load(); next > previous; previous = value.Load() {
+		if value.CompareAndSwap(previous, next) {
 			return
 		}
 	}
--- a/internal/cluster/listwatch/reflector.go
+++ b/internal/cluster/listwatch/reflector.go
@@ -264,8 +264,7 @@
 		return err
 	}
 	r.watchesBehind = 0
-	r.Contact.Confirm()
-	r.Merger.Apply(events, at)
+	r.Contact.Update(func() { r.Merger.Apply(events, at) })
 	if len(events) > 0 {
 		pause.For(ctx, r.coalescer.delayAfter(time.Now()))
 	}
@@ -313,8 +312,7 @@
 	if err != nil {
 		return err
 	}
-	r.Contact.Confirm()
 	r.needsList, r.watchesBehind = false, 0
-	r.Merger.Reset(values, revision)
+	r.Contact.Update(func() { r.Merger.Reset(values, revision) })
 	return nil
 }
--- a/internal/serving/runnerset/choice.go
+++ b/internal/serving/runnerset/choice.go
@@ -93,6 +93,11 @@
 	})
 }
 
+// VersionAcceptsWork reports whether a runner of the service and software version accepts work.
+func (s *Set) VersionAcceptsWork(service, version string) bool {
+	return s.anyAcceptsWork(&Criteria{Service: service, SoftwareVersion: version})
+}
+
 // allowsVersion reports whether the software version of a runner is as required.
 func (c *Criteria) allowsVersion(runner *Runner) bool {
 	return c.SoftwareVersion == "" || c.SoftwareVersion == runner.SoftwareVersion()
--- a/internal/serving/runnerset/runner.go
+++ b/internal/serving/runnerset/runner.go
@@ -24,12 +24,9 @@
 	// refresh is shared by all runners of the service.
 	refresh      *utilizationRefresh
 	notAccepting atomic.Bool // leaving, removed from the list, or replaced in it
-	// removed is when the runner was removed from the list while it accepted work, in
-	// nanoseconds since processStart; 0 if that has not happened.
-	removed atomic.Int64
-	// leaving is when the runner, while it accepted work, was first listed as leaving, in
-	// nanoseconds since processStart; 0 if that has not happened.
-	leaving atomic.Int64
+	// afterRemoval and afterLeaving limit the use of the runner after it was removed from the
+	// list, or listed as leaving, while it accepted work.
+	afterRemoval, afterLeaving lastUse
 	// lastEvent is when this node last received an event of any request from the runner,
 	// in nanoseconds since processStart; 0 if it has received none.
 	lastEvent atomic.Int64
@@ -61,11 +58,6 @@
 	slownessWeight = 0.2
 	minSlowness    = 0.5
 	maxSlowness    = 10.0
-	// removedRunnerGrace is how long a runner that was removed from the list may still
-	// be used if no listed runner accepts work. A live runner can drop out of the list
-	// while the store is down, until its next heartbeat. A leaving runner goes on
-	// serving for longer than this.
-	removedRunnerGrace = 800 * time.Millisecond
 )
 
 // processStart is the reference for times that are stored in atomic integers. Differences
@@ -84,19 +76,17 @@
 }
 
 // RecentlyRemoved reports whether the runner was removed from the list while it accepted
-// work, less than removedRunnerGrace ago.
-func (r *Runner) RecentlyRemoved() bool { return withinGrace(r.removed.Load()) }
+// work, and may still be used; see withdrawal.
+func (r *Runner) RecentlyRemoved() bool { return r.afterRemoval.allowed() }
 
 // RecentlyWithdrawn reports whether the runner accepted work until it was removed from the
-// list, or listed as leaving, less than removedRunnerGrace ago.
-func (r *Runner) RecentlyWithdrawn() bool {
-	return r.RecentlyRemoved() || withinGrace(r.leaving.Load())
-}
+// list, or listed as leaving, and may still be used; see withdrawal.
+func (r *Runner) RecentlyWithdrawn() bool { return r.RecentlyRemoved() || r.afterLeaving.allowed() }
 
-// withinGrace reports whether a time, in nanoseconds since processStart, is less than
-// removedRunnerGrace ago; 0 stands for no time.
-func withinGrace(at int64) bool {
-	return at > 0 && time.Since(processStart)-time.Duration(at) < removedRunnerGrace
+// UsableFor returns for how long the runner may still be used after its withdrawal, as by
+// RecentlyWithdrawn; 0 or less if it may not.
+func (r *Runner) UsableFor() time.Duration {
+	return max(r.afterRemoval.remaining(), r.afterLeaving.remaining())
 }
 
 // SlotCount returns the runner's number of slots, or assumedSlots if it is not stated.
--- a/internal/serving/runnerset/runnerset.go
+++ b/internal/serving/runnerset/runnerset.go
@@ -58,6 +58,10 @@
 	// not; nil until the first Select.
 	totals   atomic.Pointer[subset.Totals]
 	versions *VersionHistory
+	// contact is the contact with the store; nil stands for an uninterrupted contact. drain is
+	// how long a withdrawn runner goes on serving; 0 if unknown.
+	contact StoreContact
+	drain   time.Duration
 	// fullChoices counts choices that found no free slot; see DrainFullChoices.
 	fullChoices atomic.Int64
 }
@@ -83,6 +87,39 @@
 	return s
 }
 
+// StoreContact is the contact with the store; see listwatch.StoreContact.
+type StoreContact interface {
+	Age() time.Duration
+	HeldAge() time.Duration
+	Lost() bool
+}
+
+// SetContact sets the contact with the store, and the time for which a runner goes on serving
+// after it was listed as leaving or removed (0 if unknown). It must be called before the first
+// list.
+func (s *Set) SetContact(contact StoreContact, drain time.Duration) {
+	s.contact, s.drain = contact, drain
+	s.versions.setContact(contact)
+}
+
+// ContentsAge returns the time since the list of runners was last known to be current; 0 if
+// no contact with the store was set.
+func (s *Set) ContentsAge() time.Duration {
+	if s.contact == nil {
+		return 0
+	}
+	return s.contact.Age()
+}
+
+// withdrawal returns the withdrawal of a runner by the change that is being applied.
+func (s *Set) withdrawal(leaving bool) withdrawal {
+	withdrawn := withdrawal{leaving: leaving, drain: s.drain}
+	if s.contact != nil {
+		withdrawn.contentsAge = s.contact.HeldAge()
+	}
+	return withdrawn
+}
+
 // Counts are the numbers of listed runners; the maps must not be changed.
 type Counts struct {
 	ByServiceZone map[subset.ServiceZone]int
@@ -187,7 +224,7 @@
 	known := s.byID[record.ID]
 	if known != nil && known.sameRunner(record) {
 		if record.Leaving && known.AcceptsWork() {
-			known.leaving.Store(int64(time.Since(processStart)))
+			known.afterLeaving.allowFor(s.withdrawal(true).usableTime())
 		}
 		known.notAccepting.Store(record.Leaving)
 		return
@@ -212,7 +249,7 @@
 func (s *Set) endGraceOfEarlierStart(record Record) {
 	for _, runner := range s.recentlyRemoved {
 		if runner.ID == record.ID && runner.RecentlyRemoved() && !runner.sameRunner(record) {
-			runner.removed.Store(0)
+			runner.afterRemoval.end()
 			s.notifyRestart(runner, record)
 		}
 	}
@@ -256,7 +293,7 @@
 		return
 	}
 	if known.AcceptsWork() {
-		known.removed.Store(int64(time.Since(processStart)))
+		known.afterRemoval.allowFor(s.withdrawal(false).usableTime())
 		s.recentlyRemoved = append(s.recentlyRemoved, known)
 	}
 	known.notAccepting.Store(true)
--- a/internal/serving/runnerset/version_test.go
+++ b/internal/serving/runnerset/version_test.go
@@ -49,7 +49,7 @@
 	s.ApplyChanges([]Record{leaving}, nil, 2, time.Now())
 	is.Equal(pick(s, Criteria{Zone: "z", SoftwareVersion: "v1"}, time.Now()), "a")
 	is.Equal(pick(s, Criteria{Zone: "z"}, time.Now()), "b")
-	s.byID["a"].leaving.Store(int64(time.Since(processStart) - removedRunnerGrace))
+	s.byID["a"].afterLeaving.allowFor(0)
 	is.True(s.Pick(&Criteria{Service: "s", Zone: "z", SoftwareVersion: "v1"}, time.Now()).Runner == nil)
 	s.ApplyChanges(nil, []string{"b"}, 3, time.Now())
 	is.Equal(pick(s, Criteria{Zone: "z", SoftwareVersion: "v2"}, time.Now()), "b")
--- a/internal/serving/runnerset/versions.go
+++ b/internal/serving/runnerset/versions.go
@@ -75,27 +75,12 @@
 // Versions returns the history of the runners' software versions.
 func (s *Set) Versions() *VersionHistory { return s.versions }
 
-// StoreContact is the contact with the store; see listwatch.StoreContact.
-type StoreContact interface {
-	Age() time.Duration
-	Lost() bool
-}
-
-// SetContact sets the contact with the store. It must be called before the first list.
-func (h *VersionHistory) SetContact(contact StoreContact) {
+// setContact sets the contact with the store. It must be called before the first list.
+func (h *VersionHistory) setContact(contact StoreContact) {
 	h.contactAge = contact.Age
 	h.connected = func() bool { return !contact.Lost() }
 }
 
-// ContentsAge returns the time since the list of runners was last known to be current; 0 if
-// no contact with the store was set.
-func (s *Set) ContentsAge() time.Duration {
-	if s.versions.contactAge == nil {
-		return 0
-	}
-	return s.versions.contactAge()
-}
-
 // Recent returns the versions of each service that were listed lately, for Restore.
 func (h *VersionHistory) Recent() map[string][]string {
 	h.mutex.Lock()
--- a/internal/serving/runnerset/versions_test.go
+++ b/internal/serving/runnerset/versions_test.go
@@ -38,7 +38,7 @@
 	now := time.Now()
 	contact := &fakeContact{lost: true} // so that only the time of the contact counts
 	s := New()
-	s.Versions().SetContact(contact)
+	s.SetContact(contact, 0)
 	s.Replace([]Record{versioned("a", "v1")}, 1, now)
 	later := now.Add(testWindow)
 	is.Equal(s.Versions().Knowledge("s", testWindow, later), VersionKnowledge{Known: true, Seen: []string{"v1"}, Established: []string{"v1"}})
@@ -138,8 +138,9 @@
 	lost bool
 }
 
-func (c *fakeContact) Age() time.Duration { return c.age }
-func (c *fakeContact) Lost() bool         { return c.lost }
+func (c *fakeContact) Age() time.Duration     { return c.age }
+func (c *fakeContact) HeldAge() time.Duration { return c.age }
+func (c *fakeContact) Lost() bool             { return c.lost }
 
 // A node that received every change knows the versions of an outage once it is in contact again, and
 // one that restored its history those of its earlier run; after a gap neither does.
@@ -148,7 +149,7 @@
 	now := time.Now()
 	contact := &fakeContact{lost: true, age: time.Hour}
 	s := New()
-	s.Versions().SetContact(contact)
+	s.SetContact(contact, 0)
 	s.Replace([]Record{versioned("a", "v1")}, 1, now)
 	known := func(at time.Time) VersionKnowledge { return s.Versions().Knowledge("s", testWindow, at) }
 	s.Versions().Restore(map[string][]string{"s": {"v0"}}, now)
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -168,9 +168,8 @@
 
 // provisionOrigins sets up the records of the software versions at which streams began.
 func (m *Module) provisionOrigins(node *nodeParts) {
-	versions := node.runners.Versions()
-	versions.SetContact(m.informer.Contact)
-	m.origins = streamorigin.New(node.directory, node.pool, versions, node.registry)
+	node.runners.SetContact(m.informer.Contact, node.settings.DrainTime())
+	m.origins = streamorigin.New(node.directory, node.pool, node.runners.Versions(), node.registry)
 	node.server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_RECORD, m.origins.ServeRecord)
 	node.server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_FIND, m.origins.ServeFind)
 }
