--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -20,14 +20,14 @@
 	inFlight *runnerset.InFlight
 	// began is when the attempt began.
 	began time.Time
-	// idleTimer cancels the attempt if the route allows the request to be repeated. It
-	// runs for the idle timeout from the start of the attempt, and starts again after each
-	// event of a stream has been written to the caller.
-	idleTimer *time.Timer
+	// idle cancels the attempt if the route allows the request to be repeated. It runs from
+	// the start of the attempt, and starts again after each event of a stream has been written
+	// to the caller.
+	idle *idleWatch
 	// firstEvent is when the first event, or the response if it is not a stream,
 	// arrived; zero before.
 	firstEvent time.Time
-	// idleTimedOut is set if idleTimer has ended the attempt.
+	// idleTimedOut is set if idle has ended the attempt.
 	idleTimedOut atomic.Bool
 	// lastCheck is the last check before the request was written; nil before.
 	lastCheck atomic.Pointer[sendCheck]
@@ -68,8 +68,8 @@
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	s.current = &attempt{runner: runner, inFlight: inFlight, began: started}
-	s.current.idleTimer = s.startIdleTimer(cancel, s.current)
-	defer s.endIdleTimer(s.current)
+	s.current.idle = s.watchIdle(cancel, s.current)
+	defer s.endIdleWatch(s.current)
 	s.recordOrigin(ctx, runner)
 	response, err := s.Client.Do(attemptContext, s.call(runner))
 	if err != nil {
@@ -95,9 +95,10 @@
 	s.admission = nil
 }
 
-// startIdleTimer returns a running timer for attempt.idleTimer.
-func (s *activeRequest) startIdleTimer(cancel context.CancelCauseFunc, current *attempt) *time.Timer {
-	return time.AfterFunc(idleTimeout(s.request.Route.Target), func() {
+// watchIdle starts attempt.idle.
+func (s *activeRequest) watchIdle(cancel context.CancelCauseFunc, current *attempt) *idleWatch {
+	lastChance := func() bool { return isLastChance(s.Runners, current.runner) }
+	return startIdleWatch(idleTimeout(s.request.Route.Target), lastChance, func() {
 		if s.request.Route.MayRepeat() {
 			current.idleTimedOut.Store(true)
 			cancel(exchange.ErrUnresponsive)
@@ -105,11 +106,11 @@
 	})
 }
 
-// endIdleTimer stops the idle timer of an attempt, and records whether it has ended the
-// attempt. Connections to other runners may have gone silent together with the one of the
-// attempt, so that the next attempts use new connections.
-func (s *activeRequest) endIdleTimer(ended *attempt) {
-	ended.idleTimer.Stop()
+// endIdleWatch stops the watch of an attempt, and records whether it has ended the attempt.
+// Connections to other runners may have gone silent together with the one of the attempt, so
+// that the next attempts use new connections.
+func (s *activeRequest) endIdleWatch(ended *attempt) {
+	ended.idle.stop()
 	if ended.idleTimedOut.Load() {
 		s.needsNewConnection = true
 		s.silentRunner = ended.runner.ID
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -42,9 +42,9 @@
 	recorded streamRecord
 	// tried holds the IDs of the runners of earlier attempts.
 	tried map[string]bool
-	// needsNewConnection is set after an attempt that its idle timer has ended.
+	// needsNewConnection is set after an attempt that its idle watch has ended.
 	needsNewConnection bool
-	// silentRunner is the ID of the runner of the last attempt that its idle timer has ended;
+	// silentRunner is the ID of the runner of the last attempt that its idle watch has ended;
 	// empty if there is none, or if the runner was permitted again.
 	silentRunner string
 	// lastEvent is the ID of the last event that the caller has received, at first by
--- a/internal/serving/online/stream.go
+++ b/internal/serving/online/stream.go
@@ -38,7 +38,7 @@
 			s.recordStreamFailure(ctx, first)
 			return s.handleInterruption(ctx, err)
 		}
-		s.current.idleTimer.Stop() // the write may wait for a slow caller, which is not the runner's fault
+		s.current.idle.stop() // the write may wait for a slow caller, which is not the runner's fault
 		s.current.inFlight.RecordEvent(time.Now())
 		if first {
 			first = false
@@ -53,7 +53,7 @@
 		if err := s.responder.Write(event.Raw); err != nil {
 			return false, result.New(result.CallerGone, "the caller left")
 		}
-		s.current.idleTimer.Reset(idleTimeout(s.request.Route.Target))
+		s.current.idle.resume()
 		if event.HasID {
 			s.lastEvent = event.ID
 		}
