Soak: a node that does not exit tells where its threads wait

Change: the violation names the states and kernel functions of the node's threads, and the node writes its goroutines (SIGQUIT) before it is killed. The check and its bound stay.

--- a/lab/platformday/nodeseries.go
+++ b/lab/platformday/nodeseries.go
@@ -91,15 +91,25 @@
 	s.awaitExit(p, s.sendSignal(p, syscall.SIGTERM))
 }
 
+// stackDumpTime is the time for which a process may write its goroutines to its log after
+// SIGQUIT.
+const stackDumpTime = time.Second
+
 // awaitExit waits for the exit of a process that is to stop. A process that still runs
-// after stopTimeout is a violation, and is killed.
+// after stopTimeout is a violation. It has to write its goroutines to its log, and is killed.
 func (s *soak) awaitExit(p *process, current *incarnation) {
 	select {
 	case <-current.ended:
+		return
 	case <-time.After(stopTimeout):
-		s.tally.RecordViolation("%s still runs %v after it was asked to stop", p.name, stopTimeout)
-		s.signal(p, syscall.SIGKILL)
 	}
+	s.tally.RecordViolation("%s still runs %v after it was asked to stop; its threads: %s", p.name, stopTimeout, threadStates(current.command.Process.Pid))
+	s.sendSignal(p, syscall.SIGQUIT)
+	select {
+	case <-current.ended:
+	case <-time.After(stackDumpTime):
+	}
+	s.signal(p, syscall.SIGKILL)
 }
 
 func (s *soak) stopEdges(_ context.Context, random *rand.Rand) { s.onFreeNode("edge", random, s.stop) }
