--- a/lab/platformday/lastrunner_test.go
+++ b/lab/platformday/lastrunner_test.go
@@ -12,18 +12,38 @@
 	"cobaltramp.example/cobaltramp/lab/standin"
 )
 
-const (
-	// lastRunnerClients is the number of clients that each read one short stream after the other.
-	lastRunnerClients = 48
-	// silenceDelay is the time from the beginning of a runner's leaving to the silence of its
-	// connections.
-	silenceDelay = 10 * time.Millisecond
-)
+// lastRunnerClients is the number of clients that each read one short stream after the other.
+const lastRunnerClients = 48
 
 // Streams at the only runner of their software version must go on there if the runner begins to
-// leave and its connections go silent: it serves on for its drain time, on new connections.
+// leave and its connections go silent, in either order: it serves on for its drain time, on new
+// connections.
 func TestStreamsGoOnAtALastRunnerThatLeavesAndGoesSilent(t *testing.T) {
-	t.Parallel() // most of the time is spent waiting
+	for _, test := range []struct {
+		name          string
+		first, second func(last *standin.Runner)
+		between       time.Duration
+	}{
+		{"leaves first", (*standin.Runner).Drain, silenceAllOf, 10 * time.Millisecond},
+		{"goes silent first", silenceAllOf, (*standin.Runner).Drain, 150 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel() // most of the time is spent waiting
+			checkStreamsOfLastRunner(t, func(last *standin.Runner) {
+				test.first(last)
+				time.Sleep(test.between)
+				test.second(last)
+			})
+		})
+	}
+}
+
+func silenceAllOf(runner *standin.Runner) { runner.SilenceConnections() }
+
+// checkStreamsOfLastRunner checks that no stream is cut while the only runner of a software version
+// is disrupted.
+func checkStreamsOfLastRunner(t *testing.T, disrupt func(last *standin.Runner)) {
+	t.Helper()
 	folder := t.TempDir()
 	d, err := open(t.Context(), Options{
 		Program: build(t, folder), Folder: folder, Seed: 1, Progress: os.Stderr, Edges: 2, Storages: 3, Runners: 4, SoftwareVersions: 2,
@@ -42,10 +62,7 @@
 		clients.Go(func() { client.Run(ctx, fmt.Sprintf("last%d", number)) })
 	}
 	time.Sleep(streamsBefore)
-	last := d.runner(0)
-	last.Drain()
-	time.Sleep(silenceDelay)
-	t.Logf("%d connections go silent", last.SilenceConnections())
+	disrupt(d.runner(0))
 	time.Sleep(disruptionLength)
 	cancel()
 	clients.Wait()
