A removed runner is used for 0.8 s at most, as before

A leaving runner serves on for sure; a removed one may have ended, and a request sent there waits for nothing.

Change: the shorter of 0.8 s and the rest of the drain time.

--- a/internal/serving/runnerset/withdrawal.go
+++ b/internal/serving/runnerset/withdrawal.go
@@ -12,10 +12,9 @@
 	// counted from the earliest time at which it can have been withdrawn. The rest of the drain
 	// time is for the request to reach the runner.
 	withdrawnShare = 0.85
-	// interruptedGrace is how long a removed runner may be used if the contact with the store was
-	// interrupted before. A live runner can drop out of the list while the store is down, until its
-	// next heartbeat.
-	interruptedGrace = 800 * time.Millisecond
+	// removedGrace is the longest time for which a removed runner may be used: it may have ended. A
+	// live runner can drop out of the list while the store is down, until its next heartbeat.
+	removedGrace = 800 * time.Millisecond
 )
 
 // withdrawal is the change by which a runner that accepted work is listed as leaving or is removed
@@ -33,16 +32,18 @@
 
 // usableTime returns for how long from now the runner may still be used.
 func (w withdrawal) usableTime() time.Duration {
+	if w.drain == 0 {
+		return removedGrace
+	}
 	limit := time.Duration(withdrawnShare * float64(w.drain))
+	usable := max(0, limit-w.contentsAge)
 	switch {
-	case w.drain == 0:
-		return interruptedGrace
-	case w.contentsAge < limit:
-		return limit - w.contentsAge
 	case w.leaving:
-		return 0
+		return usable
+	case usable == 0: // the contact with the store was interrupted
+		return min(removedGrace, limit)
 	default:
-		return min(interruptedGrace, limit)
+		return min(removedGrace, usable)
 	}
 }
 
--- a/internal/serving/runnerset/withdrawal_test.go
+++ b/internal/serving/runnerset/withdrawal_test.go
@@ -33,10 +33,11 @@
 		{"leaves, learned at once", withdrawal{leaving: true, drain: testDrain}, 1700 * time.Millisecond},
 		{"leaves, learned late", withdrawal{leaving: true, drain: testDrain, contentsAge: 1200 * time.Millisecond}, 500 * time.Millisecond},
 		{"leaves, contact was interrupted", withdrawal{leaving: true, drain: testDrain, contentsAge: time.Minute}, 0},
+		{"removed, learned at once", withdrawal{drain: testDrain}, removedGrace},
 		{"removed, learned late", withdrawal{drain: testDrain, contentsAge: 1200 * time.Millisecond}, 500 * time.Millisecond},
-		{"removed, contact was interrupted", withdrawal{drain: testDrain, contentsAge: time.Minute}, interruptedGrace},
+		{"removed, contact was interrupted", withdrawal{drain: testDrain, contentsAge: time.Minute}, removedGrace},
 		{"removed, contact was interrupted, short drain time", withdrawal{drain: testDrain / 10, contentsAge: time.Minute}, 170 * time.Millisecond},
-		{"drain time unknown", withdrawal{leaving: true, contentsAge: time.Minute}, interruptedGrace},
+		{"drain time unknown", withdrawal{leaving: true, contentsAge: time.Minute}, removedGrace},
 	} {
 		t.Run(test.name, func(t *testing.T) { is.New(t).Equal(test.withdrawal.usableTime(), test.want) })
 	}
