--- a/lab/platformday/lastrunner_test.go
+++ b/lab/platformday/lastrunner_test.go
@@ -58,7 +58,7 @@
 	defer cancel()
 	var clients tasks.Group
 	for number := range lastRunnerClients {
-		client := d.persistentClient(number)
+		client := d.persistentClient(rand.New(rand.NewPCG(d.Seed, uint64(number))))
 		clients.Go(func() { client.Run(ctx, fmt.Sprintf("last%d", number)) })
 	}
 	time.Sleep(streamsBefore)
@@ -70,15 +70,3 @@
 		t.Errorf("%v\n%s", d.tally.Violations, logsOf(d.tally.Violations, folder))
 	}
 }
-
-// persistentClient returns a client with a persistent connection on the route whose requests may
-// be repeated.
-func (d *Day) persistentClient(number int) *standin.PersistentClient {
-	return &standin.PersistentClient{
-		StreamClient: standin.StreamClient{
-			Endpoints: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: standin.EventsPrefix, Random: rand.New(rand.NewPCG(d.Seed, uint64(number))),
-		},
-		MaxPause:  maxRequestPause,
-		Disrupted: func(string, time.Time) bool { return false },
-	}
-}
--- a/lab/platformday/soakcallers.go
+++ b/lab/platformday/soakcallers.go
@@ -12,17 +12,23 @@
 // runPersistentClient runs a client with a persistent connection until the context ends.
 // Every third client uses the route whose requests may run only once.
 func (s *soak) runPersistentClient(ctx context.Context, number int, random *rand.Rand) {
-	client := &standin.PersistentClient{
-		StreamClient: standin.StreamClient{Endpoints: s, Ledger: s.ledger, Tally: s.tally, Host: host, Prefix: standin.EventsPrefix, Random: random},
-		MaxPause:     maxRequestPause,
-		Disrupted:    s.nodeDisrupted,
-	}
+	client := s.persistentClient(random)
 	if number%3 == 2 {
 		client.Prefix, client.AtMostOnce = standin.OncePrefix, true
 	}
 	client.Run(ctx, fmt.Sprintf("kept%d", number))
 }
 
+// persistentClient returns a client with a persistent connection on the route whose requests may
+// be repeated.
+func (d *Day) persistentClient(random *rand.Rand) *standin.PersistentClient {
+	return &standin.PersistentClient{
+		StreamClient: standin.StreamClient{Endpoints: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: standin.EventsPrefix, Random: random},
+		MaxPause:     maxRequestPause,
+		Disrupted:    d.nodeDisrupted,
+	}
+}
+
 // runResumingClient runs a client that resumes its streams at other nodes until the context ends.
 func (s *soak) runResumingClient(ctx context.Context, number int, streams *standin.StreamTally, random *rand.Rand) {
 	client := &standin.ResumingClient{Endpoints: s, Tally: s.tally, Streams: streams, Host: host, Prefix: standin.EventsPrefix, Random: random}
@@ -32,8 +38,8 @@
 // nodeDisrupted reports whether the node at an address was killed, suspended or resumed
 // after a point in time, or within the second before it. It returns true for an unknown
 // address.
-func (s *soak) nodeDisrupted(address string, since time.Time) bool {
-	for _, p := range s.nodes {
+func (d *Day) nodeDisrupted(address string, since time.Time) bool {
+	for _, p := range d.nodes {
 		if p.callerAddress == address {
 			return p.disruptedSince(since.Add(-time.Second))
 		}
