A runner that leaves before the first contact of a node gets no more streams

A node that has just started may hold another node's list, or that of its disk, of any age. A leaving that it learned at its first contact counted as no older than its process.

Change: HeldAge is without limit before the first renewal. Result: the new test fails without the line (the age is that of the process).

--- a/internal/cluster/listwatch/age_test.go
+++ b/internal/cluster/listwatch/age_test.go
@@ -59,6 +59,15 @@
 	is.True(contact.HeldAge() < time.Minute)
 }
 
+// Contents from another node or from the disk, which a node has before its first contact, may be of
+// any age, however short the time since its start is.
+func TestContentsBeforeTheFirstContactMayBeOfAnyAge(t *testing.T) {
+	is := is.New(t)
+	contact := NewStoreContact()
+	contact.Update(func() { is.True(contact.HeldAge() > 365*24*time.Hour) })
+	is.True(contact.HeldAge() < time.Minute)
+}
+
 // A probe shows what the store held when it was sent, not when its response arrived.
 func TestProbeCountsFromWhenItWasSent(t *testing.T) {
 	is := is.New(t)
--- a/internal/cluster/listwatch/contact.go
+++ b/internal/cluster/listwatch/contact.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +21,8 @@
 // up to the revision that the probe has read; it does not end a loss.
 type StoreContact struct {
 	renewedAt atomic.Int64 // time of the last renewal, in nanoseconds after processStart
-	// heldAt is renewedAt without the response that Update is passing on, in the same unit.
+	// heldAt is renewedAt without the response that Update is passing on, in the same unit;
+	// neverHeld before the first renewal.
 	heldAt atomic.Int64
 	lost   atomic.Bool
 	// storeRevision is the newest revision of the store that a probe has read.
@@ -36,10 +38,15 @@
 // machine was suspended, because keys may have been revoked in that time.
 var processStart = boottime.Now()
 
+// neverHeld is the value of heldAt before the first renewal: contents that this node has until then,
+// from another node or from its disk, may be of any age.
+const neverHeld = math.MinInt64 / 2
+
 // NewStoreContact returns a StoreContact whose contact counts as lost until Confirm is
 // called.
 func NewStoreContact() *StoreContact {
 	contact := &StoreContact{}
+	contact.heldAt.Store(neverHeld)
 	contact.callsContext, contact.cancelCalls = context.WithCancelCause(context.Background())
 	contact.lost.Store(true)
 	return contact
@@ -58,6 +65,7 @@
 
 // HeldAge returns the time since the contents that this node held before the update that it is
 // applying, if any, were known to be all that the store held. A change in that update is no older.
+// Before the first renewal it is longer than any uptime.
 func (c *StoreContact) HeldAge() time.Duration {
 	return boottime.Since(processStart) - time.Duration(c.heldAt.Load())
 }
--- a/internal/cluster/listwatch/probe.go
+++ b/internal/cluster/listwatch/probe.go
@@ -71,9 +71,9 @@
 
 // checkWatch compares this node's revision with a revision of the store that a probe has read.
 // If the node holds the changes up to it, checkWatch renews the contact as of the time at which
-// the probe was sent. If the watch has been
-// waiting since before the probe was sent and does not deliver the changes in time, checkWatch
-// ends the watch, and the next one too if it does not deliver them either.
+// the probe was sent. If the watch has been waiting since before the probe was sent and does not
+// deliver the changes in time, checkWatch ends the watch, and the next one too if it does not
+// deliver them either.
 func (r *Reflector) checkWatch(ctx context.Context, storeRevision int64, probeSent time.Time) {
 	r.Contact.storeRevision.Store(storeRevision)
 	if storeRevision <= r.Merger.Revision() {
