--- a/lab/platformday/lastrunner_test.go
+++ b/lab/platformday/lastrunner_test.go
@@ -28,7 +28,6 @@
 		{"goes silent first", silenceAllOf, (*standin.Runner).Drain, 150 * time.Millisecond},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			t.Parallel() // most of the time is spent waiting
 			checkStreamsOfLastRunner(t, func(last *standin.Runner) {
 				test.first(last)
 				time.Sleep(test.between)
