--- a/lab/platformday/crashing_test.go
+++ b/lab/platformday/crashing_test.go
@@ -108,7 +108,7 @@
 	}
 	d.liftQuarantines(t, bodyOf("repeatable"))
 	if t.Failed() {
-		t.Log(logTails(folder))
+		t.Log(linesWith(folder, "quarantine") + linesWith(folder, "runner ended while running") + logTails(folder))
 	}
 }
 
