--- /dev/null
+++ b/review/stand/runner.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// A runner process answers requests with event streams. Its answers have no length and end with
+// their connection, as the rules of the users' pages allow.
+
+const (
+	minEvents   = 10
+	moreEvents  = 40
+	runInterval = 40 * time.Millisecond
+)
+
+// eventCount is the number of events of a request, which is the same at every runner.
+func eventCount(id string) int {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(id)) // never fails
+	return minEvents + int(hash.Sum32()%moreEvents)
+}
+
+// eventData is the data of an event, which is the same at every runner.
+func eventData(id string, number int) string { return fmt.Sprintf("%s says %d", id, number) }
+
+// wholeText is the whole output of a request.
+func wholeText(id string) string {
+	var texts []string
+	for number := 1; number <= eventCount(id); number++ {
+		texts = append(texts, eventData(id, number))
+	}
+	return strings.Join(texts, "\n")
+}
+
+// serveRunner serves as the runner with an id until the process is killed. It writes its address
+// and a line for each run to standard output.
+func serveRunner(id, slots string) error {
+	count, err := strconv.Atoi(slots)
+	if err != nil {
+		return err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	var mutex sync.Mutex
+	report := func(format string, args ...any) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		fmt.Printf(format+"\n", args...)
+	}
+	report("%s", listener.Addr())
+	places := make(chan struct{}, count)
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			return err
+		}
+		go func() {
+			defer func() { _ = connection.Close() }()
+			serveRun(connection, id, places, report)
+		}()
+	}
+}
+
+// serveRun serves one request on a connection, which then ends.
+func serveRun(connection net.Conn, id string, places chan struct{}, report func(string, ...any)) {
+	reader := bufio.NewReader(connection)
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return
+	}
+	attempt := request.Header.Get("Cobaltramp-Attempt-Id")
+	refuse := func(status int) {
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 %d Not executed\r\nCobaltramp-Attempt-Id: %s\r\nCobaltramp-Not-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, attempt)
+	}
+	if expected := request.Header.Get("Cobaltramp-Expect-Instance"); expected != "" && expected != id {
+		refuse(http.StatusMisdirectedRequest)
+		return
+	}
+	select {
+	case places <- struct{}{}:
+		defer func() { <-places }()
+	default:
+		refuse(http.StatusServiceUnavailable)
+		return
+	}
+	from, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 without one
+	report("run of %s from event %d", attempt, from)
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCobaltramp-Attempt-Id: " + attempt +
+		"\r\nCobaltramp-Server-Seal: seal-" + attempt + "\r\nCobaltramp-Weight-Versions: 1\r\nConnection: close\r\n\r\n"
+	if _, err := io.WriteString(connection, head); err != nil {
+		return
+	}
+	for number := from + 1; number <= eventCount(attempt); number++ {
+		time.Sleep(runInterval)
+		if _, err := fmt.Fprintf(connection, "id: %d\ndata: %s\n\n", number, eventData(attempt, number)); err != nil {
+			report("run of %s left at event %d", attempt, number)
+			return
+		}
+	}
+	report("run of %s done", attempt)
+}
+
+// runnerProcess is a runner in a process of its own.
+type runnerProcess struct {
+	id, address, zone string
+	command           *exec.Cmd
+	ended             chan struct{}
+}
+
+// startRunner starts a runner process. What it writes is recorded. The platform lists it.
+func (d *deployment) startRunner(id, zone string, slots int) (*runnerProcess, error) {
+	command := exec.Command(os.Args[0], "runner", id, strconv.Itoa(slots))
+	command.Stderr = os.Stderr
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := command.Start(); err != nil {
+		return nil, err
+	}
+	r := &runnerProcess{id: id, zone: zone, command: command, ended: make(chan struct{})}
+	lines := bufio.NewScanner(output)
+	if !lines.Scan() {
+		return nil, fmt.Errorf("runner %s does not start", id)
+	}
+	r.address = lines.Text()
+	go func() {
+		defer close(r.ended)
+		for lines.Scan() {
+			d.record.line("%s: %s", id, lines.Text())
+		}
+		_ = command.Wait()
+	}()
+	d.record.line("%s started at %s", id, r.address)
+	d.store.Put("servers/"+id, map[string]any{
+		"service": "asistente", "addr": r.address, "zone": zone, "version": "v1", "slots": slots, "state": "ready", "cold_left_ms": 0, "seq": 1,
+	})
+	return r, nil
+}
+
+// kill ends the process of a runner with SIGKILL. The platform still lists it.
+func (r *runnerProcess) kill() {
+	_ = r.command.Process.Kill()
+	<-r.ended
+}
--- /dev/null
+++ b/review/stand/unframed.go
@@ -0,0 +1,115 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	unframedHost    = "nony24.example"
+	unframedPrefix  = "/devolucion/"
+	unframedRunners = 6
+	unframedSlots   = 6
+	unframedJobs    = 6
+	unframedItems   = 20
+	// unframedCrash is how long after the jobs one of the runners crashes, and unframedDown how
+	// long it is down; its entry goes after three heartbeats of 1.2 s.
+	unframedCrash  = 2 * time.Second
+	unframedDown   = 4500 * time.Millisecond
+	unframedListed = 3600 * time.Millisecond
+)
+
+// unframed runs batch jobs at runners whose answers end with their connections, while one of six
+// runners crashes. No item may be completed with a text that is not its whole output.
+func unframed(ctx context.Context, d *deployment, trouble bool) (verdict, error) {
+	if err := d.prepare(3); err != nil {
+		return verdict{}, err
+	}
+	d.store.PutConfig(map[string]any{
+		"version": 10,
+		"routes": []map[string]any{{
+			"name": "devolucion", "host": unframedHost, "path_prefix": unframedPrefix, "route_kind": "batch", "service": "asistente",
+			"timeout_ms": 30000, "target_ms": 400, "attempts": 3, "priority": 2, "resumable": true, "gap_target_ms": 250,
+			"result_target_ms": 20000, "max_wait_s": 60, "max_queued_tokens": 1600000,
+		}},
+		"services": []map[string]any{{"name": "asistente", "health_path": "/healthz", "max_conns": 370, "engine": map[string]any{"slots": unframedSlots, "kv_capacity": 153000}}},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+	})
+	var runners []*runnerProcess
+	defer func() {
+		for _, r := range runners {
+			r.kill()
+		}
+	}()
+	for number := range unframedRunners {
+		r, err := d.startRunner(fmt.Sprintf("i-%d", number), zones[number%len(zones)], unframedSlots)
+		if err != nil {
+			return verdict{}, err
+		}
+		runners = append(runners, r)
+	}
+	for _, n := range d.nodes() {
+		if err := d.start(n); err != nil {
+			return verdict{}, err
+		}
+	}
+	if err := d.awaitReady(ctx); err != nil {
+		return verdict{}, err
+	}
+	time.Sleep(6 * time.Second)
+	for number := range unframedJobs {
+		job, n := fmt.Sprintf("job%d", number), d.edges[number%len(d.edges)]
+		got := call(4*time.Second, http.MethodPost, n.callers, unframedHost, unframedPrefix+job, job, nil, jobBody(job, unframedPrefix, unframedItems))
+		d.record.line("client: POST %s%s at %s with %d items: %d", unframedPrefix, job, n.name, unframedItems, got.status)
+		if got.status != http.StatusAccepted {
+			return verdict{}, fmt.Errorf("%s is not accepted before the disruption", job)
+		}
+	}
+	time.Sleep(unframedCrash)
+	if trouble {
+		d.record.line("%s crashes", runners[0].id)
+		runners[0].kill()
+		time.Sleep(unframedListed)
+		d.store.Remove("servers/" + runners[0].id)
+		time.Sleep(unframedDown - unframedListed)
+		again, err := d.startRunner("i-again", runners[0].zone, unframedSlots)
+		if err != nil {
+			return verdict{}, err
+		}
+		runners = append(runners, again)
+	}
+	return d.unframedVerdict(ctx), nil
+}
+
+// unframedVerdict reads the jobs until all of their items are listed.
+func (d *deployment) unframedVerdict(ctx context.Context) verdict {
+	short, whole, missing := 0, 0, 0
+	for number := range unframedJobs {
+		job := fmt.Sprintf("job%d", number)
+		var list listing
+		for ctx.Err() == nil {
+			got := call(4*time.Second, http.MethodGet, d.edges[0].callers, unframedHost, "/-/lots/"+job+"?since_rev=0", "", nil, nil)
+			list = listing{}
+			if got.status == http.StatusOK && json.Unmarshal(got.body, &list) == nil && len(list.Results) == list.Total {
+				break
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		missing += unframedItems - len(list.Results)
+		for _, result := range list.Results {
+			switch {
+			case result.State != "completed":
+				d.record.line("client: %s of %s is %s", result.ID, job, result.State)
+			case result.Message == wholeText(result.ID):
+				whole++
+			default:
+				short++
+				d.record.line("client: %s of %s is completed with %d of %d bytes: %q", result.ID, job, len(result.Message), len(wholeText(result.ID)), result.Message)
+			}
+		}
+	}
+	return verdict{short > 0, fmt.Sprintf("%d items are completed with a part of their output, %d with all of it, %d are not listed", short, whole, missing)}
+}
