--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -19,8 +19,8 @@
 // their connection, as the rules of the users' pages allow.
 
 const (
-	minEvents   = 10
-	moreEvents  = 40
+	minEvents   = 5
+	moreEvents  = 20
 	runInterval = 40 * time.Millisecond
 )
 
--- a/review/stand/unframed.go
+++ b/review/stand/unframed.go
@@ -11,19 +11,21 @@
 const (
 	unframedHost    = "nony24.example"
 	unframedPrefix  = "/devolucion/"
-	unframedRunners = 6
-	unframedSlots   = 6
-	unframedJobs    = 6
-	unframedItems   = 20
-	// unframedCrash is how long after the jobs one of the runners crashes, and unframedDown how
-	// long it is down; its entry goes after three heartbeats of 1.2 s.
-	unframedCrash  = 2 * time.Second
+	unframedRunners = 12
+	// unframedCrashed is the number of runners that crash, share 0.17 of all.
+	unframedCrashed = 2
+	unframedSlots   = 17
+	unframedJobs    = 10
+	unframedItems   = 100
+	// unframedCrash is how long after the jobs the runners crash, and unframedDown how long
+	// they are down; their entries go after three heartbeats of 1.2 s.
+	unframedCrash  = 1500 * time.Millisecond
 	unframedDown   = 4500 * time.Millisecond
 	unframedListed = 3600 * time.Millisecond
 )
 
-// unframed runs batch jobs at runners whose answers end with their connections, while one of six
-// runners crashes. No item may be completed with a text that is not its whole output.
+// unframed runs batch jobs at runners whose answers end with their connections, while two of
+// twelve runners crash. No item may be completed with a text that is not its whole output.
 func unframed(ctx context.Context, d *deployment, trouble bool) (verdict, error) {
 	if err := d.prepare(3); err != nil {
 		return verdict{}, err
@@ -70,16 +72,22 @@
 	}
 	time.Sleep(unframedCrash)
 	if trouble {
-		d.record.line("%s crashes", runners[0].id)
-		runners[0].kill()
+		for _, r := range runners[:unframedCrashed] {
+			d.record.line("%s crashes", r.id)
+			r.kill()
+		}
 		time.Sleep(unframedListed)
-		d.store.Remove("servers/" + runners[0].id)
+		for _, r := range runners[:unframedCrashed] {
+			d.store.Remove("servers/" + r.id)
+		}
 		time.Sleep(unframedDown - unframedListed)
-		again, err := d.startRunner("i-again", runners[0].zone, unframedSlots)
-		if err != nil {
-			return verdict{}, err
+		for _, r := range runners[:unframedCrashed] {
+			again, err := d.startRunner(r.id+"b", r.zone, unframedSlots)
+			if err != nil {
+				return verdict{}, err
+			}
+			runners = append(runners, again)
 		}
-		runners = append(runners, again)
 	}
 	return d.unframedVerdict(ctx), nil
 }
