--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -7,9 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -147,12 +145,6 @@
 	return nil
 }
 
-// signal sends a signal to a process that start has started.
-func (d *deployment) signal(n *node, signal syscall.Signal) {
-	d.record.line("%s gets %v", n.name, signal)
-	_ = n.command.Process.Signal(signal)
-}
-
 // stop ends all processes.
 func (d *deployment) stop() {
 	for _, n := range d.nodes() {
@@ -177,9 +169,3 @@
 	}
 	return nil
 }
-
-// logged reports whether a node's log contains a text.
-func (d *deployment) logged(n *node, text string) bool {
-	content, err := os.ReadFile(filepath.Join(d.folder, n.name+".log"))
-	return err == nil && strings.Contains(string(content), text)
-}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,11 +22,11 @@
 // scenario is a case. Trouble is false if it runs without its disruption.
 type scenario func(ctx context.Context, d *deployment, trouble bool) (verdict, error)
 
-var scenarios = map[string]scenario{"late-route": lateRoute, "unframed": unframed}
+var scenarios = map[string]scenario{"late-route": lateRoute, "unframed": unframed, "crashes": crashes}
 
 func main() {
-	if len(os.Args) == 4 && os.Args[1] == "runner" {
-		fmt.Fprintln(os.Stderr, serveRunner(os.Args[2], os.Args[3]))
+	if len(os.Args) == 5 && os.Args[1] == "runner" {
+		fmt.Fprintln(os.Stderr, serveRunner(os.Args[2], os.Args[3], os.Args[4] == "true"))
 		os.Exit(2)
 	}
 	if len(os.Args) != 4 || scenarios[os.Args[1]] == nil {
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -15,8 +15,9 @@
 	"time"
 )
 
-// A runner process answers requests with event streams. Its answers have no length and end with
-// their connection, as the rules of the users' pages allow.
+// A runner process answers requests with event streams. If framed is not set, its answers have no
+// length and end with their connection, as the rules of the users' pages allow; otherwise they
+// come in chunks.
 
 const (
 	minEvents   = 5
@@ -24,8 +25,17 @@
 	runInterval = 40 * time.Millisecond
 )
 
+// longPrefix begins the ids of long requests, which have longEvents events.
+const (
+	longPrefix = "long"
+	longEvents = 200
+)
+
 // eventCount is the number of events of a request, which is the same at every runner.
 func eventCount(id string) int {
+	if strings.HasPrefix(id, longPrefix) {
+		return longEvents
+	}
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(id)) // never fails
 	return minEvents + int(hash.Sum32()%moreEvents)
@@ -45,7 +55,7 @@
 
 // serveRunner serves as the runner with an id until the process is killed. It writes its address
 // and a line for each run to standard output.
-func serveRunner(id, slots string) error {
+func serveRunner(id, slots string, framed bool) error {
 	count, err := strconv.Atoi(slots)
 	if err != nil {
 		return err
@@ -69,13 +79,13 @@
 		}
 		go func() {
 			defer func() { _ = connection.Close() }()
-			serveRun(connection, id, places, report)
+			serveRun(connection, id, framed, places, report)
 		}()
 	}
 }
 
 // serveRun serves one request on a connection, which then ends.
-func serveRun(connection net.Conn, id string, places chan struct{}, report func(string, ...any)) {
+func serveRun(connection net.Conn, id string, framed bool, places chan struct{}, report func(string, ...any)) {
 	reader := bufio.NewReader(connection)
 	request, err := http.ReadRequest(reader)
 	if err != nil {
@@ -102,17 +112,28 @@
 	from, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 without one
 	report("run of %s from event %d", attempt, from)
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCobaltramp-Attempt-Id: " + attempt +
-		"\r\nCobaltramp-Server-Seal: seal-" + attempt + "\r\nCobaltramp-Weight-Versions: 1\r\nConnection: close\r\n\r\n"
+		"\r\nCobaltramp-Server-Seal: seal-" + attempt + "\r\nCobaltramp-Weight-Versions: 1\r\nConnection: close\r\n"
+	if framed {
+		head += "Transfer-Encoding: chunked\r\n"
+	}
+	head += "\r\n"
 	if _, err := io.WriteString(connection, head); err != nil {
 		return
 	}
 	for number := from + 1; number <= eventCount(attempt); number++ {
 		time.Sleep(runInterval)
-		if _, err := fmt.Fprintf(connection, "id: %d\ndata: %s\n\n", number, eventData(attempt, number)); err != nil {
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", number, eventData(attempt, number))
+		if framed {
+			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		}
+		if _, err := io.WriteString(connection, event); err != nil {
 			report("run of %s left at event %d", attempt, number)
 			return
 		}
 	}
+	if framed {
+		_, _ = io.WriteString(connection, "0\r\n\r\n") // the client may have left
+	}
 	report("run of %s done", attempt)
 }
 
@@ -121,11 +142,13 @@
 	id, address, zone string
 	command           *exec.Cmd
 	ended             chan struct{}
+	// onLine gets each line that the runner writes; nil ignores them.
+	onLine func(line string)
 }
 
 // startRunner starts a runner process. What it writes is recorded. The platform lists it.
-func (d *deployment) startRunner(id, zone string, slots int) (*runnerProcess, error) {
-	command := exec.Command(os.Args[0], "runner", id, strconv.Itoa(slots))
+func (d *deployment) startRunner(id, zone string, slots int, framed bool, onLine func(line string)) (*runnerProcess, error) {
+	command := exec.Command(os.Args[0], "runner", id, strconv.Itoa(slots), strconv.FormatBool(framed))
 	command.Stderr = os.Stderr
 	output, err := command.StdoutPipe()
 	if err != nil {
@@ -134,7 +157,7 @@
 	if err := command.Start(); err != nil {
 		return nil, err
 	}
-	r := &runnerProcess{id: id, zone: zone, command: command, ended: make(chan struct{})}
+	r := &runnerProcess{id: id, zone: zone, command: command, ended: make(chan struct{}), onLine: onLine}
 	lines := bufio.NewScanner(output)
 	if !lines.Scan() {
 		return nil, fmt.Errorf("runner %s does not start", id)
@@ -144,6 +167,9 @@
 		defer close(r.ended)
 		for lines.Scan() {
 			d.record.line("%s: %s", id, lines.Text())
+			if r.onLine != nil {
+				r.onLine(lines.Text())
+			}
 		}
 		_ = command.Wait()
 	}()
--- a/review/stand/unframed.go
+++ b/review/stand/unframed.go
@@ -47,7 +47,7 @@
 		}
 	}()
 	for number := range unframedRunners {
-		r, err := d.startRunner(fmt.Sprintf("i-%d", number), zones[number%len(zones)], unframedSlots)
+		r, err := d.startRunner(fmt.Sprintf("i-%d", number), zones[number%len(zones)], unframedSlots, false, nil)
 		if err != nil {
 			return verdict{}, err
 		}
@@ -82,7 +82,7 @@
 		}
 		time.Sleep(unframedDown - unframedListed)
 		for _, r := range runners[:unframedCrashed] {
-			again, err := d.startRunner(r.id+"b", r.zone, unframedSlots)
+			again, err := d.startRunner(r.id+"b", r.zone, unframedSlots, false, nil)
 			if err != nil {
 				return verdict{}, err
 			}
