--- a/review/stand/lateroute.go
+++ b/review/stand/lateroute.go
@@ -13,7 +13,7 @@
 const (
 	lateHost = "nony24.example"
 	// lateRounds is the number of routes that the operator adds, one after the other.
-	lateRounds = 3
+	lateRounds = 4
 	// lateSilence is how long the store serves the storage machines nothing, and lateLead how
 	// long before the change that begins.
 	lateSilence = 2500 * time.Millisecond
--- a/review/stand/unframed.go
+++ b/review/stand/unframed.go
@@ -5,6 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +36,9 @@
 	d.store.PutConfig(map[string]any{
 		"version": 10,
 		"routes": []map[string]any{{
+			"name": "mostrador", "host": unframedHost, "path_prefix": streamsPrefix, "route_kind": "streaming", "service": "asistente",
+			"timeout_ms": 5000, "target_ms": 200, "attempts": 2, "priority": 0, "resumable": true, "gap_target_ms": 250,
+		}, {
 			"name": "devolucion", "host": unframedHost, "path_prefix": unframedPrefix, "route_kind": "batch", "service": "asistente",
 			"timeout_ms": 30000, "target_ms": 400, "attempts": 3, "priority": 2, "resumable": true, "gap_target_ms": 250,
 			"result_target_ms": 20000, "max_wait_s": 60, "max_queued_tokens": 1600000,
@@ -70,6 +76,9 @@
 			return verdict{}, fmt.Errorf("%s is not accepted before the disruption", job)
 		}
 	}
+	var callers streams
+	stopCallers := callers.run(d)
+	defer stopCallers()
 	time.Sleep(unframedCrash)
 	if trouble {
 		for _, r := range runners[:unframedCrashed] {
@@ -89,7 +98,57 @@
 			runners = append(runners, again)
 		}
 	}
-	return d.unframedVerdict(ctx), nil
+	stopCallers()
+	seen := d.unframedVerdict(ctx)
+	seen.reason += fmt.Sprintf("; of %d streams of online callers, %d ended as complete with a part of their events", callers.complete.Load(), callers.short.Load())
+	return seen, nil
+}
+
+const (
+	streamsPrefix  = "/mostrador/"
+	streamsPerEdge = 10
+)
+
+// streams are callers that read streams from the edges, one after the other.
+type streams struct {
+	complete, short atomic.Int64
+	group           sync.WaitGroup
+}
+
+// run starts the callers and returns a function that ends them.
+func (s *streams) run(d *deployment) (stop func()) {
+	ended := make(chan struct{})
+	for number := range streamsPerEdge * len(d.edges) {
+		n := d.edges[number%len(d.edges)]
+		s.group.Go(func() {
+			for turn := 0; ; turn++ {
+				select {
+				case <-ended:
+					return
+				default:
+					s.read(d, n, fmt.Sprintf("online-%d-%d", number, turn))
+				}
+			}
+		})
+	}
+	return sync.OnceFunc(func() {
+		close(ended)
+		s.group.Wait()
+	})
+}
+
+// read reads one stream. An answer that ends early must not look complete.
+func (s *streams) read(d *deployment, n *node, id string) {
+	headers := map[string]string{"Cobaltramp-Deadline-Ms": "5000", "Cobaltramp-Model": "m", "Cobaltramp-Token-Usage": "200,100", "Cobaltramp-Prompt-Prefix": "77aa:100," + fmt.Sprintf("%x", id) + ":100"}
+	got := call(5*time.Second, http.MethodPost, n.callers, unframedHost, streamsPrefix+"x", id, headers, []byte("body of "+id))
+	if got.status != http.StatusOK {
+		return
+	}
+	s.complete.Add(1)
+	if events := strings.Count(string(got.body), "\n\n"); events != eventCount(id) {
+		s.short.Add(1)
+		d.record.line("client: the stream %s from %s ended as complete with %d of %d events", id, n.name, events, eventCount(id))
+	}
 }
 
 // unframedVerdict reads the jobs until all of their items are listed.
