--- a/review/stand/crashes.go
+++ b/review/stand/crashes.go
@@ -59,6 +59,9 @@
 	d.store.PutConfig(map[string]any{
 		"version": 10,
 		"routes": []map[string]any{{
+			"name": "mostrador", "host": crashesHost, "path_prefix": onlinePrefix, "route_kind": "streaming", "service": "asistente",
+			"timeout_ms": 5000, "target_ms": 200, "attempts": 2, "priority": 0, "resumable": true, "gap_target_ms": 250,
+		}, {
 			"name": "devolucion", "host": crashesHost, "path_prefix": crashesPrefix, "route_kind": "batch", "service": "asistente",
 			"timeout_ms": 30000, "target_ms": 400, "attempts": 3, "priority": 2, "resumable": true, "gap_target_ms": 250,
 			"result_target_ms": 20000, "max_wait_s": 60, "max_queued_tokens": 1600000,
@@ -121,9 +124,36 @@
 	if !d.crashesJob("later", laterItems) {
 		return verdict{}, fmt.Errorf("the later job is not accepted")
 	}
+	served := d.callOnline()
 	d.record.line("traffic ends; batch jobs are given %v more", crashesFinish)
 	time.Sleep(crashesFinish)
-	return d.crashesVerdict(seen), nil
+	found := d.crashesVerdict(seen)
+	found.reason += fmt.Sprintf("; %d of %d online callers whose prompts share the part were served", served, onlineCalls)
+	return found, nil
+}
+
+const (
+	onlinePrefix = "/mostrador/"
+	onlineCalls  = 10
+)
+
+// callOnline sends online requests whose prompts begin with the same part as those of the items, and
+// returns how many are answered with 200. It is recorded and not judged.
+func (d *deployment) callOnline() int {
+	served := 0
+	for number := range onlineCalls {
+		id := fmt.Sprintf("online-%d", number)
+		headers := map[string]string{
+			"Cobaltramp-Deadline-Ms": "5000", "Cobaltramp-Model": "m", "Cobaltramp-Token-Usage": "400,100",
+			"Cobaltramp-Prompt-Prefix": fmt.Sprintf("9c2e41:300,77%d:100", number),
+		}
+		got := call(6*time.Second, http.MethodPost, d.edges[number%len(d.edges)].callers, crashesHost, onlinePrefix+"x", id, headers, []byte(id))
+		d.record.line("online caller %s: %d", id, got.status)
+		if got.status == http.StatusOK {
+			served++
+		}
+	}
+	return served
 }
 
 // awaitRun waits until the long item has run at a living runner for crashesAfter.
