--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -27,10 +27,10 @@
 	}
 	request.Host, request.Close = host, true
 	if id != "" {
-		request.Header.Set("Cobaltramp-Attempt-Id", id)
+		request.Header.Set(name("attempt"), id)
 	}
-	for name, value := range headers {
-		request.Header.Set(name, value)
+	for header, value := range headers {
+		request.Header.Set(header, value)
 	}
 	response, err := http.DefaultTransport.RoundTrip(request)
 	if err != nil {
@@ -45,25 +45,17 @@
 }
 
 func ready(address string) bool {
-	return call(time.Second, http.MethodGet, address, address, "/-/readyz", "", nil, nil).status == http.StatusOK
-}
-
-type item struct {
-	ID      string            `json:"id"`
-	Path    string            `json:"path"`
-	Headers map[string]string `json:"headers"`
-	Body    string            `json:"body"`
-	Tokens  int               `json:"token_count"`
+	return call(time.Second, http.MethodGet, address, address, name("ready"), "", nil, nil).status == http.StatusOK
 }
 
 // jobBody returns the body of a batch job.
 func jobBody(job, prefix string, count int) []byte {
-	var items []item
+	var items []map[string]any
 	for number := range count {
 		id := fmt.Sprintf("%s-i%d", job, number)
-		items = append(items, item{
-			ID: id, Path: prefix + "x", Body: base64.StdEncoding.EncodeToString([]byte("body of " + id)), Tokens: 940,
-			Headers: map[string]string{"Cobaltramp-Model": "m", "Cobaltramp-Token-Usage": "540,400", "Cobaltramp-Prompt-Prefix": "9c2e41:300,5d07b8:240"},
+		items = append(items, map[string]any{
+			"id": id, "path": prefix + "x", "body": base64.StdEncoding.EncodeToString([]byte("body of " + id)), name("tokens"): 940,
+			"headers": map[string]string{name("model"): "m", name("usage"): "540,400", name("prompt"): "9c2e41:300,5d07b8:240"},
 		})
 	}
 	text, err := json.Marshal(map[string]any{"items": items})
@@ -81,5 +73,4 @@
 		State   string `json:"state"`
 		Message string `json:"message"`
 	} `json:"results"`
-	Next int `json:"next_token"`
 }
--- a/review/stand/crashes.go
+++ b/review/stand/crashes.go
@@ -56,19 +56,7 @@
 	if err := d.prepare(3); err != nil {
 		return verdict{}, err
 	}
-	d.store.PutConfig(map[string]any{
-		"version": 10,
-		"routes": []map[string]any{{
-			"name": "mostrador", "host": crashesHost, "path_prefix": onlinePrefix, "route_kind": "streaming", "service": "asistente",
-			"timeout_ms": 5000, "target_ms": 200, "attempts": 2, "priority": 0, "resumable": true, "gap_target_ms": 250,
-		}, {
-			"name": "devolucion", "host": crashesHost, "path_prefix": crashesPrefix, "route_kind": "batch", "service": "asistente",
-			"timeout_ms": 30000, "target_ms": 400, "attempts": 3, "priority": 2, "resumable": true, "gap_target_ms": 250,
-			"result_target_ms": 20000, "max_wait_s": 60, "max_queued_tokens": 1600000,
-		}},
-		"services": []map[string]any{{"name": "asistente", "health_path": "/healthz", "max_conns": 370, "engine": map[string]any{"slots": crashesSlots, "kv_capacity": 153000}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	d.store.PutConfig(config(10, pages.Online, pages.Batch))
 	seen := &crashesRun{}
 	runners := map[string]*runnerProcess{}
 	defer func() {
@@ -144,8 +132,8 @@
 	for number := range onlineCalls {
 		id := fmt.Sprintf("online-%d", number)
 		headers := map[string]string{
-			"Cobaltramp-Deadline-Ms": "5000", "Cobaltramp-Model": "m", "Cobaltramp-Token-Usage": "400,100",
-			"Cobaltramp-Prompt-Prefix": fmt.Sprintf("9c2e41:300,77%d:100", number),
+			name("deadline"): "5000", name("model"): "m", name("usage"): "400,100",
+			name("prompt"): fmt.Sprintf("9c2e41:300,77%d:100", number),
 		}
 		got := call(6*time.Second, http.MethodPost, d.edges[number%len(d.edges)].callers, crashesHost, onlinePrefix+"x", id, headers, []byte(id))
 		d.record.line("online caller %s: %d", id, got.status)
@@ -180,8 +168,8 @@
 	idle := time.Since(last)
 	left, done := 0, 0
 	for _, job := range []string{"longjob", "later"} {
-		got := call(4*time.Second, http.MethodGet, d.edges[1].callers, crashesHost, "/-/lots/"+job+"?since_rev=0", "", nil, nil)
-		d.record.line("client: GET /-/lots/%s: %d %s", job, got.status, got.body)
+		got := call(4*time.Second, http.MethodGet, d.edges[1].callers, crashesHost, name("jobs")+job+"?"+name("since")+"=0", "", nil, nil)
+		d.record.line("client: read of %s: %d %s", job, got.status, got.body)
 		var list listing
 		if got.status != http.StatusOK || json.Unmarshal(got.body, &list) != nil {
 			continue
--- a/review/stand/lateroute.go
+++ b/review/stand/lateroute.go
@@ -27,17 +27,9 @@
 func lateConfig(version, rounds int) map[string]any {
 	var routes []map[string]any
 	for number := range rounds + 1 {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("devolucion-%d", number), "host": lateHost, "path_prefix": latePrefix(number), "route_kind": "batch", "service": "asistente",
-			"timeout_ms": 30000, "target_ms": 400, "attempts": 3, "priority": 2, "resumable": true, "gap_target_ms": 250,
-			"result_target_ms": 20000, "max_wait_s": 60, "max_queued_tokens": 1600000,
-		})
-	}
-	return map[string]any{
-		"version": version, "routes": routes,
-		"services": []map[string]any{{"name": "asistente", "health_path": "/healthz", "max_conns": 370, "engine": map[string]any{"slots": 17, "kv_capacity": 153000}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		routes = append(routes, with(pages.Batch, map[string]any{"name": fmt.Sprintf("devolucion-%d", number), name("prefix"): latePrefix(number)}))
 	}
+	return config(version, routes...)
 }
 
 func latePrefix(number int) string { return fmt.Sprintf("/devolucion%d/", number) }
@@ -126,13 +118,13 @@
 	dead, done := 0, 0
 	for job := range jobs {
 		for {
-			got := call(4*time.Second, http.MethodGet, d.edges[0].callers, lateHost, "/-/lots/"+job+"?since_rev=0", "", nil, nil)
+			got := call(4*time.Second, http.MethodGet, d.edges[0].callers, lateHost, name("jobs")+job+"?"+name("since")+"=0", "", nil, nil)
 			var list listing
 			if got.status == http.StatusOK && json.Unmarshal(got.body, &list) == nil && len(list.Results) == list.Total || ctx.Err() != nil {
 				for _, result := range list.Results {
 					runs := ledger.Runs(result.ID)
 					d.record.line("client: %s of %s is %s; %d runs at runners: %v", result.ID, job, result.State, len(runs), runs)
-					if result.State == "dead_lettered" {
+					if result.State == name("dead") {
 						dead++
 					} else {
 						done++
@@ -143,5 +135,5 @@
 			time.Sleep(500 * time.Millisecond)
 		}
 	}
-	return verdict{dead > 0, fmt.Sprintf("%d items are dead_lettered without any failure, end or time-out, %d are completed", dead, done)}
+	return verdict{dead > 0, fmt.Sprintf("%d items are dead-lettered without any failure, end or time-out, %d are completed", dead, done)}
 }
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -94,11 +94,11 @@
 	if _, err := io.Copy(io.Discard, request.Body); err != nil {
 		return
 	}
-	attempt := request.Header.Get("Cobaltramp-Attempt-Id")
+	attempt := request.Header.Get(name("attempt"))
 	refuse := func(status int) {
-		_, _ = fmt.Fprintf(connection, "HTTP/1.1 %d Not executed\r\nCobaltramp-Attempt-Id: %s\r\nCobaltramp-Not-Executed: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, attempt)
+		_, _ = fmt.Fprintf(connection, "HTTP/1.1 %d Not executed\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", status, name("attempt"), attempt, name("notRun"))
 	}
-	if expected := request.Header.Get("Cobaltramp-Expect-Instance"); expected != "" && expected != id {
+	if expected := request.Header.Get(name("expected")); expected != "" && expected != id {
 		refuse(http.StatusMisdirectedRequest)
 		return
 	}
@@ -111,8 +111,8 @@
 	}
 	from, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 without one
 	report("run of %s from event %d", attempt, from)
-	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCobaltramp-Attempt-Id: " + attempt +
-		"\r\nCobaltramp-Server-Seal: seal-" + attempt + "\r\nCobaltramp-Weight-Versions: 1\r\nConnection: close\r\n"
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: seal-%s\r\n%s: 1\r\nConnection: close\r\n",
+		name("attempt"), attempt, name("seal"), attempt, name("weights"))
 	if framed {
 		head += "Transfer-Encoding: chunked\r\n"
 	}
@@ -174,9 +174,7 @@
 		_ = command.Wait()
 	}()
 	d.record.line("%s started at %s", id, r.address)
-	d.store.Put("servers/"+id, map[string]any{
-		"service": "asistente", "addr": r.address, "zone": zone, "version": "v1", "slots": slots, "state": "ready", "cold_left_ms": 0, "seq": 1,
-	})
+	d.store.Put("servers/"+id, with(pages.Runner, map[string]any{"addr": r.address, "zone": zone, "slots": slots}))
 	return r, nil
 }
 
--- a/review/stand/unframed.go
+++ b/review/stand/unframed.go
@@ -33,19 +33,7 @@
 	if err := d.prepare(3); err != nil {
 		return verdict{}, err
 	}
-	d.store.PutConfig(map[string]any{
-		"version": 10,
-		"routes": []map[string]any{{
-			"name": "mostrador", "host": unframedHost, "path_prefix": streamsPrefix, "route_kind": "streaming", "service": "asistente",
-			"timeout_ms": 5000, "target_ms": 200, "attempts": 2, "priority": 0, "resumable": true, "gap_target_ms": 250,
-		}, {
-			"name": "devolucion", "host": unframedHost, "path_prefix": unframedPrefix, "route_kind": "batch", "service": "asistente",
-			"timeout_ms": 30000, "target_ms": 400, "attempts": 3, "priority": 2, "resumable": true, "gap_target_ms": 250,
-			"result_target_ms": 20000, "max_wait_s": 60, "max_queued_tokens": 1600000,
-		}},
-		"services": []map[string]any{{"name": "asistente", "health_path": "/healthz", "max_conns": 370, "engine": map[string]any{"slots": unframedSlots, "kv_capacity": 153000}}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	d.store.PutConfig(config(10, pages.Online, pages.Batch))
 	var runners []*runnerProcess
 	defer func() {
 		for _, r := range runners {
@@ -139,7 +127,7 @@
 
 // read reads one stream. An answer that ends early must not look complete.
 func (s *streams) read(d *deployment, n *node, id string) {
-	headers := map[string]string{"Cobaltramp-Deadline-Ms": "5000", "Cobaltramp-Model": "m", "Cobaltramp-Token-Usage": "200,100", "Cobaltramp-Prompt-Prefix": "77aa:100," + fmt.Sprintf("%x", id) + ":100"}
+	headers := map[string]string{name("deadline"): "5000", name("model"): "m", name("usage"): "200,100", name("prompt"): "77aa:100," + fmt.Sprintf("%x", id) + ":100"}
 	got := call(5*time.Second, http.MethodPost, n.callers, unframedHost, streamsPrefix+"x", id, headers, []byte("body of "+id))
 	if got.status != http.StatusOK {
 		return
@@ -158,7 +146,7 @@
 		job := fmt.Sprintf("job%d", number)
 		var list listing
 		for ctx.Err() == nil {
-			got := call(4*time.Second, http.MethodGet, d.edges[0].callers, unframedHost, "/-/lots/"+job+"?since_rev=0", "", nil, nil)
+			got := call(4*time.Second, http.MethodGet, d.edges[0].callers, unframedHost, name("jobs")+job+"?"+name("since")+"=0", "", nil, nil)
 			list = listing{}
 			if got.status == http.StatusOK && json.Unmarshal(got.body, &list) == nil && len(list.Results) == list.Total {
 				break
