A job carries the version of the configuration that accepted it

Cause: the shard's leader took 'my configuration has no such route, and is active for 4 s' for 'the route was removed'. While the store is silent to the storage nodes, their configuration is old and has been active for long.

Change: the edge sends the version of its configuration with the job; the log and the record keep it. A leader with an older one neither ends nor runs the items.

--- a/internal/batch/queue/queue.go
+++ b/internal/batch/queue/queue.go
@@ -68,6 +68,7 @@
 	record := &wirev1.QueueRecord{
 		Id: job.Id, Host: job.Host, Path: job.Path, Route: job.Route, AcceptedUnixMs: job.AcceptedUnixMs,
 		DueAfterMs: job.DueAfterMs, GiveUpMs: job.GiveUpMs, Index: index, Tenant: job.Tenant,
+		CatalogVersion: job.CatalogVersion,
 	}
 	for number, item := range job.Items {
 		record.Items = append(record.Items, &wirev1.QueueItemInfo{Id: item.Id, Tokens: item.Tokens, OutputTokens: item.OutputTokens})
--- a/internal/batch/queue/table.go
+++ b/internal/batch/queue/table.go
@@ -26,6 +26,8 @@
 	Tokens uint64
 	// Account is the account that the item's tokens count against until it finishes.
 	Account TokenAccount
+	// KnownSince is when the item was added to the table.
+	KnownSince time.Time
 	// Due is when the result should be readable. After ExpiresAt the item may be ended
 	// with a dead result, which has no output (see Expired).
 	Due       time.Time
@@ -105,7 +107,7 @@
 		t.order++
 		entry := &ItemEntry{
 			Key: ItemKey{record.Id, uint32(number)}, ID: info.Id, Tokens: info.Tokens,
-			Account: TokenAccount{record.Tenant, record.Route}, ExpectedTokens: info.OutputTokens,
+			Account: TokenAccount{record.Tenant, record.Route}, ExpectedTokens: info.OutputTokens, KnownSince: now,
 			Due:       accepted.Add(time.Duration(record.DueAfterMs) * time.Millisecond),
 			ExpiresAt: accepted.Add(time.Duration(record.GiveUpMs) * time.Millisecond),
 			order:     t.order,
--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -18,6 +18,7 @@
 	"maps"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -41,9 +42,15 @@
 	// preferred over other nodes for sending items to it. If Home is nil, all runners
 	// are home runners.
 	Home func(runner *runnerset.Record) bool
+	// Contact tells whether the configuration is up to date for items whose job names no version
+	// of it; nil takes it for up to date.
+	Contact StoreContact
 	// Quarantine tracks the items that crash runners; nil disables the tracking.
 	Quarantine quarantine.Guard
 
+	// oldConfigurationLogged is the Unix time in nanoseconds of the last logOldConfiguration.
+	oldConfigurationLogged atomic.Int64
+
 	// tasks runs the goroutines of runs, of saves and of outcomes without a run. They
 	// end with the contexts of their items.
 	tasks tasks.Group
@@ -81,9 +88,6 @@
 	// maxUnreadTokens is the number of unprocessed prompt tokens at a runner above which
 	// the runner gets no items.
 	maxUnreadTokens = 1500
-	// missingRouteGrace is how long a configuration without the item's route must have
-	// been active before the item fails for good.
-	missingRouteGrace = 4 * time.Second
 	// failedRunnerPenalty is how long an item is not sent again to a runner that reported a
 	// failure of the item.
 	failedRunnerPenalty = 3 * time.Second
@@ -96,22 +100,23 @@
 )
 
 // TryStart implements queuestore.Executor. It sets work.NotBefore instead of work.FullService
-// if the item has to avoid some runners. It also returns false, without setting either, if no
-// configuration is active, if the item's route has been missing for less than
-// missingRouteGrace, or after Wait was called. It returns true and reports an outcome without
-// a run if the route is missing for longer or the item is quarantined. TryStart never calls
-// done itself, because its caller also receives the outcomes.
+// if the item has to avoid some runners, or if the configuration cannot tell yet whether the
+// item's route exists. It also returns false, without setting either, if no configuration is
+// active or after Wait was called. It returns true and reports an outcome without a run if the
+// route was removed or the item is quarantined. TryStart never calls done itself, because its
+// caller also receives the outcomes.
 func (e *ItemExecutor) TryStart(ctx context.Context, work *queuestore.Work, done func(queuestore.Outcome)) bool {
 	held := e.Catalogs.Current()
 	if held == nil {
 		return false
 	}
 	now := time.Now()
-	route := held.Match(work.Host, work.Item.Path)
-	if route == nil {
-		if e.Catalogs.Age(now) < missingRouteGrace {
-			return false
-		}
+	route, state := e.routeOf(held, work, now)
+	switch state {
+	case routeUndecided:
+		work.NotBefore = now.Add(configurationRetryDelay)
+		return false
+	case routeRemoved:
 		return e.tasks.Go(func() { done(queuestore.Outcome{Dead: true, Reason: "route gone"}) })
 	}
 	identity := identityOf(work, route)
--- a/internal/batch/queuestore/node.go
+++ b/internal/batch/queuestore/node.go
@@ -43,6 +43,10 @@
 	// Host and Route are those of the job.
 	Host  string
 	Route string
+	// CatalogVersion is the version of the configuration by which an edge accepted the job; 0 if
+	// unknown. KnownSince is when this node learned of the item as leader.
+	CatalogVersion uint64
+	KnownSince     time.Time
 	// Tenant is the owner of the job; empty if the deployment has no tenants.
 	Tenant string
 	Item   *wirev1.QueueItem
--- a/internal/batch/queuestore/runs.go
+++ b/internal/batch/queuestore/runs.go
@@ -68,7 +68,8 @@
 	ctx, cancel := context.WithCancel(l.context)
 	key := entry.Key
 	work := &Work{
-		Key: key, Host: record.Host, Route: record.Route, Tenant: record.Tenant, Item: item, Output: entry.Output,
+		Key: key, Host: record.Host, Route: record.Route, CatalogVersion: record.CatalogVersion, KnownSince: entry.KnownSince,
+		Tenant: record.Tenant, Item: item, Output: entry.Output,
 		Due: entry.Due, Slack: l.table.Slack(entry, time.Now()),
 		Failures: entry.Failures, FailedRunners: maps.Clone(entry.FailedRunners),
 	}
--- a/lab/platformday/nodes.go
+++ b/lab/platformday/nodes.go
@@ -73,7 +73,7 @@
 	s := settings.Role{
 		Cluster: "day", Node: name, Zone: fmt.Sprintf("z%d", number%zoneCount), Region: "r", Address: nodeAddress, Ports: []int{ports[0], ports[0]},
 		Listen: settings.RoleListen{MetricsPort: ports[4]}, FirstStart: true, DiskLosses: 1,
-		Store:   settings.RoleStore{Address: d.store.Address()},
+		Store:   settings.RoleStore{Address: d.store.AddressFor(name)},
 		Machine: settings.RoleMachine{MemoryMegabytes: 256, Descriptors: d.Descriptors}, Bounds: settings.RoleBounds{StopSeconds: 8, DrainMilliseconds: 2000},
 		Routing: d.routingOf(number),
 	}
--- a/lab/standin/config.go
+++ b/lab/standin/config.go
@@ -40,8 +40,9 @@
 
 // DayConfig returns a configuration of one service with four routes: a streaming
 // route that may be retried and resumed, a streaming route without retries, a
-// batch route, and a route that only this version has.
-func DayConfig(host string, version int) map[string]any {
+// batch route, and a route that only this version has. It has a further batch route for each
+// of batchPrefixes.
+func DayConfig(host string, version int, batchPrefixes ...string) map[string]any {
 	route := func(name, prefix, kind string, extra map[string]any) map[string]any {
 		fields := map[string]any{
 			"name": name, "host": host, "path_prefix": prefix, "route_kind": kind, "timeout_ms": 4000, "target_ms": 300, "service": "s",
@@ -51,14 +52,19 @@
 		}
 		return fields
 	}
+	batch := map[string]any{"attempts": 3, "result_target_ms": 10000, "max_wait_s": 600, "max_queued_tokens": 1000000}
+	routes := []map[string]any{
+		route("events", EventsPrefix, "streaming", map[string]any{"attempts": eventsAttempts, "resumable": true}),
+		route("once", OncePrefix, "streaming", map[string]any{"attempts": 1}),
+		route("batch", BatchPrefix, "batch", batch),
+		route("version", versionPrefix(version), "streaming", map[string]any{"attempts": 1}),
+	}
+	for number, prefix := range batchPrefixes {
+		routes = append(routes, route(fmt.Sprint("further-batch-", number), prefix, "batch", batch))
+	}
 	return map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			route("events", EventsPrefix, "streaming", map[string]any{"attempts": eventsAttempts, "resumable": true}),
-			route("once", OncePrefix, "streaming", map[string]any{"attempts": 1}),
-			route("batch", BatchPrefix, "batch", map[string]any{"attempts": 3, "result_target_ms": 10000, "max_wait_s": 600, "max_queued_tokens": 1000000}),
-			route("version", versionPrefix(version), "streaming", map[string]any{"attempts": 1}),
-		},
+		"version":  version,
+		"routes":   routes,
 		"services": []map[string]any{{"name": "s", "health_path": "/healthz", "max_conns": 100, "engine": map[string]any{"slots": 8, "kv_capacity": 100000}}},
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
--- a/modules/batch/queues/queues.go
+++ b/modules/batch/queues/queues.go
@@ -94,6 +94,7 @@
 	}
 	options.Totals = runners.Totals
 	m.executor.Quarantine = coordinator
+	m.executor.Contact = platformInformer.Contact
 	options.Executor = m.executor
 	m.node = queuestore.New(options)
 	m.node.Handle(server)
