--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -119,15 +119,8 @@
 	case routeRemoved:
 		return e.tasks.Go(func() { done(queuestore.Outcome{Dead: true, Reason: "route gone"}) })
 	}
-	identity := identityOf(work, route)
-	fingerprint := identity.Fingerprint
-	if refusal, held := e.held(identity); held {
-		wait := min(refusal.Remaining, maxQuarantineWait)
-		klog.InfoS("item delayed: its fingerprint is quarantined", "job", work.Key.Job, "item", work.Item.Id, "fingerprint", refusal.Fingerprint,
-			"part", refusal.Part, "heldMs", refusal.Remaining.Milliseconds(), "waitMs", wait.Milliseconds())
-		return e.tasks.Go(func() { done(queuestore.Outcome{Output: work.Output, RetryDelay: wait, Reason: "quarantined"}) })
-	}
-	avoided := e.runnersToAvoid(work, fingerprint, now)
+	identity, savedOutput := identityOf(work, route), work.Output
+	avoided := e.runnersToAvoid(work, identity.Fingerprint, now)
 	choice := e.pick(route, work, avoided, now)
 	if choice.Runner == nil {
 		if len(avoided) > 0 { // other items may start at the avoided runners
@@ -137,6 +130,13 @@
 		}
 		return false
 	}
+	// The item may become the trial of its hold, so a runner has to be there for it.
+	if refusal, held := e.held(identity); held {
+		wait := min(refusal.Remaining, maxQuarantineWait)
+		klog.InfoS("item delayed: its fingerprint is quarantined", "job", work.Key.Job, "item", work.Item.Id, "fingerprint", refusal.Fingerprint,
+			"part", refusal.Part, "heldMs", refusal.Remaining.Milliseconds(), "waitMs", wait.Milliseconds())
+		return e.tasks.Go(func() { done(queuestore.Outcome{Output: savedOutput, RetryDelay: wait, Reason: "quarantined"}) })
+	}
 	startAgainUnlessContinued(work, choice.Runner)
 	itemRun := &run{
 		executor: e, work: work, identity: identity, prompt: promptOf(work.Item), route: route, runner: choice.Runner,
@@ -157,6 +157,7 @@
 		defer untrack()
 		outcome := itemRun.run(ctx)
 		itemRun.inFlight.End()
+		e.returnTrials(itemRun.identity)
 		outcome.Attempts, outcome.Runner = itemRun.route.Attempts, itemRun.runner.ID
 		outcome.Events, outcome.Duration = itemRun.output.LastEventID-itemRun.work.Output.LastEventID, time.Since(itemRun.startedAt)
 		itemRun.logEnd(choice, catalogVersion, outcome.Reason)
@@ -169,6 +170,13 @@
 	return started
 }
 
+// returnTrials tells the quarantine that an item is not sent any more for now.
+func (e *ItemExecutor) returnTrials(identity *quarantine.Work) {
+	if e.Quarantine != nil {
+		e.Quarantine.ReturnTrials(identity)
+	}
+}
+
 // held reports whether an item is quarantined, and why.
 func (e *ItemExecutor) held(identity *quarantine.Work) (quarantine.Refusal, bool) {
 	if e.Quarantine == nil {
@@ -194,7 +202,7 @@
 
 // identityOf identifies an item and the shared parts of its prompt for the quarantine.
 func identityOf(work *queuestore.Work, route *catalog.Route) *quarantine.Work {
-	identity := &quarantine.Work{ID: work.Item.Id, Fingerprint: fingerprintOf(work), Service: route.ServiceFor(work.Item.Id)}
+	identity := &quarantine.Work{ID: work.Item.Id, Fingerprint: fingerprintOf(work), Service: route.ServiceFor(work.Item.Id), MayTry: true}
 	prompt := promptOf(work.Item)
 	for _, part := range prompt.SharedParts {
 		identity.AddPart(quarantine.NewPart(work.Tenant, part.ID, part.Name))
--- a/internal/batch/queuerun/queuerun_test.go
+++ b/internal/batch/queuerun/queuerun_test.go
@@ -192,6 +192,7 @@
 	avoid     map[string]bool
 	broken    int
 	completed int
+	survived  int
 	ended     bool // whether runners have ended
 }
 
@@ -201,6 +202,8 @@
 
 func (g *fakeGuard) RecordBrokenRun(*quarantine.Work, quarantine.Run)      { g.broken++ }
 func (g *fakeGuard) RecordCompletion(*quarantine.Work, quarantine.Run)     { g.completed++ }
+func (g *fakeGuard) RecordSurvival(*quarantine.Work, quarantine.Run)       { g.survived++ }
+func (g *fakeGuard) ReturnTrials(*quarantine.Work)                         {}
 func (g *fakeGuard) HasEnded(_, _ string) bool                             { return g.ended }
 func (g *fakeGuard) RunnersToAvoid(quarantine.Fingerprint) map[string]bool { return g.avoid }
 func (g *fakeGuard) Begin(quarantine.Fingerprint, string) func()           { return func() {} }
--- a/internal/batch/queuerun/run.go
+++ b/internal/batch/queuerun/run.go
@@ -49,6 +49,8 @@
 	savedRound int64
 	// firstEvent is the time of this run's first event; zero before the event.
 	firstEvent time.Time
+	// survived is set once the quarantine was told that the run is no suspect any more.
+	survived bool
 }
 
 // run calls the runner and reads its response. Parent is the context of the item, which ends
@@ -133,6 +135,7 @@
 		r.inFlight.RecordEvent(now)
 	}
 	r.output.Append(event.ID, event.Data)
+	r.recordSurvival(now)
 	if round := saveRound(now); round > r.savedRound {
 		r.savedRound = round
 		r.save()
@@ -153,15 +156,24 @@
 	r.executor.tasks.Go(func() { r.work.Save(output) })
 }
 
-// recordBrokenRun reports a broken run to the quarantine if the run may have crashed the
-// runner (see quarantine.IsSuspectRun). The quarantine counts the run against the item if
-// the runner has ended.
+// recordBrokenRun reports a broken run to the quarantine, which counts it against the item if the
+// run may have crashed the runner.
 func (r *run) recordBrokenRun() {
-	if r.executor.Quarantine != nil && quarantine.IsSuspectRun(r.firstEvent, time.Now()) {
+	if r.executor.Quarantine != nil {
 		r.executor.Quarantine.RecordBrokenRun(r.identity, r.quarantineRun())
 	}
 }
 
+// recordSurvival reports to the quarantine, once, that the run goes on after the time in which
+// items crash runners.
+func (r *run) recordSurvival(now time.Time) {
+	if r.executor.Quarantine == nil || r.survived || quarantine.IsSuspectRun(r.firstEvent, now) {
+		return
+	}
+	r.survived = true
+	r.executor.Quarantine.RecordSurvival(r.identity, r.quarantineRun())
+}
+
 // recordCompletion reports to the quarantine that the runner completed the item. A run without
 // events is no evidence for the item: nothing was written for it.
 func (r *run) recordCompletion() {
@@ -172,7 +184,7 @@
 
 // quarantineRun describes the run to the quarantine.
 func (r *run) quarantineRun() quarantine.Run {
-	return quarantine.Run{Start: r.runner.StartID(), Address: r.runner.Address, Version: r.runner.SoftwareVersion(), Began: r.startedAt}
+	return quarantine.Run{Start: r.runner.StartID(), Address: r.runner.Address, Version: r.runner.SoftwareVersion(), Began: r.startedAt, FirstEvent: r.firstEvent}
 }
 
 // endedWithRunner reports whether a stream that has ended was broken off by the end of its
--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -27,6 +27,8 @@
 	// firstEvent is when the first event, or the response if it is not a stream,
 	// arrived; zero before.
 	firstEvent time.Time
+	// survived is set once recordSurvival has reported the attempt.
+	survived bool
 	// idleTimedOut is set if idle has ended the attempt.
 	idleTimedOut atomic.Bool
 	// lastCheck is the last check before the request was written; nil before.
--- a/internal/serving/online/crashes.go
+++ b/internal/serving/online/crashes.go
@@ -43,7 +43,7 @@
 // run describes the current attempt to the quarantine.
 func (s *activeRequest) run() quarantine.Run {
 	runner := s.current.runner
-	return quarantine.Run{Start: runner.StartID(), Address: runner.Address, Version: runner.SoftwareVersion(), Began: s.current.began}
+	return quarantine.Run{Start: runner.StartID(), Address: runner.Address, Version: runner.SoftwareVersion(), Began: s.current.began, FirstEvent: s.current.firstEvent}
 }
 
 // endedWithRunner reports whether a response that has ended was broken off by the end of its
@@ -59,16 +59,25 @@
 
 // reportBrokenRun reports an attempt that broke off to the quarantine, which counts the
 // crash against the request if the runner has crashed. It does not report attempts that
-// were cancelled by the caller, the deadline or the idle timeout, nor attempts whose first
-// event arrived too long ago (see quarantine.IsSuspectRun).
+// were cancelled by the caller, the deadline or the idle timeout.
 func (s *activeRequest) reportBrokenRun(ctx context.Context) {
 	endedHere := ctx.Err() != nil || s.current.idleTimedOut.Load()
-	if s.Quarantine == nil || endedHere || !quarantine.IsSuspectRun(s.current.firstEvent, time.Now()) {
+	if s.Quarantine == nil || endedHere {
 		return
 	}
 	s.Quarantine.RecordBrokenRun(s.work, s.run())
 }
 
+// recordSurvival reports to the quarantine, once for each attempt, that the runner has gone on
+// after the time in which requests crash runners.
+func (s *activeRequest) recordSurvival() {
+	if s.Quarantine == nil || s.current.survived || quarantine.IsSuspectRun(s.current.firstEvent, time.Now()) {
+		return
+	}
+	s.current.survived = true
+	s.Quarantine.RecordSurvival(s.work, s.run())
+}
+
 // recordCompletion reports to the quarantine that a runner has completed the request with a
 // status. An error says nothing about the request: the runner may not have begun to respond
 // to it.
@@ -78,6 +87,13 @@
 	}
 }
 
+// returnTrials tells the quarantine that the request is not sent any more.
+func (s *activeRequest) returnTrials() {
+	if s.Quarantine != nil {
+		s.Quarantine.ReturnTrials(s.work)
+	}
+}
+
 // pickRunner picks a runner. A request that is suspected of crashing runners avoids
 // runners with another suspect request, unless there is no other runner.
 func (s *activeRequest) pickRunner(criteria *runnerset.Criteria) runnerset.Choice {
--- a/internal/serving/online/crashes_test.go
+++ b/internal/serving/online/crashes_test.go
@@ -21,7 +21,9 @@
 	avoid     map[string]bool
 	holdAfter int // number of broken runs after which a request is quarantined; 0 for never
 	broke     []string
+	last      quarantine.Run // of the last broken run
 	completed int
+	survived  int
 	ended     bool // whether runners have ended
 }
 
@@ -31,13 +33,15 @@
 }
 
 func (g *guard) RecordBrokenRun(work *quarantine.Work, run quarantine.Run) {
-	g.broke = append(g.broke, run.Start)
+	g.broke, g.last = append(g.broke, run.Start), run
 	if len(g.broke) == g.holdAfter {
 		g.held = map[quarantine.Fingerprint]time.Duration{work.Fingerprint: time.Minute}
 	}
 }
 
 func (g *guard) RecordCompletion(*quarantine.Work, quarantine.Run)     { g.completed++ }
+func (g *guard) RecordSurvival(*quarantine.Work, quarantine.Run)       { g.survived++ }
+func (g *guard) ReturnTrials(*quarantine.Work)                         {}
 func (g *guard) HasEnded(_, _ string) bool                             { return g.ended }
 func (g *guard) RunnersToAvoid(quarantine.Fingerprint) map[string]bool { return g.avoid }
 func (g *guard) Begin(quarantine.Fingerprint, string) func()           { return func() {} }
@@ -116,8 +120,8 @@
 	is.Equal(client.runs, 1)
 }
 
-// An attempt that was ended by the idle timeout or the caller, or whose first event
-// arrived long ago, is not reported as broken.
+// An attempt that was ended by the idle timeout or the caller is not reported as broken. Whether an
+// attempt whose first event arrived long ago counts is the quarantine's decision, which needs its time.
 func TestIdleTimeoutIsNotReportedAsBrokenRun(t *testing.T) {
 	is := is.New(t)
 	g, runner := &guard{}, &runnerset.Runner{}
@@ -130,9 +134,27 @@
 	cancel()
 	s.current = &attempt{runner: runner}
 	s.reportBrokenRun(ended) // the caller has left
-	s.current = &attempt{runner: runner, firstEvent: time.Now().Add(-time.Minute)}
-	s.reportBrokenRun(context.Background()) // the request had run for too long to be suspect
 	is.Equal(len(g.broke), 1)
+	s.current = &attempt{runner: runner, firstEvent: time.Now().Add(-time.Minute)}
+	s.reportBrokenRun(context.Background())
+	is.Equal(len(g.broke), 2)
+	is.True(!quarantine.IsSuspectRun(g.last.FirstEvent, time.Now()))
+}
+
+// An attempt that goes on when its request is no suspect any more is reported once.
+func TestSurvivalIsReportedOnce(t *testing.T) {
+	is := is.New(t)
+	g := &guard{}
+	s := &activeRequest{
+		Forwarder: &Forwarder{Quarantine: g}, request: &CallerRequest{}, work: &quarantine.Work{},
+		current: &attempt{runner: &runnerset.Runner{}, firstEvent: time.Now()},
+	}
+	s.recordSurvival()
+	is.Equal(g.survived, 0)
+	s.current.firstEvent = time.Now().Add(-time.Minute)
+	s.recordSurvival()
+	s.recordSurvival()
+	is.Equal(g.survived, 1)
 }
 
 // A broken run is reported with the start of the runner that executed it: a runner that
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -72,6 +72,7 @@
 
 // serve makes attempts until one of them ends the request.
 func (s *activeRequest) serve(ctx context.Context) error {
+	defer s.returnTrials()
 	if err := s.resolveOrigin(ctx); err != nil {
 		return err
 	}
--- a/internal/serving/online/stream.go
+++ b/internal/serving/online/stream.go
@@ -44,6 +44,7 @@
 			first = false
 			s.recordFirstEvent()
 		}
+		s.recordSurvival()
 		if !s.history.responseStarted {
 			s.history.responseStarted = true
 			s.softwareVersion = s.current.runner.SoftwareVersion()
--- a/internal/serving/quarantine/coordinator.go
+++ b/internal/serving/quarantine/coordinator.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -29,11 +31,18 @@
 	// does not block.
 	Held(work *Work) (Refusal, bool)
 	// RecordBrokenRun records that a run broke without having been ended by this node. The
-	// run counts against the work if the runner has ended.
+	// run counts against the work if the runner has ended and the run is a suspect
+	// (IsSuspectRun).
 	RecordBrokenRun(work *Work, run Run)
 	// RecordCompletion records that a runner has completed a run: it has sent a whole
 	// successful response, and has not ended with it.
 	RecordCompletion(work *Work, run Run)
+	// RecordSurvival records that a run still goes on when it is no suspect any more
+	// (IsSuspectRun).
+	RecordSurvival(work *Work, run Run)
+	// ReturnTrials reports that work will not be sent any more. The trials that it was to be
+	// are left to other work.
+	ReturnTrials(work *Work)
 	// HasEnded reports whether a runner, known by its start and its address, has ended. It
 	// may block for a round trip to the runner's machine.
 	HasEnded(start, address string) bool
@@ -56,12 +65,14 @@
 // that run no quarantine.
 type Coordinator struct {
 	*CrashDetector
-	table     *SuspectTable
-	parts     *PartTable
-	restarts  *restartLog
-	directory notify.NodeDirectory
-	sender    notify.NoticeSender
-	store     HoldStore
+	// background knows which runners ended lately, for both tables.
+	background *background
+	table      *SuspectTable
+	parts      *PartTable
+	restarts   *restartLog
+	directory  notify.NodeDirectory
+	sender     notify.NoticeSender
+	store      HoldStore
 
 	// OnEnding is called for each ending of a runner that another node reports, with the start
 	// of the runner; nil ignores them. It must be set before the first notice.
@@ -81,8 +92,11 @@
 	trials       map[Fingerprint]*trialState
 	wantedTrials []Hold
 	trialClaims  *notify.Batcher
-	// partDecisions calls decideParts after new endings.
-	partDecisions *notify.Batcher
+	// partDecisions calls decideParts after new endings, and remoteDecisions once more after
+	// endings that only other nodes observed.
+	partDecisions, remoteDecisions *notify.Batcher
+	// stored contains the holds of the document in the store, as this node last received it.
+	stored atomic.Pointer[map[Fingerprint]Hold]
 
 	events *prometheus.CounterVec
 }
@@ -91,6 +105,7 @@
 const (
 	eventEnding  = "runner_ended"
 	eventHold    = "held"
+	eventTrial   = "tried"
 	eventLift    = "lifted"
 	eventCleared = "absolved"
 	eventRefused = "refused"
@@ -101,8 +116,10 @@
 func NewCoordinator(
 	directory notify.NodeDirectory, sender notify.NoticeSender, prober Prober, store HoldStore, registry prometheus.Registerer,
 ) *Coordinator {
+	endings := newBackground()
 	c := &Coordinator{
-		CrashDetector: NewCrashDetector(prober), table: NewSuspectTable(), parts: NewPartTable(), restarts: newRestartLog(), directory: directory, sender: sender, store: store,
+		CrashDetector: NewCrashDetector(prober), background: endings, table: newSuspectTable(endings), parts: newPartTable(endings),
+		restarts: newRestartLog(), directory: directory, sender: sender, store: store,
 		attempts: map[string]map[Fingerprint]int{}, evidence: map[completionKey]time.Time{}, trials: map[Fingerprint]*trialState{},
 		events: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cobaltramp_quarantine_events_total",
@@ -111,6 +128,9 @@
 	}
 	c.batcher = notify.NewBatcher(notify.Schedule{Delay: coalesceInterval, Flush: func(context.Context) { c.flush() }})
 	c.partDecisions = notify.NewBatcher(notify.Schedule{Delay: partDecisionDelay, Flush: func(context.Context) { c.decideParts() }})
+	c.remoteDecisions = notify.NewBatcher(notify.Schedule{
+		Delay: remoteDecisionDelay + rand.N(remoteDecisionSpread), Flush: func(context.Context) { c.decideParts() },
+	})
 	c.trialClaims = notify.NewBatcher(notify.Schedule{Flush: c.claimTrials})
 	registry.MustRegister(c.events,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -149,18 +169,32 @@
 	return float64(held)
 }
 
-// Held implements Guard. It counts each positive result as a refused request.
+// SetRunners sets the list of runners, by which endings are weighed. It must be called before
+// the first report.
+func (c *Coordinator) SetRunners(runners Runners) { c.background.runners = runners }
+
+// Held implements Guard. It counts each positive result as a refused request. Work that may be
+// sent although it is held becomes the trial of its holds.
 func (c *Coordinator) Held(work *Work) (Refusal, bool) {
 	now := time.Now()
-	remaining, held := c.table.Held(work.Fingerprint, now)
-	refusal := Refusal{Fingerprint: work.Fingerprint, Remaining: remaining}
-	if !held {
-		refusal, held = c.heldPart(work, now)
+	holds := c.holdsOf(work, now)
+	for i := range holds {
+		if !c.mayTry(work, &holds[i], now) {
+			return c.refuse(work, &holds[i], now), true
+		}
 	}
-	if held {
-		c.events.WithLabelValues(eventRefused).Inc()
+	for i := range holds {
+		if !work.isTrialOf(holds[i].Fingerprint) && !c.claimProvisional(work, &holds[i], now) {
+			return c.refuse(work, &holds[i], now), true
+		}
 	}
-	return refusal, held
+	return Refusal{}, false
+}
+
+// refuse counts a refused request and returns the refusal.
+func (c *Coordinator) refuse(work *Work, hold *Hold, now time.Time) Refusal {
+	c.events.WithLabelValues(eventRefused).Inc()
+	return Refusal{Fingerprint: hold.Fingerprint, Part: work.labelOf(hold), Remaining: hold.wait(now)}
 }
 
 // RecordBrokenRun implements Guard. It probes the runner, unless a recent result is
@@ -168,10 +202,9 @@
 // runner has ended, the run counts only if the list shows a later start of the runner
 // within restartConfirmTime (RecordRestart).
 func (c *Coordinator) RecordBrokenRun(work *Work, run Run) {
-	work.endTrial()
-	broken := brokenRun{work: work, run: run, at: time.Now()}
+	broken := brokenRun{work: work, run: run, at: time.Now(), trials: work.endTrials()}
 	if c.HasEnded(run.Start, run.Address) || c.restarts.recordBreak(broken) {
-		c.recordEnding(work, run)
+		c.recordEnding(&broken)
 	}
 }
 
@@ -179,27 +212,50 @@
 // of the given one. Runs that broke there shortly before then count as ended with it.
 func (c *Coordinator) RecordRestart(start string) {
 	for _, broken := range c.restarts.recordRestart(start, time.Now()) {
-		c.recordEnding(broken.work, broken.run)
+		c.recordEnding(&broken)
 	}
 }
 
-func (c *Coordinator) recordEnding(work *Work, run Run) {
-	now := time.Now()
-	fingerprint, start := work.Fingerprint, run.Start
-	outcome := c.table.RecordEnding(fingerprint, start, true, now)
-	klog.InfoS("runner ended while running a request", "id", work.ID, "fingerprint", fingerprint, "runner", start,
-		"counted", outcome.Counted, "held", outcome.Hold != nil)
-	c.recordPartEndings(work, run, now)
-	if !outcome.Counted {
+// recordEnding records that a runner ended while it ran work of this node.
+func (c *Coordinator) recordEnding(broken *brokenRun) {
+	work, run := broken.work, broken.run
+	ending := run.endedAt(broken.at, work.Service)
+	c.recordRunnerEnd(&ending)
+	if !IsSuspectRun(run.FirstEvent, broken.at) {
 		return
 	}
-	c.events.WithLabelValues(eventEnding).Inc()
-	c.addToNotice(func(notice *wirev1.QuarantineNotice) {
-		notice.Endings = append(notice.Endings, &wirev1.RunnerEnding{Fingerprint: uint64(fingerprint), Runner: start})
-	})
+	outcome := c.table.RecordEnding(work.Fingerprint, ending, true)
+	klog.InfoS("runner ended while running a request", "id", work.ID, "fingerprint", work.Fingerprint, "runner", ending.runner,
+		"ranMs", ending.ran.Milliseconds(), "counted", outcome.Counted, "held", outcome.Hold != nil)
+	c.recordPartEndings(work, run, broken.at)
+	if outcome.Counted {
+		c.reportEnding(work.Fingerprint, &ending)
+	}
 	if outcome.Hold != nil {
 		c.distributeHold(*outcome.Hold, "runners ended")
 	}
+	c.recordFailedTrials(broken.trials, &ending)
+}
+
+// recordRunnerEnd records that a runner has ended, whatever it ran, and reports it to other nodes
+// if that is news.
+func (c *Coordinator) recordRunnerEnd(ending *observedEnding) {
+	if !c.background.record(ending.runner, ending.service, ending.at) {
+		return
+	}
+	c.addToNotice(func(notice *wirev1.QuarantineNotice) {
+		notice.EndedRunners = append(notice.EndedRunners, &wirev1.EndedRunner{Runner: ending.runner, Service: ending.service})
+	})
+}
+
+// reportEnding counts the ending of a runner under a request and reports it to other nodes.
+func (c *Coordinator) reportEnding(fingerprint Fingerprint, ending *observedEnding) {
+	c.events.WithLabelValues(eventEnding).Inc()
+	c.addToNotice(func(notice *wirev1.QuarantineNotice) {
+		notice.Endings = append(notice.Endings, &wirev1.RunnerEnding{
+			Fingerprint: uint64(fingerprint), Runner: ending.runner, Service: ending.service, RanMs: roundUpToMilliseconds(ending.ran),
+		})
+	})
 }
 
 // distributeHold logs a hold that this node decided or lifted, adds it to the next
@@ -220,17 +276,29 @@
 // a hold of this node, and otherwise the node that sent the hold, or "store".
 func (c *Coordinator) recordHold(hold Hold, source string) {
 	event := eventHold
-	if hold.Until == 0 {
+	switch {
+	case hold.Until == 0:
 		event = eventLift
+	case hold.Trials > 0:
+		event = eventTrial
 	}
 	c.events.WithLabelValues(event).Inc()
 	klog.InfoS("quarantine hold changed", "event", event, "fingerprint", hold.Fingerprint, "part", hold.Part,
 		"until", time.UnixMilli(hold.Until).UTC(), "decided", time.UnixMilli(hold.Decided).UTC(), "source", source)
 }
 
-// RecordCompletion implements Guard. If the request is suspected, it removes the request's
-// endings, lifts its hold and reports the completion to other nodes.
+// RecordCompletion implements Guard.
 func (c *Coordinator) RecordCompletion(work *Work, run Run) {
+	c.clear(work, run, "a runner has completed it")
+}
+
+// RecordSurvival implements Guard. A run that crashes its runner does so early, so that one that
+// goes on counts like one that was completed.
+func (c *Coordinator) RecordSurvival(work *Work, run Run) { c.clear(work, run, "a runner runs it on") }
+
+// clear records that a run of work shows that it is sound. If the request is suspected, clear
+// removes the request's endings, lifts its hold and reports that to other nodes.
+func (c *Coordinator) clear(work *Work, run Run, reason string) {
 	c.recordPartCompletions(work, run, time.Now())
 	fingerprint := work.Fingerprint
 	if !c.table.Suspected(fingerprint) {
@@ -240,7 +308,7 @@
 	lifted := c.table.Clear(fingerprint, time.Now())
 	c.addToNotice(func(notice *wirev1.QuarantineNotice) { notice.Absolved = append(notice.Absolved, uint64(fingerprint)) })
 	if lifted != nil {
-		c.distributeHold(*lifted, "a runner has completed it")
+		c.distributeHold(*lifted, reason)
 	}
 }
 
--- a/internal/serving/quarantine/decision.go
+++ b/internal/serving/quarantine/decision.go
@@ -6,8 +6,11 @@
 	// EndingsToHold is the number of different starts of runners that have to end while
 	// running a request before the request is held. Fewer endings do not identify the cause,
 	// since a runner runs several requests, and requests that broke together may be
-	// retried together.
+	// retried together. The hold is provisional: one run after the other may show that the
+	// request is sound.
 	EndingsToHold = 3
+	// endingsToConfirm is the number of endings from which on a hold is not provisional.
+	endingsToConfirm = 5
 	// endingTTL is how long an ending counts. It covers retries by callers after some
 	// minutes.
 	endingTTL = 10 * time.Minute
@@ -28,12 +31,12 @@
 	return firstEvent.IsZero() || now.Sub(firstEvent) < suspectRunTime
 }
 
-// mustHold reports whether a request has to be held, given the number of different
-// runners that ended while running it within endingTTL and its previous hold: the
-// number has reached EndingsToHold and the previous hold is not active. Previous is
-// the zero Hold if there was none.
-func mustHold(endings int, previous Hold, now time.Time) bool {
-	return endings >= EndingsToHold && previous.Until <= now.UnixMilli()
+// mustHold reports whether a request has to be held, given the evidence of the runners
+// that ended while running it within endingTTL, and its previous hold: the evidence
+// amounts to EndingsToHold and the previous hold is not active. Previous is the zero Hold
+// if there was none.
+func mustHold(evidence float64, previous Hold, now time.Time) bool {
+	return amountsTo(evidence, EndingsToHold) && previous.Until <= now.UnixMilli()
 }
 
 // mayBeCause reports whether a request may have caused the endings that are attributed
@@ -43,17 +46,23 @@
 // fewer endings are bystanders.
 func mayBeCause(endings int) bool { return endings >= EndingsToHold-1 }
 
-// nextHold returns a new hold of a request. Previous is the request's previous hold;
-// the zero Hold if there was none. The duration grows from one hold to the next and
+// nextHold returns a new hold of a request on some evidence. Previous is the request's
+// previous hold; the zero Hold if there was none. The duration grows from one hold to the next and
 // starts again at initialHoldDuration after a lifted hold, whose Length is 0. The new
 // hold supersedes the previous one even if the clock was set back.
-func nextHold(fingerprint Fingerprint, previous Hold, now time.Time) Hold {
+func nextHold(fingerprint Fingerprint, evidence float64, previous Hold, now time.Time) Hold {
 	length := initialHoldDuration
 	if previous.Length > 0 {
 		length = min(holdGrowthFactor*time.Duration(previous.Length)*time.Millisecond, maxHoldDuration)
 	}
-	decided := max(now.UnixMilli(), previous.Decided+1)
-	return Hold{Fingerprint: fingerprint, Decided: decided, Until: now.Add(length).UnixMilli(), Length: length.Milliseconds()}
+	hold := Hold{
+		Fingerprint: fingerprint, Decided: max(now.UnixMilli(), previous.Decided+1), Until: now.Add(length).UnixMilli(),
+		Length: length.Milliseconds(), Evidence: evidence,
+	}
+	if !amountsTo(evidence, endingsToConfirm) {
+		hold.Provisional, hold.TrialAt = true, now.UnixMilli()
+	}
+	return hold
 }
 
 // liftedHold returns the lifted hold that supersedes the current hold of a request, so
--- a/internal/serving/quarantine/hold.go
+++ b/internal/serving/quarantine/hold.go
@@ -23,10 +23,15 @@
 	// part, or its fingerprint. Environment is where runners ended under the part.
 	Part        string      `json:"part,omitempty"`
 	Environment Environment `json:"environment,omitzero"`
-	// TrialAt is the Unix time in milliseconds from which on one request with the part may be
-	// sent to a runner; 0 if none may be. Trials is the number of such requests so far.
+	// TrialAt is the Unix time in milliseconds from which on one held request may be sent to a
+	// runner; 0 if none may be. Trials is the number of such requests so far.
 	TrialAt int64 `json:"trial_unix_ms,omitempty"`
 	Trials  int   `json:"trials,omitempty"`
+	// Provisional is set while the evidence does not amount to endingsToConfirm. Evidence is the
+	// sum of the weights of the endings for which the hold was decided and of those under its
+	// trials.
+	Provisional bool    `json:"provisional,omitempty"`
+	Evidence    float64 `json:"evidence,omitempty"`
 }
 
 // supersedes reports whether a hold replaces another one of the same request.
@@ -45,7 +50,7 @@
 	return &wirev1.QuarantineHold{
 		Fingerprint: uint64(hold.Fingerprint), DecidedUnixMs: hold.Decided, UntilUnixMs: hold.Until, LengthMs: hold.Length,
 		Part: hold.Part, Service: hold.Environment.Service, Version: hold.Environment.Version,
-		TrialUnixMs: hold.TrialAt, Trials: uint32(hold.Trials),
+		TrialUnixMs: hold.TrialAt, Trials: uint32(hold.Trials), Provisional: hold.Provisional, Evidence: hold.Evidence,
 	}
 }
 
@@ -55,7 +60,7 @@
 		Fingerprint: Fingerprint(encoded.Fingerprint),
 		Decided:     encoded.DecidedUnixMs, Until: encoded.UntilUnixMs, Length: encoded.LengthMs,
 		Part: encoded.Part, Environment: Environment{encoded.Service, encoded.Version},
-		TrialAt: encoded.TrialUnixMs, Trials: int(encoded.Trials),
+		TrialAt: encoded.TrialUnixMs, Trials: int(encoded.Trials), Provisional: encoded.Provisional, Evidence: encoded.Evidence,
 	}
 }
 
--- a/internal/serving/quarantine/notices.go
+++ b/internal/serving/quarantine/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -16,6 +17,10 @@
 	// coalesceInterval is the time from the first report to the notice. All requests at
 	// a runner break within some milliseconds of its end.
 	coalesceInterval = 5 * time.Millisecond
+	// minUnsavedDelay and unsavedDelaySpread bound the random delay after which a node that
+	// observed no ending of a held request saves the hold, if no other node has.
+	minUnsavedDelay    = 500 * time.Millisecond
+	unsavedDelaySpread = 1500 * time.Millisecond
 	// maxNoticeEntries is the maximum number of endings and completions in one notice.
 	// An entry takes about 40 bytes. Holds are not counted.
 	maxNoticeEntries = 1024
@@ -38,7 +43,7 @@
 
 // reportCount returns the number of endings and completions in a notice.
 func reportCount(notice *wirev1.QuarantineNotice) int {
-	return len(notice.Endings) + len(notice.Absolved) + len(notice.PartEndings) + len(notice.PartCompletions)
+	return len(notice.Endings) + len(notice.Absolved) + len(notice.PartEndings) + len(notice.PartCompletions) + len(notice.EndedRunners)
 }
 
 // Run sends the pending notices to other nodes, and decides which parts of prompts are held,
@@ -47,6 +52,7 @@
 	var decisions tasks.Group
 	defer decisions.Wait()
 	decisions.Go(func() { c.partDecisions.Run(ctx) })
+	decisions.Go(func() { c.remoteDecisions.Run(ctx) })
 	decisions.Go(func() { c.trialClaims.Run(ctx) })
 	c.batcher.Run(ctx)
 }
@@ -80,8 +86,11 @@
 	}
 	now := time.Now()
 	c.reportEndings(notice.Endings)
+	for _, ended := range notice.EndedRunners {
+		c.background.record(ended.Runner, ended.Service, now)
+	}
 	for _, ending := range notice.Endings {
-		c.receiveEnding(Fingerprint(ending.Fingerprint), ending.Runner, from, now)
+		c.receiveEnding(ending, from, now)
 	}
 	for _, fingerprint := range notice.Absolved {
 		c.table.Clear(Fingerprint(fingerprint), now)
@@ -110,18 +119,35 @@
 }
 
 // receiveEnding applies an ending that another node observed. If the ending causes a
-// hold, the node saves it only if it observed one of the other endings of the request.
-// Such a node has to save the hold: if several nodes observe endings at the same time,
-// each of them may decide the hold only on the report of another.
-func (c *Coordinator) receiveEnding(fingerprint Fingerprint, runner, from string, now time.Time) {
-	outcome := c.table.RecordEnding(fingerprint, runner, false, now)
+// hold, the node saves it at once only if it observed one of the other endings of the
+// request: if several nodes observe endings at the same time, each of them may decide the
+// hold only on the report of another. The other nodes save it later, if the store still
+// lacks it: those that observed the endings may be gone.
+func (c *Coordinator) receiveEnding(received *wirev1.RunnerEnding, from string, now time.Time) {
+	ending := observedEnding{runner: received.Runner, service: received.Service, at: now, ran: time.Duration(received.RanMs) * time.Millisecond}
+	outcome := c.table.RecordEnding(Fingerprint(received.Fingerprint), ending, false)
 	if outcome.Hold == nil {
 		return
 	}
 	c.recordHold(*outcome.Hold, from)
 	if outcome.Local {
 		c.saveHold(*outcome.Hold)
+		return
+	}
+	held := outcome.Hold.Fingerprint
+	time.AfterFunc(minUnsavedDelay+rand.N(unsavedDelaySpread), func() { c.saveIfUnsaved(held) })
+}
+
+// saveIfUnsaved saves the current hold of a request if the store's document, as this node knows
+// it, has an earlier one or none.
+func (c *Coordinator) saveIfUnsaved(held Fingerprint) {
+	hold := c.table.holdOf(held)
+	if stored := c.stored.Load(); stored != nil {
+		if saved, found := (*stored)[held]; found && !hold.supersedes(saved) {
+			return
+		}
 	}
+	c.saveHold(hold)
 }
 
 // ReceiveHolds applies holds from another node; source is that node, for logs.
--- a/internal/serving/quarantine/partdecision.go
+++ b/internal/serving/quarantine/partdecision.go
@@ -17,13 +17,18 @@
 //     attempts, all of which failed.
 //   - An ending is explained if a request with a held part ran at that runner as well. The
 //     hold of a part whose endings are all explained by other parts is lifted.
+//   - While many runners end, whatever they run, a failure counts less (background).
 
 const (
-	// failuresToHold is the number of failures for which a part without evidence is held, and
-	// failuresToHoldProven the number for a part that was completed within completionTTL in
-	// the same environment.
+	// failuresToHold is the number of failures for which a part without evidence is held, at
+	// first provisionally, and failuresToHoldProven the number for a part that was completed
+	// within completionTTL in the same environment. The numbers are those of a calm time.
 	failuresToHold       = 3
 	failuresToHoldProven = 5
+	// failuresToHoldBroadly is the number of failures for which a part without evidence is held
+	// provisionally if all endings under it, also those of runs at the same time, amount to
+	// endingsToConfirm.
+	failuresToHoldBroadly = 2
 	// failuresToHoldAmbiguous is the number of failures for which a part is held although another
 	// part explains the same endings.
 	failuresToHoldAmbiguous = 5
@@ -39,20 +44,24 @@
 
 // failure is one of the successive endings of runners under a part.
 type failure struct {
-	runner      string // its start
-	at          time.Time
+	observedEnding
 	environment Environment
 }
 
 // partCase is what is known of a part when holds are decided.
 type partCase struct {
 	part Part
-	// failures is the number of failures, and unexplained contains the runners of those that
-	// no held part explains.
-	failures    int
-	unexplained []string
+	// failures is the number of failures, and evidence the sum of their weights. unexplained
+	// contains the runners of those that no held part explains, and unexplainedEvidence the
+	// sum of their weights.
+	failures            int
+	evidence            float64
+	unexplained         []string
+	unexplainedEvidence float64
+	// breadth is the sum of the weights of all endings that no held part explains.
+	breadth float64
 	// endings contains the starts of all runners that ended under the part.
-	endings map[string]time.Time
+	endings map[string]observedEnding
 	// proven is set if the part was completed in the environment of the last failure.
 	proven bool
 	// environment is that of the last failure.
@@ -64,24 +73,46 @@
 // have run together.
 func (c *partCase) mustHoldPart() bool {
 	if c.proven {
-		return len(c.unexplained) >= failuresToHoldProven
+		return amountsTo(c.unexplainedEvidence, failuresToHoldProven)
 	}
-	return len(c.unexplained) >= failuresToHold || len(c.unexplained) > 0 && c.failures >= failuresToHoldAmbiguous
+	if len(c.unexplained) > 0 && amountsTo(c.evidence, failuresToHoldAmbiguous) {
+		return true
+	}
+	if amountsTo(c.unexplainedEvidence, failuresToHoldBroadly) && amountsTo(c.breadth, endingsToConfirm) {
+		return true
+	}
+	return amountsTo(c.unexplainedEvidence, failuresToHold)
 }
 
-// explains reports whether a part may be the cause of all endings of another case.
-func (c *partCase) explains(other *partCase) bool {
-	for _, runner := range other.unexplained {
-		if _, found := c.endings[runner]; !found {
-			return false
+// isAmbiguous reports whether other cases may be the causes of all failures of the case: a single
+// one, or several together each of which has at least as much evidence. Cases of proven parts
+// explain only those of proven parts.
+func (c *partCase) isAmbiguous(cases []*partCase) bool {
+	explained := map[string]bool{}
+	for _, other := range cases {
+		if other == c || other.proven && !c.proven {
+			continue
+		}
+		shared := 0
+		for _, runner := range c.unexplained {
+			if _, found := other.endings[runner]; !found {
+				continue
+			}
+			shared++
+			if other.unexplainedEvidence >= c.unexplainedEvidence {
+				explained[runner] = true
+			}
+		}
+		if shared == len(c.unexplained) {
+			return true
 		}
 	}
-	return true
+	return len(explained) == len(c.unexplained)
 }
 
 // explainedByOthers reports whether other held parts explain all endings of a held part: there
 // is another one for each ending, which has enough endings of its own.
-func explainedByOthers(endings map[string]time.Time, others []map[string]time.Time) bool {
+func explainedByOthers(endings map[string]observedEnding, others []map[string]observedEnding) bool {
 	open := len(endings)
 	explained := map[string]bool{}
 	for _, other := range others {
@@ -114,24 +145,21 @@
 		return 0
 	}
 	return cmp.Or(
-		cmp.Compare(provenFlag(a), provenFlag(b)), cmp.Compare(len(b.unexplained), len(a.unexplained)),
+		cmp.Compare(provenFlag(a), provenFlag(b)), cmp.Compare(b.unexplainedEvidence, a.unexplainedEvidence),
 		cmp.Compare(len(b.endings), len(a.endings)), cmp.Compare(a.part.Fingerprint, b.part.Fingerprint),
 	)
 }
 
 // nextPartToHold returns the case of the part that is held next, or nil if there is none. A
-// part is not held yet if another one without more evidence for it explains the same endings,
-// until the part has failuresToHoldAmbiguous failures.
+// part is not held yet while its case is ambiguous, until it has the evidence of
+// failuresToHoldAmbiguous failures.
 func nextPartToHold(cases []*partCase) *partCase {
 	slices.SortFunc(cases, compareCases)
 	for _, candidate := range cases {
 		if !candidate.mustHoldPart() {
 			continue
 		}
-		ambiguous := slices.ContainsFunc(cases, func(other *partCase) bool {
-			return other != candidate && (candidate.proven || !other.proven) && other.explains(candidate)
-		})
-		if !ambiguous || candidate.failures >= failuresToHoldAmbiguous {
+		if amountsTo(candidate.evidence, failuresToHoldAmbiguous) || !candidate.isAmbiguous(cases) {
 			return candidate
 		}
 	}
@@ -141,11 +169,15 @@
 // holdPart returns the hold of a part. Previous is the part's previous hold; the zero Hold if
 // there was none.
 func (c *partCase) holdPart(previous Hold, now time.Time) Hold {
-	decided := max(now.UnixMilli(), previous.Decided+1)
-	return Hold{
-		Fingerprint: c.part.Fingerprint, Decided: decided, Until: now.Add(partHoldDuration).UnixMilli(),
+	hold := Hold{
+		Fingerprint: c.part.Fingerprint, Decided: max(now.UnixMilli(), previous.Decided+1), Until: now.Add(partHoldDuration).UnixMilli(),
 		Length: partHoldDuration.Milliseconds(), Part: c.part.label(), Environment: c.environment, TrialAt: nextTrial(0, now),
+		Evidence: c.evidence,
+	}
+	if !amountsTo(c.evidence, endingsToConfirm) {
+		hold.Provisional, hold.TrialAt = true, now.UnixMilli()
 	}
+	return hold
 }
 
 // refutedBy reports whether a completion in an environment refutes the hold of a part.
--- a/internal/serving/quarantine/parts.go
+++ b/internal/serving/quarantine/parts.go
@@ -17,6 +17,11 @@
 	// completion of a part. The delay is random, so that few of the nodes that know one
 	// report it.
 	maxEvidenceDelay = 200 * time.Millisecond
+	// remoteDecisionDelay is the time from the last ending under a part to the decision of a
+	// node that observed none of them, and remoteDecisionSpread the longest further delay by
+	// which such nodes differ.
+	remoteDecisionDelay  = time.Second
+	remoteDecisionSpread = time.Second
 	// evidenceInterval is how much later than the last reported completion of a part another
 	// one must be to be reported.
 	evidenceInterval = 100 * time.Millisecond
@@ -25,17 +30,20 @@
 	maxEvidenceEntries = 4096
 )
 
-// heldPart returns the refusal of work that has a held part in its prompt. A part that is held
+// holdsOf returns the active holds of work and of the parts of its prompt. A part that is held
 // because of another service may be sent to a service where it was completed recently.
-func (c *Coordinator) heldPart(work *Work, now time.Time) (Refusal, bool) {
+func (c *Coordinator) holdsOf(work *Work, now time.Time) []Hold {
+	var holds []Hold
+	if hold, remaining := c.table.activeHold(work.Fingerprint, now); remaining > 0 {
+		holds = append(holds, hold)
+	}
 	for i := range work.Parts {
 		hold, remaining := c.table.activeHold(work.Parts[i].Fingerprint, now)
-		if remaining <= 0 || c.provenElsewhere(&hold, work.Service, now) || c.mayTry(work, &hold, now) {
-			continue
+		if remaining > 0 && !c.provenElsewhere(&hold, work.Service, now) {
+			holds = append(holds, hold)
 		}
-		return Refusal{Fingerprint: hold.Fingerprint, Part: work.Parts[i].label(), Remaining: remaining}, true
 	}
-	return Refusal{}, false
+	return holds
 }
 
 // provenElsewhere reports whether a part that is held because of one service was recently
@@ -73,6 +81,7 @@
 	run := Run{Start: ending.Runner, Version: ending.Version, Began: now.Add(-time.Duration(ending.RanMs) * time.Millisecond)}
 	if c.parts.RecordEnding(part, run, ending.Service, false, now) {
 		c.partDecisions.Trigger()
+		c.remoteDecisions.Trigger()
 	}
 	environment := Environment{ending.Service, ending.Version}
 	if _, known := c.parts.LastCompletion(part.Fingerprint, environment, now); known && !ending.CompletedBefore {
@@ -158,10 +167,10 @@
 			continue
 		}
 		klog.InfoS("part of prompts is held", "part", hold.Part, "fingerprint", hold.Fingerprint, "failures", decided.failures,
-			"unexplained", len(decided.unexplained), "endings", len(decided.endings), "completedBefore", decided.proven,
+			"evidence", hold.Evidence, "provisional", hold.Provisional, "unexplained", len(decided.unexplained), "endings", len(decided.endings), "completedBefore", decided.proven,
 			"service", decided.environment.Service, "version", decided.environment.Version, "runners", decided.unexplained)
 		c.distributeHold(hold, "runners ended")
-		c.explainEndings(hold.Fingerprint, now)
+		c.explainEndings(&hold, now)
 	}
 	for part, explained := c.parts.Explained(held); explained; part, explained = c.parts.Explained(held) {
 		lifted := c.table.Lift(part, now)
@@ -175,8 +184,8 @@
 
 // explainEndings attributes the endings under a held part to it, and lifts the holds of
 // requests that were held because of these endings only.
-func (c *Coordinator) explainEndings(part Fingerprint, now time.Time) {
-	for _, lifted := range c.table.Explain(c.parts.EndingsOf(part), now) {
+func (c *Coordinator) explainEndings(hold *Hold, now time.Time) {
+	for _, lifted := range c.table.Explain(c.parts.EndingsOf(hold.Fingerprint), !hold.Provisional, now) {
 		c.distributeHold(lifted, "a part of prompts explains the endings")
 	}
 }
@@ -191,7 +200,7 @@
 	if hold.Part == "" {
 		return
 	}
-	c.explainEndings(hold.Fingerprint, now)
+	c.explainEndings(&hold, now)
 	completed, known := c.parts.LastCompletion(hold.Fingerprint, hold.Environment, now)
 	if known && completed.UnixMilli() > hold.Decided {
 		c.liftRefuted(hold.Fingerprint, hold.Environment, now)
--- a/internal/serving/quarantine/parttable.go
+++ b/internal/serving/quarantine/parttable.go
@@ -19,8 +19,8 @@
 // partSuspect is the state of a part with endings.
 type partSuspect struct {
 	part Part
-	// endings contains the time at which each ending was recorded, by the runner's start.
-	endings  map[string]time.Time
+	// endings contains the endings by the runner's start.
+	endings  map[string]observedEnding
 	failures []failure
 	// lastEnding is the time at which the latest ending was recorded.
 	lastEnding time.Time
@@ -32,6 +32,8 @@
 // are evidence for parts. It is safe for concurrent use.
 type PartTable struct {
 	completions *completionLog
+	// background weighs the endings.
+	background *background
 
 	mutex    sync.Mutex
 	suspects map[Fingerprint]*partSuspect
@@ -40,9 +42,11 @@
 	evicted   uint64
 }
 
-// NewPartTable returns an empty table.
-func NewPartTable() *PartTable {
-	return &PartTable{completions: newCompletionLog(), suspects: map[Fingerprint]*partSuspect{}}
+// NewPartTable returns an empty table in which all endings count in full.
+func NewPartTable() *PartTable { return newPartTable(newBackground()) }
+
+func newPartTable(background *background) *PartTable {
+	return &PartTable{completions: newCompletionLog(), background: background, suspects: map[Fingerprint]*partSuspect{}}
 }
 
 // Suspected reports whether runners ended under the part since its last completion.
@@ -72,7 +76,7 @@
 	entry := t.suspects[part.Fingerprint]
 	if entry == nil {
 		t.evictOldest()
-		entry = &partSuspect{part: part, endings: map[string]time.Time{}}
+		entry = &partSuspect{part: part, endings: map[string]observedEnding{}}
 		t.suspects[part.Fingerprint] = entry
 		t.suspected.Store(part.Fingerprint, true)
 	}
@@ -89,16 +93,17 @@
 	if _, counted := s.endings[run.Start]; counted || len(s.endings) >= maxPartEndings {
 		return false
 	}
-	s.endings[run.Start], s.lastEnding = now, now
+	ending := run.endedAt(now, environment.Service)
+	s.endings[run.Start], s.lastEnding = ending, now
 	if len(s.failures) == 0 || !run.Began.Before(s.failures[len(s.failures)-1].at) {
-		s.failures = append(s.failures, failure{run.Start, now, environment})
+		s.failures = append(s.failures, failure{ending, environment})
 	}
 	return true
 }
 
 // expire removes the endings that are older than partEndingTTL.
 func (s *partSuspect) expire(now time.Time) {
-	maps.DeleteFunc(s.endings, func(_ string, at time.Time) bool { return now.Sub(at) > partEndingTTL })
+	maps.DeleteFunc(s.endings, func(_ string, ending observedEnding) bool { return now.Sub(ending.at) > partEndingTTL })
 	s.failures = slices.DeleteFunc(s.failures, func(s failure) bool { return now.Sub(s.at) > partEndingTTL })
 }
 
@@ -149,8 +154,9 @@
 }
 
 // Decide returns the cases of the parts that have to be held now, in the order in which they
-// are held. Held reports whether a part is held already. Only a node that observed an ending
-// under a part decides to hold it: other nodes may lack evidence for the part.
+// are held. Held reports whether a part is held already. A node that observed no ending under a
+// part decides to hold it only remoteDecisionDelay after the last one: it may lack evidence for
+// the part until then, and the nodes that observed one may be gone after it.
 func (t *PartTable) Decide(held func(Fingerprint) bool, now time.Time) []*partCase {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -169,7 +175,7 @@
 		if next == nil {
 			return decided
 		}
-		if t.suspects[next.part.Fingerprint].local {
+		if suspect := t.suspects[next.part.Fingerprint]; suspect.local || now.Sub(suspect.lastEnding) >= remoteDecisionDelay {
 			decided = append(decided, next)
 		}
 		markExplained(explained, next.endings)
@@ -177,13 +183,19 @@
 	}
 }
 
-// ReduceFailures keeps so few failures of a part whose hold was lifted that it is held again after one
-// more failure.
+// ReduceFailures keeps so few failures of a part whose hold was lifted, and no other endings, that
+// it is held again after one more failure.
 func (t *PartTable) ReduceFailures(part Fingerprint) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if entry := t.suspects[part]; entry != nil {
-		entry.failures = entry.failures[:min(len(entry.failures), failuresToHold-1)]
+	entry := t.suspects[part]
+	if entry == nil {
+		return
+	}
+	entry.failures = entry.failures[:min(len(entry.failures), failuresToHold-1)]
+	clear(entry.endings)
+	for i := range entry.failures {
+		entry.endings[entry.failures[i].runner] = entry.failures[i].observedEnding
 	}
 }
 
@@ -203,7 +215,7 @@
 		return cmp.Or(cmp.Compare(len(a.endings), len(b.endings)), cmp.Compare(a.part.Fingerprint, b.part.Fingerprint))
 	})
 	for _, entry := range suspects {
-		var others []map[string]time.Time
+		var others []map[string]observedEnding
 		for _, other := range suspects {
 			if other != entry {
 				others = append(others, other.endings)
@@ -227,7 +239,21 @@
 	return slices.Sorted(maps.Keys(entry.endings))
 }
 
-func markExplained(explained map[string]bool, endings map[string]time.Time) {
+// Weight returns the weight of an ending under a part.
+func (t *PartTable) Weight(part Fingerprint, ending *observedEnding) float64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	entry := t.suspects[part]
+	return t.background.weight(ending, func(start string) bool { return entry != nil && entry.has(start) }, ending.at)
+}
+
+// has reports whether a runner ended under the part.
+func (s *partSuspect) has(start string) bool {
+	_, found := s.endings[start]
+	return found
+}
+
+func markExplained(explained map[string]bool, endings map[string]observedEnding) {
 	for runner := range endings {
 		explained[runner] = true
 	}
@@ -244,9 +270,17 @@
 		last := entry.failures[len(entry.failures)-1].environment
 		_, proven := t.completions.last(entry.part.Fingerprint, last, now)
 		found := &partCase{part: entry.part, failures: len(entry.failures), endings: entry.endings, proven: proven, environment: last}
-		for _, s := range entry.failures {
-			if !explained[s.runner] {
-				found.unexplained = append(found.unexplained, s.runner)
+		for i := range entry.failures {
+			weight := t.background.weight(&entry.failures[i].observedEnding, entry.has, now)
+			found.evidence += weight
+			if runner := entry.failures[i].runner; !explained[runner] {
+				found.unexplained = append(found.unexplained, runner)
+				found.unexplainedEvidence += weight
+			}
+		}
+		for runner, ending := range entry.endings {
+			if !explained[runner] {
+				found.breadth += t.background.weight(&ending, entry.has, now)
 			}
 		}
 		if len(found.unexplained) > 0 {
--- a/internal/serving/quarantine/restart.go
+++ b/internal/serving/quarantine/restart.go
@@ -23,6 +23,8 @@
 	work *Work
 	run  Run
 	at   time.Time
+	// trials are the holds of which the run was the trial.
+	trials []Fingerprint
 }
 
 // restartLog matches broken runs with restarts of their runners. A runner that restarts
--- a/internal/serving/quarantine/sync.go
+++ b/internal/serving/quarantine/sync.go
@@ -63,9 +63,12 @@
 	if err != nil {
 		klog.ErrorS(err, "decoding the stored quarantine failed in part or as a whole", "revision", revision)
 	}
+	stored := make(map[Fingerprint]Hold, len(holds))
 	for _, hold := range holds {
+		stored[hold.Fingerprint] = hold
 		c.applyHold(hold, "store")
 	}
+	c.stored.Store(&stored)
 }
 
 // ServeAdmin handles an operator's request. It lifts a hold if the request names one,
--- a/internal/serving/quarantine/table.go
+++ b/internal/serving/quarantine/table.go
@@ -18,8 +18,8 @@
 
 // suspect is the state of a request with endings.
 type suspect struct {
-	// endings contains the time at which each ending was recorded, by runner.
-	endings map[string]time.Time
+	// endings contains the endings by runner.
+	endings map[string]observedEnding
 	// lastEnding is the time at which the latest ending was recorded.
 	lastEnding time.Time
 	// local is set if this node observed an ending of the request, even if that ending
@@ -45,6 +45,9 @@
 // led to a hold count against another request only if this request may be their cause
 // as well (mayBeCause).
 type SuspectTable struct {
+	// background weighs the endings.
+	background *background
+
 	mutex    sync.Mutex
 	suspects map[Fingerprint]*suspect
 	holds    map[Fingerprint]Hold
@@ -58,9 +61,11 @@
 	suspectedFingerprints sync.Map
 }
 
-// NewSuspectTable returns an empty table.
-func NewSuspectTable() *SuspectTable {
-	t := &SuspectTable{suspects: map[Fingerprint]*suspect{}, holds: map[Fingerprint]Hold{}, attributed: map[string]time.Time{}}
+// NewSuspectTable returns an empty table in which all endings count in full.
+func NewSuspectTable() *SuspectTable { return newSuspectTable(newBackground()) }
+
+func newSuspectTable(background *background) *SuspectTable {
+	t := &SuspectTable{background: background, suspects: map[Fingerprint]*suspect{}, holds: map[Fingerprint]Hold{}, attributed: map[string]time.Time{}}
 	t.publish()
 	return t
 }
@@ -104,43 +109,61 @@
 // RecordEnding records that a runner ended while it ran a request, and holds the request
 // if this was the last ending that a hold requires (mustHold). Local states that this
 // node observed the ending itself.
-func (t *SuspectTable) RecordEnding(fingerprint Fingerprint, runner string, local bool, now time.Time) EndingOutcome {
+func (t *SuspectTable) RecordEnding(fingerprint Fingerprint, ending observedEnding, local bool) EndingOutcome {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	entry := t.suspects[fingerprint]
-	if _, attributed := t.attributed[runner]; attributed && !entry.mayBeCause() {
+	entry, now := t.suspects[fingerprint], ending.at
+	if _, attributed := t.attributed[ending.runner]; attributed && !entry.mayBeCause() {
 		return EndingOutcome{}
 	}
 	if entry == nil {
 		t.evictOldest()
-		entry = &suspect{endings: map[string]time.Time{}}
+		entry = &suspect{endings: map[string]observedEnding{}}
 		t.suspects[fingerprint] = entry
 		t.suspectedFingerprints.Store(fingerprint, true)
 	}
-	maps.DeleteFunc(entry.endings, func(_ string, at time.Time) bool { return now.Sub(at) > endingTTL })
-	if _, counted := entry.endings[runner]; counted {
+	maps.DeleteFunc(entry.endings, func(_ string, earlier observedEnding) bool { return now.Sub(earlier.at) > endingTTL })
+	if _, counted := entry.endings[ending.runner]; counted {
 		return EndingOutcome{}
 	}
-	entry.endings[runner], entry.lastEnding = now, now
+	entry.endings[ending.runner], entry.lastEnding = ending, now
 	entry.local = entry.local || local
-	previous := t.holds[fingerprint]
-	if !mustHold(len(entry.endings), previous, now) {
+	previous, evidence := t.holds[fingerprint], t.evidenceOf(entry, now)
+	if !mustHold(evidence, previous, now) {
 		return EndingOutcome{Counted: true}
 	}
-	hold := nextHold(fingerprint, previous, now)
+	hold := nextHold(fingerprint, evidence, previous, now)
 	t.putHold(hold)
 	t.publish()
 	t.attribute(entry.endings, now)
 	return EndingOutcome{Counted: true, Hold: &hold, Local: entry.local}
 }
 
+// evidenceOf returns the sum of the weights of a suspect's endings. The caller holds the mutex.
+func (t *SuspectTable) evidenceOf(entry *suspect, now time.Time) float64 {
+	return t.background.evidenceOf(slices.Collect(maps.Values(entry.endings)), now)
+}
+
+// Weight returns the weight of an ending that counts against a request.
+func (t *SuspectTable) Weight(fingerprint Fingerprint, ending *observedEnding) float64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	own := map[string]bool{}
+	if entry := t.suspects[fingerprint]; entry != nil {
+		for runner := range entry.endings {
+			own[runner] = true
+		}
+	}
+	return t.background.weight(ending, func(start string) bool { return own[start] }, ending.at)
+}
+
 // mayBeCause reports whether endings that are attributed to another request count
 // against this request too; false if the receiver is nil.
 func (s *suspect) mayBeCause() bool { return s != nil && mayBeCause(len(s.endings)) }
 
 // attribute records that the endings are attributed to a held request and removes all
 // attributed endings from bystanders. The caller holds the mutex.
-func (t *SuspectTable) attribute(endings map[string]time.Time, now time.Time) {
+func (t *SuspectTable) attribute(endings map[string]observedEnding, now time.Time) {
 	maps.DeleteFunc(t.attributed, func(_ string, at time.Time) bool { return now.Sub(at) > endingTTL })
 	for runner := range endings {
 		t.attributed[runner] = now
@@ -149,7 +172,7 @@
 		if other.mayBeCause() {
 			continue
 		}
-		maps.DeleteFunc(other.endings, func(runner string, _ time.Time) bool {
+		maps.DeleteFunc(other.endings, func(runner string, _ observedEnding) bool {
 			_, attributed := t.attributed[runner]
 			return attributed
 		})
@@ -159,10 +182,10 @@
 	}
 }
 
-// Explain attributes endings to a held part of prompts. A request all of whose endings are
-// among them is no longer suspected, and its hold is lifted. Explain returns the lifted holds of
-// requests of which this node observed an ending.
-func (t *SuspectTable) Explain(runners []string, now time.Time) []Hold {
+// Explain attributes endings to a held part of prompts. The hold of a request all of whose endings
+// are among them is lifted, and if the part's hold is confirmed, the request is no longer
+// suspected. Explain returns the lifted holds of requests of which this node observed an ending.
+func (t *SuspectTable) Explain(runners []string, confirmed bool, now time.Time) []Hold {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	explained := map[string]bool{}
@@ -174,7 +197,9 @@
 		if !entry.isExplained(explained) {
 			continue
 		}
-		t.removeSuspect(fingerprint)
+		if confirmed {
+			t.removeSuspect(fingerprint)
+		}
 		if lifted := t.lift(fingerprint, now); lifted != nil && entry.local {
 			distributed = append(distributed, *lifted)
 		}
--- a/internal/serving/quarantine/table_test.go
+++ b/internal/serving/quarantine/table_test.go
@@ -11,6 +11,11 @@
 
 var start = time.Unix(1_000_000, 0)
 
+// endingOf returns the ending of a runner.
+func endingOf(runner string, at time.Time) observedEnding {
+	return observedEnding{runner: runner, at: at}
+}
+
 // hold records endings until the request is held and returns the hold.
 func hold(table *SuspectTable, fingerprint Fingerprint, prefix string, now time.Time) *Hold {
 	for number := range EndingsToHold {
@@ -18,7 +23,7 @@
 		if number == EndingsToHold-1 {
 			name = prefix + "last"
 		}
-		if decided := table.RecordEnding(fingerprint, name, true, now).Hold; decided != nil {
+		if decided := table.RecordEnding(fingerprint, endingOf(name, now), true).Hold; decided != nil {
 			return decided
 		}
 	}
@@ -31,16 +36,16 @@
 	is := is.New(t)
 	table := NewSuspectTable()
 	for repeat := range 5 { // repeated reports of one runner count once
-		outcome := table.RecordEnding(1, "r0", true, start)
+		outcome := table.RecordEnding(1, endingOf("r0", start), true)
 		is.True(outcome.Hold == nil)
 		is.Equal(outcome.Counted, repeat == 0)
 	}
 	for number := 1; number < EndingsToHold-1; number++ {
-		is.True(table.RecordEnding(1, fmt.Sprint("r", number), true, start).Hold == nil)
+		is.True(table.RecordEnding(1, endingOf(fmt.Sprint("r", number), start), true).Hold == nil)
 	}
 	_, held := table.Held(1, start)
 	is.True(!held)
-	outcome := table.RecordEnding(1, "r9", false, start)
+	outcome := table.RecordEnding(1, endingOf("r9", start), false)
 	is.True(outcome.Hold != nil)
 	is.True(outcome.Local) // this node observed some of the endings
 	left, held := table.Held(1, start)
@@ -68,9 +73,9 @@
 			break
 		}
 		now = now.Add(length)
-		before := table.RecordEnding(1, fmt.Sprint("before", number), true, now.Add(-1)).Hold
+		before := table.RecordEnding(1, endingOf(fmt.Sprint("before", number), now.Add(-1)), true).Hold
 		is.True(before == nil) // the last hold is still active
-		decided = table.RecordEnding(1, fmt.Sprint("again", number), true, now.Add(endingTTL/100)).Hold
+		decided = table.RecordEnding(1, endingOf(fmt.Sprint("again", number), now.Add(endingTTL/100)), true).Hold
 		if decided == nil { // the earlier endings have expired
 			decided = hold(table, 1, fmt.Sprint("life", number), now.Add(endingTTL/100))
 		}
@@ -84,7 +89,7 @@
 	table := NewSuspectTable()
 	for number := range 4 * EndingsToHold {
 		now := start.Add(time.Duration(number) * endingTTL)
-		is.True(table.RecordEnding(1, fmt.Sprint("r", number), true, now).Hold == nil)
+		is.True(table.RecordEnding(1, endingOf(fmt.Sprint("r", number), now), true).Hold == nil)
 	}
 }
 
@@ -109,11 +114,11 @@
 func TestAttributedEndingsAreNotCountedAgainstBystanders(t *testing.T) {
 	is := is.New(t)
 	table := NewSuspectTable()
-	table.RecordEnding(2, "r0", true, start)
+	table.RecordEnding(2, endingOf("r0", start), true)
 	hold(table, 1, "r", start)
 	is.True(!table.Suspected(2))
-	is.True(!table.RecordEnding(2, "rlast", false, start).Counted) // reported late
-	is.True(table.RecordEnding(2, "another", false, start).Counted)
+	is.True(!table.RecordEnding(2, endingOf("rlast", start), false).Counted) // reported late
+	is.True(table.RecordEnding(2, endingOf("another", start), false).Counted)
 	is.True(table.Suspected(2))
 	_, held := table.Held(2, start)
 	is.True(!held)
@@ -125,11 +130,11 @@
 	is := is.New(t)
 	table := NewSuspectTable()
 	for number := range EndingsToHold - 1 {
-		table.RecordEnding(2, fmt.Sprint("r", number), true, start)
+		table.RecordEnding(2, endingOf(fmt.Sprint("r", number), start), true)
 	}
 	hold(table, 1, "r", start)
 	is.True(table.Suspected(2))
-	is.True(table.RecordEnding(2, "rlast", false, start).Hold != nil)
+	is.True(table.RecordEnding(2, endingOf("rlast", start), false).Hold != nil)
 }
 
 // The table's size is bounded, and the latest entries stay.
@@ -139,7 +144,7 @@
 	for number := range maxSuspects + 50 {
 		table.mutex.Lock()
 		table.evictOldest()
-		table.suspects[Fingerprint(number)] = &suspect{lastEnding: start.Add(time.Duration(number)), endings: map[string]time.Time{}}
+		table.suspects[Fingerprint(number)] = &suspect{lastEnding: start.Add(time.Duration(number)), endings: map[string]observedEnding{}}
 		table.mutex.Unlock()
 	}
 	is.Equal(len(table.suspects), maxSuspects)
--- a/internal/serving/quarantine/trial_test.go
+++ b/internal/serving/quarantine/trial_test.go
@@ -20,9 +20,9 @@
 	return work, !held
 }
 
-// holdPart lets runners end under a part until it is held.
+// holdPart lets runners end under a part until its hold is confirmed.
 func (n *partNetwork) holdPart() {
-	for number := range failuresToHold {
+	for number := range endingsToConfirm {
 		n.crash(0, promptWork(number, "part"))
 	}
 	n.decide()
@@ -44,8 +44,8 @@
 	return sent
 }
 
-// A held part is tried by one request in the whole fleet when a trial is due, and not again before
-// the next trial.
+// A part whose hold is confirmed is tried by one request in the whole fleet when a trial is due, and
+// not again before the next trial.
 func TestHeldPartIsTriedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -80,7 +80,7 @@
 	})
 }
 
-// Without the store there is no trial.
+// Without the store there is no trial of a confirmed hold.
 func TestNoTrialWithoutTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := newPartNetwork(2)
--- a/internal/serving/quarantine/work.go
+++ b/internal/serving/quarantine/work.go
@@ -20,10 +20,10 @@
 	// Parts identifies the parts of the prompt that other requests may share, without
 	// repetitions and at most MaxParts of them.
 	Parts []Part
-	// MayTry permits that the work is the trial of a held part.
+	// MayTry permits that the work is the trial of a hold.
 	MayTry bool
-	// trial is the held part of which this work is the trial; 0 if it is none.
-	trial Fingerprint
+	// trials contains the held request and the held parts of which this work is the trial.
+	trials []Fingerprint
 }
 
 // Part is a part of the prompts of one tenant.
@@ -65,6 +65,17 @@
 	}
 }
 
+// labelOf returns the name of the part of the work that a hold names; empty if it is the work as a
+// whole that is held.
+func (w *Work) labelOf(hold *Hold) string {
+	for i := range w.Parts {
+		if w.Parts[i].Fingerprint == hold.Fingerprint {
+			return w.Parts[i].label()
+		}
+	}
+	return ""
+}
+
 // label returns the name of the part, or its fingerprint if the name is unknown.
 func (p *Part) label() string {
 	if p.Name == "" {
@@ -80,8 +91,15 @@
 	Address string
 	// Version is the version of the runner's software.
 	Version string
-	// Began is when the request was sent to the runner.
-	Began time.Time
+	// Began is when the request was sent to the runner, and FirstEvent when the first event of
+	// the response came; zero if there was none.
+	Began      time.Time
+	FirstEvent time.Time
+}
+
+// endedAt returns the ending of the run's runner.
+func (r *Run) endedAt(now time.Time, service string) observedEnding {
+	return observedEnding{runner: r.Start, service: service, at: now, ran: max(0, now.Sub(r.Began))}
 }
 
 // Refusal says why a request must not be sent to runners.
--- a/internal/serving/runnerset/runner.go
+++ b/internal/serving/runnerset/runner.go
@@ -129,6 +129,18 @@
 	}
 }
 
+// Knows reports whether the list has, or lately had, the runner with the given start, or an earlier
+// or later start of it.
+func (s *Set) Knows(start string) bool {
+	id, _, _ := strings.Cut(start, startSeparator)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.byID[id] != nil
+}
+
+// ServiceSize returns the number of runners that Service returns.
+func (s *Set) ServiceSize(service string) int { return len(s.Service(service)) }
+
 // RecordItemError records that the runner responded to a batch item with an error; item
 // identifies the item's content. It has no effect if too many other runners are ejected.
 func (r *Runner) RecordItemError(item string, now time.Time) {
--- a/lab/platformday/crashing_test.go
+++ b/lab/platformday/crashing_test.go
@@ -76,6 +76,7 @@
 // and without retries, as an item of a job, and across restarts of all nodes. Other
 // requests and the other items of the job must be served.
 func TestCrashingRequestEndsFewRunners(t *testing.T) {
+	t.Parallel()
 	folder := t.TempDir()
 	d, err := open(t.Context(), Options{
 		Program: build(t, folder), Folder: folder, Seed: 1, Progress: os.Stderr,
--- a/lab/platformday/crashingparts_test.go
+++ b/lab/platformday/crashingparts_test.go
@@ -49,6 +49,7 @@
 // Few requests with a part that crashes runners may reach runners once this part can be known,
 // wherever it stands in the prompt. Sound requests with the same other parts must be served.
 func TestPartThatCrashesRunnersReachesFewOfThem(t *testing.T) {
+	t.Parallel() // most of the time is spent waiting
 	program := build(t, t.TempDir())
 	tests := []crashingPartCase{
 		{name: "first", prompt: func(random *rand.Rand) []string { return []string{deadlyPart, secondPart(random)} }, parts: []string{deadlyPart}},
@@ -64,7 +65,10 @@
 		},
 	}
 	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) { checkCrashingPart(t, program, test) })
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			checkCrashingPart(t, program, test)
+		})
 	}
 }
 
@@ -119,6 +123,7 @@
 // and the other items of their jobs are completed. Requests of callers with the part are refused
 // from then on, also after all nodes were killed.
 func TestPartOfItemsThatCrashesRunnersReachesFewOfThem(t *testing.T) {
+	t.Parallel()
 	folder := t.TempDir()
 	d, err := open(t.Context(), Options{
 		Program: build(t, folder), Folder: folder, Seed: 1, Progress: os.Stderr, Runners: 8,
--- a/lab/platformday/lateroute_test.go
+++ b/lab/platformday/lateroute_test.go
@@ -21,6 +21,7 @@
 // Guards against accepted items that end unrun (review/1): the store serves the storage nodes
 // nothing while a batch route is added, and an edge that knows the route accepts a job on it.
 func TestJobOnRouteThatStorageNodesDoNotKnowYet(t *testing.T) {
+	t.Parallel()
 	folder := t.TempDir()
 	d, err := open(t.Context(), Options{Program: build(t, folder), Folder: folder, Seed: 1, Progress: os.Stderr})
 	if err != nil {
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -135,6 +135,7 @@
 	})
 	m.holdWriter = quarantine.NewHoldWriter(store)
 	m.quarantine = quarantine.NewCoordinator(directory, pool, prober, m.holdWriter, registry)
+	m.quarantine.SetRunners(m.informer.Runners)
 	m.informer.Quarantine = m.quarantine
 	m.informer.Runners.SetMemory(m.runnerMemory)
 	m.informer.Runners.OnRestart(func(earlier *runnerset.Runner) { m.quarantine.RecordRestart(earlier.StartID()) })
--- a/modules/serving/router/crashes.go
+++ b/modules/serving/router/crashes.go
@@ -29,16 +29,30 @@
 	return result.New(result.Quarantined, "%v", refusal).WithRetryAfter(refusal.Remaining)
 }
 
-// recordBrokenRun records that the request may have run, and counts the lost stream
-// against the request if its engine has ended. It does not count a lost link between
-// nodes, since that says nothing about the engine, or a run that was not a suspect
-// (quarantine.IsSuspectRun).
+// recordBrokenRun records that the request may have run, and reports the lost stream to the
+// quarantine, which counts it against the request if its engine has ended. It does not report a
+// lost link between nodes, since that says nothing about the engine.
 func (g *generation) recordBrokenRun(cause error) {
 	g.mayHaveRun = true
-	if errors.Is(cause, rpc.ErrLinkLost) || !quarantine.IsSuspectRun(g.firstEvent, time.Now()) {
+	if errors.Is(cause, rpc.ErrLinkLost) {
 		return
 	}
 	if listed, known := g.module.runnerTables.Table().ByID[g.runner]; known {
-		g.module.guard.RecordBrokenRun(g.work, quarantine.Run{Start: g.runner, Address: listed.Address})
+		g.module.guard.RecordBrokenRun(g.work, g.quarantineRun(listed.Address))
 	}
 }
+
+// quarantineRun describes the current run to the quarantine.
+func (g *generation) quarantineRun(address string) quarantine.Run {
+	return quarantine.Run{Start: g.runner, Address: address, Began: g.began, FirstEvent: g.firstEvent}
+}
+
+// recordSurvival reports to the quarantine, once for each attempt, that the engine has gone on
+// after the time in which requests crash engines.
+func (g *generation) recordSurvival() {
+	if g.survived || quarantine.IsSuspectRun(g.firstEvent, time.Now()) {
+		return
+	}
+	g.survived = true
+	g.module.guard.RecordSurvival(g.work, g.quarantineRun(""))
+}
--- a/modules/serving/router/generate.go
+++ b/modules/serving/router/generate.go
@@ -88,16 +88,19 @@
 	nextEvent uint32
 	// mayHaveRun is set if an attempt may have run, that is, once a stream was lost.
 	mayHaveRun bool
-	// firstEvent is the arrival time of the current stream's first event; zero if there
-	// was none yet.
+	// began is when the current attempt began, and firstEvent the arrival time of its stream's
+	// first event; zero if there was none yet.
+	began      time.Time
 	firstEvent time.Time
+	// survived is set once recordSurvival has reported the current attempt.
+	survived bool
 }
 
 // Generate runs the request and calls emit for each chunk. It returns when the response
 // is complete or has failed. After a failure the usage may be incomplete. An error of
 // emit ends the response.
 func (m *Module) Generate(ctx context.Context, request *Request, emit func(Chunk) error) (Usage, error) {
-	g := &generation{module: m, request: request, work: &quarantine.Work{ID: request.ID, Fingerprint: request.fingerprint()}, emit: emit}
+	g := &generation{module: m, request: request, work: &quarantine.Work{ID: request.ID, Fingerprint: request.fingerprint(), MayTry: true}, emit: emit}
 	if snapshot := m.snapshots.Snapshot(); snapshot != nil {
 		m.budget.Deposit(snapshot.Policy.RetryBudget)
 	}
@@ -107,6 +110,7 @@
 
 // run makes attempts until the response is complete, has failed or is refused.
 func (g *generation) run(ctx context.Context) error {
+	defer func() { g.module.guard.ReturnTrials(g.work) }()
 	refusals, continuations := 0, 0
 	ownershipDeadline := time.Now().Add(ownershipChangeTimeout)
 	for {
@@ -115,7 +119,7 @@
 		}
 		err := g.dispatch(ctx)
 		if err == nil {
-			g.module.guard.RecordCompletion(g.work, quarantine.Run{Start: g.runner})
+			g.module.guard.RecordCompletion(g.work, g.quarantineRun(""))
 			return nil
 		}
 		if ctx.Err() != nil {
@@ -211,7 +215,7 @@
 	}
 	g.attempt++
 	g.streamID = fmt.Sprintf("%s.%d", g.request.ID, g.attempt)
-	g.ownerID, g.runner, g.nextEvent, g.firstEvent = chosen, "", 0, time.Time{}
+	g.ownerID, g.runner, g.nextEvent, g.began, g.firstEvent, g.survived = chosen, "", 0, time.Now(), time.Time{}, false
 	state := g.module.owner(chosen)
 	state.inFlight.Add(1)
 	defer state.inFlight.Add(-1)
--- a/modules/serving/router/stream.go
+++ b/modules/serving/router/stream.go
@@ -128,6 +128,7 @@
 	if g.firstEvent.IsZero() {
 		g.firstEvent = time.Now()
 	}
+	g.recordSurvival()
 	if event.PromptTokens > 0 {
 		g.usage = Usage{PromptTokens: int(event.PromptTokens), CompletionTokens: g.tokens}
 	}
