A probe shows only later moments, and only if its connection lasts

Cause: 'not ended' of a probe was reused for 0.3 s after it; and a machine still accepts a connection while it closes the sockets of a process that ends. Ruled out: loss in our own buffers.

Change: CrashDetector answers 'not ended' only from a probe that began after the question; httpcall.ConnectionRefused dials again if the connection does not last 10 ms.

--- a/internal/serving/quarantine/witness.go
+++ b/internal/serving/quarantine/witness.go
@@ -20,68 +20,82 @@
 	// probeTimeout bounds a probe. A machine whose runner has ended refuses the
 	// connection within one round trip.
 	probeTimeout = 60 * time.Millisecond
-	// probeResultTTL is how long a result is reused for other requests at the same
-	// runner. All requests at a runner break at the same time when it ends.
-	probeResultTTL = 300 * time.Millisecond
-	// maxProbeResults is the maximum number of cached results. At the maximum all of
-	// them are dropped.
-	maxProbeResults = 256
+	// endedTTL is how long the end of a runner is remembered for other requests there. All
+	// requests at a runner break at the same time when it ends.
+	endedTTL = 300 * time.Millisecond
+	// maxEndedStarts is the maximum number of remembered ends. At the maximum all of them are
+	// forgotten.
+	maxEndedStarts = 256
 )
 
 // CrashDetector distinguishes a runner that ended from a broken connection. It probes
 // the runner, and shares the result among requests that break together. It is safe for
 // concurrent use.
 type CrashDetector struct {
-	prober  Prober
-	probes  singleflight.Group // by start of a runner
-	mutex   sync.Mutex
-	results map[string]probeResult // by start of a runner
+	prober Prober
+	probes singleflight.Group // by start of a runner
+	mutex  sync.Mutex
+	// ended contains the times of the probes that found a runner ended, by its start.
+	ended map[string]time.Time
 }
 
-// probeResult is the result of the probe of a runner, and the time of the probe.
+// probeResult is the result of a probe.
 type probeResult struct {
 	ended bool
-	at    time.Time
+	began time.Time
 }
 
 // NewCrashDetector returns a detector that uses the prober.
 func NewCrashDetector(prober Prober) *CrashDetector {
-	return &CrashDetector{prober: prober, results: map[string]probeResult{}}
+	return &CrashDetector{prober: prober, ended: map[string]time.Time{}}
 }
 
-// HasEnded reports whether the runner of a broken request has ended, according to a
-// probe of its address or to a result of the last probeResultTTL. It returns false if
-// the probe is inconclusive. start identifies the start of the runner.
+// HasEnded reports whether the runner of a broken request has ended, according to a probe of
+// its address. That a runner was alive says nothing about later moments, so only a probe that
+// began after the call can return false; that it has ended may be known for up to endedTTL.
+// HasEnded returns false if the probe is inconclusive. start identifies the start of the runner.
 func (d *CrashDetector) HasEnded(start, address string) bool {
-	// The function below returns no error.
-	ended, _, _ := d.probes.Do(start, func() (any, error) {
-		if refused, known := d.cachedResult(start); known {
-			return refused, nil
+	called := time.Now()
+	for {
+		// The function below returns no error. The first call may join an earlier probe, the
+		// second one can't.
+		shared, _, _ := d.probes.Do(start, func() (any, error) { return d.probe(start, address), nil })
+		result := shared.(probeResult)
+		if result.ended || !result.began.Before(called) {
+			return result.ended
 		}
-		// All waiting requests share the probe, so it does not use a request's context.
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		defer cancel()
-		refused := d.prober.ConnectionRefused(ctx, address)
-		d.cacheResult(start, refused)
-		return refused, nil
-	})
-	return ended.(bool)
+	}
+}
+
+// probe probes a runner, unless its end is known.
+func (d *CrashDetector) probe(start, address string) probeResult {
+	began := time.Now()
+	if d.knowsEnd(start, began) {
+		return probeResult{true, began}
+	}
+	// All waiting requests share the probe, so it does not use a request's context.
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	refused := d.prober.ConnectionRefused(ctx, address)
+	if refused {
+		d.rememberEnd(start, began)
+	}
+	return probeResult{refused, began}
 }
 
-// cachedResult returns the cached result for a start of a runner; valid is false if there is none
-// or it is older than probeResultTTL.
-func (d *CrashDetector) cachedResult(start string) (ended, valid bool) {
+// knowsEnd reports whether the end of a start of a runner is remembered.
+func (d *CrashDetector) knowsEnd(start string, now time.Time) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	cached, valid := d.results[start]
-	return cached.ended, valid && time.Since(cached.at) < probeResultTTL
+	at, known := d.ended[start]
+	return known && now.Sub(at) < endedTTL
 }
 
-func (d *CrashDetector) cacheResult(start string, ended bool) {
+func (d *CrashDetector) rememberEnd(start string, at time.Time) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if len(d.results) >= maxProbeResults {
-		clear(d.results)
+	if len(d.ended) >= maxEndedStarts {
+		clear(d.ended)
 	}
-	d.results[start] = probeResult{ended, time.Now()}
+	d.ended[start] = at
 }
--- a/internal/transport/httpcall/client_test.go
+++ b/internal/transport/httpcall/client_test.go
@@ -253,3 +253,33 @@
 	is.True(client.ConnectionRefused(t.Context(), address))
 	is.True(!client.ConnectionRefused(t.Context(), "http://"))
 }
+
+// Guards against a process that counts as alive because the machine still accepts a connection while
+// it closes the sockets of the process (review/2). A live process that resets one connection is alive.
+func TestConnectionThatIsClosedAtOnceIsDialledAgain(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		ends bool
+	}{{"the process ends", true}, {"the process resets one connection", false}} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer func() { _ = listener.Close() }()
+			go func() {
+				first, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				if test.ends {
+					_ = listener.Close()
+				}
+				_ = first.(*net.TCPConn).SetLinger(0)
+				_ = first.Close()
+			}()
+			client := NewClient(nil)
+			defer client.CloseIdle()
+			is.Equal(client.ConnectionRefused(t.Context(), "http://"+listener.Addr().String()+"/"), test.ends)
+		})
+	}
+}
--- a/internal/transport/httpcall/connections.go
+++ b/internal/transport/httpcall/connections.go
@@ -109,15 +109,27 @@
 	return dialer.DialContext(ctx, "tcp", target.Host)
 }
 
+// processEndTime is the time in which a machine closes the sockets of a process that ends, one
+// after the other: it may still accept a connection after it has closed others.
+const processEndTime = 10 * time.Millisecond
+
 // ConnectionRefused dials the address of a URL and reports whether the machine refuses or
-// resets the connection, as it does if no process listens on the port. If the dial
-// succeeds, the connection is kept for reuse.
+// resets the connection, as it does if no process listens on the port. A connection that it
+// resets, or closes again within processEndTime, is dialled once more. A connection that lasts
+// is kept for reuse.
 func (c *Client) ConnectionRefused(ctx context.Context, address string) bool {
 	target, err := url.Parse(address)
 	if err != nil || target.Host == "" {
 		return false
 	}
 	connection, err := c.connect(ctx, target, true)
+	if err == nil && !lasts(ctx, connection) {
+		_ = connection.Close() // the machine has closed it
+		err = syscall.ECONNRESET
+	}
+	if errors.Is(err, syscall.ECONNRESET) {
+		connection, err = c.connect(ctx, target, true)
+	}
 	if err == nil {
 		connection.idleLimit = idleTimeout
 		c.putIdle(connection)
@@ -126,6 +138,17 @@
 	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
 }
 
+// lasts reports whether a new connection is still open after processEndTime.
+func lasts(ctx context.Context, connection *conn) bool {
+	timer := time.NewTimer(processEndTime)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return connection.usable()
+}
+
 // keepAliveFraction is the fraction of the server's stated idle timeout after which a
 // connection is not reused. Near the full timeout the server may close the connection
 // while the next request is being sent.
