--- a/internal/serving/authn/authn.go
+++ b/internal/serving/authn/authn.go
@@ -31,6 +31,11 @@
 	SinceConfirmed func() time.Duration
 }
 
+// MaxUnconfirmed is how long the configuration may be unconfirmed before what it lacks, a route or
+// a key, counts as unknown and not as missing: the newest one may have it. It covers the usual time
+// between two confirmations.
+const MaxUnconfirmed = 3 * time.Second
+
 // staleRetryAfter is the delay after which a caller should retry if the node does not know
 // whether keys are still valid.
 const staleRetryAfter = time.Second
@@ -46,7 +51,8 @@
 
 // Authenticate returns the tenant that the key belongs to. If there is no key, or it belongs
 // to no tenant, the result is nil on a public route and the error Unauthenticated on others.
-// If the tenant's key may have been revoked, the error is NotReady, also on a public route.
+// If the tenant's key may have been revoked, the error is NotReady, also on a public route. So it
+// is on the others if a key that is not known may belong to a newer configuration.
 // If the configuration requires no keys, the result is nil in all cases.
 func (a *Authenticator) Authenticate(current *catalog.Catalog, credentials Credentials, public bool) (*catalog.Tenant, error) {
 	if !current.RequiresKeys() {
@@ -62,6 +68,9 @@
 	if public {
 		return nil, nil
 	}
+	if credentials.Problem == "" && a.UnconfirmedFor() > MaxUnconfirmed {
+		return nil, a.UnconfirmedError(current, "the key is not known")
+	}
 	return nil, result.New(result.Unauthenticated, "%s in version %d", problem, current.Version)
 }
 
@@ -72,6 +81,12 @@
 	if a.RevokeTime == 0 || age <= a.RevokeTime {
 		return tenant, nil
 	}
-	return nil, result.New(result.NotReady, "keys can't be checked: the configuration is not confirmed for %s, version %d is held",
-		age.Round(time.Millisecond), current.Version).WithRetryAfter(staleRetryAfter)
+	return nil, a.UnconfirmedError(current, "keys can't be checked")
+}
+
+// UnconfirmedError returns the error NotReady for a request that can't be decided, for a reason,
+// because the configuration is not confirmed. The caller may retry it at another node.
+func (a *Authenticator) UnconfirmedError(current *catalog.Catalog, reason string) error {
+	return result.New(result.NotReady, "%s: the configuration is not confirmed for %s, version %d is held",
+		reason, a.UnconfirmedFor().Round(time.Millisecond), current.Version).WithRetryAfter(staleRetryAfter)
 }
