The end of a job is remembered before the job is accepted

An edge repeats a submission for up to 3.5 s; accepted after that end, the job ran.

Change: the end is a record without items, kept as long as a job. A submission that comes later is accepted as ended, with all of its items listed in the record and none stored. Commands carry the time of their proposal, so that the record can expire; without it (leaders of earlier builds) an unknown end changes nothing, as before.

TestEndBeforeAcceptanceHolds could not hold before: the command had no such effect. TestStateMachineInvariants now draws ends with and without a time. Not shown at the wire.

--- a/internal/batch/queue/queue.go
+++ b/internal/batch/queue/queue.go
@@ -36,6 +36,9 @@
 	Rejected []*wirev1.QueueResult
 	// Ended reports that the command ended the job.
 	Ended bool
+	// EndedEarly is the record of the end of a job that does not exist yet; nil if the command
+	// added none.
+	EndedEarly *wirev1.QueueRecord
 	// Dropped lists the IDs that a drop command names, including those of missing jobs.
 	Dropped []string
 }
@@ -51,7 +54,7 @@
 	case *wirev1.QueueCommand_Progress:
 		return progress(store, kind.Progress)
 	case *wirev1.QueueCommand_End:
-		return end(store, kind.End)
+		return end(store, kind.End, command.ProposedUnixMs)
 	case *wirev1.QueueCommand_Drop:
 		return drop(store, kind.Drop)
 	default:
@@ -59,19 +62,27 @@
 	}
 }
 
-// accept stores a job and its items, unless the job was accepted before.
+// accept stores a job and its items, unless the job was accepted before. A job whose end came
+// before is accepted as ended: none of its items is stored.
 func accept(store StateStore, index uint64, job *wirev1.QueueJob) (*ApplyResult, error) {
 	existing, err := Record(store, job.Id)
-	if err != nil || existing != nil {
-		return &ApplyResult{Record: existing, AlreadyAccepted: existing != nil}, err
+	if err != nil {
+		return nil, err
+	}
+	endedEarly := existing != nil && EndedEarly(existing)
+	if existing != nil && !endedEarly {
+		return &ApplyResult{Record: existing, AlreadyAccepted: true}, nil
 	}
 	record := &wirev1.QueueRecord{
 		Id: job.Id, Host: job.Host, Path: job.Path, Route: job.Route, AcceptedUnixMs: job.AcceptedUnixMs,
 		DueAfterMs: job.DueAfterMs, GiveUpMs: job.GiveUpMs, Index: index, Tenant: job.Tenant,
-		CatalogVersion: job.CatalogVersion,
+		CatalogVersion: job.CatalogVersion, Ended: endedEarly,
 	}
 	for number, item := range job.Items {
 		record.Items = append(record.Items, &wirev1.QueueItemInfo{Id: item.Id, Tokens: item.Tokens, OutputTokens: item.OutputTokens})
+		if endedEarly {
+			continue
+		}
 		if err := save(store, rowKey(spaceItem, job.Id, uint32(number)), item); err != nil {
 			return nil, err
 		}
@@ -79,6 +90,9 @@
 	return &ApplyResult{Record: record}, save(store, recordKey(job.Id), record)
 }
 
+// EndedEarly reports whether a record is that of the end of a job that was not accepted yet.
+func EndedEarly(record *wirev1.QueueRecord) bool { return record.Ended && len(record.Items) == 0 }
+
 // finish adds results to their jobs.
 func finish(store StateStore, results *wirev1.QueueResults) (*ApplyResult, error) {
 	applied := &ApplyResult{}
@@ -192,11 +206,23 @@
 	return applied, nil
 }
 
-// end ends a job. Its results stay; its unfinished items and their output are deleted.
-func end(store StateStore, job string) (*ApplyResult, error) {
+// end ends a job. Its results stay; its unfinished items and their output are deleted. The end of
+// a job that does not exist is remembered from the time of the command on, if it has one: the
+// job's submission may still be under way.
+func end(store StateStore, job string, proposedUnixMs int64) (*ApplyResult, error) {
 	record, err := Record(store, job)
-	if err != nil || record == nil || record.Ended {
-		return &ApplyResult{Record: record}, err
+	if err != nil {
+		return nil, err
+	}
+	if record == nil && proposedUnixMs > 0 {
+		early := &wirev1.QueueRecord{Id: job, Ended: true, AcceptedUnixMs: proposedUnixMs}
+		return &ApplyResult{EndedEarly: early}, save(store, recordKey(job), early)
+	}
+	if record == nil || EndedEarly(record) {
+		return &ApplyResult{}, nil
+	}
+	if record.Ended {
+		return &ApplyResult{Record: record}, nil
 	}
 	record.Ended = true
 	if err := deleteRows(store, job, spaceItem, spaceProgress); err != nil {
--- a/internal/batch/queuestore/applied.go
+++ b/internal/batch/queuestore/applied.go
@@ -16,10 +16,14 @@
 	if l == nil || applied == nil {
 		return
 	}
-	if applied.Record != nil && !applied.AlreadyAccepted && !applied.Ended && !applied.Record.Ended {
+	if applied.Record != nil && !applied.AlreadyAccepted && !applied.Ended {
 		now := time.Now()
+		delete(l.endedEarlyAt, applied.Record.Id)
 		l.acceptedAt[applied.Record.Id] = applied.Record.AcceptedUnixMs
-		l.table.Add(applied.Record, now, now)
+		l.table.Add(applied.Record, now, now) // adds nothing if the job has ended
+	}
+	if applied.EndedEarly != nil {
+		l.endedEarlyAt[applied.EndedEarly.Id] = applied.EndedEarly.AcceptedUnixMs
 	}
 	for _, finished := range applied.Finished {
 		s.recordFinished(finished)
@@ -32,6 +36,7 @@
 	}
 	for _, job := range applied.Dropped {
 		delete(l.acceptedAt, job)
+		delete(l.endedEarlyAt, job)
 	}
 }
 
--- a/internal/batch/queuestore/leader.go
+++ b/internal/batch/queuestore/leader.go
@@ -32,6 +32,8 @@
 	watched map[string]chan struct{}
 	// acceptedAt holds the acceptance time of each stored job in Unix milliseconds.
 	acceptedAt map[string]int64
+	// endedEarlyAt holds the times of the ends of jobs that do not exist yet, in the same unit.
+	endedEarlyAt map[string]int64
 	// pendingTokens holds the tokens of submissions that are accepted into the limit (see
 	// reserve) but not applied yet.
 	pendingTokens map[queue.TokenAccount]uint64
@@ -132,7 +134,7 @@
 	l := &leadership{
 		epoch: s.Replica.Epoch(), allotments: s.node.newAllotmentKeeper(), table: queue.NewItemTable(), context: ctx, cancel: cancel,
 		runs: map[queue.ItemKey]context.CancelFunc{}, decided: map[queue.ItemKey]*wirev1.QueueResult{},
-		watched: map[string]chan struct{}{}, acceptedAt: map[string]int64{}, pendingTokens: map[queue.TokenAccount]uint64{}, fullUntil: map[string]time.Time{}, preferenceCheckedAt: time.Now(),
+		watched: map[string]chan struct{}{}, acceptedAt: map[string]int64{}, endedEarlyAt: map[string]int64{}, pendingTokens: map[queue.TokenAccount]uint64{}, fullUntil: map[string]time.Time{}, preferenceCheckedAt: time.Now(),
 	}
 	if err := s.fillTable(l); err != nil {
 		cancel()
@@ -151,6 +153,10 @@
 	view := s.Store.View()
 	var failed error
 	err := queue.Records(view, func(record *wirev1.QueueRecord) {
+		if queue.EndedEarly(record) {
+			l.endedEarlyAt[record.Id] = record.AcceptedUnixMs
+			return
+		}
 		l.acceptedAt[record.Id] = record.AcceptedUnixMs
 		l.table.Add(record, now, now)
 		if record.Ended || !l.table.HasUnfinished(record.Id) {
--- a/internal/batch/queuestore/retention.go
+++ b/internal/batch/queuestore/retention.go
@@ -16,7 +16,7 @@
 )
 
 // dropExpiredJobs proposes to delete up to maxDropsPerCommand jobs that were accepted longer
-// ago than Retention and have no unfinished items.
+// ago than Retention and have no unfinished items, and ends of other jobs that are as old.
 func (s *shard) dropExpiredJobs(now time.Time) {
 	l := s.leader
 	if now.Sub(l.retentionCheckedAt) < retentionCheckInterval {
@@ -30,6 +30,11 @@
 			expired = append(expired, job)
 		}
 	}
+	for job, endedAt := range l.endedEarlyAt {
+		if endedAt < cutoff && len(expired) < maxDropsPerCommand {
+			expired = append(expired, job)
+		}
+	}
 	if len(expired) > 0 {
 		klog.InfoS("deletion of jobs past their retention proposed", "shard", s.ID, "jobs", len(expired))
 		s.Propose(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Drop{Drop: &wirev1.QueueDrop{JobIds: expired}}})
--- a/internal/batch/queuestore/serve.go
+++ b/internal/batch/queuestore/serve.go
@@ -267,7 +267,7 @@
 	view := s.Store.Snapshot()
 	defer view.Close()
 	record, err := queue.Record(view, request.JobId)
-	if err != nil || record == nil {
+	if err != nil || record == nil || queue.EndedEarly(record) {
 		return &wirev1.QueueReadReply{}, err
 	}
 	results, err := queue.Results(view, request.JobId, request.Since, int(request.MaxBytes))
@@ -327,10 +327,12 @@
 	if err != nil {
 		return err
 	}
-	applied, err := s.ProposeAndWait(ctx, &wirev1.QueueCommand{Kind: &wirev1.QueueCommand_End{End: request.JobId}})
-	klog.InfoS("job end", "job", request.JobId, "shard", s.ID, "err", err)
+	command := &wirev1.QueueCommand{Kind: &wirev1.QueueCommand_End{End: request.JobId}, ProposedUnixMs: time.Now().UnixMilli()}
+	applied, err := s.ProposeAndWait(ctx, command)
 	if err != nil {
+		klog.InfoS("job end failed", "job", request.JobId, "shard", s.ID, "err", err)
 		return err
 	}
+	klog.InfoS("job end", "job", request.JobId, "shard", s.ID, "known", applied.Record != nil)
 	return stream.Send(&wirev1.QueueEndReply{Found: applied.Record != nil})
 }
