The failures of an item outlive the leader

Change: the leader proposes the number of an item's failed runs after each one; the state keeps the highest, and a new leader begins with it. One small log entry for each failed run.

queue.TestFailuresSurviveTheLeader could not hold before: the state had no such number.

--- a/internal/batch/queue/queue.go
+++ b/internal/batch/queue/queue.go
@@ -57,6 +57,8 @@
 		return end(store, kind.End, command.ProposedUnixMs)
 	case *wirev1.QueueCommand_Drop:
 		return drop(store, kind.Drop)
+	case *wirev1.QueueCommand_Failure:
+		return recordFailure(store, kind.Failure)
 	default:
 		return &ApplyResult{}, nil
 	}
@@ -93,6 +95,21 @@
 // EndedEarly reports whether a record is that of the end of a job that was not accepted yet.
 func EndedEarly(record *wirev1.QueueRecord) bool { return record.Ended && len(record.Items) == 0 }
 
+// recordFailure records the number of failed runs of an unfinished item, unless a higher one is
+// known.
+func recordFailure(store StateStore, failure *wirev1.QueueFailure) (*ApplyResult, error) {
+	record, err := Record(store, failure.JobId)
+	if err != nil || record == nil || record.Ended || int(failure.Item) >= len(record.Items) {
+		return &ApplyResult{}, err
+	}
+	info := record.Items[failure.Item]
+	if info.Position > 0 || info.Failures >= failure.Failures {
+		return &ApplyResult{}, nil
+	}
+	info.Failures = failure.Failures
+	return &ApplyResult{}, save(store, recordKey(record.Id), record)
+}
+
 // finish adds results to their jobs.
 func finish(store StateStore, results *wirev1.QueueResults) (*ApplyResult, error) {
 	applied := &ApplyResult{}
--- a/internal/batch/queue/queue_test.go
+++ b/internal/batch/queue/queue_test.go
@@ -224,6 +224,28 @@
 	is.True(applied.AlreadyAccepted)
 }
 
+// Guards against items that are sent to runners more often than their attempts allow because a later
+// leader counts their failures anew: the number is part of the state and never decreases.
+func TestFailuresSurviveTheLeader(t *testing.T) {
+	is := is.New(t)
+	store := memoryStore{}
+	_, err := Apply(store, 1, &wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Accept{Accept: jobOf("a", 2)}})
+	is.NoErr(err)
+	for _, failures := range []uint32{1, 2, 1} {
+		failure := &wirev1.QueueFailure{JobId: "a", Item: 1, Failures: failures}
+		_, err = Apply(store, 2, &wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Failure{Failure: failure}})
+		is.NoErr(err)
+	}
+	record, err := Record(store, "a")
+	is.NoErr(err)
+	table := NewItemTable()
+	table.Add(record, time.Now(), time.Now())
+	is.Equal(table.Entry(ItemKey{"a", 0}).Failures, 0)
+	is.Equal(table.Entry(ItemKey{"a", 1}).Failures, 2)
+	_, err = Apply(store, 3, &wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Failure{Failure: &wirev1.QueueFailure{JobId: "gone", Item: 7, Failures: 1}}})
+	is.NoErr(err)
+}
+
 // Dropping a job deletes all of its rows and none of another job.
 func TestDropDeletesOnlyTheJobsRows(t *testing.T) {
 	is := is.New(t)
--- a/internal/batch/queue/table.go
+++ b/internal/batch/queue/table.go
@@ -107,7 +107,7 @@
 		t.order++
 		entry := &ItemEntry{
 			Key: ItemKey{record.Id, uint32(number)}, ID: info.Id, Tokens: info.Tokens,
-			Account: TokenAccount{record.Tenant, record.Route}, ExpectedTokens: info.OutputTokens, KnownSince: now,
+			Account: TokenAccount{record.Tenant, record.Route}, ExpectedTokens: info.OutputTokens, KnownSince: now, Failures: int(info.Failures),
 			Due:       accepted.Add(time.Duration(record.DueAfterMs) * time.Millisecond),
 			ExpiresAt: accepted.Add(time.Duration(record.GiveUpMs) * time.Millisecond),
 			order:     t.order,
--- a/internal/batch/queuestore/runs.go
+++ b/internal/batch/queuestore/runs.go
@@ -133,6 +133,9 @@
 	if !final {
 		s.recordProgress(l, key, work.Item.Id, outcome.Output)
 		l.table.Requeue(key, outcome.Output, outcome.Failed, time.Now().Add(outcome.RetryDelay))
+		if outcome.Failed {
+			s.proposeFailures(key)
+		}
 		return
 	}
 	klog.InfoS("item decided", "job", key.Job, "item", work.Item.Id, "done", outcome.Done, "reason", outcome.Reason, "failures", work.Failures, "bytes", len(outcome.Output.Text))
@@ -162,6 +165,13 @@
 	s.Propose(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Finish{Finish: &wirev1.QueueResults{Results: []*wirev1.QueueResult{result}}}})
 }
 
+// proposeFailures proposes to save the number of failed runs of an item, so that a later leader
+// does not begin to count anew.
+func (s *shard) proposeFailures(key queue.ItemKey) {
+	failure := &wirev1.QueueFailure{JobId: key.Job, Item: key.Number, Failures: uint32(s.leader.table.Entry(key).Failures)}
+	s.Propose(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Failure{Failure: failure}})
+}
+
 // expireItems proposes the result "dead" for items that have been past their expiry time for
 // expirySlack. An item that is running may still finish before the proposal is applied.
 func (s *shard) expireItems(now time.Time) {
