Two tests: a restart restores the member set of its disk, and a race

The product restores the member set of its disk and then observes the stored one; so does the test now. No check changed.

TestIdleWatchEndsSilentAttempts had a data race between the test and its callback; it reads an atomic value now, and passes with -race.

--- a/internal/batch/replica/cluster_test.go
+++ b/internal/batch/replica/cluster_test.go
@@ -107,11 +107,16 @@
 	if d.lost {
 		return
 	}
+	// As the product does, it restores the member set of its disk, and then observes the stored
+	// one: a disk that is frozen thaws by that.
 	memberSet := c.memberSet
-	if c.stored.Generation >= d.hard.Generation && d.hard.Generation > 0 {
+	if c.stored.Generation == d.hard.Generation {
 		memberSet = c.stored
 	}
 	c.replicas[id] = Restore(0, id, memberSet, testTiming(), rand.New(rand.NewPCG(c.random.Uint64(), 1)), d, d.hard, 0, 0, d.epochs(), c.now)
+	if d.hard.Generation > 0 {
+		c.replicas[id].Observe(c.now, c.stored)
+	}
 }
 
 // processReady handles one Ready of a replica. With crash set, the replica crashes after
--- a/internal/serving/online/idle_test.go
+++ b/internal/serving/online/idle_test.go
@@ -1,6 +1,7 @@
 package online
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +16,9 @@
 // endedAfter returns when a watch ends its attempt, counted from its start; 0 if it does not end it
 // within a minute. events is how many events arrive, 20 ms apart.
 func endedAfter(events int, lastChance func() bool) time.Duration {
-	started, ended := time.Now(), time.Duration(0)
-	watch := startIdleWatch(testIdleTimeout, lastChance, func() { ended = time.Since(started) })
+	started := time.Now()
+	var ended atomic.Int64 // the watch calls from a goroutine of its own
+	watch := startIdleWatch(testIdleTimeout, lastChance, func() { ended.Store(int64(time.Since(started))) })
 	for range events {
 		time.Sleep(20 * time.Millisecond)
 		watch.stop()
@@ -24,7 +26,7 @@
 	}
 	time.Sleep(time.Minute)
 	watch.stop()
-	return ended
+	return time.Duration(ended.Load())
 }
 
 // An attempt whose runner sends nothing ends at the idle timeout, counted from the last event. A
