--- a/lab/platformday/lateroute_test.go
+++ b/lab/platformday/lateroute_test.go
@@ -44,12 +44,3 @@
 		t.Errorf("%d items ended unrun, %d were completed\n%s", dead, completed, logTails(folder))
 	}
 }
-
-// setStorageFault sets the fault with which the store meets the storage nodes.
-func (d *Day) setStorageFault(fault standin.StoreFault) {
-	for _, p := range d.nodes {
-		if p.role == "storage" {
-			d.store.SetMachineFault(p.name, fault)
-		}
-	}
-}
--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -120,6 +120,14 @@
 	if partRandom.Float64() < crashingPartShare {
 		group.Go(func() { s.sendCrashingPart(soakContext, partRandom) })
 	}
+	waveRandom := rand.New(rand.NewPCG(s.Seed, 4)) // apart as well
+	if waveRandom.Float64() < waveShare {
+		group.Go(func() { s.crashInWaves(soakContext, waveRandom) })
+	}
+	lateRandom := rand.New(rand.NewPCG(s.Seed, 5))
+	if lateRandom.Float64() < lateRouteShare {
+		group.Go(func() { s.addLateRoutes(soakContext, lateRandom) })
+	}
 	for range s.options.Disturbers {
 		run(func(random *rand.Rand) { s.disrupt(soakContext, random) })
 	}
