--- a/lab/platformday/soak_test.go
+++ b/lab/platformday/soak_test.go
@@ -16,6 +16,7 @@
 	program := build(t, t.TempDir())
 	for _, seed := range []uint64{1, 2, 3} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel() // beside the other seeds only
 			is := is.New(t)
 			folder := t.TempDir()
 			tally, err := Soak(context.Background(), SoakOptions{
