--- a/internal/serving/quarantine/parts_test.go
+++ b/internal/serving/quarantine/parts_test.go
@@ -337,7 +337,7 @@
 		work.AddPart(NewPart("", uint64(number), "")) // repeated
 	}
 	is.Equal(len(work.Parts), MaxParts)
-	table, now := NewPartTable(), time.Now()
+	table, now := newPartTable(newBackground()), time.Now()
 	for number := range 2 * maxPartSuspects {
 		table.RecordEnding(NewPart("", uint64(number), ""), Run{Start: "r", Began: now}, testService, true, now)
 	}
--- a/internal/serving/quarantine/parttable.go
+++ b/internal/serving/quarantine/parttable.go
@@ -42,9 +42,7 @@
 	evicted   uint64
 }
 
-// NewPartTable returns an empty table in which all endings count in full.
-func NewPartTable() *PartTable { return newPartTable(newBackground()) }
-
+// newPartTable returns an empty table.
 func newPartTable(background *background) *PartTable {
 	return &PartTable{completions: newCompletionLog(), background: background, suspects: map[Fingerprint]*partSuspect{}}
 }
--- a/internal/serving/quarantine/table.go
+++ b/internal/serving/quarantine/table.go
@@ -64,6 +64,7 @@
 // NewSuspectTable returns an empty table in which all endings count in full.
 func NewSuspectTable() *SuspectTable { return newSuspectTable(newBackground()) }
 
+// newSuspectTable returns an empty table.
 func newSuspectTable(background *background) *SuspectTable {
 	t := &SuspectTable{background: background, suspects: map[Fingerprint]*suspect{}, holds: map[Fingerprint]Hold{}, attributed: map[string]time.Time{}}
 	t.publish()
