Reports of endings keep the age of their run, and name listed runners only; the list of holds shows provisional ones

An ending that only a later start of the runner proves was reported with the time that the run had lasted, so that receivers took it for one that began later, after completions that it preceded. Nodes without a list of runners report no ends of runners beside those of requests. Found by reading.

--- a/internal/app/cli/quarantine.go
+++ b/internal/app/cli/quarantine.go
@@ -24,11 +24,14 @@
 	Fingerprint string    `json:"fingerprint"`
 	Decided     time.Time `json:"decided"`
 	Until       time.Time `json:"until"`
-	// The other fields are those of a part: its name, the service and the version of the runners
-	// that ended under it, the number of its trials, and when the next one is due.
-	Part    string     `json:"part,omitempty"`
-	Service string     `json:"service,omitempty"`
-	Version string     `json:"version,omitempty"`
+	// Provisional is set while trials still show whether the request or the part is sound.
+	Provisional bool `json:"provisional,omitempty"`
+	// Part, Service and Version are those of a part: its name, and the service and the version of
+	// the runners that ended under it.
+	Part    string `json:"part,omitempty"`
+	Service string `json:"service,omitempty"`
+	Version string `json:"version,omitempty"`
+	// Trials is the number of trials, and TrialAt when the next one is due.
 	Trials  int        `json:"trials,omitempty"`
 	TrialAt *time.Time `json:"trial_at,omitempty"`
 }
@@ -37,7 +40,7 @@
 func newQuarantineBody(hold quarantine.Hold) quarantineBody {
 	body := quarantineBody{
 		Fingerprint: hold.Fingerprint.String(), Decided: time.UnixMilli(hold.Decided).UTC(), Until: time.UnixMilli(hold.Until).UTC(),
-		Part: hold.Part, Service: hold.Environment.Service, Version: hold.Environment.Version, Trials: hold.Trials,
+		Provisional: hold.Provisional, Part: hold.Part, Service: hold.Environment.Service, Version: hold.Environment.Version, Trials: hold.Trials,
 	}
 	if hold.TrialAt > 0 {
 		at := time.UnixMilli(hold.TrialAt).UTC()
@@ -84,11 +87,19 @@
 	}
 	fmt.Printf("%-18s %-22s %-22s %-22s %s\n", "FINGERPRINT", "HELD SINCE", "UNTIL", "NEXT TRIAL", "PART OF PROMPTS")
 	for _, hold := range holds {
-		fmt.Printf("%-18s %-22s %-22s %-22s %s\n", hold.Fingerprint, hold.Decided.Format(time.RFC3339), hold.Until.Format(time.RFC3339), hold.nextTrial(), hold.partText())
+		fmt.Printf("%-18s %-22s %-22s %-22s %s\n", hold.Fingerprint, hold.Decided.Format(time.RFC3339), hold.untilText(), hold.nextTrial(), hold.partText())
 	}
 }
 
-// nextTrial returns when the next trial of a part is due; "-" if there is none.
+// untilText returns when the hold expires, or that it is provisional.
+func (b *quarantineBody) untilText() string {
+	if b.Provisional {
+		return "provisional"
+	}
+	return b.Until.Format(time.RFC3339)
+}
+
+// nextTrial returns when the next trial of a hold is due; "-" if there is none.
 func (b *quarantineBody) nextTrial() string {
 	if b.TrialAt == nil {
 		return "-"
--- a/internal/serving/quarantine/background.go
+++ b/internal/serving/quarantine/background.go
@@ -58,17 +58,14 @@
 
 func newBackground() *background { return &background{ended: map[string]recentEnding{}} }
 
-// record records that a runner of this node's list has ended. It returns false if that is known
-// already.
+// record records that a runner has ended. It returns false if that is known already, or if the
+// runner is not on this node's list.
 func (b *background) record(start, service string, now time.Time) bool {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	if _, known := b.ended[start]; known {
+	if _, known := b.ended[start]; known || b.runners == nil || !b.runners.Knows(start) {
 		return false
 	}
-	if b.runners == nil || !b.runners.Knows(start) {
-		return true
-	}
 	if len(b.ended) >= maxRecentEndings {
 		b.expire(now)
 	}
--- a/internal/serving/quarantine/parts.go
+++ b/internal/serving/quarantine/parts.go
@@ -66,7 +66,7 @@
 		c.addToNotice(func(notice *wirev1.QuarantineNotice) {
 			notice.PartEndings = append(notice.PartEndings, &wirev1.PartEnding{
 				Part: uint64(part.Fingerprint), Name: part.Name, Runner: run.Start, Service: work.Service, Version: run.Version,
-				RanMs: roundUpToMilliseconds(now.Sub(run.Began)), CompletedBefore: completed,
+				RanMs: roundUpToMilliseconds(time.Since(run.Began)), CompletedBefore: completed,
 			})
 		})
 		c.partDecisions.Trigger()
