--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -9,8 +9,8 @@
 // sends the calls.
 //
 // The starting order of items is in queue/order.go, the limits on runners in
-// runnerset.BatchLimits, the choice of the item to preempt in preemption.go, and the
-// outcome of a run in outcome.go.
+// runnerset.BatchLimits, whether the configuration may decide an item in route.go, the
+// choice of the item to preempt in preemption.go, and the outcome of a run in outcome.go.
 package queuerun
 
 import (
