--- a/internal/transport/httpcall/client.go
+++ b/internal/transport/httpcall/client.go
@@ -101,6 +101,7 @@
 func (c *Client) exchange(connection *conn, target *url.URL, request *Request) (*Response, error) {
 	connection.written.Store(0)
 	connection.exchangeBegan = time.Now()
+	connection.exchanges++
 	if request.BeforeWrite != nil && !request.BeforeWrite() {
 		return nil, ErrWithdrawn
 	}
--- a/internal/transport/httpcall/connections.go
+++ b/internal/transport/httpcall/connections.go
@@ -33,9 +33,11 @@
 
 type conn struct {
 	net.Conn
-	reader    *bufio.Reader
-	key       string
-	written   atomic.Int64
+	reader  *bufio.Reader
+	key     string
+	written atomic.Int64
+	// exchanges is the number of exchanges on the connection, with the current one.
+	exchanges int
 	idleSince time.Time
 	// exchangeBegan is when the current exchange began. receivedAt is when bytes were last
 	// received, in nanoseconds since processStart; 0 before.
--- a/internal/transport/httpcall/response.go
+++ b/internal/transport/httpcall/response.go
@@ -15,6 +15,8 @@
 type Response struct {
 	Status int
 	Header *fasthttp.ResponseHeader
+	// Provenance tells how the response came.
+	Provenance Provenance
 
 	client           *Client
 	conn             *conn
@@ -25,6 +27,17 @@
 	stopContextWatch func() bool
 }
 
+// Provenance tells how a response came, for logs.
+type Provenance struct {
+	// Exchange counts the exchanges on the connection, from 1.
+	Exchange int
+	// Dropped is the number of responses that were dropped before this one because they did not
+	// match the request.
+	Dropped int
+	// After is the time from the start of the exchange to the header of the response.
+	After time.Duration
+}
+
 // maxUnmatchedResponses is the number of responses to earlier requests that may precede the
 // response to a request.
 const maxUnmatchedResponses = 2
@@ -33,11 +46,12 @@
 // do not match the request. It returns ErrUnmatchedResponse if there are more than
 // maxUnmatchedResponses of them, or if one has no Content-Length.
 func (c *Client) readResponse(connection *conn, request *Request) (*Response, error) {
-	for range maxUnmatchedResponses + 1 {
+	for dropped := range maxUnmatchedResponses + 1 {
 		response, err := c.readHeader(connection)
 		if err != nil {
 			return nil, err
 		}
+		response.Provenance = Provenance{Exchange: connection.exchanges, Dropped: dropped, After: time.Since(connection.exchangeBegan)}
 		if request.Matches == nil || request.Matches(response.Header) {
 			return response, nil
 		}
