A response counts for a request only if it names it

What callers saw (as far as the reproduction goes): a request that must run once ran at two runners side by side, and a stream went on at a second runner while the first still worked on it.

Cause: on a kept connection, a response without an id was taken for that to the request just sent, if its status was 300 or above; so was one with the id of an item's earlier run. A faulty runner may send bytes that belong to no request, or a response again. A refusal among them was believed: the request went on elsewhere, and the connection of the run was kept as idle, so that the runner never learned of it.

Change: evidence is tied to the request. A connection carries the id of a request only once among its last 64 exchanges.

Ruled out: requiring the id alone (TestRepeatedRefusalOfAnEarlierRunIsNotTakenForThisRun fails).

--- a/internal/transport/httpcall/client.go
+++ b/internal/transport/httpcall/client.go
@@ -51,10 +51,14 @@
 	Target string
 	// Host is the value of the Host header. If empty, the address in the URL is sent.
 	Host string
-	// Matches reports whether a response belongs to this request. A response that does
-	// not match is a late response to an earlier request on the connection, and is
-	// dropped. If nil, every response matches.
-	Matches func(*fasthttp.ResponseHeader) bool
+	// ID identifies the request in Identify. The request is not sent on a connection that has
+	// carried a request with the same ID: a repeated response to the earlier one could not be
+	// told from the response to this one. Empty if responses do not name their requests.
+	ID string
+	// Identify returns which request a response names. A response that does not name this
+	// request is dropped, and its connection is not reused. If nil, every response is taken
+	// for that to this request.
+	Identify func(*fasthttp.ResponseHeader) NamedRequest
 	// BeforeWrite is called when the connection is open, right before the first byte is
 	// written. If it returns false, the request is not sent and Do returns a
 	// NotSentError with ErrWithdrawn, or with the context's error if the context has
@@ -70,7 +74,7 @@
 	if err != nil || parsed.Host == "" {
 		return nil, &NotSentError{fmt.Errorf("bad URL %q", request.URL)}
 	}
-	connection, err := c.connect(ctx, parsed, request.FreshConnection)
+	connection, err := c.connectFor(ctx, parsed, request)
 	if err != nil {
 		return nil, &NotSentError{err}
 	}
@@ -101,7 +105,7 @@
 func (c *Client) exchange(connection *conn, target *url.URL, request *Request) (*Response, error) {
 	connection.written.Store(0)
 	connection.exchangeBegan = time.Now()
-	connection.exchanges++
+	connection.begin(request.ID)
 	if request.BeforeWrite != nil && !request.BeforeWrite() {
 		return nil, ErrWithdrawn
 	}
--- a/internal/transport/httpcall/connections.go
+++ b/internal/transport/httpcall/connections.go
@@ -7,12 +7,14 @@
 	"errors"
 	"net"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"cobaltramp.example/cobaltramp/internal/app/tasks"
@@ -38,6 +40,8 @@
 	written atomic.Int64
 	// exchanges is the number of exchanges on the connection, with the current one.
 	exchanges int
+	// carried contains the hashes of the IDs of the last exchanges that had one.
+	carried   []uint64
 	idleSince time.Time
 	// exchangeBegan is when the current exchange began. receivedAt is when bytes were last
 	// received, in nanoseconds since processStart; 0 before.
@@ -85,20 +89,49 @@
 	return n, err
 }
 
-func (c *Client) connect(ctx context.Context, target *url.URL, fresh bool) (*conn, error) {
-	key := target.Scheme + "://" + target.Host
-	if !fresh {
-		if reused := c.takeIdle(key); reused != nil {
+// maxCarriedIDs is the number of exchanges whose IDs a connection remembers. A late repeated
+// response shows in one of the next exchanges, after which its connection is closed.
+const maxCarriedIDs = 64
+
+// begin records that an exchange begins for a request with an ID, which may be empty.
+func (c *conn) begin(id string) {
+	c.exchanges++
+	if id == "" {
+		return
+	}
+	if len(c.carried) >= maxCarriedIDs {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, xxhash.Sum64String(id))
+}
+
+// hasCarried reports whether one of the last exchanges was for a request with the ID.
+func (c *conn) hasCarried(id string) bool {
+	return id != "" && slices.Contains(c.carried, xxhash.Sum64String(id))
+}
+
+// connectFor returns an idle connection that may carry the request, or else a new one.
+func (c *Client) connectFor(ctx context.Context, target *url.URL, request *Request) (*conn, error) {
+	if !request.FreshConnection {
+		if reused := c.takeIdle(keyOf(target), request.ID); reused != nil {
 			return reused, nil
 		}
 	}
+	return c.connect(ctx, target)
+}
+
+// keyOf returns the key of the connections to the address of a URL.
+func keyOf(target *url.URL) string { return target.Scheme + "://" + target.Host }
+
+// connect opens a connection.
+func (c *Client) connect(ctx context.Context, target *url.URL) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	raw, err := c.dial(ctx, target)
 	if err != nil {
 		return nil, err
 	}
-	connection := &conn{Conn: raw, key: key}
+	connection := &conn{Conn: raw, key: keyOf(target)}
 	connection.reader = bufio.NewReaderSize(connection, bufferBytes)
 	return connection, nil
 }
@@ -124,13 +157,13 @@
 	if err != nil || target.Host == "" {
 		return false
 	}
-	connection, err := c.connect(ctx, target, true)
+	connection, err := c.connect(ctx, target)
 	if err == nil && !lasts(ctx, connection) {
 		_ = connection.Close() // the machine has closed it
 		err = syscall.ECONNRESET
 	}
 	if errors.Is(err, syscall.ECONNRESET) {
-		connection, err = c.connect(ctx, target, true)
+		connection, err = c.connect(ctx, target)
 	}
 	if err == nil {
 		connection.idleLimit = idleTimeout
@@ -170,9 +203,11 @@
 	return idleTimeout
 }
 
-func (c *Client) takeIdle(key string) *conn {
+// takeIdle removes and returns an idle connection that may carry a request with the ID; nil if
+// there is none.
+func (c *Client) takeIdle(key, id string) *conn {
 	for {
-		candidate := c.popIdle(key)
+		candidate := c.popIdle(key, id)
 		if candidate == nil {
 			return nil
 		}
@@ -183,16 +218,19 @@
 	}
 }
 
-func (c *Client) popIdle(key string) *conn {
+// popIdle removes and returns the idle connection that was used last of those that have not
+// carried a request with the ID; nil if there is none.
+func (c *Client) popIdle(key, id string) *conn {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	list := c.idle[key]
-	if len(list) == 0 {
-		return nil
+	for i := len(list) - 1; i >= 0; i-- {
+		if candidate := list[i]; !candidate.hasCarried(id) {
+			c.idle[key] = slices.Delete(list, i, i+1)
+			return candidate
+		}
 	}
-	last := list[len(list)-1]
-	c.idle[key] = list[:len(list)-1]
-	return last
+	return nil
 }
 
 // usable reports whether an idle connection is still open and has no unread bytes. It
--- a/internal/transport/httpcall/errors.go
+++ b/internal/transport/httpcall/errors.go
@@ -29,6 +29,6 @@
 // context had not ended.
 var ErrWithdrawn = errors.New("withdrawn before it was written")
 
-// ErrUnmatchedResponse is the cause of a NoResponseError if only responses to other
-// requests were received.
-var ErrUnmatchedResponse = errors.New("answers to other requests came instead")
+// ErrUnmatchedResponse is the cause of a NoResponseError if only responses were received that do
+// not name the request.
+var ErrUnmatchedResponse = errors.New("the responses do not name the request")
--- a/internal/transport/httpcall/response.go
+++ b/internal/transport/httpcall/response.go
@@ -27,44 +27,6 @@
 	stopContextWatch func() bool
 }
 
-// Provenance tells how a response came, for logs.
-type Provenance struct {
-	// Exchange counts the exchanges on the connection, from 1.
-	Exchange int
-	// Dropped is the number of responses that were dropped before this one because they did not
-	// match the request.
-	Dropped int
-	// After is the time from the start of the exchange to the header of the response.
-	After time.Duration
-}
-
-// maxUnmatchedResponses is the number of responses to earlier requests that may precede the
-// response to a request.
-const maxUnmatchedResponses = 2
-
-// readResponse reads the header of the response to this request. It drops responses that
-// do not match the request. It returns ErrUnmatchedResponse if there are more than
-// maxUnmatchedResponses of them, or if one has no Content-Length.
-func (c *Client) readResponse(connection *conn, request *Request) (*Response, error) {
-	for dropped := range maxUnmatchedResponses + 1 {
-		response, err := c.readHeader(connection)
-		if err != nil {
-			return nil, err
-		}
-		response.Provenance = Provenance{Exchange: connection.exchanges, Dropped: dropped, After: time.Since(connection.exchangeBegan)}
-		if request.Matches == nil || request.Matches(response.Header) {
-			return response, nil
-		}
-		if response.Header.ContentLength() < 0 {
-			break
-		}
-		if _, err := io.Copy(io.Discard, asReader(response)); err != nil {
-			return nil, err
-		}
-	}
-	return nil, ErrUnmatchedResponse
-}
-
 func (c *Client) readHeader(connection *conn) (*Response, error) {
 	header := &fasthttp.ResponseHeader{}
 	if err := header.Read(connection.reader); err != nil {
