A status that promises not run needs the runner's statement

What callers saw (a stand-in): a runner that had run a request answered 503, 429 or 408 without stating that it had not; the answer was passed on, and its caller may send the request again.

Weighed: a request that runs twice costs the caller more than one that fails with 502. So requests that must run only once get 502 (outcome unknown); others are passed on as before.

Before: TestStatusThatPromisesNotRunNeedsProof failed with 503, 429 and 408 in place of 502.

--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -8,6 +8,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 )
 
@@ -76,6 +77,17 @@
 	FromRunner bool
 }
 
+// PromisesNotRun reports whether callers take a status as the promise that the request has not
+// run and will not run, so that they may send a request again that must run only once.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // NotRunError means that the request has not run and will not run.
 type NotRunError struct {
 	// Reason is one of the Reason constants.
--- a/internal/serving/online/answer.go
+++ b/internal/serving/online/answer.go
@@ -30,6 +30,13 @@
 		s.lastCause = fmt.Sprintf("runner answered %d", response.Status)
 		return true, nil
 	}
+	if s.isUnprovenPromise(response.Status) {
+		if isRunnerFailure(response.Status) {
+			s.current.runner.RecordFailure(time.Now())
+		}
+		s.lastCause = fmt.Sprintf("runner answered %d without stating that the request has not run", response.Status)
+		return false, result.New(result.OutcomeUnknown, "it may have run: the %s", s.lastCause)
+	}
 	if response.Status == http.StatusOK && s.request.Route.Kind == catalog.Streaming {
 		return s.relayStream(ctx, response)
 	}
@@ -39,6 +46,13 @@
 	return s.relayWhole(ctx, response)
 }
 
+// isUnprovenPromise reports whether the caller of a request that must run only once would take the
+// status of a response for the promise that it has not run. A runner that keeps this promise states
+// it, so that there is no response (exchange.NotRunError).
+func (s *activeRequest) isUnprovenPromise(status int) bool {
+	return exchange.PromisesNotRun(status) && !s.request.Route.MayRepeat()
+}
+
 // relayWhole relays a response that is not a stream, which includes error responses of
 // streaming routes. A success status without the header that marks responses of the
 // runner counts as an interruption, since the response may be from a proxy. relayWhole
