Plain nodes drop the repeated response of an earlier request

The same class at the plain node's engines: a second copy of an earlier request's refusal on a kept connection was taken for that of the next request, which then ran at two engines. Engines need not repeat the request's id, and some send one of their own, so only a response that names an earlier request on the connection is dropped; work of class once uses a new connection anyway. The lab's engine names the request in its refusals too.

--- a/internal/serving/engine/client.go
+++ b/internal/serving/engine/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/tidwall/gjson"
 	"github.com/tidwall/sjson"
+	"github.com/valyala/fasthttp"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/app/result"
@@ -35,6 +36,13 @@
 	maxResponseBytes = 64 << 10
 )
 
+// headerRequestID names the request; some engines repeat it in their responses, others send an id
+// of their own.
+const headerRequestID = "X-Request-Id"
+
+// responseID returns the id that a response names; empty if it names none.
+func responseID(header *fasthttp.ResponseHeader) string { return string(header.Peek(headerRequestID)) }
+
 // Client calls engines.
 type Client struct{ http *httpcall.Client }
 
@@ -83,7 +91,8 @@
 	}
 	response, err := c.http.Do(ctx, &httpcall.Request{
 		Method: "POST", URL: "http://" + address + Path(request.Surface), Body: body, FreshConnection: request.Once,
-		Headers: [][2]string{{"Content-Type", "application/json"}, {"X-Request-Id", request.ID}},
+		Headers: [][2]string{{"Content-Type", "application/json"}, {headerRequestID, request.ID}},
+		ID:      request.ID, ResponseID: responseID,
 	})
 	if err != nil {
 		return nil, dispatchError(ctx, address, err)
@@ -101,7 +110,7 @@
 	if after >= 0 {
 		headers = append(headers, [2]string{"Last-Event-ID", fmt.Sprint(after)})
 	}
-	response, err := c.http.Do(ctx, &httpcall.Request{Method: "GET", URL: streamURL(address, id), Headers: headers})
+	response, err := c.http.Do(ctx, &httpcall.Request{Method: "GET", URL: streamURL(address, id), Headers: headers, ID: id, ResponseID: responseID})
 	if err != nil {
 		return nil, dispatchError(ctx, address, err)
 	}
--- a/internal/transport/httpcall/client.go
+++ b/internal/transport/httpcall/client.go
@@ -51,14 +51,17 @@
 	Target string
 	// Host is the value of the Host header. If empty, the address in the URL is sent.
 	Host string
-	// ID identifies the request in Identify. The request is not sent on a connection that has
+	// ID identifies the request in ResponseID. The request is not sent on a connection that has
 	// carried a request with the same ID: a repeated response to the earlier one could not be
 	// told from the response to this one. Empty if responses do not name their requests.
 	ID string
-	// Identify returns which request a response names. A response that does not name this
-	// request is dropped, and its connection is not reused. If nil, every response is taken
-	// for that to this request.
-	Identify func(*fasthttp.ResponseHeader) NamedRequest
+	// ResponseID returns the ID of the request that a response names; empty if it names none. A
+	// response to another request is dropped, and its connection is not reused. If ResponseID is
+	// nil, every response is taken for that to this request.
+	ResponseID func(*fasthttp.ResponseHeader) string
+	// RequireID demands that the response names this request. Otherwise only a response that
+	// names an earlier request on the connection belongs to another one.
+	RequireID bool
 	// BeforeWrite is called when the connection is open, right before the first byte is
 	// written. If it returns false, the request is not sent and Do returns a
 	// NotSentError with ErrWithdrawn, or with the context's error if the context has
--- a/internal/transport/httpcall/identify.go
+++ b/internal/transport/httpcall/identify.go
@@ -4,6 +4,7 @@
 	"io"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 )
 
@@ -11,18 +12,36 @@
 // request is therefore not always the response to it: it may belong to an earlier request on the
 // connection, or to none.
 
-// NamedRequest is the request that a response names.
-type NamedRequest string
+// namedRequest is the request that a response names.
+type namedRequest string
 
 const (
-	// NamesThisRequest: the response names the request that was sent last on its connection.
-	NamesThisRequest NamedRequest = "this"
-	// NamesOtherRequest: the response names another request.
-	NamesOtherRequest NamedRequest = "other"
-	// NamesNoRequest: the response names no request.
-	NamesNoRequest NamedRequest = "none"
+	namesThisRequest  namedRequest = "this"
+	namesOtherRequest namedRequest = "other"
+	namesNoRequest    namedRequest = "none"
 )
 
+// namedBy returns which request a response on a connection names. A response that need not name its
+// request is taken for that to this one, unless it names an earlier one.
+func (r *Request) namedBy(header *fasthttp.ResponseHeader, connection *conn) namedRequest {
+	if r.ResponseID == nil {
+		return namesThisRequest
+	}
+	id := r.ResponseID(header)
+	switch {
+	case id != "" && id == r.ID:
+		return namesThisRequest
+	case connection.hasCarried(id):
+		return namesOtherRequest
+	case !r.RequireID:
+		return namesThisRequest
+	case id == "":
+		return namesNoRequest
+	default:
+		return namesOtherRequest
+	}
+}
+
 // Provenance tells how a response came, for logs.
 type Provenance struct {
 	// Exchange counts the exchanges on the connection, from 1.
@@ -48,11 +67,8 @@
 			return nil, err
 		}
 		response.Provenance = Provenance{Exchange: connection.exchanges, Dropped: dropped, After: time.Since(connection.exchangeBegan)}
-		named := NamesThisRequest
-		if request.Identify != nil {
-			named = request.Identify(response.Header)
-		}
-		if named == NamesThisRequest {
+		named := request.namedBy(response.Header, connection)
+		if named == namesThisRequest {
 			response.reusable = response.reusable && dropped == 0
 			return response, nil
 		}
@@ -72,8 +88,8 @@
 // mayDrop reports whether the response to the request may follow a response that does not name it.
 // The first response on a connection belongs to no earlier request, so that one that names no
 // request is all that the server sends. A response must be short to be dropped.
-func (r *Response) mayDrop(named NamedRequest) bool {
-	if named == NamesNoRequest && r.Provenance.Exchange == 1 {
+func (r *Response) mayDrop(named namedRequest) bool {
+	if named == namesNoRequest && r.Provenance.Exchange == 1 {
 		return false
 	}
 	length := r.Header.ContentLength()
--- a/lab/engine/server.go
+++ b/lab/engine/server.go
@@ -136,6 +136,7 @@
 	if id == "" {
 		id = "engine-" + uuid.NewString()
 	}
+	c.Set("X-Request-Id", id)
 	if e.crashesOn(body) {
 		e.Crash()
 		return nil
