--- a/lab/platformday/faults.go
+++ b/lab/platformday/faults.go
@@ -79,5 +79,5 @@
 
 func (d *Day) injectRunnerFault() {
 	d.report("a runner spoils answers")
-	d.runner(2).SetFault(standin.RunnerFault{LoseResponse: 0.1, TruncateStream: 0.1, ExtraResponse: 0.1, ServerError: 0.05})
+	d.runner(2).SetFault(standin.RunnerFault{LoseResponse: 0.1, TruncateStream: 0.1, ExtraResponse: 0.1, ServerError: 0.05, LateRefusal: 0.1})
 }
--- a/lab/platformday/platformseries.go
+++ b/lab/platformday/platformseries.go
@@ -121,6 +121,27 @@
 	}
 }
 
+const (
+	// lateRefusalShare is the fraction of soaks in which runners send refusals that name no request.
+	lateRefusalShare = 0.5
+	// lateRefusals is the fraction of such refusals before the responses of one runner.
+	lateRefusals = 0.3
+)
+
+// sendLateRefusals makes one runner after the other send refusals that name no request, until the
+// context ends.
+func (s *soak) sendLateRefusals(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		s.mutex.Lock()
+		runner := s.runners[random.IntN(len(s.runners))]
+		s.mutex.Unlock()
+		s.report("runner %s sends refusals that name no request", runner.ID)
+		runner.SetFault(standin.RunnerFault{LateRefusal: lateRefusals})
+		sleepUpTo(ctx, random, 3*time.Second)
+		runner.SetFault(standin.RunnerFault{})
+	}
+}
+
 // drainTime is how long a draining runner serves before it stops.
 const drainTime = 3 * time.Second
 
--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -128,6 +128,10 @@
 	if lateRandom.Float64() < lateRouteShare {
 		group.Go(func() { s.addLateRoutes(soakContext, lateRandom) })
 	}
+	refusalRandom := rand.New(rand.NewPCG(s.Seed, 6))
+	if refusalRandom.Float64() < lateRefusalShare {
+		group.Go(func() { s.sendLateRefusals(soakContext, refusalRandom) })
+	}
 	for range s.options.Disturbers {
 		run(func(random *rand.Rand) { s.disrupt(soakContext, random) })
 	}
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -69,6 +69,12 @@
 // connectionKey is the context key of the connection of a request.
 type connectionKey struct{}
 
+// runnerConnection is a connection from a node. It counts the requests that ran.
+type runnerConnection struct {
+	net.Conn
+	requests atomic.Int64
+}
+
 // StartRunner starts a runner and registers it in the store.
 func StartRunner(options RunnerOptions) (*Runner, error) {
 	listener, err := net.Listen("tcp", options.Address)
@@ -82,7 +88,7 @@
 	r.server = &http.Server{
 		Handler: http.HandlerFunc(r.serve), ReadHeaderTimeout: 5 * time.Second,
 		ConnContext: func(ctx context.Context, connection net.Conn) context.Context {
-			return context.WithValue(ctx, connectionKey{}, connection)
+			return context.WithValue(ctx, connectionKey{}, &runnerConnection{Conn: connection})
 		},
 	}
 	r.serving.Go(func() {
@@ -176,9 +182,10 @@
 		r.crashOnce()
 		panic(http.ErrAbortHandler)
 	}
+	connection := request.Context().Value(connectionKey{}).(*runnerConnection)
+	r.sendLateRefusal(connection, id)
 	complete := r.respond(writer, request, id, run)
-	connection := request.Context().Value(connectionKey{}).(net.Conn)
-	r.Ledger.end(run, complete, request.Context().Err() != nil && !r.ended.Load(), silence.IsSilent(connection))
+	r.Ledger.end(run, complete, request.Context().Err() != nil && !r.ended.Load(), silence.IsSilent(connection.Conn))
 }
 
 // crashOnce crashes the runner, unless it has ended already.
--- a/lab/standin/runneranswer.go
+++ b/lab/standin/runneranswer.go
@@ -21,6 +21,9 @@
 	ExtraResponse float64
 	// ServerError responds with status 500 instead of a stream.
 	ServerError float64
+	// LateRefusal sends a refusal that names no request before the response, if the connection
+	// has carried another request before.
+	LateRefusal float64
 }
 
 // affects reports whether the fault with a name affects a request, by a hash of the id of
@@ -73,6 +76,17 @@
 	return fmt.Sprintf("id: %d\n%sdata: %s\n\n", number, version, EventData(e.content, number))
 }
 
+// lateRefusal is a refusal that names no request.
+const lateRefusal = "HTTP/1.1 503 Service Unavailable\r\nCobaltramp-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+// sendLateRefusal sends lateRefusal where the response to a request is due, if the fault affects
+// the request.
+func (r *Runner) sendLateRefusal(connection *runnerConnection, id string) {
+	if connection.requests.Add(1) > 1 && affects(id+r.ID, "late", r.fault.Load().LateRefusal) {
+		_, _ = io.WriteString(connection, lateRefusal) // an error shows when the response is written
+	}
+}
+
 // respond sends the response to a request, and reports whether it sent all of it.
 func (r *Runner) respond(writer http.ResponseWriter, request *http.Request, id string, run *Run) bool {
 	fault := *r.fault.Load()
