An item's own endings never hold it

Items that are handed in for later are never requests that crash runners by themselves; what runners end under an item now counts for the runners and for the parts of its prompt only. An item's next run waits 0.1 s after the first run that ended with its runner, twice as long after each further one, and 3 s at the most. The count is in the leader's memory only. Nodes learn from another node's report that a runner has ended also if only an item showed it.

--- a/internal/batch/queue/table.go
+++ b/internal/batch/queue/table.go
@@ -36,6 +36,8 @@
 	// the times of the last such runs by the ID of the runner; it is not in the log.
 	Failures      int
 	FailedRunners map[string]time.Time
+	// Endings counts the runs that ended with their runners, early in the run; it is not in the log.
+	Endings int
 	// NotBefore is the earliest time of the next run; zero means at once.
 	NotBefore time.Time
 	// ExpectedTokens is the submitter's estimate of the output tokens; 0 if there is none.
--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -202,7 +202,7 @@
 
 // identityOf identifies an item and the shared parts of its prompt for the quarantine.
 func identityOf(work *queuestore.Work, route *catalog.Route) *quarantine.Work {
-	identity := &quarantine.Work{ID: work.Item.Id, Fingerprint: fingerprintOf(work), Service: route.ServiceFor(work.Item.Id), MayTry: true}
+	identity := &quarantine.Work{ID: work.Item.Id, Fingerprint: fingerprintOf(work), Service: route.ServiceFor(work.Item.Id), MayTry: true, Item: true}
 	prompt := promptOf(work.Item)
 	for _, part := range prompt.SharedParts {
 		identity.AddPart(quarantine.NewPart(work.Tenant, part.ID, part.Name))
--- a/internal/batch/queuerun/outcome.go
+++ b/internal/batch/queuerun/outcome.go
@@ -20,6 +20,9 @@
 	// interruptedDelay is the delay before the next run after a run that the runner did
 	// not start, or whose stream broke.
 	interruptedDelay = 100 * time.Millisecond
+	// maxEndingDelay bounds the delay before the next run of an item after its runs ended with
+	// their runners; see endingDelay. It is far below the time after which items are given up.
+	maxEndingDelay = 3 * time.Second
 	// preemptedDelay is the delay before the next run after a preemption.
 	preemptedDelay = 120 * time.Millisecond
 	// reasonPreempted is the logged outcome of a preempted run; explain and account
@@ -27,6 +30,26 @@
 	reasonPreempted = "gave way"
 )
 
+// endingDelay returns the delay before the next run of an item a number of whose runs ended with
+// their runners: runners that crash in waves are back after some of them.
+func endingDelay(endings int) time.Duration {
+	delay := interruptedDelay
+	for ; endings > 1 && delay < maxEndingDelay; endings-- {
+		delay *= 2
+	}
+	return min(delay, maxEndingDelay)
+}
+
+// recordBrokenRun reports a broken run to the quarantine. If its runner has ended with it, the
+// outcome says so, and the next run waits longer after each such run.
+func (r *run) recordBrokenRun(outcome *queuestore.Outcome) {
+	if r.executor.Quarantine == nil || !r.executor.Quarantine.RecordBrokenRun(r.identity, r.quarantineRun()) {
+		return
+	}
+	outcome.RunnerEnded = true
+	outcome.RetryDelay = endingDelay(r.work.Endings + 1)
+}
+
 // statusOutcome returns the outcome of a response with a status other than 200. Status 422
 // from the runner itself ends the item for good, and status 500 from the runner itself
 // counts as a failed attempt of the item. Any other response does not count against the
@@ -81,7 +104,7 @@
 		r.runner.RecordFailure(time.Now())
 	}
 	if notRun == nil && !errors.Is(err, context.Canceled) {
-		r.recordBrokenRun()
+		r.recordBrokenRun(&outcome)
 	}
 	return outcome
 }
@@ -99,7 +122,7 @@
 		return outcome
 	}
 	r.runner.RecordFailure(time.Now())
-	r.recordBrokenRun()
+	r.recordBrokenRun(&outcome)
 	klog.InfoS("item stream broken", "item", r.work.Item.Id, "runner", r.runner.ID, "after", r.output.LastEventID,
 		"err", strings.TrimSpace(err.Error()))
 	return outcome
--- a/internal/batch/queuerun/run.go
+++ b/internal/batch/queuerun/run.go
@@ -156,14 +156,6 @@
 	r.executor.tasks.Go(func() { r.work.Save(output) })
 }
 
-// recordBrokenRun reports a broken run to the quarantine, which counts it against the item if the
-// run may have crashed the runner.
-func (r *run) recordBrokenRun() {
-	if r.executor.Quarantine != nil {
-		r.executor.Quarantine.RecordBrokenRun(r.identity, r.quarantineRun())
-	}
-}
-
 // recordSurvival reports to the quarantine, once, that the run goes on after the time in which
 // items crash runners.
 func (r *run) recordSurvival(now time.Time) {
--- a/internal/batch/queuestore/node.go
+++ b/internal/batch/queuestore/node.go
@@ -60,6 +60,8 @@
 	// of the last failures by the ID of the runner. The map must not be changed.
 	Failures      int
 	FailedRunners map[string]time.Time
+	// Endings is the number of earlier runs that ended with their runners.
+	Endings int
 	// Save records the output produced so far, so that a later run can continue from it.
 	// It may block, and must not be called before TryStart returns.
 	Save func(output queue.ItemOutput)
@@ -81,6 +83,8 @@
 	// Failed is set.
 	Failed   bool
 	Attempts int
+	// RunnerEnded reports that the run's runner ended with it, early in the run.
+	RunnerEnded bool
 	// Runner is the ID of the runner of the run; empty if there was no run.
 	Runner string
 	// Output is the output so far; the next run continues from it.
--- a/internal/batch/queuestore/runs.go
+++ b/internal/batch/queuestore/runs.go
@@ -71,7 +71,7 @@
 		Key: key, Host: record.Host, Route: record.Route, CatalogVersion: record.CatalogVersion, KnownSince: entry.KnownSince,
 		Tenant: record.Tenant, Item: item, Output: entry.Output,
 		Due: entry.Due, Slack: l.table.Slack(entry, time.Now()),
-		Failures: entry.Failures, FailedRunners: maps.Clone(entry.FailedRunners),
+		Failures: entry.Failures, FailedRunners: maps.Clone(entry.FailedRunners), Endings: entry.Endings,
 	}
 	work.Save = func(output queue.ItemOutput) {
 		// If the run has ended, its outcome contains the complete progress.
@@ -130,6 +130,9 @@
 	if outcome.Failed {
 		l.table.RecordFailedRunner(key, outcome.Runner, time.Now())
 	}
+	if outcome.RunnerEnded {
+		l.table.Entry(key).Endings++
+	}
 	if !final {
 		s.recordProgress(l, key, work.Item.Id, outcome.Output)
 		l.table.Requeue(key, outcome.Output, outcome.Failed, time.Now().Add(outcome.RetryDelay))
--- a/internal/serving/quarantine/coordinator.go
+++ b/internal/serving/quarantine/coordinator.go
@@ -32,8 +32,8 @@
 	Held(work *Work) (Refusal, bool)
 	// RecordBrokenRun records that a run broke without having been ended by this node. The
 	// run counts against the work if the runner has ended and the run is a suspect
-	// (IsSuspectRun).
-	RecordBrokenRun(work *Work, run Run)
+	// (IsSuspectRun). It reports whether that is known now.
+	RecordBrokenRun(work *Work, run Run) (counts bool)
 	// RecordCompletion records that a runner has completed a run: it has sent a whole
 	// successful response, and has not ended with it.
 	RecordCompletion(work *Work, run Run)
@@ -201,11 +201,13 @@
 // cached, and so may block for up to probeTimeout. If the probe does not show that the
 // runner has ended, the run counts only if the list shows a later start of the runner
 // within restartConfirmTime (RecordRestart).
-func (c *Coordinator) RecordBrokenRun(work *Work, run Run) {
+func (c *Coordinator) RecordBrokenRun(work *Work, run Run) bool {
 	broken := brokenRun{work: work, run: run, at: time.Now(), trials: work.endTrials()}
-	if c.HasEnded(run.Start, run.Address) || c.restarts.recordBreak(broken) {
+	ended := c.HasEnded(run.Start, run.Address) || c.restarts.recordBreak(broken)
+	if ended {
 		c.recordEnding(&broken)
 	}
+	return ended && IsSuspectRun(run.FirstEvent, broken.at)
 }
 
 // RecordRestart records that the list of runners shows a later start of a runner in place
@@ -224,9 +226,12 @@
 	if !IsSuspectRun(run.FirstEvent, broken.at) {
 		return
 	}
-	outcome := c.table.RecordEnding(work.Fingerprint, ending, true)
+	outcome := EndingOutcome{}
+	if !work.Item {
+		outcome = c.table.RecordEnding(work.Fingerprint, ending, true)
+	}
 	klog.InfoS("runner ended while running a request", "id", work.ID, "fingerprint", work.Fingerprint, "runner", ending.runner,
-		"ranMs", ending.ran.Milliseconds(), "counted", outcome.Counted, "held", outcome.Hold != nil)
+		"ranMs", ending.ran.Milliseconds(), "isItem", work.Item, "counted", outcome.Counted, "held", outcome.Hold != nil)
 	c.recordPartEndings(work, run, broken.at)
 	if outcome.Counted {
 		c.reportEnding(work.Fingerprint, &ending)
--- a/internal/serving/quarantine/notices.go
+++ b/internal/serving/quarantine/notices.go
@@ -87,7 +87,9 @@
 	now := time.Now()
 	c.reportEndings(notice.Endings)
 	for _, ended := range notice.EndedRunners {
-		c.background.record(ended.Runner, ended.Service, now)
+		if c.background.record(ended.Runner, ended.Service, now) && c.OnEnding != nil {
+			c.OnEnding(ended.Runner)
+		}
 	}
 	for _, ending := range notice.Endings {
 		c.receiveEnding(ending, from, now)
--- a/internal/serving/quarantine/parts.go
+++ b/internal/serving/quarantine/parts.go
@@ -30,11 +30,11 @@
 	maxEvidenceEntries = 4096
 )
 
-// holdsOf returns the active holds of work and of the parts of its prompt. A part that is held
+// holdsOf returns the active holds of work, unless it is an item, and of the parts of its prompt. A part that is held
 // because of another service may be sent to a service where it was completed recently.
 func (c *Coordinator) holdsOf(work *Work, now time.Time) []Hold {
 	var holds []Hold
-	if hold, remaining := c.table.activeHold(work.Fingerprint, now); remaining > 0 {
+	if hold, remaining := c.table.activeHold(work.Fingerprint, now); remaining > 0 && !work.Item {
 		holds = append(holds, hold)
 	}
 	for i := range work.Parts {
--- a/internal/serving/quarantine/work.go
+++ b/internal/serving/quarantine/work.go
@@ -22,6 +22,9 @@
 	Parts []Part
 	// MayTry permits that the work is the trial of a hold.
 	MayTry bool
+	// Item states that the work is a batch item. The endings of runners under an item say nothing
+	// about the item as a whole, only about the parts of its prompt.
+	Item bool
 	// trials contains the held request and the held parts of which this work is the trial.
 	trials []Fingerprint
 }
