Runs under way count for the confirmation of a hold

Change: endings of runs that were under way when a hold was decided count for its confirmation, unless other runners end as well; the first trial waits 0.5 s for them. A part is not held while a single held request ran at all runners that ended under it. Sound work waits 0.5 s longer under a provisional hold.

--- a/internal/serving/quarantine/coordinator_test.go
+++ b/internal/serving/quarantine/coordinator_test.go
@@ -70,13 +70,20 @@
 
 // memoryHoldStore is a HoldStore in memory.
 type memoryHoldStore struct {
+	mutex       sync.Mutex // nodes save in goroutines of their own
 	holds       map[Fingerprint]Hold
 	unavailable bool
 }
 
-func (k *memoryHoldStore) Save(hold Hold) { k.holds[hold.Fingerprint] = hold }
+func (k *memoryHoldStore) Save(hold Hold) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.holds[hold.Fingerprint] = hold
+}
 
 func (k *memoryHoldStore) Claim(_ context.Context, hold, next Hold) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
 	stored := k.holds[hold.Fingerprint]
 	if k.unavailable || stored.supersedes(hold) {
 		return false
--- a/internal/serving/quarantine/decision.go
+++ b/internal/serving/quarantine/decision.go
@@ -22,6 +22,9 @@
 	initialHoldDuration = 5 * time.Minute
 	maxHoldDuration     = 24 * time.Hour
 	holdGrowthFactor    = 12
+	// firstTrialDelay is the time from a provisional hold to its first trial. Runs that were under
+	// way when the hold was decided show by then whether their runners end too.
+	firstTrialDelay = 500 * time.Millisecond
 )
 
 // IsSuspectRun reports whether a broken run is suspected of having ended its runner:
@@ -61,9 +64,17 @@
 		Length: length.Milliseconds(), Evidence: evidence,
 	}
 	hold.confirm(disturbed, now)
+	hold.delayFirstTrial(now)
 	return hold
 }
 
+// delayFirstTrial puts off the first trial of a provisional hold.
+func (h *Hold) delayFirstTrial(now time.Time) {
+	if h.Provisional {
+		h.TrialAt = now.Add(firstTrialDelay).UnixMilli()
+	}
+}
+
 // confirm confirms a hold if its evidence suffices and no other runners end, and makes it
 // provisional otherwise, with a trial that is due at once or when the others have stopped ending.
 // Disturbed states that others end.
--- a/internal/serving/quarantine/partdecision.go
+++ b/internal/serving/quarantine/partdecision.go
@@ -17,6 +17,8 @@
 //     attempts, all of which failed.
 //   - An ending is explained if a request with a held part ran at that runner as well. The
 //     hold of a part whose endings are all explained by other parts is lifted.
+//   - The endings under a part are explained as well if a single held request ran at all of these
+//     runners.
 //   - While many runners end, whatever they run, a failure counts less, and no hold is confirmed
 //     (background).
 
@@ -180,6 +182,7 @@
 		hold.Evidence = max(c.evidence, c.breadth)
 	}
 	hold.confirm(disturbed, now)
+	hold.delayFirstTrial(now)
 	return hold
 }
 
--- a/internal/serving/quarantine/parts.go
+++ b/internal/serving/quarantine/parts.go
@@ -59,13 +59,13 @@
 // recordPartEndings records that a runner ended while it ran work of this node.
 func (c *Coordinator) recordPartEndings(work *Work, run Run, now time.Time) {
 	for _, part := range work.Parts {
-		if !c.parts.RecordEnding(part, run, work.Service, true, now) {
+		if !c.parts.RecordEnding(part, run, work, true, now) && !c.table.mayCause(work.Fingerprint) {
 			continue
 		}
 		_, completed := c.parts.LastCompletion(part.Fingerprint, Environment{work.Service, run.Version}, now)
 		c.addToNotice(func(notice *wirev1.QuarantineNotice) {
 			notice.PartEndings = append(notice.PartEndings, &wirev1.PartEnding{
-				Part: uint64(part.Fingerprint), Name: part.Name, Runner: run.Start, Service: work.Service, Version: run.Version,
+				Part: uint64(part.Fingerprint), Name: part.Name, Request: uint64(work.Fingerprint), Runner: run.Start, Service: work.Service, Version: run.Version,
 				RanMs: roundUpToMilliseconds(time.Since(run.Began)), CompletedBefore: completed,
 			})
 		})
@@ -79,7 +79,7 @@
 func (c *Coordinator) receivePartEnding(ending *wirev1.PartEnding, now time.Time) {
 	part := Part{Fingerprint(ending.Part), ending.Name}
 	run := Run{Start: ending.Runner, Version: ending.Version, Began: now.Add(-time.Duration(ending.RanMs) * time.Millisecond)}
-	if c.parts.RecordEnding(part, run, ending.Service, false, now) {
+	if c.parts.RecordEnding(part, run, &Work{Fingerprint: Fingerprint(ending.Request), Service: ending.Service}, false, now) {
 		c.partDecisions.Trigger()
 		c.remoteDecisions.Trigger()
 	}
@@ -157,10 +157,11 @@
 // are explained by other parts, and distributes these changes.
 func (c *Coordinator) decideParts() {
 	now := time.Now()
-	held := func(part Fingerprint) bool {
-		_, remaining := c.table.activeHold(part, now)
+	held := func(held Fingerprint) bool {
+		_, remaining := c.table.activeHold(held, now)
 		return remaining > 0
 	}
+	c.confirmParts(held, now)
 	for _, decided := range c.parts.Decide(held, now) {
 		own := func(start string) bool { _, found := decided.endings[start]; return found }
 		disturbed := c.background.disturbed(decided.environment.Service, own, now)
@@ -184,6 +185,23 @@
 	}
 }
 
+// confirmParts confirms the provisional holds of parts under which runs that were under way have
+// ended as well.
+func (c *Coordinator) confirmParts(held func(Fingerprint) bool, now time.Time) {
+	for _, hold := range c.table.Holds(now) {
+		if hold.Part == "" || !hold.Provisional {
+			continue
+		}
+		disturbed := c.background.disturbed(hold.Environment.Service, c.parts.endedUnder(hold.Fingerprint), now)
+		confirmed, decided := hold.confirmedBy(c.parts.Breadth(hold.Fingerprint, held, now), disturbed, now)
+		if !decided || !c.table.ApplyHold(confirmed) {
+			continue
+		}
+		c.distributeHold(confirmed, "runs under way ended their runners too")
+		c.explainEndings(&confirmed, now)
+	}
+}
+
 // explainEndings attributes the endings under a held part to it, and lifts the holds of
 // requests that were held because of these endings only.
 func (c *Coordinator) explainEndings(hold *Hold, now time.Time) {
--- a/internal/serving/quarantine/parts_test.go
+++ b/internal/serving/quarantine/parts_test.go
@@ -339,7 +339,7 @@
 	is.Equal(len(work.Parts), MaxParts)
 	table, now := newPartTable(newBackground()), time.Now()
 	for number := range 2 * maxPartSuspects {
-		table.RecordEnding(NewPart("", uint64(number), ""), Run{Start: "r", Began: now}, testService, true, now)
+		table.RecordEnding(NewPart("", uint64(number), ""), Run{Start: "r", Began: now}, &Work{Service: testService}, true, now)
 	}
 	suspects, evicted := table.Counts()
 	is.Equal(suspects, maxPartSuspects)
--- a/internal/serving/quarantine/parttable.go
+++ b/internal/serving/quarantine/parttable.go
@@ -12,8 +12,10 @@
 	// maxPartSuspects is the maximum number of parts with endings; at the maximum, the part
 	// whose latest ending is the oldest is evicted.
 	maxPartSuspects = 1024
-	// maxPartEndings is the maximum number of endings that are kept for one part.
-	maxPartEndings = 256
+	// maxPartEndings is the maximum number of endings that are kept for one part, and
+	// maxRequestsPerEnding that of the requests with the part at one runner.
+	maxPartEndings       = 256
+	maxRequestsPerEnding = 16
 )
 
 // partSuspect is the state of a part with endings.
@@ -22,6 +24,9 @@
 	// endings contains the endings by the runner's start.
 	endings  map[string]observedEnding
 	failures []failure
+	// requests contains the requests with the part that ran at the runners that ended, by the
+	// runner's start; at most maxRequestsPerEnding of them.
+	requests map[string][]Fingerprint
 	// lastEnding is the time at which the latest ending was recorded.
 	lastEnding time.Time
 	// local is set if this node observed an ending under the part.
@@ -60,11 +65,11 @@
 	return len(t.suspects), t.evicted
 }
 
-// RecordEnding records that a runner ended while it ran a request with the part. It returns
+// RecordEnding records that a runner ended while it ran work with the part. It returns
 // false if the ending is already known, or if the part was completed since the run began.
 // Local states that this node observed the ending itself.
-func (t *PartTable) RecordEnding(part Part, run Run, service string, local bool, now time.Time) bool {
-	environment := Environment{service, run.Version}
+func (t *PartTable) RecordEnding(part Part, run Run, work *Work, local bool, now time.Time) bool {
+	environment := Environment{work.Service, run.Version}
 	completed, known := t.completions.last(part.Fingerprint, environment, now)
 	if known && completed.After(run.Began) {
 		return false
@@ -74,7 +79,7 @@
 	entry := t.suspects[part.Fingerprint]
 	if entry == nil {
 		t.evictOldest()
-		entry = &partSuspect{part: part, endings: map[string]observedEnding{}}
+		entry = &partSuspect{part: part, endings: map[string]observedEnding{}, requests: map[string][]Fingerprint{}}
 		t.suspects[part.Fingerprint] = entry
 		t.suspected.Store(part.Fingerprint, true)
 	}
@@ -82,7 +87,32 @@
 	if entry.part.Name == "" {
 		entry.part.Name = part.Name
 	}
-	return entry.recordEnding(run, environment, now)
+	counted := entry.recordEnding(run, environment, now)
+	entry.recordRequest(run.Start, work.Fingerprint)
+	return counted
+}
+
+// recordRequest records a request that ran at a runner that ended.
+func (s *partSuspect) recordRequest(start string, request Fingerprint) {
+	known := s.requests[start]
+	if _, counted := s.endings[start]; counted && len(known) < maxRequestsPerEnding && !slices.Contains(known, request) {
+		s.requests[start] = append(known, request)
+	}
+}
+
+// explainedByRequest reports whether a single held request ran at each of the runners that ended, so
+// that it explains the endings.
+func (s *partSuspect) explainedByRequest(held func(Fingerprint) bool) bool {
+	var candidates []Fingerprint
+	first := true
+	for start := range s.endings {
+		if first {
+			candidates, first = slices.Clone(s.requests[start]), false
+			continue
+		}
+		candidates = slices.DeleteFunc(candidates, func(request Fingerprint) bool { return !slices.Contains(s.requests[start], request) })
+	}
+	return slices.ContainsFunc(candidates, func(request Fingerprint) bool { return request != 0 && held(request) })
 }
 
 // recordEnding implements PartTable.RecordEnding for one part.
@@ -102,6 +132,7 @@
 // expire removes the endings that are older than partEndingTTL.
 func (s *partSuspect) expire(now time.Time) {
 	maps.DeleteFunc(s.endings, func(_ string, ending observedEnding) bool { return now.Sub(ending.at) > partEndingTTL })
+	maps.DeleteFunc(s.requests, func(start string, _ []Fingerprint) bool { return !s.has(start) })
 	s.failures = slices.DeleteFunc(s.failures, func(s failure) bool { return now.Sub(s.at) > partEndingTTL })
 }
 
@@ -152,7 +183,7 @@
 }
 
 // Decide returns the cases of the parts that have to be held now, in the order in which they
-// are held. Held reports whether a part is held already. A node that observed no ending under a
+// are held. Held reports whether a part or a request is held already. A node that observed no ending under a
 // part decides to hold it only remoteDecisionDelay after the last one: it may lack evidence for
 // the part until then, and the nodes that observed one may be gone after it.
 func (t *PartTable) Decide(held func(Fingerprint) bool, now time.Time) []*partCase {
@@ -161,9 +192,10 @@
 	explained := map[string]bool{}
 	var open []*partSuspect
 	for fingerprint, entry := range t.suspects {
-		if held(fingerprint) {
+		switch {
+		case held(fingerprint):
 			markExplained(explained, entry.endings)
-		} else {
+		case !entry.explainedByRequest(held):
 			open = append(open, entry)
 		}
 	}
@@ -181,6 +213,36 @@
 	}
 }
 
+// Breadth returns the sum of the weights of all endings under a part, of which this node observed
+// any, without those that other held parts explain; 0 if it observed none.
+func (t *PartTable) Breadth(part Fingerprint, held func(Fingerprint) bool, now time.Time) float64 {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	entry := t.suspects[part]
+	if entry == nil || !entry.local {
+		return 0
+	}
+	explained := map[string]bool{}
+	for fingerprint, other := range t.suspects {
+		if other != entry && held(fingerprint) {
+			markExplained(explained, other.endings)
+		}
+	}
+	return t.breadth(entry, explained, now)
+}
+
+// breadth returns the sum of the weights of the endings under a part that are not explained. The
+// caller holds the mutex.
+func (t *PartTable) breadth(entry *partSuspect, explained map[string]bool, now time.Time) float64 {
+	sum := 0.0
+	for runner, ending := range entry.endings {
+		if !explained[runner] {
+			sum += t.background.weight(&ending, entry.has, now)
+		}
+	}
+	return sum
+}
+
 // ReduceFailures keeps so few failures of a part whose hold was lifted, and no other endings, that
 // it is held again after one more failure.
 func (t *PartTable) ReduceFailures(part Fingerprint) {
@@ -289,11 +351,7 @@
 				found.unexplainedEvidence += weight
 			}
 		}
-		for runner, ending := range entry.endings {
-			if !explained[runner] {
-				found.breadth += t.background.weight(&ending, entry.has, now)
-			}
-		}
+		found.breadth = t.breadth(entry, explained, now)
 		if len(found.unexplained) > 0 {
 			cases = append(cases, found)
 		}
--- a/internal/serving/quarantine/provisional.go
+++ b/internal/serving/quarantine/provisional.go
@@ -131,6 +131,20 @@
 	return c.background.disturbed(ending.service, own, ending.at)
 }
 
+// confirmedBy returns the confirmed hold in place of an active provisional one, if the endings under
+// the held request or part suffice and no other runners end (disturbed), and whether they do. The
+// endings include those of runs that were under way when the hold was decided.
+func (h *Hold) confirmedBy(evidence float64, disturbed bool, now time.Time) (Hold, bool) {
+	if !h.Provisional || h.Until <= now.UnixMilli() || disturbed || !amountsTo(evidence, endingsToConfirm) {
+		return Hold{}, false
+	}
+	next := *h
+	next.Decided, next.Evidence = max(now.UnixMilli(), h.Decided+1), evidence
+	next.confirm(disturbed, now)
+	next.Until = now.Add(time.Duration(next.Length) * time.Millisecond).UnixMilli()
+	return next, true
+}
+
 // withFailedTrial returns the hold after the runner of a trial has ended. The next trial is due at
 // once, or when no other runners end (disturbed); a confirmed hold lasts its whole length from then on.
 func (h *Hold) withFailedTrial(weight float64, disturbed bool, now time.Time) Hold {
--- a/internal/serving/quarantine/provisional_test.go
+++ b/internal/serving/quarantine/provisional_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -206,3 +207,47 @@
 		is.Equal(len(n.node(1).background.ended), 1)
 	})
 }
+
+// Guards against requests that crash more than five runners (DeadlyDaysEndMoreThanFiveRunners): runs
+// that are under way when the hold is decided count as well, and the hold of the request is not
+// lifted for the sake of a part that only this request has at these runners.
+func TestRunsUnderWayCountForTheConfirmation(t *testing.T) {
+	const runTime = 200 * time.Millisecond
+	rapid.Check(t, func(rt *rapid.T) {
+		interval := time.Duration(rapid.IntRange(60, 400).Draw(rt, "interval")) * time.Millisecond
+		synctest.Test(t, func(t *testing.T) {
+			n := newPartNetwork(4)
+			for _, node := range n.nodes {
+				node.SetRunners(fixedRunners(waveServiceSize))
+				go node.Run(t.Context())
+			}
+			underWay := 0 // runs that began before all nodes could know of the hold
+			var ended, heldSince atomic.Int64
+			for number := range int(20 * time.Second / interval) {
+				work := promptWork(7, "rare")
+				work.MayTry = true
+				node := n.node(number % len(n.nodes))
+				if _, held := node.Held(work); !held {
+					run := n.newRun()
+					if since := heldSince.Load(); since == 0 || time.Now().UnixNano() <= since+int64(coalesceInterval) {
+						underWay++
+					}
+					time.AfterFunc(runTime, func() {
+						if ended.Add(1) == EndingsToHold {
+							heldSince.Store(time.Now().UnixNano())
+						}
+						node.RecordBrokenRun(work, run)
+						node.RecordBrokenRun(promptWork(1000+number, "rare"), run) // a bystander there
+					})
+				}
+				time.Sleep(interval)
+			}
+			if allowed := max(endingsToConfirm, underWay); int(ended.Load()) > allowed {
+				t.Fatalf("%d runners ended, allowed are %d", ended.Load(), allowed)
+			}
+			if n.held(0, "rare") {
+				t.Fatal("the part is held")
+			}
+		})
+	})
+}
--- a/internal/serving/quarantine/table.go
+++ b/internal/serving/quarantine/table.go
@@ -130,11 +130,14 @@
 	entry.endings[ending.runner], entry.lastEnding = ending, now
 	entry.local = entry.local || local
 	previous, evidence := t.holds[fingerprint], t.evidenceOf(entry, now)
-	if !mustHold(evidence, previous, now) {
+	disturbed := t.background.disturbed(ending.service, entry.has, now)
+	hold, decided := previous.confirmedBy(evidence, disturbed, now)
+	if !decided && mustHold(evidence, previous, now) {
+		hold, decided = nextHold(fingerprint, evidence, previous, disturbed, now), true
+	}
+	if !decided {
 		return EndingOutcome{Counted: true}
 	}
-	disturbed := t.background.disturbed(ending.service, entry.has, now)
-	hold := nextHold(fingerprint, evidence, previous, disturbed, now)
 	t.putHold(hold)
 	t.publish()
 	t.attribute(entry.endings, now)
@@ -156,6 +159,14 @@
 	return t.background.weight(ending, t.suspects[fingerprint].has, ending.at)
 }
 
+// mayCause reports whether a request ended almost as many runners as a hold requires, so that it may
+// be what ends them.
+func (t *SuspectTable) mayCause(fingerprint Fingerprint) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.suspects[fingerprint].mayBeCause()
+}
+
 // endedUnder returns whether a runner ended under a request.
 func (t *SuspectTable) endedUnder(fingerprint Fingerprint) func(start string) bool {
 	t.mutex.Lock()
