Responses without end are cut off

What callers saw (a stand-in): a body without end was relayed until the deadline, and so were events without an id, each of which restarted the idle watch; a refusal whose body drips held the request up.

Bounds: a whole response, 16 times the configured size of request bodies; a stream, one event for each output token that the request allows and 16 more, and 64 KB of events without an id, which are no progress for the idle watch; an item's output the same, and 4 MB, after which it starts again; 8 interim responses; the line after the last chunk, the buffer; a body that is read only for the sake of the connection, 64 KB and 0.1 s. At the plain node's engines an event has 1 MB with the blank lines before it, and 4,096 events of other requests or repeated ones are the most. Each ends the attempt with the reason in its line, and closes the runner's connection. Health answers and probes read nothing from a runner. Left: a stream whose request states no tokens has only its deadline.

--- a/internal/batch/queuerun/failing_test.go
+++ b/internal/batch/queuerun/failing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -88,3 +89,23 @@
 	}
 	is.Equal(previous, maxEndingDelay)
 }
+
+// Guards against a runner whose events do not end: an item's output must not grow for ever. The item
+// starts again.
+func TestOutputWithoutEndIsDropped(t *testing.T) {
+	for name, event := range map[string]string{"many events": "x", "long events": strings.Repeat("x", 512<<10)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var stream strings.Builder
+			for number := range 200 {
+				fmt.Fprintf(&stream, "id: %d\ndata: %s\n\n", number+1, event)
+			}
+			executor := newExecutor(t, &scriptedClient{respond: responds(200, true, stream.String())})
+			work := workOf(queue.ItemOutput{})
+			work.Item.MaxOutputTokens = 100
+			outcome := runOnce(t, executor, work)
+			is.True(!outcome.Done && !outcome.Dead && !outcome.Failed)
+			is.Equal(outcome.Output.LastEventID, int64(0))
+		})
+	}
+}
--- a/internal/batch/queuerun/run.go
+++ b/internal/batch/queuerun/run.go
@@ -117,6 +117,10 @@
 		if err == nil && (!event.HasID || event.ID != r.output.LastEventID+1) {
 			err = &eventstream.BrokenError{Reason: "event out of order"}
 		}
+		if err == nil && r.exceedsLimits(&event) {
+			r.output = queue.ItemOutput{} // earlier events may be of such a response too
+			err = &eventstream.BrokenError{Reason: "more output than the item allows"}
+		}
 		if err != nil {
 			return r.streamErrorOutcome(parent, err)
 		}
@@ -124,6 +128,23 @@
 	}
 }
 
+const (
+	// maxOutputBytes is the largest size of an item's output; a storage node holds the output of
+	// several items in memory.
+	maxOutputBytes = 4 << 20
+	// extraEvents is the number of events that may come beside those with the item's tokens.
+	extraEvents = 16
+)
+
+// exceedsLimits reports whether an event makes the output larger than any output of the item: a
+// runner that fails may send events without end. Each event has at least one token.
+func (r *run) exceedsLimits(event *eventstream.StreamEvent) bool {
+	if limit := int64(r.work.Item.MaxOutputTokens); limit > 0 && event.ID > limit+extraEvents {
+		return true
+	}
+	return len(r.output.Text)+len(event.Data) > maxOutputBytes
+}
+
 // addEvent appends an event to the output, and saves the output with the first event in
 // each save round after the round in which the run started.
 func (r *run) addEvent(event *eventstream.StreamEvent) {
--- a/internal/serving/engine/stream.go
+++ b/internal/serving/engine/stream.go
@@ -36,7 +36,14 @@
 // next index. An event further ahead ends the stream with RunnerLost.
 const maxReorderDistance = 256
 
-const streamBufferBytes = 16 << 10
+const (
+	streamBufferBytes = 16 << 10
+	// maxEventBytes is the largest size of an event, with the blank lines before it.
+	maxEventBytes = 1 << 20
+	// maxDroppedEvents is the number of repeated events and events of other requests after which a
+	// stream counts as lost.
+	maxDroppedEvents = 4096
+)
 
 // Stream reads the events of one generation in the order of their indexes. It drops
 // repeated events and events of other requests, and buffers events that arrive early. It
@@ -103,13 +110,14 @@
 // readEvent reads one server-sent event and stores it by its index. An event without an id
 // gets the next index.
 func (s *Stream) readEvent() error {
-	index := -1
+	index, size := -1, 0
 	var data []byte
 	for {
-		line, err := s.reader.ReadBytes('\n')
+		line, err := s.readLine(maxEventBytes - size)
 		if err != nil {
 			return s.readError(err)
 		}
+		size += len(line)
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			if data == nil {
@@ -128,6 +136,24 @@
 	}
 }
 
+// errEventTooLong means that the engine sent more than maxEventBytes for an event.
+var errEventTooLong = errors.New("an event is too long")
+
+// readLine reads one line with its end, of at most limit bytes.
+func (s *Stream) readLine(limit int) ([]byte, error) {
+	var line []byte
+	for {
+		part, err := s.reader.ReadSlice('\n')
+		line = append(line, part...)
+		if len(line) > limit {
+			return nil, errEventTooLong
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
 // readError handles an error of the connection. The end of the connection is no error if
 // the end marker was received.
 func (s *Stream) readError(err error) error {
@@ -141,7 +167,13 @@
 // storeEvent handles the data of a server-sent event: it buffers an event of this request
 // that is not a repetition. An index below 0 stands for the next index.
 func (s *Stream) storeEvent(index int, data []byte) error {
+	if s.Repeated+s.Foreign > maxDroppedEvents {
+		return result.New(result.RunnerLost, "stream %s has too many events of other requests or repeated ones", s.id)
+	}
 	if bytes.Equal(data, doneMarker) {
+		if s.doneReceived {
+			s.Repeated++
+		}
 		s.doneReceived = true
 		return nil
 	}
--- a/internal/serving/engine/stream_test.go
+++ b/internal/serving/engine/stream_test.go
@@ -135,3 +135,26 @@
 		decodeEvent(1, gjson.ParseBytes(data), wirev1.Surface_SURFACE_CHAT)
 	}
 }
+
+// Guards against an engine whose bytes do not end: they must not be read on, or kept, for ever.
+func TestStreamWithoutEndIsLost(t *testing.T) {
+	for name, part := range map[string]string{
+		"a line":                   "x",
+		"blank lines":              "\n",
+		"end markers":              "data: [DONE]\n\n",
+		"an event of two requests": sse(0, "another", "x"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			stream, end := serveResponse(t, strings.Repeat(part, 1+4*maxEventBytes/len(part)))
+			defer end()
+			for {
+				_, err := stream.Next()
+				if err == nil {
+					continue
+				}
+				is.New(t).True(result.Is(err, result.RunnerLost))
+				return
+			}
+		})
+	}
+}
--- a/internal/serving/online/answer.go
+++ b/internal/serving/online/answer.go
@@ -62,7 +62,14 @@
 		s.current.runner.RecordFailure(time.Now())
 		return s.handleInterruption(ctx, errors.New("a success without the runner's mark"))
 	}
+	if err := s.request.Limits.checkLength(response); err != nil {
+		s.current.runner.RecordFailure(time.Now())
+		return s.handleInterruption(ctx, err)
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	if err == nil {
+		err = s.request.Limits.checkBytes(int64(len(body)))
+	}
 	if err != nil {
 		s.current.runner.RecordFailure(time.Now())
 		return s.handleInterruption(ctx, err)
@@ -91,8 +98,15 @@
 // relayRest relays the part of a response after its first maxBufferedBytes bytes.
 func (s *activeRequest) relayRest(ctx context.Context, response *exchange.Response) error {
 	buffer := make([]byte, 32<<10)
+	size := int64(maxBufferedBytes)
 	for {
 		n, err := response.Body.Read(buffer)
+		size += int64(n)
+		if tooLong := s.request.Limits.checkBytes(size); tooLong != nil {
+			s.current.runner.RecordFailure(time.Now())
+			_, interruption := s.handleInterruption(ctx, tooLong)
+			return interruption
+		}
 		if n > 0 {
 			if writeErr := s.responder.Write(buffer[:n]); writeErr != nil {
 				return result.New(result.CallerGone, "the caller left")
--- a/internal/serving/online/idle.go
+++ b/internal/serving/online/idle.go
@@ -29,10 +29,12 @@
 
 	mutex sync.Mutex
 	timer *time.Timer
-	// silentSince is when the runner was last heard; zero while the watch is stopped.
+	// silentSince is when the runner was last heard; zero while the watch is paused or stopped.
 	silentSince time.Time
-	// streamBegun is set once an event was received.
-	streamBegun bool
+	// silentBefore is how long the runner had been silent when the watch was paused.
+	silentBefore time.Duration
+	// streamBegun is set once an event was received, and ended once the attempt was ended.
+	streamBegun, ended bool
 }
 
 // startIdleWatch returns a watch that has just heard from the runner.
@@ -60,7 +62,7 @@
 	}
 	silent := time.Since(w.silentSince)
 	if silent >= w.timeout || w.streamBegun && silent >= minWithdrawnIdleTime && w.isLastChance() {
-		w.silentSince = time.Time{}
+		w.silentSince, w.ended = time.Time{}, true
 		return true
 	}
 	w.timer.Reset(w.nextCheck(silent))
@@ -76,12 +78,30 @@
 	return min(idleCheckInterval, w.timeout-silent)
 }
 
-// resume starts the watch again after an event of the stream.
-func (w *idleWatch) resume() {
+// pause stops the watch for a time that is not the runner's.
+func (w *idleWatch) pause() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.silentSince, w.streamBegun = time.Now(), true
-	w.timer.Reset(w.nextCheck(0))
+	if !w.silentSince.IsZero() {
+		w.silentBefore = time.Since(w.silentSince)
+	}
+	w.silentSince = time.Time{}
+	w.timer.Stop()
+}
+
+// resume continues the watch after a pause. Progress states that the runner was heard: otherwise its
+// silence goes on.
+func (w *idleWatch) resume(progress bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.ended {
+		return
+	}
+	if progress {
+		w.silentBefore, w.streamBegun = 0, true
+	}
+	w.silentSince = time.Now().Add(-w.silentBefore)
+	w.timer.Reset(max(0, w.nextCheck(w.silentBefore)))
 }
 
 // stop stops the watch.
--- a/internal/serving/online/idle_test.go
+++ b/internal/serving/online/idle_test.go
@@ -21,8 +21,8 @@
 	watch := startIdleWatch(testIdleTimeout, lastChance, func() { ended.Store(int64(time.Since(started))) })
 	for range events {
 		time.Sleep(20 * time.Millisecond)
-		watch.stop()
-		watch.resume()
+		watch.pause()
+		watch.resume(true)
 	}
 	time.Sleep(time.Minute)
 	watch.stop()
@@ -57,7 +57,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ended := false
 		watch := startIdleWatch(testIdleTimeout, func() bool { return true }, func() { ended = true })
-		watch.resume()
+		watch.resume(true)
 		time.Sleep(minWithdrawnIdleTime / 2)
 		watch.stop()
 		time.Sleep(time.Minute)
@@ -102,3 +102,20 @@
 func (currentContact) Age() time.Duration     { return 0 }
 func (currentContact) HeldAge() time.Duration { return 0 }
 func (currentContact) Lost() bool             { return false }
+
+// Guards against events without an id that keep an attempt alive for ever: they are no progress of the
+// stream.
+func TestUnnumberedEventsDoNotEndTheSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		started := time.Now()
+		var ended atomic.Int64
+		watch := startIdleWatch(testIdleTimeout, func() bool { return false }, func() { ended.Store(int64(time.Since(started))) })
+		for range 200 {
+			time.Sleep(20 * time.Millisecond)
+			watch.pause()
+			watch.resume(false)
+		}
+		watch.stop()
+		is.New(t).Equal(time.Duration(ended.Load()), testIdleTimeout)
+	})
+}
--- a/internal/serving/online/request.go
+++ b/internal/serving/online/request.go
@@ -36,6 +36,8 @@
 	// Resumes is the ID of the caller's attempt that brought the first event of the stream
 	// that this request resumes; empty if the caller names none.
 	Resumes string
+	// Limits bound the response.
+	Limits ResponseLimits
 	// Prompt describes the request's prompt; zero if the caller does not describe it.
 	Prompt runnerset.Prompt
 }
--- a/internal/serving/online/stream.go
+++ b/internal/serving/online/stream.go
@@ -22,7 +22,7 @@
 		return s.handleInterruption(ctx, errors.New("a success without the runner's mark"))
 	}
 	events := eventstream.NewDecoder(response.Body)
-	first := true
+	first, checks := true, eventCheck{limits: s.request.Limits}
 	for {
 		event, err := events.Next()
 		if errors.Is(err, io.EOF) && s.endedWithRunner(response, first && !s.history.responseStarted) {
@@ -31,14 +31,14 @@
 		if errors.Is(err, io.EOF) {
 			return s.finishStream(response, first)
 		}
-		if err == nil && event.HasID && event.ID != s.lastEvent+1 {
-			err = &eventstream.BrokenError{Reason: "an event out of order"}
+		if err == nil {
+			err = checks.check(&event, s.lastEvent)
 		}
 		if err != nil {
 			s.recordStreamFailure(ctx, first)
 			return s.handleInterruption(ctx, err)
 		}
-		s.current.idle.stop() // the write may wait for a slow caller, which is not the runner's fault
+		s.current.idle.pause() // the write may wait for a slow caller, which is not the runner's fault
 		s.current.inFlight.RecordEvent(time.Now())
 		if first {
 			first = false
@@ -54,7 +54,7 @@
 		if err := s.responder.Write(event.Raw); err != nil {
 			return false, result.New(result.CallerGone, "the caller left")
 		}
-		s.current.idle.resume()
+		s.current.idle.resume(event.HasID)
 		if event.HasID {
 			s.lastEvent = event.ID
 		}
--- a/internal/transport/httpcall/errors.go
+++ b/internal/transport/httpcall/errors.go
@@ -29,6 +29,10 @@
 // context had not ended.
 var ErrWithdrawn = errors.New("withdrawn before it was written")
 
+// ErrTooManyInterimResponses is the cause of a NoResponseError if the server sent more interim
+// responses than any server has to.
+var ErrTooManyInterimResponses = errors.New("too many interim responses")
+
 // ErrUnmatchedResponse is the cause of a NoResponseError if only responses were received that do
 // not name the request.
 var ErrUnmatchedResponse = errors.New("the responses do not name the request")
--- a/internal/transport/httpcall/response.go
+++ b/internal/transport/httpcall/response.go
@@ -27,11 +27,25 @@
 	stopContextWatch func() bool
 }
 
+// maxInterimResponses is the number of interim responses (status 1xx) that may precede a response.
+const maxInterimResponses = 8
+
+// readHeader reads the header of the next response that is not an interim one.
 func (c *Client) readHeader(connection *conn) (*Response, error) {
 	header := &fasthttp.ResponseHeader{}
-	if err := header.Read(connection.reader); err != nil {
-		return nil, err
+	for range maxInterimResponses + 1 {
+		if err := header.Read(connection.reader); err != nil {
+			return nil, err
+		}
+		if header.StatusCode() >= fasthttp.StatusOK {
+			return c.newResponse(connection, header), nil
+		}
 	}
+	return nil, ErrTooManyInterimResponses
+}
+
+// newResponse returns the response with a header that was read from a connection.
+func (c *Client) newResponse(connection *conn, header *fasthttp.ResponseHeader) *Response {
 	response := &Response{Status: header.StatusCode(), Header: header, client: c, conn: connection}
 	length := header.ContentLength()
 	switch {
@@ -45,7 +59,7 @@
 	default:
 		response.body = connection.reader
 	}
-	return response, nil
+	return response
 }
 
 // EndsWithConnection reports whether the body has neither a length nor chunks, so that it ends
@@ -118,20 +132,26 @@
 		return true
 	}
 	_ = connection.SetReadDeadline(time.Now().Add(trailerTimeout))
-	line, err := connection.reader.ReadString('\n')
+	line, err := connection.reader.ReadSlice('\n') // fails on a line that exceeds the buffer
 	_ = connection.SetReadDeadline(time.Time{})
-	return err == nil && line == "\r\n"
+	return err == nil && string(line) == "\r\n"
 }
 
 // maxDiscardBytes bounds a body that is read only so that its connection can be reused.
 const maxDiscardBytes = 64 << 10
 
+// discardTimeout bounds the time for such a body.
+const discardTimeout = 100 * time.Millisecond
+
 // Discard closes the response. If the response declares a Content-Length of at most
-// maxDiscardBytes, Discard reads the body first, so that the connection can be reused.
+// maxDiscardBytes, Discard reads the body first, for discardTimeout at the most, so that the
+// connection can be reused.
 func (r *Response) Discard() {
 	length := r.Header.ContentLength()
 	if length >= 0 && length <= maxDiscardBytes {
+		_ = r.conn.SetReadDeadline(time.Now().Add(discardTimeout))
 		_, _ = io.Copy(io.Discard, asReader(r))
+		_ = r.conn.SetReadDeadline(time.Time{})
 	}
 	r.Close()
 }
