Items whose runners ended wait longer, also under a later leader

The test expected three holds after the job, one of them of the item. That is wrong since the users said that items never crash runners by themselves and stay owed: an item is not held. The number of runners that it may end, also over the restart of all nodes, stays at 6, and the test now demands exactly the two holds of the requests. TestItemWaitsLongerAfterEachEndingOfItsRunners moved with the rule to package queue (TestEndingDelayGrowsToABound, TestEndingsSurviveTheLeader).

--- a/internal/batch/queue/queue.go
+++ b/internal/batch/queue/queue.go
@@ -103,10 +103,11 @@
 		return &ApplyResult{}, err
 	}
 	info := record.Items[failure.Item]
-	if info.Position > 0 || info.Failures >= failure.Failures {
+	if info.Position > 0 || info.Failures >= failure.Failures && info.Endings >= failure.Endings {
 		return &ApplyResult{}, nil
 	}
-	info.Failures = failure.Failures
+	info.Failures = max(info.Failures, failure.Failures)
+	info.Endings = max(info.Endings, failure.Endings)
 	return &ApplyResult{}, save(store, recordKey(record.Id), record)
 }
 
--- a/internal/batch/queue/table.go
+++ b/internal/batch/queue/table.go
@@ -36,8 +36,10 @@
 	// the times of the last such runs by the ID of the runner; it is not in the log.
 	Failures      int
 	FailedRunners map[string]time.Time
-	// Endings counts the runs that ended with their runners, early in the run; it is not in the log.
-	Endings int
+	// Endings counts the runs that ended with their runners, early in the run. Lifetime is the time
+	// from the acceptance of the job to ExpiresAt.
+	Endings  int
+	Lifetime time.Duration
 	// NotBefore is the earliest time of the next run; zero means at once.
 	NotBefore time.Time
 	// ExpectedTokens is the submitter's estimate of the output tokens; 0 if there is none.
@@ -112,8 +114,13 @@
 			Account: TokenAccount{record.Tenant, record.Route}, ExpectedTokens: info.OutputTokens, KnownSince: now, Failures: int(info.Failures),
 			Due:       accepted.Add(time.Duration(record.DueAfterMs) * time.Millisecond),
 			ExpiresAt: accepted.Add(time.Duration(record.GiveUpMs) * time.Millisecond),
+			Lifetime:  time.Duration(record.GiveUpMs) * time.Millisecond,
+			Endings:   int(info.Endings),
 			order:     t.order,
 		}
+		if entry.Endings > 0 {
+			entry.NotBefore = now.Add(endingDelay(entry.Endings, entry.Lifetime))
+		}
 		items[uint32(number)] = entry
 		t.entries[entry.Key] = entry
 		t.waiting[entry.Account] += entry.Tokens
--- a/internal/batch/queuerun/outcome.go
+++ b/internal/batch/queuerun/outcome.go
@@ -20,9 +20,6 @@
 	// interruptedDelay is the delay before the next run after a run that the runner did
 	// not start, or whose stream broke.
 	interruptedDelay = 100 * time.Millisecond
-	// maxEndingDelay bounds the delay before the next run of an item after its runs ended with
-	// their runners; see endingDelay. It is far below the time after which items are given up.
-	maxEndingDelay = 3 * time.Second
 	// preemptedDelay is the delay before the next run after a preemption.
 	preemptedDelay = 120 * time.Millisecond
 	// reasonPreempted is the logged outcome of a preempted run; explain and account
@@ -30,24 +27,12 @@
 	reasonPreempted = "gave way"
 )
 
-// endingDelay returns the delay before the next run of an item a number of whose runs ended with
-// their runners: runners that crash in waves are back after some of them.
-func endingDelay(endings int) time.Duration {
-	delay := interruptedDelay
-	for ; endings > 1 && delay < maxEndingDelay; endings-- {
-		delay *= 2
-	}
-	return min(delay, maxEndingDelay)
-}
-
-// recordBrokenRun reports a broken run to the quarantine. If its runner has ended with it, the
-// outcome says so, and the next run waits longer after each such run.
+// recordBrokenRun reports a broken run to the quarantine, and states in the outcome whether its runner
+// has ended with it.
 func (r *run) recordBrokenRun(outcome *queuestore.Outcome) {
-	if r.executor.Quarantine == nil || !r.executor.Quarantine.RecordBrokenRun(r.identity, r.quarantineRun()) {
-		return
+	if r.executor.Quarantine != nil {
+		outcome.RunnerEnded = r.executor.Quarantine.RecordBrokenRun(r.identity, r.quarantineRun())
 	}
-	outcome.RunnerEnded = true
-	outcome.RetryDelay = endingDelay(r.work.Endings + 1)
 }
 
 // statusOutcome returns the outcome of a response with a status other than 200. Status 422
--- a/internal/batch/queuestore/node.go
+++ b/internal/batch/queuestore/node.go
@@ -60,8 +60,6 @@
 	// of the last failures by the ID of the runner. The map must not be changed.
 	Failures      int
 	FailedRunners map[string]time.Time
-	// Endings is the number of earlier runs that ended with their runners.
-	Endings int
 	// Save records the output produced so far, so that a later run can continue from it.
 	// It may block, and must not be called before TryStart returns.
 	Save func(output queue.ItemOutput)
--- a/internal/batch/queuestore/runs.go
+++ b/internal/batch/queuestore/runs.go
@@ -71,7 +71,7 @@
 		Key: key, Host: record.Host, Route: record.Route, CatalogVersion: record.CatalogVersion, KnownSince: entry.KnownSince,
 		Tenant: record.Tenant, Item: item, Output: entry.Output,
 		Due: entry.Due, Slack: l.table.Slack(entry, time.Now()),
-		Failures: entry.Failures, FailedRunners: maps.Clone(entry.FailedRunners), Endings: entry.Endings,
+		Failures: entry.Failures, FailedRunners: maps.Clone(entry.FailedRunners),
 	}
 	work.Save = func(output queue.ItemOutput) {
 		// If the run has ended, its outcome contains the complete progress.
@@ -131,12 +131,12 @@
 		l.table.RecordFailedRunner(key, outcome.Runner, time.Now())
 	}
 	if outcome.RunnerEnded {
-		l.table.Entry(key).Endings++
+		outcome.RetryDelay = l.table.RecordEnding(key)
 	}
 	if !final {
 		s.recordProgress(l, key, work.Item.Id, outcome.Output)
 		l.table.Requeue(key, outcome.Output, outcome.Failed, time.Now().Add(outcome.RetryDelay))
-		if outcome.Failed {
+		if outcome.Failed || outcome.RunnerEnded {
 			s.proposeFailures(key)
 		}
 		return
@@ -168,10 +168,11 @@
 	s.Propose(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Finish{Finish: &wirev1.QueueResults{Results: []*wirev1.QueueResult{result}}}})
 }
 
-// proposeFailures proposes to save the number of failed runs of an item, so that a later leader
+// proposeFailures proposes to save the numbers of an item's runs that failed or ended with their runner, so that a later leader
 // does not begin to count anew.
 func (s *shard) proposeFailures(key queue.ItemKey) {
-	failure := &wirev1.QueueFailure{JobId: key.Job, Item: key.Number, Failures: uint32(s.leader.table.Entry(key).Failures)}
+	entry := s.leader.table.Entry(key)
+	failure := &wirev1.QueueFailure{JobId: key.Job, Item: key.Number, Failures: uint32(entry.Failures), Endings: uint32(entry.Endings)}
 	s.Propose(&wirev1.QueueCommand{Kind: &wirev1.QueueCommand_Failure{Failure: failure}})
 }
 
