--- a/internal/serving/quarantine/doc.go
+++ b/internal/serving/quarantine/doc.go
@@ -14,7 +14,10 @@
 //     it expires, when a runner completes the request, when a run of it survives, or at
 //     an operator's request.
 //   - A hold is provisional until the evidence amounts to the number of endings that
-//     confirms it. Meanwhile trials show whether the request is sound.
+//     confirms it, and while other runners end as well. Meanwhile trials show whether the
+//     request is sound.
+//   - The endings of runners under a batch item say nothing about the item as a whole: it is
+//     never held, except because of a part of its prompt.
 //   - A trial is the one held request that is sent to a runner to see whether it still
 //     crashes runners.
 //
@@ -34,10 +37,11 @@
 //   - decision.go contains the rules: when a request is held and for how long, to which
 //     request an ending is attributed, and which runners a suspect avoids.
 //   - SuspectTable is the state to which the rules apply. It does no I/O.
-//   - partdecision.go contains the rules for parts, PartTable their state, and parts.go the
-//     exchange of reports on them. trial.go contains the trials, and provisional.go those of
-//     provisional holds.
-//   - background.go weighs endings by the endings of other runners.
+//   - partdecision.go contains the rules for parts, PartTable their state, partcases.go the cases to
+//     which the rules apply, and parts.go the exchange of reports on them. trial.go contains the
+//     trials, and provisional.go those of provisional holds.
+//   - background.go weighs endings by the endings of other runners, and says whether so many
+//     others end that no hold is confirmed.
 //   - CrashDetector distinguishes a runner that ended from a broken connection.
 //   - Coordinator exchanges notices with other nodes. It checks requests without I/O.
 //   - HoldWriter saves holds in the platform's store.
