Endings that came in a wave confirm no hold later

Sound work that met four or more endings in a wave was held for long by one more ending in the calm after it, and a hold that awaits calm was confirmed by it without its trial. Before: TestEndingsInAWaveConfirmNoHoldLater failed.

--- a/internal/serving/quarantine/background.go
+++ b/internal/serving/quarantine/background.go
@@ -138,10 +138,25 @@
 	}
 }
 
-// disturbed reports whether so many runners of a service have ended lately, other than those under
-// the work in question (own), that sound work may meet the ends of several runners by chance.
-func (b *background) disturbed(service string, own func(start string) bool, now time.Time) bool {
-	others, size := b.unexplained(service, own, backgroundWindow, now)
+// disturbed reports whether, now or around the endings under some work, so many other runners of the
+// service ended that sound work may have met these endings by chance. Endings older than backgroundTTL
+// are not looked at.
+func (b *background) disturbed(service string, endings map[string]observedEnding, now time.Time) bool {
+	own := func(start string) bool { _, found := endings[start]; return found }
+	if b.disturbedAt(service, own, now) {
+		return true
+	}
+	for _, ending := range endings {
+		if now.Sub(ending.at) <= backgroundTTL && b.disturbedAt(service, own, ending.at) {
+			return true
+		}
+	}
+	return false
+}
+
+// disturbedAt reports whether the time is disturbed by the ends of runners that are not own ones.
+func (b *background) disturbedAt(service string, own func(start string) bool, at time.Time) bool {
+	others, size := b.unexplained(service, own, backgroundWindow, at)
 	return others >= max(minDisturbance, int(math.Ceil(disturbedShare*float64(size))))
 }
 
@@ -151,17 +166,17 @@
 	return ended <= int(calmShare*float64(size))
 }
 
-// unexplained returns the number of runners of a service that ended within a time before now,
-// without own ones and those that a confirmed hold explains, and the number of listed runners of
-// the service.
-func (b *background) unexplained(service string, own func(start string) bool, within time.Duration, now time.Time) (ended, size int) {
+// unexplained returns the number of runners of a service that ended at most a duration apart from a
+// time, without own ones and those that a confirmed hold explains, and the number of listed runners
+// of the service.
+func (b *background) unexplained(service string, own func(start string) bool, apart time.Duration, at time.Time) (ended, size int) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	if b.runners == nil {
 		return 0, 0
 	}
 	for start, ending := range b.ended {
-		if ending.service == service && !ending.explained && now.Sub(ending.at) <= within && !own(start) {
+		if ending.service == service && !ending.explained && ending.at.Sub(at).Abs() <= apart && !own(start) {
 			ended++
 		}
 	}
--- a/internal/serving/quarantine/item_test.go
+++ b/internal/serving/quarantine/item_test.go
@@ -99,3 +99,25 @@
 		}
 	}
 }
+
+// Guards against a sound part that is held for long by endings that it met in a wave: one more ending
+// in the calm after the wave does not confirm the hold.
+func TestEndingsInAWaveConfirmNoHoldLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newPartNetwork(3)
+		for _, node := range n.nodes {
+			node.SetRunners(fixedRunners(waveServiceSize))
+		}
+		for number := range endingsToConfirm - 1 {
+			n.endTogether(waveEndings)
+			n.crash(number%len(n.nodes), itemWork(number, "part"), itemWork(100+number, "part"))
+			n.decide()
+		}
+		time.Sleep(2 * backgroundWindow)
+		n.crash(0, itemWork(200, "part"))
+		n.decide()
+		_, sent := n.sendItem(maxItemWait, 300, "part")
+		is.True(sent)
+	})
+}
--- a/internal/serving/quarantine/parts.go
+++ b/internal/serving/quarantine/parts.go
@@ -30,8 +30,9 @@
 	maxEvidenceEntries = 4096
 )
 
-// holdsOf returns the active holds of work, unless it is an item, and of the parts of its prompt. A part that is held
-// because of another service may be sent to a service where it was completed recently.
+// holdsOf returns the active holds of work, unless it is an item, and of the parts of its prompt. A
+// part that is held because of another service may be sent to a service where it was completed
+// recently.
 func (c *Coordinator) holdsOf(work *Work, now time.Time) []Hold {
 	var holds []Hold
 	if hold, remaining := c.table.activeHold(work.Fingerprint, now); remaining > 0 && !work.Item {
@@ -157,14 +158,13 @@
 // are explained by other parts, and distributes these changes.
 func (c *Coordinator) decideParts() {
 	now := time.Now()
-	held := func(held Fingerprint) bool {
-		_, remaining := c.table.activeHold(held, now)
+	held := func(work Fingerprint) bool {
+		_, remaining := c.table.activeHold(work, now)
 		return remaining > 0
 	}
 	c.confirmParts(held, now)
 	for _, decided := range c.parts.Decide(held, now) {
-		own := func(start string) bool { _, found := decided.endings[start]; return found }
-		disturbed := c.background.disturbed(decided.environment.Service, own, now)
+		disturbed := c.background.disturbed(decided.environment.Service, decided.endings, now)
 		hold := decided.holdPart(c.table.holdOf(decided.part.Fingerprint), disturbed, now)
 		if !c.table.ApplyHold(hold) {
 			continue
@@ -192,7 +192,7 @@
 		if hold.Part == "" || !hold.Provisional {
 			continue
 		}
-		disturbed := c.background.disturbed(hold.Environment.Service, c.parts.endedUnder(hold.Fingerprint), now)
+		disturbed := c.background.disturbed(hold.Environment.Service, c.parts.endingsUnder(hold.Fingerprint), now)
 		confirmed, decided := hold.confirmedBy(c.parts.Breadth(hold.Fingerprint, held, now), disturbed, now)
 		if !decided || !c.table.ApplyHold(confirmed) {
 			continue
--- a/internal/serving/quarantine/parttable.go
+++ b/internal/serving/quarantine/parttable.go
@@ -216,14 +216,14 @@
 	return t.background.weight(ending, entry.has, ending.at)
 }
 
-// endedUnder returns whether a runner ended under a part.
-func (t *PartTable) endedUnder(part Fingerprint) func(start string) bool {
+// endingsUnder returns a copy of the endings under a part, by runner.
+func (t *PartTable) endingsUnder(part Fingerprint) map[string]observedEnding {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	if entry := t.suspects[part]; entry != nil {
-		return (&partSuspect{endings: maps.Clone(entry.endings)}).has
+		return maps.Clone(entry.endings)
 	}
-	return (*partSuspect)(nil).has
+	return nil
 }
 
 // has reports whether a runner ended under the part; false if the receiver is nil.
--- a/internal/serving/quarantine/provisional.go
+++ b/internal/serving/quarantine/provisional.go
@@ -14,7 +14,8 @@
 // them shows that the request or the part is sound, or their endings confirm the hold. They need
 // neither the store nor an owner: a node that sends a trial tells the others, which then wait for
 // the next one. While other runners end as well, sound work meets five endings by chance: no hold is
-// confirmed then, and one that would be has its next trial when these endings are over. Two nodes that claim the same trial within the delay of a notice both send one.
+// confirmed then, and one that would be has its next trial when these endings are over. Two nodes that
+// claim the same trial within the delay of a notice both send one.
 
 const (
 	// provisionalTrialInterval is the time from a trial of a provisional hold to the next one, if
@@ -121,21 +122,21 @@
 	}
 }
 
-// disturbed reports whether runners have ended, besides those under a held request or part, at the
-// time of an ending under it.
+// disturbed reports whether other runners have ended around the endings under a held request or
+// part, of which the given one is the last.
 func (c *Coordinator) disturbed(hold *Hold, ending *observedEnding) bool {
-	own := c.table.endedUnder(hold.Fingerprint)
+	endings := c.table.endingsUnder(hold.Fingerprint)
 	if hold.Part != "" {
-		own = c.parts.endedUnder(hold.Fingerprint)
+		endings = c.parts.endingsUnder(hold.Fingerprint)
 	}
-	return c.background.disturbed(ending.service, own, ending.at)
+	return c.background.disturbed(ending.service, endings, ending.at)
 }
 
 // confirmedBy returns the confirmed hold in place of an active provisional one, if the endings under
-// the held request or part suffice and no other runners end (disturbed), and whether they do. The
-// endings include those of runs that were under way when the hold was decided.
+// the held request or part suffice and no other runners ended around them (disturbed), and whether
+// they do. The endings include those of runs that were under way when the hold was decided.
 func (h *Hold) confirmedBy(evidence float64, disturbed bool, now time.Time) (Hold, bool) {
-	if !h.Provisional || h.Until <= now.UnixMilli() || disturbed || !amountsTo(evidence, endingsToConfirm) {
+	if !h.Provisional || h.AwaitsCalm || h.Until <= now.UnixMilli() || disturbed || !amountsTo(evidence, endingsToConfirm) {
 		return Hold{}, false
 	}
 	next := *h
--- a/internal/serving/quarantine/table.go
+++ b/internal/serving/quarantine/table.go
@@ -130,7 +130,7 @@
 	entry.endings[ending.runner], entry.lastEnding = ending, now
 	entry.local = entry.local || local
 	previous, evidence := t.holds[fingerprint], t.evidenceOf(entry, now)
-	disturbed := t.background.disturbed(ending.service, entry.has, now)
+	disturbed := t.background.disturbed(ending.service, entry.endings, now)
 	hold, decided := previous.confirmedBy(evidence, disturbed, now)
 	if !decided && mustHold(evidence, previous, now) {
 		hold, decided = nextHold(fingerprint, evidence, previous, disturbed, now), true
@@ -167,11 +167,14 @@
 	return t.suspects[fingerprint].mayBeCause()
 }
 
-// endedUnder returns whether a runner ended under a request.
-func (t *SuspectTable) endedUnder(fingerprint Fingerprint) func(start string) bool {
+// endingsUnder returns a copy of the endings under a request, by runner.
+func (t *SuspectTable) endingsUnder(fingerprint Fingerprint) map[string]observedEnding {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.suspects[fingerprint].copied().has
+	if entry := t.suspects[fingerprint]; entry != nil {
+		return maps.Clone(entry.endings)
+	}
+	return nil
 }
 
 // has reports whether a runner ended under the request; false if the receiver is nil.
@@ -183,14 +186,6 @@
 	return found
 }
 
-// copied returns a copy that does not change with the table; nil if the receiver is nil.
-func (s *suspect) copied() *suspect {
-	if s == nil {
-		return nil
-	}
-	return &suspect{endings: maps.Clone(s.endings)}
-}
-
 // mayBeCause reports whether endings that are attributed to another request count
 // against this request too; false if the receiver is nil.
 func (s *suspect) mayBeCause() bool { return s != nil && mayBeCause(len(s.endings)) }
