Trials that may confirm a hold wait for calm, and decide then

Cause: trials went on in the waves up to the evidence of five, and one more followed after them. A test of such waves showed worse on: a failed trial after the calm did not confirm the hold, since the earlier endings lay in the waves, and further trials followed every four seconds (10 runners).

Now the trial that may confirm a hold waits until the others have stopped ending, and it alone decides: the time around it counts, not that around the earlier endings.

--- a/internal/serving/quarantine/background.go
+++ b/internal/serving/quarantine/background.go
@@ -160,9 +160,11 @@
 	return others >= max(minDisturbance, int(math.Ceil(disturbedShare*float64(size))))
 }
 
-// calm reports whether hardly a runner of a service has ended within calmTime.
-func (b *background) calm(service string, now time.Time) bool {
-	ended, size := b.unexplained(service, func(string) bool { return false }, calmTime, now)
+// calm reports whether hardly a runner of a service has ended within calmTime, besides those that
+// ended under some work.
+func (b *background) calm(service string, endings map[string]observedEnding, now time.Time) bool {
+	own := func(start string) bool { _, found := endings[start]; return found }
+	ended, size := b.unexplained(service, own, calmTime, now)
 	return ended <= int(calmShare*float64(size))
 }
 
--- a/internal/serving/quarantine/decision.go
+++ b/internal/serving/quarantine/decision.go
@@ -76,15 +76,16 @@
 }
 
 // confirm confirms a hold if its evidence suffices and no other runners end, and makes it
-// provisional otherwise, with a trial that is due at once or when the others have stopped ending.
-// Disturbed states that others end.
+// provisional otherwise, with a trial that is due at once. While other runners end (disturbed), the
+// trial that may confirm the hold waits until they have stopped.
 func (h *Hold) confirm(disturbed bool, now time.Time) {
 	h.Provisional, h.AwaitsCalm, h.TrialAt = true, false, now.UnixMilli()
-	if !amountsTo(h.Evidence, endingsToConfirm) {
+	if disturbed {
+		h.AwaitsCalm = amountsTo(h.Evidence, endingsToConfirm-1)
+		h.Evidence = min(h.Evidence, endingsToConfirm-1)
 		return
 	}
-	if disturbed {
-		h.AwaitsCalm, h.Evidence = true, endingsToConfirm-1
+	if !amountsTo(h.Evidence, endingsToConfirm) {
 		return
 	}
 	h.Provisional, h.Trials, h.TrialAt = false, 0, 0
--- a/internal/serving/quarantine/hold.go
+++ b/internal/serving/quarantine/hold.go
@@ -32,8 +32,8 @@
 	// trials.
 	Provisional bool    `json:"provisional,omitempty"`
 	Evidence    float64 `json:"evidence,omitempty"`
-	// AwaitsCalm is set while a provisional hold would be confirmed but for the endings of other
-	// runners at that time: its next trial waits until these are over.
+	// AwaitsCalm is set while the next trial of a provisional hold may confirm it and other runners
+	// end: the trial waits until these endings are over.
 	AwaitsCalm bool `json:"awaits_calm,omitempty"`
 }
 
--- a/internal/serving/quarantine/item_test.go
+++ b/internal/serving/quarantine/item_test.go
@@ -121,3 +121,38 @@
 		is.True(sent)
 	})
 }
+
+// Guards against a request that crashes runners and ends more of them because others end in waves
+// (SoakSeed68043): it ends as many as in a calm time, the last one after the waves.
+func TestCrashingRequestInWavesEndsFiveRunners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newPartNetwork(3)
+		for _, node := range n.nodes {
+			node.SetRunners(fixedRunners(waveServiceSize))
+		}
+		ended := 0
+		for second := range 30 {
+			if second < 10 {
+				n.endTogether(waveEndings)
+			}
+			for attempt := range 3 {
+				work := promptWork(7)
+				work.MayTry = true
+				if node := (second + attempt) % len(n.nodes); !n.heldFor(node, work) {
+					n.crash(node, work)
+					ended++
+				}
+				time.Sleep(300 * time.Millisecond)
+			}
+		}
+		is.Equal(ended, endingsToConfirm)
+	})
+}
+
+// heldFor reports whether a node holds work.
+func (n *partNetwork) heldFor(node int, work *Work) bool {
+	_, held := n.node(node).Held(work)
+	n.flush()
+	return held
+}
--- a/internal/serving/quarantine/provisional.go
+++ b/internal/serving/quarantine/provisional.go
@@ -14,7 +14,7 @@
 // them shows that the request or the part is sound, or their endings confirm the hold. They need
 // neither the store nor an owner: a node that sends a trial tells the others, which then wait for
 // the next one. While other runners end as well, sound work meets five endings by chance: no hold is
-// confirmed then, and one that would be has its next trial when these endings are over. Two nodes that
+// confirmed then, and the trial that may confirm one waits until these endings are over. Two nodes that
 // claim the same trial within the delay of a notice both send one.
 
 const (
@@ -47,7 +47,7 @@
 // mayClaimProvisional reports whether this node may claim a trial of a provisional hold now: the
 // last one that it claimed was not sent, or the next one is due. The caller holds the mutex.
 func (c *Coordinator) mayClaimProvisional(hold *Hold, service string, now time.Time) bool {
-	if hold.AwaitsCalm && !c.background.calm(service, now) {
+	if hold.AwaitsCalm && !c.background.calm(service, nil, now) {
 		return false
 	}
 	state := c.trials[hold.Fingerprint]
@@ -129,6 +129,9 @@
 	if hold.Part != "" {
 		endings = c.parts.endingsUnder(hold.Fingerprint)
 	}
+	if hold.AwaitsCalm { // the trial came after the disturbance of the earlier endings
+		return !c.background.calm(ending.service, endings, ending.at)
+	}
 	return c.background.disturbed(ending.service, endings, ending.at)
 }
 
