A part explains no request that ended the runner of its trial

Since the runs under way count, holds of parts are confirmed sooner, and a confirmed one makes the request's endings forgotten. Now a request that ended the runner of a trial stays held: at its trial it was the one thing in doubt. Before: TestPartExplainsNoRequestThatEndedItsTrial failed.

--- a/internal/serving/quarantine/coordinator.go
+++ b/internal/serving/quarantine/coordinator.go
@@ -284,7 +284,7 @@
 	switch {
 	case hold.Until == 0:
 		event = eventLift
-	case hold.Trials > 0:
+	case hold.Trials > 0 && hold.TrialAt > 0:
 		event = eventTrial
 	}
 	c.events.WithLabelValues(event).Inc()
--- a/internal/serving/quarantine/decision.go
+++ b/internal/serving/quarantine/decision.go
@@ -88,12 +88,18 @@
 	if !amountsTo(h.Evidence, endingsToConfirm) {
 		return
 	}
-	h.Provisional, h.Trials, h.TrialAt = false, 0, 0
+	h.Provisional, h.TrialAt = false, 0
 	if h.Part != "" {
-		h.TrialAt = nextTrial(0, now)
+		h.Trials, h.TrialAt = 0, nextTrial(0, now)
 	}
 }
 
+// hasFailedTrial reports whether the hold of a request is active and a trial of it was sent, after
+// which the hold went on.
+func (h Hold) hasFailedTrial(now time.Time) bool {
+	return h.Trials > 0 && h.Until > now.UnixMilli()
+}
+
 // liftedHold returns the lifted hold that supersedes the current hold of a request, so
 // that a peer that still has the current hold cannot restore it. It returns false if
 // there is no current hold or if it is lifted already. An expired hold can be lifted.
--- a/internal/serving/quarantine/item_test.go
+++ b/internal/serving/quarantine/item_test.go
@@ -156,3 +156,23 @@
 	n.flush()
 	return held
 }
+
+// Guards against a request that crashes runners and is released for a part that crashed the same ones
+// (SoakSeed68043): the end of its trial's runner is evidence of its own.
+func TestPartExplainsNoRequestThatEndedItsTrial(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newPartNetwork(2)
+		for number := range EndingsToHold {
+			n.crash(0, promptWork(200+number, "deadly"), promptWork(7))
+		}
+		work, _ := n.ask(t, 1, 7)
+		n.crash(1, work, promptWork(300, "deadly"))
+		n.crash(0, promptWork(301, "deadly"))
+		n.decide()
+		is.True(n.heldEverywhere("deadly"))
+		for node := range 2 {
+			is.True(n.node(node).table.holdOf(7).Until > time.Now().UnixMilli())
+		}
+	})
+}
--- a/internal/serving/quarantine/table.go
+++ b/internal/serving/quarantine/table.go
@@ -213,7 +213,7 @@
 
 // Explain attributes endings to a held part of prompts. The hold of a request all of whose endings
 // are among them is lifted, and if the part's hold is confirmed, the request is no longer
-// suspected. Explain returns the lifted holds of requests of which this node observed an ending.
+// suspected. This does not concern a request that ended the runner of a trial. Explain returns the lifted holds of requests of which this node observed an ending.
 func (t *SuspectTable) Explain(runners []string, confirmed bool, now time.Time) []Hold {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -226,7 +226,7 @@
 	}
 	var distributed []Hold
 	for fingerprint, entry := range t.suspects {
-		if !entry.isExplained(explained) {
+		if !entry.isExplained(explained) || t.holds[fingerprint].hasFailedTrial(now) {
 			continue
 		}
 		if confirmed {
