--- a/internal/app/asynclog/asynclog.go
+++ b/internal/app/asynclog/asynclog.go
@@ -1,11 +1,14 @@
 // Package asynclog writes log lines in the background from a bounded queue, so that requests
 // never wait for the log. If the queue is full, lines are dropped and counted. The number of
-// dropped lines is logged when the queue has room again.
+// dropped lines is logged when the queue has room again. Each line ends with its number, which
+// counts the lines of the process, so that a gap shows lines that were dropped or lost later.
 package asynclog
 
 import (
+	"bytes"
 	"fmt"
 	"io"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,8 +23,8 @@
 type Writer struct {
 	out        io.Writer
 	lines      chan []byte
+	numbered   atomic.Uint64
 	dropped    atomic.Uint64
-	total      atomic.Uint64
 	background tasks.Group
 	quit       chan struct{}
 	// done is closed when writeLines returns; Close waits for it for up to closeTimeout.
@@ -39,16 +42,33 @@
 // Write implements io.Writer. It adds a copy of the line to the queue, or drops the line if
 // the queue is full.
 func (w *Writer) Write(line []byte) (int, error) {
-	kept := append(make([]byte, 0, len(line)), line...)
+	numbered := withNumber(line, w.numbered.Add(1))
 	select {
-	case w.lines <- kept:
-		w.total.Add(1)
+	case w.lines <- numbered:
 	default:
 		w.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// numberKey precedes the number of a line. maxNumberBytes is the space for both.
+const (
+	numberKey      = " line="
+	maxNumberBytes = len(numberKey) + 20
+)
+
+// withNumber returns a copy of a line with its number before the line feed at its end.
+func withNumber(line []byte, number uint64) []byte {
+	text, ended := bytes.CutSuffix(line, []byte("\n"))
+	numbered := append(make([]byte, 0, len(line)+maxNumberBytes), text...)
+	numbered = append(numbered, numberKey...)
+	numbered = strconv.AppendUint(numbered, number, 10)
+	if ended {
+		numbered = append(numbered, '\n')
+	}
+	return numbered
+}
+
 // Dropped returns the number of lines dropped so far.
 func (w *Writer) Dropped() uint64 { return w.dropped.Load() }
 
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -48,6 +48,11 @@
 	MaySend func() bool
 	// NewConnection demands a connection that has not been used before.
 	NewConnection bool
+	// Attempt counts the attempts of this node at the request, from 1; 0 if they are not counted.
+	// CallerAddress is the caller's end of its connection to this node; empty if there is none.
+	// Both are for logs.
+	Attempt       int
+	CallerAddress string
 }
 
 // Load is a runner's report of its load.
--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -138,7 +138,7 @@
 		Headers: s.request.Headers, Body: s.request.Body, Tenant: s.request.tenantName(),
 		RunnerID: runner.ID, Address: runner.Address, Service: runner.Service,
 		Remaining: time.Until(s.request.Deadline), ResumeAfter: s.request.ResumeAfter, MaySend: maySend,
-		NewConnection: s.needsNewConnection,
+		NewConnection: s.needsNewConnection, Attempt: s.history.attempts() + 1, CallerAddress: s.request.Address,
 	}
 	if s.history.responseStarted {
 		call.ResumeAfter = s.lastEvent
--- a/internal/serving/online/request.go
+++ b/internal/serving/online/request.go
@@ -23,6 +23,8 @@
 	Version uint64
 	// Tenant owns the request; nil where there are no tenants.
 	Tenant *catalog.Tenant
+	// Address is the caller's end of its connection to this node, for logs.
+	Address string
 	// Received is when the request arrived.
 	Received time.Time
 	// Deadline is the time at which Serve gives up.
--- a/internal/serving/online/retry.go
+++ b/internal/serving/online/retry.go
@@ -34,6 +34,9 @@
 	responseStarted bool
 }
 
+// attempts returns the number of attempts.
+func (h *history) attempts() int { return h.runs + h.notRun }
+
 // mayHaveRun reports whether a runner may have run the request.
 func (h *history) mayHaveRun() bool { return h.runs > 0 }
 
--- a/internal/transport/httpcall/client.go
+++ b/internal/transport/httpcall/client.go
@@ -66,7 +66,15 @@
 	// written. If it returns false, the request is not sent and Do returns a
 	// NotSentError with ErrWithdrawn, or with the context's error if the context has
 	// ended. It may be nil.
-	BeforeWrite func() bool
+	BeforeWrite func(ConnectionUse) bool
+}
+
+// ConnectionUse identifies an exchange on a connection, for logs.
+type ConnectionUse struct {
+	// LocalAddress identifies the connection, together with the address of the server.
+	LocalAddress string
+	// Exchange counts the exchanges on the connection, from 1.
+	Exchange int
 }
 
 // Do sends the request and reads the header of the response. Its errors are of type
@@ -109,7 +117,7 @@
 	connection.written.Store(0)
 	connection.exchangeBegan = time.Now()
 	connection.begin(request.ID)
-	if request.BeforeWrite != nil && !request.BeforeWrite() {
+	if request.BeforeWrite != nil && !request.BeforeWrite(connection.use()) {
 		return nil, ErrWithdrawn
 	}
 	outgoing := fasthttp.AcquireRequest()
--- a/internal/transport/httpcall/connections.go
+++ b/internal/transport/httpcall/connections.go
@@ -105,6 +105,11 @@
 	c.carried = append(c.carried, xxhash.Sum64String(id))
 }
 
+// use identifies the current exchange.
+func (c *conn) use() ConnectionUse {
+	return ConnectionUse{LocalAddress: c.LocalAddr().String(), Exchange: c.exchanges}
+}
+
 // hasCarried reports whether one of the last exchanges was for a request with the ID.
 func (c *conn) hasCarried(id string) bool {
 	return id != "" && slices.Contains(c.carried, xxhash.Sum64String(id))
--- a/internal/transport/httpcall/identify.go
+++ b/internal/transport/httpcall/identify.go
@@ -44,8 +44,7 @@
 
 // Provenance tells how a response came, for logs.
 type Provenance struct {
-	// Exchange counts the exchanges on the connection, from 1.
-	Exchange int
+	ConnectionUse
 	// Dropped is the number of responses that were dropped before this one because they did not
 	// name the request.
 	Dropped int
@@ -66,7 +65,7 @@
 		if err != nil {
 			return nil, err
 		}
-		response.Provenance = Provenance{Exchange: connection.exchanges, Dropped: dropped, After: time.Since(connection.exchangeBegan)}
+		response.Provenance = Provenance{ConnectionUse: connection.use(), Dropped: dropped, After: time.Since(connection.exchangeBegan)}
 		named := request.namedBy(response.Header, connection)
 		if named == namesThisRequest {
 			response.reusable = response.reusable && dropped == 0
@@ -74,7 +73,7 @@
 		}
 		mayDrop := response.mayDrop(named)
 		klog.InfoS("response does not name its request", "address", connection.key, "id", request.ID, "status", response.Status, "names", string(named),
-			"exchange", connection.exchanges, "afterMs", response.Provenance.After.Milliseconds(), "dropped", mayDrop)
+			"connection", response.Provenance.LocalAddress, "exchange", connection.exchanges, "afterMs", response.Provenance.After.Milliseconds(), "dropped", mayDrop)
 		if !mayDrop {
 			break
 		}
