explain names the requests that were in flight when their process ended

A request that was written and of which its process logged nothing afterwards is named with its runner and its connection, with the last line of the process, the number of its lines that are missing, and the start of the next process. Test: TestTimelineOfRequestInFlightAtAKilledEdge.

--- a/internal/app/explain/explain.go
+++ b/internal/app/explain/explain.go
@@ -21,6 +21,8 @@
 // Line is one structured log line.
 type Line struct {
 	Source string
+	// Process is the id of the process.
+	Process string
 	// Stamp is the time of day by the process's clock, "15:04:05.000000".
 	Stamp string
 	// Message is the constant text of the line, Fields are its values by key.
@@ -30,7 +32,7 @@
 }
 
 var (
-	linePattern  = regexp.MustCompile(`[IEWF]\d{4} (\d\d:\d\d:\d\d\.\d{6}) +\d+ \S+\] "([^"]*)"(.*)$`)
+	linePattern  = regexp.MustCompile(`[IEWF]\d{4} (\d\d:\d\d:\d\d\.\d{6}) +(\d+) \S+\] "([^"]*)"(.*)$`)
 	fieldPattern = regexp.MustCompile(`([A-Za-z]+)=("(?:[^"\\]|\\.)*"|\S+)`)
 	// sourcePattern matches the machine's name in a log that mixes several machines.
 	sourcePattern = regexp.MustCompile(`([a-z][a-z0-9-]*-\d+) [IEWF]\d{4} `)
@@ -61,8 +63,8 @@
 	if mixed := sourcePattern.FindStringSubmatch(text); mixed != nil {
 		source = mixed[1]
 	}
-	line := Line{Source: source, Stamp: found[1], Message: found[2], Fields: map[string]string{}}
-	for _, field := range fieldPattern.FindAllStringSubmatch(found[3], -1) {
+	line := Line{Source: source, Stamp: found[1], Process: found[2], Message: found[3], Fields: map[string]string{}}
+	for _, field := range fieldPattern.FindAllStringSubmatch(found[4], -1) {
 		line.Fields[field[1]] = strings.Trim(field[2], `"`)
 	}
 	return line, true
@@ -111,6 +113,7 @@
 	timeline.findDecisive()
 	timeline.findMissing()
 	timeline.findForwarded()
+	timeline.findUnanswered(lines)
 	return timeline
 }
 
@@ -131,6 +134,11 @@
 
 // Log messages from which Timeline determines the final outcome and the missing lines.
 const (
+	messageSending        = "sending request"
+	messageResponded      = "runner responded"
+	messageRefused        = "runner refused a request"
+	messageNoResponse     = "no response from runner"
+	messageStarted        = "started"
 	messageAttempt        = "attempt"
 	messageRequestEnded   = "request ended"
 	messageRequestRefused = "request refused"
--- a/internal/app/explain/explain_test.go
+++ b/internal/app/explain/explain_test.go
@@ -59,3 +59,26 @@
 	is.True(strings.Contains(text.String(), "forwarded: job submission ended at 10:16:30.585365: edge-a-1 was answered by a storage node through 10.0.0.7:7720"))
 	is.Equal(len(TimelineOf("x1", lines).Forwarded), 1)
 }
+
+const killedEdgeLog = `
+I1204 14:05:36.000001    7444 role.go:69] "started" node="edge-a-1" line=1
+I1204 14:05:36.100000    7444 runnercalllog.go:35] "sending request" id="x1" attempt=1 caller="10.0.0.9:4000" runner="r1" address="10.0.1.1:80" connection="10.0.0.1:5000" exchange=3 bytes=70000 after=-1 line=4
+I1204 14:05:36.101000    7444 runnercalllog.go:46] "runner refused a request" id="x1" runner="r1" status=503 notExecuted=true connection="10.0.0.1:5000" exchange=3 line=5
+I1204 14:05:36.101100    7444 runnercalllog.go:35] "sending request" id="x1" attempt=2 caller="10.0.0.9:4000" runner="r2" address="10.0.1.2:80" connection="10.0.0.1:5001" exchange=1 bytes=70000 after=-1 line=6
+I1204 14:05:36.140000    7444 runners.go:251] "runner changed" runner="r9" line=7
+I1204 14:05:39.000000    7612 role.go:69] "started" node="edge-a-1" line=1
+`
+
+// A request that was in flight when its edge was killed must be told from the log alone: where it
+// was written, what was read, and that the process logged nothing afterwards.
+func TestTimelineOfRequestInFlightAtAKilledEdge(t *testing.T) {
+	is := is.New(t)
+	lines, err := Parse("edge-a-1", strings.NewReader(killedEdgeLog))
+	is.NoErr(err)
+	timeline := TimelineOf("x1", lines)
+	is.Equal(len(timeline.Lines), 3)
+	is.Equal(timeline.Missing, []string{
+		"what runner r2 answered on connection 10.0.0.1:5001: process 7444 of edge-a-1 logged nothing after it wrote the request; " +
+			"its last line is of 14:05:36.140000, 2 of its lines are missing, the next process (7612) started at 14:05:39.000000",
+	})
+}
