--- a/internal/transport/httpcall/client.go
+++ b/internal/transport/httpcall/client.go
@@ -89,8 +89,13 @@
 	if err != nil {
 		return nil, &NotSentError{err}
 	}
+	return c.doOn(ctx, connection, parsed, request)
+}
+
+// doOn sends the request on a connection, as Do does.
+func (c *Client) doOn(ctx context.Context, connection *conn, target *url.URL, request *Request) (*Response, error) {
 	stopContextWatch := context.AfterFunc(ctx, func() { _ = connection.Close() })
-	response, err := c.exchange(connection, parsed, request)
+	response, err := c.exchange(connection, target, request)
 	if err != nil {
 		stopContextWatch()
 		connection.closeAndWait()
