A stream whose connection is reset goes on at its runner, if that is the last of its version

Silence was handled so, a reset was not. TestStreamOnResetConnectionGoesOnAtItsRunner failed before ('the response was started and could not be finished').

--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -115,7 +115,7 @@
 	ended.idle.stop()
 	if ended.idleTimedOut.Load() {
 		s.needsNewConnection = true
-		s.silentRunner = ended.runner.ID
+		s.lostRunner = ended.runner.ID
 	}
 }
 
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -44,9 +44,9 @@
 	tried map[string]bool
 	// needsNewConnection is set after an attempt that its idle watch has ended.
 	needsNewConnection bool
-	// silentRunner is the ID of the runner of the last attempt that its idle watch has ended;
-	// empty if there is none, or if the runner was permitted again.
-	silentRunner string
+	// lostRunner is the ID of the runner of the last attempt that ended with its connection, or by
+	// its idle watch; empty if there is none, or if the runner was permitted again.
+	lostRunner string
 	// lastEvent is the ID of the last event that the caller has received, at first by
 	// CallerRequest.ResumeAfter; 0 if it has received none.
 	lastEvent int64
@@ -113,7 +113,7 @@
 	for {
 		changed := s.Runners.Changed()
 		choice := s.pickRunner(criteria)
-		if choice.Runner == nil && s.permitSilentRunner() {
+		if choice.Runner == nil && s.permitLostRunner() {
 			choice = s.pickRunner(criteria)
 		}
 		if choice.Runner != nil {
@@ -139,15 +139,15 @@
 	}
 }
 
-// permitSilentRunner permits one more attempt at the runner that was silent, and reports whether there
-// is one. Only the connection may have been silent, and a stream that has begun can go on at few other
+// permitLostRunner permits one more attempt at the runner that was lost, and reports whether there
+// is one. Only the connection may have been lost, and a stream that has begun can go on at few other
 // runners.
-func (s *activeRequest) permitSilentRunner() bool {
-	if s.softwareVersion == "" || s.silentRunner == "" {
+func (s *activeRequest) permitLostRunner() bool {
+	if s.softwareVersion == "" || s.lostRunner == "" {
 		return false
 	}
-	delete(s.tried, s.silentRunner)
-	s.silentRunner = ""
+	delete(s.tried, s.lostRunner)
+	s.lostRunner = ""
 	return true
 }
 
--- a/internal/serving/online/stream.go
+++ b/internal/serving/online/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"syscall"
 	"time"
 
 	"cobaltramp.example/cobaltramp/internal/app/result"
@@ -36,6 +37,9 @@
 		}
 		if err != nil {
 			s.recordStreamFailure(ctx, first)
+			if errors.Is(err, syscall.ECONNRESET) {
+				s.lostRunner = s.current.runner.ID
+			}
 			return s.handleInterruption(ctx, err)
 		}
 		s.current.idle.pause() // the write may wait for a slow caller, which is not the runner's fault
--- a/internal/serving/online/versions_test.go
+++ b/internal/serving/online/versions_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -189,6 +190,45 @@
 	})
 }
 
+// TestStreamOnResetConnectionGoesOnAtItsRunner guards against cut streams: the network resets the
+// connections to a runner, which is the last one of its software version and lives.
+func TestStreamOnResetConnectionGoesOnAtItsRunner(t *testing.T) {
+	is := is.New(t)
+	var calls []exchange.Call
+	client := clientFunc(func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
+		calls = append(calls, *call)
+		response, err := (&fakeRunners{}).Do(ctx, call)
+		if call.ResumeAfter < 0 {
+			response.Body = &resetStream{ReadCloser: response.Body}
+		}
+		return response, err
+	})
+	now := time.Now()
+	request := &CallerRequest{
+		ID: "id", Method: http.MethodPost, URI: "/x", Route: routeOf(catalog.Streaming, true, 2), Received: now, Deadline: now.Add(time.Hour), ResumeAfter: -1,
+	}
+	caller := &recorder{}
+	is.NoErr(New("z", versionedRunners("v1", "v2"), client, prometheus.NewRegistry()).Serve(context.Background(), request, caller))
+	is.Equal(caller.body.String(), wholeStream())
+	is.Equal(len(calls), 2)
+	is.Equal(calls[1].RunnerID, calls[0].RunnerID)
+	is.Equal(calls[1].ResumeAfter, int64(2))
+}
+
+// resetStream is reset at its third read.
+type resetStream struct {
+	io.ReadCloser
+	reads int
+}
+
+func (s *resetStream) Read(buffer []byte) (int, error) {
+	s.reads++
+	if s.reads > 2 {
+		return 0, syscall.ECONNRESET
+	}
+	return s.ReadCloser.Read(buffer)
+}
+
 // silentStream blocks at its third read until the request is abandoned.
 type silentStream struct {
 	io.ReadCloser
--- a/internal/transport/httpcall/once_test.go
+++ b/internal/transport/httpcall/once_test.go
@@ -109,3 +109,53 @@
 	var unknown *NoResponseError
 	is.True(errors.As(err, &unknown))
 }
+
+// namingServer serves requests by turns with the texts of responses, and returns its URL and the
+// number of its connections.
+func namingServer(t *testing.T, responses ...string) (url string, connections func() int) {
+	accepted := make(chan struct{}, 10)
+	next := make(chan string, len(responses))
+	for _, response := range responses {
+		next <- response
+	}
+	url = rawServer(t, func(conn net.Conn) {
+		accepted <- struct{}{}
+		for reader := bufio.NewReader(conn); readRequest(reader); {
+			_, _ = io.WriteString(conn, <-next)
+		}
+	})
+	return url, func() int { return len(accepted) }
+}
+
+// TestConnectionOfDroppedResponsesIsNotReused guards against rule TWICE: on a connection with a
+// response too many, the next one may be too many as well.
+func TestConnectionOfDroppedResponsesIsNotReused(t *testing.T) {
+	is := is.New(t)
+	const named, other = "HTTP/1.1 200 OK\r\nNames: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 Busy\r\nNames: other\r\nContent-Length: 0\r\n\r\n"
+	address, connections := namingServer(t, other+named, named)
+	client := NewClient(nil)
+	for range 2 {
+		request := namedRequest1()
+		request.URL, request.ID = address, "1"
+		response, err := client.Do(context.Background(), request)
+		is.NoErr(err)
+		is.Equal(response.Status, http.StatusOK)
+		response.Discard()
+	}
+	is.Equal(connections(), 2)
+}
+
+// TestResponseWithoutANameOnANewConnectionEndsTheExchange guards against requests that wait until
+// their deadline: nothing earlier can have caused the response, and no other one will follow.
+func TestResponseWithoutANameOnANewConnectionEndsTheExchange(t *testing.T) {
+	is := is.New(t)
+	address, _ := namingServer(t, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	request := namedRequest1()
+	request.URL = address
+	_, err := NewClient(nil).Do(ctx, request)
+	var unknown *NoResponseError
+	is.True(errors.As(err, &unknown))
+	is.True(errors.Is(err, ErrUnmatchedResponse))
+}
--- a/lab/platformday/day.go
+++ b/lab/platformday/day.go
@@ -49,6 +49,9 @@
 	// standin.RunnerOptions.
 	CrashesOnPart   func(part string) bool
 	EndsHeadCleanly bool
+	// KeepAddresses lets every second replacement of a runner start at the address of its
+	// predecessor.
+	KeepAddresses bool
 	// UnequalRunners makes the runners differ in speed and report a contention that
 	// varies.
 	UnequalRunners bool
--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -24,6 +24,10 @@
 	Kept int
 	// Disturbers is the number of concurrent loops of disruptions.
 	Disturbers int
+	// EdgeKills adds a loop of disruptions that kill and suspend several edges at once, reset
+	// connections to runners, and let runners refuse long requests early or start again at their
+	// addresses.
+	EdgeKills bool
 }
 
 const (
@@ -76,7 +80,7 @@
 	options.Crashes = func(body []byte) bool { return bytes.Equal(body, crashBody) }
 	options.CrashesOnPart = func(part string) bool { return part == crashingPart }
 	options.EndsHeadCleanly = options.Seed%2 == 0
-	options.MixedVersions = true
+	options.MixedVersions, options.KeepAddresses = true, options.EdgeKills
 	options.SoftwareVersions = softwareVersionsOf(options.Seed)
 	d, err := open(ctx, options.Options)
 	if err != nil {
@@ -132,6 +136,10 @@
 	if refusalRandom.Float64() < lateRefusalShare {
 		group.Go(func() { s.sendLateRefusals(soakContext, refusalRandom) })
 	}
+	if s.options.EdgeKills {
+		killRandom := rand.New(rand.NewPCG(s.Seed, 7))
+		group.Go(func() { s.killEdgesRepeatedly(soakContext, killRandom) })
+	}
 	for range s.options.Disturbers {
 		run(func(random *rand.Rand) { s.disrupt(soakContext, random) })
 	}
@@ -174,6 +182,7 @@
 // check records a violation for items without a result, for a request that crashed too
 // many runners, and for repeated runs of a request that may run only once.
 func (s *soak) check(batch *standin.BatchClient, crashes bool) {
+	batch.ReadEverywhere(context.Background())
 	if open := batch.OpenItems(); open > 0 {
 		s.tally.RecordViolation("%d taken items have no result", open)
 	}
--- a/lab/silence/silence.go
+++ b/lab/silence/silence.go
@@ -1,5 +1,5 @@
-// Package silence emulates a network that loses open connections without an error: a Listener
-// can make the connections that it has accepted silent. What their clients send is
+// Package silence emulates a network that loses open connections, with or without an error: a
+// Listener can reset the connections that it has accepted, or make them silent. What their clients send is
 // acknowledged and discarded, their clients receive nothing more, and neither end learns that
 // the other has closed the connection. New connections work. The emulated store and runners
 // use the package, and tests of connections between nodes.
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -74,6 +75,28 @@
 	return count
 }
 
+// Reset resets all open connections, and returns their number.
+func (l *Listener) Reset() int {
+	l.mutex.Lock()
+	open := l.open
+	l.open = map[*conn]bool{}
+	l.mutex.Unlock()
+	for c := range open {
+		c.wasReset.Store(true)
+		if transport, ok := c.Conn.(*net.TCPConn); ok {
+			_ = transport.SetLinger(0) // a connection that has ended needs no reset
+		}
+		_ = c.Conn.Close() // the connection is not used any more
+	}
+	return len(open)
+}
+
+// IsLost reports whether a connection that a Listener accepted was reset or has gone silent.
+func IsLost(connection net.Conn) bool {
+	accepted, ok := connection.(*conn)
+	return ok && (accepted.isSilent() || accepted.wasReset.Load())
+}
+
 // IsSilent reports whether a connection that a Listener accepted has gone silent.
 func IsSilent(connection net.Conn) bool {
 	accepted, ok := connection.(*conn)
@@ -92,6 +115,8 @@
 	// closed it.
 	silenced, closed chan struct{}
 	closeOnce        sync.Once
+	// wasReset is set if the Listener has reset the connection.
+	wasReset atomic.Bool
 	// lastReceived holds the bytes of the last read; the listener's mutex protects it.
 	lastReceived []byte
 }
--- a/lab/standin/jobs.go
+++ b/lab/standin/jobs.go
@@ -46,7 +46,12 @@
 	if len(addresses) == 0 {
 		return 0, nil
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+addresses[b.Random.IntN(len(addresses))]+target, bytes.NewReader(body))
+	return b.callNode(ctx, addresses[b.Random.IntN(len(addresses))], method, target, id, body)
+}
+
+// callNode sends a request to a node, as call does.
+func (b *BatchClient) callNode(ctx context.Context, address, method, target, id string, body []byte) (int, []byte) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+target, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
@@ -109,7 +114,29 @@
 // Read reads the results of a job that start at a position, and verifies them against the
 // results read before.
 func (b *BatchClient) Read(ctx context.Context, job *Job, since int) {
-	status, text := b.call(ctx, http.MethodGet, fmt.Sprintf("/-/lots/%s?since_rev=%d", job.ID, since), "", nil)
+	status, text := b.call(ctx, http.MethodGet, readTarget(job, since), "", nil)
+	b.verify(job, since, status, text)
+}
+
+func readTarget(job *Job, since int) string {
+	return fmt.Sprintf("/-/lots/%s?since_rev=%d", job.ID, since)
+}
+
+// ReadEverywhere reads all results of each accepted job at each node, and verifies them against the
+// results read before.
+func (b *BatchClient) ReadEverywhere(ctx context.Context) {
+	for _, job := range b.Jobs {
+		for _, address := range b.Endpoints.Addresses() {
+			if job.Accepted {
+				status, text := b.callNode(ctx, address, http.MethodGet, readTarget(job, 0), "", nil)
+				b.verify(job, 0, status, text)
+			}
+		}
+	}
+}
+
+// verify verifies the response to a read of a job that starts at a position.
+func (b *BatchClient) verify(job *Job, since, status int, text []byte) {
 	if status == http.StatusNotFound {
 		b.Tally.RecordViolation("job %s: 404 after it was accepted", job.ID)
 	}
--- a/lab/standin/ledger.go
+++ b/lab/standin/ledger.go
@@ -23,8 +23,9 @@
 	// Complete is true if the runner sent the whole response. Disconnected is true if
 	// the node closed the connection before that.
 	Complete, Disconnected bool
-	// Silenced is true if the connection had gone silent by the end of the run.
-	Silenced bool
+	// Lost is true if the connection was reset by the network, or had gone silent, by the end of the
+	// run.
+	Lost bool
 	// resumesForCaller is true if the caller resumed a stream with the request, so that the
 	// output before is of another request.
 	resumesForCaller bool
@@ -38,8 +39,8 @@
 
 // String describes a run for the message of a violation.
 func (r Run) String() string {
-	return fmt.Sprintf("%s (%s) from event %d, sent up to %d, complete %v, disconnected %v, silenced %v",
-		r.Runner, r.Version, r.LastEventID, r.Sent, r.Complete, r.Disconnected, r.Silenced)
+	return fmt.Sprintf("%s (%s) from event %d, sent up to %d, complete %v, disconnected %v, lost %v",
+		r.Runner, r.Version, r.LastEventID, r.Sent, r.Complete, r.Disconnected, r.Lost)
 }
 
 // describeRuns describes the runs of a request in the order of their start.
@@ -86,10 +87,10 @@
 	l.runs[id] = append(l.runs[id], run)
 }
 
-func (l *Ledger) end(run *Run, complete, disconnected, silenced bool) {
+func (l *Ledger) end(run *Run, complete, disconnected, lost bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	run.Complete, run.Disconnected, run.Silenced = complete, disconnected && !complete, silenced
+	run.Complete, run.Disconnected, run.Lost = complete, disconnected && !complete, lost
 }
 
 func (l *Ledger) recordSent(run *Run, number int64) {
--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -118,6 +118,9 @@
 // connections work.
 func (r *Runner) SilenceConnections() int { return r.listener.Silence() }
 
+// ResetConnections resets all open connections, and returns their number. New connections work.
+func (r *Runner) ResetConnections() int { return r.listener.Reset() }
+
 // Drain sets the published state to draining; the runner serves until it is stopped.
 func (r *Runner) Drain() {
 	r.draining.Store(true)
@@ -156,6 +159,10 @@
 		r.respondNotExecuted(writer, id, http.StatusBadRequest)
 		return
 	}
+	if affects(id+r.ID, "early", r.fault.Load().EarlyRefusal) {
+		r.respondNotExecuted(writer, id, http.StatusServiceUnavailable) // the server reads the body afterwards
+		return
+	}
 	body, err := io.ReadAll(request.Body)
 	if err != nil {
 		return
@@ -185,7 +192,7 @@
 	connection := request.Context().Value(connectionKey{}).(*runnerConnection)
 	r.sendLateRefusal(connection, id)
 	complete := r.respond(writer, request, id, run)
-	r.Ledger.end(run, complete, request.Context().Err() != nil && !r.ended.Load(), silence.IsSilent(connection.Conn))
+	r.Ledger.end(run, complete, request.Context().Err() != nil && !r.ended.Load(), silence.IsLost(connection.Conn))
 }
 
 // crashOnce crashes the runner, unless it has ended already.
--- a/lab/standin/runneranswer.go
+++ b/lab/standin/runneranswer.go
@@ -24,6 +24,8 @@
 	// LateRefusal sends a refusal that names no request before the response, if the connection
 	// has carried another request before.
 	LateRefusal float64
+	// EarlyRefusal refuses the request before its body is read.
+	EarlyRefusal float64
 }
 
 // affects reports whether the fault with a name affects a request, by a hash of the id of
--- a/lab/standin/tally.go
+++ b/lab/standin/tally.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 )
 
@@ -12,6 +13,8 @@
 	Served, Refused, Failed int
 	JobsAccepted, ItemsDone int
 	Violations              []string
+	// refusedIDs are the requests that may run only once and were refused as not run.
+	refusedIDs []string
 }
 
 // Summary returns the tally as one line of text.
@@ -34,3 +37,17 @@
 	defer t.mutex.Unlock()
 	*counter++
 }
+
+// recordRefusedOnce records a request that may run only once and was refused as not run.
+func (t *Tally) recordRefusedOnce(id string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.refusedIDs = append(t.refusedIDs, id)
+}
+
+// refusedOnce returns the requests that may run only once and were refused as not run.
+func (t *Tally) refusedOnce() []string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.Clone(t.refusedIDs)
+}
