--- a/lab/cli/soak.go
+++ b/lab/cli/soak.go
@@ -27,6 +27,7 @@
 	Kept       int           `long:"kept" default:"24" description:"callers that keep a connection"`
 	Disturbers int           `long:"disturbers" default:"3" description:"series of signals, restarts and changes that run at the same time"`
 	EdgeKills  bool          `long:"edge-kills" description:"also kill and suspend several edges at once, reset connections to runners, and start runners again at their addresses"`
+	Leaders    bool          `long:"leader-changes" description:"also suspend, kill and stop one storage node after the other"`
 	Verbose    bool          `long:"events" description:"print what happens"`
 }
 
@@ -74,7 +75,7 @@
 		Options: platformday.Options{
 			Program: program, Folder: own, Seed: seed, Length: c.Length, Progress: events, Edges: c.Edges, Storages: c.Storages, Runners: c.Runners,
 		},
-		Kept: c.Kept, Disturbers: c.Disturbers, EdgeKills: c.EdgeKills,
+		Kept: c.Kept, Disturbers: c.Disturbers, EdgeKills: c.EdgeKills, LeaderChanges: c.Leaders,
 	}
 	if c.Verbose {
 		options.Progress = os.Stdout
--- a/lab/platformday/day.go
+++ b/lab/platformday/day.go
@@ -55,6 +55,8 @@
 	// UnequalRunners makes the runners differ in speed and report a contention that
 	// varies.
 	UnequalRunners bool
+	// EventInterval is the time between the events of a runner's stream; 0 selects the default.
+	EventInterval time.Duration
 	// SoftwareVersions is the number of software versions of the runners, which serve side by
 	// side; 0 counts as 1.
 	SoftwareVersions int
@@ -85,6 +87,8 @@
 }
 
 const (
+	// defaultEventInterval is the time between two events of a runner that is not slow.
+	defaultEventInterval = 15 * time.Millisecond
 	// A deployment of this size tolerates the loss of one edge, one storage node and one
 	// runner.
 	defaultEdges, defaultStorages, defaultRunners = 2, 3, 4
@@ -113,6 +117,7 @@
 	options.Edges = cmp.Or(options.Edges, defaultEdges)
 	options.Storages = cmp.Or(options.Storages, defaultStorages)
 	options.Runners = cmp.Or(options.Runners, defaultRunners)
+	options.EventInterval = cmp.Or(options.EventInterval, defaultEventInterval)
 	d := &Day{Options: options, store: standin.NewStore(), ledger: standin.NewLedger(), tally: &standin.Tally{}, started: time.Now()}
 	d.lifetime, d.cancel = context.WithCancel(ctx)
 	// The process id is part of the number so that parallel test processes use different
--- a/lab/platformday/logs_test.go
+++ b/lab/platformday/logs_test.go
@@ -23,21 +23,6 @@
 	return text.String() + logTails(folder)
 }
 
-// linesWith returns the lines of all nodes that contain a text, after the name of the node's log.
-func linesWith(folder, wanted string) string {
-	var text strings.Builder
-	paths, _ := filepath.Glob(filepath.Join(folder, "*.log"))
-	for _, path := range paths {
-		content, _ := os.ReadFile(path)
-		for line := range strings.SplitSeq(string(content), "\n") {
-			if strings.Contains(line, wanted) {
-				fmt.Fprintf(&text, "%s: %s\n", filepath.Base(path), line)
-			}
-		}
-	}
-	return text.String()
-}
-
 // logTails returns the last lines of each node's log, for the message of a failed test.
 func logTails(folder string) string {
 	var text strings.Builder
--- a/lab/platformday/runners.go
+++ b/lab/platformday/runners.go
@@ -27,7 +27,7 @@
 	options := standin.RunnerOptions{
 		Version: d.versionOf(number, generation),
 		ID:      fmt.Sprintf("r%d-%d", number, generation), Service: "s", Zone: fmt.Sprintf("z%d", number%zoneCount), Address: address,
-		Slots: 8, QueueLimit: 32, EventInterval: 15 * time.Millisecond, Store: d.store, Ledger: d.ledger,
+		Slots: 8, QueueLimit: 32, EventInterval: d.EventInterval, Store: d.store, Ledger: d.ledger,
 		Crashes: d.Crashes, CrashesOnPart: d.CrashesOnPart, EndsHeadCleanly: d.EndsHeadCleanly, OnCrash: func(crashed *standin.Runner) { d.replaceRunner(crashed, number, generation) },
 	}
 	if d.UnequalRunners {
--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +29,9 @@
 	// connections to runners, and let runners refuse long requests early or start again at their
 	// addresses.
 	EdgeKills bool
+	// LeaderChanges adds a loop of disruptions that suspend, kill and stop one storage node after the
+	// other, each of which may lead the queue shards.
+	LeaderChanges bool
 }
 
 const (
@@ -140,6 +144,10 @@
 		killRandom := rand.New(rand.NewPCG(s.Seed, 7))
 		group.Go(func() { s.killEdgesRepeatedly(soakContext, killRandom) })
 	}
+	if s.options.LeaderChanges {
+		leaderRandom := rand.New(rand.NewPCG(s.Seed, 8))
+		group.Go(func() { s.changeLeaders(soakContext, leaderRandom) })
+	}
 	for range s.options.Disturbers {
 		run(func(random *rand.Rand) { s.disrupt(soakContext, random) })
 	}
@@ -192,6 +200,7 @@
 	if late := standin.LaterRuns(s.ledger.PartCrashes(crashingPart)); late > standin.MaxLaterRuns {
 		s.tally.RecordViolation("%d runs with a part of prompts that crashes runners began late, allowed are %d", late, standin.MaxLaterRuns)
 	}
+	s.tally.Leaders = strings.Count(linesWith(s.Folder, leaderLine), "\n")
 	once := &standin.StreamClient{Ledger: s.ledger, Tally: s.tally, Prefix: standin.OncePrefix, AtMostOnce: true}
 	once.CheckRunCounts()
 	s.report("%s; runners ended under one request: %d, under one part: %d", s.tally.Summary(), s.ledger.Crashes(crashBody), len(s.ledger.PartCrashes(crashingPart)))
--- a/lab/standin/callers.go
+++ b/lab/standin/callers.go
@@ -35,8 +35,12 @@
 // deadline.
 const RequestTimeout = 4 * time.Second
 
-// attemptHeader carries the id of an attempt at a request, or of a job.
-const attemptHeader = "Cobaltramp-Attempt-Id"
+// attemptHeader carries the id of an attempt at a request, or of a job, and deadlineHeader how long
+// the caller waits.
+const (
+	attemptHeader  = "Cobaltramp-Attempt-Id"
+	deadlineHeader = "Cobaltramp-Deadline-Ms"
+)
 
 // newClient returns a client that opens a new connection for each request.
 func newClient() *http.Client {
@@ -114,7 +118,7 @@
 
 func setRequestHeaders(request *http.Request, id string) {
 	request.Header.Set(attemptHeader, id)
-	request.Header.Set("Cobaltramp-Deadline-Ms", strconv.Itoa(int(RequestTimeout.Milliseconds())))
+	request.Header.Set(deadlineHeader, strconv.Itoa(int(RequestTimeout.Milliseconds())))
 	request.Header.Set("Cobaltramp-Model", "m")
 	request.Header.Set("Cobaltramp-Token-Usage", "300,100")
 	request.Header.Set("Cobaltramp-Prompt-Prefix", "aa:100,bb:100,"+id+":100")
--- a/lab/standin/ledger.go
+++ b/lab/standin/ledger.go
@@ -31,10 +31,12 @@
 	resumesForCaller bool
 	// Crashed is true if the runner crashed at the start of the run.
 	Crashed bool
-	// Parts are the names of the shared parts of the prompt, and BeganAt is when the runner
-	// began the run.
-	Parts   []string
-	BeganAt time.Time
+	// Parts are the names of the shared parts of the prompt.
+	Parts []string
+	// BeganAt and EndedAt are when the runner began and ended the run; EndedAt is zero before.
+	BeganAt, EndedAt time.Time
+	// Stream is the stream of which the run is a part; empty if callers do not resume it.
+	Stream string
 }
 
 // String describes a run for the message of a violation.
@@ -90,6 +92,7 @@
 func (l *Ledger) end(run *Run, complete, disconnected, lost bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	run.EndedAt = time.Now()
 	run.Complete, run.Disconnected, run.Lost = complete, disconnected && !complete, lost
 }
 
--- a/lab/standin/single.go
+++ b/lab/standin/single.go
@@ -1,12 +1,14 @@
 package standin
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/base64"
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -38,7 +40,7 @@
 		request.Header.Set(attemptHeader, id)
 	}
 	request.Header.Set("Cobaltramp-Model", "m")
-	request.Header.Set("Cobaltramp-Deadline-Ms", strconv.Itoa(int(RequestTimeout.Milliseconds())))
+	request.Header.Set(deadlineHeader, strconv.Itoa(int(RequestTimeout.Milliseconds())))
 	return roundTrip(request)
 }
 
@@ -111,3 +113,43 @@
 	}
 	return completed, dead
 }
+
+// StreamPart is a part of a stream that a caller reads in one attempt.
+type StreamPart struct {
+	Stream, ID string
+	// Resumes is the attempt that brought the first event of the stream; empty in that attempt.
+	Resumes string
+	// After is the last event that the caller has received, and Until the last one that it reads.
+	After, Until int64
+}
+
+// ReadPart sends an attempt at a stream, reads a part of it, and closes the connection. It returns
+// the number of the last event that it received.
+func (c NodeClient) ReadPart(ctx context.Context, part StreamPart) (last int64) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.Address+EventsPrefix+"stream", strings.NewReader("prompt of "+part.Stream))
+	if err != nil {
+		return part.After
+	}
+	request.Host = c.Host
+	setRequestHeaders(request, part.ID)
+	request.Header.Set(deadlineHeader, strconv.Itoa(int(callTimeout.Milliseconds())))
+	request.Header.Set(streamHeader, part.Stream)
+	if part.After > 0 {
+		request.Header.Set("Last-Event-Id", strconv.FormatInt(part.After, 10))
+		request.Header.Set(resumesHeader, part.Resumes)
+	}
+	response, err := newClient().Do(request)
+	if err != nil {
+		return part.After
+	}
+	defer func() { _ = response.Body.Close() }()
+	last = part.After
+	for lines := bufio.NewScanner(response.Body); last < part.Until && lines.Scan(); {
+		if number, found := strings.CutPrefix(lines.Text(), "id: "); found {
+			last, _ = strconv.ParseInt(number, 10, 64) // 0 if it is none
+		}
+	}
+	return last
+}
--- a/lab/standin/tally.go
+++ b/lab/standin/tally.go
@@ -12,7 +12,9 @@
 	mutex                   sync.Mutex
 	Served, Refused, Failed int
 	JobsAccepted, ItemsDone int
-	Violations              []string
+	// Leaders is the number of times that a node began to lead a queue shard.
+	Leaders    int
+	Violations []string
 	// refusedIDs are the requests that may run only once and were refused as not run.
 	refusedIDs []string
 }
@@ -21,8 +23,8 @@
 func (t *Tally) Summary() string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return fmt.Sprintf("served %d, refused %d, failed %d; jobs taken %d, items done %d; broken promises %d",
-		t.Served, t.Refused, t.Failed, t.JobsAccepted, t.ItemsDone, len(t.Violations))
+	return fmt.Sprintf("served %d, refused %d, failed %d; jobs taken %d, items done %d, leaders %d; broken promises %d",
+		t.Served, t.Refused, t.Failed, t.JobsAccepted, t.ItemsDone, t.Leaders, len(t.Violations))
 }
 
 // RecordViolation records the violation of a guarantee.
