A stand-in runner that drains ends as well under a request that crashes it

The soak counted a run at a draining runner as an ending, though the runner went on, so that no node could see an ending; the request went to it again. Such a runner ends now. The count and the bound stay.

--- a/lab/standin/runner.go
+++ b/lab/standin/runner.go
@@ -177,7 +177,7 @@
 		return
 	}
 	run := &Run{Runner: r.ID, Version: r.Version, Body: sha256.Sum256(body), Path: request.URL.RequestURI(), LastEventID: from, resumesForCaller: request.Header.Get(resumesHeader) != ""}
-	run.Parts, run.BeganAt = sharedParts(request.Header), time.Now()
+	run.Parts, run.BeganAt, run.Stream = sharedParts(request.Header), time.Now(), request.Header.Get(streamHeader)
 	crashesOnPart := r.CrashesOnPart != nil && slices.ContainsFunc(run.Parts, r.CrashesOnPart)
 	run.Crashed = crashesOnPart || r.Crashes != nil && r.Crashes(body)
 	r.Ledger.begin(id, run)
@@ -195,10 +195,12 @@
 	r.Ledger.end(run, complete, request.Context().Err() != nil && !r.ended.Load(), silence.IsLost(connection.Conn))
 }
 
-// crashOnce crashes the runner, unless it has ended already.
+// crashOnce crashes the runner, unless it has ended already. A runner that drains ends as well; who
+// drains it lets its successor start.
 func (r *Runner) crashOnce() {
-	if r.ClaimEnd() {
-		r.Crash()
+	claimed := r.ClaimEnd()
+	r.Crash()
+	if claimed {
 		r.OnCrash(r)
 	}
 }
