--- a/internal/transport/httpcall/once_test.go
+++ b/internal/transport/httpcall/once_test.go
@@ -131,12 +131,12 @@
 // response too many, the next one may be too many as well.
 func TestConnectionOfDroppedResponsesIsNotReused(t *testing.T) {
 	is := is.New(t)
-	const named, other = "HTTP/1.1 200 OK\r\nNames: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 Busy\r\nNames: other\r\nContent-Length: 0\r\n\r\n"
-	address, connections := namingServer(t, other+named, named)
+	const named, other = "HTTP/1.1 200 OK\r\nNames: %s\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 503 Busy\r\nNames: other\r\nContent-Length: 0\r\n\r\n"
+	address, connections := namingServer(t, other+fmt.Sprintf(named, "1"), fmt.Sprintf(named, "2"))
 	client := NewClient(nil)
-	for range 2 {
+	for _, id := range []string{"1", "2"} {
 		request := namedRequest1()
-		request.URL, request.ID = address, "1"
+		request.URL, request.ID = address, id
 		response, err := client.Do(context.Background(), request)
 		is.NoErr(err)
 		is.Equal(response.Status, http.StatusOK)
