A stream goes back to its leaving runner if the others of its version were tried

All connections went silent, r4-6 began to leave 0.9 s later; after the idle timeout the two other runners of the version, which had crashed and were still listed, refused the connection, and counted as left nevertheless, so that r4-6, with 1.1 s of its use left, was not tried. TestStreamGoesOnAtALeavingRunnerIfTheOthersWereTried failed before.

--- a/internal/serving/runnerset/choice.go
+++ b/internal/serving/runnerset/choice.go
@@ -58,8 +58,8 @@
 func (c *Choice) HasFreeSlot() bool { return c.Load+1 <= c.Runner.slots() }
 
 // Pick returns the runner with the lowest cost (see candidate.cost), or a choice without
-// a runner if none may be used. If no listed runner of the service (and of the software
-// version, if one is required) accepts work, an online request may go to a runner of
+// a runner if none may be used. If no listed runner of the service accepts work, or none of the
+// required software version that is not excluded, an online request may go to a runner of
 // Criteria.lastResort. A request with a target zone goes
 // there under the conditions of TargetZone.
 func (s *Set) Pick(criteria *Criteria, now time.Time) Choice {
@@ -76,7 +76,7 @@
 // pick implements Pick without regard to the target zone.
 func (s *Set) pick(criteria *Criteria, now time.Time) Choice {
 	choice := s.pickAmong(criteria, now, (*Runner).AcceptsWork)
-	if choice.Runner == nil && criteria.Batch == nil && !s.anyAcceptsWork(criteria) {
+	if choice.Runner == nil && criteria.Batch == nil && !s.anyIsLeft(criteria) {
 		choice = s.pickAmong(criteria, now, criteria.lastResort())
 	}
 	if choice.Runner == nil || choice.Load+1 > choice.Runner.slots() {
@@ -85,17 +85,25 @@
 	return choice
 }
 
-// anyAcceptsWork reports whether a runner of the service accepts work, among those of the
-// software version if one is given.
-func (s *Set) anyAcceptsWork(criteria *Criteria) bool {
-	return slices.ContainsFunc(s.Service(criteria.Service), func(runner *Runner) bool {
-		return runner.AcceptsWork() && criteria.allowsVersion(runner)
+// anyIsLeft reports whether a runner of the service accepts work. For a stream that can go on at one
+// software version only, those of other versions and those that were tried do not count.
+func (s *Set) anyIsLeft(criteria *Criteria) bool {
+	if criteria.SoftwareVersion == "" {
+		return s.anyAcceptsWork(criteria.Service, func(*Runner) bool { return true })
+	}
+	return s.anyAcceptsWork(criteria.Service, func(runner *Runner) bool {
+		return criteria.allowsVersion(runner) && !criteria.Excluded[runner.ID]
 	})
 }
 
+// anyAcceptsWork reports whether a runner of the service accepts work, among those that match.
+func (s *Set) anyAcceptsWork(service string, matches func(*Runner) bool) bool {
+	return slices.ContainsFunc(s.Service(service), func(runner *Runner) bool { return runner.AcceptsWork() && matches(runner) })
+}
+
 // VersionAcceptsWork reports whether a runner of the service and software version accepts work.
 func (s *Set) VersionAcceptsWork(service, version string) bool {
-	return s.anyAcceptsWork(&Criteria{Service: service, SoftwareVersion: version})
+	return s.anyAcceptsWork(service, func(runner *Runner) bool { return runner.SoftwareVersion() == version })
 }
 
 // allowsVersion reports whether the software version of a runner is as required.
--- a/internal/serving/runnerset/version_test.go
+++ b/internal/serving/runnerset/version_test.go
@@ -55,6 +55,21 @@
 	is.Equal(pick(s, Criteria{Zone: "z", SoftwareVersion: "v2"}, time.Now()), "b")
 }
 
+// TestStreamGoesOnAtALeavingRunnerIfTheOthersWereTried guards against cut streams: the other runners of
+// the version have crashed and are still listed. They were tried, and the stream may go on where it was.
+func TestStreamGoesOnAtALeavingRunnerIfTheOthersWereTried(t *testing.T) {
+	is := is.New(t)
+	s := setOf(versioned("a", "v1"), versioned("b", "v1"), versioned("c", "v2"))
+	leaving := versioned("a", "v1")
+	leaving.Leaving = true
+	s.ApplyChanges([]Record{leaving}, nil, 2, time.Now())
+	tried := map[string]bool{"b": true}
+	is.Equal(pick(s, Criteria{Zone: "z", SoftwareVersion: "v1"}, time.Now()), "b")
+	is.Equal(pick(s, Criteria{Zone: "z", SoftwareVersion: "v1", Excluded: tried}, time.Now()), "a")
+	tried["c"] = true
+	is.True(s.Pick(&Criteria{Service: "s", Zone: "z", Excluded: tried}, time.Now()).Runner == nil) // not a stream that has begun
+}
+
 // A runner that was listed as leaving from the start may have stated it long ago.
 func TestRunnerFirstListedAsLeavingGetsNoStreams(t *testing.T) {
 	leaving := versioned("a", "v1")
