--- a/lab/platformday/edgekills.go
+++ b/lab/platformday/edgekills.go
@@ -86,15 +86,5 @@
 // refuseEarly makes two runners refuse requests before they have read the bodies, and send refusals
 // that name no request.
 func (s *soak) refuseEarly(ctx context.Context, random *rand.Rand) {
-	s.mutex.Lock()
-	chosen := []*standin.Runner{s.runners[random.IntN(len(s.runners))], s.runners[len(s.runners)-1]}
-	s.mutex.Unlock()
-	for _, runner := range chosen {
-		s.report("runner %s refuses early", runner.ID)
-		runner.SetFault(standin.RunnerFault{EarlyRefusal: earlyRefusals, LateRefusal: lateRefusalsBesides})
-	}
-	sleepUpTo(ctx, random, 3*time.Second)
-	for _, runner := range chosen {
-		runner.SetFault(standin.RunnerFault{})
-	}
+	s.injectRunnerFaults(ctx, random, "refuses early", standin.RunnerFault{EarlyRefusal: earlyRefusals, LateRefusal: lateRefusalsBesides})
 }
--- a/lab/platformday/platformseries.go
+++ b/lab/platformday/platformseries.go
@@ -105,17 +105,24 @@
 // lostResponseShare is the fraction of responses that a faulty runner loses.
 const lostResponseShare = 0.3
 
-// loseResponses makes a random runner and the newest one lose responses for up to three
-// seconds.
+// maxFaultLength is the longest time for which runners have a fault.
+const maxFaultLength = 3 * time.Second
+
+// loseResponses makes two runners lose responses for a time.
 func (s *soak) loseResponses(ctx context.Context, random *rand.Rand) {
+	s.injectRunnerFaults(ctx, random, "loses answers", standin.RunnerFault{LoseResponse: lostResponseShare})
+}
+
+// injectRunnerFaults gives a random runner and the newest one a fault for up to maxFaultLength.
+func (s *soak) injectRunnerFaults(ctx context.Context, random *rand.Rand, description string, fault standin.RunnerFault) {
 	s.mutex.Lock()
 	chosen := []*standin.Runner{s.runners[random.IntN(len(s.runners))], s.runners[len(s.runners)-1]}
 	s.mutex.Unlock()
 	for _, runner := range chosen {
-		s.report("runner %s loses answers", runner.ID)
-		runner.SetFault(standin.RunnerFault{LoseResponse: lostResponseShare})
+		s.report("runner %s %s", runner.ID, description)
+		runner.SetFault(fault)
 	}
-	sleepUpTo(ctx, random, 3*time.Second)
+	sleepUpTo(ctx, random, maxFaultLength)
 	for _, runner := range chosen {
 		runner.SetFault(standin.RunnerFault{})
 	}
@@ -137,7 +144,7 @@
 		s.mutex.Unlock()
 		s.report("runner %s sends refusals that name no request", runner.ID)
 		runner.SetFault(standin.RunnerFault{LateRefusal: lateRefusals})
-		sleepUpTo(ctx, random, 3*time.Second)
+		sleepUpTo(ctx, random, maxFaultLength)
 		runner.SetFault(standin.RunnerFault{})
 	}
 }
