--- a/lab/silence/silence.go
+++ b/lab/silence/silence.go
@@ -97,12 +97,6 @@
 	return ok && (accepted.isSilent() || accepted.wasReset.Load())
 }
 
-// IsSilent reports whether a connection that a Listener accepted has gone silent.
-func IsSilent(connection net.Conn) bool {
-	accepted, ok := connection.(*conn)
-	return ok && accepted.isSilent()
-}
-
 // errSilent is the server's error for writes to a silent connection. A real server gets it
 // when its transport gives up.
 var errSilent = errors.New("the connection has gone silent")
