The number of dropped log lines is written at the end of a process too

The process ended before the writer had begun, which then wrote the queue, and not how many lines were dropped. TestDroppedLinesAreReportedAtTheEnd failed before.

--- a/internal/app/asynclog/asynclog.go
+++ b/internal/app/asynclog/asynclog.go
@@ -21,10 +21,12 @@
 
 // Writer is an io.Writer whose Write never blocks.
 type Writer struct {
-	out        io.Writer
-	lines      chan []byte
-	numbered   atomic.Uint64
-	dropped    atomic.Uint64
+	out      io.Writer
+	lines    chan []byte
+	numbered atomic.Uint64
+	dropped  atomic.Uint64
+	// reported is the number of dropped lines that was written last, by writeLines.
+	reported   uint64
 	background tasks.Group
 	quit       chan struct{}
 	// done is closed when writeLines returns; Close waits for it for up to closeTimeout.
@@ -74,19 +76,24 @@
 
 func (w *Writer) writeLines() {
 	defer close(w.done)
-	reported := uint64(0)
 	for {
 		select {
 		case line := <-w.lines:
 			w.writeBatch(line)
+			w.reportDropped()
 		case <-w.quit:
 			w.drain()
+			w.reportDropped()
 			return
 		}
-		if dropped := w.dropped.Load(); dropped > reported {
-			fmt.Fprintf(w.out, "log lines dropped total=%d\n", dropped)
-			reported = dropped
-		}
+	}
+}
+
+// reportDropped writes the number of dropped lines if it has risen since the last report.
+func (w *Writer) reportDropped() {
+	if dropped := w.dropped.Load(); dropped > w.reported {
+		fmt.Fprintf(w.out, "log lines dropped total=%d\n", dropped)
+		w.reported = dropped
 	}
 }
 
--- a/internal/app/asynclog/asynclog_test.go
+++ b/internal/app/asynclog/asynclog_test.go
@@ -40,6 +40,20 @@
 	is.Equal(strings.Count(output.written.String(), "log lines dropped total=3"), 1)
 }
 
+// Lines that were dropped right before the end must be reported too.
+func TestDroppedLinesAreReportedAtTheEnd(t *testing.T) {
+	is := is.New(t)
+	output := &blockedOutput{open: make(chan struct{})}
+	close(output.open)
+	writer := &Writer{out: output, lines: make(chan []byte, 1), quit: make(chan struct{}), done: make(chan struct{})}
+	_, _ = writer.Write([]byte("kept\n"))
+	_, _ = writer.Write([]byte("dropped\n"))
+	close(writer.quit)
+	writer.drain()
+	writer.writeLines()
+	is.Equal(output.written.String(), "kept line=1\nlog lines dropped total=1\n")
+}
+
 // A line without an end, as of a panic, must be numbered and kept as it is otherwise.
 func TestLineIsNumberedBeforeItsEnd(t *testing.T) {
 	is := is.New(t)
