A test waits for the members of the shard before it stops their leader

By its lines the leader granted its credit as the only member of the shard, 0.6 s after the hand-over to three members had started, and was stopped before that had ended: nobody else had the shard. The test waits for a job to be accepted, which needs the other members; what it checks stays.

--- a/internal/batch/queuestore/allotments_test.go
+++ b/internal/batch/queuestore/allotments_test.go
@@ -43,6 +43,7 @@
 		given, err := c.requestCredits(1)
 		return err == nil && given == 1
 	})
+	c.submit("one", 1) // is accepted only once the other nodes are members of the shard
 	c.stop(c.awaitLeader())
 	c.eventually("the next leader grants a credit", func() bool {
 		given, err := c.requestCredits(1)
