An intact disk is not given up because its database can't be opened right away

Cause: logstore.Open took every error of opening a database for damage, moved the database aside and gave the disk a new identity, which is the loss of a disk: also when the node's earlier process still held the lock, or the operating system refused an access for a moment. With two copies, one such disk and one lost disk leave no quorum, ever. An unreadable identity file was replaced as well.

Evidence: TestDatabaseInUseByEarlierProcessIsNotReplaced and TestRefusedAccessDoesNotReplaceDatabase fail on ('the disk disk-395a... has become disk-d528...', log: database is damaged ... resource temporarily unavailable).

Change: an error of the operating system, except for a missing file, and a lock that is held are no evidence of damage. Open tries again for 15 s, then returns the error and leaves the database as it is. Damage (checksums, missing files, gaps) costs the identity as before. TestIdentityWithoutDatabaseIsReplaced (failed before): an identity without a database counts as damage; moving aside removes the identity first, so that a power loss in between does not leave it beside an empty database. Opening has a file of its own.

After: the three tests and the others of the package pass.

--- a/internal/batch/logstore/db.go
+++ b/internal/batch/logstore/db.go
@@ -13,11 +13,9 @@
 	"io"
 	"math"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors/oserror"
 	"github.com/cockroachdb/pebble/v2"
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/google/uuid"
@@ -52,78 +50,6 @@
 	closed  bool
 }
 
-// Open opens or creates the database of a data folder. If the database cannot be opened
-// or verified, for whatever reason, Open moves it aside and creates an empty one. The disk
-// then gets a new identity: the epochs that its replicas have promised are lost with the
-// old database, so the disk must not vote as the same member.
-func Open(folder string, limits DiskLimits) (*DB, error) { return OpenOn(vfs.Default, folder, limits) }
-
-// OpenOn is like Open, but uses the given file system.
-func OpenOn(fs vfs.FS, folder string, limits DiskLimits) (*DB, error) {
-	if err := fs.MkdirAll(folder, 0o755); err != nil {
-		return nil, trace.Wrap(trace.ConvertSystemError(err), "creating data folder")
-	}
-	d := &DB{fs: fs, folder: folder, limits: limits}
-	opened, err := d.openChecked(filepath.Join(folder, databaseFolder))
-	if err != nil {
-		klog.ErrorS(err, "database is damaged; moving it aside and giving the disk a new identity", "folder", folder)
-		if err := d.moveAside(); err != nil {
-			return nil, err
-		}
-		if opened, err = d.openPebble(filepath.Join(folder, databaseFolder)); err != nil {
-			return nil, trace.Wrap(err, "opening database in %s", folder)
-		}
-	}
-	d.pebble = opened
-	if d.diskID, err = d.identity(); err != nil {
-		closeIgnoringError(opened)
-		return nil, err
-	}
-	return d, nil
-}
-
-// openChecked opens a database, and loads every shard to verify every entry of its log.
-func (d *DB) openChecked(path string) (*pebble.DB, error) {
-	opened, err := d.openPebble(path)
-	if err != nil {
-		return nil, err
-	}
-	if err := (&DB{pebble: opened}).check(); err != nil {
-		closeIgnoringError(opened)
-		return nil, err
-	}
-	return opened, nil
-}
-
-func (d *DB) check() error {
-	shards, err := d.Shards()
-	if err != nil {
-		return err
-	}
-	for _, id := range shards {
-		if _, err := d.Shard(id).Load(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-func (d *DB) openPebble(path string) (*pebble.DB, error) {
-	options := &pebble.Options{
-		FS:           d.fs,
-		Logger:       errorLogger{},
-		MemTableSize: memTableBytes(d.limits.MaxBytes),
-		MaxOpenFiles: 256,
-	}
-	if d.limits.MaxBytes > 0 {
-		// Most data is deleted soon after it was written. Early compaction frees its
-		// space on a small disk.
-		options.L0CompactionThreshold = 2
-		options.LBaseMaxBytes = int64(options.MemTableSize)
-	}
-	return pebble.Open(path, options)
-}
-
 const (
 	maxMemTableBytes = 16 << 20
 	minMemTableBytes = 1 << 20
@@ -161,35 +87,6 @@
 // Fatalf implements pebble.Logger.
 func (errorLogger) Fatalf(format string, args ...any) { klog.Fatalf("storage: "+format, args...) }
 
-// identity returns the disk's identity from the identity file, which lies beside the
-// database. If the file is missing, empty or unreadable, it writes a new identity.
-func (d *DB) identity() (string, error) {
-	path := filepath.Join(d.folder, identityFile)
-	if text := d.readText(path); text != "" {
-		return text, nil
-	}
-	id := newDiskID()
-	if err := d.writeSynced(path, []byte(id+"\n")); err != nil {
-		return "", trace.Wrap(err, "writing disk identity")
-	}
-	return id, nil
-}
-
-// readText returns the content of a small file without surrounding white space, or ""
-// if the file cannot be read.
-func (d *DB) readText(path string) string {
-	file, err := d.fs.Open(path)
-	if err != nil {
-		return ""
-	}
-	defer closeIgnoringError(file)
-	text, err := io.ReadAll(file)
-	if err != nil {
-		return ""
-	}
-	return strings.TrimSpace(string(text))
-}
-
 // diskIDBytes is the number of random bytes in a disk identity. It is small because
 // every replica message contains two identities.
 const diskIDBytes = 8
@@ -251,20 +148,6 @@
 // a batch that was committed or dropped, or a file whose write has failed already.
 func closeIgnoringError(closer io.Closer) { _ = closer.Close() }
 
-// moveAside renames the database folder, so that it can be inspected, and removes the
-// disk's identity. A missing folder or identity is no error.
-func (d *DB) moveAside() error {
-	stamp := time.Now().UTC().Format("20060102-150405.000")
-	from := filepath.Join(d.folder, databaseFolder)
-	if err := d.fs.Rename(from, filepath.Join(d.folder, "damaged-"+stamp)); err != nil && !oserror.IsNotExist(err) {
-		return trace.ConvertSystemError(err)
-	}
-	if err := d.fs.Remove(filepath.Join(d.folder, identityFile)); err != nil && !oserror.IsNotExist(err) {
-		return trace.ConvertSystemError(err)
-	}
-	return nil
-}
-
 // DiskID returns the disk's identity.
 func (d *DB) DiskID() string { return d.diskID }
 
