A member with a conflicting log follows a leader whose log was truncated

Cause: a member that led while it was cut off, and restarted before it rejoined, has entries that were never committed, and knows a commit index that lies far back, since an advance of it alone is not written. With the third member's disk lost, nothing is committed again. Plain nodes ignored such an offer, with the same result.

Change: after a restart, applied entries count as committed. A declined offer answers with the commit index, which matches for certain. Plain nodes decline too (an option less).

--- a/internal/batch/queuestore/shard.go
+++ b/internal/batch/queuestore/shard.go
@@ -57,7 +57,7 @@
 	options := shardhost.HostOptions{
 		DB: n.DB, Pool: n.Pool, Timing: electionTiming(), Peer: n.peer, Send: n.sendReplica,
 		SnapshotTimeout: snapshotTimeout, TruncateInterval: cmp.Or(n.TruncateInterval, truncateInterval), HandOver: handOverTiming,
-		DeclineSnapshots: true, BatchLoopCalls: true,
+		BatchLoopCalls: true,
 	}
 	return shardhost.New(n.context, options, func(s *hostedShard) shardhost.Application[*wirev1.QueueCommand, *queue.ApplyResult] {
 		return &shard{hostedShard: s, node: n}
--- a/internal/batch/replica/step.go
+++ b/internal/batch/replica/step.go
@@ -161,16 +161,21 @@
 	})
 }
 
-// DeclineSnapshot rejects a snapshot offer that the driver does not need. The response
-// contains the last index of the log, and the leader continues after it. The offer of an
-// earlier epoch or of another generation is ignored, and so is any offer to a frozen member.
+// DeclineSnapshot rejects a snapshot offer that the driver does not need, because the applied
+// state or the log contains the snapshot's last entry. The leader continues after the commit index, up
+// to which the log is known to match the leader's; entries after it may conflict. The offer
+// of an earlier epoch or of another generation is ignored, and so is any offer to a frozen
+// member.
 func (r *Replica) DeclineSnapshot(now time.Time, offer *wirev1.ReplicaMessage) {
 	if offer.Generation != r.memberSet.Generation || offer.To != r.self || offer.Epoch < r.hard.Promised || r.hard.Frozen {
 		return
 	}
 	r.follow(now, offer.Epoch, offer.From)
 	r.lastLeaderContact = now
-	r.reject(offer, r.lastIndex())
+	r.hard.Commit = max(r.hard.Commit, offer.LastIndex)
+	r.send(&wirev1.ReplicaMessage{
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: offer.From, Epoch: r.hard.Promised, MatchIndex: r.hard.Commit,
+	})
 }
 
 // appendReceived appends the entries that the log does not contain, and first removes
--- a/internal/batch/shardhost/host.go
+++ b/internal/batch/shardhost/host.go
@@ -62,10 +62,6 @@
 	// truncated.
 	TruncateInterval time.Duration
 	HandOver         HandOverTiming
-	// DeclineSnapshots makes a replica respond to the offer of a snapshot that it does not
-	// need. The response contains the last index of its log, and the leader continues after
-	// it. Without DeclineSnapshots, the replica ignores the offer.
-	DeclineSnapshots bool
 	// BatchLoopCalls lets one iteration of a shard's run loop run several functions that
 	// were queued with RunInLoop or TryRunInLoop. Without it, each iteration runs at most
 	// one.
@@ -159,10 +155,13 @@
 func (h *Host[Command, Result]) newShard(id uint32, store *logstore.ShardLog, loaded *logstore.RecoveredState) *Shard[Command, Result] {
 	disk := h.options.DB.DiskID()
 	random := rand.New(rand.NewPCG(rand.Uint64(), uint64(id)))
+	// An advance of the commit index alone is not written, but only committed entries are applied.
+	hard := loaded.HardState
+	hard.Commit = max(hard.Commit, loaded.Applied)
 	s := &Shard[Command, Result]{
 		ID: id, Disk: disk, Store: store,
 		Replica: replica.Restore(id, disk, loaded.MemberSet, h.options.Timing, random, store,
-			loaded.HardState, loaded.BaseIndex, loaded.BaseEpoch, loaded.Epochs, time.Now()),
+			hard, loaded.BaseIndex, loaded.BaseEpoch, loaded.Epochs, time.Now()),
 		host: h, applied: loaded.Applied,
 		messages:  make(chan *wirev1.ReplicaMessage, queueLength),
 		proposals: make(chan *proposal[Command, Result], queueLength),
--- a/internal/batch/shardhost/shardhost_test.go
+++ b/internal/batch/shardhost/shardhost_test.go
@@ -143,6 +143,51 @@
 	is.Equal(count, commands+1)
 }
 
+// Guards against a member that, after its restart, is sent entries or snapshots that it has
+// applied already, because it no longer knows that they are committed.
+func TestAppliedEntriesAreCommittedAfterRestart(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	applied := uint64(0)
+	t.Run("first run", func(t *testing.T) {
+		is := is.New(t)
+		s := startHost(t, folder).Shard(0)
+		awaitLeader(t, s)
+		for range 3 {
+			_, err := s.ProposeAndWait(t.Context(), anyCommand)
+			is.NoErr(err)
+		}
+		is.NoErr(s.RunInLoop(t.Context(), func() { applied = s.applied }))
+	})
+	db, err := logstore.Open(folder, logstore.DiskLimits{})
+	is.NoErr(err)
+	defer func() { is.NoErr(db.Close()) }()
+	host := New(context.Background(), HostOptions{DB: db}, func(*Shard[*wirev1.QueueCommand, int]) Application[*wirev1.QueueCommand, int] { return &counter{} })
+	store := db.Shard(0)
+	loaded, err := store.Load()
+	is.NoErr(err)
+	is.Equal(host.newShard(0, store, loaded).Replica.Commit(), applied)
+}
+
+// Checks that a member declines the offer of a snapshot whose last entry is in its log, although
+// its state does not contain it yet: entries after it that the member has acknowledged are kept.
+func TestOfferedSnapshotDoesNotReplaceMatchingLog(t *testing.T) {
+	is := is.New(t)
+	s := startHost(t, t.TempDir()).Shard(0)
+	awaitLeader(t, s)
+	_, err := s.ProposeAndWait(t.Context(), anyCommand)
+	is.NoErr(err)
+	is.NoErr(s.RunInLoop(t.Context(), func() {
+		last := s.Replica.LastIndex()
+		offer := &wirev1.ReplicaMessage{LastIndex: last, LastEpoch: s.Replica.EpochAt(last)}
+		s.applied = last - 1
+		is.True(s.hasSnapshot(offer))
+		s.applied = last
+		is.True(s.hasSnapshot(&wirev1.ReplicaMessage{LastIndex: last, LastEpoch: offer.LastEpoch + 1}))
+		is.True(!s.hasSnapshot(&wirev1.ReplicaMessage{LastIndex: last + 1, LastEpoch: offer.LastEpoch}))
+	}))
+}
+
 // Checks that a stopped host rejects calls and starts no shard.
 func TestStoppedHostRejectsCalls(t *testing.T) {
 	is := is.New(t)
--- a/internal/batch/shardhost/snapshot.go
+++ b/internal/batch/shardhost/snapshot.go
@@ -52,18 +52,16 @@
 	})
 }
 
-// handleSnapshotOffer starts to fetch a snapshot that a leader offers if this replica's log
-// or applied state ends before the snapshot. It ignores the offer of an older epoch or of
+// handleSnapshotOffer starts to fetch a snapshot that a leader offers, or declines the offer if
+// this replica has the entries of the snapshot. It ignores the offer of an older epoch or of
 // another generation, an offer during another fetch, and one from an unknown node.
 func (s *Shard[Command, Result]) handleSnapshotOffer(offer *wirev1.ReplicaMessage) {
 	stale := offer.Epoch < s.Replica.Epoch() || offer.Generation != s.Replica.MemberSet().Generation
 	if s.installing || stale {
 		return
 	}
-	if offer.LastIndex <= s.Replica.LastIndex() && offer.LastIndex <= s.applied {
-		if s.host.options.DeclineSnapshots {
-			s.Replica.DeclineSnapshot(time.Now(), offer)
-		}
+	if s.hasSnapshot(offer) {
+		s.Replica.DeclineSnapshot(time.Now(), offer)
 		return
 	}
 	peer, known := s.host.options.Peer(offer.From)
@@ -79,6 +77,13 @@
 	s.installing = s.host.tasks.Go(func() { s.fetchSnapshot(peer.Address, installer) })
 }
 
+// hasSnapshot reports whether the state or the log contains the last entry of an offered
+// snapshot, and thus all entries before it. The log must not be replaced in that case: this
+// replica may have acknowledged later entries.
+func (s *Shard[Command, Result]) hasSnapshot(offer *wirev1.ReplicaMessage) bool {
+	return offer.LastIndex <= s.applied || s.Replica.EpochAt(offer.LastIndex) == offer.LastEpoch
+}
+
 func (s *Shard[Command, Result]) fetchSnapshot(address string, installer *logstore.Installer) {
 	ctx, cancel := context.WithTimeout(s.host.context, s.host.options.SnapshotTimeout)
 	defer cancel()
