A member that catches up is sent each entry once

Cause: the leader answered each rejection with another full message. Each read confirms the leadership with a message to every member, and each of those is rejected while the member lacks entries.

Change: until a member has confirmed a matching log, one message with entries is in flight to it and the next index does not advance; a rejection names the index that it rejects (0 from earlier versions, which always counts), and the leader reacts to the first rejection for an index only. A learner's log is assumed to be complete at first, like a member's, so that a returning disk isn't sent the whole log.

--- a/internal/batch/replica/handover.go
+++ b/internal/batch/replica/handover.go
@@ -42,7 +42,7 @@
 	}
 	for _, learner := range learners {
 		if r.progress[learner] == nil {
-			r.progress[learner] = &progress{next: r.lastIndex() + 1, lastResponse: now}
+			r.progress[learner] = &progress{next: r.lastIndex() + 1, resendFrom: r.lastIndex() + 1, lastResponse: now}
 		}
 	}
 }
--- a/internal/batch/replica/lead.go
+++ b/internal/batch/replica/lead.go
@@ -8,6 +8,9 @@
 )
 
 // progress is the state of replication to one member or learner.
+//
+// Until the member has confirmed a log that matches the leader's up to next-1, the leader has
+// at most one message with entries in flight to it, and next does not advance.
 type progress struct {
 	match uint64 // last index known to be on the member's disk
 	next  uint64 // next index to send
@@ -120,8 +123,8 @@
 	for _, member := range r.followers() {
 		p := r.progress[member]
 		// The entries in flight may be lost. They are sent again once the member responds.
-		if p.next > max(p.match+1, p.resendFrom) && r.unresponsive(p, now) {
-			p.next = max(p.match+1, p.resendFrom)
+		if r.unresponsive(p, now) {
+			p.next = min(p.next, max(p.match+1, p.resendFrom))
 			p.inFlight = nil
 		}
 		recentlySent := p.confirmed && now.Sub(p.sentAt) < r.heartbeatTime()
@@ -222,11 +225,8 @@
 		return
 	}
 	for {
-		// A member that has not confirmed a matching log in this epoch gets entries only with
-		// a heartbeat, in one message.
-		blocked := !p.confirmed && !heartbeat || r.unresponsive(p, now) || p.next-p.match > maxInFlight || p.inFlightBytes() > maxInFlightBytes
 		var entries []*wirev1.LogEntry
-		if !blocked && p.next <= r.lastIndex() {
+		if r.maySendEntries(p, now) && p.next <= r.lastIndex() {
 			entries = r.entriesFrom(p.next)
 		}
 		if len(entries) == 0 && !heartbeat {
@@ -243,14 +243,26 @@
 			Learner: !r.memberSet.Has(member), Probe: r.probe, Rest: r.idleChanges,
 		})
 		p.sentAt = now
-		p.next += uint64(len(entries))
 		if len(entries) > 0 {
-			p.inFlight = append(p.inFlight, inFlightEntries{p.next - 1, commandBytes(entries)})
+			p.inFlight = append(p.inFlight, inFlightEntries{previous + uint64(len(entries)), commandBytes(entries)})
 		}
-		heartbeat = false
 		if len(entries) == 0 || !p.confirmed {
 			return
 		}
+		p.next += uint64(len(entries))
+		heartbeat = false
+	}
+}
+
+// maySendEntries reports whether a message to the member may contain entries.
+func (r *Replica) maySendEntries(p *progress, now time.Time) bool {
+	switch {
+	case r.unresponsive(p, now):
+		return false
+	case !p.confirmed:
+		return len(p.inFlight) == 0
+	default:
+		return p.next-p.match <= maxInFlight && p.inFlightBytes() <= maxInFlightBytes
 	}
 }
 
--- a/internal/batch/replica/step.go
+++ b/internal/batch/replica/step.go
@@ -153,11 +153,11 @@
 	return max(candidate, r.hard.Commit)
 }
 
-// reject responds to an append or a snapshot offer that was not accepted. The leader
-// continues after the index in hint, unless this replica has acknowledged a higher one.
+// reject responds to an append that was not accepted. The leader continues after the index
+// in hint, unless this replica has acknowledged a higher one.
 func (r *Replica) reject(message *wirev1.ReplicaMessage, hint uint64) {
 	r.send(&wirev1.ReplicaMessage{
-		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, MatchIndex: hint, Probe: message.Probe,
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, LastIndex: message.LastIndex, MatchIndex: hint, Probe: message.Probe,
 	})
 }
 
@@ -229,6 +229,9 @@
 	p.lastResponse = now
 	p.probe = max(p.probe, message.Probe)
 	if !message.Granted {
+		if isStaleRejection(p, message) {
+			return
+		}
 		p.inFlight = nil
 		p.next = max(p.match, min(message.MatchIndex, r.lastIndex())) + 1
 		p.resendFrom = p.next
@@ -236,7 +239,10 @@
 		r.sendAppend(message.From, p, now, true)
 		return
 	}
-	p.confirmed = true
+	if !p.confirmed {
+		p.confirmed = true
+		p.inFlight = nil
+	}
 	p.match = max(p.match, message.MatchIndex)
 	p.next = max(p.next, p.match+1)
 	p.acknowledge(p.match)
@@ -244,6 +250,22 @@
 	r.sendAppend(message.From, p, now, false)
 }
 
+// isStaleRejection reports whether a rejection responds to a message that the leader has
+// reacted to already. Many messages may be rejected for the same gap in a member's log, and
+// only one of the rejections may cause entries to be sent. A rejection names the index before
+// the entries of the rejected message, or 0 if it always counts.
+func isStaleRejection(p *progress, rejection *wirev1.ReplicaMessage) bool {
+	rejected := rejection.LastIndex
+	switch {
+	case rejected == 0:
+		return false
+	case p.confirmed:
+		return rejected <= p.match
+	default:
+		return rejected != p.next-1
+	}
+}
+
 // handleTransfer starts an election without pre-votes, because the leader requested it.
 func (r *Replica) handleTransfer(now time.Time, message *wirev1.ReplicaMessage) {
 	if message.Epoch == r.hard.Promised && r.memberSet.Has(r.self) && !r.hard.Frozen {
