A restarted node knows whose disk a member's lost disk was

Cause: that a disk is lost was learned from a newer record of its node. A node that restarts meanwhile never sees the older record, and waits until the disk is unresponsive.

Change: the stored member set names the owners of its disks. If the owner is in contact and has another disk now, the member's is lost. A disk that a newer record names again is not lost any more (a record without a disk had marked it for good).

--- a/internal/batch/queuestore/layout.go
+++ b/internal/batch/queuestore/layout.go
@@ -130,7 +130,7 @@
 	layout := &Layout{}
 	for id := range wantedShardCount(len(disks), n.wantedMemberCount()) {
 		members := n.chooseMembers(uint32(id), disks, nil, layout.shardsPerDisk())
-		layout.Shards = append(layout.Shards, replica.MemberSet{Generation: 1, Members: members, Copies: n.DiskLosses + 1})
+		layout.Shards = append(layout.Shards, replica.MemberSet{Generation: 1, Members: members, Copies: n.DiskLosses + 1, Owners: n.diskOwners(uint32(id), members)})
 	}
 	return layout
 }
@@ -210,6 +210,7 @@
 	if current.Generation != before.Generation || current.Attempt != before.Attempt {
 		return false, nil
 	}
+	after.Owners = n.diskOwners(id, after.Members)
 	committed, err := n.commitValue(ctx, shardKey(id), layout.shardRevisions[id], after)
 	n.refreshValue(ctx, shardKey(id))
 	return committed, err
--- a/internal/batch/queuestore/members.go
+++ b/internal/batch/queuestore/members.go
@@ -97,7 +97,7 @@
 // memberStatus returns the first status that applies of lost, unresponsive, retiring and
 // healthy. This node's own disk is never unresponsive.
 func (s *shard) memberStatus(now time.Time, member string) memberStatus {
-	if s.node.Directory.DiskLost(member) {
+	if s.node.diskLost(s.ID, member, now) {
 		return statusLost
 	}
 	if member != s.Disk && s.Replica.UnseenFor(member, now) >= unresponsiveDiskTimeout {
--- a/internal/batch/replica/replica.go
+++ b/internal/batch/replica/replica.go
@@ -58,6 +58,9 @@
 	// DefaultCopies. A smaller member set limits the number. Copies never changes during
 	// the life of a shard.
 	Copies int `json:"copies,omitempty"`
+	// Owners holds the nodes that the members' disks belonged to when the member set was
+	// stored, by disk identity, as far as they were known. The elections don't use it.
+	Owners map[string]string `json:"owners,omitempty"`
 }
 
 // WriteQuorum returns the number of members that must have an entry on disk to commit it.
--- a/internal/cluster/peers/digests_test.go
+++ b/internal/cluster/peers/digests_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
@@ -44,3 +45,15 @@
 		}
 	})
 }
+
+// A disk that a newer record of its node names again is not lost: the record in between may
+// have named no disk.
+func TestDiskThatIsNamedAgainIsNotLost(t *testing.T) {
+	is := is.New(t)
+	directory := NewDirectory(&wirev1.NodeRecord{NodeId: "self", Incarnation: 1})
+	directory.Put(&wirev1.NodeRecord{NodeId: "a", DiskId: "disk-a", Incarnation: 1})
+	directory.Put(&wirev1.NodeRecord{NodeId: "a", Incarnation: 2})
+	is.True(directory.DiskLost("disk-a"))
+	directory.Put(&wirev1.NodeRecord{NodeId: "a", DiskId: "disk-a", Incarnation: 3})
+	is.True(!directory.DiskLost("disk-a"))
+}
--- a/internal/cluster/peers/directory.go
+++ b/internal/cluster/peers/directory.go
@@ -146,6 +146,7 @@
 	if known != nil && known.DiskId != "" && known.DiskId != record.DiskId {
 		d.lostDisks[known.DiskId] = true
 	}
+	delete(d.lostDisks, record.DiskId) // a record without a disk, or a late one, may have named another
 	d.store(record)
 	return true
 }
@@ -232,6 +233,14 @@
 	return record, known
 }
 
+// Node returns the record of a node, and false if the node is not known.
+func (d *Directory) Node(id string) (*wirev1.NodeRecord, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	record, known := d.records[id]
+	return record, known
+}
+
 // DiskAt returns the record of the node with a disk at an address, and false if no known
 // node with a disk has the address.
 func (d *Directory) DiskAt(address string) (*wirev1.NodeRecord, bool) {
