A replica records who answers its campaigns, who refuses why, and messages of other generations

Cause: a shard without a leader could not be explained. Step drops messages of another generation without a trace, a refused vote has no reason, and nothing tells a follower whether its leader serves.

Change: PROMISE and PRE_PROMISE carry a typed reason, APPEND says whether the leader serves; both are additive, and an older peer's missing reason is shown as a plain refusal. No election or hand-over decision reads them.

--- a/internal/batch/replica/lead.go
+++ b/internal/batch/replica/lead.go
@@ -240,7 +240,7 @@
 		r.sendEarly(&wirev1.ReplicaMessage{
 			Kind: wirev1.ReplicaKind_REPLICA_KIND_APPEND, To: member, Epoch: r.hard.Promised,
 			LastIndex: previous, LastEpoch: previousEpoch, Commit: r.hard.Commit, Entries: entries,
-			Learner: !r.memberSet.Has(member), Probe: r.probe, Rest: r.idleChanges,
+			Learner: !r.memberSet.Has(member), Probe: r.probe, Rest: r.idleChanges, Serving: r.Serving(),
 		})
 		p.sentAt = now
 		p.next += uint64(len(entries))
--- a/internal/batch/replica/replica.go
+++ b/internal/batch/replica/replica.go
@@ -209,6 +209,7 @@
 	epochStart  uint64          // index of the leader's first entry
 	probe       uint64          // number of the last probe, see BeginProbe
 	frozenBy    map[string]bool // members that confirmed the freeze; set at the sealer, nil at others
+	observed    observations    // for Status only
 }
 
 // Restore returns a replica with the state that was loaded from its disk: the hard state,
--- a/internal/batch/replica/step.go
+++ b/internal/batch/replica/step.go
@@ -17,8 +17,10 @@
 // messages to other disks. Snapshot offers are handled by the driver, not by Step.
 func (r *Replica) Step(now time.Time, message *wirev1.ReplicaMessage) {
 	if message.Generation != r.memberSet.Generation || message.To != r.self {
+		r.observed.recordDropped(now, message)
 		return
 	}
+	r.observed.record(now, message)
 	switch message.Kind {
 	case wirev1.ReplicaKind_REPLICA_KIND_PRE_PREPARE:
 		r.handlePrePrepare(now, message)
@@ -58,7 +60,9 @@
 		r.Wake(now) // another member has lost its leader; a busy shard elects a leader sooner
 	}
 	granted := !leaderAlive && !r.hard.Frozen && r.upToDate(message)
-	r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_PRE_PROMISE, To: message.From, Epoch: r.hard.Promised, Granted: granted})
+	r.send(&wirev1.ReplicaMessage{
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_PRE_PROMISE, To: message.From, Epoch: r.hard.Promised, Granted: granted, Refusal: r.preVoteRefusal(granted, leaderAlive),
+	})
 }
 
 func (r *Replica) handlePrePromise(now time.Time, message *wirev1.ReplicaMessage) {
@@ -78,10 +82,13 @@
 		return
 	}
 	granted := message.Epoch > r.hard.Promised && r.upToDate(message)
+	refusal := r.voteRefusal(granted, message)
 	if message.Epoch > r.hard.Promised {
 		r.follow(now, message.Epoch, "")
 	}
-	r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_PROMISE, To: message.From, Epoch: r.hard.Promised, Granted: granted})
+	r.send(&wirev1.ReplicaMessage{
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_PROMISE, To: message.From, Epoch: r.hard.Promised, Granted: granted, Refusal: refusal,
+	})
 }
 
 func (r *Replica) handlePromise(now time.Time, message *wirev1.ReplicaMessage) {
