Storage nodes tell why a shard has no serving leader

Cause: not_leader said only that the shard is not led here; storage nodes logged nothing while a shard had no leader.

Change: each replica follows its serving state at each tick (a few comparisons while it is served) and publishes it in an atomic. not_leader errors carry it with generation, attempt, role, age, and each other member's last answer; the numbered code stays. One line when the state changes (at most five a second), and every 5 s with the whole status while a shard has had no serving leader for 2 s. Metrics: cobaltramp_queue_unserved_seconds_total by reason, and cobaltramp_queue_shard_unserved_seconds by shard and reason. MaySeal now asks sealObstacle, which names what it asks for; the conditions are the same. METHOD_QUEUE_STATUS returns the status of a shard's replicas: the asked node calls all members that it or they know.

--- a/internal/batch/queuestore/limits.go
+++ b/internal/batch/queuestore/limits.go
@@ -206,7 +206,7 @@
 func (n *StorageNode) reserveLocally(ctx context.Context, request *wirev1.QueueReserveRequest) (*wirev1.QueueReserveReply, error) {
 	s := n.shard(ledgerShard)
 	if s == nil {
-		return nil, result.New(result.NotLeader, "shard %d is not here", ledgerShard)
+		return nil, n.notHere(ledgerShard)
 	}
 	reply := &wirev1.QueueReserveReply{}
 	var refused error
@@ -226,7 +226,7 @@
 func (s *shard) reserveInLedger(request *wirev1.QueueReserveRequest, reply *wirev1.QueueReserveReply) error {
 	l := s.leader
 	if l == nil || !l.suspendedAt.IsZero() || !s.Replica.Serving() {
-		return result.New(result.NotLeader, "shard %d is not led here", s.ID)
+		return s.NotLeader()
 	}
 	shards := s.node.shardCount()
 	if shards == 0 {
--- a/internal/batch/queuestore/members.go
+++ b/internal/batch/queuestore/members.go
@@ -121,24 +121,7 @@
 // with the platform's store. Without the store, a sealed shard could not be unsealed, and
 // would accept no jobs.
 func (s *shard) MaySeal(now time.Time, next replica.MemberSet) bool {
-	for _, member := range next.Members {
-		if s.isResponsive(now, member) && !s.Replica.CaughtUp(member) {
-			return false
-		}
-	}
-	return !s.node.Contact.Lost() && s.hasCaughtUpQuorum(now, next)
-}
-
-// hasCaughtUpQuorum reports whether a write quorum of the next member set is responsive and
-// has caught up.
-func (s *shard) hasCaughtUpQuorum(now time.Time, next replica.MemberSet) bool {
-	count := 0
-	for _, member := range next.Members {
-		if s.isResponsive(now, member) && s.Replica.CaughtUp(member) {
-			count++
-		}
-	}
-	return count >= next.WriteQuorum()
+	return s.sealObstacle(now, next) == ""
 }
 
 // Swap implements shardhost.MemberPolicy.
--- a/internal/batch/queuestore/node.go
+++ b/internal/batch/queuestore/node.go
@@ -171,6 +171,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &StorageNode{NodeOptions: options, metrics: newMetrics(options.Registry), context: ctx, cancel: cancel}
 	n.host = n.newHost()
+	options.Registry.MustRegister(unservedCollector{n})
 	return n
 }
 
@@ -182,6 +183,7 @@
 	results         *prometheus.CounterVec
 	runs            *prometheus.CounterVec
 	handOvers       *prometheus.CounterVec
+	unservedSeconds *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -193,8 +195,9 @@
 		results:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_queue_results_total", Help: "Listed results by kind."}, []string{"kind"}),
 		runs:            prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_queue_runs_total", Help: "Ended runs of items by reason."}, []string{"reason"}),
 		handOvers:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_queue_handovers_total", Help: "Member set changes driven here by outcome."}, []string{"outcome"}),
+		unservedSeconds: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cobaltramp_queue_unserved_seconds_total", Help: "Time in which a local replica saw no leader that serves its shard, by reason."}, []string{"reason"}),
 	}
-	registry.MustRegister(m.leading, m.unfinished, m.persistDuration, m.jobs, m.results, m.runs, m.handOvers)
+	registry.MustRegister(m.leading, m.unfinished, m.persistDuration, m.jobs, m.results, m.runs, m.handOvers, m.unservedSeconds)
 	return m
 }
 
@@ -207,6 +210,7 @@
 	server.Handle(wirev1.Method_METHOD_QUEUE_END, n.serveEnd)
 	server.Handle(wirev1.Method_METHOD_QUEUE_RESERVE, n.serveReserve)
 	server.Handle(wirev1.Method_METHOD_ALLOTMENT, n.serveAllotment)
+	server.Handle(wirev1.Method_METHOD_QUEUE_STATUS, n.serveStatus)
 }
 
 // Start starts the replicas on the disk and the background tasks. It does not wait for the
@@ -217,6 +221,7 @@
 	}
 	n.tasks.Go(func() { n.layoutLoop(n.context) })
 	n.tasks.Go(func() { n.waitingReportLoop(n.context) })
+	n.tasks.Go(func() { n.unservedLoop(n.context) })
 	return nil
 }
 
--- a/internal/batch/queuestore/serve.go
+++ b/internal/batch/queuestore/serve.go
@@ -33,7 +33,7 @@
 		s.wakeUp()
 		return s, nil
 	}
-	return nil, result.New(result.NotLeader, "shard %d is not here", id)
+	return nil, n.notHere(id)
 }
 
 // ShardOf returns the shard of a key, which is a job ID or a tenant name. shards is the number
@@ -125,7 +125,7 @@
 	err := s.RunInLoop(ctx, func() {
 		l := s.leader
 		if l == nil || !l.suspendedAt.IsZero() || !s.Replica.Serving() {
-			refused = result.New(result.NotLeader, "shard %d is not led here", s.ID)
+			refused = s.NotLeader()
 			return
 		}
 		if _, known = l.acceptedAt[job]; known {
--- a/internal/batch/shardhost/handover.go
+++ b/internal/batch/shardhost/handover.go
@@ -117,6 +117,7 @@
 }
 
 func (s *Shard[Command, Result]) endHandOver(h *handOver, outcome string) {
+	s.serving.lastHandOver = handOverOutcome{time.Now(), h.next.Generation, outcome}
 	s.application.HandOverEnded(outcome)
 	s.log("hand-over ended", "generation", h.next.Generation, "outcome", outcome)
 	h.next = replica.MemberSet{}
@@ -134,6 +135,7 @@
 		s.application.SwapEnded(after, committed, err)
 		s.runInLoopUnlessStopped(func() {
 			h.swapping = false
+			s.serving.lastSwap = memberSetWrite{time.Now(), after, committed, err}
 			if committed {
 				s.Replica.Observe(time.Now(), after)
 			}
@@ -161,6 +163,7 @@
 		s.application.FenceEnded(after, committed, err)
 		s.runInLoopUnlessStopped(func() {
 			h.fencing = false
+			s.serving.lastFence = memberSetWrite{time.Now(), after, committed, err}
 			h.frozenAt = time.Time{}
 			if committed {
 				s.Replica.Observe(time.Now(), after)
--- a/internal/batch/shardhost/host.go
+++ b/internal/batch/shardhost/host.go
@@ -170,6 +170,7 @@
 		quit:      make(chan struct{}), done: make(chan struct{}),
 		pendingProposals: map[uint64]*proposal[Command, Result]{},
 	}
+	s.beginServing(time.Now())
 	s.application = h.newApplication(s)
 	return s
 }
--- a/internal/batch/shardhost/proposal.go
+++ b/internal/batch/shardhost/proposal.go
@@ -56,7 +56,7 @@
 	s.application.Proposed(commands, accepted)
 	for i, p := range batch {
 		if !accepted {
-			p.fail(result.New(result.NotLeader, "shard %d is not led here", s.ID))
+			p.fail(s.NotLeader())
 			continue
 		}
 		p.epoch = s.Replica.Epoch()
@@ -104,7 +104,7 @@
 	for {
 		select {
 		case p := <-s.proposals:
-			p.fail(result.New(result.NotLeader, "shard %d stopped here", s.ID))
+			p.fail(s.stoppedError(result.NotLeader))
 		case call := <-s.loopCalls:
 			call()
 		default:
@@ -126,7 +126,7 @@
 	select {
 	case s.loopCalls <- wrapped:
 	case <-s.done:
-		return result.New(result.NotLeader, "shard %d stopped here", s.ID)
+		return s.stoppedError(result.NotLeader)
 	case <-ctx.Done():
 		return result.New(result.StoreUnavailable, "shard %d is busy", s.ID)
 	}
@@ -134,7 +134,7 @@
 	case <-finished:
 		return nil
 	case <-s.done:
-		return result.New(result.NotLeader, "shard %d stopped here", s.ID)
+		return s.stoppedError(result.NotLeader)
 	}
 }
 
@@ -171,7 +171,7 @@
 	case s.proposals <- p:
 	case <-s.done:
 		onSettled()
-		return zero, result.New(result.NotLeader, "shard %d stopped here", s.ID)
+		return zero, s.stoppedError(result.NotLeader)
 	case <-ctx.Done():
 		onSettled()
 		return zero, result.New(result.StoreUnavailable, "shard %d is busy", s.ID)
@@ -182,7 +182,7 @@
 		return outcome.value, outcome.err
 	case <-s.done:
 		onSettled()
-		return zero, result.New(result.CommitUnknown, "shard %d stopped here", s.ID)
+		return zero, s.stoppedError(result.CommitUnknown)
 	case <-ctx.Done():
 		s.settleInBackground(p, onSettled)
 		return zero, result.New(result.CommitUnknown, "shard %d did not confirm in time", s.ID)
--- a/internal/batch/shardhost/read.go
+++ b/internal/batch/shardhost/read.go
@@ -25,6 +25,7 @@
 	released := make(chan bool, 1)
 	err := s.RunInLoop(ctx, func() {
 		if !s.Replica.Serving() {
+			s.followServing(time.Now())
 			released <- false
 			return
 		}
@@ -39,9 +40,9 @@
 		if ok {
 			return nil
 		}
-		return result.New(result.NotLeader, "shard %d is not led here", s.ID)
+		return s.notLeader()
 	case <-s.done:
-		return result.New(result.NotLeader, "shard %d stopped here", s.ID)
+		return s.stoppedError(result.NotLeader)
 	case <-ctx.Done():
 		return result.New(result.StoreUnavailable, "shard %d: leadership is not confirmed", s.ID)
 	}
--- a/internal/batch/shardhost/shard.go
+++ b/internal/batch/shardhost/shard.go
@@ -50,6 +50,7 @@
 	removedSince time.Time
 	installing   bool // a snapshot is being fetched, and the replica handles no messages or ticks
 	handOver     handOver
+	serving      servingTracker
 	stopped      bool // set by Fail, ends the run loop
 }
 
@@ -157,6 +158,7 @@
 		s.application.BeforeTick(now)
 		s.Replica.Tick(now)
 	}
+	s.tickServing(now)
 	s.application.Tick(now)
 	s.tickHandOver(now)
 	s.tickRemoved(now)
@@ -272,6 +274,7 @@
 	default:
 	}
 	s.stopped = true
+	s.failServing(err)
 	s.application.Failed(err)
 }
 
--- a/internal/batch/shardhost/snapshot.go
+++ b/internal/batch/shardhost/snapshot.go
@@ -40,7 +40,7 @@
 		return err
 	}
 	if view == nil {
-		return result.New(result.NotLeader, "shard %d is not led here", request.Shard)
+		return s.notLeader()
 	}
 	defer view.Close()
 	s.application.SnapshotSent()
--- a/modules/batch/store/leader.go
+++ b/modules/batch/store/leader.go
@@ -160,10 +160,6 @@
 	return shard.Progress(l.view, job, segment)
 }
 
-func (s *shardReplica) notLeaderError() error {
-	return result.New(result.NotLeader, "shard %d is not led here", s.ID)
-}
-
 // pull grants items to a node and takes back the items that the node returns. It returns an
 // item of class once only after the start of the item is committed, now or for an earlier
 // holder that returned the item without running it.
@@ -224,7 +220,7 @@
 	var callbackErr error
 	err := s.RunInLoop(ctx, func() {
 		if s.table == nil {
-			callbackErr = s.notLeaderError()
+			callbackErr = s.NotLeader()
 			return
 		}
 		callbackErr = callback(s.table, time.Now())
