Edges log and measure outages of queue shards and answer for their status

Cause: an edge logged one line per failed request with the last answer only.

Change: one line when a round of calls fails at all members of a shard, again every 5 s while rounds fail, and one when a leader answers again, with the duration. These lines and 'call to queue shard failed' list each member's last answer. cobaltramp_queue_shard_unanswered_seconds measures the outage. Edges serve METHOD_QUEUE_STATUS by asking the shard's members.

--- a/internal/batch/queueclient/queueclient.go
+++ b/internal/batch/queueclient/queueclient.go
@@ -38,11 +38,12 @@
 	mutex        sync.Mutex
 	leaders      map[uint32]string    // address of the last known leader, by shard
 	unresponsive map[string]time.Time // time of the last missing response, by address
+	outages      map[uint32]*outage   // by shard; see outage.go
 }
 
 // New returns a client without any known leaders.
 func New(directory *peers.Directory, layouts *queuestore.Layouts, sender CallSender) *ShardClient {
-	return &ShardClient{Directory: directory, Layouts: layouts, Sender: sender, leaders: map[uint32]string{}, unresponsive: map[string]time.Time{}}
+	return &ShardClient{Directory: directory, Layouts: layouts, Sender: sender, leaders: map[uint32]string{}, unresponsive: map[string]time.Time{}, outages: map[uint32]*outage{}}
 }
 
 const (
@@ -105,6 +106,7 @@
 func (c *ShardClient) call(ctx context.Context, job string, method wirev1.Method, wait time.Duration, request, reply proto.Message) error {
 	outcomeUnknown := false
 	var lastErr error
+	var answers []answer // of the last round that the end of the context did not cut off
 	for round := 0; ; round++ {
 		lastTimeout := hedgeDelay*time.Duration(round+1) + wait
 		roundResult := c.round(ctx, job, method, wait, lastTimeout, request, reply)
@@ -115,9 +117,12 @@
 			return roundResult.err
 		}
 		lastErr = roundResult.err
+		if ctx.Err() == nil || len(answers) == 0 {
+			answers = roundResult.answers
+		}
 		outcomeUnknown = outcomeUnknown || roundResult.outcomeUnknown
 		if !sleep(ctx, roundDelay) {
-			klog.InfoS("call to queue shard failed", "method", method.String(), "job", job, "rounds", round+1, "unknown", outcomeUnknown, "last", lastErr)
+			klog.InfoS("call to queue shard failed", "method", method.String(), "job", job, "rounds", round+1, "unknown", outcomeUnknown, "last", lastErr, "answers", c.answersText(answers))
 			return c.unavailableError(outcomeUnknown, lastErr)
 		}
 	}
@@ -131,6 +136,8 @@
 	// outcomeUnknown reports that a node may have executed the request although err is
 	// set.
 	outcomeUnknown bool
+	// answers holds what each called node answered in a failed round.
+	answers []answer
 }
 
 // round calls the members of the shard, each at most once, until one returns a reply or a
@@ -163,6 +170,8 @@
 		if !ended && len(uncalled) == 0 {
 			c.recordUnresponsive(job, running)
 			combined.outcomeUnknown = true
+			combined.addUnanswered(running)
+			c.recordFailedRound(ctx, job, combined.answers)
 			return combined
 		}
 		if !ended {
@@ -176,8 +185,10 @@
 		}
 		c.forgetLeader(job, latest.address)
 		combined.err = latest.err
+		combined.answers = append(combined.answers, answer{latest.address, latest.err})
 		combined.outcomeUnknown = combined.outcomeUnknown || latest.outcomeUnknown
 	}
+	c.recordFailedRound(ctx, job, combined.answers)
 	return combined
 }
 
@@ -271,7 +282,8 @@
 	return append(first, last...)
 }
 
-// recordLeader records the node with the address as the leader of a job's shard.
+// recordLeader records the node with the address as the leader of a job's shard, which ends an
+// outage of the shard.
 func (c *ShardClient) recordLeader(job, address string) {
 	layout := c.Layouts.Current()
 	if layout == nil {
@@ -284,6 +296,7 @@
 		klog.InfoS("leader of queue shard found", "shard", shard, "address", address, "before", c.leaders[shard])
 		c.leaders[shard] = address
 	}
+	c.endOutage(shard, address)
 }
 
 // forgetLeader forgets the leader of a job's shard if the leader has the address.
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -142,6 +142,10 @@
 	m.quarantine.OnEnding = func(start string) { m.informer.Runners.RecordEnding(start, time.Now()) }
 	server.HandleNotice(wirev1.Method_METHOD_QUARANTINE, m.quarantine.ReceiveNotice)
 	server.Handle(wirev1.Method_METHOD_QUARANTINE_ADMIN, m.quarantine.ServeAdmin)
+	if loaded.DataFolder == "" { // storage nodes have replicas of their own
+		collector := &queuestore.StatusCollector{Directory: directory, Layouts: m.informer.Layouts, Sender: pool, Contact: m.informer.Contact}
+		server.Handle(wirev1.Method_METHOD_QUEUE_STATUS, collector.Serve)
+	}
 	for _, service := range []any{
 		m.informer, m.informer.Contact, m.informer.Catalogs, m.informer.Runners, m.informer.Layouts, directory, m.quarantine, m.origins,
 	} {
