A freeze ends soon if its sealer is gone, and can be ended by the members it blocks

Cause: only a frozen member raised the attempt, after the whole FreezeTimeout, also if its sealer had restarted and would never go on. A request to freeze was sent once; if it or its confirmation was lost, the shard stayed frozen until the timeout. After a thaw the members waited a whole election time.

Change: a frozen member without contact to its sealer raises the attempt after two election times (one to notice, one to be sure). A member whose vote is refused by a frozen one raises it after FreezeTimeout. Requests to freeze are repeated with the heartbeats. After a thaw a campaign begins soon.

--- a/internal/batch/replica/handover.go
+++ b/internal/batch/replica/handover.go
@@ -20,9 +20,11 @@
 //     replaces the member set in the platform's store by compare-and-swap. Of several
 //     concurrent changes only one succeeds.
 //  4. Members activate the new generation when they read the new member set. If a member
-//     stays frozen for too long, its driver raises the attempt by compare-and-swap. A
-//     later swap by the sealer then fails, and the members of the old generation thaw
-//     and continue when they read the raised attempt.
+//     stays frozen for too long, or its sealer is gone, a driver raises the attempt by
+//     compare-and-swap: its own, or that of a member that needs the frozen member's vote,
+//     because the platform's store may turn single nodes away. A later swap by the sealer
+//     then fails, and the members of the old generation thaw and continue when they read
+//     the raised attempt.
 
 const (
 	// sealerCampaignDelay and sealerCampaigns are the delay and the number of the sealer's
@@ -69,12 +71,17 @@
 	r.hard.Frozen, r.hard.FrozenAttempt = true, r.memberSet.Attempt
 	r.hardStateChanged = true
 	r.frozenBy = map[string]bool{r.self: true}
+	r.requestFreeze()
+	return true
+}
+
+// requestFreeze asks the other members that have not confirmed the freeze to freeze.
+func (r *Replica) requestFreeze() {
 	for _, member := range r.memberSet.Members {
-		if member != r.self {
+		if !r.frozenBy[member] {
 			r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_FREEZE, To: member, Epoch: r.hard.Promised, Attempt: r.memberSet.Attempt})
 		}
 	}
-	return true
 }
 
 // Sealed reports whether this replica leads and is frozen, an election quorum of the current
@@ -97,6 +104,31 @@
 // Frozen reports whether this member is frozen.
 func (r *Replica) Frozen() bool { return r.hard.Frozen }
 
+// SealerAlive reports whether this frozen member is the sealer, or has been in contact with it
+// within the election time. A sealer that has restarted does not continue its hand-over.
+func (r *Replica) SealerAlive(now time.Time) bool {
+	return r.role == Leader || now.Sub(r.lastLeaderContact) < r.electionTime()
+}
+
+// frozenAnswerLifetime is how long the answer of a frozen member shows that it is frozen. It is
+// longer than the time between two campaigns.
+const frozenAnswerLifetime = 3 * time.Second
+
+// BlockedByFreeze reports whether this member is not frozen itself, knows no leader, and was
+// refused a vote by a frozen member.
+func (r *Replica) BlockedByFreeze(now time.Time) bool {
+	if r.hard.Frozen || r.leader != "" {
+		return false
+	}
+	for member, answer := range r.observed.answers {
+		frozen := answer.Refusal == wirev1.VoteRefusal_VOTE_REFUSAL_FROZEN && answer.Generation == r.memberSet.Generation
+		if frozen && r.memberSet.Has(member) && now.Sub(answer.At) < frozenAnswerLifetime {
+			return true
+		}
+	}
+	return false
+}
+
 // Observe handles a member set from the platform's store. It activates a newer generation.
 // A higher attempt in the current generation is adopted, and thaws a member that an earlier
 // attempt froze. An older member set is ignored.
@@ -114,14 +146,17 @@
 	}
 }
 
-// thaw ends the freeze and makes the replica a follower.
+// thaw ends the freeze and makes the replica a follower that knows no leader and campaigns
+// soon, because the sealer does not lead any more either.
 func (r *Replica) thaw(now time.Time) {
 	r.hard.Frozen = false
 	r.hardStateChanged = true
 	r.frozenBy = nil
 	r.role = Follower
+	r.leader = ""
+	r.lastLeaderContact = time.Time{}
 	r.progress = nil
-	r.resetDeadline(now)
+	r.deadline = now.Add(time.Duration(r.random.Int64N(int64(initialElectionDelay))))
 }
 
 // activate changes to the member set of a newer generation. The replica thaws and becomes a
@@ -135,11 +170,9 @@
 	r.memberSet = next
 	r.hard.Generation = next.Generation
 	r.learners = nil
-	r.leader = ""
 	r.idleChanges = 0
 	r.thaw(now)
 	// The new generation has no leader yet. The sealer campaigns first.
-	r.lastLeaderContact = time.Time{}
 	r.deadline = now.Add(sealerCampaignDelay)
 	if !sealer {
 		r.deadline = now.Add(initialElectionDelay + time.Duration(r.random.Int64N(int64(initialElectionDelay))))
@@ -151,8 +184,11 @@
 		return
 	}
 	r.follow(now, message.Epoch, message.From)
-	r.hard.Frozen, r.hard.FrozenAttempt = true, message.Attempt
-	r.hardStateChanged = true
+	r.lastLeaderContact = now
+	if !r.hard.Frozen || r.hard.FrozenAttempt != message.Attempt {
+		r.hard.Frozen, r.hard.FrozenAttempt = true, message.Attempt
+		r.hardStateChanged = true
+	}
 	r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_FROZEN, To: message.From, Epoch: r.hard.Promised})
 }
 
--- a/internal/batch/replica/lead.go
+++ b/internal/batch/replica/lead.go
@@ -120,6 +120,9 @@
 		return
 	}
 	r.heartbeatAt = now.Add(r.heartbeatTime())
+	if r.hard.Frozen {
+		r.requestFreeze() // a request or its confirmation may be lost
+	}
 	for _, member := range r.followers() {
 		p := r.progress[member]
 		// The entries in flight may be lost. They are sent again once the member responds.
--- a/internal/batch/replica/status.go
+++ b/internal/batch/replica/status.go
@@ -6,8 +6,8 @@
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 )
 
-// observations holds what a replica has lately seen of the other members. It is for Status
-// and ServingState only and has no effect on elections.
+// observations holds what a replica has lately seen of the other members. It is for Status,
+// ServingState and BlockedByFreeze, and has no effect on elections.
 type observations struct {
 	heard   map[string]time.Time
 	answers map[string]VoteAnswer
--- a/internal/batch/shardhost/handover.go
+++ b/internal/batch/shardhost/handover.go
@@ -15,10 +15,13 @@
 type handOver struct {
 	next      replica.MemberSet // generation 0 if this replica drives no hand-over
 	startedAt time.Time
-	frozenAt  time.Time // start of FreezeTimeout; zero unless the replica is frozen
-	swapping  bool      // Swap is running
-	fencing   bool      // Fence is running
-	lastCheck time.Time // last call of NextMembers
+	frozenAt  time.Time // start of FreezeTimeout; zero unless a freeze blocks the replica
+	// orphanedAt is since when the frozen replica has had no contact with the sealer; zero
+	// while it has.
+	orphanedAt time.Time
+	swapping   bool      // Swap is running
+	fencing    bool      // Fence is running
+	lastCheck  time.Time // last call of NextMembers
 }
 
 // HandingOver reports whether this replica drives a hand-over or is frozen by one.
@@ -29,15 +32,13 @@
 // tickHandOver starts a hand-over if the leader's shard should have other members, or
 // advances the one in progress. A leader that can't commit may start one too: it was elected by
 // an election quorum, so its log has every acknowledged entry, and sealing needs no commit.
-// tickHandOver cancels a hand-over that keeps this replica frozen for
-// too long, except while Swap is running.
+// tickHandOver cancels a hand-over that blocks this replica for too long, except while Swap
+// is running.
 func (s *Shard[Command, Result]) tickHandOver(now time.Time) {
 	h := &s.handOver
 	times := s.host.options.HandOver
-	if !s.Replica.Frozen() {
-		h.frozenAt = time.Time{} // the next freeze has its own timeout
-	} else if !h.swapping {
-		s.tickFrozen(now, h)
+	if !h.swapping {
+		s.tickFreeze(now, h)
 	}
 	if s.Replica.Role() != replica.Leader {
 		h.next = replica.MemberSet{}
@@ -143,35 +144,6 @@
 	})
 }
 
-// tickFrozen cancels a hand-over that has kept this replica frozen for FreezeTimeout. It
-// raises the stored attempt in a background task, which fences the sealer. A member thaws
-// when it observes the raised attempt.
-func (s *Shard[Command, Result]) tickFrozen(now time.Time, h *handOver) {
-	if h.frozenAt.IsZero() {
-		h.frozenAt = now
-	}
-	if h.fencing || now.Sub(h.frozenAt) < s.host.options.HandOver.FreezeTimeout {
-		return
-	}
-	before := s.Replica.MemberSet()
-	h.fencing = s.host.tasks.Go(func() {
-		ctx, cancel := context.WithTimeout(s.host.context, s.host.options.HandOver.SwapTimeout)
-		defer cancel()
-		after := before
-		after.Attempt++
-		committed, err := s.application.Fence(ctx, before, after)
-		s.application.FenceEnded(after, committed, err)
-		s.runInLoopUnlessStopped(func() {
-			h.fencing = false
-			s.serving.lastFence = memberSetWrite{time.Now(), after, committed, err}
-			h.frozenAt = time.Time{}
-			if committed {
-				s.Replica.Observe(time.Now(), after)
-			}
-		})
-	})
-}
-
 // removedRetention is how long a replica keeps its data after it has observed a member set
 // without its disk.
 const removedRetention = 60 * time.Second
--- a/internal/batch/shardhost/host.go
+++ b/internal/batch/shardhost/host.go
@@ -38,8 +38,9 @@
 	// CatchUpTimeout is the time from the start of a hand-over within which the shard has
 	// to freeze. The hand-over ends after this time if the new members are not ready.
 	CatchUpTimeout time.Duration
-	// FreezeTimeout is how long a member stays frozen before it cancels the hand-over with
-	// MemberPolicy.Fence.
+	// FreezeTimeout is how long a member stays frozen, or is refused votes by frozen members,
+	// before it cancels the hand-over with MemberPolicy.Fence. A frozen member without
+	// contact to its sealer cancels the hand-over after two election times.
 	FreezeTimeout time.Duration
 	// SwapTimeout limits the time of one call of MemberPolicy.Swap or MemberPolicy.Fence.
 	SwapTimeout time.Duration
--- a/internal/batch/shardhost/shardhost_test.go
+++ b/internal/batch/shardhost/shardhost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,6 +21,7 @@
 	NoEvents
 	// wanted is the result of NextMembers; nil stands for the current members.
 	wanted []string
+	fences atomic.Int32 // calls of Fence
 }
 
 var counterKey = []byte("count")
@@ -65,14 +67,15 @@
 }
 
 // Fence implements MemberPolicy.
-func (*counter) Fence(context.Context, replica.MemberSet, replica.MemberSet) (bool, error) {
+func (c *counter) Fence(context.Context, replica.MemberSet, replica.MemberSet) (bool, error) {
+	c.fences.Add(1)
 	return false, nil
 }
 
 type countingHost = Host[*wirev1.QueueCommand, int]
 
 const (
-	testFreezeTimeout = time.Minute
+	testFreezeTimeout = 10 * time.Minute
 	testCheckInterval = time.Second
 	// testSnapshotTimeout is so short that it has passed before a fetch starts.
 	testSnapshotTimeout = time.Nanosecond
@@ -226,6 +229,23 @@
 	}))
 }
 
+// Guards against a shard that stays frozen for the whole timeout, which the replacement of a
+// lost disk has no time for, although the sealer has restarted and will never end the hand-over.
+func TestRestartedFrozenMemberDoesNotWaitForItsSealer(t *testing.T) {
+	is := is.New(t)
+	folder := t.TempDir()
+	t.Run("until the freeze is on disk", func(t *testing.T) {
+		is := is.New(t)
+		s := startHost(t, folder).Shard(0)
+		awaitLeader(t, s)
+		is.NoErr(s.RunInLoop(t.Context(), func() { is.True(s.Replica.Freeze()) }))
+		is.NoErr(s.RunInLoop(t.Context(), func() {})) // the freeze was written before
+	})
+	s := startHost(t, folder).Shard(0)
+	application := s.application.(*counter)
+	eventually.Require(t, "the hand-over is cancelled", func() bool { return application.fences.Load() > 0 }, func() any { return s.Serving(time.Now()) })
+}
+
 // Guards against hand-overs that wait until their timeout for a member that was lost after they
 // began, as when two disks are lost together and one is missed a moment before the other.
 func TestHandOverEndsIfAKeptMemberIsLost(t *testing.T) {
