An odd value of the queue layout does not replace the known member sets

Any JSON under a shard's key was taken for its member set: null or {} is generation 0 without members, so that no hand-over goes on; with a negative number of copies no vote elects a leader; a second spelling of the key (shards/01) replaced shard 1; {} under the layout's key is a layout without shards, which no node replaces.

Change: replica.MemberSet.Validate; an unusable value does not replace a known one, and a shard's value counts only under the shard's own key. The revision stays that of the known value, so a swap by a node that can't read the stored member set fails, as it has to: the stored one may have been a newer generation. For the same reason no node starts a new replica of such a shard by a member set that may be outdated. The way out is a usable value under the key.

--- a/internal/batch/queuestore/layout.go
+++ b/internal/batch/queuestore/layout.go
@@ -59,7 +59,8 @@
 			s.observeMemberSet(memberSet)
 			continue
 		}
-		if !memberSet.Has(n.DB.DiskID()) {
+		// A new replica must not vote by an outdated member set.
+		if !memberSet.Has(n.DB.DiskID()) || !layout.certain(uint32(id)) {
 			continue
 		}
 		if err := n.host.Start(uint32(id), &memberSet); err != nil {
--- a/internal/batch/queuestore/layouts.go
+++ b/internal/batch/queuestore/layouts.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
@@ -35,8 +36,14 @@
 	// shardRevisions holds for each shard the revision of the shard's own value, or 0 if the
 	// member set is that of the initial layout.
 	shardRevisions []int64
+	// uncertain holds the shards whose newest stored value is unusable. Their member sets may be
+	// outdated.
+	uncertain map[uint32]bool
 }
 
+// certain reports whether the member set of a shard is that of the newest known stored value.
+func (l *Layout) certain(id uint32) bool { return !l.uncertain[id] }
+
 // Layouts holds the newest known values of the layout and the Layout that they result in.
 //
 // Invariant: the revision of each value that it holds never decreases.
@@ -47,8 +54,10 @@
 	initialItem *wirev1.StoredItem
 	initial     *Layout
 	shardValues map[uint32]shardValue
-	current     *Layout
-	changed     chan struct{}
+	// unusable holds the revision of the newest unusable value of a shard, by shard.
+	unusable map[uint32]int64
+	current  *Layout
+	changed  chan struct{}
 }
 
 // shardValue is the stored value of a single shard with its decoded member set.
@@ -59,7 +68,7 @@
 
 // NewLayouts returns a Layouts that knows no layout.
 func NewLayouts() *Layouts {
-	return &Layouts{shardValues: map[uint32]shardValue{}, changed: make(chan struct{})}
+	return &Layouts{shardValues: map[uint32]shardValue{}, unusable: map[uint32]int64{}, changed: make(chan struct{})}
 }
 
 // Current returns the newest layout, or nil if none is known. Callers must not modify it.
@@ -100,7 +109,7 @@
 }
 
 // UpdateIfNewer replaces a value of the layout if the given revision is newer than the known
-// one. A value that cannot be decoded is logged and ignored. The source is for the log.
+// one. An unusable value is logged and does not replace a known one. The source is for the log.
 func (l *Layouts) UpdateIfNewer(key string, value []byte, revision int64, source string) {
 	item := &wirev1.StoredItem{Key: key, Value: value, Revision: revision}
 	var err error
@@ -110,7 +119,7 @@
 		err = l.updateShard(item)
 	}
 	if err != nil {
-		klog.ErrorS(err, "stored queue layout cannot be decoded", "key", key, "revision", revision)
+		klog.ErrorS(err, "stored value of the queue layout is unusable; the known one stays in force", "key", key, "revision", revision)
 	}
 }
 
@@ -120,6 +129,9 @@
 	if err := json.Unmarshal(item.Value, initial); err != nil {
 		return err
 	}
+	if err := initial.validate(); err != nil {
+		return err
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.initialItem != nil && l.initialItem.Revision >= item.Revision {
@@ -131,22 +143,45 @@
 	return nil
 }
 
+// validate returns an error if the layout has no shards, or one with an unusable member set.
+func (l *Layout) validate() error {
+	if len(l.Shards) == 0 {
+		return trace.BadParameter("the layout has no shards")
+	}
+	for id, memberSet := range l.Shards {
+		if err := memberSet.Validate(); err != nil {
+			return trace.Wrap(err, "shard %d", id)
+		}
+	}
+	return nil
+}
+
 // updateShard replaces the value of a single shard if the given one is newer.
 func (l *Layouts) updateShard(item *wirev1.StoredItem) error {
-	id, err := strconv.ParseUint(strings.TrimPrefix(item.Key, shardKeyPrefix), 10, 32)
+	number, err := strconv.ParseUint(strings.TrimPrefix(item.Key, shardKeyPrefix), 10, 32)
 	if err != nil {
 		return err
 	}
+	id := uint32(number)
+	if item.Key != shardKey(id) {
+		return trace.BadParameter("the key is not the key of shard %d", id)
+	}
 	own := shardValue{item: item}
-	if err := json.Unmarshal(item.Value, &own.memberSet); err != nil {
-		return err
+	err = json.Unmarshal(item.Value, &own.memberSet)
+	if err == nil {
+		err = own.memberSet.Validate()
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if previous := l.shardValues[uint32(id)].item; previous != nil && previous.Revision >= item.Revision {
+	if err != nil {
+		l.unusable[id] = max(l.unusable[id], item.Revision)
+		l.publish()
+		return err
+	}
+	if previous := l.shardValues[id].item; previous != nil && previous.Revision >= item.Revision {
 		return nil
 	}
-	l.shardValues[uint32(id)] = own
+	l.shardValues[id] = own
 	l.publish()
 	return nil
 }
@@ -164,6 +199,12 @@
 			next.Shards[id], next.shardRevisions[id] = own.memberSet, own.item.Revision
 		}
 	}
+	next.uncertain = map[uint32]bool{}
+	for id, revision := range l.unusable {
+		if int(id) < len(next.Shards) && revision > max(l.initialItem.Revision, next.shardRevisions[id]) {
+			next.uncertain[id] = true
+		}
+	}
 	l.current = next
 	close(l.changed)
 	l.changed = make(chan struct{})
