Node records with absurd incarnations or without an id are ignored

A record of another writer, or of a peer's list, with incarnation 2^64-4 raised a node's own incarnation to 2^64-3, after some more to 0; the node then refuted its own record for ever and never wrote it. The record of another node with such a number was never replaced by that node's own one. A record without an id counted as a node and as a disk.

TestAbsurdIncarnationIsIgnored and TestRecordWithoutIDIsIgnored failed before (own incarnation), and pass.

--- a/internal/cluster/peers/directory.go
+++ b/internal/cluster/peers/directory.go
@@ -129,11 +129,19 @@
 	}
 }
 
+// maxIncarnation is the largest incarnation of a usable record. Incarnations are Unix times in
+// milliseconds, raised by one for each refutation.
+const maxIncarnation = uint64(1) << 48
+
 // Put stores a record if the directory retains such records and has none of the same node
 // with the same or a higher incarnation. It reports whether a record changed. A record that
 // describes this node itself is never stored, but may raise this node's incarnation (see
-// refute).
+// refute). Put ignores a record without a node id, and one with an absurd incarnation, which no
+// later record of the node could replace.
 func (d *Directory) Put(record *wirev1.NodeRecord) bool {
+	if record.NodeId == "" || record.Incarnation > maxIncarnation {
+		return false
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if record.NodeId == d.self.NodeId {
