An odd hold of the stored quarantine costs no other hold

A hold of a wrong type or with a number too large made the document unreadable as a whole: all holds of it were lost to the node, and the next write removed them from the store, so that requests that crash runners run again. Holds are decoded one by one.

--- a/internal/serving/quarantine/archive.go
+++ b/internal/serving/quarantine/archive.go
@@ -23,18 +23,22 @@
 // Fingerprint.String.
 type document map[string]Hold
 
-// parseDocument decodes a stored document. It skips entries with an invalid fingerprint
-// and returns their errors joined, together with the holds of the other entries. If the
-// text is invalid in any other way, it returns an error and no holds.
+// parseDocument decodes a stored document. It skips entries with an invalid fingerprint or an
+// invalid hold, and returns their errors joined, together with the holds of the other entries. If
+// the text is no JSON object, it returns an error and no holds.
 func parseDocument(text []byte) ([]Hold, error) {
-	var stored document
+	var stored map[string]json.RawMessage
 	if err := json.Unmarshal(text, &stored); err != nil {
 		return nil, err
 	}
 	holds := make([]Hold, 0, len(stored))
 	var unreadable error
-	for key, hold := range stored {
+	for key, encoded := range stored {
+		hold := Hold{}
 		fingerprint, err := ParseFingerprint(key)
+		if err == nil {
+			err = json.Unmarshal(encoded, &hold)
+		}
 		if err != nil {
 			unreadable = errors.Join(unreadable, err)
 			continue
