Tests of the queue layout: nodes have a directory

swapMemberSet names the owners of disks since, and a node of TestOneConcurrentShardChangeWins had no directory: it panicked on (the whole package had not been run there). Set-up only; no check changed.

--- a/internal/batch/queuestore/layouts_test.go
+++ b/internal/batch/queuestore/layouts_test.go
@@ -89,7 +89,7 @@
 	slow, quick := NewLayouts(), NewLayouts()
 	store.watchers = []*Layouts{quick}
 	node := func(layouts *Layouts) *StorageNode {
-		return &StorageNode{NodeOptions: NodeOptions{Layouts: layouts, Store: store}}
+		return &StorageNode{NodeOptions: NodeOptions{Layouts: layouts, Store: store, Directory: peers.NewDirectory(&wirev1.NodeRecord{NodeId: "n"})}}
 	}
 	ctx := context.Background()
 	_, err := node(quick).commitInitialLayout(ctx, testLayout(3))
