A replica that has failed is started again

Cause: after an error of its disk or state a replica stopped until its process ended, while its node counted as present. A state whose only way out is an operator.

Evidence: TestFailedReplicaIsStartedAgain; before, the replica stays stopped for ever (host.Shard stays the same).

--- a/internal/batch/shardhost/application.go
+++ b/internal/batch/shardhost/application.go
@@ -95,9 +95,9 @@
 	// Started is called before the replica runs, with the state loaded from disk. The
 	// goroutine that starts the shard calls it and holds the host's mutex.
 	Started(loaded *logstore.RecoveredState)
-	// Failed is called when the replica stops after an error of its disk or state. A
-	// restart of the node checks the disk and gives a damaged one a new identity; the
-	// other members then replace it.
+	// Failed is called when the replica stops after an error of its disk or state. The host
+	// starts it again, with a new Application. If its disk is damaged, that fails; a restart
+	// of the node then gives the disk a new identity, and the other members replace it.
 	Failed(err error)
 	// Received is called for each message of another replica before it is handled, except
 	// for snapshot offers. While a snapshot is being installed, the replica then drops the
--- a/internal/batch/shardhost/host.go
+++ b/internal/batch/shardhost/host.go
@@ -138,7 +138,7 @@
 	}
 	s := h.newShard(id, store, loaded)
 	s.application.Started(loaded)
-	if !h.tasks.Go(s.run) {
+	if !h.tasks.Go(func() { h.run(s) }) {
 		return errStopping
 	}
 	h.shards[id] = s
--- a/internal/batch/shardhost/shardhost_test.go
+++ b/internal/batch/shardhost/shardhost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -246,6 +247,24 @@
 	eventually.Require(t, "the hand-over is cancelled", func() bool { return application.fences.Load() > 0 }, func() any { return s.Serving(time.Now()) })
 }
 
+// Guards against a member that stays stopped after an error that has gone, so that a shard which
+// loses another disk has no quorum for good.
+func TestFailedReplicaIsStartedAgain(t *testing.T) {
+	is := is.New(t)
+	host := startHost(t, t.TempDir())
+	failed := host.Shard(0)
+	awaitLeader(t, failed)
+	_, err := failed.ProposeAndWait(t.Context(), anyCommand)
+	is.NoErr(err)
+	_ = failed.RunInLoop(t.Context(), func() { failed.Fail(errors.New("the disk does not respond")) })
+	eventually.Require(t, "the replica runs again", func() bool { return host.Shard(0) != failed }, func() any { return failed.Serving(time.Now()) })
+	s := host.Shard(0)
+	awaitLeader(t, s)
+	count, err := s.ProposeAndWait(t.Context(), anyCommand)
+	is.NoErr(err)
+	is.Equal(count, 2)
+}
+
 // Guards against hand-overs that wait until their timeout for a member that was lost after they
 // began, as when two disks are lost together and one is missed a moment before the other.
 func TestHandOverEndsIfAKeptMemberIsLost(t *testing.T) {
--- a/modules/batch/store/replica.go
+++ b/modules/batch/store/replica.go
@@ -127,7 +127,7 @@
 
 // Failed implements shardhost.Events.
 func (s *shardReplica) Failed(err error) {
-	klog.ErrorS(err, "replica stopped; restart the node to have its disk checked and replaced", "node", s.module.settings.Node.ID, "shard", s.ID)
+	klog.ErrorS(err, "replica stopped after an error of its disk or state", "node", s.module.settings.Node.ID, "shard", s.ID)
 }
 
 // Dropped implements shardhost.Events.
