A learner's copy is not deleted because an earlier member set left its disk out

A replica whose disk is outside the member set is deleted after 60 s, also while it is a learner of a hand-over that counts on its copy; it would then start as a member with an empty log.

Change: it is kept while a leader sends it entries. LeaderAlive states that in one place, for elections and freezes too.

Evidence: TestLearnerOfAnEarlierMemberSetIsKept; before, removedSince is not reset and the replica is dropped at the next tick.

--- a/internal/batch/replica/elect.go
+++ b/internal/batch/replica/elect.go
@@ -18,6 +18,13 @@
 	r.deadline = now.Add(time.Duration(r.random.Int64N(int64(initialElectionDelay))))
 }
 
+// LeaderAlive reports whether this replica leads, or has been in contact with a leader within
+// the election time. For a frozen member, the leader is the sealer: one that has restarted does
+// not continue its hand-over.
+func (r *Replica) LeaderAlive(now time.Time) bool {
+	return r.role == Leader || now.Sub(r.lastLeaderContact) < r.electionTime()
+}
+
 // resetDeadline sets the time of the next campaign.
 func (r *Replica) resetDeadline(now time.Time) {
 	if r.quickCampaigns > 0 {
--- a/internal/batch/replica/freeze_test.go
+++ b/internal/batch/replica/freeze_test.go
@@ -56,7 +56,7 @@
 	frozen := restoreTruncated("leader", leader.MemberSet(), 0, 3, 0, 0, leader.EpochAt, now)
 	frozen.replica.hard = leader.HardState()
 	members["leader"] = frozen
-	is.True(!frozen.replica.SealerAlive(now))
+	is.True(!frozen.replica.LeaderAlive(now))
 	for range 200 {
 		now = now.Add(20 * time.Millisecond)
 		exchange(members, now)
--- a/internal/batch/replica/handover.go
+++ b/internal/batch/replica/handover.go
@@ -104,12 +104,6 @@
 // Frozen reports whether this member is frozen.
 func (r *Replica) Frozen() bool { return r.hard.Frozen }
 
-// SealerAlive reports whether this frozen member is the sealer, or has been in contact with it
-// within the election time. A sealer that has restarted does not continue its hand-over.
-func (r *Replica) SealerAlive(now time.Time) bool {
-	return r.role == Leader || now.Sub(r.lastLeaderContact) < r.electionTime()
-}
-
 // frozenAnswerLifetime is how long the answer of a frozen member shows that it is frozen. It is
 // longer than the time between two campaigns.
 const frozenAnswerLifetime = 3 * time.Second
--- a/internal/batch/replica/step.go
+++ b/internal/batch/replica/step.go
@@ -55,7 +55,7 @@
 }
 
 func (r *Replica) handlePrePrepare(now time.Time, message *wirev1.ReplicaMessage) {
-	leaderAlive := r.role == Leader || now.Sub(r.lastLeaderContact) < r.electionTime()
+	leaderAlive := r.LeaderAlive(now)
 	if r.Idle() && r.role != Leader {
 		r.Wake(now) // another member has lost its leader; a busy shard elects a leader sooner
 	}
--- a/internal/batch/shardhost/freeze.go
+++ b/internal/batch/shardhost/freeze.go
@@ -15,7 +15,7 @@
 	if h.frozenAt.IsZero() {
 		h.frozenAt = now
 	}
-	if !s.Replica.Frozen() || s.Replica.SealerAlive(now) {
+	if !s.Replica.Frozen() || s.Replica.LeaderAlive(now) {
 		h.orphanedAt = time.Time{}
 	} else if h.orphanedAt.IsZero() {
 		h.orphanedAt = now
--- a/internal/batch/shardhost/handover.go
+++ b/internal/batch/shardhost/handover.go
@@ -149,10 +149,11 @@
 const removedRetention = 60 * time.Second
 
 // tickRemoved drops a replica whose disk has been outside the member set for
-// removedRetention. It keeps a learner, whose member set is still empty.
+// removedRetention. It keeps a learner, whose member set is still empty, or to which a leader
+// sends entries: a hand-over may count on its copy.
 func (s *Shard[Command, Result]) tickRemoved(now time.Time) {
 	current := s.Replica.MemberSet()
-	if len(current.Members) == 0 || current.Has(s.Disk) {
+	if len(current.Members) == 0 || current.Has(s.Disk) || s.Replica.LeaderAlive(now) {
 		s.removedSince = time.Time{}
 		return
 	}
--- a/internal/batch/shardhost/shard.go
+++ b/internal/batch/shardhost/shard.go
@@ -46,7 +46,7 @@
 	reads             []pendingRead
 	lastTruncateCheck time.Time
 	// removedSince is when the disk was first found outside the member set, or when the
-	// data was last to be dropped. It is zero for a member or a learner.
+	// data was last to be dropped. It is zero for a member or a learner. See tickRemoved.
 	removedSince time.Time
 	installing   bool // a snapshot is being fetched, and the replica handles no messages or ticks
 	handOver     handOver
@@ -265,8 +265,8 @@
 	return zero.ProtoReflect().New().Interface().(Command)
 }
 
-// Fail stops the replica after an error of its disk or state. It has no effect while the
-// shard is being stopped.
+// Fail stops the replica after an error of its disk or state; the host starts it again. It
+// has no effect while the shard is being stopped.
 func (s *Shard[Command, Result]) Fail(err error) {
 	select {
 	case <-s.quit:
--- a/internal/batch/shardhost/shardhost_test.go
+++ b/internal/batch/shardhost/shardhost_test.go
@@ -265,6 +265,29 @@
 	is.Equal(count, 2)
 }
 
+// Guards against the deletion of a learner's copy, on which a sealed hand-over may count, because
+// an earlier member set left its disk out.
+func TestLearnerOfAnEarlierMemberSetIsKept(t *testing.T) {
+	is := is.New(t)
+	host := startHost(t, t.TempDir())
+	s := host.Shard(0)
+	awaitLeader(t, s)
+	is.NoErr(s.RunInLoop(t.Context(), func() {
+		now := time.Now()
+		s.Replica.Observe(now, replica.MemberSet{Generation: 2, Members: []string{"other"}, Copies: 1})
+		s.removedSince = now.Add(-removedRetention)
+		s.Replica.Step(now, &wirev1.ReplicaMessage{
+			Kind: wirev1.ReplicaKind_REPLICA_KIND_APPEND, From: "other", To: s.Disk, Generation: 2, Epoch: 2 * s.Replica.Epoch(), Learner: true,
+			LastIndex: s.Replica.LastIndex(), LastEpoch: s.Replica.EpochAt(s.Replica.LastIndex()),
+		})
+		s.tickRemoved(now.Add(time.Millisecond))
+		is.True(s.removedSince.IsZero())
+		now = now.Add(time.Minute)
+		s.tickRemoved(now)
+		is.Equal(s.removedSince, now) // no leader sends entries any more
+	}))
+}
+
 // Guards against hand-overs that wait until their timeout for a member that was lost after they
 // began, as when two disks are lost together and one is missed a moment before the other.
 func TestHandOverEndsIfAKeptMemberIsLost(t *testing.T) {
