--- a/internal/batch/replica/status.go
+++ b/internal/batch/replica/status.go
@@ -106,7 +106,7 @@
 		return wirev1.ServingState_SERVING_STATE_FROZEN
 	case r.role == Leader:
 		return r.leadingState(now)
-	case r.leader != "":
+	case r.hearsLeader(now):
 		return r.followingState()
 	case r.ForeignSeen(now):
 		return wirev1.ServingState_SERVING_STATE_OTHER_GENERATION
@@ -117,6 +117,13 @@
 	}
 }
 
+// hearsLeader reports whether another replica is known as leader and has been heard within the
+// longest time before a campaign. After a thaw the leader that drove the hand-over stays known,
+// although it leads no more.
+func (r *Replica) hearsLeader(now time.Time) bool {
+	return r.leader != "" && r.leader != r.self && now.Sub(r.lastLeaderContact) < 2*r.electionTime()
+}
+
 func (r *Replica) leadingState(now time.Time) wirev1.ServingState {
 	switch {
 	case !r.Serving():
