--- a/internal/app/cli/cli.go
+++ b/internal/app/cli/cli.go
@@ -35,6 +35,7 @@
 	Bundle     bundleCommands    `command:"bundle" description:"make, sign, submit, roll and watch bundles"`
 	Job        jobCommands       `command:"job" description:"submit, follow, cancel and read batch jobs"`
 	Status     statusCommand     `command:"status" description:"show the nodes of the fleet, or one node in detail"`
+	Shard      shardCommand      `command:"shard" description:"show why a queue shard has a serving leader or none: the state of its replicas as they and any node see it"`
 	Quarantine quarantineCommand `command:"quarantine" description:"list the requests and the parts of prompts that are held away from runners because they crash them, or lift a hold"`
 	Tenant     tenantCommand     `command:"tenant" description:"show what came of a tenant's requests and its limit from log files"`
 	Explain    explainCommand    `command:"explain" description:"show the story of a request, item or job from log files"`
--- a/internal/batch/queuestore/status_test.go
+++ b/internal/batch/queuestore/status_test.go
@@ -278,3 +278,33 @@
 	})
 	contains(t, errors.New(obstacle), "no contact with the store")
 }
+
+// Any storage node answers for all members of a shard, a node without a replica too, and for
+// itself alone if asked so.
+func TestAnyStorageNodeTellsTheStatusOfAllMembers(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	leader := c.awaitLeader()
+	c.start("d")
+	ask := func(name string, local bool) *wirev1.QueueStatusReply {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		reply := &wirev1.QueueStatusReply{}
+		is.NoErr(c.client.Call(ctx, c.nodes[name].address, rpc.ClassControl, wirev1.Method_METHOD_QUEUE_STATUS, &wirev1.QueueStatusRequest{Local: local}, reply))
+		return reply
+	}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		c.eventually(name+" knows the leader", func() bool {
+			reply := ask(name, false)
+			serving := 0
+			for _, status := range reply.Replicas {
+				if status.State == wirev1.ServingState_SERVING_STATE_SERVING && status.Node == leader {
+					serving++
+				}
+			}
+			return reply.Node == name && len(reply.Replicas) == 3 && len(reply.Failures) == 0 && serving == 1
+		})
+	}
+	is.Equal(len(ask("a", true).Replicas), 1)
+	is.Equal(ask("d", true).Replicas[0].State, wirev1.ServingState_SERVING_STATE_NOT_STARTED)
+}
--- a/internal/batch/shardstatus/names.go
+++ b/internal/batch/shardstatus/names.go
@@ -52,3 +52,11 @@
 	}
 	return Duration(time.Duration(ms) * time.Millisecond)
 }
+
+// Ago formats the age of an event in milliseconds with "ago"; "never" if it is negative.
+func Ago(ms int64) string {
+	if ms < 0 {
+		return Age(ms)
+	}
+	return Age(ms) + " ago"
+}
