Status of shards: suspended processes, disks that did not respond, one-line errors; explain names outages

Change: the check skips a round after a pause of the process and asks again before it logs; a member to whose node the last call failed is unresponsive; errors are on one line. 'call to queue shard failed' names the shard, and explain prints the members' answers.

--- a/internal/app/explain/explain.go
+++ b/internal/app/explain/explain.go
@@ -93,6 +93,8 @@
 	Missing []string
 	// Forwarded describes the lines for which answers of storage nodes arrived through peers.
 	Forwarded []string
+	// Outages describes the calls that no member of a queue shard answered as its leader.
+	Outages []string
 }
 
 // TimelineOf builds the timeline of the request, item or job with the given id.
@@ -113,6 +115,7 @@
 	timeline.findDecisive()
 	timeline.findMissing()
 	timeline.findForwarded()
+	timeline.findOutages()
 	timeline.findUnanswered(lines)
 	return timeline
 }
@@ -211,6 +214,9 @@
 	for _, forwarded := range t.Forwarded {
 		fmt.Fprintf(writer, "forwarded: %s\n", forwarded)
 	}
+	for _, outage := range t.Outages {
+		fmt.Fprintf(writer, "shard without a leader: %s\n", outage)
+	}
 	if line := t.overShare(); line != nil {
 		fmt.Fprintf(writer, "not run: %s\n", line.formatOverShare())
 	}
--- a/internal/app/explain/explain_test.go
+++ b/internal/app/explain/explain_test.go
@@ -82,3 +82,16 @@
 			"its last line is of 14:05:36.140000, 2 of its lines are missing, the next process (7612) started at 14:05:39.000000",
 	})
 }
+
+// The timeline of a job names the members of its shard that did not serve, with their reasons.
+func TestOutageOfShardIsNamed(t *testing.T) {
+	is := is.New(t)
+	lines, err := Parse("edge-1.log", strings.NewReader(`I0714 10:16:30.585365    8426 queueclient.go:125] "call to queue shard failed" method="METHOD_QUEUE_READ" job="t/j1" shard=0 rounds=24 unknown=false `+
+		`last="not_leader (1501): shard 0 is not led here: state=frozen for=12.1s" answers="a: not_leader (1501): shard 0 is not led here: state=frozen for=12.1s; b: no answer in time"`))
+	is.NoErr(err)
+	timeline := TimelineOf("j1", lines)
+	is.Equal(len(timeline.Outages), 1)
+	var text strings.Builder
+	timeline.Print(&text)
+	is.True(strings.Contains(text.String(), "shard without a leader: edge-1.log at 10:16:30.585365 called shard 0 24 times: a: not_leader (1501): shard 0 is not led here: state=frozen for=12.1s; b: no answer in time"))
+}
--- a/internal/batch/queueclient/outage.go
+++ b/internal/batch/queueclient/outage.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"k8s.io/klog/v2"
 
+	"cobaltramp.example/cobaltramp/internal/app/textlog"
 	"cobaltramp.example/cobaltramp/internal/batch/queuestore"
 )
 
@@ -85,7 +86,7 @@
 		}
 		text := "no answer in time"
 		if a.err != nil {
-			text = a.err.Error()
+			text = textlog.OneLine(a.err)
 		}
 		texts = append(texts, name+": "+text)
 	}
--- a/internal/batch/queueclient/queueclient.go
+++ b/internal/batch/queueclient/queueclient.go
@@ -89,14 +89,14 @@
 	return reply, c.round(ctx, tenant, wirev1.Method_METHOD_ALLOTMENT, 0, hedgeDelay, request, reply).err
 }
 
-// ShardOf returns the shard to which a tenant's name maps. It returns false while no
-// layout is known.
-func (c *ShardClient) ShardOf(tenant string) (uint32, bool) {
+// ShardOf returns the shard to which a job's ID or a tenant's name maps. It returns false while
+// no layout is known.
+func (c *ShardClient) ShardOf(key string) (uint32, bool) {
 	layout := c.Layouts.Current()
 	if layout == nil {
 		return 0, false
 	}
-	return queuestore.ShardOf(tenant, len(layout.Shards)), true
+	return queuestore.ShardOf(key, len(layout.Shards)), true
 }
 
 // call calls the members of the job's shard in rounds, the last known leader first, until
@@ -122,7 +122,8 @@
 		}
 		outcomeUnknown = outcomeUnknown || roundResult.outcomeUnknown
 		if !sleep(ctx, roundDelay) {
-			klog.InfoS("call to queue shard failed", "method", method.String(), "job", job, "rounds", round+1, "unknown", outcomeUnknown, "last", lastErr, "answers", c.answersText(answers))
+			shard, _ := c.ShardOf(job)
+			klog.InfoS("call to queue shard failed", "method", method.String(), "job", job, "shard", shard, "rounds", round+1, "unknown", outcomeUnknown, "last", lastErr, "answers", c.answersText(answers))
 			return c.unavailableError(outcomeUnknown, lastErr)
 		}
 	}
--- a/internal/batch/queuestore/status.go
+++ b/internal/batch/queuestore/status.go
@@ -90,10 +90,14 @@
 		return wirev1.DiskState_DISK_STATE_UNRESPONSIVE
 	case statusRetiring:
 		return wirev1.DiskState_DISK_STATE_RETIRING
+	}
+	record, known := s.node.Directory.Disk(member)
+	switch {
+	case !known:
+		return wirev1.DiskState_DISK_STATE_UNKNOWN
+	case member != s.Disk && s.node.Directory.Unresponsive(record.NodeId): // a replica that doesn't lead knows no better
+		return wirev1.DiskState_DISK_STATE_UNRESPONSIVE
 	default:
-		if _, known := s.node.Directory.Disk(member); !known {
-			return wirev1.DiskState_DISK_STATE_UNKNOWN
-		}
 		return wirev1.DiskState_DISK_STATE_HEALTHY
 	}
 }
--- a/internal/batch/queuestore/status_test.go
+++ b/internal/batch/queuestore/status_test.go
@@ -308,3 +308,26 @@
 	is.Equal(len(ask("a", true).Replicas), 1)
 	is.Equal(ask("d", true).Replicas[0].State, wirev1.ServingState_SERVING_STATE_NOT_STARTED)
 }
+
+// The state of a member's disk is what this node knows: the failed call to its node, that its
+// node is retiring, that its node has another disk, or nothing.
+func TestStatusTellsTheStateOfDisks(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	leader := c.awaitLeader()
+	member := c.others(leader)[0]
+	disk := c.records[member].DiskId
+	stateOf := func(disk string) (state wirev1.DiskState) {
+		c.inLoop(leader, func(s *shard) { state = s.diskState(time.Now(), disk) })
+		return state
+	}
+	directory := c.nodes[leader].node.Directory
+	is.Equal(stateOf(disk), wirev1.DiskState_DISK_STATE_HEALTHY)
+	is.Equal(stateOf("disk-nowhere"), wirev1.DiskState_DISK_STATE_UNKNOWN)
+	directory.RecordUnresponsive(c.records[member].Address, time.Now())
+	is.Equal(stateOf(disk), wirev1.DiskState_DISK_STATE_UNRESPONSIVE)
+	directory.SetRetiring(map[string]bool{member: true})
+	is.Equal(stateOf(disk), wirev1.DiskState_DISK_STATE_RETIRING)
+	directory.Put(&wirev1.NodeRecord{NodeId: member, Address: c.records[member].Address, Region: "r", DiskId: "disk-new", Incarnation: c.incarnation + 1})
+	is.Equal(stateOf(disk), wirev1.DiskState_DISK_STATE_LOST)
+}
--- a/internal/batch/queuestore/statuscollector.go
+++ b/internal/batch/queuestore/statuscollector.go
@@ -11,6 +11,7 @@
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/app/tasks"
+	"cobaltramp.example/cobaltramp/internal/app/textlog"
 	"cobaltramp.example/cobaltramp/internal/batch/shardstatus"
 	"cobaltramp.example/cobaltramp/internal/cluster/peers"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
@@ -83,7 +84,7 @@
 			mutex.Lock()
 			defer mutex.Unlock()
 			if err != nil {
-				reply.Failures = append(reply.Failures, &wirev1.MemberFailure{Disk: disk, Node: record.NodeId, Address: record.Address, Error: err.Error()})
+				reply.Failures = append(reply.Failures, &wirev1.MemberFailure{Disk: disk, Node: record.NodeId, Address: record.Address, Error: textlog.OneLine(err)})
 				return
 			}
 			reply.Replicas = append(reply.Replicas, status.Replicas...)
--- a/internal/batch/queuestore/unserved.go
+++ b/internal/batch/queuestore/unserved.go
@@ -37,6 +37,10 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		if now.Sub(last) > unservedLogDelay { // the process was suspended, and so were its replicas
+			last = now
+			continue
+		}
 		for _, s := range n.allShards() {
 			n.checkServed(ctx, s, now, now.Sub(last), loggedAt)
 		}
@@ -57,8 +61,12 @@
 	if unserved < unservedLogDelay || now.Sub(loggedAt[s.ID]) < unservedLogInterval {
 		return
 	}
+	status := n.replicaStatus(ctx, s.ID)
+	if shardstatus.Served(status.State) {
+		return
+	}
 	loggedAt[s.ID] = now
-	klog.InfoS("queue shard has no serving leader", unservedText(n.replicaStatus(ctx, s.ID))...)
+	klog.InfoS("queue shard has no serving leader", unservedText(status)...)
 }
 
 // unservedCollector reports for each local replica that sees no leader that serves its shard
