--- a/internal/batch/shardhost/shardhost_test.go
+++ b/internal/batch/shardhost/shardhost_test.go
@@ -82,7 +82,7 @@
 
 // startHost runs the shards on a disk. It creates shard 0 with this disk as its only
 // member.
-func startHost(t *testing.T, folder string) *countingHost {
+func startHost(t testing.TB, folder string) *countingHost {
 	t.Helper()
 	is := is.New(t)
 	db, err := logstore.Open(folder, logstore.DiskLimits{})
@@ -105,7 +105,7 @@
 }
 
 // awaitLeader waits until the leadership of the only member is confirmed.
-func awaitLeader(t *testing.T, s *Shard[*wirev1.QueueCommand, int]) {
+func awaitLeader(t testing.TB, s *Shard[*wirev1.QueueCommand, int]) {
 	t.Helper()
 	var err error
 	eventually.Require(t, "the shard is led", func() bool {
