--- a/internal/app/result/result.go
+++ b/internal/app/result/result.go
@@ -153,7 +153,7 @@
 	{AttemptsSpent, "attempts_spent", 502, RanUnknown, true, "The item failed on every attempt; see its last error."},
 	{JobConflict, "job_conflict", 409, RanNo, true, "The job is not in a state that allows this."},
 	{CommitUnknown, "commit_unknown", 503, RanUnknown, true, "The store did not confirm in time; resend with the same key."},
-	{NotLeader, "not_leader", 503, RanNo, true, "Internal: the shard's leader moved; nodes retry by themselves."},
+	{NotLeader, "not_leader", 503, RanNo, true, "Internal: the shard's leader moved; nodes retry by themselves. The message says why the member does not serve; if it lasts, `cobaltramp shard` shows all members."},
 	{PeerUnreachable, "peer_unreachable", 503, RanNo, true, "Internal: a node could not be dialled."},
 	{NotOwner, "not_owner", 503, RanNo, true, "Internal: runner ownership moved; nodes retry by themselves."},
 	{StaleEpoch, "stale_epoch", 503, RanNo, true, "Internal: a fenced writer was refused."},
