An entry of the store under a key of the disk cache is not cached

An entry that another program stored under kept/selection was saved as if it were the cache's own document: after a restart without the store the node's contents counted as a selection of the runners, so that it served no followers.

TestEntryUnderACacheKeyIsNotCached failed before, and passes.

--- a/internal/cluster/relay/diskcache.go
+++ b/internal/cluster/relay/diskcache.go
@@ -157,6 +157,8 @@
 	if !update.Whole {
 		values = latestValues(update.Events)
 	}
+	// Another program may have stored an entry under a key of the cache's own documents.
+	values = slices.DeleteFunc(values, func(value ports.Value) bool { return value.Key == selection.Key || value.Key == extra.Key })
 	values = append(values, extra)
 	if selection.Value != nil {
 		values = append(values, selection)
