A node's record counts only under the node's own key

A record stored under any key below the records' prefix replaced the record of the node that it named: its address, and its disk, which then counted as lost.

--- a/internal/cluster/informer/own.go
+++ b/internal/cluster/informer/own.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strings"
 
+	"github.com/gravitational/trace"
 	"k8s.io/klog/v2"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
@@ -51,7 +52,11 @@
 		s.Quarantine.ReceiveDocument(value.Value, value.Revision)
 	case strings.HasPrefix(value.Key, nodesPrefix):
 		record := &wirev1.NodeRecord{}
-		if err := json.Unmarshal(value.Value, record); err != nil || record.NodeId == "" {
+		err := json.Unmarshal(value.Value, record)
+		if node := strings.TrimPrefix(value.Key, nodesPrefix); err == nil && (node == "" || record.NodeId != node) {
+			err = trace.BadParameter("the record is that of node %.80q", record.NodeId)
+		}
+		if err != nil {
 			klog.ErrorS(err, "node record is unreadable", "key", value.Key)
 			return nil
 		}
