--- a/lab/standin/store.go
+++ b/lab/standin/store.go
@@ -129,10 +129,15 @@
 	if err != nil {
 		panic(err)
 	}
+	s.PutBytes(key, text)
+}
+
+// PutBytes writes any bytes under a key, as another program may.
+func (s *Store) PutBytes(key string, value []byte) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.revision++
-	s.put(key, base64.StdEncoding.EncodeToString(text), 0)
+	s.put(key, base64.StdEncoding.EncodeToString(value), 0)
 	s.notifyWatchers()
 }
 
