--- a/internal/batch/queuestore/node.go
+++ b/internal/batch/queuestore/node.go
@@ -170,7 +170,7 @@
 func New(options NodeOptions) *StorageNode {
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &StorageNode{NodeOptions: options, metrics: newMetrics(options.Registry), context: ctx, cancel: cancel}
-	n.host = n.newHost()
+	n.host = n.newHost(n.hostOptions())
 	return n
 }
 
--- a/internal/batch/queuestore/shard.go
+++ b/internal/batch/queuestore/shard.go
@@ -52,13 +52,17 @@
 	return replica.ElectionTiming{Heartbeat: 80 * time.Millisecond, Election: 350 * time.Millisecond}
 }
 
-// newHost returns the shardhost.Host of this node's replicas.
-func (n *StorageNode) newHost() *shardhost.Host[*wirev1.QueueCommand, *queue.ApplyResult] {
-	options := shardhost.HostOptions{
-		DB: n.DB, Pool: n.Pool, Timing: electionTiming(), Peer: n.peer, Send: n.sendReplica,
+// hostOptions returns the options of the node's shardhost.Host.
+func (n *StorageNode) hostOptions() shardhost.HostOptions {
+	return shardhost.HostOptions{
+		DB: n.DB, FetchSnapshot: shardhost.FetchOver(n.Pool), Timing: electionTiming(), Peer: n.peer, Send: n.sendReplica,
 		SnapshotTimeout: snapshotTimeout, TruncateInterval: cmp.Or(n.TruncateInterval, truncateInterval), HandOver: handOverTiming,
 		DeclineSnapshots: true, BatchLoopCalls: true,
 	}
+}
+
+// newHost returns the shardhost.Host of this node's replicas.
+func (n *StorageNode) newHost(options shardhost.HostOptions) *shardhost.Host[*wirev1.QueueCommand, *queue.ApplyResult] {
 	return shardhost.New(n.context, options, func(s *hostedShard) shardhost.Application[*wirev1.QueueCommand, *queue.ApplyResult] {
 		return &shard{hostedShard: s, node: n}
 	})
--- a/internal/batch/shardhost/host.go
+++ b/internal/batch/shardhost/host.go
@@ -25,7 +25,6 @@
 	"cobaltramp.example/cobaltramp/internal/app/tasks"
 	"cobaltramp.example/cobaltramp/internal/batch/logstore"
 	"cobaltramp.example/cobaltramp/internal/batch/replica"
-	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
 // Peer is the node that has a disk.
@@ -48,8 +47,8 @@
 // HostOptions configures a Host.
 type HostOptions struct {
 	DB *logstore.DB
-	// Pool holds the connections over which snapshots are fetched.
-	Pool *rpc.Pool
+	// FetchSnapshot requests snapshots from other nodes; see FetchOver.
+	FetchSnapshot SnapshotFetcher
 	// Timing holds the election and heartbeat times.
 	Timing replica.ElectionTiming
 	// Peer returns the node that has a disk, and false if the node is not known.
--- a/internal/batch/shardhost/shardhost_test.go
+++ b/internal/batch/shardhost/shardhost_test.go
@@ -89,7 +89,7 @@
 	is.NoErr(err)
 	pool := rpc.NewPool("a", "test", nil, &rpc.Counters{})
 	host := New(context.Background(), HostOptions{
-		DB: db, Pool: pool, Timing: replica.ElectionTiming{Heartbeat: 20 * time.Millisecond, Election: 60 * time.Millisecond},
+		DB: db, FetchSnapshot: FetchOver(pool), Timing: replica.ElectionTiming{Heartbeat: 20 * time.Millisecond, Election: 60 * time.Millisecond},
 		Peer: func(string) (Peer, bool) { return Peer{}, false }, Send: func(*wirev1.ReplicaMessage) {},
 		SnapshotTimeout: testSnapshotTimeout, TruncateInterval: 10 * time.Millisecond,
 		HandOver: HandOverTiming{CheckInterval: testCheckInterval, CatchUpTimeout: 10 * testCheckInterval, FreezeTimeout: testFreezeTimeout, SwapTimeout: time.Second},
--- a/internal/batch/shardhost/snapshot.go
+++ b/internal/batch/shardhost/snapshot.go
@@ -15,17 +15,52 @@
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
-// ServeSnapshot handles a follower's request for a snapshot: it streams the applied state of
-// the leader. A follower needs a snapshot if the leader's log no longer has the entries that
-// the follower lacks.
-func (h *Host[Command, Result]) ServeSnapshot(ctx context.Context, stream *rpc.ServerStream) error {
+// SnapshotFetcher requests a snapshot of a shard from the node at an address, and passes the
+// chunks to receive in their order. It returns nil once receive has accepted the last chunk.
+type SnapshotFetcher func(ctx context.Context, address string, shard uint32, receive func(*wirev1.SnapshotChunk) error) error
+
+// FetchOver returns a SnapshotFetcher that uses the connections of a pool.
+func FetchOver(pool *rpc.Pool) SnapshotFetcher {
+	return func(ctx context.Context, address string, shard uint32, receive func(*wirev1.SnapshotChunk) error) error {
+		stream, err := pool.Open(ctx, address, rpc.ClassBulk, wirev1.Method_METHOD_SNAPSHOT, &wirev1.SnapshotRequest{Shard: shard})
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		defer stream.Close()
+		for {
+			chunk := &wirev1.SnapshotChunk{}
+			if err := stream.Receive(ctx, chunk); err != nil {
+				if errors.Is(err, io.EOF) {
+					err = io.ErrUnexpectedEOF
+				}
+				return trace.Wrap(err, "receiving snapshot")
+			}
+			if err := receive(chunk); err != nil {
+				return trace.Wrap(err)
+			}
+			if chunk.Last {
+				return nil
+			}
+		}
+	}
+}
+
+// serveSnapshot handles a follower's request for a snapshot.
+func (h *Host[Command, Result]) serveSnapshot(ctx context.Context, stream *rpc.ServerStream) error {
 	var request wirev1.SnapshotRequest
 	if err := stream.DecodeRequest(&request); err != nil {
 		return err
 	}
-	s := h.Shard(request.Shard)
+	return h.SendSnapshot(ctx, request.Shard, func(chunk *wirev1.SnapshotChunk) error { return stream.Send(chunk) })
+}
+
+// SendSnapshot sends the applied state of the leader of a shard in chunks. A follower needs a
+// snapshot if the leader's log no longer has the entries that the follower lacks. It returns
+// NotLeader if the shard is not led here.
+func (h *Host[Command, Result]) SendSnapshot(ctx context.Context, shard uint32, send func(*wirev1.SnapshotChunk) error) error {
+	s := h.Shard(shard)
 	if s == nil {
-		return result.New(result.NotLeader, "shard %d is not here", request.Shard)
+		return result.New(result.NotLeader, "shard %d is not here", shard)
 	}
 	var view *logstore.StateView
 	var index, epoch uint64
@@ -40,7 +75,7 @@
 		return err
 	}
 	if view == nil {
-		return result.New(result.NotLeader, "shard %d is not led here", request.Shard)
+		return result.New(result.NotLeader, "shard %d is not led here", shard)
 	}
 	defer view.Close()
 	s.application.SnapshotSent()
@@ -48,7 +83,7 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
-		return stream.Send(chunk)
+		return send(chunk)
 	})
 }
 
@@ -95,26 +130,14 @@
 }
 
 func (s *Shard[Command, Result]) receiveSnapshot(ctx context.Context, address string, installer *logstore.Installer) (index, epoch uint64, err error) {
-	stream, err := s.host.options.Pool.Open(ctx, address, rpc.ClassBulk, wirev1.Method_METHOD_SNAPSHOT, &wirev1.SnapshotRequest{Shard: s.ID})
+	err = s.host.options.FetchSnapshot(ctx, address, s.ID, func(chunk *wirev1.SnapshotChunk) error {
+		index, epoch = chunk.LastIndex, chunk.LastEpoch
+		return installer.Add(chunk)
+	})
 	if err != nil {
 		return 0, 0, trace.Wrap(err)
 	}
-	defer stream.Close()
-	for {
-		chunk := &wirev1.SnapshotChunk{}
-		if err := stream.Receive(ctx, chunk); err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return 0, 0, trace.Wrap(err, "receiving snapshot")
-		}
-		if err := installer.Add(chunk); err != nil {
-			return 0, 0, trace.Wrap(err)
-		}
-		if chunk.Last {
-			return chunk.LastIndex, chunk.LastEpoch, nil
-		}
-	}
+	return index, epoch, nil
 }
 
 // finishSnapshot replaces the log and the state by a fetched snapshot, unless the state
--- a/internal/batch/shardhost/transport.go
+++ b/internal/batch/shardhost/transport.go
@@ -13,18 +13,23 @@
 
 // Handle registers the handlers for calls between replicas.
 func (h *Host[Command, Result]) Handle(server *rpc.Server) {
-	server.HandleNotice(wirev1.Method_METHOD_REPLICA, h.receive)
-	server.Handle(wirev1.Method_METHOD_SNAPSHOT, h.ServeSnapshot)
+	server.HandleNotice(wirev1.Method_METHOD_REPLICA, h.receiveNotice)
+	server.Handle(wirev1.Method_METHOD_SNAPSHOT, h.serveSnapshot)
 }
 
-// receive passes messages to their shards. It creates the replica of a learner on the first
-// message to the learner. It drops a message to another disk, to a shard that does not run
-// here, or to a shard whose queue is full.
-func (h *Host[Command, Result]) receive(_ string, payload []byte) {
+// receiveNotice handles a notice with messages of another node's replicas.
+func (h *Host[Command, Result]) receiveNotice(_ string, payload []byte) {
 	var batch wirev1.ReplicaBatch
 	if proto.Unmarshal(payload, &batch) != nil {
 		return // treated as lost: the sender retries
 	}
+	h.Receive(&batch)
+}
+
+// Receive passes messages to their shards. It creates the replica of a learner on the first
+// message to the learner. It drops a message to another disk, to a shard that does not run
+// here, or to a shard whose queue is full.
+func (h *Host[Command, Result]) Receive(batch *wirev1.ReplicaBatch) {
 	for _, message := range batch.Messages {
 		if message.To != h.options.DB.DiskID() {
 			continue // addressed to a former disk of this node
--- a/modules/batch/store/replica.go
+++ b/modules/batch/store/replica.go
@@ -52,7 +52,7 @@
 // newHost returns the host of this node's shards, which runs until the context ends.
 func (m *Module) newHost(ctx context.Context) *shardhost.Host[*wirev1.Command, *wirev1.CommandResult] {
 	options := shardhost.HostOptions{
-		DB: m.db, Pool: m.pool, Timing: replica.DefaultTiming(), Peer: m.peer, Send: m.sendReplica,
+		DB: m.db, FetchSnapshot: shardhost.FetchOver(m.pool), Timing: replica.DefaultTiming(), Peer: m.peer, Send: m.sendReplica,
 		SnapshotTimeout: snapshotTimeout, TruncateInterval: truncateInterval, HandOver: handOverTiming,
 		LogKeys: []any{"node", m.settings.Node.ID},
 	}
