--- /dev/null
+++ b/internal/batch/queuestore/search_cases_test.go
@@ -0,0 +1,34 @@
+package queuestore
+
+import (
+	"testing"
+	"time"
+)
+
+// playCase plays a series that is not drawn.
+func playCase(t *testing.T, s *series) {
+	t.Helper()
+	if lines, err := s.playInBubble(t, &searchFigures{}); err != nil {
+		t.Fatalf("%v\nlog lines:\n%s", err, lines)
+	}
+}
+
+// steadySeries returns a series of four nodes with the given faults.
+func steadySeries(faults ...fault) *series {
+	return &series{
+		seed: 1, nodes: 4, diskLosses: 1, truncateInterval: time.Second, logBytes: 48 << 20, watchLag: 200 * time.Millisecond,
+		submitInterval: 100 * time.Millisecond, bodyBytes: 10, soonest: true, faults: faults,
+	}
+}
+
+// Guards against a shard without a leader for good when all machines lose power while a lost
+// disk is replaced, and the next disk is lost as soon as it may be.
+func TestNextDiskMayBeLostAfterAPowerLossDuringAReplacement(t *testing.T) {
+	for _, percent := range []int{0, 50, 100, 0, 50, 100, 0, 50, 100, 0, 50, 100} { // the outcome depends on election times
+		playCase(t, steadySeries(
+			fault{kind: faultLoseDisk, after: 2 * time.Second, victim: victimFollower, down: 200 * time.Millisecond},
+			fault{kind: faultPower, step: stepFrozen, victim: 0, percent: percent, down: 100 * time.Millisecond},
+			fault{kind: faultLoseDisk, step: stepMayLose, victim: victimLeader, down: 300 * time.Millisecond},
+		))
+	}
+}
