--- a/internal/batch/queuestore/search_test.go
+++ b/internal/batch/queuestore/search_test.go
@@ -116,6 +116,9 @@
 	if _, err := w.awaitService(2 * time.Second); err != nil {
 		return w.failure("once settled", err)
 	}
+	if err := w.whole(); err != nil {
+		return w.failure("once settled", err)
+	}
 	figures.record(took, w.budget.longest)
 	if len(w.faults) > 0 {
 		return w.failure("during the series", errors.New(w.faults[0]))
@@ -161,6 +164,48 @@
 	return 0, fmt.Errorf("no leader serves within %v: %w", limit, err)
 }
 
+// whole checks that the shard may lose the next disk: all members have caught up, and none is a
+// lost disk if there are enough machines.
+func (w *searchWorld) whole() error {
+	memberSet := w.storedMembers()
+	machines := len(w.machines())
+	w.mutex.Lock()
+	exposed := w.budget.exposed
+	for name := range w.retiring {
+		if !w.retired[name] {
+			machines--
+		}
+	}
+	w.mutex.Unlock()
+	if exposed && machines > 2*w.series.diskLosses {
+		return errors.New("a lost disk is still a member")
+	}
+	for _, run := range w.runs() {
+		s := run.storage.shard(0)
+		if s == nil {
+			continue
+		}
+		lacking := ""
+		err := s.RunInLoop(run.context, func() {
+			for _, member := range memberSet.Members {
+				if s.leader != nil && !s.Replica.CaughtUp(member) && !w.isLostDisk(member) {
+					lacking = member
+				}
+			}
+		})
+		if err == nil && lacking != "" {
+			return fmt.Errorf("member %s has not caught up with leader %s", lacking, run.node.name)
+		}
+	}
+	return nil
+}
+
+func (w *searchWorld) isLostDisk(disk string) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.budget.disks[disk]
+}
+
 // lostJobError reports an accepted job that a confirmed leader does not have.
 type lostJobError struct{ job, node string }
 
