--- a/lab/cli/platformday.go
+++ b/lab/cli/platformday.go
@@ -63,8 +63,13 @@
 		return folder, program, nil
 	}
 	program = filepath.Join(folder, "cobaltramp")
-	if built, err := exec.Command("go", "build", "-o", program, "./cmd/cobaltramp").CombinedOutput(); err != nil {
-		return "", "", trace.BadParameter("building the product: %v: %s", err, built)
+	return folder, program, buildProgram(program, "./cmd/cobaltramp")
+}
+
+// buildProgram builds a program of this checkout.
+func buildProgram(path, source string) error {
+	if built, err := exec.Command("go", "build", "-o", path, source).CombinedOutput(); err != nil {
+		return trace.BadParameter("building %s: %v: %s", source, err, built)
 	}
-	return folder, program, nil
+	return nil
 }
--- a/lab/cli/soak.go
+++ b/lab/cli/soak.go
@@ -28,6 +28,9 @@
 	Disturbers int           `long:"disturbers" default:"3" description:"series of signals, restarts and changes that run at the same time"`
 	EdgeKills  bool          `long:"edge-kills" description:"also kill and suspend several edges at once, reset connections to runners, and start runners again at their addresses"`
 	Leaders    bool          `long:"leader-changes" description:"also suspend, kill and stop one storage node after the other"`
+	Losses     bool          `long:"power-losses" description:"also end all processes at once, several times, with the disk of one storage node"`
+	Unsynced   bool          `long:"lose-unsynced" description:"storage processes lose what they have not synced when they are killed"`
+	Storage    string        `long:"storage-program" description:"path of the binary of storage processes; with --lose-unsynced built from this checkout if left out"`
 	Verbose    bool          `long:"events" description:"print what happens"`
 }
 
@@ -37,6 +40,12 @@
 	if err != nil {
 		return err
 	}
+	if c.Unsynced && c.Storage == "" {
+		c.Storage = filepath.Join(folder, "cobaltramp-lab-storage")
+		if err := buildProgram(c.Storage, "./cmd/cobaltramp-lab-storage"); err != nil {
+			return err
+		}
+	}
 	var soaks tasks.Group
 	var failed atomic.Int64
 	slots := make(chan struct{}, max(1, c.AtOnce))
@@ -73,9 +82,9 @@
 	defer func() { _ = events.Close() }()
 	options := platformday.SoakOptions{
 		Options: platformday.Options{
-			Program: program, Folder: own, Seed: seed, Length: c.Length, Progress: events, Edges: c.Edges, Storages: c.Storages, Runners: c.Runners,
+			Program: program, StorageProgram: c.Storage, Folder: own, Seed: seed, Length: c.Length, Progress: events, Edges: c.Edges, Storages: c.Storages, Runners: c.Runners,
 		},
-		Kept: c.Kept, Disturbers: c.Disturbers, EdgeKills: c.EdgeKills, LeaderChanges: c.Leaders,
+		Kept: c.Kept, Disturbers: c.Disturbers, EdgeKills: c.EdgeKills, LeaderChanges: c.Leaders, PowerLosses: c.Losses,
 	}
 	if c.Verbose {
 		options.Progress = os.Stdout
--- a/lab/platformday/chanceseries.go
+++ b/lab/platformday/chanceseries.go
@@ -38,7 +38,9 @@
 func (s *soak) addLateRoutes(ctx context.Context, random *rand.Rand) {
 	for number := 0; ctx.Err() == nil; number++ {
 		sleepUpTo(ctx, random, 2*lateRouteWait)
+		s.disruptions.RLock()
 		s.addLateRoute(ctx, fmt.Sprintf("late%d", number))
+		s.disruptions.RUnlock()
 	}
 }
 
@@ -88,9 +90,7 @@
 
 // setStorageFault sets the fault with which the store meets the storage nodes.
 func (d *Day) setStorageFault(fault standin.StoreFault) {
-	for _, p := range d.nodes {
-		if p.role == "storage" {
-			d.store.SetMachineFault(p.name, fault)
-		}
+	for _, p := range d.nodesOf("storage") {
+		d.store.SetMachineFault(p.name, fault)
 	}
 }
--- a/lab/platformday/day.go
+++ b/lab/platformday/day.go
@@ -24,6 +24,12 @@
 type Options struct {
 	// Program is the path of the cobaltramp binary.
 	Program string
+	// StorageProgram is the path of the binary that runs the storage nodes, if it is another one.
+	StorageProgram string
+	// Spares is the number of storage nodes that are not started with the others.
+	Spares int
+	// DiskMegabytes is the size of the disk of a storage node in its settings; 0 stands for unknown.
+	DiskMegabytes int
 	// Folder is the folder for settings, data and logs.
 	Folder string
 	Seed   uint64
@@ -74,6 +80,9 @@
 	tally   *standin.Tally
 	runners []*standin.Runner
 	nodes   []*process
+	// spares are storage nodes that have not been started; they are not among nodes. The mutex guards
+	// both while the day runs.
+	spares  []*process
 	mutex   sync.Mutex
 	started time.Time
 	// background runs the readiness probes and delayed functions until lifetime ends.
--- a/lab/platformday/edgekills.go
+++ b/lab/platformday/edgekills.go
@@ -29,7 +29,7 @@
 		s.killEdges, s.killEdges, s.suspendEdges, s.resetRunnerConnections, s.refuseEarly, s.refuseEarly, s.crashRunners,
 	}
 	for ctx.Err() == nil {
-		disruptions[random.IntN(len(disruptions))](ctx, random)
+		s.runDisruption(ctx, random, disruptions[random.IntN(len(disruptions))])
 		sleepUpTo(ctx, random, maxKillPause)
 	}
 }
--- a/lab/platformday/leaderchanges.go
+++ b/lab/platformday/leaderchanges.go
@@ -19,7 +19,7 @@
 func (s *soak) changeLeaders(ctx context.Context, random *rand.Rand) {
 	disruptions := []func(ctx context.Context, random *rand.Rand){s.suspendStorage, s.suspendStorage, s.killStorageTwice, s.stopStorage}
 	for ctx.Err() == nil {
-		disruptions[random.IntN(len(disruptions))](ctx, random)
+		s.runDisruption(ctx, random, disruptions[random.IntN(len(disruptions))])
 		sleepUpTo(ctx, random, maxDisruptionPause)
 	}
 }
--- a/lab/platformday/nodes.go
+++ b/lab/platformday/nodes.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"syscall"
 
@@ -42,7 +43,7 @@
 
 func (d *Day) startNodes() error {
 	var seeds []string
-	for number := range d.Edges + d.Storages {
+	for number := range d.Edges + d.Storages + d.Spares {
 		role := "edge"
 		if number >= d.Edges {
 			role = "storage"
@@ -51,7 +52,11 @@
 		if err != nil {
 			return err
 		}
-		d.nodes = append(d.nodes, p)
+		if number < d.Edges+d.Storages {
+			d.nodes = append(d.nodes, p)
+		} else {
+			d.spares = append(d.spares, p)
+		}
 	}
 	for _, p := range d.nodes {
 		if err := d.start(p); err != nil {
@@ -69,12 +74,12 @@
 		return nil, err
 	}
 	name := fmt.Sprintf("%s-%d", role, number)
-	p := &process{name: name, role: role, settings: filepath.Join(d.Folder, name+".yaml")}
+	p := &process{name: name, role: role, settings: filepath.Join(d.Folder, name+".yaml"), metricsAddress: fmt.Sprintf("%s:%d", nodeAddress, ports[4])}
 	s := settings.Role{
 		Cluster: "day", Node: name, Zone: fmt.Sprintf("z%d", number%zoneCount), Region: "r", Address: nodeAddress, Ports: []int{ports[0], ports[0]},
 		Listen: settings.RoleListen{MetricsPort: ports[4]}, FirstStart: true, DiskLosses: 1,
 		Store:   settings.RoleStore{Address: d.store.AddressFor(name)},
-		Machine: settings.RoleMachine{MemoryMegabytes: 256, Descriptors: d.Descriptors}, Bounds: settings.RoleBounds{StopSeconds: 8, DrainMilliseconds: 2000},
+		Machine: settings.RoleMachine{MemoryMegabytes: 256, Descriptors: d.Descriptors, DiskMegabytes: d.DiskMegabytes}, Bounds: settings.RoleBounds{StopSeconds: 8, DrainMilliseconds: 2000},
 		Routing: d.routingOf(number),
 	}
 	if role == "edge" {
@@ -104,7 +109,7 @@
 }
 
 func (d *Day) killAll() {
-	for _, p := range d.nodes {
+	for _, p := range d.currentNodes() {
 		d.signal(p, syscall.SIGKILL)
 	}
 	d.mutex.Lock()
@@ -130,3 +135,15 @@
 		d.report("%s does not start: %v", p.name, err)
 	}
 }
+
+// currentNodes returns the nodes of the deployment. Nodes may be added and removed while the day runs.
+func (d *Day) currentNodes() []*process {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return slices.Clone(d.nodes)
+}
+
+// nodesOf returns the nodes of a role.
+func (d *Day) nodesOf(role string) []*process {
+	return slices.DeleteFunc(d.currentNodes(), func(p *process) bool { return p.role != role })
+}
--- a/lab/platformday/nodeseries.go
+++ b/lab/platformday/nodeseries.go
@@ -16,11 +16,21 @@
 		s.silenceStore, s.silenceRunners, s.silenceAll,
 	}
 	for ctx.Err() == nil {
-		disruptions[random.IntN(len(disruptions))](ctx, random)
+		s.runDisruption(ctx, random, disruptions[random.IntN(len(disruptions))])
 		sleepUpTo(ctx, random, maxDisruptionPause)
 	}
 }
 
+// runDisruption runs a disruption, unless the power is lost: then it first waits until the nodes have
+// recovered.
+func (s *soak) runDisruption(ctx context.Context, random *rand.Rand, disruption func(ctx context.Context, random *rand.Rand)) {
+	s.disruptions.RLock()
+	defer s.disruptions.RUnlock()
+	if ctx.Err() == nil {
+		disruption(ctx, random)
+	}
+}
+
 // sleepUpTo sleeps for a random duration of at most longest, or until the context ends.
 func sleepUpTo(ctx context.Context, random *rand.Rand, longest time.Duration) {
 	select {
@@ -39,7 +49,7 @@
 		return nil, nil
 	}
 	var free []*process
-	for _, p := range s.nodes {
+	for _, p := range s.currentNodes() {
 		if p.role == role && !s.claimedNodes[p] {
 			free = append(free, p)
 		}
--- a/lab/platformday/process.go
+++ b/lab/platformday/process.go
@@ -19,10 +19,13 @@
 	// peerAddress is the address of the node for other nodes; operators use that of an edge.
 	peerAddress string
 	dataFolder  string
+	// metricsAddress is the address of the node's metrics.
+	metricsAddress string
 	// ready is the result of the last readiness probe, guarded by the mutex of the Day.
 	ready bool
 
-	mutex       sync.Mutex
+	mutex sync.Mutex
+	// incarnation is nil until the node is first started.
 	incarnation *incarnation
 	// disrupted is when the node was last killed, suspended or resumed. Interrupted
 	// responses at that time are not violations.
@@ -46,7 +49,11 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(d.Program, p.role, "--settings", p.settings)
+	program := d.Program
+	if p.role == "storage" && d.StorageProgram != "" {
+		program = d.StorageProgram
+	}
+	command := exec.Command(program, p.role, "--settings", p.settings)
 	command.Stdout, command.Stderr = log, log
 	if d.Threads > 0 && p.role == "edge" {
 		command.Env = append(os.Environ(), fmt.Sprint("GOMAXPROCS=", d.Threads))
@@ -128,3 +135,18 @@
 	defer p.mutex.Unlock()
 	return p.disrupted.After(then)
 }
+
+// running reports whether the process of a node runs, also while it is suspended.
+func (p *process) running() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.incarnation == nil {
+		return false
+	}
+	select {
+	case <-p.incarnation.ended:
+		return false
+	default:
+		return true
+	}
+}
--- a/lab/platformday/readiness.go
+++ b/lab/platformday/readiness.go
@@ -21,10 +21,7 @@
 func (d *Day) pollReadiness() {
 	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for d.lifetime.Err() == nil {
-		for _, p := range d.nodes {
-			if p.role != "edge" {
-				continue
-			}
+		for _, p := range d.nodesOf("edge") {
 			response, err := client.Get("http://" + p.readinessAddress + standin.ReadyPath)
 			ready := err == nil && response.StatusCode == http.StatusOK
 			if err == nil {
@@ -73,10 +70,7 @@
 
 // storageNodesListen reports whether all storage nodes accept connections of other nodes.
 func (d *Day) storageNodesListen() bool {
-	for _, p := range d.nodes {
-		if p.role == "edge" {
-			continue
-		}
+	for _, p := range d.nodesOf("storage") {
 		connection, err := net.DialTimeout("tcp", p.peerAddress, pollInterval)
 		if err != nil {
 			return false
--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -32,6 +32,9 @@
 	// LeaderChanges adds a loop of disruptions that suspend, kill and stop one storage node after the
 	// other, each of which may lead the queue shards.
 	LeaderChanges bool
+	// PowerLosses adds a loop that ends all nodes at once, with the disk of one storage node, and
+	// checks what was accepted. Soak sets it for powerLossShare of all seeds.
+	PowerLosses bool
 }
 
 const (
@@ -74,6 +77,9 @@
 	silencedAt    time.Time
 	configVersion int
 	configMutex   sync.Mutex
+	// disruptions is read-locked by each disruption of a node or of the store, and locked from before a
+	// loss of power until the nodes have recovered from it.
+	disruptions sync.RWMutex
 }
 
 // Soak runs a soak and returns the tally of its requests and jobs, which includes the
@@ -86,6 +92,9 @@
 	options.EndsHeadCleanly = options.Seed%2 == 0
 	options.MixedVersions, options.KeepAddresses = true, options.EdgeKills
 	options.SoftwareVersions = softwareVersionsOf(options.Seed)
+	if options.PowerLosses = options.PowerLosses || losesPower(options.Seed); options.PowerLosses {
+		options.Spares, options.DiskMegabytes = powerLossSpares, diskMegabytesOf(options.Seed)
+	}
 	d, err := open(ctx, options.Options)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -148,6 +157,10 @@
 		leaderRandom := rand.New(rand.NewPCG(s.Seed, 8))
 		group.Go(func() { s.changeLeaders(soakContext, leaderRandom) })
 	}
+	if s.options.PowerLosses {
+		lossRandom := rand.New(rand.NewPCG(s.Seed, 9))
+		group.Go(func() { s.losePowerRepeatedly(ctx, soakContext, batch, lossRandom) })
+	}
 	for range s.options.Disturbers {
 		run(func(random *rand.Rand) { s.disrupt(soakContext, random) })
 	}
--- a/lab/platformday/soakcallers.go
+++ b/lab/platformday/soakcallers.go
@@ -39,7 +39,7 @@
 // after a point in time, or within the second before it. It returns true for an unknown
 // address.
 func (d *Day) nodeDisrupted(address string, since time.Time) bool {
-	for _, p := range d.nodes {
+	for _, p := range d.currentNodes() {
 		if p.callerAddress == address {
 			return p.disruptedSince(since.Add(-time.Second))
 		}
--- a/lab/standin/jobs.go
+++ b/lab/standin/jobs.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -28,7 +30,7 @@
 type itemResult struct{ id, state, text string }
 
 // BatchClient submits jobs, reads them from any node, and verifies that the position
-// and the content of each result do not change.
+// and the content of each result do not change. Its methods may be called concurrently.
 type BatchClient struct {
 	Endpoints Endpoints
 	Ledger    *Ledger
@@ -36,7 +38,30 @@
 	Host      string
 	Prefix    string
 	Random    *rand.Rand
-	Jobs      []*Job
+	// mutex guards Random, jobs and the fields of each job that change.
+	mutex sync.Mutex
+	jobs  []*Job
+}
+
+// draw returns a random number below a bound.
+func (b *BatchClient) draw(bound int) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.Random.IntN(bound)
+}
+
+// acceptedJobs returns the jobs that a node has accepted.
+func (b *BatchClient) acceptedJobs() []*Job {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(b.jobs), func(job *Job) bool { return !job.Accepted })
+}
+
+// resultCount returns the number of results of a job that were read.
+func (b *BatchClient) resultCount(job *Job) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return len(job.Results)
 }
 
 // call sends a request to a random node; the status is 0 if the response is missing or
@@ -46,7 +71,7 @@
 	if len(addresses) == 0 {
 		return 0, nil
 	}
-	return b.callNode(ctx, addresses[b.Random.IntN(len(addresses))], method, target, id, body)
+	return b.callNode(ctx, addresses[b.draw(len(addresses))], method, target, id, body)
 }
 
 // callNode sends a request to a node, as call does.
@@ -71,10 +96,13 @@
 	Tokens  int               `json:"token_count"`
 }
 
-// Submit submits a job, and retries until the job is accepted or the context ends.
-func (b *BatchClient) Submit(ctx context.Context, id string, items int) {
+// Submit submits a job, and retries until the job is accepted or the context ends. It returns the
+// job if it was accepted, or nil.
+func (b *BatchClient) Submit(ctx context.Context, id string, items int) *Job {
 	job := &Job{ID: id}
-	b.Jobs = append(b.Jobs, job)
+	b.mutex.Lock()
+	b.jobs = append(b.jobs, job)
+	b.mutex.Unlock()
 	var wireItems []wireItem
 	for number := range items {
 		item := fmt.Sprintf("%s-i%d", id, number)
@@ -87,17 +115,20 @@
 	body, err := json.Marshal(map[string]any{"items": wireItems})
 	if err != nil {
 		b.Tally.RecordViolation("job %s: %v", id, err)
-		return
+		return nil
 	}
 	for ctx.Err() == nil {
 		status, _ := b.call(ctx, http.MethodPost, b.Prefix+id, id, body)
 		if status == http.StatusAccepted {
+			b.mutex.Lock()
 			job.Accepted = true
+			b.mutex.Unlock()
 			b.Tally.increment(&b.Tally.JobsAccepted)
-			return
+			return job
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
+	return nil
 }
 
 // wireResults is the response to a read of a job.
@@ -125,36 +156,55 @@
 // ReadEverywhere reads all results of each accepted job at each node, and verifies them against the
 // results read before.
 func (b *BatchClient) ReadEverywhere(ctx context.Context) {
-	for _, job := range b.Jobs {
+	for _, job := range b.acceptedJobs() {
 		for _, address := range b.Endpoints.Addresses() {
-			if job.Accepted {
-				status, text := b.callNode(ctx, address, http.MethodGet, readTarget(job, 0), "", nil)
-				b.verify(job, 0, status, text)
-			}
+			status, text := b.callNode(ctx, address, http.MethodGet, readTarget(job, 0), "", nil)
+			b.verify(job, 0, status, text)
 		}
 	}
 }
 
-// verify verifies the response to a read of a job that starts at a position.
-func (b *BatchClient) verify(job *Job, since, status int, text []byte) {
+// UnreadableJob reads each accepted job at a node until the node does not return one with all results
+// that were read before. It returns a description of that job, or an empty string.
+func (b *BatchClient) UnreadableJob(ctx context.Context, address string) string {
+	for _, job := range b.acceptedJobs() {
+		known := b.resultCount(job)
+		status, text := b.callNode(ctx, address, http.MethodGet, readTarget(job, 0), "", nil)
+		found := b.verify(job, 0, status, text)
+		if status != http.StatusOK {
+			return fmt.Sprintf("job %s at %s: status %d", job.ID, address, status)
+		}
+		if found < known {
+			return fmt.Sprintf("job %s at %s: %d results, %d were read before", job.ID, address, found, known)
+		}
+	}
+	return ""
+}
+
+// verify verifies the response to a read of a job that starts at a position, and returns the number
+// of results in it.
+func (b *BatchClient) verify(job *Job, since, status int, text []byte) int {
 	if status == http.StatusNotFound {
 		b.Tally.RecordViolation("job %s: 404 after it was accepted", job.ID)
 	}
 	if status != http.StatusOK {
-		return
+		return 0
 	}
 	var results wireResults
 	if json.Unmarshal(text, &results) != nil || results.Total != len(job.Items) || results.Next != since+len(results.Results) {
 		b.Tally.RecordViolation("job %s: inconsistent numbers in the response: %s", job.ID, text)
-		return
+		return 0
 	}
 	for i, item := range results.Results {
 		b.recordResult(job, since+i, itemResult{item.ID, item.State, item.Message})
 	}
+	return len(results.Results)
 }
 
 // recordResult verifies the result at a position, and stores it if it is new.
 func (b *BatchClient) recordResult(job *Job, position int, result itemResult) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
 	if position < len(job.Results) {
 		if job.Results[position] != result {
 			b.Tally.RecordViolation("job %s: the result at position %d changed to %v from %v", job.ID, position, result, job.Results[position])
@@ -180,13 +230,10 @@
 // ReadAll reads each accepted job from its first unread result, or with a probability
 // of 1/4 from an earlier position.
 func (b *BatchClient) ReadAll(ctx context.Context) {
-	for _, job := range b.Jobs {
-		if !job.Accepted {
-			continue
-		}
-		since := len(job.Results)
-		if b.Random.IntN(4) == 0 && since > 0 {
-			since = b.Random.IntN(since)
+	for _, job := range b.acceptedJobs() {
+		since := b.resultCount(job)
+		if b.draw(4) == 0 && since > 0 {
+			since = b.draw(since)
 		}
 		b.Read(ctx, job, since)
 	}
@@ -195,10 +242,17 @@
 // OpenItems returns the number of items of accepted jobs without a result.
 func (b *BatchClient) OpenItems() int {
 	open := 0
-	for _, job := range b.Jobs {
-		if job.Accepted {
-			open += len(job.Items) - len(job.Results)
-		}
+	for _, job := range b.acceptedJobs() {
+		open += len(job.Items) - b.resultCount(job)
 	}
 	return open
 }
+
+// ResultsRead returns the number of results of all jobs that were read.
+func (b *BatchClient) ResultsRead() int {
+	read := 0
+	for _, job := range b.acceptedJobs() {
+		read += b.resultCount(job)
+	}
+	return read
+}
--- a/lab/standin/tally.go
+++ b/lab/standin/tally.go
@@ -13,8 +13,10 @@
 	Served, Refused, Failed int
 	JobsAccepted, ItemsDone int
 	// Leaders is the number of times that a node began to lead a queue shard.
-	Leaders    int
-	Violations []string
+	Leaders int
+	// PowerLosses is the number of times that all nodes were ended at once.
+	PowerLosses int
+	Violations  []string
 	// refusedIDs are the requests that may run only once and were refused as not run.
 	refusedIDs []string
 }
@@ -23,8 +25,8 @@
 func (t *Tally) Summary() string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return fmt.Sprintf("served %d, refused %d, failed %d; jobs taken %d, items done %d, leaders %d; broken promises %d",
-		t.Served, t.Refused, t.Failed, t.JobsAccepted, t.ItemsDone, t.Leaders, len(t.Violations))
+	return fmt.Sprintf("served %d, refused %d, failed %d; jobs taken %d, items done %d, leaders %d, power losses %d; broken promises %d",
+		t.Served, t.Refused, t.Failed, t.JobsAccepted, t.ItemsDone, t.Leaders, t.PowerLosses, len(t.Violations))
 }
 
 // RecordViolation records the violation of a guarantee.
@@ -40,6 +42,9 @@
 	*counter++
 }
 
+// RecordPowerLoss counts a loss of power at all nodes.
+func (t *Tally) RecordPowerLoss() { t.increment(&t.PowerLosses) }
+
 // recordRefusedOnce records a request that may run only once and was refused as not run.
 func (t *Tally) recordRefusedOnce(id string) {
 	t.mutex.Lock()
