Soak: restarts that do not wait for the end of the earlier process

A node that starts right after the kill may meet its earlier process, which still holds the lock of the database and the ports. A fifth of the losses of power restarts all nodes but the one without a disk so.

--- a/lab/platformday/powerlossconditions.go
+++ b/lab/platformday/powerlossconditions.go
@@ -19,13 +19,14 @@
 	// secondPreparation is the fraction of losses of power with two disruptions under way.
 	secondPreparation = 0.4
 	// lineTimeout is the longest time for which a log line of a storage node is awaited.
-	lineTimeout = 4 * time.Second
+	lineTimeout = 3 * time.Second
 	// momentDelay is the longest time from an acknowledgement or a log line to the loss of power.
 	momentDelay = 40 * time.Millisecond
 	// handOverDelay is the longest time from the start of a hand-over to a loss of power in it.
 	handOverDelay = 400 * time.Millisecond
-	// repeatShare is the probability that nodes end again while they recover.
-	repeatShare = 0.5
+	// While the nodes recover, some end again up to maxRepeats times, each with the probability
+	// repeatShare.
+	maxRepeats, repeatShare = 2, 0.4
 	// endSpread is the longest time between two of several nodes that end again.
 	endSpread = 300 * time.Millisecond
 	// staleRevisions is the number of revisions by which a store with stale reads lags.
@@ -223,11 +224,12 @@
 	}
 	l.cancelStarts()
 	l.starts.Wait()
+	l.supervisors.Wait()
 	l.endAgain(ctx)
 	if l.victim != nil && l.diskTaken && !l.victim.running() && l.chance(sameDiskAgain) {
 		l.takeDisk()
 	}
-	l.comeBack(ctx)
+	l.comeBack(ctx, l.currentNodes())
 }
 
 // suspendBriefly suspends a storage node and resumes it.
--- a/lab/platformday/powerlosses.go
+++ b/lab/platformday/powerlosses.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -34,8 +35,15 @@
 	sameDiskAgain = 0.25
 	// diskLossShare is the fraction of losses of power with a lost disk.
 	diskLossShare = 0.85
+	// hastyShare is the fraction of losses of power after which nodes start before their earlier
+	// processes have ended. supervisionTime is how long such a process is started again if it ends.
+	hastyShare      = 0.2
+	supervisionTime = time.Second
 	// submitInterval is the time between two jobs that are submitted before a loss of power.
 	submitInterval = 50 * time.Millisecond
+	// compactionShare is the fraction of losses of power in which the store forgets its history
+	// while the nodes are down.
+	compactionShare = 0.3
 )
 
 // losesPower reports whether an ordinary soak has losses of power.
@@ -62,6 +70,8 @@
 	// starts starts the nodes that are down; cancelStarts ends its waits.
 	starts       *tasks.Group
 	cancelStarts context.CancelFunc
+	// supervisors watches the nodes that restartHastily has started.
+	supervisors *tasks.Group
 	// conditions holds the disruptions that go on over the loss of power for a drawn time.
 	conditions *tasks.Group
 }
@@ -97,7 +107,7 @@
 		return
 	}
 	l.number++
-	l.conditions = &tasks.Group{}
+	l.conditions, l.supervisors = &tasks.Group{}, &tasks.Group{}
 	l.tally.RecordPowerLoss()
 	l.choose()
 	submitContext, stopSubmitting := context.WithCancel(ctx)
@@ -105,17 +115,33 @@
 	submissions.Go(func() { l.submitRepeatedly(submitContext, l.number) })
 	l.prepare(ctx)
 	l.awaitMoment(ctx)
-	l.end(l.currentNodes())
+	hasty := l.chance(hastyShare)
+	ending := l.kill(l.currentNodes())
+	if hasty {
+		l.restartHastily(ctx)
+	}
+	awaitEnds(ending)
 	stopSubmitting()
 	if l.victim != nil && (!l.diskTaken || l.chance(sameDiskAgain)) {
 		l.takeDisk()
 	}
-	l.comeBack(ctx)
-	for l.chance(repeatShare) && ctx.Err() == nil {
-		l.disruptRecovery(ctx)
+	if l.chance(compactionShare) {
+		l.report("the store forgets its history")
+		l.store.CompactHistory()
+	}
+	if hasty {
+		l.comeBack(ctx, slices.DeleteFunc(l.currentNodes(), func(p *process) bool { return p != l.victim }))
+	} else {
+		l.comeBack(ctx, l.currentNodes())
+	}
+	for range maxRepeats {
+		if l.chance(repeatShare) && ctx.Err() == nil {
+			l.disruptRecovery(ctx)
+		}
 	}
 	l.starts.Wait()
 	l.cancelStarts()
+	l.supervisors.Wait()
 	l.conditions.Wait()
 	submissions.Wait()
 	l.stableSince = time.Now()
@@ -150,17 +176,61 @@
 }
 
 // end kills nodes at the same moment, and waits until they have ended.
-func (l *powerLosses) end(nodes []*process) {
+func (l *powerLosses) end(nodes []*process) { awaitEnds(l.kill(nodes)) }
+
+// kill kills nodes at the same moment, and returns their processes, which may still be ending.
+func (l *powerLosses) kill(nodes []*process) []*incarnation {
 	l.report("power loss %d: %d nodes end", l.number, len(nodes))
 	l.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-	var ended []*incarnation
+	var killed []*incarnation
 	for _, p := range nodes {
 		if current := l.sendSignal(p, syscall.SIGKILL); current != nil {
-			ended = append(ended, current)
+			killed = append(killed, current)
 		}
 	}
-	for _, current := range ended {
-		<-current.ended
+	return killed
+}
+
+func awaitEnds(processes []*incarnation) {
+	for _, p := range processes {
+		<-p.ended
+	}
+}
+
+// restartHastily starts each node but the victim at once, while its earlier process may still be
+// ending and hold its ports and its disk.
+func (l *powerLosses) restartHastily(ctx context.Context) {
+	l.report("power loss %d: nodes start before their earlier processes have ended", l.number)
+	for _, p := range l.currentNodes() {
+		if p != l.victim {
+			l.supervisors.Go(func() { l.supervise(ctx, p) })
+		}
+	}
+}
+
+// supervise starts a node, again whenever it has ended by itself, until it has run for supervisionTime
+// or was killed.
+func (l *powerLosses) supervise(ctx context.Context, p *process) {
+	p.setSupervised(true)
+	defer p.setSupervised(false)
+	for ctx.Err() == nil {
+		if err := l.start(p); err != nil {
+			l.tally.RecordViolation("%s does not start: %v", p.name, err)
+			return
+		}
+		p.mutex.Lock()
+		current := p.incarnation
+		p.mutex.Unlock()
+		select {
+		case <-time.After(supervisionTime):
+			return
+		case <-current.ended:
+		}
+		if p.endRequested() {
+			return
+		}
+		l.report("%s ended by itself after its hasty start", p.name)
+		pause.For(ctx, pollInterval)
 	}
 }
 
@@ -173,11 +243,11 @@
 	}
 }
 
-// comeBack starts each node that is down after a drawn time. It returns at once.
-func (l *powerLosses) comeBack(ctx context.Context) {
+// comeBack starts each of some nodes that is down after a drawn time. It returns at once.
+func (l *powerLosses) comeBack(ctx context.Context, nodes []*process) {
 	ctx, l.cancelStarts = context.WithCancel(ctx)
 	l.starts = &tasks.Group{}
-	for _, p := range l.currentNodes() {
+	for _, p := range nodes {
 		if p.running() {
 			continue
 		}
--- a/lab/platformday/process.go
+++ b/lab/platformday/process.go
@@ -27,6 +27,9 @@
 	mutex sync.Mutex
 	// incarnation is nil until the node is first started.
 	incarnation *incarnation
+	// supervised is set while an exit without a signal is no violation, because the series that
+	// started the process starts it again.
+	supervised bool
 	// disrupted is when the node was last killed, suspended or resumed. Interrupted
 	// responses at that time are not violations.
 	disrupted time.Time
@@ -75,9 +78,9 @@
 		err := command.Wait()
 		_ = log.Close()
 		p.mutex.Lock()
-		endRequested := next.endRequested
+		endAllowed := next.endRequested || p.supervised
 		p.mutex.Unlock()
-		if !endRequested {
+		if !endAllowed {
 			d.tally.RecordViolation("%s ended by itself: %v", p.name, err)
 		}
 		close(next.ended)
@@ -150,3 +153,16 @@
 		return true
 	}
 }
+
+func (p *process) setSupervised(supervised bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.supervised = supervised
+}
+
+// endRequested reports whether the last process of a node was asked to end.
+func (p *process) endRequested() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.incarnation != nil && p.incarnation.endRequested
+}
