--- a/lab/platformday/powerlosses.go
+++ b/lab/platformday/powerlosses.go
@@ -36,8 +36,10 @@
 	// diskLossShare is the fraction of losses of power with a lost disk.
 	diskLossShare = 0.85
 	// hastyShare is the fraction of losses of power after which nodes start before their earlier
-	// processes have ended. supervisionTime is how long such a process is started again if it ends.
+	// processes have ended, which takes up to maxLinger. supervisionTime is how long such a process is
+	// started again if it ends.
 	hastyShare      = 0.2
+	maxLinger       = 400 * time.Millisecond
 	supervisionTime = time.Second
 	// submitInterval is the time between two jobs that are submitted before a loss of power.
 	submitInterval = 50 * time.Millisecond
@@ -116,11 +118,11 @@
 	l.prepare(ctx)
 	l.awaitMoment(ctx)
 	hasty := l.chance(hastyShare)
-	ending := l.kill(l.currentNodes())
 	if hasty {
 		l.restartHastily(ctx)
+	} else {
+		l.end(l.currentNodes())
 	}
-	awaitEnds(ending)
 	stopSubmitting()
 	if l.victim != nil && (!l.diskTaken || l.chance(sameDiskAgain)) {
 		l.takeDisk()
@@ -176,10 +178,7 @@
 }
 
 // end kills nodes at the same moment, and waits until they have ended.
-func (l *powerLosses) end(nodes []*process) { awaitEnds(l.kill(nodes)) }
-
-// kill kills nodes at the same moment, and returns their processes, which may still be ending.
-func (l *powerLosses) kill(nodes []*process) []*incarnation {
+func (l *powerLosses) end(nodes []*process) {
 	l.report("power loss %d: %d nodes end", l.number, len(nodes))
 	l.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	var killed []*incarnation
@@ -188,24 +187,35 @@
 			killed = append(killed, current)
 		}
 	}
-	return killed
-}
-
-func awaitEnds(processes []*incarnation) {
-	for _, p := range processes {
-		<-p.ended
+	for _, ending := range killed {
+		<-ending.ended
 	}
 }
 
-// restartHastily starts each node but the victim at once, while its earlier process may still be
-// ending and hold its ports and its disk.
+// restartHastily ends all nodes, and starts each node but the victim while its earlier process may
+// still be ending and hold its ports and its disk.
 func (l *powerLosses) restartHastily(ctx context.Context) {
 	l.report("power loss %d: nodes start before their earlier processes have ended", l.number)
-	for _, p := range l.currentNodes() {
+	nodes := l.currentNodes()
+	var earlier []*incarnation
+	for _, p := range nodes {
+		if current := l.sendSignal(p, syscall.SIGSTOP); current != nil {
+			earlier = append(earlier, current)
+		}
+	}
+	for _, p := range nodes {
+		p.expectEnd()
 		if p != l.victim {
 			l.supervisors.Go(func() { l.supervise(ctx, p) })
 		}
 	}
+	pause.For(ctx, l.between(0, maxLinger))
+	for _, ending := range earlier {
+		_ = ending.command.Process.Kill() // fails only if the process has just exited
+	}
+	for _, ending := range earlier {
+		<-ending.ended
+	}
 }
 
 // supervise starts a node, again whenever it has ended by itself, until it has run for supervisionTime
--- a/lab/platformday/process.go
+++ b/lab/platformday/process.go
@@ -160,6 +160,16 @@
 	p.supervised = supervised
 }
 
+// expectEnd notes that the current process of a node is about to be killed.
+func (p *process) expectEnd() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.disrupted = time.Now()
+	if p.incarnation != nil {
+		p.incarnation.endRequested = true
+	}
+}
+
 // endRequested reports whether the last process of a node was asked to end.
 func (p *process) endRequested() bool {
 	p.mutex.Lock()
