--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -128,6 +128,9 @@
 		run(func(random *rand.Rand) { s.runResumingClient(soakContext, number, streams, random) })
 	}
 	batch := &standin.BatchClient{Endpoints: s, Ledger: s.ledger, Tally: s.tally, Host: host, Prefix: standin.BatchPrefix, Random: fork()}
+	if s.options.PowerLosses {
+		batch.BodyBytes = itemBytesOf(s.Seed)
+	}
 	run(func(*rand.Rand) { s.batch(ctx, batch) })
 	crashes := random.Float64() < crashShare
 	if crashes {
