--- a/lab/cli/soak.go
+++ b/lab/cli/soak.go
@@ -29,6 +29,7 @@
 	EdgeKills  bool          `long:"edge-kills" description:"also kill and suspend several edges at once, reset connections to runners, and start runners again at their addresses"`
 	Leaders    bool          `long:"leader-changes" description:"also suspend, kill and stop one storage node after the other"`
 	Losses     bool          `long:"power-losses" description:"also end all processes at once, several times, with the disk of one storage node"`
+	Hasty      bool          `long:"hasty-restarts" description:"after each such end, processes start before the earlier ones have ended"`
 	Unsynced   bool          `long:"lose-unsynced" description:"storage processes lose what they have not synced when they are killed"`
 	Storage    string        `long:"storage-program" description:"path of the binary of storage processes; with --lose-unsynced built from this checkout if left out"`
 	Verbose    bool          `long:"events" description:"print what happens"`
@@ -84,7 +85,7 @@
 		Options: platformday.Options{
 			Program: program, StorageProgram: c.Storage, Folder: own, Seed: seed, Length: c.Length, Progress: events, Edges: c.Edges, Storages: c.Storages, Runners: c.Runners,
 		},
-		Kept: c.Kept, Disturbers: c.Disturbers, EdgeKills: c.EdgeKills, LeaderChanges: c.Leaders, PowerLosses: c.Losses,
+		Kept: c.Kept, Disturbers: c.Disturbers, EdgeKills: c.EdgeKills, LeaderChanges: c.Leaders, PowerLosses: c.Losses, HastyRestarts: c.Hasty,
 	}
 	if c.Verbose {
 		options.Progress = os.Stdout
--- a/lab/platformday/powerlosschecks.go
+++ b/lab/platformday/powerlosschecks.go
@@ -33,7 +33,9 @@
 // at every edge with all results that were read before, and new jobs are accepted; after the last
 // loss of power, every accepted item gets a result.
 func (l *powerLosses) check(ctx context.Context, back time.Time, last bool) {
-	if problem := l.unrecovered(ctx, back.Add(recoveryTimeout)); problem != "" {
+	problem := l.unrecovered(ctx, back.Add(recoveryTimeout))
+	l.tally.RecordPowerLoss(time.Since(back))
+	if problem != "" {
 		l.recordUnrecovered(ctx, back, problem)
 		return
 	}
--- a/lab/platformday/powerlosses.go
+++ b/lab/platformday/powerlosses.go
@@ -116,14 +116,13 @@
 	}
 	l.number++
 	l.conditions, l.supervisors = &tasks.Group{}, &tasks.Group{}
-	l.tally.RecordPowerLoss()
 	l.choose()
 	submitContext, stopSubmitting := context.WithCancel(ctx)
 	var submissions tasks.Group
 	submissions.Go(func() { l.submitRepeatedly(submitContext, l.number) })
 	l.prepare(ctx)
 	l.awaitMoment(ctx)
-	hasty := l.chance(hastyShare)
+	hasty := l.chance(hastyShare) || l.options.HastyRestarts
 	if hasty {
 		l.restartHastily(ctx)
 	} else {
--- a/lab/platformday/powerlosses_test.go
+++ b/lab/platformday/powerlosses_test.go
@@ -16,14 +16,14 @@
 // same moment and one disk was lost, jobs that had been accepted could not be read any more.
 func TestLossesOfPowerLoseNothing(t *testing.T) {
 	program, storageProgram := build(t, t.TempDir()), buildStorage(t, t.TempDir())
-	for _, seed := range []uint64{74000, 74003} {
+	for seed, hasty := range map[uint64]bool{74001: false, 74002: true} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			t.Parallel() // beside the other seeds only
+			t.Parallel() // beside the other seed only
 			is := is.New(t)
 			folder := t.TempDir()
 			tally, err := Soak(context.Background(), SoakOptions{
 				Options: Options{Program: program, StorageProgram: storageProgram, Folder: folder, Seed: seed, Length: 2 * time.Second, Progress: os.Stderr, Edges: 3, Storages: 4, Runners: 6},
-				Kept:    4, PowerLosses: true,
+				Kept:    4, PowerLosses: true, HastyRestarts: hasty,
 			})
 			is.NoErr(err)
 			if len(tally.Violations) > 0 {
--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -35,6 +35,9 @@
 	// PowerLosses adds a loop that ends all nodes at once, with the disk of one storage node, and
 	// checks what was accepted. Soak sets it for powerLossShare of all seeds.
 	PowerLosses bool
+	// HastyRestarts makes all losses of power those after which nodes start before their earlier
+	// processes have ended.
+	HastyRestarts bool
 }
 
 const (
--- a/lab/standin/tally.go
+++ b/lab/standin/tally.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"time"
 )
 
 // Tally counts the outcomes of requests and jobs; Violations lists the guarantees that
@@ -16,7 +17,9 @@
 	Leaders int
 	// PowerLosses is the number of times that all nodes were ended at once.
 	PowerLosses int
-	Violations  []string
+	// LongestRecovery is the longest time that the nodes needed to recover from one.
+	LongestRecovery time.Duration
+	Violations      []string
 	// refusedIDs are the requests that may run only once and were refused as not run.
 	refusedIDs []string
 }
@@ -25,8 +28,8 @@
 func (t *Tally) Summary() string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return fmt.Sprintf("served %d, refused %d, failed %d; jobs taken %d, items done %d, leaders %d, power losses %d; broken promises %d",
-		t.Served, t.Refused, t.Failed, t.JobsAccepted, t.ItemsDone, t.Leaders, t.PowerLosses, len(t.Violations))
+	return fmt.Sprintf("served %d, refused %d, failed %d; jobs taken %d, items done %d, leaders %d, power losses %d (recovered within %v); broken promises %d",
+		t.Served, t.Refused, t.Failed, t.JobsAccepted, t.ItemsDone, t.Leaders, t.PowerLosses, t.LongestRecovery, len(t.Violations))
 }
 
 // RecordViolation records the violation of a guarantee.
@@ -42,8 +45,13 @@
 	*counter++
 }
 
-// RecordPowerLoss counts a loss of power at all nodes.
-func (t *Tally) RecordPowerLoss() { t.increment(&t.PowerLosses) }
+// RecordPowerLoss counts a loss of power at all nodes, and the time until they had recovered.
+func (t *Tally) RecordPowerLoss(recovery time.Duration) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.PowerLosses++
+	t.LongestRecovery = max(t.LongestRecovery, recovery.Round(time.Millisecond))
+}
 
 // recordRefusedOnce records a request that may run only once and was refused as not run.
 func (t *Tally) recordRefusedOnce(id string) {
