--- a/lab/platformday/powerlossconditions.go
+++ b/lab/platformday/powerlossconditions.go
@@ -44,8 +44,12 @@
 	return fmt.Sprintf("%s%d-%d", series, loss, number)
 }
 
-// prepare starts one or two disruptions that are under way when the power is lost.
+// prepare starts one or two disruptions that are under way when the power is lost, or none, so that
+// a disk is lost as soon after another one as it may be.
 func (l *powerLosses) prepare(ctx context.Context) {
+	if l.immediate {
+		return
+	}
 	preparations := []func(ctx context.Context){
 		func(context.Context) {}, l.suspendOne, l.killOne, l.loseDiskEarly, l.loseDiskEarly, l.retireOne, l.addSpare, l.disruptStore, l.disruptStore,
 	}
@@ -160,6 +164,9 @@
 // awaitMoment waits for the moment of the loss of power: shortly after a job, a result or a
 // configuration was acknowledged, or after a log line of a storage node.
 func (l *powerLosses) awaitMoment(ctx context.Context) {
+	if l.immediate {
+		return
+	}
 	moments := []func(ctx context.Context){l.awaitAcceptedJob, l.awaitAcceptedJob, l.awaitResult, l.putConfig, l.awaitHandOver, l.awaitHandOver, l.awaitHandOver}
 	moment := moments[l.random.IntN(len(moments))]
 	delay := l.between(0, momentDelay)
--- a/lab/platformday/powerlosses.go
+++ b/lab/platformday/powerlosses.go
@@ -41,6 +41,8 @@
 	hastyShare      = 0.2
 	maxLinger       = 400 * time.Millisecond
 	supervisionTime = time.Second
+	// immediateShare is the fraction of losses of power as soon as another disk may be lost.
+	immediateShare = 0.35
 	// submitInterval is the time between two jobs that are submitted before a loss of power.
 	submitInterval = 50 * time.Millisecond
 	// submittedItems is the number of items of such a job, and itemBytes the size of their bodies in
@@ -71,6 +73,8 @@
 	stableSince time.Time
 	// victim is the storage node whose disk is lost.
 	victim *process
+	// immediate is set if the power is lost as soon as another disk may be lost.
+	immediate bool
 	// diskTaken is set once the disk of victim is lost.
 	diskTaken bool
 	// retiring is the storage node that is to be emptied, or nil.
@@ -162,7 +166,8 @@
 		l.stableSince = time.Now()
 	}
 	interval := l.between(minDiskInterval, maxDiskInterval)
-	if l.chance(0.5) {
+	l.immediate = l.chance(immediateShare) && !l.stableSince.IsZero()
+	if l.immediate {
 		interval = minDiskInterval
 	}
 	pause.For(ctx, time.Until(l.stableSince.Add(interval)))
