--- a/internal/batch/replica/step.go
+++ b/internal/batch/replica/step.go
@@ -17,8 +17,10 @@
 // messages to other disks. Snapshot offers are handled by the driver, not by Step.
 func (r *Replica) Step(now time.Time, message *wirev1.ReplicaMessage) {
 	if message.Generation != r.memberSet.Generation || message.To != r.self {
+		r.observed.recordDropped(now, message)
 		return
 	}
+	r.observed.record(now, message)
 	switch message.Kind {
 	case wirev1.ReplicaKind_REPLICA_KIND_PRE_PREPARE:
 		r.handlePrePrepare(now, message)
@@ -58,7 +60,9 @@
 		r.Wake(now) // another member has lost its leader; a busy shard elects a leader sooner
 	}
 	granted := !leaderAlive && !r.hard.Frozen && r.upToDate(message)
-	r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_PRE_PROMISE, To: message.From, Epoch: r.hard.Promised, Granted: granted})
+	r.send(&wirev1.ReplicaMessage{
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_PRE_PROMISE, To: message.From, Epoch: r.hard.Promised, Granted: granted, Refusal: r.preVoteRefusal(granted, leaderAlive),
+	})
 }
 
 func (r *Replica) handlePrePromise(now time.Time, message *wirev1.ReplicaMessage) {
@@ -78,10 +82,13 @@
 		return
 	}
 	granted := message.Epoch > r.hard.Promised && r.upToDate(message)
+	refusal := r.voteRefusal(granted, message)
 	if message.Epoch > r.hard.Promised {
 		r.follow(now, message.Epoch, "")
 	}
-	r.send(&wirev1.ReplicaMessage{Kind: wirev1.ReplicaKind_REPLICA_KIND_PROMISE, To: message.From, Epoch: r.hard.Promised, Granted: granted})
+	r.send(&wirev1.ReplicaMessage{
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_PROMISE, To: message.From, Epoch: r.hard.Promised, Granted: granted, Refusal: refusal,
+	})
 }
 
 func (r *Replica) handlePromise(now time.Time, message *wirev1.ReplicaMessage) {
@@ -153,24 +160,29 @@
 	return max(candidate, r.hard.Commit)
 }
 
-// reject responds to an append or a snapshot offer that was not accepted. The leader
-// continues after the index in hint, unless this replica has acknowledged a higher one.
+// reject responds to an append that was not accepted. The leader continues after the index
+// in hint, unless this replica has acknowledged a higher one.
 func (r *Replica) reject(message *wirev1.ReplicaMessage, hint uint64) {
 	r.send(&wirev1.ReplicaMessage{
-		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, MatchIndex: hint, Probe: message.Probe,
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, LastIndex: message.LastIndex, MatchIndex: hint, Probe: message.Probe,
 	})
 }
 
-// DeclineSnapshot rejects a snapshot offer that the driver does not need. The response
-// contains the last index of the log, and the leader continues after it. The offer of an
-// earlier epoch or of another generation is ignored, and so is any offer to a frozen member.
+// DeclineSnapshot rejects a snapshot offer that the driver does not need, because the applied
+// state or the log contains the snapshot's last entry. The leader continues after the commit index, up
+// to which the log is known to match the leader's; entries after it may conflict. The offer
+// of an earlier epoch or of another generation is ignored, and so is any offer to a frozen
+// member.
 func (r *Replica) DeclineSnapshot(now time.Time, offer *wirev1.ReplicaMessage) {
 	if offer.Generation != r.memberSet.Generation || offer.To != r.self || offer.Epoch < r.hard.Promised || r.hard.Frozen {
 		return
 	}
 	r.follow(now, offer.Epoch, offer.From)
 	r.lastLeaderContact = now
-	r.reject(offer, r.lastIndex())
+	r.hard.Commit = max(r.hard.Commit, offer.LastIndex)
+	r.send(&wirev1.ReplicaMessage{
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: offer.From, Epoch: r.hard.Promised, MatchIndex: r.hard.Commit,
+	})
 }
 
 // appendReceived appends the entries that the log does not contain, and first removes
@@ -224,6 +236,9 @@
 	p.lastResponse = now
 	p.probe = max(p.probe, message.Probe)
 	if !message.Granted {
+		if isStaleRejection(p, message) {
+			return
+		}
 		p.inFlight = nil
 		p.next = max(p.match, min(message.MatchIndex, r.lastIndex())) + 1
 		p.resendFrom = p.next
@@ -231,7 +246,10 @@
 		r.sendAppend(message.From, p, now, true)
 		return
 	}
-	p.confirmed = true
+	if !p.confirmed {
+		p.confirmed = true
+		p.inFlight = nil
+	}
 	p.match = max(p.match, message.MatchIndex)
 	p.next = max(p.next, p.match+1)
 	p.acknowledge(p.match)
@@ -239,6 +257,22 @@
 	r.sendAppend(message.From, p, now, false)
 }
 
+// isStaleRejection reports whether a rejection responds to a message that the leader has
+// reacted to already. Many messages may be rejected for the same gap in a member's log, and
+// only one of the rejections may cause entries to be sent. A rejection names the index before
+// the entries of the rejected message, or 0 if it always counts.
+func isStaleRejection(p *progress, rejection *wirev1.ReplicaMessage) bool {
+	rejected := rejection.LastIndex
+	switch {
+	case rejected == 0:
+		return false
+	case p.confirmed:
+		return rejected <= p.match
+	default:
+		return rejected != p.next-1
+	}
+}
+
 // handleTransfer starts an election without pre-votes, because the leader requested it.
 func (r *Replica) handleTransfer(now time.Time, message *wirev1.ReplicaMessage) {
 	if message.Epoch == r.hard.Promised && r.memberSet.Has(r.self) && !r.hard.Frozen {
