--- a/lab/cli/soak.go
+++ b/lab/cli/soak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -96,11 +97,31 @@
 		return false
 	}
 	fmt.Printf("seed %d: %s\n", seed, tally.Summary())
-	for _, violation := range tally.Violations {
-		fmt.Printf("seed %d: broken: %s\n", seed, violation)
-	}
+	printViolations(seed, tally.Violations, events)
 	if len(tally.Violations) == 0 {
 		_ = os.RemoveAll(own) // a folder that remains does not affect the result
 	}
 	return len(tally.Violations) == 0
 }
+
+// printedViolations is the number of different violations that are printed of a seed.
+const printedViolations = 40
+
+// printViolations prints different violations, each once with its number, and writes all to the events
+// of the seed: a job that is gone is found at each read.
+func printViolations(seed uint64, violations []string, events io.Writer) {
+	counts := map[string]int{}
+	var different []string
+	for _, violation := range violations {
+		fmt.Fprintf(events, "broken: %s\n", violation)
+		if counts[violation]++; counts[violation] == 1 {
+			different = append(different, violation)
+		}
+	}
+	for _, violation := range different[:min(len(different), printedViolations)] {
+		fmt.Printf("seed %d: broken (%d times): %s\n", seed, counts[violation], violation)
+	}
+	if more := len(different) - printedViolations; more > 0 {
+		fmt.Printf("seed %d: %d more in events.txt\n", seed, more)
+	}
+}
