--- a/internal/batch/shardhost/shardhost_test.go
+++ b/internal/batch/shardhost/shardhost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -85,7 +86,7 @@
 
 // startHost runs the shards on a disk. It creates shard 0 with this disk as its only
 // member.
-func startHost(t *testing.T, folder string) *countingHost {
+func startHost(t testing.TB, folder string) *countingHost {
 	t.Helper()
 	is := is.New(t)
 	db, err := logstore.Open(folder, logstore.DiskLimits{})
@@ -108,7 +109,7 @@
 }
 
 // awaitLeader waits until the leadership of the only member is confirmed.
-func awaitLeader(t *testing.T, s *Shard[*wirev1.QueueCommand, int]) {
+func awaitLeader(t testing.TB, s *Shard[*wirev1.QueueCommand, int]) {
 	t.Helper()
 	var err error
 	eventually.Require(t, "the shard is led", func() bool {
@@ -246,6 +247,47 @@
 	eventually.Require(t, "the hand-over is cancelled", func() bool { return application.fences.Load() > 0 }, func() any { return s.Serving(time.Now()) })
 }
 
+// Guards against a member that stays stopped after an error that has gone, so that a shard which
+// loses another disk has no quorum for good.
+func TestFailedReplicaIsStartedAgain(t *testing.T) {
+	is := is.New(t)
+	host := startHost(t, t.TempDir())
+	failed := host.Shard(0)
+	awaitLeader(t, failed)
+	_, err := failed.ProposeAndWait(t.Context(), anyCommand)
+	is.NoErr(err)
+	_ = failed.RunInLoop(t.Context(), func() { failed.Fail(errors.New("the disk does not respond")) })
+	eventually.Require(t, "the replica runs again", func() bool { return host.Shard(0) != failed }, func() any { return failed.Serving(time.Now()) })
+	s := host.Shard(0)
+	awaitLeader(t, s)
+	count, err := s.ProposeAndWait(t.Context(), anyCommand)
+	is.NoErr(err)
+	is.Equal(count, 2)
+}
+
+// Guards against the deletion of a learner's copy, on which a sealed hand-over may count, because
+// an earlier member set left its disk out.
+func TestLearnerOfAnEarlierMemberSetIsKept(t *testing.T) {
+	is := is.New(t)
+	host := startHost(t, t.TempDir())
+	s := host.Shard(0)
+	awaitLeader(t, s)
+	is.NoErr(s.RunInLoop(t.Context(), func() {
+		now := time.Now()
+		s.Replica.Observe(now, replica.MemberSet{Generation: 2, Members: []string{"other"}, Copies: 1})
+		s.removedSince = now.Add(-removedRetention)
+		s.Replica.Step(now, &wirev1.ReplicaMessage{
+			Kind: wirev1.ReplicaKind_REPLICA_KIND_APPEND, From: "other", To: s.Disk, Generation: 2, Epoch: 2 * s.Replica.Epoch(), Learner: true,
+			LastIndex: s.Replica.LastIndex(), LastEpoch: s.Replica.EpochAt(s.Replica.LastIndex()),
+		})
+		s.tickRemoved(now.Add(time.Millisecond))
+		is.True(s.removedSince.IsZero())
+		now = now.Add(time.Minute)
+		s.tickRemoved(now)
+		is.Equal(s.removedSince, now) // no leader sends entries any more
+	}))
+}
+
 // Guards against hand-overs that wait until their timeout for a member that was lost after they
 // began, as when two disks are lost together and one is missed a moment before the other.
 func TestHandOverEndsIfAKeptMemberIsLost(t *testing.T) {
