--- a/internal/batch/shardhost/serving.go
+++ b/internal/batch/shardhost/serving.go
@@ -36,7 +36,7 @@
 	if shardstatus.Served(v.State) || !shardstatus.Judges(v.State) {
 		return 0
 	}
-	return now.Sub(v.ServedAt)
+	return max(0, now.Sub(v.ServedAt)) // the replica may have ticked after now
 }
 
 // Text returns a line of key-value pairs.
--- a/internal/batch/shardhost/shardhost_test.go
+++ b/internal/batch/shardhost/shardhost_test.go
@@ -334,3 +334,12 @@
 		}
 	}
 }
+
+// Guards against a storage node that ends because the time without a leader, which it adds to a
+// counter, is negative: the replica may tick between the caller's reading of the clock and that
+// of the state.
+func TestTimeWithoutLeaderIsNeverNegative(t *testing.T) {
+	now := time.Now()
+	electing := Serving{State: wirev1.ServingState_SERVING_STATE_ELECTING, ServedAt: now.Add(time.Millisecond)}
+	is.New(t).Equal(electing.Unserved(now), time.Duration(0))
+}
