--- a/internal/batch/shardhost/host.go
+++ b/internal/batch/shardhost/host.go
@@ -38,8 +38,9 @@
 	// CatchUpTimeout is the time from the start of a hand-over within which the shard has
 	// to freeze. The hand-over ends after this time if the new members are not ready.
 	CatchUpTimeout time.Duration
-	// FreezeTimeout is how long a member stays frozen before it cancels the hand-over with
-	// MemberPolicy.Fence.
+	// FreezeTimeout is how long a member stays frozen, or is refused votes by frozen members,
+	// before it cancels the hand-over with MemberPolicy.Fence. A frozen member without
+	// contact to its sealer cancels the hand-over after two election times.
 	FreezeTimeout time.Duration
 	// SwapTimeout limits the time of one call of MemberPolicy.Swap or MemberPolicy.Fence.
 	SwapTimeout time.Duration
@@ -62,10 +63,6 @@
 	// truncated.
 	TruncateInterval time.Duration
 	HandOver         HandOverTiming
-	// DeclineSnapshots makes a replica respond to the offer of a snapshot that it does not
-	// need. The response contains the last index of its log, and the leader continues after
-	// it. Without DeclineSnapshots, the replica ignores the offer.
-	DeclineSnapshots bool
 	// BatchLoopCalls lets one iteration of a shard's run loop run several functions that
 	// were queued with RunInLoop or TryRunInLoop. Without it, each iteration runs at most
 	// one.
@@ -159,10 +156,13 @@
 func (h *Host[Command, Result]) newShard(id uint32, store *logstore.ShardLog, loaded *logstore.RecoveredState) *Shard[Command, Result] {
 	disk := h.options.DB.DiskID()
 	random := rand.New(rand.NewPCG(rand.Uint64(), uint64(id)))
+	// An advance of the commit index alone is not written, but only committed entries are applied.
+	hard := loaded.HardState
+	hard.Commit = max(hard.Commit, loaded.Applied)
 	s := &Shard[Command, Result]{
 		ID: id, Disk: disk, Store: store,
 		Replica: replica.Restore(id, disk, loaded.MemberSet, h.options.Timing, random, store,
-			loaded.HardState, loaded.BaseIndex, loaded.BaseEpoch, loaded.Epochs, time.Now()),
+			hard, loaded.BaseIndex, loaded.BaseEpoch, loaded.Epochs, time.Now()),
 		host: h, applied: loaded.Applied,
 		messages:  make(chan *wirev1.ReplicaMessage, queueLength),
 		proposals: make(chan *proposal[Command, Result], queueLength),
@@ -170,6 +170,7 @@
 		quit:      make(chan struct{}), done: make(chan struct{}),
 		pendingProposals: map[uint64]*proposal[Command, Result]{},
 	}
+	s.beginServing(time.Now())
 	s.application = h.newApplication(s)
 	return s
 }
--- a/internal/cluster/peers/directory.go
+++ b/internal/cluster/peers/directory.go
@@ -129,11 +129,19 @@
 	}
 }
 
+// maxIncarnation is the largest incarnation of a usable record. Incarnations are Unix times in
+// milliseconds, raised by one for each refutation.
+const maxIncarnation = uint64(1) << 48
+
 // Put stores a record if the directory retains such records and has none of the same node
 // with the same or a higher incarnation. It reports whether a record changed. A record that
 // describes this node itself is never stored, but may raise this node's incarnation (see
-// refute).
+// refute). Put ignores a record without a node id, and one with an absurd incarnation, which no
+// later record of the node could replace.
 func (d *Directory) Put(record *wirev1.NodeRecord) bool {
+	if record.NodeId == "" || record.Incarnation > maxIncarnation {
+		return false
+	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if record.NodeId == d.self.NodeId {
@@ -146,6 +154,7 @@
 	if known != nil && known.DiskId != "" && known.DiskId != record.DiskId {
 		d.lostDisks[known.DiskId] = true
 	}
+	delete(d.lostDisks, record.DiskId) // a record without a disk, or a late one, may have named another
 	d.store(record)
 	return true
 }
@@ -232,6 +241,14 @@
 	return record, known
 }
 
+// Node returns the record of a node, and false if the node is not known.
+func (d *Directory) Node(id string) (*wirev1.NodeRecord, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	record, known := d.records[id]
+	return record, known
+}
+
 // DiskAt returns the record of the node with a disk at an address, and false if no known
 // node with a disk has the address.
 func (d *Directory) DiskAt(address string) (*wirev1.NodeRecord, bool) {
