A resumed stream's holders are those that any storage node knows

Cause: an edge that has just started knows only part of the nodes with disks. It asked these for the record of a resumed stream, and took that none of them has it, together with one version established for longer than a caller may come back, for proof that the stream began at that version, though the record was at nodes that it did not know yet. The reverse also: such an edge recorded a stream at a node that nobody asks for it later, and took that for a confirmation. Both need a second version that appeared less than about 5 s before.

Change: a storage node's answer names the holders that it knows, and the edge asks those too. That nobody has a record proves something only if every answer names its holders and all of these answered; a node of an earlier version names none. A storage node that would not be asked for a record holds it, but does not confirm it, so that it is sent again until a holder does.

Ruled out: storage nodes that lost their memory or their disks, which answer that their records are not complete (TestStorageNodesThatLostTheirMemoryProveNothing passed before as well).

Before: TestStartedEdgeFindsHoldersThatItDoesNotKnow concluded v1 for a stream of v2, and TestStartedEdgeRecordsAtTheHoldersThatOthersAsk too. Both pass now, three runs of the package. evidence_test.go states the new condition (allAsked) in the cases that had it by assumption, and has a case without it.

--- a/internal/serving/streamorigin/evidence.go
+++ b/internal/serving/streamorigin/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
 )
 
@@ -33,6 +34,9 @@
 	complete bool
 	// versions is what the node knows about the versions of the service.
 	versions runnerset.VersionKnowledge
+	// holders are the nodes that may hold the record, as far as the node knows; empty if it is of an
+	// earlier version, which does not name them.
+	holders []*wirev1.NodeRecord
 }
 
 // evidence is what is known about a stream that a caller resumes.
@@ -42,6 +46,8 @@
 	// holders are the answers of the holders that answered, and asked is the number of holders.
 	holders []answer
 	asked   int
+	// allAsked is set if each holder that one of the answers names was asked.
+	allAsked bool
 	// allRecord is set if all nodes that may have begun the stream record the origins of their
 	// streams. Nodes of earlier versions don't.
 	allRecord bool
@@ -61,8 +67,9 @@
 //  2. It is proven if the nodes that knew all runners during the window, at least one, have listed
 //     only one version.
 //  3. A node that lists several versions sends no stream without a confirmed record. So if all
-//     holders have all records of the window and none of the stream, the stream began at a node
-//     that still listed a single version, which must be established at all nodes.
+//     holders, also those that only some nodes know, have all records of the window and none of the
+//     stream, the stream began at a node that still listed a single version, which must be
+//     established at all nodes.
 func (e *evidence) conclude(service string) conclusion {
 	if record, source := e.newestRecord(); record != nil {
 		return conclusion{record.Origin, ProofRecord, source}
@@ -116,5 +123,5 @@
 // confirmed in the window.
 func (e *evidence) holdersHaveNone() bool {
 	incomplete := func(known answer) bool { return !known.complete }
-	return e.asked > 0 && len(e.holders) == e.asked && !slices.ContainsFunc(e.holders, incomplete)
+	return e.asked > 0 && e.allAsked && len(e.holders) == e.asked && !slices.ContainsFunc(e.holders, incomplete)
 }
--- a/internal/serving/streamorigin/evidence_test.go
+++ b/internal/serving/streamorigin/evidence_test.go
@@ -42,16 +42,20 @@
 		{"nothing known", evidence{own: ignorant, asked: 3}, "", ProofNone},
 		{
 			"a new version beside the established one, no records",
-			evidence{own: knowing("own", true, two, one), holders: []answer{knowing("a", true, two, one), knowing("b", true, two, one)}, asked: 2, allRecord: true},
+			evidence{own: knowing("own", true, two, one), holders: []answer{knowing("a", true, two, one), knowing("b", true, two, one)}, asked: 2, allRecord: true, allAsked: true},
 			"v1", ProofUnrecorded,
 		},
 		{
 			"a holder is missing",
-			evidence{own: knowing("own", true, two, one), holders: []answer{knowing("a", true, two, one)}, asked: 2, allRecord: true}, "", ProofNone,
+			evidence{own: knowing("own", true, two, one), holders: []answer{knowing("a", true, two, one)}, asked: 2, allRecord: true, allAsked: true}, "", ProofNone,
+		},
+		{
+			"a holder that this node did not know was not asked",
+			evidence{own: knowing("own", true, two, one), holders: []answer{knowing("a", true, two, one)}, asked: 1, allRecord: true}, "", ProofNone,
 		},
 		{
 			"a holder has lost its records",
-			evidence{own: knowing("own", true, two, one), holders: []answer{knowing("a", true, two, one), {node: "b"}}, asked: 2, allRecord: true}, "", ProofNone,
+			evidence{own: knowing("own", true, two, one), holders: []answer{knowing("a", true, two, one), {node: "b"}}, asked: 2, allRecord: true, allAsked: true}, "", ProofNone,
 		},
 		{
 			"a node of an earlier version sends no records",
@@ -59,10 +63,10 @@
 		},
 		{
 			"both versions are established",
-			evidence{own: knowing("own", true, two, two), holders: []answer{knowing("a", true, two, two), knowing("b", true, two, two)}, asked: 2, allRecord: true},
+			evidence{own: knowing("own", true, two, two), holders: []answer{knowing("a", true, two, two), knowing("b", true, two, two)}, asked: 2, allRecord: true, allAsked: true},
 			"", ProofNone,
 		},
-		{"no holders exist", evidence{own: knowing("own", true, two, one), allRecord: true}, "", ProofNone},
+		{"no holders exist", evidence{own: knowing("own", true, two, one), allRecord: true, allAsked: true}, "", ProofNone},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
@@ -92,7 +96,7 @@
 		return drawn
 	})
 	rapid.Check(t, func(t *rapid.T) {
-		known := evidence{own: drawAnswer.Draw(t, "own"), holders: rapid.SliceOfN(drawAnswer, 0, 3).Draw(t, "holders"), allRecord: rapid.Bool().Draw(t, "all")}
+		known := evidence{own: drawAnswer.Draw(t, "own"), holders: rapid.SliceOfN(drawAnswer, 0, 3).Draw(t, "holders"), allRecord: rapid.Bool().Draw(t, "all"), allAsked: rapid.Bool().Draw(t, "all asked")}
 		known.asked = len(known.holders) + rapid.IntRange(0, 1).Draw(t, "silent")
 		concluded := known.conclude("s")
 		sources, highest := map[string]bool{}, uint32(0)
--- a/internal/serving/streamorigin/resolve.go
+++ b/internal/serving/streamorigin/resolve.go
@@ -77,26 +77,57 @@
 	return !slices.ContainsFunc(t.directory.Records(), func(node *wirev1.NodeRecord) bool { return !node.RecordsStreamOrigins })
 }
 
-// askHolders asks all holders for the record at the same time, and adds their answers. It returns
-// when all have answered or failed, or recordGrace after the first record.
+// maxAsked bounds the nodes that are asked about one stream.
+const maxAsked = 3 * maxHolders
+
+// inquiry asks holders about one stream.
+type inquiry struct {
+	tracker    *Tracker
+	key        Key
+	resumption *Resumption
+	// asked are the IDs of the nodes that were asked.
+	asked   map[string]bool
+	answers chan *answer
+}
+
+// ask asks the holders that were not asked before.
+func (i *inquiry) ask(ctx context.Context, holders []*wirev1.NodeRecord) {
+	for _, holder := range holders {
+		if i.asked[holder.NodeId] || len(i.asked) >= maxAsked {
+			continue
+		}
+		i.asked[holder.NodeId] = true
+		i.tracker.sending.Go(func() { i.answers <- i.tracker.ask(ctx, holder, i.key, i.resumption) })
+	}
+}
+
+// covers reports whether each answer names its holders, and all of them were asked.
+func (i *inquiry) covers(answers []answer) bool {
+	notAsked := func(holder *wirev1.NodeRecord) bool { return !i.asked[holder.NodeId] }
+	return !slices.ContainsFunc(answers, func(known answer) bool {
+		return len(known.holders) == 0 || slices.ContainsFunc(known.holders, notAsked)
+	})
+}
+
+// askHolders asks all holders for the record at the same time, and then those that only their answers
+// name: a node that has just started does not know all nodes with disks. It adds the answers. It
+// returns when all have answered or failed, or recordGrace after the first record.
 func (t *Tracker) askHolders(ctx context.Context, key Key, resumption *Resumption, known *evidence) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	holders := holdersOf(t.directory.Disks(), key)
-	known.asked = len(holders)
-	answers := make(chan *answer, len(holders))
-	for _, holder := range holders {
-		t.sending.Go(func() { answers <- t.ask(ctx, holder, key, resumption) })
-	}
+	asking := &inquiry{tracker: t, key: key, resumption: resumption, asked: map[string]bool{}, answers: make(chan *answer, maxAsked)}
+	asking.ask(ctx, holdersOf(t.directory.Disks(), key))
+	defer func() { known.asked, known.allAsked = len(asking.asked), asking.covers(known.holders) }()
 	var grace <-chan time.Time // nil: not before there is a record
-	for range holders {
+	for received := 0; received < len(asking.asked); received++ {
 		select {
-		case received := <-answers:
-			if received == nil {
+		case answered := <-asking.answers:
+			if answered == nil {
 				continue
 			}
-			known.holders = append(known.holders, *received)
-			if received.record != nil && grace == nil {
+			known.holders = append(known.holders, *answered)
+			asking.ask(ctx, answered.holders)
+			if answered.record != nil && grace == nil {
 				grace = time.After(recordGrace)
 			}
 		case <-grace:
@@ -120,7 +151,7 @@
 }
 
 func decodeAnswer(node string, reply *wirev1.StreamOriginReply) *answer {
-	decoded := &answer{node: node, complete: reply.Complete}
+	decoded := &answer{node: node, complete: reply.Complete, holders: reply.Holders}
 	if reply.Versions != nil {
 		decoded.versions = runnerset.VersionKnowledge{
 			Known: reply.Versions.Known, Seen: reply.Versions.Seen, Established: reply.Versions.Established,
--- a/internal/serving/streamorigin/serve.go
+++ b/internal/serving/streamorigin/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -12,7 +13,8 @@
 )
 
 // ServeRecord holds the record of another node's stream, and confirms it. It fails with StoreFull
-// if there is no room.
+// if there is no room, and with NotReady if this node, which then holds the record as well, would not be
+// asked for it: the other node does not know all nodes with disks yet.
 func (t *Tracker) ServeRecord(_ context.Context, stream *rpc.ServerStream) error {
 	var message wirev1.StreamOriginRecord
 	if err := stream.DecodeRequest(&message); err != nil {
@@ -24,9 +26,18 @@
 		klog.InfoS("record of a stream's origin refused", "held", t.table.Len(), "err", err)
 		return result.New(result.StoreFull, "%v", err)
 	}
+	if !t.isHolder(Key(message.Key)) {
+		return result.New(result.NotReady, "other nodes are asked for the record")
+	}
 	return stream.Send(&wirev1.StreamOriginRecordReply{})
 }
 
+// isHolder reports whether this node is one of the nodes that may hold the record of a stream.
+func (t *Tracker) isHolder(key Key) bool {
+	self := t.directory.Self().NodeId
+	return slices.ContainsFunc(holdersOf(t.directory.Disks(), key), func(holder *wirev1.NodeRecord) bool { return holder.NodeId == self })
+}
+
 // ServeFind answers with what this node knows about a stream.
 func (t *Tracker) ServeFind(_ context.Context, stream *rpc.ServerStream) error {
 	var query wirev1.StreamOriginQuery
@@ -39,6 +50,9 @@
 		Complete: known.complete,
 		Versions: &wirev1.SoftwareVersions{Known: known.versions.Known, Seen: known.versions.Seen, Established: known.versions.Established},
 	}
+	for _, holder := range holdersOf(t.directory.Disks(), Key(query.Key)) {
+		reply.Holders = append(reply.Holders, &wirev1.NodeRecord{NodeId: holder.NodeId, Address: holder.Address})
+	}
 	if known.record != nil {
 		reply.Record = encodeRecord(Key(query.Key), known.record, 0)
 	}
