A list counts as current for stream origins only when its changes are applied

A storage node that starts with the list of its disk counted as up to date 100 ms after the store had answered, also while it was still applying that answer; on a slow machine, a list that has only the old version was then taken for proof that a stream began there, though the records of the streams had gone with the power. The history of versions now uses the age of the applied contents (HeldAge) in place of that of the answer (Age).

TestVersionsOfAnOldListAreNotKnownWhileChangesAreApplied failed before, and passes.

--- a/internal/serving/runnerset/versions.go
+++ b/internal/serving/runnerset/versions.go
@@ -30,8 +30,8 @@
 // listed (Established), which it knows only while it is in contact with the store.
 type VersionHistory struct {
 	mutex sync.Mutex
-	// contactAge returns the time since the last contact with the store; nil stands for an
-	// uninterrupted contact.
+	// contactAge returns the time since the applied contents were known to be all that the store
+	// held; nil stands for an uninterrupted contact.
 	contactAge func() time.Duration
 	// connected reports whether the node is in contact with the store; nil stands for a contact
 	// that is never lost.
@@ -77,7 +77,7 @@
 
 // setContact sets the contact with the store. It must be called before the first list.
 func (h *VersionHistory) setContact(contact StoreContact) {
-	h.contactAge = contact.Age
+	h.contactAge = contact.HeldAge
 	h.connected = func() bool { return !contact.Lost() }
 }
 
--- a/internal/serving/runnerset/versions_test.go
+++ b/internal/serving/runnerset/versions_test.go
@@ -169,3 +169,35 @@
 	s.Versions().RecordGap(at)
 	is.True(!known(at.Add(catchUpTime)).Known)
 }
+
+// Guards against rule ORDER after a loss of all power: a node that has its list from its disk counted as
+// up to date as soon as the store had answered, while it still applied the answer, and took the version
+// of its old list for the only one.
+func TestVersionsOfAnOldListAreNotKnownWhileChangesAreApplied(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	contact := &applyingContact{held: time.Hour}
+	s.SetContact(contact, 0)
+	now := time.Now()
+	s.Replace([]Record{{ID: "a", Service: "s", Version: "v1"}}, 1, now) // from the disk
+	s.Versions().Restore(map[string][]string{"s": {"v1"}}, now)
+	for range 4 { // the store has answered, and its changes are being applied
+		now = now.Add(catchUpTime)
+		s.Versions().Refresh(now)
+		is.True(!s.Versions().Knowledge("s", 8*time.Second, now).Known)
+	}
+	s.Replace([]Record{{ID: "a", Service: "s", Version: "v1"}, {ID: "b", Service: "s", Version: "v2"}}, 2, now)
+	contact.held = 0
+	s.Versions().Refresh(now)
+	now = now.Add(catchUpTime)
+	known := s.Versions().Knowledge("s", 8*time.Second, now)
+	is.True(known.Known)
+	is.Equal(known.Seen, []string{"v1", "v2"})
+}
+
+// applyingContact is a contact with a store that has just answered.
+type applyingContact struct{ held time.Duration }
+
+func (*applyingContact) Age() time.Duration       { return 0 }
+func (c *applyingContact) HeldAge() time.Duration { return c.held }
+func (*applyingContact) Lost() bool               { return false }
