--- a/internal/batch/queuestore/shard.go
+++ b/internal/batch/queuestore/shard.go
@@ -57,7 +57,7 @@
 	return shardhost.HostOptions{
 		DB: n.DB, FetchSnapshot: shardhost.FetchOver(n.Pool), Timing: electionTiming(), Peer: n.peer, Send: n.sendReplica,
 		SnapshotTimeout: snapshotTimeout, TruncateInterval: cmp.Or(n.TruncateInterval, truncateInterval), HandOver: handOverTiming,
-		DeclineSnapshots: true, BatchLoopCalls: true,
+		BatchLoopCalls: true,
 	}
 }
 
--- a/internal/batch/shardhost/conflict_test.go
+++ b/internal/batch/shardhost/conflict_test.go
@@ -63,7 +63,7 @@
 	is.NoErr(log.Persist(&ready, memberSet, 0, 0))
 	is.NoErr(log.Begin().Commit(commonEntries))
 	host := New(context.Background(), HostOptions{
-		DB: db, Timing: replica.ElectionTiming{Heartbeat: 20 * time.Millisecond, Election: time.Minute}, DeclineSnapshots: true,
+		DB: db, Timing: replica.ElectionTiming{Heartbeat: 20 * time.Millisecond, Election: time.Minute},
 		Peer: func(disk string) (Peer, bool) { return Peer{disk, disk}, true }, Send: send,
 		FetchSnapshot: func(context.Context, string, uint32, func(*wirev1.SnapshotChunk) error) error {
 			return context.DeadlineExceeded
