--- a/internal/batch/queuestore/search_node_test.go
+++ b/internal/batch/queuestore/search_node_test.go
@@ -286,13 +286,19 @@
 	}
 }
 
+// searchStoreTimeout limits a call of watchStore.
+const searchStoreTimeout = 3 * time.Second
+
 // watchStore passes the contents of the store to the node with the series' lag.
 func (r *nodeRun) watchStore() {
 	store := r.world.store
 	for r.context.Err() == nil {
 		r.pause(r.world.series.watchLag)
 		r.waitWhileSuspended(r.context)
-		if (nodeStore{store, r}).enter(r.context) != nil {
+		ctx, cancel := context.WithTimeout(r.context, searchStoreTimeout)
+		err := nodeStore{store, r}.enter(ctx)
+		cancel()
+		if err != nil {
 			r.inContact.Store(false)
 			continue
 		}
