--- a/internal/batch/queuestore/search_cases_test.go
+++ b/internal/batch/queuestore/search_cases_test.go
@@ -32,3 +32,11 @@
 		))
 	}
 }
+
+// Guards against a shard that stays with a member whose replica has stopped after an error of its
+// disk, although there is a spare disk: the loss of the next disk leaves no leader.
+func TestStoppedReplicaIsReplacedByASpareDisk(t *testing.T) {
+	for range 6 { // the placement depends on the identities of the disks
+		playCase(t, steadySeries(fault{kind: faultStopReplica, after: 2 * time.Second, victim: victimFollower}))
+	}
+}
--- a/internal/batch/queuestore/search_faults_test.go
+++ b/internal/batch/queuestore/search_faults_test.go
@@ -1,6 +1,7 @@
 package queuestore
 
 import (
+	"errors"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2/vfs"
@@ -245,6 +246,11 @@
 		w.mutex.Lock()
 		victim.clock += f.clock
 		w.mutex.Unlock()
+	case faultStopReplica:
+		if run := w.runAt(victim.name); run != nil && run.storage.shard(0) != nil {
+			s := run.storage.shard(0)
+			s.TryRunInLoop(func() { s.Fail(errors.New("a test stops the replica")) })
+		}
 	case faultRetire, faultAddNode, faultReplace:
 		w.changeMachines(f, victim)
 	default:
--- a/internal/batch/queuestore/search_series_test.go
+++ b/internal/batch/queuestore/search_series_test.go
@@ -30,13 +30,15 @@
 	faultAddNode
 	faultReplace
 	faultKinds
+	// faultStopReplica is not drawn: the replica stops after an error of its disk.
+	faultStopReplica
 )
 
 // String returns a short name.
 func (k faultKind) String() string {
 	return [...]string{
 		"kill", "power", "lose disk", "lose disk and power", "cut node", "cut pair", "split", "suspend", "store away", "store away from node",
-		"store fate", "store slow", "store stale", "lossy links", "clock step", "retire", "add node", "replace",
+		"store fate", "store slow", "store stale", "lossy links", "clock step", "retire", "add node", "replace", "", "stop replica",
 	}[k]
 }
 
