--- a/internal/batch/shardhost/shardhost_test.go
+++ b/internal/batch/shardhost/shardhost_test.go
@@ -93,7 +93,7 @@
 	is.NoErr(err)
 	pool := rpc.NewPool("a", "test", nil, &rpc.Counters{})
 	host := New(context.Background(), HostOptions{
-		DB: db, Pool: pool, Timing: replica.ElectionTiming{Heartbeat: 20 * time.Millisecond, Election: 60 * time.Millisecond},
+		DB: db, FetchSnapshot: FetchOver(pool), Timing: replica.ElectionTiming{Heartbeat: 20 * time.Millisecond, Election: 60 * time.Millisecond},
 		Peer: func(string) (Peer, bool) { return Peer{}, false }, Send: func(*wirev1.ReplicaMessage) {},
 		SnapshotTimeout: testSnapshotTimeout, TruncateInterval: 10 * time.Millisecond,
 		HandOver: HandOverTiming{CheckInterval: testCheckInterval, CatchUpTimeout: 10 * testCheckInterval, FreezeTimeout: testFreezeTimeout, SwapTimeout: time.Second},
@@ -334,3 +334,12 @@
 		}
 	}
 }
+
+// Guards against a storage node that ends because the time without a leader, which it adds to a
+// counter, is negative: the replica may tick between the caller's reading of the clock and that
+// of the state.
+func TestTimeWithoutLeaderIsNeverNegative(t *testing.T) {
+	now := time.Now()
+	electing := Serving{State: wirev1.ServingState_SERVING_STATE_ELECTING, ServedAt: now.Add(time.Millisecond)}
+	is.New(t).Equal(electing.Unserved(now), time.Duration(0))
+}
