--- a/lab/platformday/powerlosschecks.go
+++ b/lab/platformday/powerlosschecks.go
@@ -148,7 +148,7 @@
 		return
 	}
 	deadline := time.Now().Add(retirementTimeout)
-	for !l.retired(l.retiring) && time.Now().Before(deadline) {
+	for !l.retired(l.retiring) && time.Now().Before(deadline) && ctx.Err() == nil {
 		pause.For(ctx, pollInterval)
 	}
 	if l.retired(l.retiring) {
