A replica that fails again and again is started less often

The pause now grows over failures that follow each other, to 4 s and then 15 s, which is longer than the time after which a member counts as unresponsive.

TestReplicaThatFailsAgainAndAgainIsStartedLessOften.

--- a/internal/batch/shardhost/host.go
+++ b/internal/batch/shardhost/host.go
@@ -78,8 +78,9 @@
 	cancel         context.CancelFunc
 	tasks          tasks.Group
 
-	mutex  sync.Mutex
-	shards map[uint32]*Shard[Command, Result]
+	mutex    sync.Mutex
+	shards   map[uint32]*Shard[Command, Result]
+	failures map[uint32]replicaFailure // by shard
 }
 
 // New returns a host without shards. The host runs until parent ends or Stop is called.
@@ -88,7 +89,7 @@
 ) *Host[Command, Result] {
 	ctx, cancel := context.WithCancel(parent)
 	return &Host[Command, Result]{
-		options: options, newApplication: newApplication, context: ctx, cancel: cancel, shards: map[uint32]*Shard[Command, Result]{},
+		options: options, newApplication: newApplication, context: ctx, cancel: cancel, shards: map[uint32]*Shard[Command, Result]{}, failures: map[uint32]replicaFailure{},
 	}
 }
 
--- a/internal/batch/shardhost/restart.go
+++ b/internal/batch/shardhost/restart.go
@@ -8,20 +8,38 @@
 	"cobaltramp.example/cobaltramp/internal/app/pause"
 )
 
-// failedRestartDelay is the pause before a replica that has failed is started again, and
-// maxFailedRestartDelay the longest pause between attempts.
 const (
+	// failedRestartDelay is the pause before a replica that has failed is started again. The
+	// pause grows by failedRestartFactor with each failure that follows within
+	// failedRestartMemory, up to maxFailedRestartDelay: the other members have to notice that
+	// they can't count on a replica that fails again and again.
 	failedRestartDelay    = time.Second
+	failedRestartFactor   = 4
 	maxFailedRestartDelay = 15 * time.Second
+	failedRestartMemory   = time.Minute
 )
 
+// replicaFailure is the last failure of a shard's replica on this host.
+type replicaFailure struct {
+	at    time.Time
+	delay time.Duration // pause before the start that followed
+}
+
+// nextDelay returns the pause after a further failure.
+func (f replicaFailure) nextDelay(now time.Time) time.Duration {
+	if f.delay == 0 || now.Sub(f.at) > failedRestartMemory+f.delay {
+		return failedRestartDelay
+	}
+	return min(failedRestartFactor*f.delay, maxFailedRestartDelay)
+}
+
 // run runs a replica until it is stopped. After an error of its disk or state it loads the
 // replica from disk and runs it again: a shard that has just lost another disk may need this
 // member, and the error may have gone. It tries until the host stops or the replica is dropped.
 func (h *Host[Command, Result]) run(s *Shard[Command, Result]) {
 	s.run()
-	for delay := failedRestartDelay; s.stopped; delay = min(2*delay, maxFailedRestartDelay) {
-		pause.For(h.context, delay)
+	for s.stopped {
+		pause.For(h.context, h.recordFailure(s.ID, time.Now()))
 		if h.context.Err() != nil {
 			return
 		}
@@ -34,6 +52,16 @@
 	}
 }
 
+// recordFailure records a failure of a shard's replica, and returns the pause before its next
+// start.
+func (h *Host[Command, Result]) recordFailure(id uint32, now time.Time) time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	delay := h.failures[id].nextDelay(now)
+	h.failures[id] = replicaFailure{at: now, delay: delay}
+	return delay
+}
+
 // replace starts a replica again in place of one that has failed, unless it was dropped
 // meanwhile. After an error the failed one remains, so that its status can be read.
 func (h *Host[Command, Result]) replace(failed *Shard[Command, Result]) error {
--- a/internal/batch/shardhost/shardhost_test.go
+++ b/internal/batch/shardhost/shardhost_test.go
@@ -265,6 +265,23 @@
 	is.Equal(count, 2)
 }
 
+// Guards against a member that fails each time it runs, but seems to be alive to the others because
+// it is started again at once, so that no spare disk replaces it.
+func TestReplicaThatFailsAgainAndAgainIsStartedLessOften(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	failure := replicaFailure{}
+	var delays []time.Duration
+	for range 4 {
+		delay := failure.nextDelay(now)
+		delays = append(delays, delay)
+		failure = replicaFailure{at: now, delay: delay}
+		now = now.Add(delay + time.Second)
+	}
+	is.Equal(delays, []time.Duration{failedRestartDelay, 4 * time.Second, maxFailedRestartDelay, maxFailedRestartDelay})
+	is.Equal(failure.nextDelay(now.Add(2*failedRestartMemory)), failedRestartDelay)
+}
+
 // Guards against the deletion of a learner's copy, on which a sealed hand-over may count, because
 // an earlier member set left its disk out.
 func TestLearnerOfAnEarlierMemberSetIsKept(t *testing.T) {
