A lost disk leaves the member set before a spare disk has caught up

Cause: one hand-over removed the lost disk and added the new one, and waited for the new one's copy, which the removal does not need: the remaining members have every acknowledged entry.

Change: lost disks leave the set first, if the copies remain. With two of three members, one vote elects a leader, so that either of the two may be lost. The spare disk joins with the next hand-over, as after a retirement.

Evidence: TestLostDiskLeavesMemberSetBeforeItIsReplaced fails before (one change, with three members), TestNextDiskIsLostBeforeSpareJoins.

--- a/internal/batch/queuestore/diskowners_test.go
+++ b/internal/batch/queuestore/diskowners_test.go
@@ -57,3 +57,39 @@
 	}
 	c.waitFinished("one", 3)
 }
+
+// Guards against a shard that can't lose another disk until a spare disk has caught up, which takes
+// the longer the more data the shard has: the lost disk leaves the member set first.
+func TestLostDiskLeavesMemberSetBeforeItIsReplaced(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.submit("one", 3)
+	c.waitFinished("one", 3)
+	lostDisk := c.nodes["a"].db.DiskID()
+	c.wipe("a")
+	c.start("a")
+	replacement := c.nodes["a"].db.DiskID()
+	c.eventually("the new disk is a member", func() bool { return c.layouts.Current().Shards[0].Has(replacement) })
+	stored := c.store.storedMemberSets(t)
+	is.Equal(len(stored), 2)
+	is.Equal(len(stored[0].Members), 2)
+	is.True(!stored[0].Has(lostDisk))
+	is.Equal(len(stored[1].Members), 3)
+}
+
+// A shard whose member set consists of two disks, because a third was lost, keeps all jobs if one of
+// these is lost as well before a third member has joined.
+func TestNextDiskIsLostBeforeSpareJoins(t *testing.T) {
+	c := newCluster(t, "a", "b", "c")
+	c.submit("one", 3)
+	c.waitFinished("one", 3)
+	lostDisk := c.nodes["a"].db.DiskID()
+	c.wipe("a")
+	c.start("a")
+	c.eventually("the lost disk is no member", func() bool { return !c.layouts.Current().Shards[0].Has(lostDisk) })
+	c.wipe("b")
+	c.start("b")
+	c.submit("two", 2)
+	c.waitFinished("one", 3)
+	c.waitFinished("two", 2)
+}
--- a/internal/batch/queuestore/harness_test.go
+++ b/internal/batch/queuestore/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"os"
@@ -17,6 +18,7 @@
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/batch/logstore"
 	"cobaltramp.example/cobaltramp/internal/batch/queue"
+	"cobaltramp.example/cobaltramp/internal/batch/replica"
 	"cobaltramp.example/cobaltramp/internal/cluster/peers"
 	"cobaltramp.example/cobaltramp/internal/cluster/ports"
 	"cobaltramp.example/cobaltramp/internal/serving/allotment"
@@ -32,6 +34,7 @@
 	revision     int64
 	down         bool
 	fenceCommits int // number of commits that fence a hand-over
+	committed    []ports.Put
 	watchers     []*Layouts
 	retired      map[string]bool
 }
@@ -69,6 +72,7 @@
 		s.values = map[string]ports.Value{}
 	}
 	s.values[value.Key] = value
+	s.committed = append(s.committed, puts[0])
 	if bytes.Contains(value.Value, []byte(`"attempt"`)) {
 		s.fenceCommits++
 	}
@@ -78,6 +82,28 @@
 	return true, nil
 }
 
+// storedMemberSets returns the member sets of shard 0 that were stored after the initial one, but
+// without those that only raise the attempt.
+func (s *testStore) storedMemberSets(t *testing.T) []replica.MemberSet {
+	t.Helper()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var stored []replica.MemberSet
+	for _, put := range s.committed {
+		memberSet := replica.MemberSet{}
+		if put.Key != shardKey(0) {
+			continue
+		}
+		if err := json.Unmarshal(put.Value, &memberSet); err != nil {
+			t.Fatal(err)
+		}
+		if memberSet.Attempt == 0 {
+			stored = append(stored, memberSet)
+		}
+	}
+	return stored
+}
+
 // sendAll sends all values to a Layouts, unless the store is down.
 func (s *testStore) sendAll(layouts *Layouts) {
 	s.mutex.Lock()
--- a/internal/batch/queuestore/members.go
+++ b/internal/batch/queuestore/members.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"cobaltramp.example/cobaltramp/internal/batch/placement"
 	"cobaltramp.example/cobaltramp/internal/batch/replica"
 	"cobaltramp.example/cobaltramp/internal/batch/shardhost"
 )
@@ -41,6 +42,10 @@
 // planMembers returns the healthy members and the spare disks that are added to them. If there
 // are too few, it adds unresponsive members up to the wanted number and then retiring members
 // up to the number of copies.
+//
+// Lost disks leave the set first, without replacement, if enough members remain for the copies.
+// The others have all entries already, and fewer votes then elect a leader, so that another disk
+// may be lost before a spare disk has caught up.
 func (s *shard) planMembers(now time.Time, current replica.MemberSet) []string {
 	byStatus := map[memberStatus][]string{}
 	for _, member := range current.Members {
@@ -50,6 +55,9 @@
 	if len(byStatus[statusHealthy]) == len(current.Members) && len(current.Members) >= s.node.wantedMemberCount() {
 		return current.Members
 	}
+	if remaining := placement.Difference(current.Members, byStatus[statusLost]); len(remaining) < len(current.Members) && len(remaining) >= current.Copies {
+		return remaining
+	}
 	s.node.probeSpares(s.ID, current.Members, now)
 	next := s.node.chooseMembers(s.ID, s.node.liveDisks(now), byStatus[statusHealthy], s.node.Layouts.Current().shardsPerDisk())
 	next = addMembers(next, byStatus[statusUnresponsive], s.node.wantedMemberCount())
