Members that have thawed do not follow a sealer that has not

Found by the review: a member that observes the raised attempt thaws, but the frozen sealer's heartbeats go on, count as contact with a leader, and keep it from campaigning.

Change: a frozen leader's entries name its attempt. A member with a higher one does not count them as contact and answers with its attempt, which the sealer adopts: it thaws. Answers of members that were frozen are forgotten at a raised attempt.

TestThawedMemberDoesNotFollowFrozenSealer fails before. A test of the commit on entries has a name that says what it checks.

--- a/internal/batch/replica/catchup_test.go
+++ b/internal/batch/replica/catchup_test.go
@@ -26,7 +26,7 @@
 // Guards against a leader that answers each of many rejections for the same gap with the same
 // entries, so that a member which catches up over a slow link, while reads confirm the
 // leadership, receives its entries many times.
-func TestMemberThatCatchesUpReceivesEntriesOnce(t *testing.T) {
+func TestMemberThatCatchesUpIsNotSentEntriesAgainAndAgain(t *testing.T) {
 	const (
 		epoch        = uint64(1)<<(counterBits+indexBits) + 1<<indexBits + 1
 		last, behind = 400, 100
--- a/internal/batch/replica/freeze_test.go
+++ b/internal/batch/replica/freeze_test.go
@@ -7,15 +7,17 @@
 	"github.com/matryer/is"
 )
 
+// firstLeaderEpoch is the epoch of the entries with which the members of frozenCluster start.
+const firstLeaderEpoch = uint64(1)<<(counterBits+indexBits) + 1<<indexBits + 1
+
 // frozenCluster returns three members of which "leader" leads, after an exchange of messages
 // with "follower". Nothing reaches "other".
 func frozenCluster(t *testing.T) (members map[string]*truncatedMember, now time.Time) {
-	const epoch = uint64(1)<<(counterBits+indexBits) + 1<<indexBits + 1
 	memberSet := MemberSet{Generation: 1, Members: []string{"leader", "follower", "other"}, Copies: 2}
 	now = time.Unix(0, 0)
 	members = map[string]*truncatedMember{
-		"leader":   restoreTruncated("leader", memberSet, 0, 2, 0, 0, func(uint64) uint64 { return epoch }, now),
-		"follower": restoreTruncated("follower", memberSet, 0, 1, 0, 0, func(uint64) uint64 { return epoch }, now),
+		"leader":   restoreTruncated("leader", memberSet, 0, 2, 0, 0, func(uint64) uint64 { return firstLeaderEpoch }, now),
+		"follower": restoreTruncated("follower", memberSet, 0, 1, 0, 0, func(uint64) uint64 { return firstLeaderEpoch }, now),
 	}
 	for !members["leader"].replica.Serving() {
 		now = now.Add(20 * time.Millisecond)
@@ -74,3 +76,26 @@
 	}
 	is.True(members["leader"].replica.Serving() || follower.Serving())
 }
+
+// Guards against members that follow a sealer whose hand-over was cancelled, for as long as it can't
+// read that from the store: nobody serves, and nobody campaigns.
+func TestThawedMemberDoesNotFollowFrozenSealer(t *testing.T) {
+	is := is.New(t)
+	members, now := frozenCluster(t)
+	leader, follower := members["leader"].replica, members["follower"].replica
+	is.True(leader.Freeze())
+	for range 10 {
+		now = now.Add(20 * time.Millisecond)
+		exchange(members, now)
+	}
+	is.True(follower.Frozen())
+	raised := follower.MemberSet()
+	raised.Attempt++
+	follower.Observe(now, raised) // only the follower reads the store
+	for range 250 {
+		now = now.Add(20 * time.Millisecond)
+		exchange(members, now)
+	}
+	is.Equal(leader.MemberSet().Attempt, raised.Attempt)
+	is.True(leader.Serving() || follower.Serving())
+}
--- a/internal/batch/replica/handover.go
+++ b/internal/batch/replica/handover.go
@@ -131,15 +131,34 @@
 		r.activate(now, stored)
 		return
 	}
-	if stored.Generation < r.memberSet.Generation || stored.Attempt <= r.memberSet.Attempt {
+	if stored.Generation == r.memberSet.Generation {
+		r.adoptAttempt(now, stored.Attempt)
+	}
+}
+
+// adoptAttempt adopts an attempt of the current generation, which is stored, if it is higher
+// than the known one. A replica that an earlier attempt froze thaws.
+func (r *Replica) adoptAttempt(now time.Time, attempt uint64) {
+	if attempt <= r.memberSet.Attempt {
 		return
 	}
-	r.memberSet.Attempt = stored.Attempt
-	if r.hard.Frozen && r.hard.FrozenAttempt < stored.Attempt {
+	r.memberSet.Attempt = attempt
+	clear(r.observed.answers) // the members that were frozen thaw as well
+	if r.hard.Frozen && r.hard.FrozenAttempt < attempt {
 		r.thaw(now)
 	}
 }
 
+// reportAttempt responds to a sealer whose hand-over was cancelled, and which may not be able to
+// read that from the platform's store. Its message is no contact with a leader: the members
+// that have thawed must elect another.
+func (r *Replica) reportAttempt(message *wirev1.ReplicaMessage) {
+	r.send(&wirev1.ReplicaMessage{
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, LastIndex: message.LastIndex,
+		Attempt: r.memberSet.Attempt, Probe: message.Probe,
+	})
+}
+
 // thaw ends the freeze and makes the replica a follower that knows no leader and campaigns
 // soon, because the sealer does not lead any more either.
 func (r *Replica) thaw(now time.Time) {
@@ -174,7 +193,11 @@
 }
 
 func (r *Replica) handleFreeze(now time.Time, message *wirev1.ReplicaMessage) {
-	if message.Epoch < r.hard.Promised || message.Attempt < r.memberSet.Attempt {
+	if message.Epoch < r.hard.Promised {
+		return
+	}
+	if message.Attempt < r.memberSet.Attempt {
+		r.reportAttempt(message)
 		return
 	}
 	r.follow(now, message.Epoch, message.From)
--- a/internal/batch/replica/lead.go
+++ b/internal/batch/replica/lead.go
@@ -244,6 +244,7 @@
 			Kind: wirev1.ReplicaKind_REPLICA_KIND_APPEND, To: member, Epoch: r.hard.Promised,
 			LastIndex: previous, LastEpoch: previousEpoch, Commit: r.hard.Commit, Entries: entries,
 			Learner: !r.memberSet.Has(member), Probe: r.probe, Rest: r.idleChanges, Serving: r.Serving(),
+			Frozen: r.hard.Frozen, Attempt: r.hard.FrozenAttempt,
 		})
 		p.sentAt = now
 		if len(entries) > 0 {
--- a/internal/batch/replica/step.go
+++ b/internal/batch/replica/step.go
@@ -120,6 +120,10 @@
 	if r.hard.Frozen && message.Epoch != r.hard.Promised {
 		return
 	}
+	if message.Frozen && message.Attempt < r.memberSet.Attempt {
+		r.reportAttempt(message)
+		return
+	}
 	r.quickCampaigns = 0
 	r.raisePromised(message.Epoch)
 	r.followIdle(message.Rest)
@@ -229,6 +233,7 @@
 		r.follow(now, message.Epoch, "")
 		return
 	}
+	r.adoptAttempt(now, message.Attempt)
 	p := r.progress[message.From]
 	if r.role != Leader || p == nil || message.Epoch != r.hard.Promised {
 		return
