A learner that comes back empty is not taken for caught up

If the learner's replica was deleted meanwhile and created again, it counted as caught up and as a copy that seals the next hand-over, with nothing on its disk; its rejections counted as stale. With the other copy's disk lost, acknowledged entries are gone.

Change: SetLearners forgets the progress of disks that are neither members nor learners.

TestLearnerThatComesBackEmptyIsNotCaughtUp fails before.

--- a/internal/batch/replica/freeze_test.go
+++ b/internal/batch/replica/freeze_test.go
@@ -99,3 +99,32 @@
 	is.Equal(leader.MemberSet().Attempt, raised.Attempt)
 	is.True(leader.Serving() || follower.Serving())
 }
+
+// Guards against a hand-over that counts on a copy which does not exist: the replica of a learner
+// was deleted and created again after an earlier hand-over was abandoned.
+func TestLearnerThatComesBackEmptyIsNotCaughtUp(t *testing.T) {
+	is := is.New(t)
+	members, now := frozenCluster(t)
+	leader := members["leader"].replica
+	emptyLearner := func() *truncatedMember {
+		return restoreTruncated("learner", MemberSet{Generation: 1}, 0, 0, 0, 0, func(uint64) uint64 { return firstLeaderEpoch }, now)
+	}
+	run := func() {
+		for range 100 {
+			now = now.Add(20 * time.Millisecond)
+			exchange(members, now)
+		}
+	}
+	members["learner"] = emptyLearner()
+	leader.SetLearners(now, []string{"learner"})
+	run()
+	is.True(leader.CaughtUp("learner"))
+	leader.SetLearners(now, nil)
+	run()
+	members["learner"] = emptyLearner()
+	leader.SetLearners(now, []string{"learner"})
+	is.True(!leader.CaughtUp("learner"))
+	run()
+	is.Equal(members["learner"].replica.LastIndex(), leader.LastIndex())
+	is.True(leader.CaughtUp("learner"))
+}
--- a/internal/batch/replica/handover.go
+++ b/internal/batch/replica/handover.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
@@ -42,6 +44,10 @@
 	if r.role != Leader {
 		return
 	}
+	// A disk that is a learner again later may have lost what it had confirmed.
+	maps.DeleteFunc(r.progress, func(disk string, _ *progress) bool {
+		return !r.memberSet.Has(disk) && !slices.Contains(learners, disk)
+	})
 	for _, learner := range learners {
 		if r.progress[learner] == nil {
 			r.progress[learner] = &progress{next: r.lastIndex() + 1, resendFrom: r.lastIndex() + 1, lastResponse: now}
