The pause before a failed replica is started again is 5 s at most

Remark of the review: 15 s is longer than callers are promised to wait for a recovery (12 s); to be found unresponsive by the others, 2.5 s are enough.

--- a/internal/batch/shardhost/restart.go
+++ b/internal/batch/shardhost/restart.go
@@ -15,7 +15,7 @@
 	// they can't count on a replica that fails again and again.
 	failedRestartDelay    = time.Second
 	failedRestartFactor   = 4
-	maxFailedRestartDelay = 15 * time.Second
+	maxFailedRestartDelay = 5 * time.Second
 	failedRestartMemory   = time.Minute
 )
 
