A disk that runs at another node is not lost

Change: a disk that a record names is not lost; a record removes, and marks as lost, only the disk that is still its own.

TestExchangedDisksAreFound fails before; TestRestartedNodeKnowsLostDisk has the case of the other node.

--- a/internal/batch/queuestore/diskowners.go
+++ b/internal/batch/queuestore/diskowners.go
@@ -33,6 +33,9 @@
 	if n.Directory.DiskLost(disk) {
 		return true
 	}
+	if _, known := n.Directory.Disk(disk); known {
+		return false // another node may run with it now
+	}
 	owner := n.storedOwner(shard, disk)
 	record, known := n.Directory.Node(owner)
 	// Without contact, the record may be older than the member set.
--- a/internal/batch/queuestore/diskowners_test.go
+++ b/internal/batch/queuestore/diskowners_test.go
@@ -25,6 +25,9 @@
 	is.True(n.diskLost(0, "disk-a", now))
 	is.True(!n.diskLost(0, "disk-b", now))
 	is.True(!n.diskLost(0, "disk-c", now)) // no owner is known
+	directory.Put(&wirev1.NodeRecord{NodeId: "m", DiskId: "disk-a", Incarnation: 1})
+	is.True(!n.diskLost(0, "disk-a", now)) // the disk runs at another node
+	directory.Put(&wirev1.NodeRecord{NodeId: "m", Incarnation: 2})
 	is.Equal(n.diskOwners(0, []string{"disk-a", "new-disk-a", "disk-c"}), map[string]string{"disk-a": "a", "new-disk-a": "a"})
 }
 
--- a/internal/cluster/peers/digests_test.go
+++ b/internal/cluster/peers/digests_test.go
@@ -57,3 +57,19 @@
 	directory.Put(&wirev1.NodeRecord{NodeId: "a", DiskId: "disk-a", Incarnation: 3})
 	is.True(!directory.DiskLost("disk-a"))
 }
+
+// Two nodes exchange their disks. Each disk is found at its new node, whichever record comes first.
+func TestExchangedDisksAreFound(t *testing.T) {
+	is := is.New(t)
+	directory := NewDirectory(&wirev1.NodeRecord{NodeId: "self", Incarnation: 1})
+	directory.Put(&wirev1.NodeRecord{NodeId: "a", DiskId: "disk-a", Incarnation: 1})
+	directory.Put(&wirev1.NodeRecord{NodeId: "b", DiskId: "disk-b", Incarnation: 1})
+	directory.Put(&wirev1.NodeRecord{NodeId: "a", DiskId: "disk-b", Incarnation: 2})
+	directory.Put(&wirev1.NodeRecord{NodeId: "b", DiskId: "disk-a", Incarnation: 2})
+	for disk, node := range map[string]string{"disk-a": "b", "disk-b": "a"} {
+		record, known := directory.Disk(disk)
+		is.True(known)
+		is.Equal(record.NodeId, node)
+		is.True(!directory.DiskLost(disk))
+	}
+}
--- a/internal/cluster/peers/directory.go
+++ b/internal/cluster/peers/directory.go
@@ -110,7 +110,9 @@
 		delete(d.byAddress, record.Address)
 	}
 	if record.DiskId != "" {
-		delete(d.byDisk, record.DiskId)
+		if d.byDisk[record.DiskId] == record { // another node may have the disk now
+			delete(d.byDisk, record.DiskId)
+		}
 		if index, found := slices.BinarySearchFunc(d.disks, node, compareToID); found {
 			d.disks = slices.Delete(slices.Clone(d.disks), index, index+1)
 		}
@@ -151,7 +153,7 @@
 	if known != nil && known.Incarnation >= record.Incarnation || !d.retains(record) {
 		return false
 	}
-	if known != nil && known.DiskId != "" && known.DiskId != record.DiskId {
+	if known != nil && known.DiskId != "" && known.DiskId != record.DiskId && d.byDisk[known.DiskId] == known {
 		d.lostDisks[known.DiskId] = true
 	}
 	delete(d.lostDisks, record.DiskId) // a record without a disk, or a late one, may have named another
