A hand-over that is done is reported as done

Cause: the leader becomes a follower when it activates the next member set, and the next tick forgot its hand-over without a report. So 'hand-over ended', and the counters cobaltramp_queue_handovers_total and cobaltramp_shard_handovers_total with outcome done, were missing after nearly every hand-over; a log of TestDisksAreReplacedOneAfterAnother had 4 swaps and no such line. Found by a test of the status that waited 60 s for the outcome.

Change: the outcome is reported at that moment, and 'leadership lost' if the next generation is not active. What the hand-over does is unchanged.

--- a/internal/batch/shardhost/application.go
+++ b/internal/batch/shardhost/application.go
@@ -118,8 +118,9 @@
 	// SnapshotInstalled is called after a snapshot has replaced the state.
 	SnapshotInstalled(index uint64)
 	// HandOverEnded is called when a hand-over that this leader drives has ended. The outcome
-	// is "done", "timed out" if the shard did not freeze within CatchUpTimeout, or "a kept
-	// member is lost". It is not called if the replica loses its leadership first.
+	// is "done", "timed out" if the shard did not freeze within CatchUpTimeout, "a kept
+	// member is lost", or "leadership lost" if the replica lost its leadership first; another
+	// member may have completed the hand-over then.
 	HandOverEnded(outcome string)
 	// SwapEnded and FenceEnded are called with the member set that was to be stored and the
 	// results of Swap and Fence. Any goroutine may call them.
--- a/internal/batch/shardhost/handover.go
+++ b/internal/batch/shardhost/handover.go
@@ -40,6 +40,7 @@
 		s.tickFrozen(now, h)
 	}
 	if s.Replica.Role() != replica.Leader {
+		s.endHandOverOfFormerLeader(h)
 		h.next = replica.MemberSet{}
 		return
 	}
@@ -116,10 +117,27 @@
 	s.endHandOver(h, outcome)
 }
 
-func (s *Shard[Command, Result]) endHandOver(h *handOver, outcome string) {
+// endHandOverOfFormerLeader reports the end of a hand-over whose leader no longer leads, as after
+// each hand-over that is done, because the new generation has no leader yet.
+func (s *Shard[Command, Result]) endHandOverOfFormerLeader(h *handOver) {
+	if h.next.Generation == 0 {
+		return
+	}
+	outcome := "leadership lost"
+	if s.Replica.MemberSet().Generation >= h.next.Generation {
+		outcome = "done"
+	}
+	s.reportHandOver(h, outcome)
+}
+
+func (s *Shard[Command, Result]) reportHandOver(h *handOver, outcome string) {
 	s.serving.lastHandOver = handOverOutcome{time.Now(), h.next.Generation, outcome}
 	s.application.HandOverEnded(outcome)
 	s.log("hand-over ended", "generation", h.next.Generation, "outcome", outcome)
+}
+
+func (s *Shard[Command, Result]) endHandOver(h *handOver, outcome string) {
+	s.reportHandOver(h, outcome)
 	h.next = replica.MemberSet{}
 	h.swapping = false
 }
