The status keeps what a hand-over waited for, and tells a leader without the work of a leader

Change: a hand-over that is given up logs its obstacle, and the status keeps it. A refusal of a replica that serves but has no active leadership says so.

--- a/internal/batch/queuestore/allotments.go
+++ b/internal/batch/queuestore/allotments.go
@@ -57,7 +57,7 @@
 func (s *shard) grantAllotments(request *wirev1.AllotmentRequest, reply *wirev1.AllotmentReply) error {
 	l := s.leader
 	if l == nil || !l.suspendedAt.IsZero() || !s.Replica.Serving() {
-		return s.NotLeader()
+		return s.notLed()
 	}
 	now := time.Now()
 	holder := allotment.HolderID{Node: request.Node, Incarnation: request.Incarnation}
--- a/internal/batch/queuestore/limits.go
+++ b/internal/batch/queuestore/limits.go
@@ -226,7 +226,7 @@
 func (s *shard) reserveInLedger(request *wirev1.QueueReserveRequest, reply *wirev1.QueueReserveReply) error {
 	l := s.leader
 	if l == nil || !l.suspendedAt.IsZero() || !s.Replica.Serving() {
-		return s.NotLeader()
+		return s.notLed()
 	}
 	shards := s.node.shardCount()
 	if shards == 0 {
--- a/internal/batch/queuestore/serve.go
+++ b/internal/batch/queuestore/serve.go
@@ -125,7 +125,7 @@
 	err := s.RunInLoop(ctx, func() {
 		l := s.leader
 		if l == nil || !l.suspendedAt.IsZero() || !s.Replica.Serving() {
-			refused = s.NotLeader()
+			refused = s.notLed()
 			return
 		}
 		if _, known = l.acceptedAt[job]; known {
--- a/internal/batch/queuestore/shard.go
+++ b/internal/batch/queuestore/shard.go
@@ -31,6 +31,9 @@
 	// memberFreeBytes holds the free disk space in bytes that other replicas have reported,
 	// by disk ID.
 	memberFreeBytes map[string]uint64
+	// lastObstacle is what the last hand-over waited for when it was given up; empty if it was
+	// completed.
+	lastObstacle string
 	// lastUsed is the time of the last request or proposal at this replica; see setIdle.
 	lastUsed time.Time
 }
@@ -143,6 +146,7 @@
 // HandOverEnded implements shardhost.Events.
 func (s *shard) HandOverEnded(outcome string) {
 	s.node.metrics.handOvers.WithLabelValues(outcome).Inc()
+	s.recordObstacle(time.Now(), outcome)
 }
 
 // SwapEnded implements shardhost.Events.
--- a/internal/batch/queuestore/status.go
+++ b/internal/batch/queuestore/status.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"k8s.io/klog/v2"
+
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/app/result"
 	"cobaltramp.example/cobaltramp/internal/batch/replica"
@@ -75,6 +77,10 @@
 	for _, member := range status.Members {
 		member.DiskState = s.diskState(now, member.Disk)
 	}
+	status.Leadership = s.leader.stateName()
+	if status.LastHandOver != nil {
+		status.LastHandOver.Obstacle = s.lastObstacle
+	}
 	if status.HandOver != nil {
 		status.HandOver.Obstacle = s.handOverObstacle(now, status)
 	}
@@ -117,6 +123,46 @@
 	}
 }
 
+// handOverDone is the outcome of a hand-over that was completed; see
+// shardhost.Events.HandOverEnded.
+const handOverDone = "done"
+
+// recordObstacle records and logs what a hand-over waited for when it was given up. It has to be
+// called before the hand-over is forgotten.
+func (s *shard) recordObstacle(now time.Time, outcome string) {
+	s.lastObstacle = ""
+	if outcome == handOverDone {
+		return
+	}
+	next := s.NextMemberSet()
+	if s.Replica.Role() == replica.Leader { // only a leader knows who has caught up
+		s.lastObstacle = s.sealObstacle(now, next)
+	}
+	klog.InfoS("hand-over given up", "shard", s.ID, "generation", next.Generation, "outcome", outcome, "obstacle", s.lastObstacle)
+}
+
+// stateName returns whether the leadership is "active", "suspended" or "none".
+func (l *leadership) stateName() string {
+	switch {
+	case l == nil:
+		return "none"
+	case !l.suspendedAt.IsZero():
+		return "suspended"
+	default:
+		return "active"
+	}
+}
+
+// notLed returns the error for a request that needs an active leadership. Unlike NotLeader it
+// tells a leader's replica without one.
+func (s *shard) notLed() error {
+	if !s.Replica.Serving() {
+		return s.NotLeader()
+	}
+	refused := result.FromError(s.NotLeader())
+	return result.New(refused.Code, "%s leadership=%s", refused.Message, s.leader.stateName())
+}
+
 // sealObstacle returns why the shard may not be sealed yet; "" if it may be. See MaySeal.
 func (s *shard) sealObstacle(now time.Time, next replica.MemberSet) string {
 	caughtUp := 0
--- a/internal/batch/queuestore/status_test.go
+++ b/internal/batch/queuestore/status_test.go
@@ -331,3 +331,47 @@
 	directory.Put(&wirev1.NodeRecord{NodeId: member, Address: c.records[member].Address, Region: "r", DiskId: "disk-new", Incarnation: c.incarnation + 1})
 	is.Equal(stateOf(disk), wirev1.DiskState_DISK_STATE_LOST)
 }
+
+// A hand-over that waits for the store says so in the status while it lasts, and keeps the
+// reason when it is given up.
+func TestStatusTellsWhatARunningHandOverWaitsFor(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	leader := c.awaitLeader()
+	wiped := c.others(leader)[0]
+	c.store.setDown(true)
+	c.wipe(wiped)
+	c.start(wiped)
+	var status *wirev1.ReplicaStatus
+	c.eventually("the hand-over waits for the store", func() bool {
+		status = c.statusOf(leader)
+		return strings.Contains(status.GetHandOver().GetObstacle(), "no contact with the store")
+	})
+	is.Equal(status.HandOver.Generation, uint64(2))
+	is.True(!status.Frozen)
+	c.inLoop(leader, func(s *shard) {
+		s.recordObstacle(time.Now(), "timed out")
+		is.Equal(s.lastObstacle, "no contact with the store")
+	})
+	c.store.setDown(false)
+	c.eventually("the hand-over is done", func() bool { return c.layouts.Current().Shards[0].Has(c.nodes[wiped].db.DiskID()) })
+	c.eventually("the status tells the outcome", func() bool {
+		last := c.statusOf(leader).GetLastHandOver()
+		return last.GetOutcome() == handOverDone && last.Obstacle == "" && c.statusOf(leader).GetLastSwap().GetCommitted()
+	})
+}
+
+// A leader's replica without the work of a leader says so.
+func TestErrorTellsThatLeadershipIsMissing(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	leader := c.awaitLeader()
+	is.Equal(c.statusOf(leader).GetLeadership(), "active")
+	c.inLoop(leader, func(s *shard) {
+		s.DropLeadership("test")
+		err := s.notLed()
+		is.True(result.Is(err, result.NotLeader))
+		contains(t, err, "state=serving", "leadership=none")
+	})
+	c.awaitLeader() // the leadership begins again
+}
--- a/internal/batch/shardstatus/print.go
+++ b/internal/batch/shardstatus/print.go
@@ -58,6 +58,9 @@
 		fmt.Fprintf(writer, "  log: last %d, on disk %d, committed %d, applied %d; %d votes elect, %d copies commit; leader heard %s\n", status.LastIndex, status.PersistedIndex,
 			status.CommitIndex, status.AppliedIndex, status.ElectionQuorum, status.WriteQuorum, Ago(status.LeaderHeardAgoMs))
 	}
+	if status.State == wirev1.ServingState_SERVING_STATE_SERVING && status.Leadership != "active" {
+		fmt.Fprintf(writer, "  it leads, but the work of the leader is: %s\n", cmp.Or(status.Leadership, "not known"))
+	}
 	for _, member := range status.Members {
 		if member.Disk != status.Disk {
 			printMember(writer, status, member)
@@ -113,7 +116,11 @@
 			Age(handOver.StartedAgoMs), handOver.Swapping, cmp.Or(handOver.Obstacle, "nothing known"))
 	}
 	if last := status.LastHandOver; last != nil {
-		fmt.Fprintf(writer, "  last hand-over: to generation %d, %s, %s\n", last.Generation, last.Outcome, Ago(last.AgoMs))
+		fmt.Fprintf(writer, "  last hand-over: to generation %d, %s, %s", last.Generation, last.Outcome, Ago(last.AgoMs))
+		if last.Obstacle != "" {
+			fmt.Fprintf(writer, ", had waited for: %s", last.Obstacle)
+		}
+		fmt.Fprintln(writer)
 	}
 	if status.Frozen {
 		fmt.Fprintf(writer, "  frozen for %s by attempt %d, fencing %t\n", Age(status.FrozenMs), status.FrozenAttempt, status.Fencing)
