--- a/lab/cli/soak.go
+++ b/lab/cli/soak.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 	"sync/atomic"
@@ -28,6 +29,10 @@
 	Disturbers int           `long:"disturbers" default:"3" description:"series of signals, restarts and changes that run at the same time"`
 	EdgeKills  bool          `long:"edge-kills" description:"also kill and suspend several edges at once, reset connections to runners, and start runners again at their addresses"`
 	Leaders    bool          `long:"leader-changes" description:"also suspend, kill and stop one storage node after the other"`
+	Losses     bool          `long:"power-losses" description:"also end all processes at once, several times, with the disk of one storage node"`
+	Hasty      bool          `long:"hasty-restarts" description:"after each such end, processes start before the earlier ones have ended"`
+	Unsynced   bool          `long:"lose-unsynced" description:"storage processes lose what they have not synced when they are killed"`
+	Storage    string        `long:"storage-program" description:"path of the binary of storage processes; with --lose-unsynced built from this checkout if left out"`
 	Verbose    bool          `long:"events" description:"print what happens"`
 }
 
@@ -37,6 +42,12 @@
 	if err != nil {
 		return err
 	}
+	if c.Unsynced && c.Storage == "" {
+		c.Storage = filepath.Join(folder, "cobaltramp-lab-storage")
+		if err := buildProgram(c.Storage, "./cmd/cobaltramp-lab-storage"); err != nil {
+			return err
+		}
+	}
 	var soaks tasks.Group
 	var failed atomic.Int64
 	slots := make(chan struct{}, max(1, c.AtOnce))
@@ -73,9 +84,9 @@
 	defer func() { _ = events.Close() }()
 	options := platformday.SoakOptions{
 		Options: platformday.Options{
-			Program: program, Folder: own, Seed: seed, Length: c.Length, Progress: events, Edges: c.Edges, Storages: c.Storages, Runners: c.Runners,
+			Program: program, StorageProgram: c.Storage, Folder: own, Seed: seed, Length: c.Length, Progress: events, Edges: c.Edges, Storages: c.Storages, Runners: c.Runners,
 		},
-		Kept: c.Kept, Disturbers: c.Disturbers, EdgeKills: c.EdgeKills, LeaderChanges: c.Leaders,
+		Kept: c.Kept, Disturbers: c.Disturbers, EdgeKills: c.EdgeKills, LeaderChanges: c.Leaders, PowerLosses: c.Losses, HastyRestarts: c.Hasty,
 	}
 	if c.Verbose {
 		options.Progress = os.Stdout
@@ -86,11 +97,31 @@
 		return false
 	}
 	fmt.Printf("seed %d: %s\n", seed, tally.Summary())
-	for _, violation := range tally.Violations {
-		fmt.Printf("seed %d: broken: %s\n", seed, violation)
-	}
+	printViolations(seed, tally.Violations, events)
 	if len(tally.Violations) == 0 {
 		_ = os.RemoveAll(own) // a folder that remains does not affect the result
 	}
 	return len(tally.Violations) == 0
 }
+
+// printedViolations is the number of different violations that are printed of a seed.
+const printedViolations = 40
+
+// printViolations prints different violations, each once with its number, and writes all to the events
+// of the seed: a job that is gone is found at each read.
+func printViolations(seed uint64, violations []string, events io.Writer) {
+	counts := map[string]int{}
+	var different []string
+	for _, violation := range violations {
+		fmt.Fprintf(events, "broken: %s\n", violation)
+		if counts[violation]++; counts[violation] == 1 {
+			different = append(different, violation)
+		}
+	}
+	for _, violation := range different[:min(len(different), printedViolations)] {
+		fmt.Printf("seed %d: broken (%d times): %s\n", seed, counts[violation], violation)
+	}
+	if more := len(different) - printedViolations; more > 0 {
+		fmt.Printf("seed %d: %d more in events.txt\n", seed, more)
+	}
+}
--- a/lab/platformday/process.go
+++ b/lab/platformday/process.go
@@ -19,11 +19,17 @@
 	// peerAddress is the address of the node for other nodes; operators use that of an edge.
 	peerAddress string
 	dataFolder  string
+	// metricsAddress is the address of the node's metrics.
+	metricsAddress string
 	// ready is the result of the last readiness probe, guarded by the mutex of the Day.
 	ready bool
 
-	mutex       sync.Mutex
+	mutex sync.Mutex
+	// incarnation is nil until the node is first started.
 	incarnation *incarnation
+	// supervised is set while an exit without a signal is no violation, because the series that
+	// started the process starts it again.
+	supervised bool
 	// disrupted is when the node was last killed, suspended or resumed. Interrupted
 	// responses at that time are not violations.
 	disrupted time.Time
@@ -46,7 +52,11 @@
 	if err != nil {
 		return err
 	}
-	command := exec.Command(d.Program, p.role, "--settings", p.settings)
+	program := d.Program
+	if p.role == "storage" && d.StorageProgram != "" {
+		program = d.StorageProgram
+	}
+	command := exec.Command(program, p.role, "--settings", p.settings)
 	command.Stdout, command.Stderr = log, log
 	if d.Threads > 0 && p.role == "edge" {
 		command.Env = append(os.Environ(), fmt.Sprint("GOMAXPROCS=", d.Threads))
@@ -68,9 +78,9 @@
 		err := command.Wait()
 		_ = log.Close()
 		p.mutex.Lock()
-		endRequested := next.endRequested
+		endAllowed := next.endRequested || p.supervised
 		p.mutex.Unlock()
-		if !endRequested {
+		if !endAllowed {
 			d.tally.RecordViolation("%s ended by itself: %v", p.name, err)
 		}
 		close(next.ended)
@@ -128,3 +138,41 @@
 	defer p.mutex.Unlock()
 	return p.disrupted.After(then)
 }
+
+// running reports whether the process of a node runs, also while it is suspended.
+func (p *process) running() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.incarnation == nil {
+		return false
+	}
+	select {
+	case <-p.incarnation.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+func (p *process) setSupervised(supervised bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.supervised = supervised
+}
+
+// expectEnd notes that the current process of a node is about to be killed.
+func (p *process) expectEnd() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.disrupted = time.Now()
+	if p.incarnation != nil {
+		p.incarnation.endRequested = true
+	}
+}
+
+// endRequested reports whether the last process of a node was asked to end.
+func (p *process) endRequested() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.incarnation != nil && p.incarnation.endRequested
+}
