--- a/internal/batch/queuestore/search_series_test.go
+++ b/internal/batch/queuestore/search_series_test.go
@@ -121,7 +121,10 @@
 	if rapid.IntRange(0, 9).Draw(t, "two losses") == 0 {
 		s.diskLosses, s.nodes = 2, rapid.IntRange(5, 7).Draw(t, "nodes for two losses")
 	}
-	for range rapid.IntRange(1, 9).Draw(t, "faults") {
+	if rapid.IntRange(0, 2).Draw(t, "disturbed hand-over") == 0 {
+		s.faults = drawDisturbedHandOver(t)
+	}
+	for range rapid.IntRange(1, 9-len(s.faults)).Draw(t, "faults") {
 		f := drawFault(t)
 		if last := len(s.faults) - 1; last >= 0 && s.faults[last].beginsHandOver() && rapid.IntRange(0, 3).Draw(t, "during the hand-over") > 0 {
 			f.after, f.skip = min(f.after, 100*time.Millisecond), min(f.skip, 1)
@@ -132,6 +135,21 @@
 	return s
 }
 
+// drawDisturbedHandOver draws a hand-over while links or the store are disturbed, and the end of
+// machines at one of its steps.
+func drawDisturbedHandOver(t *rapid.T) []fault {
+	disturbance, cause, end, next := drawFault(t), drawFault(t), drawFault(t), drawFault(t)
+	disturbance.kind = rapid.SampledFrom([]faultKind{faultLossyLinks, faultCutPair, faultCutPair, faultStoreFate, faultStoreSlow}).Draw(t, "disturbance")
+	disturbance.victim, disturbance.step, disturbance.lasts = victimLeader, stepNone, 6*time.Second
+	cause.kind = rapid.SampledFrom([]faultKind{faultRetire, faultRetire, faultLoseDisk}).Draw(t, "cause")
+	cause.victim, cause.step, cause.after = victimFollower, stepNone, min(cause.after, 200*time.Millisecond)
+	end.kind = rapid.SampledFrom([]faultKind{faultLoseDisk, faultLoseDiskAndPower, faultPower, faultKill}).Draw(t, "end")
+	end.victim = rapid.SampledFrom([]int{victimAtStep, victimLeader, victimFollower}).Draw(t, "end of")
+	end.step, end.skip, end.after = rapid.SampledFrom(handOverSteps).Draw(t, "end at"), 0, 0
+	next.kind = rapid.SampledFrom([]faultKind{faultPower, faultKill, faultLoseDisk}).Draw(t, "next")
+	return []fault{disturbance, cause, end, next}
+}
+
 // beginsHandOver reports whether a hand-over probably follows the fault.
 func (f *fault) beginsHandOver() bool {
 	return slices.Contains([]faultKind{faultLoseDisk, faultLoseDiskAndPower, faultRetire, faultReplace}, f.kind)
