A damaged table does not end a node at each start

Change: during the check, damaged data is reported by the check alone, which moves the database aside.

--- a/internal/batch/logstore/db.go
+++ b/internal/batch/logstore/db.go
@@ -14,6 +14,7 @@
 	"math"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2"
@@ -68,24 +69,34 @@
 }
 
 // errorLogger logs pebble's errors and drops its routine messages. A fatal message ends
-// the process, because a node whose log cannot be written must not acknowledge entries.
-type errorLogger struct{}
+// the process, because a node whose log cannot be written must not acknowledge entries. While
+// the database is being checked, damaged data does not end the process: the check reports it.
+type errorLogger struct{ checking atomic.Bool }
 
 // Infof implements pebble.Logger.
-func (errorLogger) Infof(string, ...any) {}
+func (*errorLogger) Infof(string, ...any) {}
 
 // errorRetryDelay is the delay after an error of the database's background work. Pebble
 // itself retries at once, which would be a busy loop on a full disk.
 const errorRetryDelay = 200 * time.Millisecond
 
 // Errorf implements pebble.Logger.
-func (errorLogger) Errorf(format string, args ...any) {
+func (*errorLogger) Errorf(format string, args ...any) {
 	klog.Errorf("storage: "+format, args...)
 	time.Sleep(errorRetryDelay)
 }
 
 // Fatalf implements pebble.Logger.
-func (errorLogger) Fatalf(format string, args ...any) { klog.Fatalf("storage: "+format, args...) }
+func (*errorLogger) Fatalf(format string, args ...any) { klog.Fatalf("storage: "+format, args...) }
+
+// dataCorruption handles damaged data that pebble has found.
+func (l *errorLogger) dataCorruption(info pebble.DataCorruptionInfo) {
+	if l.checking.Load() {
+		klog.Errorf("storage: %s", info)
+		return
+	}
+	l.Fatalf("%s", info)
+}
 
 // diskIDBytes is the number of random bytes in a disk identity. It is small because
 // every replica message contains two identities.
--- a/internal/batch/logstore/open.go
+++ b/internal/batch/logstore/open.go
@@ -78,7 +78,7 @@
 		if err := d.moveAside(); err != nil {
 			return err
 		}
-		if opened, err = d.openPebble(false); err != nil {
+		if opened, err = d.openPebble(false, &errorLogger{}); err != nil {
 			return trace.Wrap(err, "creating database in %s", d.folder)
 		}
 	}
@@ -107,7 +107,10 @@
 
 // openChecked opens a database, and loads every shard to verify every entry of its log.
 func (d *DB) openChecked(mustExist bool) (*pebble.DB, error) {
-	opened, err := d.openPebble(mustExist)
+	logger := &errorLogger{}
+	logger.checking.Store(true)
+	defer logger.checking.Store(false)
+	opened, err := d.openPebble(mustExist, logger)
 	if err != nil {
 		return nil, err
 	}
@@ -132,10 +135,11 @@
 }
 
 // openPebble opens the database, and creates it unless it must exist.
-func (d *DB) openPebble(mustExist bool) (*pebble.DB, error) {
+func (d *DB) openPebble(mustExist bool, logger *errorLogger) (*pebble.DB, error) {
 	options := &pebble.Options{
 		FS:               lockErrorFS{d.fs},
-		Logger:           errorLogger{},
+		Logger:           logger,
+		EventListener:    &pebble.EventListener{DataCorruption: logger.dataCorruption},
 		MemTableSize:     memTableBytes(d.limits.MaxBytes),
 		MaxOpenFiles:     256,
 		ErrorIfNotExists: mustExist,
--- a/internal/batch/logstore/open_test.go
+++ b/internal/batch/logstore/open_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -171,3 +172,76 @@
 	is.True(reopened.DiskID() != identity)
 	is.NoErr(reopened.Close())
 }
+
+// Guards against a node that ends at each start because its database is damaged, instead of giving
+// the disk a new identity. A log that is shorter can't be told from one whose end was not synced.
+func TestDamagedFilesDoNotKeepDiskClosed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		memory := vfs.NewMem()
+		before, err := OpenOn(memory, "/data", DiskLimits{})
+		if err != nil {
+			t.Fatalf("creating: %v", err)
+		}
+		ready := &replica.Ready{HardState: &replica.HardState{Promised: 7, Generation: 3}, Entries: entries(1, 200)}
+		if err := before.Shard(1).Persist(ready, testMemberSet, 0, 0); err != nil {
+			t.Fatalf("writing: %v", err)
+		}
+		if rapid.Bool().Draw(t, "flushed") {
+			_ = before.pebble.Flush()
+		}
+		if err := before.Close(); err != nil {
+			t.Fatalf("closing: %v", err)
+		}
+		damageFile(t, memory, "/data/"+databaseFolder)
+		reopened := &DB{fs: memory, folder: "/data"}
+		if err := reopened.open(); err != nil {
+			t.Fatalf("opening: %v", err)
+		}
+		if _, err := reopened.Shard(1).Load(); err != nil {
+			t.Fatalf("loading: %v", err)
+		}
+		if err := reopened.Close(); err != nil {
+			t.Fatalf("closing: %v", err)
+		}
+	})
+}
+
+// damageFile truncates, overwrites or removes one file of a folder.
+func damageFile(t *rapid.T, fs vfs.FS, folder string) {
+	names, err := fs.List(folder)
+	if err != nil {
+		t.Fatalf("listing: %v", err)
+	}
+	slices.Sort(names)
+	path := folder + "/" + rapid.SampledFrom(names).Draw(t, "file")
+	file, err := fs.Open(path)
+	if err != nil {
+		t.Fatalf("reading: %v", err)
+	}
+	content, err := io.ReadAll(file)
+	if err != nil {
+		t.Fatalf("reading: %v", err)
+	}
+	_ = file.Close()
+	switch rapid.IntRange(0, 3).Draw(t, "damage") {
+	case 0:
+		_ = fs.Remove(path)
+		return
+	case 1:
+		content = content[:rapid.IntRange(0, len(content)).Draw(t, "length")]
+	case 2:
+		for i := rapid.IntRange(0, len(content)).Draw(t, "zeroes from"); i < len(content); i++ {
+			content[i] = 0
+		}
+	case 3:
+		if len(content) > 0 {
+			content[rapid.IntRange(0, len(content)-1).Draw(t, "byte")] ^= 0xff
+		}
+	}
+	written, err := fs.Create(path, vfs.WriteCategoryUnspecified)
+	if err != nil {
+		t.Fatalf("writing: %v", err)
+	}
+	_, _ = written.Write(content)
+	_ = written.Close()
+}
