The identity of a disk is confirmed once its database is locked

Found by the review, by reading: the identity was read before the lock was held. Of two processes that start at once, the second could pair the old identity with the empty database that the first had just created in place of a damaged one. No test: the interleaving needs two processes in the middle of a replacement.

--- a/internal/batch/logstore/open.go
+++ b/internal/batch/logstore/open.go
@@ -82,18 +82,37 @@
 			return trace.Wrap(err, "creating database in %s", d.folder)
 		}
 	}
-	if identity == "" {
-		if identity, err = d.createIdentity(); err != nil {
-			closeIgnoringError(opened)
-			return err
-		}
+	if identity, err = d.confirmIdentity(identity); err != nil {
+		closeIgnoringError(opened)
+		return err
 	}
 	d.pebble, d.diskID = opened, identity
 	return nil
 }
 
-// errInUse reports that another process, or another part of this one, uses the database.
-var errInUse = errors.New("the database is in use")
+// confirmIdentity returns the identity of a database that is open, and thus locked. It creates
+// one if there was none. The identity that was read before must still hold: until the lock
+// was taken, another process may have moved the database aside.
+func (d *DB) confirmIdentity(before string) (string, error) {
+	identity, err := d.readText(filepath.Join(d.folder, identityFile))
+	switch {
+	case err != nil:
+		return "", trace.Wrap(err, "reading disk identity")
+	case identity != before:
+		return "", trace.Wrap(errReplaced)
+	case identity == "":
+		return d.createIdentity()
+	default:
+		return identity, nil
+	}
+}
+
+var (
+	// errInUse reports that another process, or another part of this one, uses the database.
+	errInUse = errors.New("the database is in use")
+	// errReplaced reports that another process has replaced the database or the identity.
+	errReplaced = errors.New("the disk's identity has changed")
+)
 
 // isDamage reports whether an error from opening or checking a database shows that its
 // files are damaged or missing. Any other error of the operating system may go away.
