--- a/internal/batch/logstore/open.go
+++ b/internal/batch/logstore/open.go
@@ -78,22 +78,41 @@
 		if err := d.moveAside(); err != nil {
 			return err
 		}
-		if opened, err = d.openPebble(false); err != nil {
+		if opened, err = d.openPebble(false, &errorLogger{}); err != nil {
 			return trace.Wrap(err, "creating database in %s", d.folder)
 		}
 	}
-	if identity == "" {
-		if identity, err = d.createIdentity(); err != nil {
-			closeIgnoringError(opened)
-			return err
-		}
+	if identity, err = d.confirmIdentity(identity); err != nil {
+		closeIgnoringError(opened)
+		return err
 	}
 	d.pebble, d.diskID = opened, identity
 	return nil
 }
 
-// errInUse reports that another process, or another part of this one, uses the database.
-var errInUse = errors.New("the database is in use")
+// confirmIdentity returns the identity of a database that is open, and thus locked. It creates
+// one if there was none. The identity that was read before must still hold: until the lock
+// was taken, another process may have moved the database aside.
+func (d *DB) confirmIdentity(before string) (string, error) {
+	identity, err := d.readText(filepath.Join(d.folder, identityFile))
+	switch {
+	case err != nil:
+		return "", trace.Wrap(err, "reading disk identity")
+	case identity != before:
+		return "", trace.Wrap(errReplaced)
+	case identity == "":
+		return d.createIdentity()
+	default:
+		return identity, nil
+	}
+}
+
+var (
+	// errInUse reports that another process, or another part of this one, uses the database.
+	errInUse = errors.New("the database is in use")
+	// errReplaced reports that another process has replaced the database or the identity.
+	errReplaced = errors.New("the disk's identity has changed")
+)
 
 // isDamage reports whether an error from opening or checking a database shows that its
 // files are damaged or missing. Any other error of the operating system may go away.
@@ -107,7 +126,10 @@
 
 // openChecked opens a database, and loads every shard to verify every entry of its log.
 func (d *DB) openChecked(mustExist bool) (*pebble.DB, error) {
-	opened, err := d.openPebble(mustExist)
+	logger := &errorLogger{}
+	logger.checking.Store(true)
+	defer logger.checking.Store(false)
+	opened, err := d.openPebble(mustExist, logger)
 	if err != nil {
 		return nil, err
 	}
@@ -132,10 +154,11 @@
 }
 
 // openPebble opens the database, and creates it unless it must exist.
-func (d *DB) openPebble(mustExist bool) (*pebble.DB, error) {
+func (d *DB) openPebble(mustExist bool, logger *errorLogger) (*pebble.DB, error) {
 	options := &pebble.Options{
 		FS:               lockErrorFS{d.fs},
-		Logger:           errorLogger{},
+		Logger:           logger,
+		EventListener:    &pebble.EventListener{DataCorruption: logger.dataCorruption},
 		MemTableSize:     memTableBytes(d.limits.MaxBytes),
 		MaxOpenFiles:     256,
 		ErrorIfNotExists: mustExist,
