Soak: at the end every result that was read must be there again at each edge

So far a shorter list of results passed the last reads, and a read without an answer was passed over. The check is stricter; with losses of power, every read must be answered.

--- a/lab/platformday/soak.go
+++ b/lab/platformday/soak.go
@@ -209,7 +209,10 @@
 // check records a violation for items without a result, for a request that crashed too
 // many runners, and for repeated runs of a request that may run only once.
 func (s *soak) check(batch *standin.BatchClient, crashes bool) {
-	batch.ReadEverywhere(context.Background())
+	unanswered := batch.ReadEverywhere(context.Background())
+	if s.options.PowerLosses && unanswered > 0 {
+		s.tally.RecordViolation("%d reads of accepted jobs without an answer after the last loss of power", unanswered)
+	}
 	if open := batch.OpenItems(); open > 0 {
 		s.tally.RecordViolation("%d taken items have no result", open)
 	}
--- a/lab/standin/jobs.go
+++ b/lab/standin/jobs.go
@@ -162,14 +162,22 @@
 }
 
 // ReadEverywhere reads all results of each accepted job at each node, and verifies them against the
-// results read before.
-func (b *BatchClient) ReadEverywhere(ctx context.Context) {
+// results read before, all of which must be there. It returns the number of reads without an answer.
+func (b *BatchClient) ReadEverywhere(ctx context.Context) int {
+	unanswered := 0
 	for _, job := range b.acceptedJobs() {
 		for _, address := range b.Endpoints.Addresses() {
+			known := b.resultCount(job)
 			status, text := b.callNode(ctx, address, http.MethodGet, readTarget(job, 0), "", nil)
-			b.verify(job, 0, status, text)
+			found := b.verify(job, 0, status, text)
+			if status != http.StatusOK {
+				unanswered++
+			} else if found < known {
+				b.Tally.RecordViolation("job %s at %s: %d results, %d were read before", job.ID, address, found, known)
+			}
 		}
 	}
+	return unanswered
 }
 
 const (
