--- a/lab/platformday/powerlosses_test.go
+++ b/lab/platformday/powerlosses_test.go
@@ -12,7 +12,7 @@
 	"github.com/matryer/is"
 )
 
-// TestLossesOfPowerLoseNothing guards against rule LOST with real processes: when all nodes ended at the
+// TestLossesOfPowerLoseNothing guards against the loss of accepted jobs, with real processes: when all nodes ended at the
 // same moment and one disk was lost, jobs that had been accepted could not be read any more.
 func TestLossesOfPowerLoseNothing(t *testing.T) {
 	program, storageProgram := build(t, t.TempDir()), buildStorage(t, t.TempDir())
