--- a/internal/batch/queuestore/search_cases_test.go
+++ b/internal/batch/queuestore/search_cases_test.go
@@ -54,3 +54,14 @@
 		playCase(t, s)
 	}
 }
+
+// Guards against a disk that stays a member for good after its machine was replaced by another
+// one, because fewer machines are left than a shard should have members.
+func TestDiskOfAReplacedMachineLeavesASmallMemberSet(t *testing.T) {
+	s := steadySeries(
+		fault{kind: faultRetire, after: 2 * time.Second, victim: victimFollower},
+		fault{kind: faultReplace, after: 6 * time.Second, victim: victimFollower, down: 100 * time.Millisecond},
+	)
+	s.nodes, s.diskLosses = 5, 2
+	playCase(t, s)
+}
--- a/internal/batch/queuestore/search_series_test.go
+++ b/internal/batch/queuestore/search_series_test.go
@@ -132,9 +132,20 @@
 		}
 		s.faults = append(s.faults, f)
 	}
+	s.keepMachines()
 	return s
 }
 
+// keepMachines draws around TestDiskOfAReplacedMachineLeavesASmallMemberSet: no machine retires
+// if fewer would remain than a shard should have members.
+func (s *series) keepMachines() {
+	for i := range s.faults {
+		if s.faults[i].kind == faultRetire && s.nodes <= 2*s.diskLosses+1 {
+			s.faults[i].kind = faultAddNode
+		}
+	}
+}
+
 // drawDisturbedHandOver draws a hand-over while links or the store are disturbed, and the end of
 // machines at one of its steps.
 func drawDisturbedHandOver(t *rapid.T) []fault {
