--- a/lab/platformday/powerlosschecks.go
+++ b/lab/platformday/powerlosschecks.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -138,9 +137,6 @@
 	return text.String()
 }
 
-// retireKey is the key of the store with which an operator asks for the retirement of a node.
-func retireKey(p *process) string { return "op/retire/" + p.name }
-
 // finishRetirement waits for the end of the retirement that prepare began, and removes the node with
 // its disk. If the retirement takes too long, the operator takes the request back.
 func (l *powerLosses) finishRetirement(ctx context.Context) {
@@ -148,10 +144,10 @@
 		return
 	}
 	deadline := time.Now().Add(retirementTimeout)
-	for !l.retired(l.retiring) && time.Now().Before(deadline) && ctx.Err() == nil {
+	for !l.store.Retired(l.retiring.name) && time.Now().Before(deadline) && ctx.Err() == nil {
 		pause.For(ctx, pollInterval)
 	}
-	if l.retired(l.retiring) {
+	if l.store.Retired(l.retiring.name) {
 		l.report("%s is retired", l.retiring.name)
 		l.signal(l.retiring, syscall.SIGKILL)
 		l.mutex.Lock()
@@ -159,14 +155,5 @@
 		l.mutex.Unlock()
 		_ = os.RemoveAll(l.retiring.dataFolder) // the node is not used any more
 	}
-	l.store.Remove(retireKey(l.retiring))
-}
-
-// retired reports whether the retirement of a node is complete.
-func (l *powerLosses) retired(p *process) bool {
-	var status struct {
-		State string `json:"state"`
-	}
-	value := l.store.Value("status/retire/" + p.name)
-	return value != nil && json.Unmarshal(value, &status) == nil && status.State == "completed"
+	l.store.WithdrawRetirement(l.retiring.name)
 }
--- a/lab/platformday/powerlossconditions.go
+++ b/lab/platformday/powerlossconditions.go
@@ -106,7 +106,7 @@
 	}
 	l.retiring = l.anyStorage()
 	l.report("%s is to be retired", l.retiring.name)
-	l.store.Put(retireKey(l.retiring), map[string]any{"duration_s": retirementTimeout.Seconds()})
+	l.store.RequestRetirement(l.retiring.name, retirementTimeout)
 	pause.For(ctx, l.between(0, time.Second))
 }
 
