Plain nodes: an odd value of the layout does not replace the known one

Change: a value without shards or with an unusable member set is logged and ignored, as in queuestore. A region is not created over it, since the compare-and-swap names the revision of the known layout.

--- a/modules/batch/store/layout.go
+++ b/modules/batch/store/layout.go
@@ -107,19 +107,37 @@
 	})
 }
 
+// decodeLayout decodes a stored layout. It returns an error if the layout has no shards, or one
+// with an unusable member set.
+func decodeLayout(encoded []byte) (*ClusterLayout, error) {
+	layout := &ClusterLayout{}
+	if err := json.Unmarshal(encoded, layout); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if len(layout.Shards) == 0 {
+		return nil, trace.BadParameter("the layout has no shards")
+	}
+	for id, shardLayout := range layout.Shards {
+		if err := shardLayout.MemberSet.Validate(); err != nil {
+			return nil, trace.Wrap(err, "shard %d", id)
+		}
+	}
+	return layout, nil
+}
+
 // applyLayout applies a stored layout, unless the node already has this revision or a newer
-// one.
+// one. An unusable value is logged and does not replace the known layout.
 func (m *Module) applyLayout(value ports.Value) {
-	var layout ClusterLayout
-	if err := json.Unmarshal(value.Value, &layout); err != nil {
-		klog.ErrorS(err, "stored layout cannot be decoded", "node", m.settings.Node.ID)
+	layout, err := decodeLayout(value.Value)
+	if err != nil {
+		klog.ErrorS(err, "stored layout is unusable; the known one stays in force", "node", m.settings.Node.ID, "revision", value.Revision)
 		return
 	}
 	layout.revision, layout.encoded = value.Revision, value.Value
 	if existing := m.layout.Load(); existing != nil && existing.revision >= layout.revision {
 		return
 	}
-	m.layout.Store(&layout)
+	m.layout.Store(layout)
 	for id, shardLayout := range layout.Shards {
 		m.applyMemberSet(uint32(id), shardLayout.MemberSet)
 	}
