--- a/internal/batch/queueclient/queueclient.go
+++ b/internal/batch/queueclient/queueclient.go
@@ -219,12 +219,13 @@
 }
 
 // unavailableError returns the error of a call that no node confirmed. The error says that
-// the request was not executed, unless the outcome is unknown.
+// the request was not executed, unless the outcome is unknown. It goes to callers, so that it
+// names the code of the last error only: the whole error names nodes and their states.
 func (c *ShardClient) unavailableError(outcomeUnknown bool, lastErr error) error {
 	if outcomeUnknown {
-		return result.New(result.CommitUnknown, "no storage node confirmed it: %v", lastErr)
+		return result.New(result.CommitUnknown, "no storage node confirmed it: %v", result.CodeOf(lastErr))
 	}
-	return result.New(result.StoreUnavailable, "no storage node could take it: %v", lastErr).WithRetryAfter(retryDelay)
+	return result.New(result.StoreUnavailable, "no storage node could take it: %v", result.CodeOf(lastErr)).WithRetryAfter(retryDelay)
 }
 
 // final reports whether the error is a decision that the other members of the shard would
