--- a/internal/serving/engine/cuthead_test.go
+++ b/internal/serving/engine/cuthead_test.go
@@ -59,7 +59,7 @@
 	return listener.Addr().String()
 }
 
-// Guards against rules MIXED and ORDER on plain nodes: an engine stops in the middle of its response, at
+// Guards against cut responses that pass as whole on plain nodes: an engine stops in the middle of its response, at
 // any byte, and closes or resets. No event is read from an unfinished head, no stream is whole, and no
 // request that may have run is reported as not run.
 func TestResponseOfAnEngineThatStopsInTheMiddle(t *testing.T) {
--- a/internal/serving/runnerset/versions_test.go
+++ b/internal/serving/runnerset/versions_test.go
@@ -170,7 +170,7 @@
 	is.True(!known(at.Add(catchUpTime)).Known)
 }
 
-// Guards against rule ORDER after a loss of all power: a node that has its list from its disk counted as
+// Guards against texts of two versions after a loss of all power: a node that has its list from its disk counted as
 // up to date as soon as the store had answered, while it still applied the answer, and took the version
 // of its old list for the only one.
 func TestVersionsOfAnOldListAreNotKnownWhileChangesAreApplied(t *testing.T) {
--- a/internal/serving/streamorigin/startup_test.go
+++ b/internal/serving/streamorigin/startup_test.go
@@ -63,7 +63,7 @@
 	return edge
 }
 
-// Guards against rule ORDER after a loss of all edges: an edge that has just started, and knows none of
+// Guards against texts of two versions after a loss of all edges: an edge that has just started, and knows none of
 // the nodes that hold the record of a stream, asked the others, took their not having it for a proof that
 // the stream began at the established version, and joined two versions.
 func TestStartedEdgeFindsHoldersThatItDoesNotKnow(t *testing.T) {
@@ -95,7 +95,7 @@
 	}
 }
 
-// Guards against rule ORDER after two losses of all edges: an edge that has just started records a stream
+// Guards against texts of two versions after two losses of all edges: an edge that has just started records a stream
 // at nodes that are not asked for it later, and takes that for a confirmation.
 func TestStartedEdgeRecordsAtTheHoldersThatOthersAsk(t *testing.T) {
 	is := is.New(t)
@@ -121,7 +121,7 @@
 	is.Equal(resolveKnown(t, other, "first"), Origin{"s", "v2"})
 }
 
-// Guards against rule ORDER after a loss of all power: storage nodes that were started again, with or
+// Guards against texts of two versions after a loss of all power: storage nodes that were started again, with or
 // without their disks, have lost the records, and their not having one proves nothing.
 func TestStorageNodesThatLostTheirMemoryProveNothing(t *testing.T) {
 	began, disks := startReleasingFleet(t)
--- a/internal/transport/httpcall/cuthead_test.go
+++ b/internal/transport/httpcall/cuthead_test.go
@@ -79,7 +79,7 @@
 	return response.ReadAll(1 << 20)
 }
 
-// Guards against rules MIXED and ORDER: a response whose head or body stops in the middle, in whatever
+// Guards against cut responses that pass as whole: a response whose head or body stops in the middle, in whatever
 // packets, is an error that says that the request may have run, and never a shorter response.
 func TestResponseThatStopsInTheMiddleIsAnError(t *testing.T) {
 	t.Parallel()
