Observability: what proved the version of a resumed stream, how old it was, who did not answer

The line 'origin of a resumed stream' could not tell a list that is behind (hypothesis 1) from one whose age is wrong (2), nor name the holders that were silent; explain showed attempts, but not which version wrote which part of a text. Now: proofAgeMs, listAgeMs, unanswered; a histogram of the ages by proof; the holder's answer states the age of its list; 'sending request' and 'item run ended' name the version, 'attempt' the event after which it began; explain lists the parts of a text with versions. No decision is changed.

--- a/internal/app/explain/explain.go
+++ b/internal/app/explain/explain.go
@@ -95,6 +95,10 @@
 	Forwarded []string
 	// Outages describes the calls that no member of a queue shard answered as its leader.
 	Outages []string
+	// Parts describes the parts of a text, each with the software version that wrote it, and
+	// MixedVersions is set if several versions did.
+	Parts         []string
+	MixedVersions bool
 }
 
 // TimelineOf builds the timeline of the request, item or job with the given id.
@@ -117,6 +121,7 @@
 	timeline.findForwarded()
 	timeline.findOutages()
 	timeline.findUnanswered(lines)
+	timeline.findParts()
 	return timeline
 }
 
@@ -217,6 +222,12 @@
 	for _, outage := range t.Outages {
 		fmt.Fprintf(writer, "shard without a leader: %s\n", outage)
 	}
+	for _, part := range t.Parts {
+		fmt.Fprintf(writer, "text: %s\n", part)
+	}
+	if t.MixedVersions {
+		fmt.Fprintln(writer, "text of several software versions: the lines \"origin of a resumed stream\" above state what proved the version")
+	}
 	if line := t.overShare(); line != nil {
 		fmt.Fprintf(writer, "not run: %s\n", line.formatOverShare())
 	}
--- a/internal/batch/queuerun/run.go
+++ b/internal/batch/queuerun/run.go
@@ -81,7 +81,7 @@
 func (r *run) call() *exchange.Call {
 	call := &exchange.Call{
 		ID: r.work.Item.Id, Method: http.MethodPost, URI: r.work.Item.Path, Host: r.work.Host, Body: r.work.Item.Body,
-		RunnerID: r.runner.ID, Address: r.runner.Address, Service: r.runner.Service, Tenant: r.work.Tenant,
+		RunnerID: r.runner.ID, RunnerVersion: r.runner.SoftwareVersion(), Address: r.runner.Address, Service: r.runner.Service, Tenant: r.work.Tenant,
 		ResumeAfter: -1, MaySend: r.maySend,
 	}
 	for _, header := range r.work.Item.Headers {
@@ -211,7 +211,7 @@
 	klog.InfoS("item run ended", slices.Concat(
 		[]any{
 			"job", r.work.Key.Job, "item", r.work.Item.Id, "fingerprint", r.identity.Fingerprint,
-			"runner", choice.Runner.ID, "load", int(choice.Load), "parts", r.prompt.PartNames(),
+			"runner", choice.Runner.ID, "version", choice.Runner.SoftwareVersion(), "load", int(choice.Load), "parts", r.prompt.PartNames(),
 		},
 		choice.Sources.LogFields(),
 		[]any{
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -35,6 +35,8 @@
 	// of a runner has its own ID. Address is the runner's host and port.
 	RunnerID string
 	Address  string
+	// RunnerVersion is the software version of the runner as this node lists it, for the log.
+	RunnerVersion string
 	// Service is the name of the runner's service.
 	Service string
 	// Remaining is the time until the request's deadline, which is sent to the runner; 0
--- a/internal/serving/online/attempt.go
+++ b/internal/serving/online/attempt.go
@@ -18,8 +18,10 @@
 type attempt struct {
 	runner   *runnerset.Runner
 	inFlight *runnerset.InFlight
-	// began is when the attempt began.
+	// began is when the attempt began, and after is the ID of the last event that the caller had
+	// received then; 0 if it had received none.
 	began time.Time
+	after int64
 	// idle cancels the attempt if the route allows the request to be repeated. It runs from
 	// the start of the attempt, and starts again after each event of a stream has been written
 	// to the caller.
@@ -69,7 +71,7 @@
 	defer s.beginTrial(runner)()
 	attemptContext, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	s.current = &attempt{runner: runner, inFlight: inFlight, began: started}
+	s.current = &attempt{runner: runner, inFlight: inFlight, began: started, after: s.lastEvent}
 	s.current.idle = s.watchIdle(cancel, s.current)
 	defer s.endIdleWatch(s.current)
 	s.recordOrigin(ctx, runner)
@@ -136,7 +138,7 @@
 	call := &exchange.Call{
 		ID: s.request.ID, Method: s.request.Method, URI: s.request.URI, Host: s.request.Host,
 		Headers: s.request.Headers, Body: s.request.Body, Tenant: s.request.tenantName(),
-		RunnerID: runner.ID, Address: runner.Address, Service: runner.Service,
+		RunnerID: runner.ID, RunnerVersion: runner.SoftwareVersion(), Address: runner.Address, Service: runner.Service,
 		Remaining: time.Until(s.request.Deadline), ResumeAfter: s.request.ResumeAfter, MaySend: maySend,
 		NewConnection: s.needsNewConnection, Attempt: s.history.attempts() + 1, CallerAddress: s.request.Address,
 	}
@@ -209,7 +211,7 @@
 		choice.Sources.LogFields(),
 		[]any{
 			"unread", int(choice.Unread), "parts", s.request.Prompt.PartNames(), "costMs", choice.Cost.Milliseconds(), "candidates", choice.Candidates,
-			"list", revision, "listAgeMs", time.Since(since).Milliseconds(), "resumes", s.request.Resumes, "after", s.lastEvent,
+			"list", revision, "listAgeMs", time.Since(since).Milliseconds(), "resumes", s.request.Resumes, "from", s.current.after, "after", s.lastEvent,
 			"ms", time.Since(started).Milliseconds(), "again", again, "outcome", outcome,
 		},
 		s.current.checkFields(),
--- a/internal/serving/runnerset/versions.go
+++ b/internal/serving/runnerset/versions.go
@@ -129,6 +129,14 @@
 // catchUpTime is how long after the contact with the store is back its changes have surely arrived.
 const catchUpTime = 100 * time.Millisecond
 
+// age returns the time since the list was last known to be current.
+func (h *VersionHistory) age() time.Duration {
+	if h.contactAge == nil {
+		return 0
+	}
+	return h.contactAge()
+}
+
 // upToDate reports whether the changes of the list up to now have arrived. The mutex is held.
 func (h *VersionHistory) upToDate(now time.Time) bool {
 	if h.connected == nil || !h.connected() || h.contactAge() > maxContactAge {
@@ -282,6 +290,8 @@
 	// Established are the versions among them that other nodes may have listed before the
 	// window began; empty if this node was not in contact with the store during the window.
 	Established []string
+	// Age is the time since the node's list was last known to be current.
+	Age time.Duration
 }
 
 // Knowledge returns what this node knows about the versions of a service in the window that
@@ -289,14 +299,16 @@
 func (h *VersionHistory) Knowledge(service string, window time.Duration, now time.Time) VersionKnowledge {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	age := h.age()
 	h.checkContact(now)
 	start := now.Add(-window)
 	versions := h.services[service]
 	if versions == nil {
-		return VersionKnowledge{}
+		return VersionKnowledge{Age: age}
 	}
 	inContact := !h.since.After(start)
-	known := VersionKnowledge{Known: (inContact || !h.gaplessSince.After(start) && h.upToDate(now)) && !versions.partial && !versions.partialAt.After(start)}
+	complete := inContact || !h.gaplessSince.After(start) && h.upToDate(now)
+	known := VersionKnowledge{Known: complete && !versions.partial && !versions.partialAt.After(start), Age: age}
 	for version, span := range versions.spans {
 		if !span.listed && span.last.Before(start) {
 			continue
--- a/internal/serving/streamorigin/evidence.go
+++ b/internal/serving/streamorigin/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
@@ -46,6 +47,8 @@
 	// holders are the answers of the holders that answered, and asked is the number of holders.
 	holders []answer
 	asked   int
+	// unanswered are the IDs of the holders that did not answer.
+	unanswered []string
 	// allAsked is set if each holder that one of the answers names was asked.
 	allAsked bool
 	// allRecord is set if all nodes that may have begun the stream record the origins of their
@@ -61,6 +64,20 @@
 	source string
 }
 
+// proofAge returns the age of the list of the node that the proof is from. found is false if the
+// proof is not from a list.
+func (e *evidence) proofAge(concluded conclusion) (age time.Duration, found bool) {
+	if concluded.proof != ProofSole && concluded.proof != ProofUnrecorded {
+		return 0, false
+	}
+	for _, known := range e.answers() {
+		if known.node == concluded.source {
+			return known.versions.Age, true
+		}
+	}
+	return 0, false
+}
+
 // conclude concludes where a stream began; service is its service if it is not recorded.
 //
 //  1. A record proves it, the one with the highest sequence if there are several.
--- a/internal/serving/streamorigin/resolve.go
+++ b/internal/serving/streamorigin/resolve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -49,10 +50,15 @@
 	}
 	concluded := known.conclude(resumption.Service)
 	t.resumptions.WithLabelValues(string(concluded.proof)).Inc()
+	proofAge, fromList := known.proofAge(concluded)
+	if fromList {
+		t.proofAges.WithLabelValues(string(concluded.proof)).Observe(proofAge.Seconds())
+	}
 	klog.InfoS("origin of a resumed stream", "id", resumption.ID, "resumes", resumption.Attempt, "service", concluded.origin.Service,
-		"version", concluded.origin.SoftwareVersion, "proof", concluded.proof, "source", concluded.source,
-		"asked", known.asked, "answered", len(known.holders), "versions", strings.Join(known.own.versions.Seen, ","),
-		"versionsKnown", known.own.versions.Known, "ms", time.Since(started).Milliseconds())
+		"version", concluded.origin.SoftwareVersion, "proof", concluded.proof, "source", concluded.source, "proofAgeMs", proofAge.Milliseconds(),
+		"asked", known.asked, "answered", len(known.holders), "unanswered", strings.Join(known.unanswered, ","),
+		"versions", strings.Join(known.own.versions.Seen, ","), "versionsKnown", known.own.versions.Known,
+		"listAgeMs", known.own.versions.Age.Milliseconds(), "ms", time.Since(started).Milliseconds())
 	if concluded.proof == ProofNone {
 		return Origin{}, result.New(result.StreamNotResumed, "the software version that began the stream is unknown").WithRetryAfter(retryDelay)
 	}
@@ -109,6 +115,15 @@
 	})
 }
 
+// unanswered returns the IDs of the nodes that were asked and are not among the answers.
+func (i *inquiry) unanswered(answers []answer) []string {
+	silent := maps.Clone(i.asked)
+	for _, known := range answers {
+		delete(silent, known.node)
+	}
+	return slices.Sorted(maps.Keys(silent))
+}
+
 // askHolders asks all holders for the record at the same time, and then those that only their answers
 // name: a node that has just started does not know all nodes with disks. It adds the answers. It
 // returns when all have answered or failed, or recordGrace after the first record.
@@ -117,7 +132,10 @@
 	defer cancel()
 	asking := &inquiry{tracker: t, key: key, resumption: resumption, asked: map[string]bool{}, answers: make(chan *answer, maxAsked)}
 	asking.ask(ctx, holdersOf(t.directory.Disks(), key))
-	defer func() { known.asked, known.allAsked = len(asking.asked), asking.covers(known.holders) }()
+	defer func() {
+		known.asked, known.allAsked = len(asking.asked), asking.covers(known.holders)
+		known.unanswered = asking.unanswered(known.holders)
+	}()
 	var grace <-chan time.Time // nil: not before there is a record
 	for received := 0; received < len(asking.asked); received++ {
 		select {
@@ -155,6 +173,7 @@
 	if reply.Versions != nil {
 		decoded.versions = runnerset.VersionKnowledge{
 			Known: reply.Versions.Known, Seen: reply.Versions.Seen, Established: reply.Versions.Established,
+			Age: time.Duration(reply.Versions.AgeMs) * time.Millisecond,
 		}
 	}
 	if reply.Record != nil {
--- a/internal/serving/streamorigin/serve.go
+++ b/internal/serving/streamorigin/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/app/result"
+	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
@@ -48,7 +50,7 @@
 	known := t.answer(Key(query.Key), query.Service, window)
 	reply := &wirev1.StreamOriginReply{
 		Complete: known.complete,
-		Versions: &wirev1.SoftwareVersions{Known: known.versions.Known, Seen: known.versions.Seen, Established: known.versions.Established},
+		Versions: encodeVersions(&known.versions),
 	}
 	for _, holder := range holdersOf(t.directory.Disks(), Key(query.Key)) {
 		reply.Holders = append(reply.Holders, &wirev1.NodeRecord{NodeId: holder.NodeId, Address: holder.Address})
@@ -58,3 +60,10 @@
 	}
 	return stream.Send(reply)
 }
+
+func encodeVersions(versions *runnerset.VersionKnowledge) *wirev1.SoftwareVersions {
+	return &wirev1.SoftwareVersions{
+		Known: versions.Known, Seen: versions.Seen, Established: versions.Established,
+		AgeMs: uint32(min(versions.Age.Milliseconds(), math.MaxUint32)),
+	}
+}
--- a/internal/serving/streamorigin/tracker.go
+++ b/internal/serving/streamorigin/tracker.go
@@ -39,6 +39,7 @@
 	stopSending context.CancelFunc
 	records     *prometheus.CounterVec
 	resumptions *prometheus.CounterVec
+	proofAges   *prometheus.HistogramVec
 	refused     prometheus.Counter
 }
 
@@ -53,12 +54,16 @@
 		resumptions: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cobaltramp_streams_resumed_total", Help: "Requests that resume a stream, by the proof of its software version; none: refused.",
 		}, []string{"proof"}),
+		proofAges: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cobaltramp_stream_origin_proof_age_seconds", Help: "Age of the list of runners that proved the software version of a resumed stream, by the proof.",
+			Buckets: []float64{.01, .05, .25, 1, 2.5, 5, 10},
+		}, []string{"proof"}),
 		refused: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cobaltramp_stream_origins_refused_total", Help: "Records of origins that this node refused because its table was full.",
 		}),
 	}
 	t.sendContext, t.stopSending = context.WithCancel(context.Background())
-	registry.MustRegister(t.records, t.resumptions, t.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	registry.MustRegister(t.records, t.resumptions, t.proofAges, t.refused, prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "cobaltramp_stream_origins_held", Help: "Records of the origins of streams that this node holds.",
 	}, func() float64 { return float64(t.table.Len()) }))
 	return t
