--- a/internal/cluster/listwatch/age_test.go
+++ b/internal/cluster/listwatch/age_test.go
@@ -1,11 +1,13 @@
 package listwatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"cobaltramp.example/cobaltramp/internal/cluster/ports"
 	"cobaltramp.example/cobaltramp/internal/cluster/relay"
 )
 
@@ -78,3 +80,36 @@
 	is.True(reflector.Contact.Age() >= 700*time.Millisecond)
 	is.True(reflector.Contact.HeldAge() < time.Minute)
 }
+
+// lateStore is a store whose answers are read some time after they were given, as by a process that
+// stood still meanwhile.
+type lateStore struct {
+	fakeStore
+	readAfter time.Duration
+	// ages receives the ages of the contents at the beginning of each call after the first.
+	ages    chan time.Duration
+	contact *StoreContact
+}
+
+func (s *lateStore) FirstPage(context.Context, string) (*Page, error) {
+	time.Sleep(s.readAfter)
+	return &Page{Revision: 1}, nil
+}
+
+func (s *lateStore) Changes(context.Context, string, int64, time.Duration) ([]ports.WatchEvent, int64, error) {
+	s.ages <- s.contact.HeldAge()
+	time.Sleep(s.readAfter)
+	return nil, 1, nil
+}
+
+// Guards against lists that count as current though they are behind: an answer of the store that a node reads
+// after it stood still shows what the store held when the call was sent, not when the answer was read.
+func TestAnswerThatIsReadLateCountsFromItsCall(t *testing.T) {
+	is := is.New(t)
+	contact := NewStoreContact()
+	store := &lateStore{readAfter: 300 * time.Millisecond, ages: make(chan time.Duration), contact: contact}
+	reflector := New(Options{Store: store, Contact: contact, Merger: relay.NewMerger(discardSink{}), WatchTimeout: time.Hour})
+	go reflector.Run(t.Context())
+	is.True(<-store.ages >= store.readAfter) // after the list
+	is.True(<-store.ages >= store.readAfter) // after the first watch
+}
--- a/internal/serving/streamorigin/tracker_test.go
+++ b/internal/serving/streamorigin/tracker_test.go
@@ -22,7 +22,9 @@
 	*Tracker
 	directory *peers.Directory
 	runners   *runnerset.Set
-	stop      func()
+	// contact is the contact of the node with the store, at first one that is never lost.
+	contact *listContact
+	stop    func()
 }
 
 func startNode(t *testing.T, name, disk string) *testNode {
@@ -30,9 +32,10 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	pool, server := rpc.NewPool(name, "c", nil, &rpc.Counters{}), rpc.NewServer(name, "c", &rpc.Counters{})
-	node := &testNode{runners: runnerset.New(), directory: peers.NewDirectory(&wirev1.NodeRecord{
+	node := &testNode{runners: runnerset.New(), contact: &listContact{}, directory: peers.NewDirectory(&wirev1.NodeRecord{
 		NodeId: name, Address: listener.Addr().String(), Zone: name, DiskId: disk, Incarnation: 1, RecordsStreamOrigins: true,
 	})}
+	node.runners.SetContact(node.contact, 0)
 	node.Tracker = New(node.directory, pool, node.runners.Versions(), prometheus.NewRegistry())
 	server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_RECORD, node.ServeRecord)
 	server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_FIND, node.ServeFind)
