The list of runners is as old as the call that brought it, not as the reading of its answer

Cause: StoreContact.Update dated the contact by when an answer was read; an answer that had lain in the socket counted as the present. The same date decides how long a runner that leaves may be used, whether keys and routes are confirmed, and what relays pass on. Now an answer counts from when its call was sent, as a probe does, and a probe also counts when the changes that it saw arrive after it: during changes the list would else grow older than a second.

--- a/internal/cluster/listwatch/age_test.go
+++ b/internal/cluster/listwatch/age_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"cobaltramp.example/cobaltramp/internal/app/boottime"
 	"cobaltramp.example/cobaltramp/internal/cluster/ports"
 	"cobaltramp.example/cobaltramp/internal/cluster/relay"
 )
@@ -53,7 +54,7 @@
 	is := is.New(t)
 	contact := NewStoreContact()
 	contact.heldAt.Store(int64(-time.Hour))
-	contact.Update(func() {
+	contact.Update(boottime.Now(), func() {
 		is.True(contact.HeldAge() >= time.Hour)
 		is.True(contact.Age() < time.Minute)
 		is.True(!contact.Lost())
@@ -66,7 +67,7 @@
 func TestContentsBeforeTheFirstContactMayBeOfAnyAge(t *testing.T) {
 	is := is.New(t)
 	contact := NewStoreContact()
-	contact.Update(func() { is.True(contact.HeldAge() > 365*24*time.Hour) })
+	contact.Update(boottime.Now(), func() { is.True(contact.HeldAge() > 365*24*time.Hour) })
 	is.True(contact.HeldAge() < time.Minute)
 }
 
--- a/internal/cluster/listwatch/contact.go
+++ b/internal/cluster/listwatch/contact.go
@@ -15,7 +15,8 @@
 // directly or through relays (nodes that pass on its changes), and since when the copy of
 // the store may be outdated.
 //
-// Invariant: a successful list or watch renews the contact and ends its loss. An up-to-date
+// Invariant: a successful list or watch renews the contact as of the time at which it was sent, since
+// its response may have been read late, and ends the loss of contact. An up-to-date
 // relay renews it as of the time at which the relay's contents were known to be all that the
 // store held, and ends its loss. A probe renews the contact only if the node holds all changes
 // up to the revision that the probe has read; it does not end a loss.
@@ -75,16 +76,17 @@
 func (c *StoreContact) StoreRevision() int64 { return c.storeRevision.Load() }
 
 // Confirm records that the node is up to date with the store and in contact with it.
-func (c *StoreContact) Confirm() { c.Update(func() {}) }
-
-// Update records, as Confirm does, that the store has answered with all that this node lacked,
-// and calls apply, which passes the answer on. HeldAge counts it only after that.
-func (c *StoreContact) Update(apply func()) {
-	answered := int64(boottime.Since(processStart))
-	raise(&c.renewedAt, answered)
+func (c *StoreContact) Confirm() { c.Update(boottime.Now(), func() {}) }
+
+// Update records, as Confirm does, that the store has answered a call with all that this node lacked,
+// and calls apply, which passes the answer on. HeldAge counts it only after that. sent is when the
+// call was sent, by boottime.Now: the answer may have lain unread for any time after it.
+func (c *StoreContact) Update(sent time.Time, apply func()) {
+	asOf := int64(sent.Sub(processStart))
+	raise(&c.renewedAt, asOf)
 	c.lost.Store(false)
 	apply()
-	raise(&c.heldAt, answered)
+	raise(&c.heldAt, asOf)
 }
 
 // RenewAsOf records that this node holds all that the store held the given time ago, without
--- a/internal/cluster/listwatch/probe.go
+++ b/internal/cluster/listwatch/probe.go
@@ -70,22 +70,24 @@
 var errWatchBehind = errors.New("the watch has not delivered the store's changes")
 
 // checkWatch compares this node's revision with a revision of the store that a probe has read.
-// If the node holds the changes up to it, checkWatch renews the contact as of the time at which
-// the probe was sent. If the watch has been waiting since before the probe was sent and does not
+// As soon as the node holds the changes up to it, checkWatch renews the contact as of the time at
+// which the probe was sent. If the watch has been waiting since before the probe was sent and does not
 // deliver the changes in time, checkWatch ends the watch, and the next one too if it does not
 // deliver them either.
 func (r *Reflector) checkWatch(ctx context.Context, storeRevision int64, probeSent time.Time) {
 	r.Contact.storeRevision.Store(storeRevision)
-	if storeRevision <= r.Merger.Revision() {
-		r.Contact.RenewAsOf(time.Since(probeSent))
+	if r.renewIfHeld(storeRevision, probeSent) {
 		return
 	}
 	timeout := deliveryTimeout + time.Since(probeSent) // a slow store also delivers slowly
 	sentBefore := probeSent
 	for range maxWatchesBehind {
 		pause.For(ctx, timeout)
+		if r.renewIfHeld(storeRevision, probeSent) {
+			return
+		}
 		revision, waitingSince := r.Merger.Revision(), r.waitingSince.Load()
-		if storeRevision <= revision || waitingSince == nil || waitingSince.After(sentBefore) {
+		if waitingSince == nil || waitingSince.After(sentBefore) {
 			return
 		}
 		klog.InfoS("watch has not delivered the store's changes; it is replaced", "revision", revision, "storeRevision", storeRevision,
@@ -95,6 +97,16 @@
 	}
 }
 
+// renewIfHeld renews the contact as of the time at which the store was asked, if this node holds all
+// changes up to the revision that the store answered. It reports whether it does.
+func (r *Reflector) renewIfHeld(storeRevision int64, asked time.Time) bool {
+	if storeRevision > r.Merger.Revision() {
+		return false
+	}
+	r.Contact.RenewAsOf(time.Since(asked))
+	return true
+}
+
 // probeOnce makes one probe with probeTimeout.
 func (r *Reflector) probeOnce(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/cluster/listwatch/reflector.go
+++ b/internal/cluster/listwatch/reflector.go
@@ -18,6 +18,7 @@
 
 	"k8s.io/klog/v2"
 
+	"cobaltramp.example/cobaltramp/internal/app/boottime"
 	"cobaltramp.example/cobaltramp/internal/app/pause"
 	"cobaltramp.example/cobaltramp/internal/app/tasks"
 	"cobaltramp.example/cobaltramp/internal/cluster/ports"
@@ -259,12 +260,13 @@
 	if revision < 0 || r.needsList || r.Merger.Partial() {
 		return r.listAll(ctx)
 	}
+	sent := boottime.Now()
 	events, at, err := r.watchOnce(ctx, revision)
 	if err != nil {
 		return err
 	}
 	r.watchesBehind = 0
-	r.Contact.Update(func() { r.Merger.Apply(events, at) })
+	r.Contact.Update(sent, func() { r.Merger.Apply(events, at) })
 	if len(events) > 0 {
 		pause.For(ctx, r.coalescer.delayAfter(time.Now()))
 	}
@@ -298,6 +300,7 @@
 // listAll lists the store. If the first page shows that the fleet is large and the node
 // waits for a relay, it stops after that page and returns errLargeFleet.
 func (r *Reflector) listAll(ctx context.Context) error {
+	sent := boottime.Now()
 	first, err := r.Store.FirstPage(ctx, r.Prefix)
 	if err != nil {
 		return err
@@ -313,6 +316,6 @@
 		return err
 	}
 	r.needsList, r.watchesBehind = false, 0
-	r.Contact.Update(func() { r.Merger.Reset(values, revision) })
+	r.Contact.Update(sent, func() { r.Merger.Reset(values, revision) })
 	return nil
 }
