A probe reads the present state of the store

Cause: the probe that dates the list each second was a read that the store may answer from a state seconds old; its revision was compared with the node's as if it were the present one. Now it is an ordinary read.

--- a/internal/cluster/listwatch/reflector.go
+++ b/internal/cluster/listwatch/reflector.go
@@ -47,9 +47,9 @@
 	// changes, possibly none, and the revision from which to continue. The error is
 	// ports.ErrCompacted if the store no longer has all changes after the revision.
 	Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]ports.WatchEvent, int64, error)
-	// Probe makes the cheapest call of the store. The error is nil if the store responds,
-	// even if it refuses the call. The revision is one that the store has reached, possibly
-	// seconds ago; 0 if the response names none.
+	// Probe reads the store's revision. The error is nil if the store responds, even if it
+	// refuses the call. The revision is one that the store had reached after the call was sent;
+	// 0 if the response names none.
 	Probe(ctx context.Context) (revision int64, err error)
 }
 
