A list of runners proves a version only if it covers the time until the caller asked

Cause (class: knowledge of the past taken for the present): evidence.conclude took a list that was up to 2.5 s old for the present, and asked for no holder's answer. The test of conclusions had that as right. Change: a proof has a date. 'sole_version' needs a node that received every change of the window and whose list was known to be current after the take-up arrived. 'unrecorded' concludes from what was established when the window began, so its lists may be older, but the contact of that time must not have been interrupted; an interruption is now seen also if the node had no time to notice it (it stood still). The window has a margin (versionSlack, 3.5 s) for nodes whose lists are behind, also in SoleFor, which checks the age of the list at once and not only every 250 ms. Weighed: to wait for the own list only (fails for an edge that the store turns away and for edges that have just started), to ask a current holder only (fails without storage nodes); both are done side by side. Tests that changed meaning: the row 'one version, no holder answers' of TestConclusions held the fault in place; it is two rows now (current: proven; behind: refused). Histories of tests check their contact as a node does, since an unnoticed interruption counts.

--- a/internal/cluster/informer/informer.go
+++ b/internal/cluster/informer/informer.go
@@ -74,6 +74,8 @@
 
 	runners *runnerCache
 	merger  *relay.Merger
+	// reflector is nil before Run.
+	reflector atomic.Pointer[listwatch.Reflector]
 	// follower is nil before Run, and stays nil without a Pool.
 	follower atomic.Pointer[relay.Follower]
 	// peerAnswered is true if another node has answered a PeerStateRequest of this node.
@@ -99,6 +101,13 @@
 	return follower != nil && follower.UsesRelay()
 }
 
+// CatchUp implements streamorigin.ListUpdater (see listwatch.Reflector.CatchUp).
+func (i *Informer) CatchUp(ctx context.Context) {
+	if reflector := i.reflector.Load(); reflector != nil {
+		reflector.CatchUp(ctx)
+	}
+}
+
 // Level returns this node's level in the tree of a large fleet (see relay.Follower.Level);
 // 0 before Run or without a Pool.
 func (i *Informer) Level() uint32 {
@@ -147,6 +156,7 @@
 		running.Go(func() { follower.Run(ctx) })
 		running.Go(func() { i.widen(ctx) })
 	}
+	i.reflector.Store(reflector)
 	running.Go(func() { reflector.Run(ctx) })
 	i.register(ctx)
 	running.Wait()
--- a/internal/cluster/listwatch/reflector.go
+++ b/internal/cluster/listwatch/reflector.go
@@ -85,6 +85,7 @@
 
 	// waitingSince is when the waiting watch was sent; nil while no watch waits.
 	waitingSince atomic.Pointer[time.Time]
+	catchUps     catchUps
 
 	// The fields below are used only by the goroutine of listAndWatch. storeLost is true
 	// while calls fail. needsList is true if the node has to list again, because the store
@@ -104,6 +105,7 @@
 func New(options Options) *Reflector {
 	return &Reflector{
 		Options: options, coalescer: newCoalescer(time.Now(), options.Drain), sourceTimeout: randomSourceTimeout(), started: time.Now(),
+		catchUps: newCatchUps(),
 	}
 }
 
@@ -112,6 +114,7 @@
 	var running tasks.Group
 	running.Go(func() { r.listAndWatch(ctx) })
 	running.Go(func() { r.probe(ctx) })
+	running.Go(func() { r.runCatchUps(ctx) })
 	running.Wait()
 }
 
@@ -268,7 +271,7 @@
 	r.watchesBehind = 0
 	r.Contact.Update(sent, func() { r.Merger.Apply(events, at) })
 	if len(events) > 0 {
-		pause.For(ctx, r.coalescer.delayAfter(time.Now()))
+		r.coalesce(ctx, r.coalescer.delayAfter(time.Now()))
 	}
 	return nil
 }
--- a/internal/cluster/listwatch/silent_test.go
+++ b/internal/cluster/listwatch/silent_test.go
@@ -69,9 +69,17 @@
 // first watch has been waiting for some seconds.
 func runReflector(t *testing.T, store *fakeStore) *Reflector {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
 	store.revision.Store(1)
-	reflector := New(Options{Store: store, Contact: NewStoreContact(), Merger: relay.NewMerger(discardSink{}), WatchTimeout: time.Hour})
+	reflector := startReflector(t, store)
+	time.Sleep(5*time.Second + probeInterval/2)
+	return reflector
+}
+
+// startReflector runs a reflector of the store until the test ends.
+func startReflector(t *testing.T, store ListerWatcher) *Reflector {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	reflector := New(Options{Store: store, Contact: NewStoreContact(), Merger: newTestMerger(), WatchTimeout: time.Hour})
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -81,7 +89,6 @@
 		cancel()
 		<-ended
 	})
-	time.Sleep(5*time.Second + probeInterval/2)
 	return reflector
 }
 
@@ -172,3 +179,5 @@
 		is.Equal(store.lists.Load(), int64(1))
 	})
 }
+
+func newTestMerger() *relay.Merger { return relay.NewMerger(discardSink{}) }
--- a/internal/serving/runnerset/versions.go
+++ b/internal/serving/runnerset/versions.go
@@ -11,12 +11,12 @@
 )
 
 const (
-	// maxContactAge is the longest time since the last contact with the store after which the
-	// list of runners still counts as current.
+	// maxContactAge is the longest time for which the list of runners may be behind while the contact
+	// with the store counts as uninterrupted.
 	maxContactAge = 2500 * time.Millisecond
-	// versionSlack is how much later this node may have listed a version than another node,
-	// both in contact with the store.
-	versionSlack = maxContactAge + 500*time.Millisecond
+	// versionSlack is how much sooner or later this node may have listed a version than another node
+	// whose contact is not interrupted has used it. A removed runner is used for removedGrace.
+	versionSlack = maxContactAge + removedGrace + 200*time.Millisecond
 	// MaxVersionWindow is the longest window that a VersionHistory can be asked about.
 	MaxVersionWindow = time.Minute
 )
@@ -25,26 +25,25 @@
 // had. It is safe for concurrent use.
 //
 // Nodes compare their histories to conclude at which version a stream began. Two things are
-// distinguished: which versions were listed (Seen), which a node knows as long as no change of
-// the list was skipped, also after an outage of the store or a restart; and when they were first
-// listed (Established), which it knows only while it is in contact with the store.
+// distinguished: which versions were listed (Seen), which a node knows up to the last moment at which
+// its list was current as long as no change of the list was skipped, also after an outage of the store
+// or a restart; and when they were first listed (Established), which it knows only of times in which it
+// was in contact with the store.
 type VersionHistory struct {
 	mutex sync.Mutex
 	// contactAge returns the time since the applied contents were known to be all that the store
 	// held; nil stands for an uninterrupted contact.
 	contactAge func() time.Duration
-	// connected reports whether the node is in contact with the store; nil stands for a contact
-	// that is never lost.
-	connected func() bool
-	// since is when the history began; zero before the first list.
-	since time.Time
+	// begun is set by the first list.
+	begun bool
 	// gaplessSince is since when this node has received every change of the list, at once or
 	// later; zero if that includes the changes in an earlier run of this node.
 	gaplessSince time.Time
-	// connectedAt is when the contact with the store was first seen after its last loss; zero
-	// if it is lost.
-	connectedAt time.Time
-	services    map[string]*serviceVersions
+	// contactSince is since when the contact with the store was not interrupted, and currentAt is the
+	// last moment at which the list was known to be current; both are zero before the first contact.
+	// An interrupted contact begins anew with the next moment at which the list is current.
+	contactSince, currentAt time.Time
+	services                map[string]*serviceVersions
 	// sole is a copy for readers on the path of requests: the time since which all runners of
 	// a service have had the same version. It lacks the services with several versions.
 	sole atomic.Pointer[map[string]time.Time]
@@ -76,10 +75,7 @@
 func (s *Set) Versions() *VersionHistory { return s.versions }
 
 // setContact sets the contact with the store. It must be called before the first list.
-func (h *VersionHistory) setContact(contact StoreContact) {
-	h.contactAge = contact.HeldAge
-	h.connected = func() bool { return !contact.Lost() }
-}
+func (h *VersionHistory) setContact(contact StoreContact) { h.contactAge = contact.HeldAge }
 
 // Recent returns the versions of each service that were listed lately, for Restore.
 func (h *VersionHistory) Recent() map[string][]string {
@@ -102,7 +98,7 @@
 			h.noteListed(name, version, now)
 		}
 	}
-	h.gaplessSince = time.Time{}
+	h.begun, h.gaplessSince = true, time.Time{}
 	h.publishSole()
 }
 
@@ -126,9 +122,6 @@
 	span.last = latest(span.last, now)
 }
 
-// catchUpTime is how long after the contact with the store is back its changes have surely arrived.
-const catchUpTime = 100 * time.Millisecond
-
 // age returns the time since the list was last known to be current.
 func (h *VersionHistory) age() time.Duration {
 	if h.contactAge == nil {
@@ -137,28 +130,15 @@
 	return h.contactAge()
 }
 
-// upToDate reports whether the changes of the list up to now have arrived. The mutex is held.
-func (h *VersionHistory) upToDate(now time.Time) bool {
-	if h.connected == nil || !h.connected() || h.contactAge() > maxContactAge {
-		h.connectedAt = time.Time{}
-		return false
-	}
-	if h.connectedAt.IsZero() {
-		h.connectedAt = now
-	}
-	return now.Sub(h.connectedAt) >= catchUpTime
-}
-
-// Refresh checks the contact with the store, and forgets versions that were not listed for
-// MaxVersionWindow. It is called several times a second.
+// Refresh checks the contact with the store, and forgets versions that were not listed for longer than
+// Knowledge can be asked about. It is called several times a second.
 func (h *VersionHistory) Refresh(now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.checkContact(now)
-	h.upToDate(now)
+	h.noteContact(now)
 	for name, service := range h.services {
 		for version, span := range service.spans {
-			if !span.listed && now.Sub(span.last) > MaxVersionWindow {
+			if !span.listed && now.Sub(span.last) > MaxVersionWindow+versionSlack {
 				delete(service.spans, version)
 			}
 		}
@@ -169,12 +149,21 @@
 	h.publishSole()
 }
 
-// checkContact begins the history anew if the node is out of contact with the store. The
+// noteContact notes up to when the list is current, and whether the contact was interrupted before. The
 // mutex is held.
-func (h *VersionHistory) checkContact(now time.Time) {
-	if h.since.IsZero() || h.contactAge != nil && h.contactAge() > maxContactAge {
-		h.since = now
+func (h *VersionHistory) noteContact(now time.Time) {
+	age := h.age()
+	if age > MaxVersionWindow {
+		return // longer than any history, or there was no contact yet
+	}
+	currentAt := now.Add(-age)
+	if !currentAt.After(h.currentAt) {
+		return
 	}
+	if h.contactSince.IsZero() || h.contactAge != nil && now.Sub(h.currentAt) > maxContactAge {
+		h.contactSince = currentAt
+	}
+	h.currentAt = currentAt
 }
 
 // record adds the listed runners. totals are the rounded numbers of all runners; nil if all
@@ -182,7 +171,10 @@
 func (h *VersionHistory) record(runners map[string]*Runner, totals *subset.Totals, now time.Time) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	h.checkContact(now)
+	h.noteContact(now)
+	if !h.begun {
+		h.begun, h.gaplessSince = true, now
+	}
 	h.closeSpans(now)
 	for _, runner := range runners {
 		h.addListed(runner, now)
@@ -246,8 +238,8 @@
 func (h *VersionHistory) publishSole() {
 	sole := map[string]time.Time{}
 	for name, service := range h.services {
-		if since, found := service.soleSince(); found {
-			sole[name] = latest(since, h.since)
+		if since, found := service.soleSince(); found && !h.contactSince.IsZero() {
+			sole[name] = latest(since, h.contactSince)
 		}
 	}
 	h.sole.Store(&sole)
@@ -274,21 +266,26 @@
 	return b
 }
 
-// SoleFor reports whether this node is certain that all runners of the service have had the
-// same version, known to all nodes, for at least the window. It does not lock.
+// SoleFor reports whether this node is in contact with the store, and has listed the same version of
+// all runners of the service for so long that no node can have used another one in the window. It does
+// not lock.
 func (h *VersionHistory) SoleFor(service string, window time.Duration, now time.Time) bool {
 	since, found := (*h.sole.Load())[service]
-	return found && now.Sub(since) >= window
+	return found && now.Sub(since) >= window+versionSlack && h.age() <= maxContactAge
 }
 
 // VersionKnowledge is what a node knows about the versions of a service in a window.
 type VersionKnowledge struct {
-	// Known is set if the node knows all versions that were listed in the window.
+	// Known is set if the node knows all versions that another node may have used in the window, up
+	// to Age ago.
 	Known bool
-	// Seen are the versions that were listed in the window, in alphabetical order.
+	// Seen are these versions, in alphabetical order.
 	Seen []string
-	// Established are the versions among them that other nodes may have listed before the
-	// window began; empty if this node was not in contact with the store during the window.
+	// InContact is set if the node was in contact with the store when the window began, and lists all
+	// runners of the service.
+	InContact bool
+	// Established are the versions of Seen that other nodes may have listed before the window
+	// began; empty if InContact is not set.
 	Established []string
 	// Age is the time since the node's list was last known to be current.
 	Age time.Duration
@@ -297,24 +294,26 @@
 // Knowledge returns what this node knows about the versions of a service in the window that
 // ends now.
 func (h *VersionHistory) Knowledge(service string, window time.Duration, now time.Time) VersionKnowledge {
+	age := h.age() // before the versions are read, which are then as new at least
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	age := h.age()
-	h.checkContact(now)
-	start := now.Add(-window)
+	h.noteContact(now)
 	versions := h.services[service]
 	if versions == nil {
 		return VersionKnowledge{Age: age}
 	}
-	inContact := !h.since.After(start)
-	complete := inContact || !h.gaplessSince.After(start) && h.upToDate(now)
-	known := VersionKnowledge{Known: complete && !versions.partial && !versions.partialAt.After(start), Age: age}
+	start := now.Add(-window)
+	earliest := start.Add(-versionSlack)
+	listsAll := !versions.partial && !versions.partialAt.After(earliest)
+	known := VersionKnowledge{
+		Known: listsAll && !h.gaplessSince.After(earliest), InContact: listsAll && h.inContactAt(start), Age: age,
+	}
 	for version, span := range versions.spans {
-		if !span.listed && span.last.Before(start) {
+		if !span.listed && span.last.Before(earliest) {
 			continue
 		}
 		known.Seen = append(known.Seen, version)
-		if inContact && !span.first.After(start.Add(versionSlack)) {
+		if known.InContact && !span.first.After(start.Add(versionSlack)) {
 			known.Established = append(known.Established, version)
 		}
 	}
@@ -322,3 +321,9 @@
 	slices.Sort(known.Established)
 	return known
 }
+
+// inContactAt reports whether the contact with the store was not interrupted at a time and for
+// versionSlack after it. The mutex is held.
+func (h *VersionHistory) inContactAt(at time.Time) bool {
+	return !h.contactSince.IsZero() && !h.contactSince.After(at) && !h.currentAt.Before(at.Add(versionSlack))
+}
--- a/internal/serving/streamorigin/behind_test.go
+++ b/internal/serving/streamorigin/behind_test.go
@@ -1,7 +1,9 @@
 package streamorigin
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,31 +12,54 @@
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
 )
 
-// listContact is the contact of a node with the store; its list was last known to be current at the
-// given time, or is always current if that is zero.
+// listContact is the contact of a node with the store, and its ListUpdater. The zero value is a contact
+// with which the list is always current.
 type listContact struct {
-	currentAt time.Time
-	lost      bool
+	// currentAt is the last moment at which the list was current, in Unix nanoseconds, after which the
+	// store is silent; 0 stands for always and neverCurrent for a contact that has not begun.
+	currentAt atomic.Int64
 }
 
+// neverCurrent is a moment before all histories.
+const neverCurrent = 1
+
 func (c *listContact) Age() time.Duration {
-	if c.currentAt.IsZero() {
+	currentAt := c.currentAt.Load()
+	if currentAt == 0 {
 		return 0
 	}
-	return time.Since(c.currentAt)
+	return time.Since(time.Unix(0, currentAt))
 }
+
 func (c *listContact) HeldAge() time.Duration { return c.Age() }
-func (c *listContact) Lost() bool             { return c.lost }
+func (c *listContact) Lost() bool             { return false }
+
+// CatchUp implements ListUpdater.
+func (c *listContact) CatchUp(ctx context.Context) {
+	if c.currentAt.Load() != 0 {
+		<-ctx.Done()
+	}
+}
 
 var (
 	oldRunner = runnerset.Record{ID: "a", Service: "s", Version: "v1"}
 	newRunner = runnerset.Record{ID: "b", Service: "s", Version: "v2"}
 )
 
-// listOldAlone makes a node list v1 alone, by a list that was current the given time ago.
+// contactCheckInterval is the interval at which a node checks its contact in the history of a test.
+const contactCheckInterval = 200 * time.Millisecond
+
+// listOldAlone makes a node that has not started list v1 alone, by a list that was always current until
+// the given time ago.
 func (n *testNode) listOldAlone(age time.Duration) {
-	n.contact.currentAt = time.Now().Add(-age)
-	n.runners.Replace([]runnerset.Record{oldRunner}, 1, time.Now().Add(-2*minWindow))
+	n.runners.SetContact(n.contact, 0)
+	began, lastCurrent := time.Now().Add(-2*minWindow), time.Now().Add(-age)
+	n.runners.Replace([]runnerset.Record{oldRunner}, 1, began)
+	for at := began; at.Before(lastCurrent); at = at.Add(contactCheckInterval) {
+		n.runners.Versions().Refresh(at)
+	}
+	n.runners.Versions().Refresh(lastCurrent)
+	n.contact.currentAt.Store(lastCurrent.UnixNano())
 }
 
 // Guards against texts of two versions during a release: an edge that was cut off or stood still while runners of a
@@ -57,10 +82,10 @@
 func testListThatIsBehind(t *testing.T, age time.Duration, silent, behind int) {
 	t.Helper()
 	is := is.New(t)
-	began, other := startNode(t, "edge-a", ""), startNode(t, "edge-b", "")
+	began, other := newNode(t, "edge-a", ""), newNode(t, "edge-b", "")
 	all := []*testNode{began, other}
 	for _, name := range []string{"a", "b", "c"} {
-		all = append(all, startNode(t, "disk-"+name, "disk-"+name))
+		all = append(all, newNode(t, "disk-"+name, "disk-"+name))
 	}
 	for _, node := range all {
 		for _, known := range all {
@@ -69,7 +94,6 @@
 		node.table.completeSince = time.Now().Add(-2 * minWindow)
 	}
 	holders, _ := splitByHolders(all[2:], KeyOf(testContent, "first"))
-	began.contact.currentAt = time.Time{}
 	listOldAndNew(began)
 	other.listOldAlone(age)
 	for number, holder := range holders {
@@ -79,6 +103,9 @@
 			listOldAndNew(holder)
 		}
 	}
+	for _, node := range all {
+		node.run()
+	}
 	beginConfirmed(t, began, "first", "v2", 1)
 	began.stop()
 	for _, holder := range holders[:silent] {
--- a/internal/serving/streamorigin/evidence.go
+++ b/internal/serving/streamorigin/evidence.go
@@ -33,13 +33,20 @@
 	record *Record
 	// complete is set if the node has all records of the window that it was sent.
 	complete bool
-	// versions is what the node knows about the versions of the service.
+	// versions is what the node knows about the versions of the service, and current is set if its
+	// list was known to be current after the caller had asked to resume the stream. The list then
+	// has each version at which the stream can have begun.
 	versions runnerset.VersionKnowledge
+	current  bool
 	// holders are the nodes that may hold the record, as far as the node knows; empty if it is of an
 	// earlier version, which does not name them.
 	holders []*wirev1.NodeRecord
 }
 
+// mayProveSole reports whether the node's list would prove the version of the stream if it was known to
+// be current.
+func (a *answer) mayProveSole() bool { return a.versions.Known && len(a.versions.Seen) == 1 }
+
 // evidence is what is known about a stream that a caller resumes.
 type evidence struct {
 	// own is the answer of this node.
@@ -81,20 +88,22 @@
 // conclude concludes where a stream began; service is its service if it is not recorded.
 //
 //  1. A record proves it, the one with the highest sequence if there are several.
-//  2. It is proven if the nodes that knew all runners during the window, at least one, have listed
-//     only one version.
+//  2. It is proven if one version alone was listed during the window, by all answers, and one of the
+//     nodes knows the whole window until after the caller has asked. A list that is older says
+//     nothing about a stream that began later.
 //  3. A node that lists several versions sends no stream without a confirmed record. So if all
 //     holders, also those that only some nodes know, have all records of the window and none of the
 //     stream, the stream began at a node that still listed a single version, which must be
-//     established at all nodes.
+//     established at all nodes. What was listed since does not matter then, so that the lists may be
+//     older.
 func (e *evidence) conclude(service string) conclusion {
 	if record, source := e.newestRecord(); record != nil {
 		return conclusion{record.Origin, ProofRecord, source}
 	}
-	seen, established, source := e.knownVersions()
-	if len(seen) == 1 {
+	if seen, source := e.seenVersions(); len(seen) == 1 && source != "" {
 		return conclusion{Origin{service, seen[0]}, ProofSole, source}
 	}
+	established, source := e.establishedVersions()
 	if len(established) == 1 && e.holdersHaveNone() && e.allRecord {
 		return conclusion{Origin{service, established[0]}, ProofUnrecorded, source}
 	}
@@ -115,20 +124,31 @@
 	return newest, source
 }
 
-// knownVersions returns the versions that were listed and those that were established, by all
-// nodes that knew all runners during the window, and the first of these nodes.
-func (e *evidence) knownVersions() (seen, established []string, source string) {
+// seenVersions returns the versions that any node listed during the window, and the first node that
+// knows the whole window until after the caller has asked; empty if there is none.
+func (e *evidence) seenVersions() (seen []string, source string) {
 	for _, known := range e.answers() {
-		if !known.versions.Known {
+		seen = append(seen, known.versions.Seen...)
+		if source == "" && known.versions.Known && known.current {
+			source = known.node
+		}
+	}
+	return distinct(seen), source
+}
+
+// establishedVersions returns the versions that were established, by all nodes that were in contact
+// with the store when the window began, and the first of these nodes.
+func (e *evidence) establishedVersions() (established []string, source string) {
+	for _, known := range e.answers() {
+		if !known.versions.InContact {
 			continue
 		}
 		if source == "" {
 			source = known.node
 		}
-		seen = append(seen, known.versions.Seen...)
 		established = append(established, known.versions.Established...)
 	}
-	return distinct(seen), distinct(established), source
+	return distinct(established), source
 }
 
 func distinct(versions []string) []string {
--- a/internal/serving/streamorigin/evidence_test.go
+++ b/internal/serving/streamorigin/evidence_test.go
@@ -1,6 +1,7 @@
 package streamorigin
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -10,8 +11,23 @@
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
 )
 
+// knowing is the answer of a node whose list is current and that was always in contact with the store.
+// known is not set if it does not know the whole window.
 func knowing(node string, known bool, seen, established []string) answer {
-	return answer{node: node, complete: true, versions: runnerset.VersionKnowledge{Known: known, Seen: seen, Established: established}}
+	versions := runnerset.VersionKnowledge{Known: known, Seen: seen, InContact: true, Established: established}
+	return answer{node: node, complete: true, current: true, versions: versions}
+}
+
+// behind is an answer by a list that was not known to be current after the caller had asked.
+func behind(known answer) answer {
+	known.current = false
+	return known
+}
+
+// withoutContact is an answer of a node that was not in contact with the store when the window began.
+func withoutContact(known answer) answer {
+	known.versions.InContact, known.versions.Established = false, nil
+	return known
 }
 
 func recorded(node, version string, sequence uint32) answer {
@@ -35,7 +51,30 @@
 		{"a record", evidence{own: knowing("own", true, two, two), holders: []answer{recorded("a", "v2", 1)}, asked: 3}, "v2", ProofRecord},
 		{"the newer of two records", evidence{own: ignorant, holders: []answer{recorded("a", "v2", 1), recorded("b", "v1", 2)}, asked: 3}, "v1", ProofRecord},
 		{"a record against a single listed version", evidence{own: knowing("own", true, one, one), holders: []answer{recorded("a", "v2", 1)}, asked: 3}, "v2", ProofRecord},
-		{"one version, no holder answers", evidence{own: knowing("own", true, one, one), asked: 3}, "v1", ProofSole},
+		{"one version in a current list, no holder answers", evidence{own: knowing("own", true, one, one), asked: 3}, "v1", ProofSole},
+		{"one version in a list that is behind, no holder answers", evidence{own: behind(knowing("own", true, one, one)), asked: 3}, "", ProofNone},
+		{
+			"one version in lists that are all behind, a holder is silent",
+			evidence{own: behind(knowing("own", true, one, one)), holders: []answer{behind(knowing("a", true, one, one))}, asked: 2, allRecord: true, allAsked: true}, "", ProofNone,
+		},
+		{
+			"one version in lists that are all behind, and no holder has a record",
+			evidence{own: behind(knowing("own", true, one, one)), holders: []answer{behind(knowing("a", true, one, one)), behind(knowing("b", true, one, one))}, asked: 2, allRecord: true, allAsked: true},
+			"v1", ProofUnrecorded,
+		},
+		{
+			"a holder's current list proves what this node's list does not",
+			evidence{own: behind(knowing("own", true, one, one)), holders: []answer{knowing("a", true, one, one)}, asked: 3}, "v1", ProofSole,
+		},
+		{
+			"a current list has one version, a list that is behind another",
+			evidence{own: behind(withoutContact(knowing("own", false, []string{"v0"}, nil))), holders: []answer{knowing("a", true, one, one)}, asked: 3}, "", ProofNone,
+		},
+		{
+			"no node was in contact with the store when the window began",
+			evidence{own: behind(withoutContact(knowing("own", true, one, one))), holders: []answer{behind(withoutContact(knowing("a", true, one, one)))}, asked: 1, allRecord: true, allAsked: true},
+			"", ProofNone,
+		},
 		{"one version, known to a holder only", evidence{own: ignorant, holders: []answer{knowing("a", true, one, one)}, asked: 3}, "v1", ProofSole},
 		{"one version, but not for the whole window", evidence{own: knowing("own", false, one, one), asked: 3}, "", ProofNone},
 		{"this node missed a version", evidence{own: knowing("own", true, one, one), holders: []answer{knowing("a", true, two, two)}, asked: 3}, "", ProofNone},
@@ -84,7 +123,7 @@
 	versions := rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"v1", "v2", "v3"}), 0, 3, rapid.ID)
 	drawAnswer := rapid.Custom(func(t *rapid.T) answer {
 		drawn := knowing("n", rapid.Bool().Draw(t, "known"), versions.Draw(t, "seen"), nil)
-		drawn.complete = rapid.Bool().Draw(t, "complete")
+		drawn.complete, drawn.current = rapid.Bool().Draw(t, "complete"), rapid.Bool().Draw(t, "current")
 		for _, version := range drawn.versions.Seen {
 			if rapid.Bool().Draw(t, "established") {
 				drawn.versions.Established = append(drawn.versions.Established, version)
@@ -109,7 +148,7 @@
 			if one.record != nil && one.record.Sequence == highest {
 				sources[one.record.Origin.SoftwareVersion] = true
 			}
-			if highest == 0 && one.versions.Known {
+			if highest == 0 {
 				for _, version := range one.versions.Seen {
 					sources[version] = true
 				}
@@ -124,5 +163,8 @@
 		if concluded.proof == ProofSole && len(sources) > 1 {
 			t.Fatalf("%+v, but nodes listed %v", concluded, sources)
 		}
+		if concluded.proof == ProofSole && !slices.ContainsFunc(known.answers(), func(one answer) bool { return one.current && one.versions.Known }) {
+			t.Fatalf("%+v, but no list covers the time until the caller asked", concluded)
+		}
 	})
 }
--- a/internal/serving/streamorigin/resolve.go
+++ b/internal/serving/streamorigin/resolve.go
@@ -36,18 +36,12 @@
 	Window time.Duration
 }
 
-// Resolve returns where the stream began. It asks the holders of its record, and blocks for at
-// most callTimeout. It returns an error with the code StreamNotResumed if the origin is unknown.
+// Resolve returns where the stream began. It asks the holders of its record, brings this node's list
+// of runners up to date meanwhile, and blocks for at most ownCatchUpTimeout. It returns an error with
+// the code StreamNotResumed if the origin is unknown.
 func (t *Tracker) Resolve(ctx context.Context, resumption *Resumption) (Origin, error) {
 	started := time.Now()
-	key := KeyOf(resumption.Content, resumption.Attempt)
-	known := evidence{own: t.answer(key, resumption.Service, resumption.Window), allRecord: t.allRecordOrigins()}
-	if known.own.record == nil {
-		t.askHolders(ctx, key, resumption, &known)
-	}
-	if resumption.Attempt == "" {
-		known.asked = 0 // that nobody has a record proves nothing
-	}
+	known := t.collect(ctx, resumption, started)
 	concluded := known.conclude(resumption.Service)
 	t.resumptions.WithLabelValues(string(concluded.proof)).Inc()
 	proofAge, fromList := known.proofAge(concluded)
@@ -65,12 +59,54 @@
 	return concluded.origin, nil
 }
 
-// answer returns what this node knows about a stream.
-func (t *Tracker) answer(key Key, service string, window time.Duration) answer {
+// collect collects what is known about a stream that a caller resumes. received is when the caller
+// asked. It returns as soon as the origin can be concluded.
+func (t *Tracker) collect(ctx context.Context, resumption *Resumption, received time.Time) *evidence {
+	key := KeyOf(resumption.Content, resumption.Attempt)
+	ownAnswer := func() answer { return t.answer(key, resumption.Service, resumption.Window, received) }
+	known := &evidence{own: ownAnswer(), allRecord: t.allRecordOrigins()}
+	if known.own.record != nil {
+		return known
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	caughtUp := make(chan struct{})
+	catchUp := func() {
+		defer close(caughtUp)
+		t.catchUp(ctx, ownCatchUpTimeout)
+	}
+	if !known.own.mayProveSole() || !t.sending.Go(catchUp) { // Go refuses when this node stops
+		close(caughtUp)
+	}
+	t.askHolders(ctx, key, resumption, known)
+	if resumption.Attempt == "" {
+		known.asked = 0 // that nobody has a record proves nothing
+	}
+	if known.conclude(resumption.Service).proof == ProofNone {
+		<-caughtUp
+	}
+	known.own = ownAnswer()
+	return known
+}
+
+// ownCatchUpTimeout is how long a node at which a stream is resumed waits until its own list of
+// runners is known to be current.
+const ownCatchUpTimeout = 500 * time.Millisecond
+
+// catchUp waits until this node's list is known to be current, or can't be known to be.
+func (t *Tracker) catchUp(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	t.lists.CatchUp(ctx)
+}
+
+// answer returns what this node knows about a stream that a caller asked to resume at the given time.
+func (t *Tracker) answer(key Key, service string, window time.Duration, received time.Time) answer {
 	now := time.Now()
+	versions := t.versions.Knowledge(service, window, now)
 	own := answer{
 		node: t.directory.Self().NodeId, complete: t.table.Complete(window, now),
-		versions: t.versions.Knowledge(service, window, now),
+		versions: versions, current: versions.Age <= now.Sub(received),
 	}
 	if record, found := t.table.Find(key, now); found {
 		own.record = &record
@@ -171,8 +207,9 @@
 func decodeAnswer(node string, reply *wirev1.StreamOriginReply) *answer {
 	decoded := &answer{node: node, complete: reply.Complete, holders: reply.Holders}
 	if reply.Versions != nil {
+		decoded.current = reply.Versions.Current
 		decoded.versions = runnerset.VersionKnowledge{
-			Known: reply.Versions.Known, Seen: reply.Versions.Seen, Established: reply.Versions.Established,
+			Known: reply.Versions.Known, Seen: reply.Versions.Seen, InContact: reply.Versions.InContact, Established: reply.Versions.Established,
 			Age: time.Duration(reply.Versions.AgeMs) * time.Millisecond,
 		}
 	}
--- a/internal/serving/streamorigin/serve.go
+++ b/internal/serving/streamorigin/serve.go
@@ -10,7 +10,6 @@
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
 	"cobaltramp.example/cobaltramp/internal/app/result"
-	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
 
@@ -40,17 +39,26 @@
 	return slices.ContainsFunc(holdersOf(t.directory.Disks(), key), func(holder *wirev1.NodeRecord) bool { return holder.NodeId == self })
 }
 
+// holderCatchUpTimeout is how long a holder without a record waits until its list is known to be
+// current. It leaves the rest of callTimeout to the call itself.
+const holderCatchUpTimeout = callTimeout * 3 / 5
+
 // ServeFind answers with what this node knows about a stream.
-func (t *Tracker) ServeFind(_ context.Context, stream *rpc.ServerStream) error {
+func (t *Tracker) ServeFind(ctx context.Context, stream *rpc.ServerStream) error {
 	var query wirev1.StreamOriginQuery
 	if err := stream.DecodeRequest(&query); err != nil {
 		return err
 	}
+	received := time.Now()
 	window := min(time.Duration(query.WindowMs)*time.Millisecond, MaxWindow)
-	known := t.answer(Key(query.Key), query.Service, window)
+	known := t.answer(Key(query.Key), query.Service, window, received)
+	if known.record == nil && known.mayProveSole() {
+		t.catchUp(ctx, holderCatchUpTimeout)
+		known = t.answer(Key(query.Key), query.Service, window, received)
+	}
 	reply := &wirev1.StreamOriginReply{
 		Complete: known.complete,
-		Versions: encodeVersions(&known.versions),
+		Versions: encodeVersions(&known),
 	}
 	for _, holder := range holdersOf(t.directory.Disks(), Key(query.Key)) {
 		reply.Holders = append(reply.Holders, &wirev1.NodeRecord{NodeId: holder.NodeId, Address: holder.Address})
@@ -61,9 +69,10 @@
 	return stream.Send(reply)
 }
 
-func encodeVersions(versions *runnerset.VersionKnowledge) *wirev1.SoftwareVersions {
+func encodeVersions(known *answer) *wirev1.SoftwareVersions {
+	versions := &known.versions
 	return &wirev1.SoftwareVersions{
-		Known: versions.Known, Seen: versions.Seen, Established: versions.Established,
-		AgeMs: uint32(min(versions.Age.Milliseconds(), math.MaxUint32)),
+		Known: versions.Known, Seen: versions.Seen, InContact: versions.InContact, Established: versions.Established,
+		AgeMs: uint32(min(versions.Age.Milliseconds(), math.MaxUint32)), Current: known.current,
 	}
 }
--- a/internal/serving/streamorigin/startup_test.go
+++ b/internal/serving/streamorigin/startup_test.go
@@ -121,6 +121,16 @@
 	is.Equal(resolveKnown(t, other, "first"), Origin{"s", "v2"})
 }
 
+// startNodeWithoutContact starts a node that has not been in contact with the store yet.
+func startNodeWithoutContact(t *testing.T, name, disk string) *testNode {
+	t.Helper()
+	node := newNode(t, name, disk)
+	node.contact.currentAt.Store(neverCurrent)
+	node.runners.SetContact(node.contact, 0)
+	node.run()
+	return node
+}
+
 // Guards against texts of two versions after a loss of all power: storage nodes that were started again, with or
 // without their disks, have lost the records, and their not having one proves nothing.
 func TestStorageNodesThatLostTheirMemoryProveNothing(t *testing.T) {
@@ -129,9 +139,9 @@
 	began.stop()
 	for number, disk := range disks {
 		disk.stop()
-		disks[number] = startNode(t, disk.directory.Self().NodeId, disk.directory.Self().DiskId)
+		disks[number] = startNodeWithoutContact(t, disk.directory.Self().NodeId, disk.directory.Self().DiskId)
 	}
-	edge := startEdgeThatKnows(t, "edge-b")
+	edge := startNodeWithoutContact(t, "edge-b", "")
 	all := append(slices.Clone(disks), edge)
 	for _, node := range all {
 		for _, disk := range disks {
@@ -149,7 +159,10 @@
 				node.runners.Versions().Restore(cached, time.Now())
 			}
 		}},
-		{"both versions listed", func(node *testNode) { node.runners.Replace(node.runnersOfTwoVersions()) }},
+		{"both versions listed", func(node *testNode) {
+			node.contact.currentAt.Store(0)
+			node.runners.Replace(node.runnersOfTwoVersions())
+		}},
 		{"the new version alone listed", func(node *testNode) {
 			node.runners.Replace([]runnerset.Record{{ID: "b", Service: "s", Version: "v2"}}, 5, time.Now())
 		}},
--- a/internal/serving/streamorigin/tracker.go
+++ b/internal/serving/streamorigin/tracker.go
@@ -26,12 +26,20 @@
 	Call(ctx context.Context, address string, class rpc.Class, method wirev1.Method, request, reply proto.Message) error
 }
 
+// ListUpdater brings this node's list of runners up to date.
+type ListUpdater interface {
+	// CatchUp returns when the node holds all that the platform's store held after the call, or
+	// when the context ends. It returns at once if the store is known not to answer.
+	CatchUp(ctx context.Context)
+}
+
 // Tracker records the origins of this node's streams at other nodes, holds the records of other
 // nodes, and resolves the origins of streams that are resumed here. It is safe for concurrent use.
 type Tracker struct {
 	directory NodeDirectory
 	caller    CallSender
 	versions  *runnerset.VersionHistory
+	lists     ListUpdater
 	table     *Table
 	// sending runs the calls that send records, which end with the context sendContext.
 	sending     tasks.Group
@@ -44,10 +52,10 @@
 }
 
 // New returns a tracker and registers its metrics. versions is this node's history of software
-// versions.
-func New(directory NodeDirectory, caller CallSender, versions *runnerset.VersionHistory, registry prometheus.Registerer) *Tracker {
+// versions, and lists brings it up to date.
+func New(directory NodeDirectory, caller CallSender, versions *runnerset.VersionHistory, lists ListUpdater, registry prometheus.Registerer) *Tracker {
 	t := &Tracker{
-		directory: directory, caller: caller, versions: versions, table: NewTable(time.Now()),
+		directory: directory, caller: caller, versions: versions, lists: lists, table: NewTable(time.Now()),
 		records: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cobaltramp_stream_origins_recorded_total", Help: "Streams whose origin was to be recorded, by outcome: confirmed, or unconfirmed when the first event was passed on.",
 		}, []string{"outcome"}),
--- a/internal/serving/streamorigin/tracker_test.go
+++ b/internal/serving/streamorigin/tracker_test.go
@@ -22,12 +22,22 @@
 	*Tracker
 	directory *peers.Directory
 	runners   *runnerset.Set
-	// contact is the contact of the node with the store, at first one that is never lost.
+	// contact is the contact of the node with the store, which is always current unless the test sets
+	// it before run.
 	contact *listContact
-	stop    func()
+	// run starts the node, and stop ends it.
+	run, stop func()
 }
 
 func startNode(t *testing.T, name, disk string) *testNode {
+	t.Helper()
+	node := newNode(t, name, disk)
+	node.run()
+	return node
+}
+
+// newNode returns a node that has not started.
+func newNode(t *testing.T, name, disk string) *testNode {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
@@ -35,17 +45,18 @@
 	node := &testNode{runners: runnerset.New(), contact: &listContact{}, directory: peers.NewDirectory(&wirev1.NodeRecord{
 		NodeId: name, Address: listener.Addr().String(), Zone: name, DiskId: disk, Incarnation: 1, RecordsStreamOrigins: true,
 	})}
-	node.runners.SetContact(node.contact, 0)
-	node.Tracker = New(node.directory, pool, node.runners.Versions(), prometheus.NewRegistry())
+	node.Tracker = New(node.directory, pool, node.runners.Versions(), node.contact, prometheus.NewRegistry())
 	server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_RECORD, node.ServeRecord)
 	server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_FIND, node.ServeFind)
-	go func() { _ = server.Serve(listener, nil) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		node.Run(ctx)
-	}()
+	node.run = func() {
+		go func() { _ = server.Serve(listener, nil) }()
+		go func() {
+			defer close(ended)
+			node.Run(ctx)
+		}()
+	}
 	stopped := false
 	node.stop = func() {
 		if stopped {
@@ -186,7 +197,7 @@
 func TestSoleVersionNeedsNoRecord(t *testing.T) {
 	is := is.New(t)
 	node := startNode(t, "edge", "")
-	node.runners.Replace([]runnerset.Record{{ID: "a", Service: "s", Version: "v1"}}, 1, time.Now().Add(-minWindow))
+	node.runners.Replace([]runnerset.Record{{ID: "a", Service: "s", Version: "v1"}}, 1, time.Now().Add(-2*minWindow))
 	stream := Stream{Key: KeyOf(testContent, "first"), Window: minWindow}
 	is.True(node.Record(t.Context(), stream, Record{Origin{"s", "v1"}, 1}) == nil)
 	origin, err := resolve(node, "first", testContent)
--- a/modules/roles/cluster/cluster.go
+++ b/modules/roles/cluster/cluster.go
@@ -174,7 +174,7 @@
 // provisionOrigins sets up the records of the software versions at which streams began.
 func (m *Module) provisionOrigins(node *nodeParts) {
 	node.runners.SetContact(m.informer.Contact, node.settings.DrainTime())
-	m.origins = streamorigin.New(node.directory, node.pool, node.runners.Versions(), node.registry)
+	m.origins = streamorigin.New(node.directory, node.pool, node.runners.Versions(), m.informer, node.registry)
 	node.server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_RECORD, m.origins.ServeRecord)
 	node.server.Handle(wirev1.Method_METHOD_STREAM_ORIGIN_FIND, m.origins.ServeFind)
 }
