A relay's contents are as old as the reply that showed them, not as its reading

Callers: as with answers of the store; in fleets in which relays pass on the store's changes, an edge that stood still, or whose link held replies back, took heartbeats that lay unread for the present. Cause: a reply states the age of its source's contents when it is sent, and the follower counted from when it read the reply. Change: replies state the source's clock too; the follower takes what a reply's clock differs from its own, beyond the fastest reply of the last half to whole minute, as the time that it was on its way or unread. The first reply counts from the opening of the stream. Sources of earlier versions state no clock: their replies count as before. Evidence: TestHeartbeatThatIsReadLateCountsFromItsSending failed with the change taken out (0 ms instead of 400), passes now; TestDelayOfRepliesIsNotUnderestimated draws delays and clocks.

--- a/internal/cluster/relay/serve.go
+++ b/internal/cluster/relay/serve.go
@@ -7,6 +7,7 @@
 	"time"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/boottime"
 	"cobaltramp.example/cobaltramp/internal/app/pause"
 	"cobaltramp.example/cobaltramp/internal/app/result"
 	"cobaltramp.example/cobaltramp/internal/cluster/ports"
@@ -61,6 +62,7 @@
 		}
 		update, changed := s.Mirror.After(after, view)
 		reply := encodeUpdate(update)
+		reply.ClockMs = clockMilliseconds() // before the age, which then seems older if this node stands still here
 		reply.Lost, reply.AgeMs = s.Lost(), s.ageMilliseconds()
 		if err := stream.Send(reply); err != nil {
 			return err
@@ -74,6 +76,9 @@
 	}
 }
 
+// clockMilliseconds returns this node's clock for FollowReply.
+func clockMilliseconds() uint64 { return uint64(boottime.Now().UnixMilli()) }
+
 // ageMilliseconds returns Age, rounded up to milliseconds.
 func (s *Source) ageMilliseconds() uint64 {
 	if s.Age == nil {
--- a/internal/cluster/relay/stream.go
+++ b/internal/cluster/relay/stream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/boottime"
 	"cobaltramp.example/cobaltramp/internal/cluster/subset"
 	"cobaltramp.example/cobaltramp/internal/transport/rpc"
 )
@@ -78,6 +79,7 @@
 	f.mutex.Lock()
 	f.sources[slot].interest, f.sources[slot].stop = interest, cancel
 	f.mutex.Unlock()
+	clock := newSourceClock(boottime.Now())
 	stream, err := f.Pool.Open(ctx, address, rpc.ClassControl, wirev1.Method_METHOD_FOLLOW, request)
 	if err != nil {
 		return err
@@ -92,6 +94,8 @@
 			}
 			return err
 		}
+		received := boottime.Now()
+		age := time.Duration(reply.AgeMs)*time.Millisecond + clock.delayOf(reply, received)
 		selective := request.Interest != nil
 		applyReply(reply, f.Merger, interest)
 		applied := f.Merger.Partial() == selective
@@ -104,7 +108,7 @@
 			f.reportLost()
 			return errStoreLost
 		case applied: // otherwise the source has yet to reach the revision of this node
-			age := time.Duration(reply.AgeMs) * time.Millisecond
+			age += boottime.Since(received) // the reply was being applied
 			f.confirm(slot, age)
 			if age > f.Timing.orDefault().MaxAge {
 				return errSourceOutdated
