A stream does not go on if its runner came back under its id with another version

Change: nodes remember runners that were listed under one id with several versions; a record names its runner; holders tell such runners when they are asked. A record of such a runner proves nothing, resumed streams avoid them, and a stream that breaks off within an answer goes on only after the edge has brought its list up to date (150 ms at most) and its last runner is not among them; else it is cut, as unproven. The own record of an edge needs a current list as well, or else the holders' word. Left: while the store answers nobody, such a return can't be known, and streams go on by the lists.

--- a/internal/serving/online/origins.go
+++ b/internal/serving/online/origins.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"cobaltramp.example/cobaltramp/internal/app/result"
 	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
@@ -12,7 +14,8 @@
 // StreamOrigins records and resolves the origins of streams; see streamorigin.Tracker.
 type StreamOrigins interface {
 	Record(ctx context.Context, stream streamorigin.Stream, record streamorigin.Record) *streamorigin.Recording
-	Resolve(ctx context.Context, resumption *streamorigin.Resumption) (streamorigin.Origin, error)
+	Resolve(ctx context.Context, resumption *streamorigin.Resumption) (origin streamorigin.Origin, changed []string, err error)
+	ChangedRunners(ctx context.Context, service string, window time.Duration) []string
 }
 
 // streamRecord is the last record of a stream's origin; zero before the first.
@@ -36,7 +39,7 @@
 	if s.request.Resumes != "" {
 		s.service = s.request.Route.ServiceFor(s.request.Resumes)
 	}
-	origin, err := s.Origins.Resolve(ctx, &streamorigin.Resumption{
+	origin, changed, err := s.Origins.Resolve(ctx, &streamorigin.Resumption{
 		ID: s.request.ID, Attempt: s.request.Resumes, Content: uint64(s.work.Fingerprint), Service: s.service,
 		Window: streamorigin.WindowOf(s.request.Route.Timeout),
 	})
@@ -48,6 +51,29 @@
 		return result.New(result.StreamNotResumed, "the stream began at service %s, which its route no longer has", origin.Service).WithRetryAfter(retryDelay)
 	}
 	s.service, s.softwareVersion = origin.Service, origin.SoftwareVersion
+	s.exclude(changed)
+	return nil
+}
+
+// exclude excludes runners from further attempts.
+func (s *activeRequest) exclude(runners []string) {
+	for _, id := range runners {
+		s.tried[id] = true
+	}
+}
+
+// checkVersion prevents that a stream which broke off goes on at another software version because this
+// node's list was behind. It returns an error if the runner that wrote the last events came back under
+// its ID with another version, and excludes other such runners.
+func (s *activeRequest) checkVersion(ctx context.Context) error {
+	if s.Origins == nil || !s.history.responseStarted || s.request.Route.Kind != catalog.Streaming {
+		return nil
+	}
+	changed := s.Origins.ChangedRunners(ctx, s.service, streamorigin.WindowOf(s.request.Route.Timeout))
+	if slices.Contains(changed, s.current.runner.ID) {
+		return result.New(result.StreamNotResumed, "runner %s came back with another software version", s.current.runner.ID)
+	}
+	s.exclude(changed)
 	return nil
 }
 
@@ -58,10 +84,10 @@
 		return
 	}
 	origin := streamorigin.Origin{Service: runner.Service, SoftwareVersion: runner.SoftwareVersion()}
-	if s.recorded.record.Origin == origin {
+	if s.recorded.record.Origin == origin && s.recorded.record.Runner == runner.ID {
 		return
 	}
-	s.recorded.record = streamorigin.Record{Origin: origin, Sequence: s.recorded.record.Sequence + 1}
+	s.recorded.record = streamorigin.Record{Origin: origin, Sequence: s.recorded.record.Sequence + 1, Runner: runner.ID}
 	s.recorded.recording = s.Origins.Record(ctx, streamorigin.Stream{
 		Key: streamorigin.KeyOf(uint64(s.work.Fingerprint), s.request.ID), ID: s.request.ID,
 		Window: streamorigin.WindowOf(s.request.Route.Timeout),
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -95,6 +95,9 @@
 			return s.cutIfStarted(err)
 		}
 		s.tried[choice.Runner.ID] = true
+		if err := s.checkVersion(ctx); err != nil {
+			return s.cutIfStarted(err)
+		}
 		if ctx.Err() != nil {
 			return s.cutIfStarted(s.contextError(ctx))
 		}
--- a/internal/serving/online/versions_test.go
+++ b/internal/serving/online/versions_test.go
@@ -71,6 +71,7 @@
 type knownOrigins struct {
 	origin   streamorigin.Origin
 	err      error
+	changed  []string
 	resolved []streamorigin.Resumption
 	recorded []streamorigin.Record
 }
@@ -80,9 +81,13 @@
 	return nil
 }
 
-func (k *knownOrigins) Resolve(_ context.Context, resumption *streamorigin.Resumption) (streamorigin.Origin, error) {
+func (k *knownOrigins) Resolve(_ context.Context, resumption *streamorigin.Resumption) (streamorigin.Origin, []string, error) {
 	k.resolved = append(k.resolved, *resumption)
-	return k.origin, k.err
+	return k.origin, k.changed, k.err
+}
+
+func (k *knownOrigins) ChangedRunners(context.Context, string, time.Duration) []string {
+	return k.changed
 }
 
 // resumeStream serves a request that resumes a stream after its second event, on a route that is
@@ -153,6 +158,7 @@
 	is.NoErr(forwarder.Serve(context.Background(), request, &recorder{}))
 	is.Equal(len(origins.recorded), 2)
 	is.True(origins.recorded[0].Origin != origins.recorded[1].Origin)
+	is.True(origins.recorded[0].Runner != origins.recorded[1].Runner)
 	is.Equal(origins.recorded[1].Sequence, uint32(2))
 	is.Equal(len(origins.resolved), 0)
 }
@@ -266,3 +272,57 @@
 	request.ResumeAfter = 2
 	is.NoErr(forwarder.Serve(context.Background(), &request, &recorder{}))
 }
+
+// Guards against texts of two versions in one answer: the runner of a stream that broke off had come back under its ID
+// with another version, which the node had not listed, and the stream went on at the listed version.
+func TestBrokenStreamOfAChangedRunnerIsCut(t *testing.T) {
+	is := is.New(t)
+	set := versionedRunners("v1", "v1", "v1")
+	changed := map[string][]string{"none": nil}
+	for _, runner := range set.Service("s") {
+		changed[runner.ID] = []string{runner.ID}
+	}
+	cut, wentOn := 0, 0
+	for name, ids := range changed {
+		var runners []string
+		client := clientFunc(func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
+			runners = append(runners, call.RunnerID)
+			response, err := (&fakeRunners{}).Do(ctx, call)
+			if call.ResumeAfter < 0 {
+				response.Body = &resetStream{ReadCloser: response.Body}
+			}
+			return response, err
+		})
+		now := time.Now()
+		request := &CallerRequest{
+			ID: "id", Method: http.MethodPost, URI: "/x", Route: routeOf(catalog.Streaming, true, 3), Received: now, Deadline: now.Add(time.Hour), ResumeAfter: -1,
+		}
+		forwarder := New("z", set, client, prometheus.NewRegistry())
+		forwarder.Origins = &knownOrigins{changed: ids}
+		err := forwarder.Serve(context.Background(), request, &recorder{})
+		if runners[0] == name {
+			cut++
+			is.True(errors.Is(err, ErrCut))
+			is.Equal(len(runners), 1)
+			continue
+		}
+		wentOn++
+		is.NoErr(err)
+		is.True(runners[1] != name) // its present version is not known
+	}
+	is.Equal(cut+wentOn, len(changed))
+}
+
+// A resumed stream does not go on at a runner that has come back with another version.
+func TestResumedStreamAvoidsChangedRunners(t *testing.T) {
+	is := is.New(t)
+	set := versionedRunners("v1", "v1")
+	for _, runner := range set.Service("s") {
+		runners := &fakeRunners{}
+		origins := &knownOrigins{origin: streamorigin.Origin{Service: "s", SoftwareVersion: "v1"}, changed: []string{runner.ID}}
+		_, err := resumeStream(set, origins, runners, "first")
+		is.NoErr(err)
+		is.Equal(len(runners.runners), 1)
+		is.True(runners.runners[0] != runner.ID)
+	}
+}
--- a/internal/serving/runnerset/runnerset.go
+++ b/internal/serving/runnerset/runnerset.go
@@ -191,11 +191,11 @@
 	listed := map[string]bool{}
 	for _, record := range records {
 		listed[record.ID] = true
-		s.put(record)
+		s.put(record, now)
 	}
 	for id := range s.byID {
 		if !listed[id] {
-			s.remove(id)
+			s.remove(id, now)
 		}
 	}
 	s.publish(revision, now)
@@ -210,18 +210,19 @@
 		return
 	}
 	for _, record := range put {
-		s.put(record)
+		s.put(record, now)
 	}
 	for _, id := range removed {
-		s.remove(id)
+		s.remove(id, now)
 	}
 	s.publish(revision, now)
 }
 
 // put adds a record, or updates whether its runner accepts work. If the runner is listed
 // with other attributes, a new Runner replaces it. The caller holds the mutex.
-func (s *Set) put(record Record) {
+func (s *Set) put(record Record, now time.Time) {
 	known := s.byID[record.ID]
+	s.versions.notePut(&record, known, now)
 	if known != nil && known.sameRunner(record) {
 		if record.Leaving && known.AcceptsWork() {
 			known.afterLeaving.allowFor(s.withdrawal(true).usableTime())
@@ -287,11 +288,12 @@
 }
 
 // remove removes a runner from the list. The caller holds the mutex.
-func (s *Set) remove(id string) {
+func (s *Set) remove(id string, now time.Time) {
 	known := s.byID[id]
 	if known == nil {
 		return
 	}
+	s.versions.noteRemoved(&known.Record, now)
 	if known.AcceptsWork() {
 		known.afterRemoval.allowFor(s.withdrawal(false).usableTime())
 		s.recentlyRemoved = append(s.recentlyRemoved, known)
--- a/internal/serving/runnerset/versions.go
+++ b/internal/serving/runnerset/versions.go
@@ -44,6 +44,7 @@
 	// An interrupted contact begins anew with the next moment at which the list is current.
 	contactSince, currentAt time.Time
 	services                map[string]*serviceVersions
+	changes                 versionChanges
 	// sole is a copy for readers on the path of requests: the time since which all runners of
 	// a service have had the same version. It lacks the services with several versions.
 	sole atomic.Pointer[map[string]time.Time]
@@ -66,7 +67,7 @@
 }
 
 func newVersionHistory() *VersionHistory {
-	h := &VersionHistory{services: map[string]*serviceVersions{}}
+	h := &VersionHistory{services: map[string]*serviceVersions{}, changes: newVersionChanges()}
 	h.sole.Store(&map[string]time.Time{})
 	return h
 }
@@ -136,6 +137,7 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.noteContact(now)
+	h.changes.forget(now.Add(-MaxVersionWindow - versionSlack))
 	for name, service := range h.services {
 		for version, span := range service.spans {
 			if !span.listed && now.Sub(span.last) > MaxVersionWindow+versionSlack {
@@ -149,6 +151,25 @@
 	h.publishSole()
 }
 
+// notePut notes a runner that is listed, and the runner that was listed under its ID before; nil if there
+// was none.
+func (h *VersionHistory) notePut(record *Record, before *Runner, now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	listed := ""
+	if before != nil {
+		listed = before.SoftwareVersion()
+	}
+	h.changes.noteListed(record, listed, now)
+}
+
+// noteRemoved notes a runner that is removed from the list.
+func (h *VersionHistory) noteRemoved(record *Record, now time.Time) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.changes.noteRemoved(record, now)
+}
+
 // noteContact notes up to when the list is current, and whether the contact was interrupted before. The
 // mutex is held.
 func (h *VersionHistory) noteContact(now time.Time) {
@@ -287,6 +308,9 @@
 	// Established are the versions of Seen that other nodes may have listed before the window
 	// began; empty if InContact is not set.
 	Established []string
+	// ChangedRunners are the IDs of the runners that were listed with several versions in the window.
+	// What they wrote in it may be of any of them.
+	ChangedRunners []string
 	// Age is the time since the node's list was last known to be current.
 	Age time.Duration
 }
@@ -307,6 +331,7 @@
 	listsAll := !versions.partial && !versions.partialAt.After(earliest)
 	known := VersionKnowledge{
 		Known: listsAll && !h.gaplessSince.After(earliest), InContact: listsAll && h.inContactAt(start), Age: age,
+		ChangedRunners: h.changes.since(service, earliest),
 	}
 	for version, span := range versions.spans {
 		if !span.listed && span.last.Before(earliest) {
--- a/internal/serving/runnerset/versions_test.go
+++ b/internal/serving/runnerset/versions_test.go
@@ -244,3 +244,22 @@
 func (*applyingContact) Age() time.Duration       { return 0 }
 func (c *applyingContact) HeldAge() time.Duration { return c.held }
 func (*applyingContact) Lost() bool               { return false }
+
+// A runner that comes back under its ID with another version is known as changed for the window,
+// whether or not its entry was removed in between.
+func TestRunnersThatChangeTheirVersionAreKnown(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	s := New()
+	s.Replace([]Record{versioned("a", "v1"), versioned("b", "v1"), versioned("c", "v1")}, 1, now)
+	s.ApplyChanges([]Record{versioned("a", "v2")}, nil, 2, now)
+	s.ApplyChanges(nil, []string{"b", "c"}, 3, now)
+	s.ApplyChanges([]Record{versioned("b", "v2"), versioned("c", "v1")}, nil, 4, now)
+	changed := func(at time.Time) []string { return s.Versions().Knowledge("s", testWindow, at).ChangedRunners }
+	is.Equal(changed(now), []string{"a", "b"})
+	is.Equal(changed(now.Add(testWindow+versionSlack)), []string{"a", "b"})
+	is.Equal(len(changed(now.Add(testWindow+versionSlack+1))), 0)
+	is.Equal(len(s.Versions().Knowledge("other", testWindow, now).ChangedRunners), 0)
+	s.Versions().Refresh(now.Add(2 * MaxVersionWindow))
+	is.Equal(len(s.Versions().changes.changed)+len(s.Versions().changes.removed), 0)
+}
--- a/internal/serving/streamorigin/evidence.go
+++ b/internal/serving/streamorigin/evidence.go
@@ -43,9 +43,11 @@
 	holders []*wirev1.NodeRecord
 }
 
-// mayProveSole reports whether the node's list would prove the version of the stream if it was known to
-// be current.
-func (a *answer) mayProveSole() bool { return a.versions.Known && len(a.versions.Seen) == 1 }
+// needsCurrentList reports whether it matters that the node's list is current: the list would then prove
+// the version of the stream, or shows whether the runner of the record came back at another version.
+func (a *answer) needsCurrentList() bool {
+	return a.record != nil || a.versions.Known && len(a.versions.Seen) == 1
+}
 
 // evidence is what is known about a stream that a caller resumes.
 type evidence struct {
@@ -87,7 +89,9 @@
 
 // conclude concludes where a stream began; service is its service if it is not recorded.
 //
-//  1. A record proves it, the one with the highest sequence if there are several.
+//  1. A record proves it, the one with the highest sequence if there are several, unless its runner
+//     was listed with several versions: the node that began the stream may not have listed the one
+//     that the runner had.
 //  2. It is proven if one version alone was listed during the window, by all answers, and one of the
 //     nodes knows the whole window until after the caller has asked. A list that is older says
 //     nothing about a stream that began later.
@@ -98,6 +102,9 @@
 //     older.
 func (e *evidence) conclude(service string) conclusion {
 	if record, source := e.newestRecord(); record != nil {
+		if slices.Contains(e.changedRunners(), record.Runner) {
+			return conclusion{proof: ProofNone, source: source}
+		}
 		return conclusion{record.Origin, ProofRecord, source}
 	}
 	if seen, source := e.seenVersions(); len(seen) == 1 && source != "" {
@@ -136,6 +143,20 @@
 	return distinct(seen), source
 }
 
+// anyCurrent reports whether a list that knows the whole window is known to be current.
+func (e *evidence) anyCurrent() bool {
+	return slices.ContainsFunc(e.answers(), func(known answer) bool { return known.versions.Known && known.current })
+}
+
+// changedRunners returns the IDs of the runners that any node listed with several versions.
+func (e *evidence) changedRunners() []string {
+	var changed []string
+	for _, known := range e.answers() {
+		changed = append(changed, known.versions.ChangedRunners...)
+	}
+	return distinct(changed)
+}
+
 // establishedVersions returns the versions that were established, by all nodes that were in contact
 // with the store when the window began, and the first of these nodes.
 func (e *evidence) establishedVersions() (established []string, source string) {
@@ -151,9 +172,9 @@
 	return distinct(established), source
 }
 
-func distinct(versions []string) []string {
-	slices.Sort(versions)
-	return slices.Compact(versions)
+func distinct(values []string) []string {
+	slices.Sort(values)
+	return slices.Compact(values)
 }
 
 // holdersHaveNone reports whether all holders answered, and would have a record if one had been
--- a/internal/serving/streamorigin/evidence_test.go
+++ b/internal/serving/streamorigin/evidence_test.go
@@ -31,7 +31,7 @@
 }
 
 func recorded(node, version string, sequence uint32) answer {
-	return answer{node: node, record: &Record{Origin{"s", version}, sequence}}
+	return answer{node: node, record: &Record{Origin: Origin{"s", version}, Sequence: sequence}}
 }
 
 var (
@@ -130,7 +130,7 @@
 			}
 		}
 		if rapid.IntRange(0, 4).Draw(t, "record") == 0 {
-			drawn.record = &Record{Origin{"s", rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")}, rapid.Uint32Range(1, 3).Draw(t, "sequence")}
+			drawn.record = &Record{Origin: Origin{"s", rapid.SampledFrom([]string{"v1", "v2"}).Draw(t, "version")}, Sequence: rapid.Uint32Range(1, 3).Draw(t, "sequence")}
 		}
 		return drawn
 	})
--- a/internal/serving/streamorigin/recording.go
+++ b/internal/serving/streamorigin/recording.go
@@ -137,7 +137,7 @@
 func encodeRecord(key Key, record *Record, lifetime time.Duration) *wirev1.StreamOriginRecord {
 	return &wirev1.StreamOriginRecord{
 		Key: uint64(key), Service: record.Origin.Service, SoftwareVersion: record.Origin.SoftwareVersion,
-		Sequence: record.Sequence, LifetimeMs: uint32(lifetime.Milliseconds()),
+		Sequence: record.Sequence, LifetimeMs: uint32(lifetime.Milliseconds()), Runner: record.Runner,
 	}
 }
 
--- a/internal/serving/streamorigin/resend_test.go
+++ b/internal/serving/streamorigin/resend_test.go
@@ -16,7 +16,7 @@
 	edges, disks := startFleet(t)
 	edge := startNode(t, "edge-c", "")
 	edge.runners.Replace(edges[0].runnersOfTwoVersions())
-	recording := edge.Record(t.Context(), Stream{Key: KeyOf(testContent, "early"), ID: "early", Window: minWindow}, Record{Origin{"s", "v2"}, 1})
+	recording := edge.Record(t.Context(), Stream{Key: KeyOf(testContent, "early"), ID: "early", Window: minWindow}, Record{Origin: Origin{"s", "v2"}, Sequence: 1})
 	recording.Await(t.Context())
 	<-recording.ended
 	_, err := resolve(edges[0], "early", testContent)
@@ -33,7 +33,7 @@
 	edge := startNode(t, "edge-c", "")
 	edge.runners.Replace(edge.runnersOfTwoVersions())
 	ctx, end := context.WithCancel(t.Context())
-	recording := edge.Record(ctx, Stream{Key: KeyOf(testContent, "short"), ID: "short", Window: minWindow}, Record{Origin{"s", "v2"}, 1})
+	recording := edge.Record(ctx, Stream{Key: KeyOf(testContent, "short"), ID: "short", Window: minWindow}, Record{Origin: Origin{"s", "v2"}, Sequence: 1})
 	<-recording.ended
 	end()
 	sent := make(chan struct{})
--- a/internal/serving/streamorigin/resolve.go
+++ b/internal/serving/streamorigin/resolve.go
@@ -37,9 +37,10 @@
 }
 
 // Resolve returns where the stream began. It asks the holders of its record, brings this node's list
-// of runners up to date meanwhile, and blocks for at most ownCatchUpTimeout. It returns an error with
-// the code StreamNotResumed if the origin is unknown.
-func (t *Tracker) Resolve(ctx context.Context, resumption *Resumption) (Origin, error) {
+// of runners up to date meanwhile, and blocks for at most proofTimeout. It returns an error with the
+// code StreamNotResumed if the origin is unknown. changed are the IDs of the runners that were listed
+// with several versions lately, by this node or another: this node may not know their present one.
+func (t *Tracker) Resolve(ctx context.Context, resumption *Resumption) (origin Origin, changed []string, err error) {
 	started := time.Now()
 	known := t.collect(ctx, resumption, started)
 	concluded := known.conclude(resumption.Service)
@@ -52,46 +53,68 @@
 		"version", concluded.origin.SoftwareVersion, "proof", concluded.proof, "source", concluded.source, "proofAgeMs", proofAge.Milliseconds(),
 		"asked", known.asked, "answered", len(known.holders), "unanswered", strings.Join(known.unanswered, ","),
 		"versions", strings.Join(known.own.versions.Seen, ","), "versionsKnown", known.own.versions.Known,
-		"listAgeMs", known.own.versions.Age.Milliseconds(), "ms", time.Since(started).Milliseconds())
+		"listAgeMs", known.own.versions.Age.Milliseconds(), "changedRunners", strings.Join(known.changedRunners(), ","), "ms", time.Since(started).Milliseconds())
 	if concluded.proof == ProofNone {
-		return Origin{}, result.New(result.StreamNotResumed, "the software version that began the stream is unknown").WithRetryAfter(retryDelay)
+		return Origin{}, nil, result.New(result.StreamNotResumed, "the software version that began the stream is unknown").WithRetryAfter(retryDelay)
 	}
-	return concluded.origin, nil
+	return concluded.origin, known.changedRunners(), nil
 }
 
 // collect collects what is known about a stream that a caller resumes. received is when the caller
-// asked. It returns as soon as the origin can be concluded.
+// asked. It returns when the holders have answered and one list is known to be current, or none can be.
 func (t *Tracker) collect(ctx context.Context, resumption *Resumption, received time.Time) *evidence {
 	key := KeyOf(resumption.Content, resumption.Attempt)
 	ownAnswer := func() answer { return t.answer(key, resumption.Service, resumption.Window, received) }
 	known := &evidence{own: ownAnswer(), allRecord: t.allRecordOrigins()}
 	if known.own.record != nil {
-		return known
+		t.catchUp(ctx, checkTimeout)
+		if known.own = ownAnswer(); known.own.current {
+			return known // the holders have nothing to add
+		}
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	caughtUp := make(chan struct{})
-	catchUp := func() {
-		defer close(caughtUp)
-		t.catchUp(ctx, ownCatchUpTimeout)
-	}
-	if !known.own.mayProveSole() || !t.sending.Go(catchUp) { // Go refuses when this node stops
-		close(caughtUp)
-	}
+	caughtUp := t.startCatchUp(ctx, &known.own)
 	t.askHolders(ctx, key, resumption, known)
 	if resumption.Attempt == "" {
 		known.asked = 0 // that nobody has a record proves nothing
 	}
-	if known.conclude(resumption.Service).proof == ProofNone {
+	if !known.anyCurrent() {
 		<-caughtUp
 	}
 	known.own = ownAnswer()
 	return known
 }
 
-// ownCatchUpTimeout is how long a node at which a stream is resumed waits until its own list of
-// runners is known to be current.
-const ownCatchUpTimeout = 500 * time.Millisecond
+const (
+	// proofTimeout is how long a node at which a stream is resumed waits until its own list of
+	// runners is known to be current, if only that proves the version.
+	proofTimeout = 500 * time.Millisecond
+	// checkTimeout is how long a node waits for a current list that may show that a runner has
+	// come back with another version.
+	checkTimeout = 150 * time.Millisecond
+)
+
+// startCatchUp brings this node's list up to date if it may then prove the version. The channel is closed
+// when the list is known to be current, or can't be known to be within proofTimeout.
+func (t *Tracker) startCatchUp(ctx context.Context, own *answer) <-chan struct{} {
+	caughtUp := make(chan struct{})
+	catchUp := func() {
+		defer close(caughtUp)
+		t.catchUp(ctx, proofTimeout)
+	}
+	if own.record != nil || !own.needsCurrentList() || !t.sending.Go(catchUp) { // Go refuses when this node stops
+		close(caughtUp)
+	}
+	return caughtUp
+}
+
+// ChangedRunners returns the IDs of the service's runners that were listed with several versions during
+// the window, by this node's list, which it first brings up to date for up to checkTimeout.
+func (t *Tracker) ChangedRunners(ctx context.Context, service string, window time.Duration) []string {
+	t.catchUp(ctx, checkTimeout)
+	return t.versions.Knowledge(service, window, time.Now()).ChangedRunners
+}
 
 // catchUp waits until this node's list is known to be current, or can't be known to be.
 func (t *Tracker) catchUp(ctx context.Context, timeout time.Duration) {
@@ -210,7 +233,7 @@
 		decoded.current = reply.Versions.Current
 		decoded.versions = runnerset.VersionKnowledge{
 			Known: reply.Versions.Known, Seen: reply.Versions.Seen, InContact: reply.Versions.InContact, Established: reply.Versions.Established,
-			Age: time.Duration(reply.Versions.AgeMs) * time.Millisecond,
+			ChangedRunners: reply.Versions.ChangedRunners, Age: time.Duration(reply.Versions.AgeMs) * time.Millisecond,
 		}
 	}
 	if reply.Record != nil {
@@ -220,5 +243,5 @@
 }
 
 func decodeRecord(encoded *wirev1.StreamOriginRecord) *Record {
-	return &Record{Origin{encoded.Service, encoded.SoftwareVersion}, encoded.Sequence}
+	return &Record{Origin{encoded.Service, encoded.SoftwareVersion}, encoded.Sequence, encoded.Runner}
 }
--- a/internal/serving/streamorigin/serve.go
+++ b/internal/serving/streamorigin/serve.go
@@ -39,8 +39,8 @@
 	return slices.ContainsFunc(holdersOf(t.directory.Disks(), key), func(holder *wirev1.NodeRecord) bool { return holder.NodeId == self })
 }
 
-// holderCatchUpTimeout is how long a holder without a record waits until its list is known to be
-// current. It leaves the rest of callTimeout to the call itself.
+// holderCatchUpTimeout is how long a holder waits until its list is known to be current. It leaves the
+// rest of callTimeout to the call itself.
 const holderCatchUpTimeout = callTimeout * 3 / 5
 
 // ServeFind answers with what this node knows about a stream.
@@ -52,7 +52,7 @@
 	received := time.Now()
 	window := min(time.Duration(query.WindowMs)*time.Millisecond, MaxWindow)
 	known := t.answer(Key(query.Key), query.Service, window, received)
-	if known.record == nil && known.mayProveSole() {
+	if known.needsCurrentList() {
 		t.catchUp(ctx, holderCatchUpTimeout)
 		known = t.answer(Key(query.Key), query.Service, window, received)
 	}
@@ -74,5 +74,6 @@
 	return &wirev1.SoftwareVersions{
 		Known: versions.Known, Seen: versions.Seen, InContact: versions.InContact, Established: versions.Established,
 		AgeMs: uint32(min(versions.Age.Milliseconds(), math.MaxUint32)), Current: known.current,
+		ChangedRunners: versions.ChangedRunners,
 	}
 }
--- a/internal/serving/streamorigin/startup_test.go
+++ b/internal/serving/streamorigin/startup_test.go
@@ -104,7 +104,7 @@
 	edge := startEdgeThatKnows(t, "edge-b", others...)
 	listOldAndNew(edge)
 	stream := Stream{Key: KeyOf(testContent, "first"), ID: "first", Window: minWindow}
-	recording := edge.Record(context.Background(), stream, Record{Origin{"s", "v2"}, 1})
+	recording := edge.Record(context.Background(), stream, Record{Origin: Origin{"s", "v2"}, Sequence: 1})
 	<-recording.ended
 	for _, disk := range disks {
 		edge.directory.Put(disk.directory.Self())
@@ -124,10 +124,8 @@
 // startNodeWithoutContact starts a node that has not been in contact with the store yet.
 func startNodeWithoutContact(t *testing.T, name, disk string) *testNode {
 	t.Helper()
-	node := newNode(t, name, disk)
+	node := startNodeInContact(t, name, disk)
 	node.contact.currentAt.Store(neverCurrent)
-	node.runners.SetContact(node.contact, 0)
-	node.run()
 	return node
 }
 
--- a/internal/serving/streamorigin/table.go
+++ b/internal/serving/streamorigin/table.go
@@ -32,6 +32,7 @@
 
 type heldRecord struct {
 	origin   unique.Handle[Origin]
+	runner   unique.Handle[string]
 	sequence uint32
 	expires  time.Time
 }
@@ -41,6 +42,9 @@
 type Record struct {
 	Origin   Origin
 	Sequence uint32
+	// Runner is the ID of the runner that the stream was sent to; empty if a node of an earlier
+	// version made the record.
+	Runner string
 }
 
 // NewTable returns an empty table.
@@ -62,7 +66,7 @@
 		t.completeSince = now
 		return errTableFull
 	}
-	t.records[key] = heldRecord{unique.Make(record.Origin), record.Sequence, now.Add(min(lifetime, MaxWindow))}
+	t.records[key] = heldRecord{unique.Make(record.Origin), unique.Make(record.Runner), record.Sequence, now.Add(min(lifetime, MaxWindow))}
 	return nil
 }
 
@@ -87,7 +91,7 @@
 	if !exists || !now.Before(held.expires) {
 		return Record{}, false
 	}
-	return Record{held.origin.Value(), held.sequence}, true
+	return Record{held.origin.Value(), held.sequence, held.runner.Value()}, true
 }
 
 // Complete reports whether the table has all records that it was given in the window that ends
--- a/internal/serving/streamorigin/table_test.go
+++ b/internal/serving/streamorigin/table_test.go
@@ -16,14 +16,14 @@
 	is := is.New(t)
 	now := time.Now()
 	table := NewTable(now)
-	is.NoErr(table.Put(1, Record{Origin{"s", "v2"}, 2}, time.Second, now))
-	is.NoErr(table.Put(1, Record{Origin{"s", "v1"}, 1}, time.Second, now))
+	is.NoErr(table.Put(1, Record{Origin: Origin{"s", "v2"}, Sequence: 2}, time.Second, now))
+	is.NoErr(table.Put(1, Record{Origin: Origin{"s", "v1"}, Sequence: 1}, time.Second, now))
 	found, exists := table.Find(1, now.Add(time.Second-1))
 	is.True(exists)
-	is.Equal(found, Record{Origin{"s", "v2"}, 2})
+	is.Equal(found, Record{Origin: Origin{"s", "v2"}, Sequence: 2})
 	_, exists = table.Find(1, now.Add(time.Second))
 	is.True(!exists)
-	is.NoErr(table.Put(2, Record{Origin{"s", "v1"}, 1}, time.Second, now.Add(2*sweepInterval)))
+	is.NoErr(table.Put(2, Record{Origin: Origin{"s", "v1"}, Sequence: 1}, time.Second, now.Add(2*sweepInterval)))
 	is.Equal(table.Len(), 1) // the expired record was dropped
 }
 
@@ -37,10 +37,10 @@
 	later := now.Add(time.Minute)
 	is.True(table.Complete(time.Minute, later))
 	for key := range Key(2) {
-		is.NoErr(table.Put(key, Record{Origin{"s", "v1"}, 1}, MaxWindow, later))
+		is.NoErr(table.Put(key, Record{Origin: Origin{"s", "v1"}, Sequence: 1}, MaxWindow, later))
 	}
-	is.Equal(table.Put(2, Record{Origin{"s", "v1"}, 1}, MaxWindow, later), errTableFull)
-	is.NoErr(table.Put(1, Record{Origin{"s", "v2"}, 2}, MaxWindow, later)) // replaces
+	is.Equal(table.Put(2, Record{Origin: Origin{"s", "v1"}, Sequence: 1}, MaxWindow, later), errTableFull)
+	is.NoErr(table.Put(1, Record{Origin: Origin{"s", "v2"}, Sequence: 2}, MaxWindow, later)) // replaces
 	is.True(!table.Complete(time.Minute, later.Add(time.Minute-1)))
 	is.True(table.Complete(time.Minute, later.Add(time.Minute)))
 }
--- a/internal/serving/streamorigin/tracker_test.go
+++ b/internal/serving/streamorigin/tracker_test.go
@@ -36,6 +36,15 @@
 	return node
 }
 
+// startNodeInContact starts a node whose contact with the store the test may end.
+func startNodeInContact(t *testing.T, name, disk string) *testNode {
+	t.Helper()
+	node := newNode(t, name, disk)
+	node.runners.SetContact(node.contact, 0)
+	node.run()
+	return node
+}
+
 // newNode returns a node that has not started.
 func newNode(t *testing.T, name, disk string) *testNode {
 	t.Helper()
@@ -78,10 +87,10 @@
 func startFleet(t *testing.T) (edges, disks []*testNode) {
 	t.Helper()
 	for _, name := range []string{"a", "b"} {
-		edges = append(edges, startNode(t, "edge-"+name, ""))
+		edges = append(edges, startNodeInContact(t, "edge-"+name, ""))
 	}
 	for _, name := range []string{"a", "b", "c"} {
-		disks = append(disks, startNode(t, "disk-"+name, "disk-"+name))
+		disks = append(disks, startNodeInContact(t, "disk-"+name, "disk-"+name))
 	}
 	all := append(append([]*testNode{}, edges...), disks...)
 	for _, node := range all {
@@ -100,11 +109,26 @@
 
 const testContent = 7
 
-// begin records a stream at an edge and waits until all calls have ended; on a busy machine, that is
-// later than Await returns. It reports whether a holder has confirmed the record.
+// list replaces the list of a node.
+func list(node *testNode, records ...runnerset.Record) {
+	node.runners.Replace(records, node.nextRevision(), time.Now())
+}
+
+func (n *testNode) nextRevision() int64 {
+	revision, _ := n.runners.Revision()
+	return revision + 1
+}
+
+// begin records a stream that is sent to oldRunner, as beginAt does.
 func begin(node *testNode, attempt, version string, sequence uint32) (confirmed bool) {
+	return beginAt(node, attempt, Record{Origin: Origin{"s", version}, Sequence: sequence, Runner: oldRunner.ID})
+}
+
+// beginAt records a stream at an edge and waits until all calls have ended; on a busy machine, that is
+// later than Await returns. It reports whether a holder has confirmed the record.
+func beginAt(node *testNode, attempt string, record Record) (confirmed bool) {
 	stream := Stream{Key: KeyOf(testContent, attempt), ID: attempt, Window: minWindow}
-	recording := node.Record(context.Background(), stream, Record{Origin{"s", version}, sequence})
+	recording := node.Record(context.Background(), stream, record)
 	recording.Await(context.Background())
 	<-recording.ended
 	select {
@@ -121,6 +145,13 @@
 	eventually.Require(t, "a confirmation", func() bool { return begin(node, attempt, version, sequence) })
 }
 
+// beginConfirmedAt records a stream that is sent to a runner until a holder has confirmed it.
+func beginConfirmedAt(t *testing.T, node *testNode, attempt, version, runner string) {
+	t.Helper()
+	record := Record{Origin: Origin{"s", version}, Sequence: 1, Runner: runner}
+	eventually.Require(t, "a confirmation", func() bool { return beginAt(node, attempt, record) })
+}
+
 // resolveKnown resolves a stream whose origin is known. As a caller does, it tries again when no holder
 // has answered in time.
 func resolveKnown(t *testing.T, node *testNode, attempt string) Origin {
@@ -135,7 +166,8 @@
 }
 
 func resolve(node *testNode, attempt string, content uint64) (Origin, error) {
-	return node.Resolve(context.Background(), &Resumption{ID: "later", Attempt: attempt, Content: content, Service: "s", Window: minWindow})
+	origin, _, err := node.Resolve(context.Background(), &Resumption{ID: "later", Attempt: attempt, Content: content, Service: "s", Window: minWindow})
+	return origin, err
 }
 
 // A stream that began at a node which has ended since is resumed at its version by another node,
@@ -199,7 +231,7 @@
 	node := startNode(t, "edge", "")
 	node.runners.Replace([]runnerset.Record{{ID: "a", Service: "s", Version: "v1"}}, 1, time.Now().Add(-2*minWindow))
 	stream := Stream{Key: KeyOf(testContent, "first"), Window: minWindow}
-	is.True(node.Record(t.Context(), stream, Record{Origin{"s", "v1"}, 1}) == nil)
+	is.True(node.Record(t.Context(), stream, Record{Origin: Origin{"s", "v1"}, Sequence: 1}) == nil)
 	origin, err := resolve(node, "first", testContent)
 	is.NoErr(err)
 	is.Equal(origin, Origin{"s", "v1"})
