An item starts again if a runner came back with another version, or its version is unknown

An output without a version, of an earlier version of this program, was taken for one of the only version that the node had listed in the last minute, by a list of any age: that is dropped, and such an item starts again. Evidence: TestItemStartsAgainAfterARunnerChangedItsVersion, and the changed row of TestItemOutputIsOfOneSoftwareVersion (unknown version: starts again; it demanded the guess before). Outputs in older tests state their version now.

--- a/internal/batch/queuerun/queuerun_test.go
+++ b/internal/batch/queuerun/queuerun_test.go
@@ -30,6 +30,9 @@
 	calls   []*exchange.Call
 }
 
+// testVersion is the software version of the runner r1, which states none.
+const testVersion = "unstated r1"
+
 // Do implements exchange.CallSender.
 func (s *scriptedClient) Do(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
 	s.mutex.Lock()
@@ -85,7 +88,7 @@
 // Only a response of the runner itself ends an item for good or counts as a failed
 // attempt, and only a complete output makes the item done.
 func TestRunOutcomes(t *testing.T) {
-	begun := queue.ItemOutput{LastEventID: 1, Text: []byte("a")}
+	begun := queue.ItemOutput{LastEventID: 1, Text: []byte("a"), SoftwareVersion: testVersion}
 	for _, test := range []struct {
 		name               string
 		respond            func(context.Context, *exchange.Call) (*exchange.Response, error)
@@ -156,7 +159,7 @@
 		id    string
 		slack time.Duration
 	}{{"tight", time.Second}, {"late", -time.Second}, {"spare", time.Minute}} {
-		work := workOf(queue.ItemOutput{LastEventID: 1, Text: []byte("a")})
+		work := workOf(queue.ItemOutput{LastEventID: 1, Text: []byte("a"), SoftwareVersion: testVersion})
 		work.Item.Id, work.Slack = item.id, item.slack
 		is.True(executor.TryStart(context.Background(), work, func(outcome queuestore.Outcome) {
 			if string(outcome.Output.Text) != "a" || outcome.Failed || outcome.Dead {
@@ -218,7 +221,7 @@
 	client := &scriptedClient{respond: responds(200, true, twoEvents)}
 	executor := newExecutor(t, client)
 	executor.Quarantine = &fakeGuard{held: time.Hour}
-	begun := queue.ItemOutput{LastEventID: 1, Text: []byte("a")}
+	begun := queue.ItemOutput{LastEventID: 1, Text: []byte("a"), SoftwareVersion: testVersion}
 	outcome := runOnce(t, executor, workOf(begun))
 	is.Equal(len(client.calls), 0)
 	is.True(!outcome.Dead && !outcome.Done && !outcome.Failed)
--- a/internal/batch/queuerun/versions.go
+++ b/internal/batch/queuerun/versions.go
@@ -21,8 +21,11 @@
 	if work.Output.LastEventID == 0 {
 		return ""
 	}
+	if e.runnersHaveChanged(service) {
+		work.Output.SoftwareVersion = ""
+	}
 	if work.Output.SoftwareVersion == "" {
-		work.Output.SoftwareVersion = e.soleVersion(service)
+		return "" // saved by an earlier version of this program, or in doubt
 	}
 	version := work.Output.SoftwareVersion
 	same, all := 0, 0
@@ -41,15 +44,10 @@
 	return version
 }
 
-// soleVersion returns the software version of all runners of a service that were listed lately;
-// empty if there are several. It stands for the version of outputs that were saved by earlier
-// versions of this program, which did not save it.
-func (e *ItemExecutor) soleVersion(service string) string {
-	seen := e.Runners.Versions().Knowledge(service, runnerset.MaxVersionWindow, time.Now()).Seen
-	if len(seen) != 1 {
-		return ""
-	}
-	return seen[0]
+// runnersHaveChanged reports whether a runner of the service came back under its ID with another
+// software version lately. The listed version of a run's runner may then have been another than its own.
+func (e *ItemExecutor) runnersHaveChanged(service string) bool {
+	return len(e.Runners.Versions().Knowledge(service, runnerset.MaxVersionWindow, time.Now()).ChangedRunners) > 0
 }
 
 // startAgainUnlessContinued drops the output of an item if the chosen runner can't continue it,
--- a/internal/batch/queuerun/versions_test.go
+++ b/internal/batch/queuerun/versions_test.go
@@ -45,7 +45,7 @@
 		{"its version serves", "v1", []string{"v2", "v2", "v1"}, true},
 		{"its version is gone", "v1", []string{"v2", "v2"}, false},
 		{"unknown, several versions", "", []string{"v1", "v2"}, false},
-		{"unknown, one version", "", []string{"v1", "v1"}, true},
+		{"unknown, one version", "", []string{"v1", "v1"}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
@@ -75,3 +75,17 @@
 	}
 	is.True(startedAgain > 0)
 }
+
+// Guards against item texts of two versions: a runner that had come back under its ID with another version wrote a
+// part of the output, which was saved as one of the version that the node still listed.
+func TestItemStartsAgainAfterARunnerChangedItsVersion(t *testing.T) {
+	is := is.New(t)
+	client := &scriptedClient{respond: writesEvents}
+	executor := executorWith(t, client, "v1", "v1")
+	changed := executor.Runners.Service("s")[0].Record
+	changed.Version = "v2"
+	executor.Runners.ApplyChanges([]runnerset.Record{changed}, nil, 2, time.Now())
+	outcome := runOnce(t, executor, workOf(queue.ItemOutput{LastEventID: 1, Text: []byte("a"), SoftwareVersion: "v1"}))
+	is.True(outcome.Done)
+	is.Equal(client.calls[0].ResumeAfter, int64(-1))
+}
