Real processes: an edge is out of step while runners of a new version join

Items run beside. Links between nodes can't be cut one by one on loopback, so the other nodes are killed or suspended.

--- /dev/null
+++ b/lab/platformday/outofstep.go
@@ -0,0 +1,103 @@
+package platformday
+
+import (
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"cobaltramp.example/cobaltramp/internal/app/tasks"
+	"cobaltramp.example/cobaltramp/lab/standin"
+)
+
+// An edge is out of step if it does not learn for some time that runners of a new software version have
+// joined, because it is cut off from the store or stands still. The storage nodes, which hold the
+// records of streams, stand still while the edge is asked to resume streams of the new version.
+
+// outOfStep is how an edge falls behind while runners of a new version join: the store is silent to it
+// for a time, in which it runs (cutOff) or its process is suspended (standsStill). One of them is 0.
+type outOfStep struct{ cutOff, standsStill time.Duration }
+
+const (
+	// newVersionRunners is the number of runners of the new version that join.
+	newVersionRunners = 4
+	// newVersionTime is the time from the start of these runners to the end of the streams. It is
+	// enough for the other edges to use them, and seldom for the edge that is behind to learn of
+	// them from other nodes.
+	newVersionTime = 350 * time.Millisecond
+	// storageStandstill is how long the storage nodes stand still after the streams broke off.
+	storageStandstill = 2500 * time.Millisecond
+)
+
+// steeredEndpoints are the edges to which callers are steered.
+type steeredEndpoints struct{ addresses atomic.Pointer[[]string] }
+
+// Addresses implements standin.Endpoints.
+func (e *steeredEndpoints) Addresses() []string { return *e.addresses.Load() }
+
+func (e *steeredEndpoints) steerTo(edges ...*process) {
+	var addresses []string
+	for _, edge := range edges {
+		addresses = append(addresses, edge.callerAddress)
+	}
+	e.addresses.Store(&addresses)
+}
+
+// joinNewVersion starts runners of a second software version.
+func (d *Day) joinNewVersion() {
+	d.mutex.Lock()
+	d.SoftwareVersions = 2
+	d.mutex.Unlock()
+	for number := d.Runners; number < d.Runners+newVersionRunners; number++ {
+		generation := (number / zoneCount) % 2 // versionOf is then the second version
+		if err := d.startRunner(number, 1-generation); err != nil {
+			d.report("runner %d does not start: %v", number, err)
+		}
+	}
+}
+
+// misleadEdge lets streams of a new version begin at other edges while one edge falls behind, breaks them
+// off, and steers their callers to the edge that is behind while the storage nodes stand still.
+func (d *Day) misleadEdge(behind *process, others []*process, how outOfStep, endpoints *steeredEndpoints) {
+	endpoints.steerTo(others...)
+	d.store.SetMachineFault(behind.name, standin.StoreFault{Silent: true})
+	if how.standsStill > 0 {
+		d.sendSignal(behind, syscall.SIGSTOP)
+	}
+	time.Sleep(how.cutOff + how.standsStill - newVersionTime)
+	d.joinNewVersion()
+	time.Sleep(newVersionTime)
+	storages := d.nodesOf("storage")
+	for _, storage := range storages {
+		d.sendSignal(storage, syscall.SIGSTOP)
+	}
+	d.report("the streams of %s break off", others[0].name)
+	var kills tasks.Group
+	for _, edge := range others {
+		kills.Go(func() { d.signal(edge, syscall.SIGKILL) })
+	}
+	kills.Wait()
+	endpoints.steerTo(behind)
+	if how.standsStill > 0 {
+		time.Sleep(listingTime) // the callers have asked
+		d.sendSignal(behind, syscall.SIGCONT)
+	}
+	time.Sleep(storageStandstill)
+	for _, storage := range storages {
+		d.sendSignal(storage, syscall.SIGCONT)
+	}
+	d.store.SetMachineFault(behind.name, standin.StoreFault{})
+	for _, edge := range others {
+		if err := d.start(edge); err != nil {
+			d.tally.RecordViolation("%s does not start: %v", edge.name, err)
+		}
+	}
+}
+
+// String describes how the edge falls behind.
+func (o outOfStep) String() string {
+	if o.cutOff > 0 {
+		return fmt.Sprintf("an edge is cut off from the store for %v", o.cutOff)
+	}
+	return fmt.Sprintf("an edge stands still for %v", o.standsStill)
+}
--- /dev/null
+++ b/lab/platformday/outofstep_test.go
@@ -0,0 +1,72 @@
+package platformday
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"cobaltramp.example/cobaltramp/internal/app/tasks"
+	"cobaltramp.example/cobaltramp/lab/standin"
+)
+
+// settledTime is longer than the history that a node needs in order to prove a version by its list.
+const settledTime = 14 * time.Second
+
+// Guards against texts of two versions during a release: one edge is out of step while runners of a new version join;
+// streams of that version, which began at another edge, break off and are resumed at the edge that is behind.
+func TestEdgeOutOfStepMixesNoVersions(t *testing.T) {
+	t.Parallel() // most of the time is spent waiting
+	program := build(t, t.TempDir())
+	for _, how := range []outOfStep{
+		{cutOff: time.Second}, {cutOff: 2200 * time.Millisecond},
+		{standsStill: time.Second}, {standsStill: 2200 * time.Millisecond}, {standsStill: 5 * time.Second},
+	} {
+		t.Run(how.String(), func(t *testing.T) {
+			t.Parallel()
+			testOutOfStep(t, program, how)
+		})
+	}
+}
+
+func testOutOfStep(t *testing.T, program string, how outOfStep) {
+	t.Helper()
+	folder := t.TempDir()
+	d, err := open(t.Context(), Options{
+		Program: program, Folder: folder, Seed: 1, Progress: os.Stderr, Edges: 2, Storages: 3, Runners: 4, SoftwareVersions: 1, Length: settledTime + how.cutOff + how.standsStill,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.close()
+	edges := d.nodesOf("edge")
+	endpoints, streams := &steeredEndpoints{}, &standin.StreamTally{}
+	endpoints.steerTo(edges...)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var callers tasks.Group
+	for number := range resumingCallers {
+		client := &standin.ResumingClient{
+			Endpoints: endpoints, Tally: d.tally, Streams: streams, Host: host, Prefix: standin.EventsPrefix,
+			Random: rand.New(rand.NewPCG(d.Seed, uint64(number))),
+		}
+		callers.Go(func() { client.Run(ctx, fmt.Sprintf("%x-%d", time.Now().UnixNano(), number)) })
+	}
+	batch := &standin.BatchClient{Endpoints: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: standin.BatchPrefix, Random: rand.New(rand.NewPCG(d.Seed, 99))}
+	callers.Go(func() { d.batch(t.Context(), batch) })
+	time.Sleep(settledTime)
+	d.misleadEdge(edges[1], edges[:1], how, endpoints)
+	time.Sleep(streamsBefore)
+	cancel()
+	callers.Wait()
+	t.Logf("%v: %s", how, streams.Summary())
+	if mixed := append(streams.Mixed, d.ledger.MixedRuns()...); len(mixed) > 0 {
+		t.Errorf("%d texts of several versions, first: %s", len(mixed), mixed[0])
+		t.Log(linesWith(folder, "origin of a resumed stream"))
+	}
+	if streams.Continued+streams.NotContinued < minResumed {
+		t.Errorf("too few streams broke off: %s", streams.Summary())
+	}
+}
