--- a/lab/platformday/outofstep.go
+++ b/lab/platformday/outofstep.go
@@ -19,6 +19,8 @@
 type outOfStep struct{ cutOff, standsStill time.Duration }
 
 const (
+	// listingTime is longer than a change of the list of runners takes to reach the nodes.
+	listingTime = 150 * time.Millisecond
 	// newVersionRunners is the number of runners of the new version that join.
 	newVersionRunners = 4
 	// newVersionTime is the time from the start of these runners to the end of the streams. It is
--- a/lab/platformday/streamversions_test.go
+++ b/lab/platformday/streamversions_test.go
@@ -20,8 +20,6 @@
 	streamsBefore = 1200 * time.Millisecond
 	// disruptionLength is the time from a disruption to its end.
 	disruptionLength = 3 * time.Second
-	// listingTime is longer than a change of the list of runners takes to reach the nodes.
-	listingTime = 150 * time.Millisecond
 	// minResumed is the number of resumed streams from which their share is compared.
 	minResumed = 12
 )
