--- a/internal/serving/streamorigin/evidence.go
+++ b/internal/serving/streamorigin/evidence.go
@@ -43,11 +43,9 @@
 	holders []*wirev1.NodeRecord
 }
 
-// needsCurrentList reports whether it matters that the node's list is current: the list would then prove
-// the version of the stream, or shows whether the runner of the record came back at another version.
-func (a *answer) needsCurrentList() bool {
-	return a.record != nil || a.versions.Known && len(a.versions.Seen) == 1
-}
+// mayProveSole reports whether the node's list would prove the version of the stream if it was known to
+// be current.
+func (a *answer) mayProveSole() bool { return a.versions.Known && len(a.versions.Seen) == 1 }
 
 // evidence is what is known about a stream that a caller resumes.
 type evidence struct {
@@ -99,7 +97,7 @@
 //     holders, also those that only some nodes know, have all records of the window and none of the
 //     stream, the stream began at a node that still listed a single version, which must be
 //     established at all nodes. What was listed since does not matter then, so that the lists may be
-//     older.
+//     older, unless a runner came back under its ID with another version.
 func (e *evidence) conclude(service string) conclusion {
 	if record, source := e.newestRecord(); record != nil {
 		if slices.Contains(e.changedRunners(), record.Runner) {
@@ -111,7 +109,7 @@
 		return conclusion{Origin{service, seen[0]}, ProofSole, source}
 	}
 	established, source := e.establishedVersions()
-	if len(established) == 1 && e.holdersHaveNone() && e.allRecord {
+	if len(established) == 1 && e.holdersHaveNone() && e.allRecord && len(e.changedRunners()) == 0 {
 		return conclusion{Origin{service, established[0]}, ProofUnrecorded, source}
 	}
 	return conclusion{proof: ProofNone}
--- a/internal/serving/streamorigin/resolve.go
+++ b/internal/serving/streamorigin/resolve.go
@@ -80,7 +80,7 @@
 		known.asked = 0 // that nobody has a record proves nothing
 	}
 	if !known.anyCurrent() {
-		<-caughtUp
+		t.awaitOwnList(ctx, caughtUp, received, known.conclude(resumption.Service).proof)
 	}
 	known.own = ownAnswer()
 	return known
@@ -95,20 +95,38 @@
 	checkTimeout = 150 * time.Millisecond
 )
 
-// startCatchUp brings this node's list up to date if it may then prove the version. The channel is closed
-// when the list is known to be current, or can't be known to be within proofTimeout.
+// startCatchUp brings this node's list up to date. The channel is closed when the list is known to be
+// current, or can't be known to be within proofTimeout.
 func (t *Tracker) startCatchUp(ctx context.Context, own *answer) <-chan struct{} {
 	caughtUp := make(chan struct{})
+	timeout := checkTimeout
+	if own.mayProveSole() {
+		timeout = proofTimeout
+	}
 	catchUp := func() {
 		defer close(caughtUp)
-		t.catchUp(ctx, proofTimeout)
+		t.catchUp(ctx, timeout)
 	}
-	if own.record != nil || !own.needsCurrentList() || !t.sending.Go(catchUp) { // Go refuses when this node stops
+	if own.record != nil || !t.sending.Go(catchUp) { // with a record, it was tried; Go refuses when this node stops
 		close(caughtUp)
 	}
 	return caughtUp
 }
 
+// awaitOwnList waits until startCatchUp has ended, but only for checkTimeout since the caller asked if the
+// version is proven already: the list can then only show that a runner has come back.
+func (t *Tracker) awaitOwnList(ctx context.Context, caughtUp <-chan struct{}, received time.Time, proven Proof) {
+	if proven != ProofNone {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, received.Add(checkTimeout))
+		defer cancel()
+	}
+	select {
+	case <-caughtUp:
+	case <-ctx.Done():
+	}
+}
+
 // ChangedRunners returns the IDs of the service's runners that were listed with several versions during
 // the window, by this node's list, which it first brings up to date for up to checkTimeout.
 func (t *Tracker) ChangedRunners(ctx context.Context, service string, window time.Duration) []string {
--- a/internal/serving/streamorigin/serve.go
+++ b/internal/serving/streamorigin/serve.go
@@ -21,8 +21,16 @@
 	if err := stream.DecodeRequest(&message); err != nil {
 		return err
 	}
+	if err := t.hold(&message); err != nil {
+		return err
+	}
+	return stream.Send(&wirev1.StreamOriginRecordReply{})
+}
+
+// hold holds the record of another node's stream. The result is the error of ServeRecord.
+func (t *Tracker) hold(message *wirev1.StreamOriginRecord) error {
 	lifetime := time.Duration(message.LifetimeMs) * time.Millisecond
-	if err := t.table.Put(Key(message.Key), *decodeRecord(&message), lifetime, time.Now()); err != nil {
+	if err := t.table.Put(Key(message.Key), *decodeRecord(message), lifetime, time.Now()); err != nil {
 		t.refused.Inc()
 		klog.InfoS("record of a stream's origin refused", "held", t.table.Len(), "err", err)
 		return result.New(result.StoreFull, "%v", err)
@@ -30,7 +38,7 @@
 	if !t.isHolder(Key(message.Key)) {
 		return result.New(result.NotReady, "other nodes are asked for the record")
 	}
-	return stream.Send(&wirev1.StreamOriginRecordReply{})
+	return nil
 }
 
 // isHolder reports whether this node is one of the nodes that may hold the record of a stream.
@@ -49,13 +57,15 @@
 	if err := stream.DecodeRequest(&query); err != nil {
 		return err
 	}
+	return stream.Send(t.find(ctx, &query))
+}
+
+// find returns the answer to a query, after this node's list has been brought up to date.
+func (t *Tracker) find(ctx context.Context, query *wirev1.StreamOriginQuery) *wirev1.StreamOriginReply {
 	received := time.Now()
 	window := min(time.Duration(query.WindowMs)*time.Millisecond, MaxWindow)
+	t.catchUp(ctx, holderCatchUpTimeout)
 	known := t.answer(Key(query.Key), query.Service, window, received)
-	if known.needsCurrentList() {
-		t.catchUp(ctx, holderCatchUpTimeout)
-		known = t.answer(Key(query.Key), query.Service, window, received)
-	}
 	reply := &wirev1.StreamOriginReply{
 		Complete: known.complete,
 		Versions: encodeVersions(&known),
@@ -66,7 +76,7 @@
 	if known.record != nil {
 		reply.Record = encodeRecord(Key(query.Key), known.record, 0)
 	}
-	return stream.Send(reply)
+	return reply
 }
 
 func encodeVersions(known *answer) *wirev1.SoftwareVersions {
