--- a/internal/batch/queuestore/search_test.go
+++ b/internal/batch/queuestore/search_test.go
@@ -12,7 +12,6 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/matryer/is"
 	"k8s.io/klog/v2"
 	"pgregory.net/rapid"
 
--- a/internal/serving/streamorigin/evidence_test.go
+++ b/internal/serving/streamorigin/evidence_test.go
@@ -24,6 +24,12 @@
 	return known
 }
 
+// withChangedRunner is an answer of a node that has listed a runner with several versions.
+func withChangedRunner(known answer) answer {
+	known.versions.ChangedRunners = []string{"r"}
+	return known
+}
+
 // withoutContact is an answer of a node that was not in contact with the store when the window began.
 func withoutContact(known answer) answer {
 	known.versions.InContact, known.versions.Established = false, nil
@@ -84,6 +90,11 @@
 			evidence{own: knowing("own", true, two, one), holders: []answer{knowing("a", true, two, one), knowing("b", true, two, one)}, asked: 2, allRecord: true, allAsked: true},
 			"v1", ProofUnrecorded,
 		},
+		{
+			"no records, but a runner came back with another version",
+			evidence{own: knowing("own", true, two, one), holders: []answer{withChangedRunner(knowing("a", true, two, one)), knowing("b", true, two, one)}, asked: 2, allRecord: true, allAsked: true},
+			"", ProofNone,
+		},
 		{
 			"a holder is missing",
 			evidence{own: knowing("own", true, two, one), holders: []answer{knowing("a", true, two, one)}, asked: 2, allRecord: true, allAsked: true}, "", ProofNone,
