--- a/lab/platformday/outofstep.go
+++ b/lab/platformday/outofstep.go
@@ -72,10 +72,7 @@
 	time.Sleep(how.cutOff + how.standsStill - newVersionTime)
 	d.joinNewVersion()
 	time.Sleep(newVersionTime)
-	storages := d.nodesOf("storage")
-	for _, storage := range storages {
-		d.sendSignal(storage, syscall.SIGSTOP)
-	}
+	resumeStorages := d.suspendStorages()
 	d.report("the streams of %s break off", others[0].name)
 	var kills tasks.Group
 	for _, edge := range others {
@@ -88,9 +85,7 @@
 		d.sendSignal(behind, syscall.SIGCONT)
 	}
 	time.Sleep(storageStandstill)
-	for _, storage := range storages {
-		d.sendSignal(storage, syscall.SIGCONT)
-	}
+	resumeStorages()
 	d.store.SetMachineFault(behind.name, standin.StoreFault{})
 	for _, edge := range others {
 		if err := d.start(edge); err != nil {
@@ -99,6 +94,18 @@
 	}
 }
 
+// suspendStorages suspends the storage nodes. It returns a function that resumes them.
+func (d *Day) suspendStorages() (end func()) {
+	for _, storage := range d.nodesOf("storage") {
+		d.sendSignal(storage, syscall.SIGSTOP)
+	}
+	return func() {
+		for _, storage := range d.nodesOf("storage") {
+			d.sendSignal(storage, syscall.SIGCONT)
+		}
+	}
+}
+
 // String describes how the edge falls behind.
 func (o outOfStep) String() string {
 	if o.cutOff > 0 {
--- a/lab/platformday/outofstep_test.go
+++ b/lab/platformday/outofstep_test.go
@@ -70,3 +70,44 @@
 		t.Errorf("too few streams broke off: %s", streams.Summary())
 	}
 }
+
+// While all runners have had one version for long, streams are not recorded. Nearly all that break off must go on all
+// the same, also while the storage nodes or the store do not answer.
+func TestUnrecordedStreamsGoOnWithoutStorageNodesOrStore(t *testing.T) {
+	t.Parallel() // most of the time is spent waiting
+	program := build(t, t.TempDir())
+	for name, silence := range map[string]func(d *Day) (end func()){
+		"storage nodes stand still": (*Day).suspendStorages,
+		"store is silent": func(d *Day) func() {
+			d.store.SetFault(standin.StoreFault{Silent: true})
+			return func() { d.store.SetFault(standin.StoreFault{}) }
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			folder := t.TempDir()
+			d, err := open(t.Context(), Options{
+				Program: program, Folder: folder, Seed: 1, Progress: os.Stderr, Edges: 5, Storages: 3, Runners: 8, SoftwareVersions: 1,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer d.close()
+			time.Sleep(settledTime)
+			streams := d.streamThrough(t.Context(), streamDisruption{name: name, begin: func(d *Day) func() {
+				end := silence(d)
+				restart := killNodes(threeEdges)(d)
+				return func() {
+					end()
+					restart()
+				}
+			}})
+			t.Logf("%s: %s", name, streams.Summary())
+			resumed := streams.Continued + streams.NotContinued
+			if resumed < minResumed || streams.ContinuedShare() < 0.95 || len(streams.Mixed) > 0 {
+				t.Errorf("too few streams went on: %s", streams.Summary())
+				t.Log(linesWith(folder, "origin of a resumed stream"))
+			}
+		})
+	}
+}
