--- a/internal/serving/runnerset/versions_test.go
+++ b/internal/serving/runnerset/versions_test.go
@@ -42,17 +42,23 @@
 	s.Versions().Refresh(to)
 }
 
+// setInContact returns a set that has listed one runner and was in contact with the store for a whole
+// window, its contact, and the time then.
+func setInContact() (s *Set, contact *fakeContact, now time.Time) {
+	began := time.Now()
+	s, contact = New(), &fakeContact{}
+	s.SetContact(contact, 0)
+	s.Replace([]Record{versioned("a", "v1")}, 1, began)
+	now = began.Add(testWindow + versionSlack)
+	keepContact(s, began, now)
+	return s, contact, now
+}
+
 // After a loss of contact with the store, versions may have been used elsewhere: none is established, nor
 // the only one, before the whole window has passed in contact.
 func TestContactBeginsAnewAfterItsLoss(t *testing.T) {
 	is := is.New(t)
-	now := time.Now()
-	contact := &fakeContact{}
-	s := New()
-	s.SetContact(contact, 0)
-	s.Replace([]Record{versioned("a", "v1")}, 1, now)
-	later := now.Add(testWindow + versionSlack)
-	keepContact(s, now, later)
+	s, contact, later := setInContact()
 	in := VersionKnowledge{Known: true, Seen: []string{"v1"}, InContact: true, Established: []string{"v1"}}
 	is.Equal(s.Versions().Knowledge("s", testWindow, later), in)
 	is.True(s.Versions().SoleFor("s", testWindow, later))
@@ -78,13 +84,7 @@
 // current for seconds before its contact is renewed.
 func TestContactThatWasInterruptedUnnoticedBeginsAnew(t *testing.T) {
 	is := is.New(t)
-	now := time.Now()
-	contact := &fakeContact{}
-	s := New()
-	s.SetContact(contact, 0)
-	s.Replace([]Record{versioned("a", "v1")}, 1, now)
-	stopped := now.Add(testWindow + versionSlack)
-	keepContact(s, now, stopped)
+	s, _, stopped := setInContact()
 	awake := stopped.Add(maxContactAge + time.Second) // the first check is after the renewal
 	known := s.Versions().Knowledge("s", testWindow, awake)
 	is.Equal(known.Age, time.Duration(0))
--- a/lab/platformday/outofstep_test.go
+++ b/lab/platformday/outofstep_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -47,13 +46,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var callers tasks.Group
-	for number := range resumingCallers {
-		client := &standin.ResumingClient{
-			Endpoints: endpoints, Tally: d.tally, Streams: streams, Host: host, Prefix: standin.EventsPrefix,
-			Random: rand.New(rand.NewPCG(d.Seed, uint64(number))),
-		}
-		callers.Go(func() { client.Run(ctx, fmt.Sprintf("%x-%d", time.Now().UnixNano(), number)) })
-	}
+	d.startResumingCallers(ctx, endpoints, streams, &callers)
 	batch := &standin.BatchClient{Endpoints: d, Ledger: d.ledger, Tally: d.tally, Host: host, Prefix: standin.BatchPrefix, Random: rand.New(rand.NewPCG(d.Seed, 99))}
 	callers.Go(func() { d.batch(t.Context(), batch) })
 	time.Sleep(settledTime)
--- a/lab/platformday/streamversions_test.go
+++ b/lab/platformday/streamversions_test.go
@@ -164,13 +164,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	streams := &standin.StreamTally{}
 	var callers tasks.Group
-	for number := range resumingCallers {
-		client := &standin.ResumingClient{
-			Endpoints: d, Tally: d.tally, Streams: streams, Host: host, Prefix: standin.EventsPrefix,
-			Random: rand.New(rand.NewPCG(d.Seed, uint64(number))),
-		}
-		callers.Go(func() { client.Run(ctx, fmt.Sprintf("%x-%d", time.Now().UnixNano(), number)) })
-	}
+	d.startResumingCallers(ctx, d, streams, &callers)
 	time.Sleep(streamsBefore)
 	d.report("%s", disruption.name)
 	end := disruption.begin(d)
@@ -180,3 +174,15 @@
 	callers.Wait()
 	return streams
 }
+
+// startResumingCallers starts callers that read one stream after the other at the given edges, and resume
+// those that break off, until the context ends.
+func (d *Day) startResumingCallers(ctx context.Context, edges standin.Endpoints, streams *standin.StreamTally, callers *tasks.Group) {
+	for number := range resumingCallers {
+		client := &standin.ResumingClient{
+			Endpoints: edges, Tally: d.tally, Streams: streams, Host: host, Prefix: standin.EventsPrefix,
+			Random: rand.New(rand.NewPCG(d.Seed, uint64(number))),
+		}
+		callers.Go(func() { client.Run(ctx, fmt.Sprintf("%x-%d", time.Now().UnixNano(), number)) })
+	}
+}
