--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -127,12 +127,12 @@
 	return m, s.Listen.Peers, os.WriteFile(m.settingsFile, text, 0o600)
 }
 
-// addRunners starts sound runners of a service.
-func (d *deployment) addRunners(service string, count int) error {
+// addRunners starts sound runners of a service, with a time between the events of their answers.
+func (d *deployment) addRunners(service string, count int, interval time.Duration) error {
 	for number := range count {
 		runner, err := standin.StartRunner(standin.RunnerOptions{
 			ID: fmt.Sprintf("i-%s-%d", service, number), Service: service, Zone: zones[number%len(zones)], Address: "127.0.0.1:0",
-			Slots: 8, QueueLimit: 32, EventInterval: 15 * time.Millisecond, Store: d.store, Ledger: d.ledger,
+			Slots: 8, QueueLimit: 32, EventInterval: interval, Store: d.store, Ledger: d.ledger,
 		})
 		if err != nil {
 			return err
@@ -183,6 +183,14 @@
 	<-ended
 }
 
+// freeze stops the process of a machine; it goes on only if it is continued.
+func (d *deployment) freeze(m *machine) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	d.record.line("%s freezes", m.name)
+	return m.process.Signal(syscall.SIGSTOP)
+}
+
 // wipe kills the process of a machine and empties its disk.
 func (d *deployment) wipe(m *machine) error {
 	d.kill(m)
--- a/review/stand2/firststart.go
+++ b/review/stand2/firststart.go
@@ -30,7 +30,7 @@
 	}
 	defer d.close()
 	d.store.PutConfig(standin.DayConfig(host, 3))
-	if err := d.addRunners("s", 6); err != nil {
+	if err := d.addRunners("s", 6, eventInterval); err != nil {
 		return false, err
 	}
 	first, others := d.storages[0], d.storages[1:]
--- a/review/stand2/retireagain.go
+++ b/review/stand2/retireagain.go
@@ -27,7 +27,7 @@
 	}
 	defer d.close()
 	d.store.PutConfig(standin.DayConfig(host, 3))
-	if err := d.addRunners("s", 6); err != nil {
+	if err := d.addRunners("s", 6, eventInterval); err != nil {
 		return false, err
 	}
 	if err := d.startAll(); err != nil {
--- a/review/stand2/retirejoin.go
+++ b/review/stand2/retirejoin.go
@@ -5,27 +5,33 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"net/http"
+	"path/filepath"
 	"time"
 
 	"cobaltramp.example/cobaltramp/lab/standin"
 )
 
 const (
-	// waitingJobs and itemBytes make the machines hold some data: bodies of the largest size that the
-	// sheet names for inspections (max = 230000).
-	waitingJobs = 24
+	// waitingJobs, itemsPerJob and itemBytes are batch work that waits, with bodies of the largest size
+	// that the site file names for inspections (max = 230000).
+	waitingJobs = 50
 	itemsPerJob = 8
 	itemBytes   = 230000
+	// slowInterval is the time between events of the runners' answers: the batch work waits.
+	slowInterval = 500 * time.Millisecond
+	// takenInBytes is the size of an added machine's data at which it freezes.
+	takenInBytes = 4 << 20
+	// decisionTime is the time from the freeze to the retirement of the machine.
+	decisionTime = 500 * time.Millisecond
 	// calmTime is the time between the removal and the loss of a disk, longer than catch_up_s.
 	calmTime = 12 * time.Second
-	// joinTime is how long after its start the added machine is to be taken away again.
-	joinTime = 900 * time.Millisecond
 )
 
-// playRetireJoining lets a store machine leave, adds another, and has that one retired while it is
-// being taken in. It is removed as soon as the system says that it is empty. Later, another machine
-// loses its disk, which the deployment has to bear.
+// playRetireJoining lets a store machine leave and adds another, which freezes while it is being
+// taken in, and is retired. It is removed as soon as the system says that it is empty. Later, another
+// machine loses its disk, which the deployment has to bear.
 func playRetireJoining(s *scene) (bool, error) {
 	d, err := openDeployment(s.folder, s.program, s.record, 2, 3)
 	if err != nil {
@@ -33,13 +39,16 @@
 	}
 	defer d.close()
 	d.store.PutConfig(standin.DayConfig(host, 3))
-	if err := d.addRunners("s", 1); err != nil {
+	if err := d.addRunners("s", 2, slowInterval); err != nil {
 		return false, err
 	}
 	if err := d.startAll(); err != nil {
 		return false, err
 	}
 	c := newClient(s.record)
+	if _, err := submitFirst(d, c, "7c41e09b52d6a300"); err != nil {
+		return false, err
+	}
 	loses, leaves := d.storages[0], d.storages[2]
 	if err := d.retire(leaves, 2*retireTime); err != nil {
 		return false, err
@@ -62,17 +71,11 @@
 	if err := d.start(added); err != nil {
 		return false, err
 	}
-	time.Sleep(joinTime)
+	if err := awaitData(added); err != nil {
+		return false, err
+	}
 	if s.trouble {
-		if err := d.retire(added, 2*retireTime); err != nil {
-			return false, err
-		}
-		time.Sleep(calmTime)
-		if err := d.wipe(loses); err != nil {
-			return false, err
-		}
-		time.Sleep(lostDiskTime)
-		if err := d.start(loses); err != nil {
+		if err := d.loseJoining(added, loses); err != nil {
 			return false, err
 		}
 	}
@@ -81,6 +84,43 @@
 	return s.lostJob(d, c, job), nil
 }
 
+// loseJoining freezes a machine that is being taken in, retires it, and takes another one's disk
+// later.
+func (d *deployment) loseJoining(added, loses *machine) error {
+	if err := d.freeze(added); err != nil {
+		return err
+	}
+	time.Sleep(decisionTime)
+	if err := d.retire(added, 2*retireTime); err != nil {
+		return err
+	}
+	time.Sleep(calmTime)
+	if err := d.wipe(loses); err != nil {
+		return err
+	}
+	time.Sleep(lostDiskTime)
+	return d.start(loses)
+}
+
+// awaitData waits until a machine has received some data.
+func awaitData(m *machine) error {
+	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); time.Sleep(2 * time.Millisecond) {
+		size := int64(0)
+		_ = filepath.WalkDir(m.dataFolder, func(_ string, entry fs.DirEntry, err error) error {
+			if err == nil && !entry.IsDir() {
+				if info, err := entry.Info(); err == nil {
+					size += info.Size()
+				}
+			}
+			return nil // a file may go meanwhile
+		})
+		if size >= takenInBytes {
+			return nil
+		}
+	}
+	return errors.New("the added machine received no data")
+}
+
 // submitLarge submits a batch job whose items have bodies of the largest size.
 func submitLarge(d *deployment, c *client, job string) error {
 	body := base64.StdEncoding.EncodeToString(make([]byte, itemBytes))
