--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -183,14 +183,6 @@
 	<-ended
 }
 
-// freeze stops the process of a machine; it goes on only if it is continued.
-func (d *deployment) freeze(m *machine) error {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	d.record.line("%s freezes", m.name)
-	return m.process.Signal(syscall.SIGSTOP)
-}
-
 // wipe kills the process of a machine and empties its disk.
 func (d *deployment) wipe(m *machine) error {
 	d.kill(m)
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -37,10 +37,9 @@
 // cases are the cases by name. A case returns whether the rule was broken, or an error if it
 // could not run.
 var cases = map[string]func(*scene) (bool, error){
-	"first-start":    playFirstStart,
-	"retire-again":   playRetireAgain,
-	"retire-joining": playRetireJoining,
-	"unsealed":       playUnsealed,
+	"first-start":  playFirstStart,
+	"retire-again": playRetireAgain,
+	"unsealed":     playUnsealed,
 }
 
 const (
