--- a/review/stand2/retireagain.go
+++ b/review/stand2/retireagain.go
@@ -17,9 +17,9 @@
 )
 
 // playRetireAgain retires a store machine, which is removed, adds a machine of the same name, and
-// retires that one later. It is removed as soon as the system says that it is empty. At that moment,
-// another machine loses its disk, which the deployment has to bear. With TROUBLE=other-name the
-// machine that is added has another name.
+// retires that one later, while another machine is away that has lost its disk, which the deployment
+// has to bear. The retired machine is removed as soon as the system says that it is empty. With
+// TROUBLE=other-name the machine that is added has another name.
 func playRetireAgain(s *scene) (bool, error) {
 	d, err := openDeployment(s.folder, s.program, s.record, 2, 3)
 	if err != nil {
@@ -62,14 +62,16 @@
 	}
 	time.Sleep(time.Second)
 	if s.trouble {
-		if err := d.retire(added, 2*retireTime); err != nil {
-			return false, err
-		}
 		if err := d.wipe(loses); err != nil {
 			return false, err
 		}
-		time.Sleep(lostDiskTime)
-		if err := d.start(loses); err != nil {
+		returned := make(chan error, 1)
+		go func() {
+			time.Sleep(lostDiskTime)
+			returned <- d.start(loses)
+		}()
+		time.Sleep(lostDiskTime / 4)
+		if err := errors.Join(d.retire(added, 2*retireTime), <-returned); err != nil {
 			return false, err
 		}
 	}
