--- a/review/stand2/deployment.go
+++ b/review/stand2/deployment.go
@@ -24,6 +24,7 @@
 	// callers and readiness are the addresses of an edge for its callers and for the platform.
 	callers, readiness string
 	dataFolder         string
+	settings           settings.Role
 
 	mutex   sync.Mutex
 	process *os.Process
@@ -39,8 +40,14 @@
 	runners         []*standin.Runner
 	edges, storages []*machine
 	seeds           []string
+	// begun is set when the first process has started: bootstrap is true only in the settings of
+	// the first start of the whole system.
+	begun bool
 }
 
+// stopTime is grace_s of the small sites.
+const stopTime = 8 * time.Second
+
 // zones are the zones of the deployment; machines and runners are assigned to them in turn.
 var zones = []string{"gdl-aeropuerto", "gdl-centro", "zapopan"}
 
@@ -109,7 +116,7 @@
 			DrainMilliseconds: 2000, StopSeconds: 8, CancelMilliseconds: 3000, SettleMilliseconds: 1000, CatchUpSeconds: 4.8, ResultsKeptSeconds: 120, QuotaOverrun: 0.1,
 		},
 		Routing:    settings.RoleRouting{ForwardThroughPeers: true, BalanceZones: true, FairTenantShares: true},
-		FirstStart: true, DiskLosses: 1,
+		FirstStart: !d.begun, DiskLosses: 1,
 	}
 	if role == "edge" {
 		s.Listen.Callers, s.Listen.Readiness = address(ports[1]), address(ports[2])
@@ -119,12 +126,17 @@
 		s.DataFolder = filepath.Join(d.folder, fmt.Sprintf("%s-%d-data", m.name, number))
 		m.dataFolder = s.DataFolder
 	}
-	text, err := yaml.Marshal(s)
+	m.settingsFile = filepath.Join(d.folder, fmt.Sprintf("%s-%d.yaml", m.name, number))
+	m.settings = s
+	return m, s.Listen.Peers, m.writeSettings()
+}
+
+func (m *machine) writeSettings() error {
+	text, err := yaml.Marshal(m.settings)
 	if err != nil {
-		return nil, "", err
+		return err
 	}
-	m.settingsFile = filepath.Join(d.folder, fmt.Sprintf("%s-%d.yaml", m.name, number))
-	return m, s.Listen.Peers, os.WriteFile(m.settingsFile, text, 0o600)
+	return os.WriteFile(m.settingsFile, text, 0o600)
 }
 
 // addRunners starts sound runners of a service, with a time between the events of their answers.
@@ -158,6 +170,7 @@
 	m.mutex.Lock()
 	m.process, m.ended = command.Process, ended
 	m.mutex.Unlock()
+	d.begun = true
 	d.record.line("%s starts", m.name)
 	go func() {
 		_ = command.Wait() // the way it ends is the scenario's matter
@@ -167,6 +180,23 @@
 	return nil
 }
 
+// stop stops the process of a machine with SIGTERM and waits for its end, or kills it after the
+// time that it has (grace_s).
+func (d *deployment) stop(m *machine) {
+	m.mutex.Lock()
+	process, ended := m.process, m.ended
+	m.mutex.Unlock()
+	d.record.line("%s gets SIGTERM", m.name)
+	if err := process.Signal(syscall.SIGTERM); err != nil {
+		d.record.line("%s: %v", m.name, err)
+	}
+	select {
+	case <-ended:
+	case <-time.After(stopTime):
+	}
+	d.kill(m)
+}
+
 // kill kills the process of a machine, if it has one, and waits for its end.
 func (d *deployment) kill(m *machine) {
 	m.mutex.Lock()
@@ -176,6 +206,10 @@
 	if process == nil {
 		return
 	}
+	m.settings.FirstStart = false
+	if err := m.writeSettings(); err != nil {
+		d.record.line("%s: %v", m.name, err)
+	}
 	d.record.line("%s gets SIGKILL", m.name)
 	if err := process.Signal(syscall.SIGKILL); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		d.record.line("%s: %v", m.name, err)
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -38,7 +38,9 @@
 // could not run.
 var cases = map[string]func(*scene) (bool, error){
 	"first-start":  playFirstStart,
+	"replaced":     playReplaced,
 	"retire-again": playRetireAgain,
+	"retiring":     playRetiring,
 	"unsealed":     playUnsealed,
 }
 
