--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -65,8 +65,8 @@
 	for number := range items {
 		id := fmt.Sprintf("%s-i%d", job, number)
 		list = append(list, map[string]any{
-			"id": id, "path": prefix + "item/" + id, "token_count": 300,
-			"headers": map[string]string{"Cobaltramp-Model": "m", "Cobaltramp-Token-Usage": "200,100"},
+			"id": id, "path": prefix + "item/" + id, words["tokens"]: 300,
+			"headers": map[string]string{words["model"]: "m", words["usage"]: "200,100"},
 			"body":    base64.StdEncoding.EncodeToString([]byte("inspection " + id)),
 		})
 	}
@@ -74,18 +74,17 @@
 	if err != nil {
 		return answer{}
 	}
-	return c.call(http.MethodPost, edge, prefix+job, map[string]string{"Cobaltramp-Attempt-Id": job, "Content-Type": "application/json"}, body)
+	return c.call(http.MethodPost, edge, prefix+job, map[string]string{words["attempt"]: job, "Content-Type": "application/json"}, body)
 }
 
 // read reads the results of a batch job from its start.
 func (c *client) read(edge, job string) answer {
-	return c.call(http.MethodGet, edge, "/-/lots/"+job+"?since_rev=0", nil, nil)
+	return c.call(http.MethodGet, edge, words["jobs"]+job+"?"+words["since"]+"=0", nil, nil)
 }
 
 // results are the results of a batch job.
 type results struct {
 	Total   int `json:"total"`
-	Next    int `json:"next_token"`
 	Results []struct {
 		ID      string `json:"id"`
 		State   string `json:"state"`
--- a/review/stand2/retireagain.go
+++ b/review/stand2/retireagain.go
@@ -83,7 +83,7 @@
 // retire asks for the retirement of a machine and removes it, with its disk, as soon as the system
 // says that it is empty, as the platform does.
 func (d *deployment) retire(m *machine, limit time.Duration) error {
-	d.record.line("the operator writes op/retire/%s", m.name)
+	d.record.line("the operator asks for the retirement of %s", m.name)
 	d.store.RequestRetirement(m.name, retireTime)
 	asked := time.Now()
 	for !d.store.Retired(m.name) {
@@ -92,7 +92,7 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	d.record.line("status/retire/%s is completed after %v; the machine is removed", m.name, time.Since(asked).Round(time.Millisecond))
+	d.record.line("the retirement of %s is completed after %v; the machine is removed", m.name, time.Since(asked).Round(time.Millisecond))
 	return d.wipe(m)
 }
 
--- a/review/stand2/retiring.go
+++ b/review/stand2/retiring.go
@@ -55,10 +55,10 @@
 	waits := d.storages[1]
 	time.Sleep(settleTime)
 	if s.trouble && os.Getenv("TROUBLE") != "disk" {
-		s.record.line("the operator writes op/retire/%s", waits.name)
+		s.record.line("the operator asks for the retirement of %s", waits.name)
 		d.store.RequestRetirement(waits.name, retireTime)
 		time.Sleep(settleTime)
-		s.record.line("status/retire/%s is completed: %v", waits.name, d.store.Retired(waits.name))
+		s.record.line("the retirement of %s is completed: %v", waits.name, d.store.Retired(waits.name))
 	}
 	if _, err := submitFirst(d, c, secondJob); err != nil {
 		return false, err
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -42,16 +42,16 @@
 	go func() { _ = r.server.Serve(listener) }() // ends with an error when the server is closed
 	d.store.Put("servers/"+r.id, map[string]any{
 		"service": service, "addr": listener.Addr().String(), "zone": zoneOf(number), "version": "v1", "slots": runnerSlots, "state": "ready",
-		"cold_left_ms": 0, "seq": 1,
+		words["cold"]: 0, "seq": 1,
 	})
 	return r, nil
 }
 
 func (r *runner) serve(writer http.ResponseWriter, request *http.Request) {
-	id, header := request.Header.Get("Cobaltramp-Attempt-Id"), writer.Header()
-	header.Set("Cobaltramp-Attempt-Id", id)
-	if request.Header.Get("Cobaltramp-Expect-Instance") != r.id {
-		header.Set("Cobaltramp-Instance-Id", r.id)
+	id, header := request.Header.Get(words["attempt"]), writer.Header()
+	header.Set(words["attempt"], id)
+	if request.Header.Get(words["expected"]) != r.id {
+		header.Set(words["instance"], r.id)
 		writer.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -62,7 +62,7 @@
 	case r.slots <- struct{}{}:
 		defer func() { <-r.slots }()
 	default:
-		header.Set("Cobaltramp-Not-Executed", "1")
+		header.Set(words["notRun"], "1")
 		writer.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -72,7 +72,7 @@
 		_, _ = io.WriteString(writer, "id: 1\ndata: internal error\n\n")
 		return
 	}
-	header.Set("Cobaltramp-Server-Seal", "3e1b.07.5a2.600.0."+id)
+	header.Set(words["seal"], "3e1b.07.5a2.600.0."+id)
 	after, err := strconv.ParseInt(request.Header.Get("Last-Event-Id"), 10, 64)
 	if err != nil {
 		after = 0
