runners' responses: only those that prove to be the runner's own are read

Cause: Response.FromRunner told whether a response has the runner's signature, and each reader had to ask. The readers of streams and whole answers did; the reader of item output did not. Nothing read Content-Encoding at all, so that an encoded body counted as the runner's on every path. Failures without the signature (404, 422, 302) went to callers as if the runner had refused their requests for good.

Ruled out: events read across two responses on one connection (the foreign text came with the item's own id); late responses (the client drops those by their id).

Change: RunnerClient.Do proves a response once, before anyone reads it: HTTP/1.1, signed, no encoding. All others are an OutcomeUnknownError with a ForeignResponseError, so that the request may run again where its route allows it, and no event of them enters an item's output. FromRunner is gone: a Response is the runner's own.

Refusals stay as they were: their promise is in the head, and their body is not read.

The cases of queuerun and online that had a response without the signature get the error that the client now returns for it; two more cases of a foreign success are there.

--- a/internal/batch/queuerun/failing_test.go
+++ b/internal/batch/queuerun/failing_test.go
@@ -23,9 +23,9 @@
 	client := &scriptedClient{respond: func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
 		if call.RunnerID == "failing" {
 			failures++
-			return responds(500, true, "")(ctx, call)
+			return responds(500, "")(ctx, call)
 		}
-		return responds(200, true, twoEvents)(ctx, call)
+		return responds(200, twoEvents)(ctx, call)
 	}}
 	executor := newExecutor(t, client)
 	executor.Runners.Replace([]runnerset.Record{
@@ -50,7 +50,7 @@
 // passed, since it may be the only one.
 func TestFailedRunnerIsUsedAgain(t *testing.T) {
 	is := is.New(t)
-	executor := newExecutor(t, &scriptedClient{respond: responds(200, true, twoEvents)})
+	executor := newExecutor(t, &scriptedClient{respond: responds(200, twoEvents)})
 	work := workOf(queue.ItemOutput{})
 	work.FailedRunners = map[string]time.Time{"r1": time.Now()}
 	is.True(!executor.TryStart(context.Background(), work, func(queuestore.Outcome) { t.Error("it was run") }))
@@ -64,7 +64,7 @@
 // item is tried.
 func TestFullServiceIsReported(t *testing.T) {
 	is := is.New(t)
-	executor := newExecutor(t, &scriptedClient{respond: responds(200, true, twoEvents)})
+	executor := newExecutor(t, &scriptedClient{respond: responds(200, twoEvents)})
 	executor.Runners.Replace([]runnerset.Record{}, 2, time.Now())
 	work := workOf(queue.ItemOutput{})
 	work.FailedRunners = map[string]time.Time{"r1": time.Now().Add(-failedRunnerPenalty)}
@@ -76,7 +76,7 @@
 // A run that ends with its runner is no failure of the item.
 func TestRunThatEndsWithItsRunnerIsNoFailure(t *testing.T) {
 	is := is.New(t)
-	executor := newExecutor(t, &scriptedClient{respond: responds(200, true, "id: 1\ndata: a\n\nid: 2\nda")})
+	executor := newExecutor(t, &scriptedClient{respond: responds(200, "id: 1\ndata: a\n\nid: 2\nda")})
 	executor.Quarantine = &fakeGuard{ended: true}
 	outcome := runOnce(t, executor, workOf(queue.ItemOutput{}))
 	is.True(outcome.RunnerEnded && !outcome.Failed && !outcome.Dead && !outcome.Done)
@@ -92,7 +92,7 @@
 			for number := range 200 {
 				fmt.Fprintf(&stream, "id: %d\ndata: %s\n\n", number+1, event)
 			}
-			executor := newExecutor(t, &scriptedClient{respond: responds(200, true, stream.String())})
+			executor := newExecutor(t, &scriptedClient{respond: responds(200, stream.String())})
 			work := workOf(queue.ItemOutput{})
 			work.Item.MaxOutputTokens = 100
 			outcome := runOnce(t, executor, work)
--- a/internal/batch/queuerun/outcome.go
+++ b/internal/batch/queuerun/outcome.go
@@ -36,15 +36,15 @@
 }
 
 // statusOutcome returns the outcome of a response with a status other than 200. Status 422
-// from the runner itself ends the item for good, and status 500 from the runner itself
-// counts as a failed attempt of the item. Any other response does not count against the
-// item: runnerFailed is true, and the response counts as a failure of the runner.
-func statusOutcome(status int, fromRunner bool) (outcome queuestore.Outcome, runnerFailed bool) {
+// ends the item for good, and status 500 counts as a failed attempt of the item. Any other
+// response does not count against the item: runnerFailed is true, and the response counts as a
+// failure of the runner.
+func statusOutcome(status int) (outcome queuestore.Outcome, runnerFailed bool) {
 	outcome.RetryDelay = retryDelay
-	switch {
-	case status == http.StatusUnprocessableEntity && fromRunner:
+	switch status {
+	case http.StatusUnprocessableEntity:
 		outcome.Dead, outcome.Reason = true, "can never be done"
-	case status == http.StatusInternalServerError && fromRunner:
+	case http.StatusInternalServerError:
 		outcome.Failed, outcome.Reason = true, "runner failed"
 	default:
 		outcome.Reason = "status " + http.StatusText(status)
@@ -56,7 +56,7 @@
 // errorStatusOutcome returns the outcome of a response with a status other than 200, and
 // records a failure of the runner if the response counts as one.
 func (r *run) errorStatusOutcome(response *exchange.Response) queuestore.Outcome {
-	outcome, runnerFailed := statusOutcome(response.Status, response.FromRunner)
+	outcome, runnerFailed := statusOutcome(response.Status)
 	outcome.Output = r.output
 	switch {
 	case runnerFailed:
@@ -67,7 +67,7 @@
 	return outcome
 }
 
-// callErrorOutcome returns the outcome of a call that got no response. Unless the item's
+// callErrorOutcome returns the outcome of a call that got no response of the runner itself. Unless the item's
 // context has ended or the run was preempted, it records a failure of the runner, except
 // when a working runner did not start the run. It reports the run to the quarantine if the
 // runner may have started it and the error is not a cancellation.
@@ -78,6 +78,9 @@
 		outcome.RetryDelay, outcome.Reason = interruptedDelay, "not run: "+notRun.Reason
 		r.runner.RecordLoad(notRun.Load, time.Now())
 	}
+	if errors.As(err, new(*exchange.ForeignResponseError)) {
+		outcome.Reason = "foreign response"
+	}
 	if parent.Err() != nil {
 		outcome.Reason = "cancelled"
 		return outcome
--- a/internal/batch/queuerun/queuerun_test.go
+++ b/internal/batch/queuerun/queuerun_test.go
@@ -41,12 +41,16 @@
 	return s.respond(ctx, call)
 }
 
-func responds(status int, fromRunner bool, text string) func(context.Context, *exchange.Call) (*exchange.Response, error) {
+func responds(status int, text string) func(context.Context, *exchange.Call) (*exchange.Response, error) {
 	return func(context.Context, *exchange.Call) (*exchange.Response, error) {
-		return &exchange.Response{Status: status, FromRunner: fromRunner, Length: -1, Body: io.NopCloser(strings.NewReader(text))}, nil
+		return &exchange.Response{Status: status, Length: -1, Body: io.NopCloser(strings.NewReader(text))}, nil
 	}
 }
 
+func respondsForeign(status int) func(context.Context, *exchange.Call) (*exchange.Response, error) {
+	return fails(&exchange.OutcomeUnknownError{Cause: &exchange.ForeignResponseError{Status: status, Reason: exchange.ForeignUnsigned}})
+}
+
 func fails(err error) func(context.Context, *exchange.Call) (*exchange.Response, error) {
 	return func(context.Context, *exchange.Call) (*exchange.Response, error) { return nil, err }
 }
@@ -96,18 +100,20 @@
 		done, dead, failed bool
 		text               string
 	}{
-		{name: "complete", respond: responds(200, true, twoEvents), done: true, text: "a\nb"},
-		{name: "resumes after the last event", from: begun, respond: responds(200, true, "id: 2\ndata: b\n\n"), done: true, text: "a\nb"},
-		{name: "resumes with an earlier event", from: begun, respond: responds(200, true, twoEvents), text: "a"},
-		{name: "an event is missing", respond: responds(200, true, "id: 1\ndata: a\n\nid: 3\ndata: c\n\n"), text: "a"},
-		{name: "an event is repeated", respond: responds(200, true, "id: 1\ndata: a\n\nid: 1\ndata: a\n\n"), text: "a"},
-		{name: "stream ends within an event", respond: responds(200, true, "id: 1\ndata: a\n\nid: 2\nda"), text: "a"},
-		{name: "stream ends before the first event", respond: responds(200, true, "")},
-		{name: "unprocessable", respond: responds(422, true, ""), dead: true},
-		{name: "422 not from the runner", respond: responds(422, false, "")},
-		{name: "runner failed", respond: responds(500, true, ""), failed: true},
-		{name: "500 not from the runner", respond: responds(500, false, "")},
-		{name: "deadline exceeded", respond: responds(504, true, "")},
+		{name: "complete", respond: responds(200, twoEvents), done: true, text: "a\nb"},
+		{name: "resumes after the last event", from: begun, respond: responds(200, "id: 2\ndata: b\n\n"), done: true, text: "a\nb"},
+		{name: "resumes with an earlier event", from: begun, respond: responds(200, twoEvents), text: "a"},
+		{name: "an event is missing", respond: responds(200, "id: 1\ndata: a\n\nid: 3\ndata: c\n\n"), text: "a"},
+		{name: "an event is repeated", respond: responds(200, "id: 1\ndata: a\n\nid: 1\ndata: a\n\n"), text: "a"},
+		{name: "stream ends within an event", respond: responds(200, "id: 1\ndata: a\n\nid: 2\nda"), text: "a"},
+		{name: "stream ends before the first event", respond: responds(200, "")},
+		{name: "unprocessable", respond: responds(422, ""), dead: true},
+		{name: "422 not from the runner", respond: respondsForeign(422)},
+		{name: "success not from the runner", respond: respondsForeign(200)},
+		{name: "success not from the runner after the first event", from: begun, respond: respondsForeign(200), text: "a"},
+		{name: "runner failed", respond: responds(500, ""), failed: true},
+		{name: "500 not from the runner", respond: respondsForeign(500)},
+		{name: "deadline exceeded", respond: responds(504, "")},
 		{name: "full", respond: fails(&exchange.NotRunError{Reason: exchange.ReasonFull, FromRunner: true, Cause: errors.New("full")})},
 		{name: "another runner at the address", respond: fails(&exchange.NotRunError{Reason: exchange.ReasonMisdirected, FromRunner: true, Cause: errors.New("421")})},
 		{name: "connection lost", respond: fails(&exchange.OutcomeUnknownError{Cause: io.ErrUnexpectedEOF})},
@@ -139,7 +145,7 @@
 // has been active for a while, because the next version may restore the route.
 func TestMissingRouteIsRetriedAtFirst(t *testing.T) {
 	is := is.New(t)
-	executor := newExecutor(t, &scriptedClient{respond: responds(200, true, twoEvents)})
+	executor := newExecutor(t, &scriptedClient{respond: responds(200, twoEvents)})
 	work := workOf(queue.ItemOutput{})
 	work.Item.Path = "/gone/1"
 	is.True(!executor.TryStart(context.Background(), work, func(queuestore.Outcome) { t.Error("failed at once") }))
@@ -218,7 +224,7 @@
 // kept.
 func TestQuarantinedItemsWait(t *testing.T) {
 	is := is.New(t)
-	client := &scriptedClient{respond: responds(200, true, twoEvents)}
+	client := &scriptedClient{respond: responds(200, twoEvents)}
 	executor := newExecutor(t, client)
 	executor.Quarantine = &fakeGuard{held: time.Hour}
 	begun := queue.ItemOutput{LastEventID: 1, Text: []byte("a"), SoftwareVersion: testVersion}
@@ -237,11 +243,11 @@
 		respond           func(context.Context, *exchange.Call) (*exchange.Response, error)
 		broken, completed int
 	}{
-		{"complete", responds(200, true, twoEvents), 0, 1},
-		{"stream broken", responds(200, true, "id: 1\ndata: a\n\nid: 2\nda"), 1, 0},
+		{"complete", responds(200, twoEvents), 0, 1},
+		{"stream broken", responds(200, "id: 1\ndata: a\n\nid: 2\nda"), 1, 0},
 		{"connection lost", fails(&exchange.OutcomeUnknownError{Cause: io.ErrUnexpectedEOF}), 1, 0},
 		{"cancelled by this node", fails(&exchange.OutcomeUnknownError{Cause: context.Canceled}), 0, 0},
-		{"runner failed", responds(500, true, ""), 0, 0},
+		{"runner failed", responds(500, ""), 0, 0},
 		{"not run", fails(&exchange.NotRunError{Reason: exchange.ReasonDial, Cause: errors.New("refused")}), 0, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -260,7 +266,7 @@
 func TestItemStreamThatEndsWithItsRunnerIsBroken(t *testing.T) {
 	for _, ended := range []bool{false, true} {
 		is := is.New(t)
-		respond := responds(200, true, twoEvents)
+		respond := responds(200, twoEvents)
 		client := &scriptedClient{respond: func(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
 			response, err := respond(ctx, call)
 			response.EndsWithConnection = true
@@ -278,7 +284,7 @@
 // An item is not started at a runner that the quarantine excludes.
 func TestQuarantineExcludesRunners(t *testing.T) {
 	is := is.New(t)
-	executor := newExecutor(t, &scriptedClient{respond: responds(200, true, twoEvents)})
+	executor := newExecutor(t, &scriptedClient{respond: responds(200, twoEvents)})
 	executor.Quarantine = &fakeGuard{avoid: map[string]bool{"r1": true}}
 	is.True(!executor.TryStart(context.Background(), workOf(queue.ItemOutput{}), func(queuestore.Outcome) { t.Error("it was run") }))
 }
--- a/internal/batch/queuerun/route_test.go
+++ b/internal/batch/queuerun/route_test.go
@@ -53,7 +53,7 @@
 func TestOlderConfigurationDecidesNoItem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		client := &scriptedClient{respond: responds(200, true, twoEvents)}
+		client := &scriptedClient{respond: responds(200, twoEvents)}
 		executor := newExecutor(t, client)
 		activate(t, executor, 2, "")
 		time.Sleep(time.Hour)
@@ -75,7 +75,7 @@
 func TestItemsOfRemovedRouteEnd(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		executor := newExecutor(t, &scriptedClient{respond: responds(200, true, twoEvents)})
+		executor := newExecutor(t, &scriptedClient{respond: responds(200, twoEvents)})
 		executor.Contact = &copyAge{time.Now().Add(-time.Hour)}
 		work := workOf(queue.ItemOutput{})
 		work.CatalogVersion, work.KnownSince = 1, time.Now()
@@ -92,7 +92,7 @@
 func TestJobWithoutVersionWaitsForCompleteCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		executor := newExecutor(t, &scriptedClient{respond: responds(200, true, twoEvents)})
+		executor := newExecutor(t, &scriptedClient{respond: responds(200, twoEvents)})
 		activate(t, executor, 2, "")
 		contact := &copyAge{time.Now()}
 		executor.Contact = contact
--- a/internal/batch/queuerun/save_test.go
+++ b/internal/batch/queuerun/save_test.go
@@ -41,7 +41,7 @@
 		is := is.New(t)
 		body := &pacedBody{every: 25 * time.Millisecond, events: 240}
 		executor := newExecutor(t, &scriptedClient{respond: func(context.Context, *exchange.Call) (*exchange.Response, error) {
-			return &exchange.Response{Status: 200, FromRunner: true, Length: -1, Body: body}, nil
+			return &exchange.Response{Status: 200, Length: -1, Body: body}, nil
 		}})
 		var mutex sync.Mutex
 		var saved []int64
--- a/internal/batch/queuerun/versions_test.go
+++ b/internal/batch/queuerun/versions_test.go
@@ -28,9 +28,9 @@
 // needed.
 func writesEvents(ctx context.Context, call *exchange.Call) (*exchange.Response, error) {
 	if call.ResumeAfter == 1 {
-		return responds(200, true, "id: 2\ndata: b\n\n")(ctx, call)
+		return responds(200, "id: 2\ndata: b\n\n")(ctx, call)
 	}
-	return responds(200, true, twoEvents)(ctx, call)
+	return responds(200, twoEvents)(ctx, call)
 }
 
 // An item's output must not be continued by another software version: the item goes on at its
--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -66,7 +66,8 @@
 	Contention float64
 }
 
-// Response is the response to a call. The receiver must close Body.
+// Response is the response of a runner to a call. A CallSender returns it only if it proves to be the
+// runner's own; any other one is a ForeignResponseError. The receiver must close Body.
 type Response struct {
 	Status  int
 	Headers []Header
@@ -79,9 +80,6 @@
 	EndsWithConnection bool
 	// Load is nil if the runner reports none.
 	Load *Load
-	// FromRunner is set if the response has the header that marks responses of the
-	// runner itself. A response without this header may be from a proxy.
-	FromRunner bool
 }
 
 // PromisesNotRun reports whether callers take a status as the promise that the request has not
@@ -129,6 +127,32 @@
 // Unwrap returns the cause.
 func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
 
+// ForeignReason is why a response does not prove to be the runner's own.
+type ForeignReason string
+
+// These are the reasons.
+const (
+	// ForeignUnsigned means that the response lacks the runner's signature.
+	ForeignUnsigned ForeignReason = "unsigned"
+	// ForeignEncoded means that the body has an encoding, which runners do not use.
+	ForeignEncoded ForeignReason = "encoded"
+	// ForeignProtocol means that the response is of another version of HTTP than the runners'.
+	ForeignProtocol ForeignReason = "protocol"
+)
+
+// ForeignResponseError means that a response came from the runner's address and names the request, but
+// does not prove to be the runner's own: it may be from a proxy or a faulty runner. It is the cause of an
+// OutcomeUnknownError.
+type ForeignResponseError struct {
+	Status int
+	Reason ForeignReason
+}
+
+// Error implements error.
+func (e *ForeignResponseError) Error() string {
+	return fmt.Sprintf("a response with status %d that is not the runner's own (%s)", e.Status, e.Reason)
+}
+
 // These are the values of NotRunError.Reason.
 const (
 	// ReasonDial means that no byte could be sent, usually because no connection could
@@ -146,8 +170,8 @@
 
 // CallSender sends calls to runners.
 type CallSender interface {
-	// Do sends a call and reads the status and headers of the response. The error is a
-	// *NotRunError or an *OutcomeUnknownError. Cancelling the context closes the
+	// Do sends a call, reads the status and headers of the response, and returns it if it proves to
+	// be the runner's own. The error is a *NotRunError or an *OutcomeUnknownError. Cancelling the context closes the
 	// connection, whereupon the runner drops the request.
 	Do(ctx context.Context, call *Call) (*Response, error)
 }
--- a/internal/serving/online/answer.go
+++ b/internal/serving/online/answer.go
@@ -54,14 +54,8 @@
 }
 
 // relayWhole relays a response that is not a stream, which includes error responses of
-// streaming routes. A success status without the header that marks responses of the
-// runner counts as an interruption, since the response may be from a proxy. relayWhole
-// reports whether to try another runner.
+// streaming routes. It reports whether to try another runner.
 func (s *activeRequest) relayWhole(ctx context.Context, response *exchange.Response) (bool, error) {
-	if !response.FromRunner && response.Status < http.StatusMultipleChoices {
-		s.current.runner.RecordFailure(time.Now())
-		return s.handleInterruption(ctx, errors.New("a success without the runner's mark"))
-	}
 	if err := s.request.Limits.checkLength(response); err != nil {
 		s.current.runner.RecordFailure(time.Now())
 		return s.handleInterruption(ctx, err)
--- a/internal/serving/online/online_test.go
+++ b/internal/serving/online/online_test.go
@@ -31,7 +31,7 @@
 	outcomeBreaks       outcome = "breaks"       // the response breaks off after some events
 	outcomeSkips        outcome = "skips"        // an event is missing
 	outcomeRepeats      outcome = "repeats"      // an event comes twice
-	outcomeUnmarked     outcome = "unmarked"     // a success status without the runner's mark
+	outcomeForeign      outcome = "foreign"      // a response that is not the runner's own
 	outcomeFull         outcome = "full"         // the runner reports that it has not run the request
 	outcomeRefused      outcome = "refused"      // the connection is refused
 	outcomeUnresponsive outcome = "unresponsive" // the request is sent, and the connection breaks without a response
@@ -42,7 +42,7 @@
 	outcomeClosesEmpty outcome = "closes empty"
 )
 
-var outcomes = []outcome{outcomeServes, outcomeBreaks, outcomeSkips, outcomeRepeats, outcomeUnmarked, outcomeFull, outcomeRefused, outcomeUnresponsive, outcomeFails}
+var outcomes = []outcome{outcomeServes, outcomeBreaks, outcomeSkips, outcomeRepeats, outcomeForeign, outcomeFull, outcomeRefused, outcomeUnresponsive, outcomeFails}
 
 const events = 5
 
@@ -74,11 +74,13 @@
 	switch next {
 	case outcomeUnresponsive:
 		return nil, &exchange.OutcomeUnknownError{Cause: io.ErrUnexpectedEOF}
+	case outcomeForeign:
+		return nil, &exchange.OutcomeUnknownError{Cause: &exchange.ForeignResponseError{Status: http.StatusOK, Reason: exchange.ForeignUnsigned}}
 	case outcomeFails:
-		return &exchange.Response{Status: http.StatusInternalServerError, FromRunner: true, Length: 4, Body: io.NopCloser(strings.NewReader("fail"))}, nil
+		return &exchange.Response{Status: http.StatusInternalServerError, Length: 4, Body: io.NopCloser(strings.NewReader("fail"))}, nil
 	}
 	return &exchange.Response{
-		Status: http.StatusOK, FromRunner: next != outcomeUnmarked, Length: -1, Body: &fakeStream{next: max(0, call.ResumeAfter) + 1, outcome: next},
+		Status: http.StatusOK, Length: -1, Body: &fakeStream{next: max(0, call.ResumeAfter) + 1, outcome: next},
 		EndsWithConnection: next == outcomeCloses || next == outcomeClosesEmpty,
 	}, nil
 }
--- a/internal/serving/online/stream.go
+++ b/internal/serving/online/stream.go
@@ -18,10 +18,6 @@
 // first event can be replaced; the head is not sent again after a retry. relayStream
 // reports whether to try another runner.
 func (s *activeRequest) relayStream(ctx context.Context, response *exchange.Response) (bool, error) {
-	if !response.FromRunner {
-		s.current.runner.RecordFailure(time.Now())
-		return s.handleInterruption(ctx, errors.New("a success without the runner's mark"))
-	}
 	events := eventstream.NewDecoder(response.Body)
 	first, checks := true, eventCheck{limits: s.request.Limits}
 	for {
