items: output that an earlier build saved is not continued

Earlier builds saved the events of responses that were not the runner's; a leader of this build restored them and asked a runner for the rest.

Text that an earlier build saved has field 8 only, so its version is unknown, and the item starts again, as it does after a change of the runners' software.

--- a/internal/batch/queue/saves_test.go
+++ b/internal/batch/queue/saves_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
@@ -167,3 +169,20 @@
 		}
 	})
 }
+
+// TestOutputSavedByAnEarlierBuildHasNoVersion guards against rule MIXED (review/8): text that an earlier
+// build saved may be of responses that are not the runners' own. It has no known version, so that the item
+// starts again.
+func TestOutputSavedByAnEarlierBuildHasNoVersion(t *testing.T) {
+	is := is.New(t)
+	const earlierVersionField = 8
+	store := memoryStore{}
+	row, err := proto.Marshal(&wirev1.QueueResult{ItemId: "i0", Last: 1, Text: []byte("foreign")})
+	is.NoErr(err)
+	row = protowire.AppendString(protowire.AppendTag(row, earlierVersionField, protowire.BytesType), "v1")
+	is.NoErr(store.Set(progressKey("j", 0, 1), row))
+	saved, err := Progress(store, "j", 0)
+	is.NoErr(err)
+	is.Equal(saved.Last, int64(1))
+	is.Equal(saved.SoftwareVersion, "")
+}
