httpcall: only a valid status line begins a response

Cause: the codec of fasthttp keeps the status as a number whose zero stands for 200. It also takes any three digits and any version of one digit before and after the point; 101 counted as an interim response.

Change: before the codec reads a header, the client checks the status line: HTTP/1.0 or 1.1, one space, three digits from 100 to 599, not 101, which no request asks for. Everything else is a StatusLineError with an unknown outcome. It holds for each response that the client reads: of runners, of the store, of the services of plain nodes, and behind interim responses.

--- a/internal/transport/httpcall/response.go
+++ b/internal/transport/httpcall/response.go
@@ -34,6 +34,9 @@
 func (c *Client) readHeader(connection *conn) (*Response, error) {
 	header := &fasthttp.ResponseHeader{}
 	for range maxInterimResponses + 1 {
+		if err := checkStatusLine(connection.reader); err != nil {
+			return nil, err
+		}
 		if err := header.Read(connection.reader); err != nil {
 			return nil, err
 		}
