httpcall: a response with status 204 or 304 ends with its header

Found by the test of the store's foreign responses: the client waited for the body of a 204 until the server closed the connection or the call timed out. Such a response has no body (RFC 9112, 6.3).

Test: TestResponseWithoutContentEndsWithItsHeader; before, the call ended with its timeout of 5 s.

--- a/internal/transport/httpcall/response.go
+++ b/internal/transport/httpcall/response.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http/httputil"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,13 +19,15 @@
 	// Provenance tells how the response came.
 	Provenance Provenance
 
-	client           *Client
-	conn             *conn
-	body             io.Reader
-	chunked          bool
-	reusable         bool
-	finished         bool
-	stopContextWatch func() bool
+	client  *Client
+	conn    *conn
+	body    io.Reader
+	chunked bool
+	// endsWithConnection is set if only the end of the connection ends the body.
+	endsWithConnection bool
+	reusable           bool
+	finished           bool
+	stopContextWatch   func() bool
 }
 
 // maxInterimResponses is the number of interim responses (status 1xx) that may precede a response.
@@ -52,6 +55,9 @@
 	response := &Response{Status: header.StatusCode(), Header: header, client: c, conn: connection}
 	length := header.ContentLength()
 	switch {
+	case response.Status == fasthttp.StatusNoContent || response.Status == fasthttp.StatusNotModified:
+		response.body = strings.NewReader("") // these have no body, whatever their headers say (RFC 9112, 6.3)
+		response.reusable = !header.ConnectionClose()
 	case length >= 0:
 		response.body = io.LimitReader(connection.reader, int64(length))
 		response.reusable = !header.ConnectionClose()
@@ -61,13 +67,14 @@
 		response.reusable = !header.ConnectionClose()
 	default:
 		response.body = connection.reader
+		response.endsWithConnection = true
 	}
 	return response
 }
 
-// EndsWithConnection reports whether the body has neither a length nor chunks, so that it ends
-// when the server closes the connection.
-func (r *Response) EndsWithConnection() bool { return r.Header.ContentLength() < -1 }
+// EndsWithConnection reports whether the response has a body with neither a length nor chunks, which
+// ends when the server closes the connection.
+func (r *Response) EndsWithConnection() bool { return r.endsWithConnection }
 
 // Read reads the body. It returns io.EOF only at the end of the body, and an error if the
 // connection closes before the declared end. A body without a declared length ends when
--- a/internal/transport/httpcall/statusline_test.go
+++ b/internal/transport/httpcall/statusline_test.go
@@ -93,3 +93,28 @@
 		}
 	}
 }
+
+// TestResponseWithoutContentEndsWithItsHeader guards against a wait for the body of a response that has
+// none: it lasted until the server closed the connection.
+func TestResponseWithoutContentEndsWithItsHeader(t *testing.T) {
+	for _, statusLine := range []string{"HTTP/1.1 204 No Content", "HTTP/1.1 304 Not Modified"} {
+		t.Run(statusLine, func(t *testing.T) {
+			is := is.New(t)
+			ended := make(chan struct{})
+			defer close(ended)
+			url := rawServer(t, func(conn net.Conn) {
+				readRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, statusLine+"\r\n\r\n")
+				<-ended // the connection stays open
+			})
+			began := time.Now()
+			response, err := get(url)
+			is.NoErr(err)
+			body, err := response.ReadAll(10)
+			is.NoErr(err)
+			is.Equal(len(body), 0)
+			is.True(!response.EndsWithConnection())
+			is.True(time.Since(began) < 4*time.Second) // the context of the call ends after 5 s
+		})
+	}
+}
