Planned stops: late requests are answered completely or refused at once

What callers saw (further report; from outside 5 and 22 of the late requests of a stop, with 800 and 1,000 ms between events): a request that comes late in the grace of one edge, in calm, is passed on, and its connection ends without a complete answer.

Cause: a stopping edge served each request that it read in the first 3.5 s, however long it lasts, and ended 0.9 s before the platform kills it, whatever was still running.

With the sites' deadlines of 4 and 5 s, what comes in the first 2.6 s is always taken. Where callers state the limit of their output, requests are told apart by it.

Now 0.3 s, and 0.1 s before them for last answers: a request whose response has not begun gets an error instead of a closed connection.

Change: package shutdown decides, from the end of the stop, the deadline, and how long requests of the route with a similar output limit lasted lately; the adapter refuses with Draining (503, not run) and 10 ms.

Tests: TestPlannedStopCutsNoRequest failed on for three of four cases, TestRequestsAtTheEndOfAStopGetAnAnswer, and those of package shutdown.

--- a/internal/app/role/role.go
+++ b/internal/app/role/role.go
@@ -37,7 +37,7 @@
 	memoryLimitFraction = 0.35
 	// exitReserve is the part of the stop time that remains for ending the process after the
 	// modules are drained.
-	exitReserve = 900 * time.Millisecond
+	exitReserve = 300 * time.Millisecond
 )
 
 // Run runs a node until SIGINT or SIGTERM. SIGHUP reads and checks the settings file again,
--- a/internal/serving/online/serving.go
+++ b/internal/serving/online/serving.go
@@ -12,6 +12,7 @@
 	"cobaltramp.example/cobaltramp/internal/serving/fairshare"
 	"cobaltramp.example/cobaltramp/internal/serving/quarantine"
 	"cobaltramp.example/cobaltramp/internal/serving/runnerset"
+	"cobaltramp.example/cobaltramp/internal/serving/shutdown"
 )
 
 const (
@@ -184,9 +185,12 @@
 	return err
 }
 
-// contextError returns the caller's error for a context that has ended: the caller has
-// left, or the deadline has passed.
+// contextError returns the caller's error for a context that has ended: the node stops, the
+// caller has left, or the deadline has passed.
 func (s *activeRequest) contextError(ctx context.Context) error {
+	if errors.Is(context.Cause(ctx), shutdown.ErrEnded) {
+		return s.history.noRunnerError(result.Draining, "the node stops")
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return s.history.deadlineError()
 	}
--- a/lab/standin/config.go
+++ b/lab/standin/config.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // ReadyPath is the path of the readiness probe of an edge.
@@ -69,3 +70,12 @@
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 	}
 }
+
+// SetRouteTimes sets the timeout of all routes of a configuration, and their target to the same, so that
+// no request is refused because its response begins late.
+func SetRouteTimes(config map[string]any, timeout time.Duration) {
+	for _, route := range config["routes"].([]map[string]any) {
+		route["timeout_ms"] = timeout.Milliseconds()
+		route["target_ms"] = timeout.Milliseconds()
+	}
+}
