Memory of responses is bounded for all of them together

What users would have seen (further report): a faulty runner sends bytes without end, the machine that called it keeps them, runs out of memory, and the requests of others end with it.

Cause: there were bounds for one response, far above what an item needs, and none for all together.

Change: an item's output has at most 512 bytes for each token that its caller allows (1 MiB if it states no limit). Beyond 16 KiB each, all responses in progress share a sixteenth of the machine's memory: an event or an item's output that does not fit breaks off, as one beyond its own limit does, and a whole answer is passed on earlier. A response of a usual size depends on no other.

--- a/internal/batch/queuerun/executor.go
+++ b/internal/batch/queuerun/executor.go
@@ -24,6 +24,7 @@
 	"k8s.io/klog/v2"
 
 	wirev1 "cobaltramp.example/cobaltramp/api/wire/v1"
+	"cobaltramp.example/cobaltramp/internal/app/membudget"
 	"cobaltramp.example/cobaltramp/internal/app/tasks"
 	"cobaltramp.example/cobaltramp/internal/batch/queuestore"
 	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
@@ -47,6 +48,8 @@
 	Contact StoreContact
 	// Quarantine tracks the items that crash runners; nil disables the tracking.
 	Quarantine quarantine.Guard
+	// Memory bounds the memory of all responses in progress; nil sets no limit.
+	Memory *membudget.Budget
 
 	// oldConfigurationLogged is the Unix time in nanoseconds of the last logOldConfiguration.
 	oldConfigurationLogged atomic.Int64
--- a/internal/batch/queuerun/run.go
+++ b/internal/batch/queuerun/run.go
@@ -10,6 +10,7 @@
 
 	"k8s.io/klog/v2"
 
+	"cobaltramp.example/cobaltramp/internal/app/membudget"
 	"cobaltramp.example/cobaltramp/internal/batch/queue"
 	"cobaltramp.example/cobaltramp/internal/batch/queuestore"
 	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
@@ -103,7 +104,10 @@
 // makes the item done if there is any output. A stream is broken if it ends without any
 // output, if an event does not have the next ID, or if reading fails.
 func (r *run) readEvents(parent context.Context, response *exchange.Response, idleTimer *time.Timer) queuestore.Outcome {
-	events := eventstream.NewDecoder(response.Body)
+	memory, outputMemory := r.executor.Memory.Reserve(), r.executor.Memory.Reserve()
+	defer memory.Release()
+	defer outputMemory.Release()
+	events := eventstream.NewLimitedDecoder(response.Body, eventstream.Limits{EventBytes: r.maxOutputBytes() + maxEventFields, Memory: memory})
 	for {
 		idleTimer.Reset(eventTimeout)
 		event, err := events.Next()
@@ -117,9 +121,9 @@
 		if err == nil && (!event.HasID || event.ID != r.output.LastEventID+1) {
 			err = &eventstream.BrokenError{Reason: "event out of order"}
 		}
-		if err == nil && r.exceedsLimits(&event) {
+		if err == nil && r.exceedsLimits(&event, outputMemory) {
 			r.output = queue.ItemOutput{} // earlier events may be of such a response too
-			err = &eventstream.BrokenError{Reason: "more output than the item allows"}
+			err = &eventstream.BrokenError{Reason: "more output than the item or the memory allows"}
 		}
 		if err != nil {
 			return r.streamErrorOutcome(parent, err)
@@ -129,20 +133,36 @@
 }
 
 const (
-	// maxOutputBytes is the largest size of an item's output; a storage node holds the output of
-	// several items in memory.
-	maxOutputBytes = 4 << 20
+	// largestOutputBytes is the largest size of an item's output whose number of tokens is not limited; a
+	// storage node holds the output of several items in memory.
+	largestOutputBytes = 1 << 20
+	// maxTokenBytes is the largest size of the data of an event for each of its tokens.
+	maxTokenBytes = 512
+	// maxEventFields is the largest size of an event beside its data.
+	maxEventFields = 1 << 10
 	// extraEvents is the number of events that may come beside those with the item's tokens.
 	extraEvents = 16
+	// copiesOfOutput is how often the memory of a run may hold the item's output: as read, and as it is
+	// being saved.
+	copiesOfOutput = 2
 )
 
-// exceedsLimits reports whether an event makes the output larger than any output of the item: a
-// runner that fails may send events without end. Each event has at least one token.
-func (r *run) exceedsLimits(event *eventstream.StreamEvent) bool {
+// maxOutputBytes returns the largest size of the item's output.
+func (r *run) maxOutputBytes() int {
+	if limit := int64(r.work.Item.MaxOutputTokens); limit > 0 {
+		return int(min(largestOutputBytes, (limit+extraEvents)*maxTokenBytes))
+	}
+	return largestOutputBytes
+}
+
+// exceedsLimits reports whether an event makes the output larger than any output of the item, or than the
+// memory that is left: a runner that fails may send events without end. Each event has at least one token.
+func (r *run) exceedsLimits(event *eventstream.StreamEvent, memory *membudget.Reservation) bool {
 	if limit := int64(r.work.Item.MaxOutputTokens); limit > 0 && event.ID > limit+extraEvents {
 		return true
 	}
-	return len(r.output.Text)+len(event.Data) > maxOutputBytes
+	size := len(r.output.Text) + len(event.Data)
+	return size > r.maxOutputBytes() || memory.GrowTo(copiesOfOutput*size) != nil
 }
 
 // addEvent appends an event to the output, and saves the output with the first event in
--- a/internal/configuration/settings/role.go
+++ b/internal/configuration/settings/role.go
@@ -126,8 +126,16 @@
 	// callerConnectionBytes the memory of one with a request in progress.
 	callerMemoryShare     = 0.2
 	callerConnectionBytes = 48 << 10
+	// responseMemoryShare is the share of the memory that large responses in progress may use
+	// together.
+	responseMemoryShare = 1.0 / 16
 )
 
+// ResponseMemory returns the number of bytes that large responses in progress may use together.
+func (m *RoleMachine) ResponseMemory() int64 {
+	return int64(responseMemoryShare * float64(m.MemoryMegabytes) * (1 << 20))
+}
+
 // CallerConnections returns the maximum number of connections of callers that the machine
 // bears; 0 if its limits are unknown.
 func (m *RoleMachine) CallerConnections() int {
--- a/internal/serving/online/answer.go
+++ b/internal/serving/online/answer.go
@@ -6,18 +6,59 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
+	"cobaltramp.example/cobaltramp/internal/app/membudget"
 	"cobaltramp.example/cobaltramp/internal/app/result"
 	"cobaltramp.example/cobaltramp/internal/configuration/catalog"
 	"cobaltramp.example/cobaltramp/internal/serving/exchange"
 )
 
 // maxBufferedBytes is the number of bytes that relayWhole reads from a response before it
-// relays the first byte. Until then, a response that breaks off can be replaced
-// at another runner.
+// relays the first byte, if there is memory for them. Until then, a response that breaks off can
+// be replaced at another runner.
 const maxBufferedBytes = 256 << 10
 
+// beginning is what relayWhole reads of a response before it relays the first byte.
+type beginning struct {
+	body []byte
+	// whole is set if the response ends there.
+	whole bool
+}
+
+// readBeginning reads a response up to maxBufferedBytes, or to what there is memory for.
+func readBeginning(body io.Reader, memory *membudget.Reservation) (beginning, error) {
+	read := beginning{body: make([]byte, 0, firstBufferBytes)}
+	for len(read.body) < maxBufferedBytes {
+		if len(read.body) == cap(read.body) {
+			if memory.GrowTo(copiesWhileGrowing*cap(read.body)) != nil {
+				return read, nil
+			}
+			read.body = slices.Grow(read.body, cap(read.body))
+		}
+		n, err := body.Read(read.body[len(read.body):min(cap(read.body), maxBufferedBytes)])
+		read.body = read.body[:len(read.body)+n]
+		if errors.Is(err, io.EOF) {
+			read.whole = true
+			return read, nil
+		}
+		if err != nil {
+			return read, err
+		}
+	}
+	return read, nil
+}
+
+const (
+	// firstBufferBytes is the size with which the buffer for the beginning of a response starts, and
+	// relayBufferBytes that of the buffer for the rest.
+	firstBufferBytes = 4 << 10
+	relayBufferBytes = 16 << 10
+	// copiesWhileGrowing is the memory of a buffer that doubles, compared to its size before.
+	copiesWhileGrowing = 3
+)
+
 // errEndedWithRunner means that a response without a length or chunks ended because its runner
 // has ended.
 var errEndedWithRunner = errors.New("the runner ended with its response")
@@ -60,39 +101,40 @@
 		s.current.runner.RecordFailure(time.Now())
 		return s.handleInterruption(ctx, err)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	memory := s.Memory.Reserve()
+	defer memory.Release()
+	begun, err := readBeginning(response.Body, memory)
 	if err == nil {
-		err = s.request.Limits.checkBytes(int64(len(body)))
+		err = s.request.Limits.checkBytes(int64(len(begun.body)))
 	}
 	if err != nil {
 		s.current.runner.RecordFailure(time.Now())
 		return s.handleInterruption(ctx, err)
 	}
-	if len(body) < maxBufferedBytes && s.endedWithRunner(response, false) {
+	if begun.whole && s.endedWithRunner(response, false) {
 		s.current.runner.RecordFailure(time.Now())
 		return s.handleInterruption(ctx, errEndedWithRunner)
 	}
 	s.recordWholeResponse(response.Status)
 	length := response.Length
-	if len(body) < maxBufferedBytes {
-		length = int64(len(body))
+	if begun.whole {
+		length = int64(len(begun.body))
 	}
 	s.history.responseStarted = true
 	s.responder.Head(response.Status, response.Headers, length)
-	if err := s.responder.Write(body); err != nil {
+	if err := s.responder.Write(begun.body); err != nil {
 		return false, result.New(result.CallerGone, "the caller left")
 	}
-	if len(body) < maxBufferedBytes {
+	if begun.whole {
 		s.recordCompletion(response.Status)
 		return false, nil
 	}
-	return false, s.relayRest(ctx, response)
+	return false, s.relayRest(ctx, response, int64(len(begun.body)))
 }
 
-// relayRest relays the part of a response after its first maxBufferedBytes bytes.
-func (s *activeRequest) relayRest(ctx context.Context, response *exchange.Response) error {
-	buffer := make([]byte, 32<<10)
-	size := int64(maxBufferedBytes)
+// relayRest relays the part of a response after a number of bytes.
+func (s *activeRequest) relayRest(ctx context.Context, response *exchange.Response, size int64) error {
+	buffer := make([]byte, relayBufferBytes)
 	for {
 		n, err := response.Body.Read(buffer)
 		size += int64(n)
--- a/internal/serving/online/online.go
+++ b/internal/serving/online/online.go
@@ -21,6 +21,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cobaltramp.example/cobaltramp/internal/app/membudget"
 	"cobaltramp.example/cobaltramp/internal/app/schedlag"
 	"cobaltramp.example/cobaltramp/internal/serving/admission"
 	"cobaltramp.example/cobaltramp/internal/serving/exchange"
@@ -54,6 +55,8 @@
 	// Overloaded reports whether this node turns new connections away because it has too
 	// little processor time; nil means never.
 	Overloaded func() bool
+	// Memory bounds the memory of all responses in progress; nil sets no limit.
+	Memory *membudget.Budget
 	// listWait is how long a request without attempts waits for a usable runner to be
 	// listed.
 	listWait time.Duration
--- a/internal/serving/online/stream.go
+++ b/internal/serving/online/stream.go
@@ -18,7 +18,9 @@
 // first event can be replaced; the head is not sent again after a retry. relayStream
 // reports whether to try another runner.
 func (s *activeRequest) relayStream(ctx context.Context, response *exchange.Response) (bool, error) {
-	events := eventstream.NewDecoder(response.Body)
+	memory := s.Memory.Reserve()
+	defer memory.Release()
+	events := eventstream.NewLimitedDecoder(response.Body, eventstream.Limits{Memory: memory})
 	first, checks := true, eventCheck{limits: s.request.Limits}
 	for {
 		event, err := events.Next()
--- a/internal/transport/eventstream/eventstream.go
+++ b/internal/transport/eventstream/eventstream.go
@@ -10,6 +10,8 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"cobaltramp.example/cobaltramp/internal/app/membudget"
 )
 
 // StreamEvent is one complete event.
@@ -35,9 +37,18 @@
 // Error implements error.
 func (e *BrokenError) Error() string { return "event stream broken: " + e.Reason }
 
+// Limits bound what a decoder holds.
+type Limits struct {
+	// EventBytes is the largest size of an event; 0 stands for MaxEventBytes.
+	EventBytes int
+	// Memory is what the decoder takes the memory of its events from; nil sets no limit.
+	Memory *membudget.Reservation
+}
+
 // Decoder reads events from a response body.
 type Decoder struct {
 	source *bufio.Reader
+	limits Limits
 	raw    []byte
 	data   []byte
 }
@@ -45,13 +56,19 @@
 const bufferBytes = 4 << 10
 
 // NewDecoder returns a decoder that reads from the body.
-func NewDecoder(body io.Reader) *Decoder {
-	return &Decoder{source: bufio.NewReaderSize(body, bufferBytes)}
+func NewDecoder(body io.Reader) *Decoder { return NewLimitedDecoder(body, Limits{}) }
+
+// NewLimitedDecoder returns a decoder that reads from the body within limits.
+func NewLimitedDecoder(body io.Reader, limits Limits) *Decoder {
+	if limits.EventBytes <= 0 {
+		limits.EventBytes = MaxEventBytes
+	}
+	return &Decoder{source: bufio.NewReaderSize(body, bufferBytes), limits: limits}
 }
 
 // Next reads one event. It returns io.EOF if the body ends between two events,
 // io.ErrUnexpectedEOF if the body ends within an event, and a *BrokenError if an event
-// exceeds MaxEventBytes or its id is not a decimal integer. Other errors of the body are
+// exceeds the limits or its id is not a decimal integer. Other errors of the body are
 // returned unchanged.
 func (d *Decoder) Next() (StreamEvent, error) {
 	event := StreamEvent{}
@@ -97,10 +114,13 @@
 	start := len(d.raw)
 	for {
 		part, err := d.source.ReadSlice('\n')
-		d.raw = append(d.raw, part...)
-		if len(d.raw) > MaxEventBytes {
+		if len(d.raw)+len(part) > d.limits.EventBytes {
 			return nil, &BrokenError{"an event is too long"}
 		}
+		if err := d.reserve(len(d.raw) + len(part)); err != nil {
+			return nil, &BrokenError{err.Error()}
+		}
+		d.raw = append(d.raw, part...)
 		if err == bufio.ErrBufferFull {
 			continue
 		}
@@ -111,6 +131,18 @@
 	}
 }
 
+// copiesOfEvent is how often the memory of a decoder may hold the bytes of an event: as read, as data, and
+// in what growing buffers leave behind.
+const copiesOfEvent = 3
+
+// reserve reserves the memory of an event of a size.
+func (d *Decoder) reserve(size int) error {
+	if d.limits.Memory == nil {
+		return nil
+	}
+	return d.limits.Memory.GrowTo(copiesOfEvent * size)
+}
+
 func splitField(line []byte) (name, value string) {
 	before, after, _ := bytes.Cut(line, []byte(":"))
 	after = bytes.TrimPrefix(after, []byte(" "))
--- a/internal/transport/eventstream/eventstream_test.go
+++ b/internal/transport/eventstream/eventstream_test.go
@@ -9,6 +9,8 @@
 	"testing/iotest"
 
 	"github.com/matryer/is"
+
+	"cobaltramp.example/cobaltramp/internal/app/membudget"
 )
 
 func TestDecodeEvents(t *testing.T) {
@@ -65,3 +67,31 @@
 		}
 	})
 }
+
+// TestEventBeyondItsLimitsIsBroken guards against events without end that occupy the memory of a node: an
+// event is broken once it exceeds its own limit, or what all responses together may hold.
+func TestEventBeyondItsLimitsIsBroken(t *testing.T) {
+	event := "id: 1\ndata: " + strings.Repeat("x", 30<<10) + "\n\n"
+	budget := membudget.New(90 << 10)
+	other := budget.Reserve()
+	for _, test := range []struct {
+		name   string
+		limits Limits
+		others int
+		broken bool
+	}{
+		{name: "within both", limits: Limits{EventBytes: 40 << 10, Memory: budget.Reserve()}},
+		{name: "beyond its own limit", limits: Limits{EventBytes: 20 << 10, Memory: budget.Reserve()}, broken: true},
+		{name: "beyond the memory that others leave", limits: Limits{Memory: budget.Reserve()}, others: 80 << 10, broken: true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			defer test.limits.Memory.Release()
+			defer other.Release()
+			is.NoErr(other.GrowTo(test.others))
+			decoded, err := NewLimitedDecoder(strings.NewReader(event), test.limits).Next()
+			is.Equal(errors.As(err, new(*BrokenError)), test.broken)
+			is.True(test.broken || string(decoded.Raw) == event)
+		})
+	}
+}
--- a/lab/platformday/day.go
+++ b/lab/platformday/day.go
@@ -48,6 +48,8 @@
 	// Descriptors is the number of files that an edge may have open; 0 stands for no limit
 	// of the lab's.
 	Descriptors int
+	// MemoryMegabytes is the memory of each node in its settings; 0 selects the default.
+	MemoryMegabytes int
 	// Threads is the number of threads that run the code of an edge at once; 0 stands for
 	// one for each processor.
 	Threads int
--- a/lab/platformday/nodes.go
+++ b/lab/platformday/nodes.go
@@ -1,6 +1,7 @@
 package platformday
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"os"
@@ -41,6 +42,9 @@
 	return ports, nil
 }
 
+// defaultMemoryMegabytes is the memory of a node in its settings.
+const defaultMemoryMegabytes = 256
+
 func (d *Day) startNodes() error {
 	var seeds []string
 	for number := range d.Edges + d.Storages + d.Spares {
@@ -79,7 +83,7 @@
 		Cluster: "day", Node: name, Zone: fmt.Sprintf("z%d", number%zoneCount), Region: "r", Address: nodeAddress, Ports: []int{ports[0], ports[0]},
 		Listen: settings.RoleListen{MetricsPort: ports[4]}, FirstStart: true, DiskLosses: 1,
 		Store:   settings.RoleStore{Address: d.store.AddressFor(name)},
-		Machine: settings.RoleMachine{MemoryMegabytes: 256, Descriptors: d.Descriptors, DiskMegabytes: d.DiskMegabytes}, Bounds: settings.RoleBounds{StopSeconds: 8, DrainMilliseconds: 2000},
+		Machine: settings.RoleMachine{MemoryMegabytes: cmp.Or(d.MemoryMegabytes, defaultMemoryMegabytes), Descriptors: d.Descriptors, DiskMegabytes: d.DiskMegabytes}, Bounds: settings.RoleBounds{StopSeconds: 8, DrainMilliseconds: 2000},
 		Routing: d.routingOf(number),
 	}
 	if role == "edge" {
--- a/lab/standin/runneranswer.go
+++ b/lab/standin/runneranswer.go
@@ -26,6 +26,9 @@
 	LateRefusal float64
 	// EarlyRefusal refuses the request before its body is read.
 	EarlyRefusal float64
+	// Endless is the form of the bytes without end that the runner sends instead of each response;
+	// empty for none.
+	Endless EndlessForm
 }
 
 // affects reports whether the fault with a name affects a request, by a hash of the id of
@@ -97,6 +100,9 @@
 	header.Set("Cobaltramp-Server-Seal", "seal-"+id)
 	header.Set("Content-Type", "text/event-stream")
 	switch {
+	case fault.Endless != "":
+		r.respondForever(writer, request, fault.Endless)
+		return false
 	case affects(id, "lose", fault.LoseResponse):
 		panic(http.ErrAbortHandler)
 	case affects(id, "fail", fault.ServerError):
--- a/modules/batch/queues/queues.go
+++ b/modules/batch/queues/queues.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"cobaltramp.example/cobaltramp/internal/app/kernel"
+	"cobaltramp.example/cobaltramp/internal/app/membudget"
 	"cobaltramp.example/cobaltramp/internal/app/role"
 	"cobaltramp.example/cobaltramp/internal/batch/logstore"
 	"cobaltramp.example/cobaltramp/internal/batch/queuerun"
@@ -94,6 +95,7 @@
 	}
 	options.Totals = runners.Totals
 	m.executor.Quarantine = coordinator
+	m.executor.Memory = membudget.New(m.settings.Machine.ResponseMemory())
 	m.executor.Contact = platformInformer.Contact
 	options.Executor = m.executor
 	m.node = queuestore.New(options)
