replica: a rejection of an earlier epoch's append confirms no probe

Cause: a follower answers an append of an earlier epoch with its own, later epoch, and copied the probe's number from that append. A leader that was killed and leads again counts its probes from 1, so that the answer to a message of its former process confirmed probes that it had not begun.

Change: such an answer names no probe. Answers within an epoch keep it: an epoch has one leader, and one process of it.

--- a/internal/batch/replica/step.go
+++ b/internal/batch/replica/step.go
@@ -114,7 +114,7 @@
 
 func (r *Replica) handleAppend(now time.Time, message *wirev1.ReplicaMessage) {
 	if message.Epoch < r.hard.Promised {
-		r.reject(message, 0)
+		r.rejectEarlierEpoch(message)
 		return
 	}
 	if r.hard.Frozen && message.Epoch != r.hard.Promised {
@@ -164,7 +164,16 @@
 	return max(candidate, r.hard.Commit)
 }
 
-// reject responds to an append that was not accepted. The leader continues after the index
+// rejectEarlierEpoch responds to an append of a leader of an earlier epoch. The response is of this
+// epoch, and so confirms none of that leader's probes: the sender may lead again, after a restart, and
+// count other probes by the same numbers.
+func (r *Replica) rejectEarlierEpoch(message *wirev1.ReplicaMessage) {
+	r.send(&wirev1.ReplicaMessage{
+		Kind: wirev1.ReplicaKind_REPLICA_KIND_ACCEPTED, To: message.From, Epoch: r.hard.Promised, LastIndex: message.LastIndex,
+	})
+}
+
+// reject responds to an append of this epoch that was not accepted. The leader continues after the index
 // in hint, unless this replica has acknowledged a higher one.
 func (r *Replica) reject(message *wirev1.ReplicaMessage, hint uint64) {
 	r.send(&wirev1.ReplicaMessage{
