--- a/internal/cluster/informer/informer.go
+++ b/internal/cluster/informer/informer.go
@@ -80,6 +80,8 @@
 	follower atomic.Pointer[relay.Follower]
 	// peerAnswered is true if another node has answered a PeerStateRequest of this node.
 	peerAnswered atomic.Bool
+	// retirementWithdrawn is set when this node is no longer to retire, until its record is written again.
+	retirementWithdrawn atomic.Bool
 }
 
 // New returns an informer without contents.
--- a/internal/cluster/informer/operator.go
+++ b/internal/cluster/informer/operator.go
@@ -1,6 +1,7 @@
 package informer
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -54,6 +55,10 @@
 // setRetiring passes the nodes to retire to the directory. It logs them only if their
 // number has changed.
 func (i *Informer) setRetiring(retiring map[string]bool) {
+	self := i.Directory.Self().NodeId
+	if slices.Contains(i.Directory.Retiring(), self) && !retiring[self] {
+		i.retirementWithdrawn.Store(true)
+	}
 	if len(retiring) != len(i.Directory.Retiring()) {
 		klog.InfoS("list of nodes to retire changed", "nodes", retiring)
 	}
