queuestore: the initial layout waits for a disk for each copy

Cause: after 3 s a storage node made the initial layout with its own disk only, and the write quorum is never larger than the number of members.

Change: the initial layout needs as many disks as an entry has copies (one more than may be lost). Until then jobs are refused as not run. A deployment that has fewer disks than that for good accepts no jobs; a log line says so.

--- a/internal/batch/queuestore/layout.go
+++ b/internal/batch/queuestore/layout.go
@@ -31,6 +31,10 @@
 // to keep a quorum when DiskLosses of them are lost.
 func (n *StorageNode) wantedMemberCount() int { return 2*n.DiskLosses + 1 }
 
+// copies returns the number of disks that hold an entry before it is acknowledged, so that
+// DiskLosses of them may be lost.
+func (n *StorageNode) copies() int { return n.DiskLosses + 1 }
+
 // layoutLoop applies the layout and reports retiring nodes, or creates the initial layout if
 // none is known. It runs until the context ends.
 func (n *StorageNode) layoutLoop(ctx context.Context) {
@@ -88,11 +92,18 @@
 }
 
 // ready reports whether this node may create the initial layout because the usable disks
-// have been unchanged for long enough. wanted is the wanted number of members of a shard,
-// and rank the number of usable disks whose nodes precede this node in the order of names.
-func (w *bootstrapWait) ready(disks []string, wanted, rank int, now time.Time) bool {
+// have been unchanged for long enough, and suffice for all copies of an entry. copies is their
+// number, wanted the wanted number of members of a shard, and rank the number of usable disks
+// whose nodes precede this node in the order of names.
+func (w *bootstrapWait) ready(disks []string, copies, wanted, rank int, now time.Time) bool {
 	if w.since.IsZero() || !placement.SameMembers(w.disks, disks) {
 		w.disks, w.since = disks, now
+		if len(disks) < copies {
+			klog.InfoS("no initial queue layout yet: there are fewer disks than copies", "disks", len(disks), "copies", copies)
+		}
+	}
+	if len(disks) < copies {
+		return false
 	}
 	wait := bootstrapDelay
 	if len(disks) < wanted {
@@ -118,7 +129,7 @@
 			rank++
 		}
 	}
-	if !waiting.ready(ids, n.wantedMemberCount(), rank, time.Now()) {
+	if !waiting.ready(ids, n.copies(), n.wantedMemberCount(), rank, time.Now()) {
 		return
 	}
 	layout := n.initialLayout(disks)
@@ -131,7 +142,7 @@
 	layout := &Layout{}
 	for id := range wantedShardCount(len(disks), n.wantedMemberCount()) {
 		members := n.chooseMembers(uint32(id), disks, nil, layout.shardsPerDisk())
-		layout.Shards = append(layout.Shards, replica.MemberSet{Generation: 1, Members: members, Copies: n.DiskLosses + 1, Owners: n.diskOwners(uint32(id), members)})
+		layout.Shards = append(layout.Shards, replica.MemberSet{Generation: 1, Members: members, Copies: n.copies(), Owners: n.diskOwners(uint32(id), members)})
 	}
 	return layout
 }
