queuestore: the new disk of a retiring machine may join while there are too few others

Cause: a retiring machine's disk may stay a member while there are too few others, but its new disk was no spare.

Change: live disks of retiring machines join, as the last choice, up to the number of copies. The retirement stays `running`, and the disk leaves as soon as another can take its place.

--- a/internal/batch/queuestore/cluster_test.go
+++ b/internal/batch/queuestore/cluster_test.go
@@ -157,6 +157,27 @@
 	is.True(!c.store.isRetired("c")) // there is only one other copy
 }
 
+// TestRetiringNodeMayLoseItsDisk guards against a shard without a write quorum for good (LOST, review/4): a
+// retiring node that has to stay a member, because one other is left, loses its disk. Its new disk joins, until
+// another can.
+func TestRetiringNodeMayLoseItsDisk(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t, "a", "b", "c")
+	c.submit("one", 3)
+	c.retire("a")
+	c.eventually("node a is retired", func() bool { return c.store.isRetired("a") })
+	c.stop("a")
+	c.retire("c")
+	c.submit("two", 2)
+	c.wipe("c")
+	c.start("c")
+	c.waitFinished("one", 3)
+	c.waitFinished("two", 2)
+	c.submit("three", 2)
+	c.waitFinished("three", 2)
+	is.True(!c.store.isRetired("c")) // there is only one other copy
+}
+
 // Jobs that are accepted but unfinished are finished after all nodes have stopped and started.
 func TestUnfinishedJobsSurviveRestartOfAllNodes(t *testing.T) {
 	c := newCluster(t, "a", "b", "c")
--- a/internal/batch/queuestore/members.go
+++ b/internal/batch/queuestore/members.go
@@ -41,7 +41,7 @@
 
 // planMembers returns the healthy members and the spare disks that are added to them. If there
 // are too few, it adds unresponsive members up to the wanted number and then retiring members
-// up to the number of copies.
+// and other disks of retiring nodes up to the number of copies.
 //
 // Lost disks leave the set first, without replacement, if enough members remain for the copies.
 // The others have all entries already, and fewer votes then elect a leader, so that another disk
@@ -61,8 +61,10 @@
 	s.node.probeSpares(s.ID, current.Members, now)
 	next := s.node.chooseMembers(s.ID, s.node.liveDisks(now), byStatus[statusHealthy], s.node.Layouts.Current().shardsPerDisk())
 	next = addMembers(next, byStatus[statusUnresponsive], s.node.wantedMemberCount())
-	// A disk of a retiring node stays a member while there are too few other members.
+	// A disk of a retiring node stays a member while there are too few other members, and joins if the
+	// node has lost the disk that was one.
 	next = addMembers(next, byStatus[statusRetiring], current.Copies)
+	next = addMembers(next, s.node.liveRetiringDisks(now), current.Copies)
 	// The number of members may decrease only while a member is retiring.
 	if len(next) < len(current.Members) && !s.anyRetiring(current) {
 		return current.Members
--- a/internal/batch/queuestore/placement.go
+++ b/internal/batch/queuestore/placement.go
@@ -91,3 +91,16 @@
 	}
 	return live
 }
+
+// liveRetiringDisks returns the IDs of the disks of retiring nodes that this node has been in contact
+// with within unresponsiveDiskTimeout.
+func (n *StorageNode) liveRetiringDisks(now time.Time) []string {
+	var live []string
+	for _, disk := range n.Directory.Disks() {
+		retiring := n.Directory.IsRetiring(disk.NodeId) && !disk.Leaving && disk.Region == n.Region
+		if retiring && n.Directory.InContactWithin(disk.NodeId, now, unresponsiveDiskTimeout) {
+			live = append(live, disk.DiskId)
+		}
+	}
+	return live
+}
