queuestore: a test of one node gets the disks that its copies need

TestItemsThatAvoidRunnersDoNotBlockOthers ran one node that may lose one disk. Since the initial layout waits for a disk for each copy, its jobs were refused (failed after 60 s). It has two nodes now and checks the same.

--- a/internal/batch/queuestore/cluster_test.go
+++ b/internal/batch/queuestore/cluster_test.go
@@ -275,7 +275,7 @@
 // items behind them from starting.
 func TestItemsThatAvoidRunnersDoNotBlockOthers(t *testing.T) {
 	is := is.New(t)
-	c := newCluster(t, "a")
+	c := newCluster(t, "a", "b")
 	c.executor.mutex.Lock()
 	c.executor.avoiding = map[string]bool{}
 	for number := range 2 * maxRefusalsPerTick {
