--- a/internal/batch/queuerun/run.go
+++ b/internal/batch/queuerun/run.go
@@ -107,7 +107,7 @@
 	memory, outputMemory := r.executor.Memory.Reserve(), r.executor.Memory.Reserve()
 	defer memory.Release()
 	defer outputMemory.Release()
-	events := eventstream.NewLimitedDecoder(response.Body, eventstream.Limits{EventBytes: r.maxOutputBytes() + maxEventFields, Memory: memory})
+	events := eventstream.NewDecoder(response.Body, eventstream.Limits{EventBytes: r.maxOutputBytes() + maxEventFields, Memory: memory})
 	for {
 		idleTimer.Reset(eventTimeout)
 		event, err := events.Next()
--- a/internal/serving/online/stream.go
+++ b/internal/serving/online/stream.go
@@ -20,7 +20,7 @@
 func (s *activeRequest) relayStream(ctx context.Context, response *exchange.Response) (bool, error) {
 	memory := s.Memory.Reserve()
 	defer memory.Release()
-	events := eventstream.NewLimitedDecoder(response.Body, eventstream.Limits{Memory: memory})
+	events := eventstream.NewDecoder(response.Body, eventstream.Limits{Memory: memory})
 	first, checks := true, eventCheck{limits: s.request.Limits}
 	for {
 		event, err := events.Next()
--- a/internal/transport/eventstream/eventstream.go
+++ b/internal/transport/eventstream/eventstream.go
@@ -55,11 +55,8 @@
 
 const bufferBytes = 4 << 10
 
-// NewDecoder returns a decoder that reads from the body.
-func NewDecoder(body io.Reader) *Decoder { return NewLimitedDecoder(body, Limits{}) }
-
-// NewLimitedDecoder returns a decoder that reads from the body within limits.
-func NewLimitedDecoder(body io.Reader, limits Limits) *Decoder {
+// NewDecoder returns a decoder that reads from the body within limits.
+func NewDecoder(body io.Reader, limits Limits) *Decoder {
 	if limits.EventBytes <= 0 {
 		limits.EventBytes = MaxEventBytes
 	}
--- a/internal/transport/eventstream/eventstream_test.go
+++ b/internal/transport/eventstream/eventstream_test.go
@@ -16,7 +16,7 @@
 func TestDecodeEvents(t *testing.T) {
 	is := is.New(t)
 	text := "id: 1\ndata: a\ndata: b\n\nversion: 3\nid:2\r\ndata:c\r\n\r\n"
-	decoder := NewDecoder(iotest.OneByteReader(strings.NewReader(text)))
+	decoder := NewDecoder(iotest.OneByteReader(strings.NewReader(text)), Limits{})
 	first, err := decoder.Next()
 	is.NoErr(err)
 	is.Equal(string(first.Raw), "id: 1\ndata: a\ndata: b\n\n")
@@ -34,7 +34,7 @@
 func TestStreamEndingWithinEvent(t *testing.T) {
 	is := is.New(t)
 	for _, text := range []string{"id: 1", "id: 1\n", "id: 1\ndata: x\n"} {
-		_, err := NewDecoder(strings.NewReader(text)).Next()
+		_, err := NewDecoder(strings.NewReader(text), Limits{}).Next()
 		is.True(errors.Is(err, io.ErrUnexpectedEOF))
 	}
 }
@@ -42,9 +42,9 @@
 func TestInvalidEvents(t *testing.T) {
 	is := is.New(t)
 	var broken *BrokenError
-	_, err := NewDecoder(strings.NewReader("id: x\n\n")).Next()
+	_, err := NewDecoder(strings.NewReader("id: x\n\n"), Limits{}).Next()
 	is.True(errors.As(err, &broken))
-	_, err = NewDecoder(strings.NewReader("data: " + strings.Repeat("x", MaxEventBytes) + "\n\n")).Next()
+	_, err = NewDecoder(strings.NewReader("data: "+strings.Repeat("x", MaxEventBytes)+"\n\n"), Limits{}).Next()
 	is.True(errors.As(err, &broken))
 }
 
@@ -53,7 +53,7 @@
 	f.Add([]byte("id: 1\ndata: a\n\n"))
 	f.Add([]byte("\n\nid:\n\n"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		decoder := NewDecoder(bytes.NewReader(text))
+		decoder := NewDecoder(bytes.NewReader(text), Limits{})
 		var seen []byte
 		for {
 			event, err := decoder.Next()
@@ -89,7 +89,7 @@
 			defer test.limits.Memory.Release()
 			defer other.Release()
 			is.NoErr(other.GrowTo(test.others))
-			decoded, err := NewLimitedDecoder(strings.NewReader(event), test.limits).Next()
+			decoded, err := NewDecoder(strings.NewReader(event), test.limits).Next()
 			is.Equal(errors.As(err, new(*BrokenError)), test.broken)
 			is.True(test.broken || string(decoded.Raw) == event)
 		})
