--- a/internal/serving/exchange/exchange.go
+++ b/internal/serving/exchange/exchange.go
@@ -171,7 +171,7 @@
 // CallSender sends calls to runners.
 type CallSender interface {
 	// Do sends a call, reads the status and headers of the response, and returns it if it proves to
-	// be the runner's own. The error is a *NotRunError or an *OutcomeUnknownError. Cancelling the context closes the
-	// connection, whereupon the runner drops the request.
+	// be the runner's own. The error is a *NotRunError or an *OutcomeUnknownError. Cancelling the
+	// context closes the connection, whereupon the runner drops the request.
 	Do(ctx context.Context, call *Call) (*Response, error)
 }
